--- /dev/null
+++ b/crates/ledgelead-http/src/framing.rs
@@ -0,0 +1,222 @@
+//! Where a body ends: by length, by chunks, or with its connection.
+
+use crate::message::Headers;
+
+/// Longest line that may hold a chunk's size or a trailer, in bytes.
+const MAX_LINE_BYTES: usize = 4_096;
+
+/// Why a body can't be delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FramingError {
+    /// Lengths that contradict each other, or length and chunks together.
+    Ambiguous,
+    /// A length that is no number.
+    BadLength,
+    /// A transfer coding other than `chunked`.
+    UnknownCoding,
+    /// A malformed chunk.
+    BadChunk,
+    /// More bytes than allowed.
+    TooLong,
+}
+
+/// What `Content-Length` and `Transfer-Encoding` say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DeclaredFraming {
+    Length(u64),
+    Chunked,
+    Absent,
+}
+
+impl DeclaredFraming {
+    pub(crate) fn of(headers: &Headers) -> Result<DeclaredFraming, FramingError> {
+        let mut length = None;
+        for value in headers.all("content-length") {
+            let parsed = parse_length(value)?;
+            if length.is_some_and(|earlier| earlier != parsed) {
+                return Err(FramingError::Ambiguous);
+            }
+            length = Some(parsed);
+        }
+        let mut codings = headers.all("transfer-encoding");
+        let Some(coding) = codings.next() else {
+            return Ok(length.map_or(DeclaredFraming::Absent, DeclaredFraming::Length));
+        };
+        if length.is_some() || codings.next().is_some() {
+            return Err(FramingError::Ambiguous);
+        }
+        if coding.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            Ok(DeclaredFraming::Chunked)
+        } else {
+            Err(FramingError::UnknownCoding)
+        }
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64, FramingError> {
+    let value = value.trim_ascii();
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(FramingError::BadLength);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| FramingError::BadLength)?;
+    text.parse().map_err(|_| FramingError::BadLength)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+/// Takes a body out of the bytes of a connection.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+    body: Vec<u8>,
+    max_bytes: usize,
+}
+
+impl BodyReader {
+    /// A body of this many bytes.
+    pub fn length(length: u64, max_bytes: usize) -> Result<BodyReader, FramingError> {
+        if length > max_bytes as u64 {
+            return Err(FramingError::TooLong);
+        }
+        Ok(BodyReader::with(State::Length(length), max_bytes))
+    }
+
+    /// A body in chunks.
+    pub fn chunked(max_bytes: usize) -> BodyReader {
+        BodyReader::with(State::ChunkSize, max_bytes)
+    }
+
+    /// A body that ends with its connection.
+    pub fn until_close(max_bytes: usize) -> BodyReader {
+        BodyReader::with(State::UntilClose, max_bytes)
+    }
+
+    fn with(state: State, max_bytes: usize) -> BodyReader {
+        BodyReader {
+            state,
+            body: Vec::new(),
+            max_bytes,
+        }
+    }
+
+    /// Takes what belongs to the body from the front of `input`. True once the
+    /// body is whole.
+    ///
+    /// # Errors
+    /// When a chunk is malformed or the body grows too long.
+    pub fn read(&mut self, input: &mut Vec<u8>) -> Result<bool, FramingError> {
+        let mut consumed = 0;
+        while self.step(input, &mut consumed)? {}
+        input.drain(..consumed);
+        Ok(matches!(self.state, State::Length(0) | State::Done))
+    }
+
+    /// The connection was closed by its sender: whether the body is whole.
+    pub fn closed(&self) -> bool {
+        matches!(
+            self.state,
+            State::UntilClose | State::Length(0) | State::Done
+        )
+    }
+
+    /// The body read so far.
+    pub fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// One step; whether another may follow.
+    fn step(&mut self, input: &[u8], consumed: &mut usize) -> Result<bool, FramingError> {
+        let rest = &input[*consumed..];
+        match self.state {
+            State::Length(0) | State::Done => Ok(false),
+            State::Length(left) => {
+                let taken = self.take(rest, left, consumed)?;
+                self.state = State::Length(left - taken);
+                Ok(taken > 0)
+            }
+            State::UntilClose => Ok(self.take(rest, u64::MAX, consumed)? > 0),
+            State::ChunkData(0) => {
+                self.state = State::ChunkEnd;
+                Ok(true)
+            }
+            State::ChunkData(left) => {
+                let taken = self.take(rest, left, consumed)?;
+                self.state = State::ChunkData(left - taken);
+                Ok(taken > 0)
+            }
+            State::ChunkSize => self.chunk_size(rest, consumed),
+            State::ChunkEnd => self.chunk_end(rest, consumed),
+            State::Trailers => self.trailer(rest, consumed),
+        }
+    }
+
+    fn take(
+        &mut self,
+        rest: &[u8],
+        at_most: u64,
+        consumed: &mut usize,
+    ) -> Result<u64, FramingError> {
+        let taken = rest
+            .len()
+            .min(usize::try_from(at_most).unwrap_or(usize::MAX));
+        if self.body.len() + taken > self.max_bytes {
+            return Err(FramingError::TooLong);
+        }
+        self.body.extend_from_slice(&rest[..taken]);
+        *consumed += taken;
+        Ok(taken as u64)
+    }
+
+    fn chunk_size(&mut self, rest: &[u8], consumed: &mut usize) -> Result<bool, FramingError> {
+        match httparse::parse_chunk_size(rest).map_err(|_| FramingError::BadChunk)? {
+            httparse::Status::Complete((bytes, 0)) => {
+                *consumed += bytes;
+                self.state = State::Trailers;
+                Ok(true)
+            }
+            httparse::Status::Complete((bytes, size)) => {
+                *consumed += bytes;
+                self.state = State::ChunkData(size);
+                Ok(true)
+            }
+            httparse::Status::Partial if rest.len() > MAX_LINE_BYTES => Err(FramingError::BadChunk),
+            httparse::Status::Partial => Ok(false),
+        }
+    }
+
+    fn chunk_end(&mut self, rest: &[u8], consumed: &mut usize) -> Result<bool, FramingError> {
+        if rest.len() < 2 {
+            return Ok(false);
+        }
+        if !rest.starts_with(b"\r\n") {
+            return Err(FramingError::BadChunk);
+        }
+        *consumed += 2;
+        self.state = State::ChunkSize;
+        Ok(true)
+    }
+
+    /// Trailers are read and dropped.
+    fn trailer(&mut self, rest: &[u8], consumed: &mut usize) -> Result<bool, FramingError> {
+        let Some(line) = rest.windows(2).position(|pair| pair == b"\r\n") else {
+            if rest.len() > MAX_LINE_BYTES {
+                return Err(FramingError::BadChunk);
+            }
+            return Ok(false);
+        };
+        *consumed += line + 2;
+        if line == 0 {
+            self.state = State::Done;
+        }
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-http/src/request_reader.rs
@@ -0,0 +1,149 @@
+//! Reads requests from the bytes of a client's connection.
+
+use crate::MAX_HEADERS;
+use crate::framing::{BodyReader, DeclaredFraming, FramingError};
+use crate::message::{Headers, Request};
+
+/// What a client may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Longest head, in bytes.
+    pub max_head_bytes: usize,
+    /// Longest body, in bytes.
+    pub max_body_bytes: usize,
+}
+
+/// Why a request is refused before it is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestError {
+    /// Not HTTP/1.1, or framed in a way that could be read twice.
+    Malformed,
+    /// The head is longer than allowed.
+    HeadTooLong,
+    /// The body is longer than allowed.
+    BodyTooLong,
+}
+
+impl RequestError {
+    /// The status that tells the client.
+    pub fn status(self) -> u16 {
+        match self {
+            RequestError::Malformed => 400,
+            RequestError::HeadTooLong => 431,
+            RequestError::BodyTooLong => 413,
+        }
+    }
+}
+
+impl From<FramingError> for RequestError {
+    fn from(error: FramingError) -> RequestError {
+        match error {
+            FramingError::TooLong => RequestError::BodyTooLong,
+            _ => RequestError::Malformed,
+        }
+    }
+}
+
+/// How far a request has come.
+#[derive(Debug, PartialEq, Eq)]
+pub enum RequestProgress {
+    /// Nothing of a request is there.
+    Idle,
+    /// A part of a request is there.
+    Partial,
+    /// The client waits for `100 Continue` before it sends the body.
+    ExpectsContinue,
+    /// A whole request.
+    Complete(Request),
+}
+
+struct Head {
+    request: Request,
+    body: BodyReader,
+    continue_pending: bool,
+}
+
+/// The reader of one connection.
+#[derive(Default)]
+pub struct RequestReader {
+    head: Option<Head>,
+}
+
+impl RequestReader {
+    /// Takes the next request from the front of `input`. Bytes behind it stay.
+    ///
+    /// # Errors
+    /// When the bytes can't become a request; the connection must be closed.
+    pub fn read(
+        &mut self,
+        input: &mut Vec<u8>,
+        limits: RequestLimits,
+    ) -> Result<RequestProgress, RequestError> {
+        if self.head.is_none() {
+            self.head = parse_head(input, limits)?;
+        }
+        let Some(mut head) = self.head.take() else {
+            return Ok(if input.is_empty() {
+                RequestProgress::Idle
+            } else {
+                RequestProgress::Partial
+            });
+        };
+        if head.body.read(input)? {
+            let mut request = head.request;
+            request.body = head.body.into_body();
+            return Ok(RequestProgress::Complete(request));
+        }
+        let expects = std::mem::take(&mut head.continue_pending);
+        self.head = Some(head);
+        Ok(if expects {
+            RequestProgress::ExpectsContinue
+        } else {
+            RequestProgress::Partial
+        })
+    }
+
+    /// Whether the body of a request is being read.
+    pub fn reads_body(&self) -> bool {
+        self.head.is_some()
+    }
+}
+
+fn parse_head(input: &mut Vec<u8>, limits: RequestLimits) -> Result<Option<Head>, RequestError> {
+    let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut storage);
+    let status = parsed.parse(input).map_err(|error| match error {
+        httparse::Error::TooManyHeaders => RequestError::HeadTooLong,
+        _ => RequestError::Malformed,
+    })?;
+    let httparse::Status::Complete(head_bytes) = status else {
+        if input.len() > limits.max_head_bytes {
+            return Err(RequestError::HeadTooLong);
+        }
+        return Ok(None);
+    };
+    if head_bytes > limits.max_head_bytes {
+        return Err(RequestError::HeadTooLong);
+    }
+    if parsed.version != Some(1) {
+        return Err(RequestError::Malformed);
+    }
+    let request = Request {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        target: parsed.path.unwrap_or_default().to_owned(),
+        headers: Headers::from_parsed(parsed.headers),
+        body: Vec::new(),
+    };
+    input.drain(..head_bytes);
+    let body = match DeclaredFraming::of(&request.headers)? {
+        DeclaredFraming::Length(length) => BodyReader::length(length, limits.max_body_bytes)?,
+        DeclaredFraming::Chunked => BodyReader::chunked(limits.max_body_bytes),
+        DeclaredFraming::Absent => BodyReader::length(0, limits.max_body_bytes)?,
+    };
+    let continue_pending = request.headers.has_token("expect", "100-continue");
+    Ok(Some(Head {
+        request,
+        body,
+        continue_pending,
+    }))
+}
--- /dev/null
+++ b/crates/ledgelead-http/src/response_reader.rs
@@ -0,0 +1,173 @@
+//! Reads responses from the bytes of a server's connection.
+
+use crate::MAX_HEADERS;
+use crate::framing::{BodyReader, DeclaredFraming, FramingError};
+use crate::message::{Headers, Response};
+
+/// Longest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 65_536;
+
+/// Why bytes are no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseError {
+    /// Not an HTTP/1.1 response.
+    Malformed,
+    /// Longer than allowed.
+    TooLong,
+    /// The connection ended inside the response.
+    Truncated,
+}
+
+impl From<FramingError> for ResponseError {
+    fn from(error: FramingError) -> ResponseError {
+        match error {
+            FramingError::TooLong => ResponseError::TooLong,
+            _ => ResponseError::Malformed,
+        }
+    }
+}
+
+/// How far a response has come.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ResponseProgress {
+    /// Not whole yet.
+    Partial,
+    /// A whole response.
+    Complete {
+        /// The response.
+        response: Response,
+        /// Whether its connection may carry another request.
+        reusable: bool,
+    },
+}
+
+struct Head {
+    response: Response,
+    body: BodyReader,
+    reusable: bool,
+}
+
+/// The reader of one response.
+pub struct ResponseReader {
+    head: Option<Head>,
+    to_head_request: bool,
+    max_body_bytes: usize,
+}
+
+impl ResponseReader {
+    /// A reader of the response to a request with this method.
+    pub fn new(method: &str, max_body_bytes: usize) -> ResponseReader {
+        ResponseReader {
+            head: None,
+            to_head_request: method == "HEAD",
+            max_body_bytes,
+        }
+    }
+
+    /// Takes the response from the front of `input`. Bytes behind it stay.
+    ///
+    /// # Errors
+    /// When the bytes are no response.
+    pub fn read(&mut self, input: &mut Vec<u8>) -> Result<ResponseProgress, ResponseError> {
+        while self.head.is_none() {
+            match self.parse_head(input)? {
+                Some(head) if is_interim(head.response.status) => {}
+                Some(head) => self.head = Some(head),
+                None => return Ok(ResponseProgress::Partial),
+            }
+        }
+        let whole = match &mut self.head {
+            Some(head) => head.body.read(input)?,
+            None => false,
+        };
+        Ok(if whole {
+            self.complete()
+        } else {
+            ResponseProgress::Partial
+        })
+    }
+
+    /// The server closed the connection in good order.
+    ///
+    /// # Errors
+    /// When the response is not whole.
+    pub fn closed(&mut self) -> Result<Response, ResponseError> {
+        match &self.head {
+            Some(head) if head.body.closed() => match self.complete() {
+                ResponseProgress::Complete { response, .. } => Ok(response),
+                ResponseProgress::Partial => Err(ResponseError::Truncated),
+            },
+            _ => Err(ResponseError::Truncated),
+        }
+    }
+
+    /// Whether a part of the response has come.
+    pub fn has_begun(&self) -> bool {
+        self.head.is_some()
+    }
+
+    fn complete(&mut self) -> ResponseProgress {
+        let Some(head) = self.head.take() else {
+            return ResponseProgress::Partial;
+        };
+        let mut response = head.response;
+        response.body = head.body.into_body();
+        ResponseProgress::Complete {
+            response,
+            reusable: head.reusable,
+        }
+    }
+
+    fn parse_head(&self, input: &mut Vec<u8>) -> Result<Option<Head>, ResponseError> {
+        let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut storage);
+        let status = parsed.parse(input).map_err(|_| ResponseError::Malformed)?;
+        let httparse::Status::Complete(head_bytes) = status else {
+            if input.len() > MAX_HEAD_BYTES {
+                return Err(ResponseError::TooLong);
+            }
+            return Ok(None);
+        };
+        if parsed.version != Some(1) {
+            return Err(ResponseError::Malformed);
+        }
+        let status = parsed.code.unwrap_or_default();
+        let headers = Headers::from_parsed(parsed.headers);
+        input.drain(..head_bytes);
+        let framing = DeclaredFraming::of(&headers)?;
+        let (body, delimited) = self.body_reader(status, framing)?;
+        let reusable = delimited && !headers.has_token("connection", "close");
+        Ok(Some(Head {
+            response: Response {
+                status,
+                headers,
+                body: Vec::new(),
+            },
+            body,
+            reusable,
+        }))
+    }
+
+    /// The reader of the body, and whether the body ends by itself.
+    fn body_reader(
+        &self,
+        status: u16,
+        framing: DeclaredFraming,
+    ) -> Result<(BodyReader, bool), ResponseError> {
+        let bodyless = self.to_head_request || is_interim(status) || matches!(status, 204 | 304);
+        if bodyless {
+            return Ok((BodyReader::length(0, self.max_body_bytes)?, true));
+        }
+        Ok(match framing {
+            DeclaredFraming::Length(length) => {
+                (BodyReader::length(length, self.max_body_bytes)?, true)
+            }
+            DeclaredFraming::Chunked => (BodyReader::chunked(self.max_body_bytes), true),
+            DeclaredFraming::Absent => (BodyReader::until_close(self.max_body_bytes), false),
+        })
+    }
+}
+
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status)
+}
--- /dev/null
+++ b/crates/ledgelead-http/tests/codec.rs
@@ -0,0 +1,133 @@
+//! Messages cut into arbitrary pieces, left-over bytes, ambiguous framing.
+
+use googletest::prelude::*;
+use ledgelead_http::{
+    Request, RequestError, RequestLimits, RequestProgress, RequestReader, Response, ResponseError,
+    ResponseProgress, ResponseReader, write_request, write_response,
+};
+use proptest::prelude::*;
+
+const LIMITS: RequestLimits = RequestLimits {
+    max_head_bytes: 1_024,
+    max_body_bytes: 4_096,
+};
+
+fn read_request(bytes: &[u8]) -> std::result::Result<RequestProgress, RequestError> {
+    RequestReader::default().read(&mut bytes.to_vec(), LIMITS)
+}
+
+fn read_response(bytes: &[u8]) -> std::result::Result<ResponseProgress, ResponseError> {
+    ResponseReader::new("GET", 4_096).read(&mut bytes.to_vec())
+}
+
+#[gtest]
+fn a_request_framed_twice_is_refused() {
+    let both =
+        b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    expect_that!(read_request(both), err(eq(&RequestError::Malformed)));
+    let two = b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd";
+    expect_that!(read_request(two), err(eq(&RequestError::Malformed)));
+    let signed = b"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc";
+    expect_that!(read_request(signed), err(eq(&RequestError::Malformed)));
+}
+
+#[gtest]
+fn what_exceeds_the_limits_is_refused_with_its_status() {
+    let mut long_head = b"GET / HTTP/1.1\r\nA: ".to_vec();
+    long_head.resize(2_000, b'a');
+    let error = read_request(&long_head).unwrap_err();
+    expect_that!(error.status(), eq(431));
+    let long_body = b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n";
+    expect_that!(read_request(long_body).unwrap_err().status(), eq(413));
+}
+
+#[gtest]
+fn a_chunked_body_arrives_without_its_framing() {
+    let bytes = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nT: x\r\n\r\nGET";
+    let mut input = bytes.to_vec();
+    let progress = RequestReader::default().read(&mut input, LIMITS).unwrap();
+    let RequestProgress::Complete(request) = progress else {
+        panic!("not whole");
+    };
+    expect_that!(request.body, eq(b"abcde"));
+    expect_that!(input, eq(b"GET"));
+}
+
+#[gtest]
+fn an_answer_cut_short_is_not_whole() {
+    let mut reader = ResponseReader::new("GET", 100);
+    let mut input = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc".to_vec();
+    expect_that!(reader.read(&mut input), ok(eq(&ResponseProgress::Partial)));
+    expect_that!(reader.closed(), err(eq(&ResponseError::Truncated)));
+}
+
+#[gtest]
+fn an_answer_without_length_ends_with_its_connection() {
+    let mut reader = ResponseReader::new("GET", 100);
+    let mut input = b"HTTP/1.1 200 OK\r\n\r\nabc".to_vec();
+    expect_that!(reader.read(&mut input), ok(eq(&ResponseProgress::Partial)));
+    let response = reader.closed().unwrap();
+    expect_that!(response.body, eq(b"abc"));
+}
+
+#[gtest]
+fn a_surplus_answer_stays_in_the_buffer() {
+    let mut input = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n".to_vec();
+    let progress = ResponseReader::new("GET", 100).read(&mut input).unwrap();
+    expect_that!(
+        matches!(progress, ResponseProgress::Complete { reusable: true, .. }),
+        eq(true)
+    );
+    expect_that!(input.starts_with(b"HTTP/1.1"), eq(true));
+}
+
+#[gtest]
+fn bytes_that_are_no_answer_are_an_error() {
+    expect_that!(read_response(b"garbage\r\n\r\n"), err(anything()));
+}
+
+proptest! {
+    #[test]
+    fn requests_survive_any_cut(body in proptest::collection::vec(any::<u8>(), 0..300), cut in 1..40usize) {
+        let mut request = Request::new("POST", "/a/b?c=d", body);
+        request.headers.push("X-Name", "value");
+        let mut bytes = Vec::new();
+        write_request(&request, &mut bytes);
+        let mut reader = RequestReader::default();
+        let mut input = Vec::new();
+        let mut complete = None;
+        for piece in bytes.chunks(cut) {
+            input.extend_from_slice(piece);
+            if let RequestProgress::Complete(read) = reader.read(&mut input, LIMITS).unwrap() {
+                complete = Some(read);
+            }
+        }
+        let read = complete.expect("a whole request");
+        prop_assert_eq!(&read.body, &request.body);
+        prop_assert_eq!(read.path(), "/a/b");
+        prop_assert_eq!(read.headers.text("x-name"), Some("value"));
+    }
+
+    #[test]
+    fn responses_survive_any_cut(body in proptest::collection::vec(any::<u8>(), 0..300), cut in 1..40usize) {
+        let response = Response::new(200, body);
+        let mut bytes = Vec::new();
+        write_response(&response, false, false, &mut bytes);
+        let mut reader = ResponseReader::new("GET", 4_096);
+        let mut input = Vec::new();
+        let mut complete = None;
+        for piece in bytes.chunks(cut) {
+            input.extend_from_slice(piece);
+            if let ResponseProgress::Complete { response, .. } = reader.read(&mut input).unwrap() {
+                complete = Some(response);
+            }
+        }
+        prop_assert_eq!(complete.expect("a whole response").body, response.body);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = read_request(&bytes);
+        let _ = read_response(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/directory.rs
@@ -0,0 +1,228 @@
+//! The instances that registered themselves, as far as this node knows.
+
+use crate::Timestamp;
+use crate::identity::{InstanceId, ServiceName, ZoneName};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an instance is remembered after its entry is gone.
+const REMEMBER_GONE: Duration = Duration::from_secs(30);
+/// How long an entry that went with an outage of the store is still trusted
+/// after the store is back: some heartbeats of the instance.
+const HEARTBEATS_AFTER_OUTAGE: u32 = 3;
+
+/// What an instance registered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceRecord {
+    /// This life of the instance.
+    pub id: InstanceId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// How much longer it stays slow after its start.
+    pub warmup_left: Duration,
+}
+
+/// Whether an instance may get work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It serves.
+    Serving,
+    /// It said that it is leaving.
+    Draining {
+        /// Since when this node knows.
+        since: Timestamp,
+    },
+    /// Its entry is gone.
+    Gone {
+        /// Since when this node knows.
+        since: Timestamp,
+    },
+}
+
+/// An instance as this node knows it.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// What it registered last.
+    pub record: InstanceRecord,
+    /// Whether it may get work.
+    pub presence: Presence,
+    /// Until when it is slow after its start.
+    pub warm_at: Timestamp,
+}
+
+impl Instance {
+    /// Whether it may get new work.
+    pub fn serves(&self) -> bool {
+        self.presence == Presence::Serving
+    }
+
+    /// Since when it is known to be leaving.
+    pub fn leaving_since(&self) -> Option<Timestamp> {
+        match self.presence {
+            Presence::Serving => None,
+            Presence::Draining { since } | Presence::Gone { since } => Some(since),
+        }
+    }
+}
+
+/// All instances.
+#[derive(Debug)]
+pub struct Directory {
+    instances: BTreeMap<InstanceId, Instance>,
+    /// Entries that went while the store was in doubt, and until when their
+    /// instances are taken for present.
+    doubted: BTreeMap<InstanceId, Timestamp>,
+    trust_after_outage: Duration,
+    /// Until when vanished entries are doubted.
+    doubt_until: Timestamp,
+    complete: bool,
+}
+
+impl Directory {
+    /// An empty directory; `heartbeat` is the time between two writes of an
+    /// instance.
+    pub fn new(heartbeat: Duration) -> Directory {
+        Directory {
+            instances: BTreeMap::new(),
+            doubted: BTreeMap::new(),
+            trust_after_outage: heartbeat * HEARTBEATS_AFTER_OUTAGE,
+            doubt_until: Duration::ZERO,
+            complete: false,
+        }
+    }
+
+    /// Whether the whole list was read once.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// The store could not be reached until now: entries that are missing were
+    /// perhaps dropped since nobody could write them.
+    pub fn store_was_lost(&mut self, now: Timestamp) {
+        self.doubt_until = now + self.trust_after_outage;
+    }
+
+    /// Takes over a whole list.
+    pub fn replace_all(&mut self, records: Vec<InstanceRecord>, now: Timestamp) {
+        let listed: std::collections::BTreeSet<InstanceId> =
+            records.iter().map(|record| record.id.clone()).collect();
+        for record in records {
+            self.upsert(record, now);
+        }
+        let missing: Vec<InstanceId> = self
+            .instances
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        self.complete = true;
+    }
+
+    /// An entry was made or changed.
+    pub fn upsert(&mut self, record: InstanceRecord, now: Timestamp) {
+        self.doubted.remove(&record.id);
+        let id = record.id.clone();
+        let warm_at = now + record.warmup_left;
+        let earlier = self.instances.get(&id).map(|instance| instance.presence);
+        let presence = match (record.draining, earlier) {
+            (false, _) => Presence::Serving,
+            (true, Some(Presence::Draining { since })) => Presence::Draining { since },
+            (true, _) => Presence::Draining { since: now },
+        };
+        let instance = Instance {
+            record,
+            presence,
+            warm_at,
+        };
+        self.instances.insert(id, instance);
+    }
+
+    /// An entry is gone.
+    pub fn remove(&mut self, id: &InstanceId, now: Timestamp) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        if matches!(instance.presence, Presence::Gone { .. }) {
+            return;
+        }
+        let outage = now < self.doubt_until && instance.presence == Presence::Serving;
+        if outage {
+            self.doubted.entry(id.clone()).or_insert(self.doubt_until);
+        } else {
+            instance.presence = Presence::Gone { since: now };
+        }
+    }
+
+    /// Entries whose doubt has ended are gone; entries gone for long are
+    /// forgotten.
+    pub fn expire(&mut self, now: Timestamp) {
+        let ended: Vec<InstanceId> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.doubted.remove(&id);
+            if let Some(instance) = self.instances.get_mut(&id) {
+                instance.presence = Presence::Gone { since: now };
+            }
+        }
+        self.instances.retain(|_, instance| {
+            !matches!(instance.presence, Presence::Gone { since } if since + REMEMBER_GONE <= now)
+        });
+    }
+
+    /// The next time at which `expire` changes something.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        self.doubted.values().min().copied()
+    }
+
+    /// One instance.
+    pub fn get(&self, id: &InstanceId) -> Option<&Instance> {
+        self.instances.get(id)
+    }
+
+    /// The instances of a service, present or not.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Instance> {
+        self.instances
+            .values()
+            .filter(move |instance| instance.record.service == *service)
+    }
+
+    /// Whether another life is registered at this instance's address: proof
+    /// that this one has ended.
+    pub fn is_replaced(&self, id: &InstanceId) -> bool {
+        let Some(instance) = self.instances.get(id) else {
+            return false;
+        };
+        if instance.serves() && !self.doubted.contains_key(id) {
+            return false;
+        }
+        self.instances.values().any(|other| {
+            other.record.id != *id
+                && other.record.address == instance.record.address
+                && other.serves()
+        })
+    }
+
+    /// All instances.
+    pub fn iter(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.values()
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/io.rs
@@ -0,0 +1,116 @@
+//! What goes into a node and what comes out of it.
+
+use ledgelead_http::{Request, Response};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A request of a client, while it is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// An exchange with an instance or with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ExchangeId(pub u64);
+
+/// Why an exchange got no whole answer, and what that proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeFailure {
+    /// No connection came up; nothing was sent.
+    NotConnected,
+    /// The connection was lost after the request, or a part of it, was sent.
+    Lost,
+    /// No whole answer came in time; the request was sent.
+    TimedOut,
+    /// What came was no answer.
+    Malformed,
+}
+
+impl ExchangeFailure {
+    /// Whether it is proved that the receiver never saw the request.
+    pub fn proves_not_sent(self) -> bool {
+        self == ExchangeFailure::NotConnected
+    }
+}
+
+/// How an exchange is carried out.
+#[derive(Clone, Debug)]
+pub struct ExchangeOptions {
+    /// Answers that carry another value in this header are not the answer.
+    pub match_header: Option<(String, Vec<u8>)>,
+    /// A kept connection may be used if it was idle for less than this.
+    pub reuse_idle_below: Duration,
+    /// Time for a new connection to come up.
+    pub connect_timeout: Duration,
+    /// Time for the whole exchange.
+    pub timeout: Duration,
+}
+
+/// What happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// A client sent a request.
+    Request {
+        /// Names the request until it is answered or its client left.
+        client: ClientId,
+        /// The request.
+        request: Request,
+    },
+    /// The client closed its connection while its request was open.
+    ClientLeft {
+        /// The request.
+        client: ClientId,
+    },
+    /// An exchange ended.
+    Exchanged {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// Its end.
+        result: Result<Response, ExchangeFailure>,
+    },
+    /// Another node sent a datagram.
+    Datagram {
+        /// The sender's address.
+        from: SocketAddr,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+    /// The deadline that the node asked for has come.
+    Deadline,
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// What a node wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Answer a client.
+    Respond {
+        /// The request.
+        client: ClientId,
+        /// The answer.
+        response: Response,
+    },
+    /// Begin an exchange.
+    Exchange {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The receiver.
+        address: SocketAddr,
+        /// The request.
+        request: Request,
+        /// How it is carried out.
+        options: ExchangeOptions,
+    },
+    /// Break off an exchange; nothing more is told of it.
+    Cancel {
+        /// The exchange.
+        exchange: ExchangeId,
+    },
+    /// Send a datagram to another node.
+    Datagram {
+        /// The receiver.
+        address: SocketAddr,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/lib.rs
@@ -0,0 +1,20 @@
+//! The decisions of a router whose only durable state lies in a shared store.
+//!
+//! Everything here is stepped: inputs and the time go in, actions come out.
+//! There are no sockets, threads, clocks or global randomness. How a store,
+//! its objects and the instances are spoken to is a [`dialect::Dialect`].
+
+pub mod configuration;
+pub mod dialect;
+pub mod directory;
+pub mod identity;
+pub mod io;
+pub mod node;
+pub mod ownership;
+pub mod peers;
+pub mod requests;
+pub mod settings;
+pub mod store;
+
+/// A time on the process's monotonic clock, counted from its start.
+pub type Timestamp = std::time::Duration;
--- /dev/null
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -0,0 +1,412 @@
+//! The coordinator's place: taking it, keeping it, leaving it.
+
+use super::Node;
+use super::store_calls::{OWNERSHIP_NAME, Purpose};
+use crate::Timestamp;
+use crate::dialect::{ObjectKind, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
+use crate::identity::{InstanceId, NodeIdentity, NodeName};
+use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
+use crate::ownership::coordinator::{Context, Coordinator, OutgoingOrder};
+use crate::ownership::election::{Election, rank};
+use crate::ownership::record::OwnershipRecord;
+use crate::settings::COORDINATOR_AUTHORITY;
+use ledgelead_http::Response;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time for a connection to an instance to come up.
+const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a grant; nothing is waited for at the instance.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for a release; it is answered once the work on the keys has ended.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Kept connections for orders.
+const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
+/// Pause before a write without an answer is made again, under the same
+/// condition.
+const WRITE_RETRY: Duration = Duration::from_millis(250);
+
+/// State of the coordinator's place at this node.
+pub(super) struct Coordination {
+    coordinator: Option<Coordinator>,
+    /// The instance of each order that is out.
+    orders: HashMap<ExchangeId, InstanceId>,
+    /// Start of the newest call in which the store confirmed this place.
+    confirmed: Option<Timestamp>,
+    /// Whether the record was read, or its absence seen.
+    pub(super) listed: bool,
+    pub(super) election: Election,
+    /// The coordinator that this node last tried to follow.
+    predecessor: Option<NodeIdentity>,
+    taking_over: bool,
+    write_out: bool,
+    next_write: Timestamp,
+    resigning: bool,
+    resign_out: bool,
+    resign_done: bool,
+}
+
+impl Coordination {
+    pub(super) fn new(election: Election) -> Coordination {
+        Coordination {
+            coordinator: None,
+            orders: HashMap::new(),
+            confirmed: None,
+            listed: false,
+            election,
+            predecessor: None,
+            taking_over: false,
+            write_out: false,
+            next_write: Timestamp::ZERO,
+            resigning: false,
+            resign_out: false,
+            resign_done: false,
+        }
+    }
+
+    pub(super) fn coordinator(&self) -> Option<&Coordinator> {
+        self.coordinator.as_ref()
+    }
+
+    pub(super) fn coordinator_mut(&mut self) -> Option<&mut Coordinator> {
+        self.coordinator.as_mut()
+    }
+
+    /// Whether orders may be given now.
+    pub(super) fn has_authority(&self, now: Timestamp) -> bool {
+        let confirmed = self
+            .confirmed
+            .is_some_and(|confirmed| now < confirmed + COORDINATOR_AUTHORITY);
+        confirmed && self.coordinator.is_some() && !self.resigning
+    }
+
+    /// The store answered a call about the record that began at `started`.
+    /// Versions in the answer are applied afterwards, and end this node's
+    /// place if another has it.
+    pub(super) fn confirmed_if_unchanged(&mut self, started: Timestamp) {
+        if self.coordinator.is_some() {
+            self.confirmed = self.confirmed.max(Some(started));
+        }
+    }
+
+    pub(super) fn begin_resigning(&mut self, _now: Timestamp) {
+        self.resigning = true;
+        self.resign_done = self.coordinator.is_none();
+    }
+
+    pub(super) fn resigned(&mut self) {
+        self.resign_done = true;
+    }
+
+    /// Whether nothing is left to be done before this node can end.
+    pub(super) fn has_resigned(&self) -> bool {
+        !self.resigning || self.resign_done || self.coordinator.is_none()
+    }
+}
+
+impl Node {
+    pub(super) fn coordination_deadline(&self) -> Option<Timestamp> {
+        let coordination = &self.coordination;
+        if let Some(coordinator) = coordination.coordinator() {
+            let write = (coordinator.pending_write().is_some() && !coordination.write_out)
+                .then_some(coordination.next_write);
+            return write.into_iter().chain([coordinator.next_step()]).min();
+        }
+        self.may_campaign().then(|| self.campaign_due())
+    }
+
+    /// What is due for the coordinator, or for one that wants to be.
+    pub(super) fn coordinate(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.coordination.coordinator.is_some() {
+            self.resign_if_asked(now, out);
+            self.step_coordinator(now, out);
+            self.write_again(now, out);
+        } else if self.may_campaign() && self.campaign_due() <= now {
+            self.campaign(now, out);
+        }
+    }
+
+    fn may_campaign(&self) -> bool {
+        self.coordination.listed
+            && self.configuration.is_some()
+            && self.store.is_registered()
+            && self.store.health.serves()
+            && !self.coordination.taking_over
+            && !self.stopping
+    }
+
+    fn campaign_due(&self) -> Timestamp {
+        let nodes: Vec<NodeName> = self
+            .registry
+            .iter()
+            .map(|record| record.identity.node.clone())
+            .collect();
+        let record = self.ownership.record();
+        let rank = rank(
+            &self.settings.identity.node,
+            record.coordinator.as_ref(),
+            &nodes,
+        );
+        self.coordination.election.due(record, rank)
+    }
+
+    fn campaign(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let record = self.ownership.record();
+        self.coordination.predecessor = record.coordinator.clone();
+        let next = record.taken_over_by(&self.settings.identity);
+        let content = WrittenContent::Ownership(next.clone());
+        let name = OWNERSHIP_NAME.to_owned();
+        let call = match self.ownership.revision() {
+            Some(revision) => StoreCall::Replace {
+                name,
+                revision: Some(revision),
+                content,
+            },
+            None => StoreCall::Create { name, content },
+        };
+        log::info!(target: "ownership", "wants to coordinate under epoch {}", next.epoch);
+        self.coordination.taking_over = true;
+        self.coordination.election.tried(now);
+        self.start_call(Purpose::TakeOver(next), call, now, out);
+    }
+
+    pub(super) fn take_over_answered(
+        &mut self,
+        record: OwnershipRecord,
+        answer: Result<StoreAnswer, ExchangeFailure>,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        self.coordination.taking_over = false;
+        match answer {
+            Ok(StoreAnswer::Written(object)) => {
+                self.ownership_changed(record, object.revision, started, now, out);
+            }
+            _ => self.store.interrupt(ObjectKind::Ownership, now, now, out),
+        }
+    }
+
+    /// The record changed: takes up the coordinator's place, or leaves it.
+    pub(super) fn reconcile_role(
+        &mut self,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let record = self.ownership.record().clone();
+        self.coordination.election.observed(&record, now);
+        if record.coordinator.as_ref() != Some(&self.settings.identity) {
+            self.leave_place(&record);
+            return;
+        }
+        self.coordination.confirmed = self.coordination.confirmed.max(Some(started));
+        let same_epoch = self
+            .coordination
+            .coordinator
+            .as_ref()
+            .is_some_and(|coordinator| coordinator.epoch() == record.epoch);
+        if !same_epoch {
+            self.take_place(record, now);
+            return;
+        }
+        if let Some(coordinator) = &mut self.coordination.coordinator
+            && coordinator.pending_write() == Some(&record)
+        {
+            coordinator.written(now);
+            self.step_coordinator(now, out);
+        }
+    }
+
+    fn take_place(&mut self, record: OwnershipRecord, now: Timestamp) {
+        let ended = match &self.coordination.predecessor {
+            None => true,
+            Some(earlier) => self.has_ended(earlier),
+        };
+        let predecessor_end = if ended {
+            now
+        } else {
+            now + COORDINATOR_AUTHORITY
+        };
+        log::info!(target: "ownership", "coordinates under epoch {}, predecessor ended: {ended}", record.epoch);
+        self.coordination.orders.clear();
+        self.coordination.write_out = false;
+        self.coordination.coordinator = Some(Coordinator::new(record, predecessor_end, now));
+        self.store.set_coordinating(true);
+    }
+
+    fn leave_place(&mut self, record: &OwnershipRecord) {
+        if self.coordination.coordinator.take().is_none() {
+            return;
+        }
+        log::info!(target: "ownership", "no longer coordinates; epoch is {}", record.epoch);
+        self.coordination.orders.clear();
+        self.coordination.confirmed = None;
+        self.coordination.resign_done = true;
+        self.store.set_coordinating(false);
+    }
+
+    /// Whether this life of a node is over for certain.
+    fn has_ended(&self, identity: &NodeIdentity) -> bool {
+        let earlier_life_of_this = identity.node == self.settings.identity.node
+            && identity.incarnation != self.settings.identity.incarnation;
+        earlier_life_of_this || self.registry.has_ended(identity)
+    }
+
+    fn step_coordinator(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if !self.coordination.has_authority(now) {
+            return;
+        }
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        let ended = self
+            .coordination
+            .predecessor
+            .as_ref()
+            .is_none_or(|earlier| self.has_ended(earlier));
+        let Some(coordinator) = &mut self.coordination.coordinator else {
+            return;
+        };
+        if ended {
+            coordinator.predecessor_ended(now);
+        }
+        let statistics = self.requests.statistics();
+        let service_times = |id: &InstanceId| statistics.get(id)?.service_time(now);
+        let mut context = Context {
+            now,
+            directory: &self.directory,
+            configuration,
+            service_times: &service_times,
+            exchanges: &mut self.exchanges,
+        };
+        let commands = coordinator.step(&mut context);
+        for order in commands.orders {
+            self.send_order(order, out);
+        }
+        if commands.write.is_some() {
+            self.write_record(now, out);
+        }
+    }
+
+    fn send_order(&mut self, outgoing: OutgoingOrder, out: &mut Vec<Action>) {
+        let timeout = match &outgoing.order {
+            crate::dialect::Order::Grant { .. } => GRANT_TIMEOUT,
+            crate::dialect::Order::Release { .. } => RELEASE_TIMEOUT,
+        };
+        log::debug!(target: "ownership", "{}: {:?}", outgoing.instance, outgoing.order);
+        let request = self
+            .dialect
+            .order_request(&outgoing.instance, &outgoing.order);
+        self.coordination
+            .orders
+            .insert(outgoing.exchange, outgoing.instance);
+        out.push(Action::Exchange {
+            exchange: outgoing.exchange,
+            address: outgoing.address,
+            request,
+            options: ExchangeOptions {
+                match_header: None,
+                reuse_idle_below: ORDER_REUSE_IDLE,
+                connect_timeout: ORDER_CONNECT_TIMEOUT,
+                timeout,
+            },
+        });
+    }
+
+    pub(super) fn order_answered(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<Response, ExchangeFailure>,
+        now: Timestamp,
+    ) {
+        let Some(instance) = self.coordination.orders.remove(&exchange) else {
+            return;
+        };
+        let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
+        if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
+            log::warn!(target: "ownership", "order to {instance}: {answer:?}");
+        }
+        let Some(coordinator) = &mut self.coordination.coordinator else {
+            return;
+        };
+        coordinator.order_ended(exchange, answer, now);
+    }
+
+    /// Writes the version that the coordinator has decided on. Only one such
+    /// write is out at a time, so a late one can't undo another: the condition
+    /// on the revision lets one of them through.
+    fn write_record(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let pending = self
+            .coordination
+            .coordinator
+            .as_ref()
+            .and_then(Coordinator::pending_write);
+        let Some(record) = pending.cloned() else {
+            return;
+        };
+        self.coordination.write_out = true;
+        let call = StoreCall::Replace {
+            name: OWNERSHIP_NAME.to_owned(),
+            revision: self.ownership.revision(),
+            content: WrittenContent::Ownership(record),
+        };
+        self.start_call(Purpose::Update, call, now, out);
+    }
+
+    fn write_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let due = !self.coordination.write_out && self.coordination.next_write <= now;
+        if due && self.coordination.has_authority(now) {
+            self.write_record(now, out);
+        }
+    }
+
+    pub(super) fn update_answered(
+        &mut self,
+        answer: Result<StoreAnswer, ExchangeFailure>,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        self.coordination.write_out = false;
+        self.coordination.next_write = now + WRITE_RETRY;
+        let pending = self
+            .coordination
+            .coordinator
+            .as_ref()
+            .and_then(Coordinator::pending_write)
+            .cloned();
+        match (answer, pending) {
+            (Ok(StoreAnswer::Written(object)), Some(record)) => {
+                self.ownership_changed(record, object.revision, started, now, out);
+            }
+            (Ok(StoreAnswer::Conflict), _) => {
+                // Another coordinator, or an earlier write of this one whose
+                // answer was lost: the record tells.
+                self.store.interrupt(ObjectKind::Ownership, now, now, out);
+            }
+            _ => {}
+        }
+        self.reconsider_waiting(now, out);
+    }
+
+    fn resign_if_asked(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let coordination = &mut self.coordination;
+        let settled = coordination
+            .coordinator
+            .as_ref()
+            .is_some_and(|coordinator| coordinator.pending_write().is_none());
+        if !coordination.resigning || coordination.resign_out || !settled {
+            return;
+        }
+        coordination.resign_out = true;
+        let mut record = self.ownership.record().clone();
+        record.coordinator = None;
+        let call = StoreCall::Replace {
+            name: OWNERSHIP_NAME.to_owned(),
+            revision: self.ownership.revision(),
+            content: WrittenContent::Ownership(record),
+        };
+        self.start_call(Purpose::Resign, call, now, out);
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -0,0 +1,263 @@
+//! What nodes tell each other.
+
+use super::Node;
+use crate::Timestamp;
+use crate::dialect::ObjectKind;
+use crate::identity::InstanceId;
+use crate::io::Action;
+use crate::peers::{KeyReport, OpenRequests, PeerMessage, decode, encode};
+use ledgelead_types::codec::List;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pause between the coordinator's heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause between reports of the keys asked for.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause between two tellings of open requests that did not change.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(700);
+/// Most keys in one report.
+const MAX_KEYS: usize = 500;
+/// Most counts in one datagram.
+const MAX_COUNTS: usize = 80;
+/// How long this node may know less of the record than the coordinator says
+/// before it asks the store again.
+const BEHIND_FOR: Duration = Duration::from_millis(250);
+
+/// State of what is told.
+pub(super) struct Gossip {
+    next_heartbeat: Timestamp,
+    next_report: Timestamp,
+    next_refresh: Timestamp,
+    behind_since: Option<Timestamp>,
+}
+
+impl Gossip {
+    pub(super) fn new(now: Timestamp) -> Gossip {
+        Gossip {
+            next_heartbeat: now,
+            next_report: now + REPORT_INTERVAL,
+            next_refresh: now + REFRESH_INTERVAL,
+            behind_since: None,
+        }
+    }
+
+    pub(super) fn next_deadline(&self) -> Timestamp {
+        self.next_heartbeat
+            .min(self.next_report)
+            .min(self.next_refresh)
+    }
+}
+
+impl Node {
+    /// Tells what is due.
+    pub(super) fn gossip(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.gossip.next_heartbeat <= now {
+            self.gossip.next_heartbeat = now + HEARTBEAT_INTERVAL;
+            self.tell_coordinating(now, out);
+        }
+        if self.gossip.next_report <= now {
+            self.gossip.next_report = now + REPORT_INTERVAL;
+            self.tell_keys(now, out);
+        }
+        if self.gossip.next_refresh <= now {
+            self.gossip.next_refresh = now + REFRESH_INTERVAL;
+            self.refresh_open_requests(out);
+        }
+    }
+
+    fn tell_coordinating(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(coordinator) = self.coordination.coordinator() else {
+            return;
+        };
+        let message = PeerMessage::Coordinating {
+            epoch: coordinator.epoch(),
+            store_serves: self.store.health.serves() && self.coordination.has_authority(now),
+            revision: self.ownership.revision().unwrap_or(0),
+        };
+        let bytes = encode(&message);
+        for address in self.others() {
+            out.push(Action::Datagram {
+                address,
+                bytes: bytes.clone(),
+            });
+        }
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        self.registry
+            .iter()
+            .map(|record| record.address)
+            .filter(|address| *address != self.settings.peer_address)
+            .collect()
+    }
+
+    /// Reports the keys asked for to the coordinator.
+    fn tell_keys(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let asked = self.requests.take_asked();
+        if asked.is_empty() {
+            return;
+        }
+        if let Some(coordinator) = self.coordination.coordinator_mut() {
+            for (service, keys) in &asked {
+                coordinator.record_load(service, keys, now);
+            }
+            return;
+        }
+        let record = self.ownership.record();
+        let coordinator = record.coordinator.as_ref();
+        let Some(node) = coordinator.and_then(|identity| self.registry.get(&identity.node)) else {
+            return;
+        };
+        let reports = asked
+            .into_iter()
+            .map(|(service, mut keys)| {
+                keys.truncate(MAX_KEYS);
+                KeyReport {
+                    service: service.stable_hash(),
+                    keys: List(keys),
+                }
+            })
+            .collect();
+        out.push(Action::Datagram {
+            address: node.address,
+            bytes: encode(&PeerMessage::KeysAsked { reports }),
+        });
+    }
+
+    /// Tells the zone which of this node's open requests changed.
+    pub(super) fn tell_open_requests(&mut self, _now: Timestamp, out: &mut Vec<Action>) {
+        let changed = self.requests.take_changed();
+        if !changed.is_empty() {
+            self.tell_counts(changed, out);
+        }
+    }
+
+    fn refresh_open_requests(&mut self, out: &mut Vec<Action>) {
+        let busy: Vec<_> = self
+            .requests
+            .statistics()
+            .busy()
+            .map(|(id, open)| (id.clone(), open))
+            .collect();
+        if !busy.is_empty() {
+            self.tell_counts(busy, out);
+        }
+    }
+
+    fn tell_counts(&self, counts: Vec<(InstanceId, u32)>, out: &mut Vec<Action>) {
+        let is_shared = |id: &InstanceId| {
+            self.directory.get(id).is_some_and(|instance| {
+                let sharded = self.configuration.as_ref().is_some_and(|configuration| {
+                    configuration
+                        .service(&instance.record.service)
+                        .is_some_and(|service| service.sharded)
+                });
+                instance.record.zone == self.settings.zone && !sharded
+            })
+        };
+        let changes: Vec<OpenRequests> = counts
+            .into_iter()
+            .filter(|(id, _)| is_shared(id))
+            .take(MAX_COUNTS)
+            .map(|(id, count)| OpenRequests {
+                instance: id.stable_hash(),
+                count: u16::try_from(count).unwrap_or(u16::MAX),
+            })
+            .collect();
+        if changes.is_empty() {
+            return;
+        }
+        let bytes = encode(&PeerMessage::Open {
+            incarnation: self.settings.identity.incarnation,
+            changes: List(changes),
+        });
+        for record in self.registry.iter() {
+            let same_zone = record.zone == self.settings.zone;
+            if same_zone && record.address != self.settings.peer_address {
+                out.push(Action::Datagram {
+                    address: record.address,
+                    bytes: bytes.clone(),
+                });
+            }
+        }
+    }
+
+    /// Another node told something.
+    pub(super) fn datagram(
+        &mut self,
+        from: SocketAddr,
+        bytes: &[u8],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let message = match decode(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!(target: "peers", "datagram from {from}: {error}");
+                return;
+            }
+        };
+        match message {
+            PeerMessage::Coordinating {
+                epoch,
+                store_serves,
+                revision,
+            } => self.heard_coordinator(epoch, store_serves, revision, now, out),
+            PeerMessage::KeysAsked { reports } => self.keys_reported(&reports, now),
+            PeerMessage::Open {
+                incarnation,
+                changes,
+            } => {
+                self.shared.told(from, incarnation, &changes, now);
+                self.reconsider_waiting(now, out);
+            }
+        }
+    }
+
+    fn heard_coordinator(
+        &mut self,
+        epoch: u64,
+        store_serves: bool,
+        revision: u64,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if epoch < self.ownership.record().epoch {
+            return;
+        }
+        if store_serves {
+            self.coordination.election.heard(epoch, now);
+        }
+        if self
+            .ownership
+            .revision()
+            .is_some_and(|known| known >= revision)
+        {
+            self.gossip.behind_since = None;
+            return;
+        }
+        let since = *self.gossip.behind_since.get_or_insert(now);
+        if now >= since + BEHIND_FOR {
+            self.gossip.behind_since = Some(now);
+            self.store.interrupt(ObjectKind::Ownership, since, now, out);
+        }
+    }
+
+    fn keys_reported(&mut self, reports: &[KeyReport], now: Timestamp) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        let Some(coordinator) = self.coordination.coordinator_mut() else {
+            return;
+        };
+        for report in reports {
+            let service = configuration
+                .sharded_services()
+                .find(|service| service.stable_hash() == report.service);
+            if let Some(service) = service {
+                coordinator.record_load(service, &report.keys, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -0,0 +1,213 @@
+//! One node: its picture of the world, its requests, and perhaps the
+//! coordinator's place.
+
+mod coordination;
+mod gossip;
+mod picture;
+mod status;
+mod store_calls;
+
+pub use status::NodeStatus;
+
+use crate::Timestamp;
+use crate::configuration::{ClientLimits, Configuration, RouteTable};
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::io::{Action, Input};
+use crate::ownership::coordinator::{Coordinator, ExchangeIds};
+use crate::ownership::election::Election;
+use crate::ownership::view::OwnershipView;
+use crate::peers::{Registry, SharedLoad};
+use crate::requests::{BudgetBounds, RequestContext, Requests};
+use crate::settings::NodeSettings;
+use coordination::Coordination;
+use gossip::Gossip;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use store_calls::StoreCalls;
+
+/// Pause between two clean-ups of what is no longer needed.
+const CLEAN_UP_INTERVAL: Timestamp = Timestamp::from_secs(1);
+
+/// A node. Inputs go in one by one, each with the time; actions come out.
+pub struct Node {
+    settings: NodeSettings,
+    dialect: Box<dyn Dialect>,
+    configuration: Option<Configuration>,
+    routes: RouteTable,
+    directory: Directory,
+    ownership: OwnershipView,
+    registry: Registry,
+    shared: SharedLoad,
+    requests: Requests,
+    exchanges: ExchangeIds,
+    store: StoreCalls,
+    coordination: Coordination,
+    gossip: Gossip,
+    stopping: bool,
+    next_clean_up: Timestamp,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(settings: NodeSettings, dialect: Box<dyn Dialect>, now: Timestamp) -> Node {
+        let rng = Pcg64Mcg::seed_from_u64(settings.seed);
+        let bounds = BudgetBounds {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+        };
+        let requests = Requests::new(settings.zone.clone(), settings.drain_bound, bounds, rng);
+        Node {
+            configuration: None,
+            routes: RouteTable::default(),
+            directory: Directory::new(settings.instance_heartbeat),
+            ownership: OwnershipView::default(),
+            registry: Registry::default(),
+            shared: SharedLoad::default(),
+            requests,
+            exchanges: ExchangeIds::default(),
+            store: StoreCalls::new(now),
+            coordination: Coordination::new(Election::default()),
+            gossip: Gossip::new(now),
+            stopping: false,
+            next_clean_up: now + CLEAN_UP_INTERVAL,
+            settings,
+            dialect,
+        }
+    }
+
+    /// Whether new clients may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.configuration.is_some() && self.directory.is_complete() && !self.stopping
+    }
+
+    /// Whether the node was asked to stop and has no request left.
+    pub fn has_finished(&self) -> bool {
+        self.stopping && self.requests.is_empty() && self.coordination.has_resigned()
+    }
+
+    /// Whether the node was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Bounds on what clients send.
+    pub fn client_limits(&self) -> ClientLimits {
+        self.configuration
+            .as_ref()
+            .map(|configuration| configuration.limits)
+            .unwrap_or_default()
+    }
+
+    /// The coordinator's work, if this node has its place.
+    pub fn coordinator(&self) -> Option<&Coordinator> {
+        self.coordination.coordinator()
+    }
+
+    /// Takes one input and everything that is due.
+    pub fn step(&mut self, input: Input, now: Timestamp, out: &mut Vec<Action>) {
+        match input {
+            Input::Request { client, request } => {
+                let (requests, mut context) = self.requests_and_context(now);
+                requests.arrived(client, request, &mut context, out);
+            }
+            Input::ClientLeft { client } => self.requests.left(client, out),
+            Input::Exchanged { exchange, result } => {
+                if self.requests.owns(exchange) {
+                    let (requests, mut context) = self.requests_and_context(now);
+                    requests.exchanged(exchange, result, &mut context, out);
+                    self.reconsider_waiting(now, out);
+                } else if self.store.owns(exchange) {
+                    self.store_answered(exchange, result, now, out);
+                } else {
+                    self.order_answered(exchange, result, now);
+                }
+            }
+            Input::Datagram { from, bytes } => self.datagram(from, &bytes, now, out),
+            Input::Deadline => {}
+            Input::Stop => self.stop(now),
+        }
+        self.run_due(now, out);
+    }
+
+    /// When `step` wants to be called with `Input::Deadline`.
+    pub fn next_deadline(&self) -> Timestamp {
+        [
+            self.requests.next_deadline(),
+            self.store.next_deadline(),
+            self.coordination_deadline(),
+            Some(self.gossip.next_deadline()),
+            self.directory.next_expiry(),
+        ]
+        .into_iter()
+        .flatten()
+        .fold(self.next_clean_up, Timestamp::min)
+    }
+
+    /// Takes over settings that may change while the process runs.
+    pub fn change_settings(&mut self, settings: NodeSettings) {
+        self.requests.set_bounds(
+            settings.drain_bound,
+            BudgetBounds {
+                ratio: settings.retry_ratio,
+                slack: settings.retry_slack,
+                window: settings.retry_window,
+            },
+        );
+        self.settings = NodeSettings {
+            identity: self.settings.identity.clone(),
+            ..settings
+        };
+    }
+
+    fn run_due(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.call_store(now, out);
+        self.coordinate(now, out);
+        self.gossip(now, out);
+        let (requests, mut context) = self.requests_and_context(now);
+        requests.deadline(&mut context, out);
+        self.tell_open_requests(now, out);
+        if self.directory.next_expiry().is_some_and(|at| at <= now) {
+            self.directory.expire(now);
+            self.reconsider_waiting(now, out);
+        }
+        if self.next_clean_up <= now {
+            self.next_clean_up = now + CLEAN_UP_INTERVAL;
+            self.directory.expire(now);
+            self.requests.forget_instances(&self.directory);
+            self.shared.expire(now);
+        }
+    }
+
+    fn reconsider_waiting(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.requests.has_waiting() {
+            let (requests, mut context) = self.requests_and_context(now);
+            requests.reconsider(&mut context, out);
+        }
+    }
+
+    fn requests_and_context(&mut self, now: Timestamp) -> (&mut Requests, RequestContext<'_>) {
+        let context = RequestContext {
+            now,
+            configuration: self.configuration.as_ref(),
+            routes: &self.routes,
+            directory: &self.directory,
+            ownership: &self.ownership,
+            shared: &self.shared,
+            headers: self.dialect.headers(),
+            exchanges: &mut self.exchanges,
+            nodes: self.registry.len(),
+        };
+        (&mut self.requests, context)
+    }
+
+    fn stop(&mut self, now: Timestamp) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.coordination.begin_resigning(now);
+        log::info!(target: "node", "stopping with {} open requests", self.requests.len());
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -0,0 +1,101 @@
+//! Takes over what the store tells.
+
+use super::Node;
+use crate::Timestamp;
+use crate::configuration::{Configuration, RouteTable};
+use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
+use crate::identity::InstanceId;
+use crate::io::Action;
+use crate::ownership::record::OwnershipRecord;
+
+impl Node {
+    /// A whole list.
+    pub(super) fn apply_all(
+        &mut self,
+        kind: ObjectKind,
+        objects: Vec<Object>,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let mut instances = Vec::new();
+        let mut nodes = Vec::new();
+        for object in objects {
+            match object.content {
+                Ok(ObjectContent::Instance(record)) => instances.push(record),
+                Ok(ObjectContent::Node(record)) => nodes.push(record),
+                Ok(ObjectContent::Configuration(configuration)) => self.configure(configuration),
+                Ok(ObjectContent::Ownership(record)) => {
+                    self.ownership_changed(record, object.revision, started, now, out);
+                }
+                Err(finding) => log::error!(target: "store", "{}: {finding}", object.name),
+            }
+        }
+        match kind {
+            ObjectKind::Instances => self.directory.replace_all(instances, now),
+            ObjectKind::Nodes => self.registry.replace_all(nodes),
+            ObjectKind::Ownership => self.coordination.listed = true,
+            ObjectKind::Configuration => {}
+        }
+    }
+
+    /// One change.
+    pub(super) fn apply_event(
+        &mut self,
+        event: ObjectEvent,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let object = event.object;
+        match object.content {
+            Ok(ObjectContent::Instance(record)) if event.gone => {
+                self.directory.remove(&record.id, now);
+            }
+            Ok(ObjectContent::Instance(record)) => self.directory.upsert(record, now),
+            Ok(ObjectContent::Node(record)) if event.gone => {
+                self.registry.remove(&record.identity.node);
+            }
+            Ok(ObjectContent::Node(record)) => self.registry.upsert(record),
+            Ok(ObjectContent::Configuration(configuration)) if !event.gone => {
+                self.configure(configuration);
+            }
+            Ok(ObjectContent::Ownership(record)) if !event.gone => {
+                self.ownership_changed(record, object.revision, started, now, out);
+            }
+            Ok(_) => log::error!(target: "store", "{} was removed", object.name),
+            Err(finding) if event.gone => {
+                // An entry that is gone may be told by its name alone.
+                log::debug!(target: "store", "{} is gone: {finding}", object.name);
+                self.directory
+                    .remove(&InstanceId::from(object.name.as_str()), now);
+            }
+            Err(finding) => log::error!(target: "store", "{}: {finding}", object.name),
+        }
+    }
+
+    /// Takes a version of the configuration into force, unless this life of
+    /// the node has a newer one.
+    fn configure(&mut self, configuration: Configuration) {
+        let known = self.configuration.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= configuration.version) {
+            return;
+        }
+        log::info!(target: "configuration", "version {} is in force", configuration.version);
+        self.routes = RouteTable::new(&configuration);
+        self.configuration = Some(configuration);
+    }
+
+    pub(super) fn ownership_changed(
+        &mut self,
+        record: OwnershipRecord,
+        revision: u64,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if self.ownership.update(record, revision) {
+            self.reconcile_role(started, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -0,0 +1,48 @@
+//! Figures of a node, for operators and metrics.
+
+use super::Node;
+use crate::ownership::coordinator::OwnershipCounters;
+use crate::requests::RequestCounters;
+
+/// What a node knows and has done.
+#[derive(Clone, Debug)]
+pub struct NodeStatus {
+    /// Whether new clients may be sent to it.
+    pub ready: bool,
+    /// The version of the configuration, if one is known.
+    pub configuration: Option<u64>,
+    /// Instances known.
+    pub instances: usize,
+    /// Registered nodes.
+    pub nodes: usize,
+    /// The epoch of the newest record.
+    pub epoch: u64,
+    /// Whether it coordinates, and what it has done as coordinator.
+    pub coordinator: Option<OwnershipCounters>,
+    /// Open requests.
+    pub open: usize,
+    /// What became of requests.
+    pub requests: RequestCounters,
+    /// Calls to the store.
+    pub store_calls: u64,
+    /// Calls to the store that failed or were refused.
+    pub store_failures: u64,
+}
+
+impl Node {
+    /// Figures of now.
+    pub fn status(&self) -> NodeStatus {
+        NodeStatus {
+            ready: self.is_ready(),
+            configuration: self.configuration.as_ref().map(|known| known.version),
+            instances: self.directory.iter().count(),
+            nodes: self.registry.len(),
+            epoch: self.ownership.record().epoch,
+            coordinator: self.coordinator().map(|known| known.counters()),
+            open: self.requests.len(),
+            requests: self.requests.counters().clone(),
+            store_calls: self.store.calls(),
+            store_failures: self.store.failures(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -0,0 +1,381 @@
+//! The node's calls to the store.
+
+use super::Node;
+use crate::Timestamp;
+use crate::dialect::{ObjectKind, StoreAnswer, StoreCall, WrittenContent};
+use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
+use crate::ownership::record::OwnershipRecord;
+use crate::peers::NodeRecord;
+use crate::store::{StoreHealth, WatchChange, Watcher, WatcherPace};
+use ledgelead_http::Response;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time for a call that need not wait for a change.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for a connection to the store to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a kept connection to the store may have been idle.
+const REUSE_IDLE: Duration = Duration::from_secs(4);
+/// What a watch may take beyond the wait that it asks for.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// The name of the one record of ownership.
+pub const OWNERSHIP_NAME: &str = "record";
+/// Pause before a failed registration is tried again.
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+
+/// Pace of the watch on the configuration.
+const CONFIGURATION_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(150),
+    wait: Duration::from_secs(10),
+};
+/// Pace of the watch on instances: their heartbeats are changes, so it is the
+/// pause that decides how often it calls. This call is also the one that
+/// notices when the store is lost.
+const INSTANCES_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(600),
+    wait: Duration::from_secs(1),
+};
+/// Pace of the watch on ownership.
+const OWNERSHIP_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(5),
+    wait: Duration::from_secs(10),
+};
+/// The coordinator's pace: each answer confirms its place.
+const COORDINATOR_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(5),
+    wait: Duration::from_secs(2),
+};
+/// Pace of the watch on nodes.
+const NODES_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(500),
+    wait: Duration::from_secs(25),
+};
+
+/// Why a call was made.
+#[derive(Clone, Debug)]
+pub(super) enum Purpose {
+    /// A watch.
+    Watch(ObjectKind),
+    /// This node wants the coordinator's place.
+    TakeOver(OwnershipRecord),
+    /// The coordinator's next version of the record.
+    Update,
+    /// The coordinator leaves its place.
+    Resign,
+    /// This node registers itself.
+    Register,
+}
+
+#[derive(Debug)]
+struct Pending {
+    purpose: Purpose,
+    call: StoreCall,
+    started: Timestamp,
+}
+
+/// State of the calls.
+pub(super) struct StoreCalls {
+    pub(super) health: StoreHealth,
+    watchers: Vec<Watcher>,
+    pending: HashMap<ExchangeId, Pending>,
+    registered: bool,
+    register_exists: bool,
+    next_register: Timestamp,
+    calls: u64,
+    failures: u64,
+}
+
+impl StoreCalls {
+    pub(super) fn new(now: Timestamp) -> StoreCalls {
+        StoreCalls {
+            health: StoreHealth::default(),
+            watchers: vec![
+                Watcher::new(ObjectKind::Configuration, CONFIGURATION_PACE),
+                Watcher::new(ObjectKind::Instances, INSTANCES_PACE),
+                Watcher::new(ObjectKind::Ownership, OWNERSHIP_PACE),
+                Watcher::new(ObjectKind::Nodes, NODES_PACE),
+            ],
+            pending: HashMap::new(),
+            registered: false,
+            register_exists: false,
+            next_register: now,
+            calls: 0,
+            failures: 0,
+        }
+    }
+
+    pub(super) fn owns(&self, exchange: ExchangeId) -> bool {
+        self.pending.contains_key(&exchange)
+    }
+
+    pub(super) fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    pub(super) fn failures(&self) -> u64 {
+        self.failures
+    }
+
+    /// Whether this node is in the store's list of nodes.
+    pub(super) fn is_registered(&self) -> bool {
+        self.registered
+    }
+
+    pub(super) fn next_deadline(&self) -> Option<Timestamp> {
+        let watches = self.watchers.iter().filter_map(Watcher::next_call).min();
+        let register = (!self.registered && !self.is_registering()).then_some(self.next_register);
+        watches.into_iter().chain(register).min()
+    }
+
+    fn is_registering(&self) -> bool {
+        self.pending
+            .values()
+            .any(|pending| matches!(pending.purpose, Purpose::Register))
+    }
+
+    fn watcher(&mut self, kind: ObjectKind) -> &mut Watcher {
+        let position = self
+            .watchers
+            .iter()
+            .position(|watcher| watcher.kind() == kind)
+            .unwrap_or(0);
+        &mut self.watchers[position]
+    }
+
+    /// The ownership watch serves the coordinator, or not.
+    pub(super) fn set_coordinating(&mut self, coordinating: bool) {
+        let pace = if coordinating {
+            COORDINATOR_PACE
+        } else {
+            OWNERSHIP_PACE
+        };
+        self.watcher(ObjectKind::Ownership).set_pace(pace);
+    }
+
+    /// Breaks off the watch of a kind, if it has been out since before
+    /// `since`, so that it is made anew.
+    pub(super) fn interrupt(
+        &mut self,
+        kind: ObjectKind,
+        since: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let found = self.pending.iter().find_map(|(exchange, pending)| {
+            let same = matches!(pending.purpose, Purpose::Watch(watched) if watched == kind);
+            (same && pending.started < since).then_some(*exchange)
+        });
+        if let Some(exchange) = found {
+            self.pending.remove(&exchange);
+            out.push(Action::Cancel { exchange });
+            self.watcher(kind).interrupt(now);
+        }
+    }
+}
+
+impl Node {
+    /// Makes the calls that are due.
+    pub(super) fn call_store(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for index in 0..self.store.watchers.len() {
+            if let Some(call) = self.store.watchers[index].take_call(now) {
+                let kind = self.store.watchers[index].kind();
+                self.start_call(Purpose::Watch(kind), call, now, out);
+            }
+        }
+        let register_due = !self.store.registered
+            && !self.store.is_registering()
+            && self.store.next_register <= now
+            && !self.stopping;
+        if register_due {
+            let call = self.registration();
+            self.start_call(Purpose::Register, call, now, out);
+        }
+    }
+
+    fn registration(&self) -> StoreCall {
+        let record = NodeRecord {
+            identity: self.settings.identity.clone(),
+            zone: self.settings.zone.clone(),
+            address: self.settings.peer_address,
+        };
+        let name = record.identity.node.to_string();
+        let content = WrittenContent::Node(record);
+        if self.store.register_exists {
+            StoreCall::Replace {
+                name,
+                revision: None,
+                content,
+            }
+        } else {
+            StoreCall::Create { name, content }
+        }
+    }
+
+    pub(super) fn start_call(
+        &mut self,
+        purpose: Purpose,
+        call: StoreCall,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let exchange = self.exchanges.next_id();
+        let timeout = match &call {
+            StoreCall::Watch { wait, .. } => *wait + WATCH_SLACK,
+            _ => CALL_TIMEOUT,
+        };
+        out.push(Action::Exchange {
+            exchange,
+            address: self.settings.store_address,
+            request: self.dialect.store_request(&call),
+            options: ExchangeOptions {
+                match_header: None,
+                reuse_idle_below: REUSE_IDLE,
+                connect_timeout: CONNECT_TIMEOUT,
+                timeout,
+            },
+        });
+        self.store.calls += 1;
+        self.store.pending.insert(
+            exchange,
+            Pending {
+                purpose,
+                call,
+                started: now,
+            },
+        );
+    }
+
+    pub(super) fn store_answered(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<Response, ExchangeFailure>,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.store.pending.remove(&exchange) else {
+            return;
+        };
+        let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
+        let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
+        self.note_health(served, &answer, pending.started, now, out);
+        match pending.purpose {
+            Purpose::Watch(kind) => self.watch_answered(kind, answer, pending.started, now, out),
+            Purpose::Register => self.register_answered(answer, now),
+            Purpose::TakeOver(record) => {
+                self.take_over_answered(record, answer, pending.started, now, out)
+            }
+            Purpose::Update => self.update_answered(answer, pending.started, now, out),
+            Purpose::Resign => self.coordination.resigned(),
+        }
+    }
+
+    fn note_health(
+        &mut self,
+        served: bool,
+        answer: &Result<StoreAnswer, ExchangeFailure>,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if !served {
+            self.store.failures += 1;
+            if self.store.health.serves() {
+                log::warn!(target: "store", "a call failed: {}", describe(answer));
+            }
+            self.store.health.failed(now);
+            return;
+        }
+        let was_failing = !self.store.health.serves();
+        if self.store.health.succeeded(started) {
+            self.directory.store_was_lost(now);
+        }
+        if was_failing {
+            log::info!(target: "store", "calls are served");
+            // Watches from before may wait on connections that will say
+            // nothing any more.
+            for kind in [
+                ObjectKind::Configuration,
+                ObjectKind::Ownership,
+                ObjectKind::Nodes,
+            ] {
+                self.store.interrupt(kind, started, now, out);
+            }
+        }
+    }
+
+    fn watch_answered(
+        &mut self,
+        kind: ObjectKind,
+        answer: Result<StoreAnswer, ExchangeFailure>,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let change = match answer {
+            Ok(answer) => {
+                if let StoreAnswer::Unreadable(finding) = &answer {
+                    log::error!(target: "store", "{kind:?}: {finding}");
+                }
+                let confirms = matches!(
+                    &answer,
+                    StoreAnswer::Objects { .. } | StoreAnswer::Events { .. }
+                );
+                let change = self.store.watcher(kind).answered(answer, now);
+                if confirms && kind == ObjectKind::Ownership {
+                    self.coordination.confirmed_if_unchanged(started);
+                }
+                change
+            }
+            Err(_) => {
+                self.store.watcher(kind).failed(now);
+                return;
+            }
+        };
+        self.apply(kind, change, started, now, out);
+    }
+
+    fn apply(
+        &mut self,
+        kind: ObjectKind,
+        change: WatchChange,
+        started: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        match change {
+            WatchChange::Unchanged => return,
+            WatchChange::All(objects) => self.apply_all(kind, objects, started, now, out),
+            WatchChange::Events(events) => {
+                for event in events {
+                    self.apply_event(event, started, now, out);
+                }
+            }
+        }
+        self.reconsider_waiting(now, out);
+    }
+
+    fn register_answered(&mut self, answer: Result<StoreAnswer, ExchangeFailure>, now: Timestamp) {
+        match answer {
+            Ok(StoreAnswer::Written(_)) => self.store.registered = true,
+            Ok(StoreAnswer::Conflict) => {
+                self.store.register_exists = true;
+                self.store.next_register = now;
+            }
+            Ok(StoreAnswer::Missing) => {
+                self.store.register_exists = false;
+                self.store.next_register = now;
+            }
+            _ => self.store.next_register = now + REGISTER_RETRY,
+        }
+    }
+}
+
+fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
+    match answer {
+        Ok(StoreAnswer::Refused) => "refused".to_owned(),
+        Ok(StoreAnswer::Unreadable(finding)) => finding.clone(),
+        Ok(_) => "served".to_owned(),
+        Err(failure) => format!("{failure:?}"),
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -0,0 +1,74 @@
+//! When a node takes the coordinator's place.
+//!
+//! Only a conditional write to the record makes a coordinator, so the rules
+//! here decide how fast and how often that is tried, not who is safe.
+
+use super::record::OwnershipRecord;
+use crate::Timestamp;
+use crate::identity::{NodeIdentity, NodeName};
+use std::time::Duration;
+
+/// Silence of the coordinator after which the first node tries to follow it.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How much longer each further node waits.
+const RANK_DELAY: Duration = Duration::from_millis(120);
+/// The most that a node waits for those before it.
+const MAX_RANK_DELAY: Duration = Duration::from_millis(1_500);
+
+/// What a node has heard of the coordinator.
+#[derive(Debug, Default)]
+pub struct Election {
+    last_heard: Timestamp,
+    epoch: u64,
+    next_try: Timestamp,
+}
+
+impl Election {
+    /// The coordinator of this epoch was heard, and the store serves it.
+    pub fn heard(&mut self, epoch: u64, now: Timestamp) {
+        if epoch >= self.epoch {
+            self.epoch = epoch;
+            self.last_heard = now;
+        }
+    }
+
+    /// A version of the record with a new coordinator is known; it gets its
+    /// time to be heard.
+    pub fn observed(&mut self, record: &OwnershipRecord, now: Timestamp) {
+        if record.epoch > self.epoch {
+            self.epoch = record.epoch;
+            self.last_heard = now;
+        }
+    }
+
+    /// When this node should try, unless it hears from the coordinator before.
+    pub fn due(&self, record: &OwnershipRecord, rank: usize) -> Timestamp {
+        let delay = RANK_DELAY
+            .saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
+            .min(MAX_RANK_DELAY);
+        let vacant = record.coordinator.is_none();
+        let silence = if vacant {
+            Duration::ZERO
+        } else {
+            ELECTION_TIMEOUT
+        };
+        (self.last_heard + silence + delay).max(self.next_try)
+    }
+
+    /// A try was made; the next one waits.
+    pub fn tried(&mut self, now: Timestamp) {
+        self.next_try = now + ELECTION_TIMEOUT;
+    }
+}
+
+/// The place of a node among those that may follow: the nodes in their order,
+/// counted from behind the coordinator, so that not the same node follows
+/// each time.
+pub fn rank(this: &NodeName, coordinator: Option<&NodeIdentity>, nodes: &[NodeName]) -> usize {
+    let behind = |node: &NodeName| match coordinator {
+        Some(coordinator) => (*node <= coordinator.node, node.clone()),
+        None => (false, node.clone()),
+    };
+    let own = behind(this);
+    nodes.iter().filter(|node| behind(node) < own).count()
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -0,0 +1,91 @@
+//! The durable record of ownership.
+
+use crate::dialect::KeyRange;
+use crate::identity::{InstanceId, NodeIdentity, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// A range of a service's keys and its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// The service.
+    pub service: ServiceName,
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// The owner.
+    pub owner: InstanceId,
+    /// The fencing token of the owner's grant.
+    pub fence: u64,
+}
+
+impl Assignment {
+    /// The keys.
+    pub fn range(&self) -> KeyRange {
+        KeyRange {
+            first: self.first,
+            last: self.last,
+        }
+    }
+}
+
+/// Who coordinates, and who owns what.
+///
+/// Invariant: the assignments of a service don't overlap, and `next_fence` is
+/// above every fencing token that was ever granted. Both hold in every version
+/// of the record, so that a coordinator that knows nothing else can go on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnershipRecord {
+    /// Rises with each change of the coordinator.
+    pub epoch: u64,
+    /// The coordinator; none after it resigned.
+    pub coordinator: Option<NodeIdentity>,
+    /// The next fencing token to be used.
+    pub next_fence: u64,
+    /// All assignments, by service and first key.
+    pub assignments: Vec<Assignment>,
+}
+
+impl OwnershipRecord {
+    /// The record under a new coordinator. Every assignment gets a new fencing
+    /// token, so that orders of the coordinator before are refused by each
+    /// instance that the new one has reached.
+    pub fn taken_over_by(&self, coordinator: &NodeIdentity) -> OwnershipRecord {
+        let mut record = self.clone();
+        record.epoch += 1;
+        record.coordinator = Some(coordinator.clone());
+        for assignment in &mut record.assignments {
+            assignment.fence = record.next_fence;
+            record.next_fence += 1;
+        }
+        record
+    }
+
+    /// Puts the assignments into their order.
+    pub fn sort(&mut self) {
+        self.assignments
+            .sort_by(|left, right| (&left.service, left.first).cmp(&(&right.service, right.first)));
+    }
+
+    /// The assignment that holds a key.
+    pub fn find(&self, service: &ServiceName, key: u16) -> Option<&Assignment> {
+        self.assignments
+            .iter()
+            .find(|assignment| assignment.service == *service && assignment.range().contains(key))
+    }
+
+    /// Whether no two assignments overlap and all tokens are below the next.
+    pub fn is_consistent(&self) -> bool {
+        let overlaps = self.assignments.iter().enumerate().any(|(index, left)| {
+            self.assignments[index + 1..].iter().any(|right| {
+                left.service == right.service
+                    && left.first <= right.last
+                    && right.first <= left.last
+            })
+        });
+        let fences = self.assignments.iter().all(|assignment| {
+            assignment.fence < self.next_fence && assignment.first <= assignment.last
+        });
+        !overlaps && fences
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -0,0 +1,67 @@
+//! What nodes send each other.
+
+use ledgelead_types::codec::{self, DecodeError, List};
+use nanoserde::{DeBin, SerBin};
+
+/// Longest datagram that is read, in bytes.
+const MAX_BYTES: usize = 1_400;
+
+/// Requests for keys that a node has seen since its last report.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct KeyReport {
+    /// Stable hash of the service's name.
+    pub service: u64,
+    /// One entry a request.
+    pub keys: List<u16>,
+}
+
+/// Requests of one node that are open at one instance.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct OpenRequests {
+    /// Stable hash of the instance's id.
+    pub instance: u64,
+    /// How many.
+    pub count: u16,
+}
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub enum PeerMessage {
+    /// The coordinator lives.
+    Coordinating {
+        /// Its epoch.
+        epoch: u64,
+        /// Whether the store serves it.
+        store_serves: bool,
+        /// The store's revision of the newest record.
+        revision: u64,
+    },
+    /// Keys asked for; sent to the coordinator.
+    KeysAsked {
+        /// By service.
+        reports: List<KeyReport>,
+    },
+    /// Open requests by instance; sent within a zone.
+    Open {
+        /// The sender's life; counts of an earlier one are void.
+        incarnation: u64,
+        /// Those that changed.
+        changes: List<OpenRequests>,
+    },
+}
+
+/// Encodes a message.
+pub fn encode(message: &PeerMessage) -> Vec<u8> {
+    codec::encode(message)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// When the bytes are no message.
+pub fn decode(bytes: &[u8]) -> Result<PeerMessage, DecodeError> {
+    if bytes.len() > MAX_BYTES {
+        return Err(DecodeError::Malformed);
+    }
+    codec::decode(bytes)
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -0,0 +1,12 @@
+//! The other nodes: who they are, and what nodes tell each other.
+//!
+//! Datagrams only hasten what the store or an answer would show later: any of
+//! them may be lost, late or doubled without harm.
+
+mod message;
+mod registry;
+mod shared_load;
+
+pub use message::{KeyReport, OpenRequests, PeerMessage, decode, encode};
+pub use registry::{NodeRecord, Registry};
+pub use shared_load::SharedLoad;
--- /dev/null
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -0,0 +1,75 @@
+//! The nodes that registered themselves in the store.
+
+use crate::identity::{NodeIdentity, NodeName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a node registers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// This life of the node.
+    pub identity: NodeIdentity,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+}
+
+/// The registered nodes.
+#[derive(Debug, Default)]
+pub struct Registry {
+    nodes: BTreeMap<NodeName, NodeRecord>,
+}
+
+impl Registry {
+    /// Takes over a whole list.
+    pub fn replace_all(&mut self, records: Vec<NodeRecord>) {
+        self.nodes = records
+            .into_iter()
+            .map(|record| (record.identity.node.clone(), record))
+            .collect();
+    }
+
+    /// A registration was made or changed.
+    pub fn upsert(&mut self, record: NodeRecord) {
+        self.nodes.insert(record.identity.node.clone(), record);
+    }
+
+    /// A registration is gone.
+    pub fn remove(&mut self, node: &NodeName) {
+        self.nodes.remove(node);
+    }
+
+    /// One node.
+    pub fn get(&self, node: &NodeName) -> Option<&NodeRecord> {
+        self.nodes.get(node)
+    }
+
+    /// All nodes in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &NodeRecord> {
+        self.nodes.values()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// The node at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&NodeRecord> {
+        self.nodes.values().find(|record| record.address == address)
+    }
+
+    /// Whether a later life of this node is registered: this one has ended.
+    pub fn has_ended(&self, identity: &NodeIdentity) -> bool {
+        self.nodes
+            .get(&identity.node)
+            .is_some_and(|record| record.identity.incarnation != identity.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -0,0 +1,82 @@
+//! Answers of the router's own.
+
+use crate::dialect::HeaderNames;
+use ledgelead_http::{Request, Response};
+use std::time::Duration;
+
+/// Why the router answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NotConfigured,
+    /// No route holds the request.
+    NoRoute,
+    /// A key is missing or no number.
+    BadKey,
+    /// No instance can answer in time.
+    Overloaded,
+    /// Nobody owns the key now, or its owner can't be reached.
+    NoOwner,
+    /// The service has no instance.
+    NoInstance,
+    /// Rejected by instances; it was not run.
+    Rejected,
+    /// The time was over before it could be sent.
+    NotSentInTime,
+    /// It may have run; its answer was lost.
+    AnswerLost,
+    /// It may have run; no answer came in time.
+    AnswerLate,
+}
+
+impl Refusal {
+    /// The status. 503 promises that the request has not run and never will.
+    pub fn status(self) -> u16 {
+        match self {
+            Refusal::NoRoute => 404,
+            Refusal::BadKey => 400,
+            Refusal::NotConfigured
+            | Refusal::Overloaded
+            | Refusal::NoOwner
+            | Refusal::NoInstance
+            | Refusal::Rejected
+            | Refusal::NotSentInTime => 503,
+            Refusal::AnswerLost => 502,
+            Refusal::AnswerLate => 504,
+        }
+    }
+
+    /// A name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NotConfigured => "not_configured",
+            Refusal::NoRoute => "no_route",
+            Refusal::BadKey => "bad_key",
+            Refusal::Overloaded => "overloaded",
+            Refusal::NoOwner => "no_owner",
+            Refusal::NoInstance => "no_instance",
+            Refusal::Rejected => "rejected",
+            Refusal::NotSentInTime => "not_sent_in_time",
+            Refusal::AnswerLost => "answer_lost",
+            Refusal::AnswerLate => "answer_late",
+        }
+    }
+}
+
+/// The answer that tells a client of a refusal, and when to come back.
+pub fn refusal(
+    request: &Request,
+    reason: Refusal,
+    retry_after: Duration,
+    headers: &HeaderNames,
+) -> Response {
+    let mut response = Response::new(reason.status(), reason.name().as_bytes());
+    if let Some(attempt) = request.headers.get(&headers.attempt_id) {
+        response.headers.push(&headers.attempt_id, attempt.to_vec());
+    }
+    if reason.status() == 503 {
+        let seconds = format!("{:.3}", retry_after.as_secs_f64());
+        response.headers.push(&headers.retry_after, seconds);
+    }
+    response
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -0,0 +1,85 @@
+//! This node's share of the retry budget that all nodes draw on together.
+
+use crate::Timestamp;
+use crate::identity::ServiceName;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// The share of its own allowance that a node uses: what it sees and what the
+/// service receives differ a little in time.
+const SAFETY: f64 = 0.8;
+
+/// What the budget of a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetBounds {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries besides in each window, over all nodes.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Usage {
+    requests: VecDeque<Timestamp>,
+    retries: VecDeque<Timestamp>,
+}
+
+/// Retries by service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    bounds: BudgetBounds,
+    usage: BTreeMap<ServiceName, Usage>,
+}
+
+impl RetryBudget {
+    /// Nothing used yet.
+    pub fn new(bounds: BudgetBounds) -> RetryBudget {
+        RetryBudget {
+            bounds,
+            usage: BTreeMap::new(),
+        }
+    }
+
+    /// From now on the budget is this.
+    pub fn set_bounds(&mut self, bounds: BudgetBounds) {
+        self.bounds = bounds;
+    }
+
+    /// A client's request for the service came.
+    pub fn requested(&mut self, service: &ServiceName, now: Timestamp) {
+        let window = self.bounds.window;
+        let usage = self.usage.entry(service.clone()).or_default();
+        usage.requests.push_back(now);
+        usage.forget(now, window);
+    }
+
+    /// Draws one retry, if the share of one among `nodes` nodes allows it.
+    /// A node that knows no other nodes has no share of the slack.
+    pub fn draw(&mut self, service: &ServiceName, nodes: usize, now: Timestamp) -> bool {
+        let bounds = self.bounds;
+        let usage = self.usage.entry(service.clone()).or_default();
+        usage.forget(now, bounds.window);
+        let slack = match nodes {
+            0 => 0.0,
+            nodes => bounds.slack / nodes as f64,
+        };
+        let allowed = (bounds.ratio * usage.requests.len() as f64 + slack) * SAFETY;
+        if usage.retries.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        usage.retries.push_back(now);
+        true
+    }
+}
+
+impl Usage {
+    fn forget(&mut self, now: Timestamp, window: Duration) {
+        for times in [&mut self.requests, &mut self.retries] {
+            while times.front().is_some_and(|time| *time + window <= now) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -0,0 +1,16 @@
+//! The life of a client's request: route, wait, attempts, answer.
+
+mod answers;
+mod budget;
+mod lifecycle;
+mod open_request;
+mod outcome;
+mod selection;
+mod statistics;
+
+pub use answers::refusal;
+pub use budget::{BudgetBounds, RetryBudget};
+pub use lifecycle::{RequestContext, RequestCounters, Requests};
+pub use outcome::{Verdict, judge};
+pub use selection::{Selected, SelectionContext};
+pub use statistics::{ReportedLoad, Statistics, StatisticsTable};
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -0,0 +1,100 @@
+//! A client's request while it is open.
+
+use crate::Timestamp;
+use crate::configuration::{Repeatability, Route};
+use crate::identity::{InstanceId, ServiceName};
+use crate::io::ExchangeId;
+use ledgelead_http::Request;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Share of the target latency within which a refusal is still cheap for the
+/// client, which can come back in time.
+const EARLY_REFUSAL_SHARE: f64 = 0.22;
+
+/// An attempt that is out.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The exchange.
+    pub exchange: ExchangeId,
+    /// The instance.
+    pub instance: InstanceId,
+    /// When it was sent.
+    pub sent: Timestamp,
+    /// Requests for each slot of the instance, this one with them.
+    pub load_factor: f64,
+}
+
+/// Where a keyed request was rejected.
+#[derive(Clone, Debug)]
+pub struct Misdirection {
+    /// The fencing token of the assignment it was sent by.
+    pub fence: u64,
+    /// When the same assignment may be tried again.
+    pub again: Timestamp,
+}
+
+/// A request.
+#[derive(Debug)]
+pub struct OpenRequest {
+    /// The request.
+    pub request: Request,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that gets it.
+    pub service: ServiceName,
+    /// Its key, if the service's keys have owners.
+    pub key: Option<u16>,
+    /// When it was received.
+    pub received: Timestamp,
+    /// When its final answer is due: the route's time-out, or just before the
+    /// client leaves.
+    pub due: Timestamp,
+    /// Instances it was sent to.
+    pub tried: Vec<InstanceId>,
+    /// The attempt that is out.
+    pub attempt: Option<Attempt>,
+    /// Since when it waits for an owner or for room.
+    pub waiting_since: Option<Timestamp>,
+    /// Whether some attempt may have run.
+    pub may_have_run: bool,
+    /// Whether some attempt got no answer in time.
+    pub timed_out: bool,
+    /// Whether some instance rejected it.
+    pub rejected: bool,
+    /// Where it was misdirected last.
+    pub misdirection: Option<Misdirection>,
+}
+
+impl OpenRequest {
+    /// Whether it may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.route.repeatability == Repeatability::Idempotent
+    }
+
+    /// Until when an answer is worth most.
+    pub fn target(&self) -> Timestamp {
+        self.received + self.route.target_latency
+    }
+
+    /// Time in which an answer is worth most; once that is over, the time in
+    /// which it is worth anything.
+    pub fn time_left(&self, now: Timestamp) -> Duration {
+        let to_target = self.target().saturating_sub(now);
+        if to_target.is_zero() {
+            self.due.saturating_sub(now)
+        } else {
+            to_target.min(self.due.saturating_sub(now))
+        }
+    }
+
+    /// Until when it may wait for an owner or for room.
+    pub fn wait_limit(&self) -> Timestamp {
+        let early = self.received + self.route.target_latency.mul_f64(EARLY_REFUSAL_SHARE);
+        let since = self.waiting_since.unwrap_or(self.received);
+        // A request that comes back from a failed attempt gets the same time
+        // again, since its early refusal is past.
+        let again = since + self.route.target_latency.mul_f64(EARLY_REFUSAL_SHARE);
+        early.max(again).min(self.due)
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -0,0 +1,59 @@
+//! Each way an attempt can end, and what it proves.
+//!
+//! | end of the attempt | proves | idempotent | once only |
+//! |---|---|---|---|
+//! | no connection came up | not run | sent again | sent again |
+//! | answer with "not executed", or 421 | not run | sent again | sent again |
+//! | other whole answer | run | relayed | relayed |
+//! | success without a signature | nothing | sent again | 502 |
+//! | connection lost, no whole answer, no answer | nothing | sent again | 502 |
+//! | no answer in time | nothing | sent again | 504 at its time-out |
+//!
+//! "Sent again" holds within the attempts of the route, the retry budget and
+//! the time that is left. Without them, a request that is proved not to have
+//! run is answered 503, any other 502 or 504.
+
+use crate::dialect::HeaderNames;
+use crate::io::ExchangeFailure;
+use ledgelead_http::Response;
+
+/// What the end of an attempt proves.
+#[derive(Debug)]
+pub enum Verdict {
+    /// The instance's answer goes to the client.
+    Relay(Response),
+    /// The request never reached an instance.
+    NeverSent,
+    /// An instance received the request and did not run it.
+    Rejected {
+        /// It is another instance, or doesn't hold the key.
+        misdirected: bool,
+    },
+    /// It may have run.
+    Unknown {
+        /// No answer came in time.
+        timed_out: bool,
+    },
+}
+
+/// Judges the end of an attempt.
+pub fn judge(result: Result<Response, ExchangeFailure>, headers: &HeaderNames) -> Verdict {
+    match result {
+        Ok(response) => judge_answer(response, headers),
+        Err(failure) if failure.proves_not_sent() => Verdict::NeverSent,
+        Err(failure) => Verdict::Unknown {
+            timed_out: failure == ExchangeFailure::TimedOut,
+        },
+    }
+}
+
+fn judge_answer(response: Response, headers: &HeaderNames) -> Verdict {
+    let misdirected = response.status == 421;
+    if misdirected || response.headers.get(&headers.not_executed).is_some() {
+        return Verdict::Rejected { misdirected };
+    }
+    if response.is_success() && response.headers.get(&headers.signature).is_none() {
+        return Verdict::Unknown { timed_out: false };
+    }
+    Verdict::Relay(response)
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -0,0 +1,168 @@
+//! Which instance of a service gets a request.
+
+use super::statistics::{Statistics, StatisticsTable};
+use crate::Timestamp;
+use crate::directory::{Directory, Instance};
+use crate::identity::{InstanceId, ServiceName, ZoneName};
+use crate::peers::SharedLoad;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// Share of the time that is left within which an instance of the own zone
+/// must be expected to answer; else other zones are looked at as well.
+const OWN_ZONE_SHARE: f64 = 0.6;
+/// By how much an instance of another zone must be faster to be preferred.
+const OTHER_ZONE_GAIN: f64 = 0.75;
+/// Largest share of a service's instances that may be passed over.
+const MAX_EJECTED_SHARE: f64 = 0.5;
+/// How much longer an instance works while it is cold.
+const COLD_FACTOR: f64 = 2.0;
+
+/// What a selection rests on.
+pub struct SelectionContext<'a> {
+    /// The time.
+    pub now: Timestamp,
+    /// All instances.
+    pub directory: &'a Directory,
+    /// What this node has seen of them.
+    pub statistics: &'a StatisticsTable,
+    /// What other nodes of the zone have open.
+    pub shared: &'a SharedLoad,
+    /// This node's zone.
+    pub zone: &'a ZoneName,
+}
+
+/// An instance and when it is expected to answer.
+#[derive(Clone, Debug)]
+pub struct Selected {
+    /// The instance.
+    pub id: InstanceId,
+    /// Expected time to its answer.
+    pub expected: Duration,
+    /// Requests for each slot, this one with them.
+    pub load_factor: f64,
+}
+
+impl SelectionContext<'_> {
+    /// The best instance that was not tried yet, if there is any.
+    /// `left` is the time in which an answer is worth most.
+    pub fn select(
+        &self,
+        service: &ServiceName,
+        tried: &[InstanceId],
+        left: Duration,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<Selected> {
+        let serving: Vec<&Instance> = self
+            .directory
+            .of_service(service)
+            .filter(|instance| instance.serves())
+            .collect();
+        let usable = self.without_ejected(&serving);
+        let typical = self.typical_service_time(&serving, left);
+        let expect = |instance: &Instance| self.expect(instance, typical);
+        let untried = usable
+            .iter()
+            .filter(|instance| !tried.contains(&instance.record.id));
+        let (own, other): (Vec<&Instance>, Vec<&Instance>) =
+            untried.partition(|instance| instance.record.zone == *self.zone);
+        let best_own = best(own.into_iter().map(expect), rng);
+        let enough = best_own
+            .as_ref()
+            .is_some_and(|selected| selected.expected <= left.mul_f64(OWN_ZONE_SHARE));
+        if enough {
+            return best_own;
+        }
+        let best_other = best(other.into_iter().map(expect), rng);
+        match (best_own, best_other) {
+            (Some(own), Some(other)) => {
+                let faster = other.expected <= own.expected.mul_f64(OTHER_ZONE_GAIN);
+                Some(if faster { other } else { own })
+            }
+            (own, other) => own.or(other),
+        }
+    }
+
+    /// What an instance is expected to need for one more request.
+    pub fn expect(&self, instance: &Instance, typical: Duration) -> Selected {
+        let id = &instance.record.id;
+        let statistics = self.statistics.get(id);
+        let own = statistics.map_or(0, |statistics| statistics.open);
+        let told = self.shared.open_at(id.stable_hash(), self.now);
+        let reported = statistics.and_then(|statistics| statistics.reported_open(self.now));
+        let open = (own + told).max(reported.unwrap_or(0));
+        let slots = f64::from(instance.record.slots.max(1));
+        let load_factor = (f64::from(open) + 1.0) / slots;
+        let cold = if instance.warm_at > self.now {
+            COLD_FACTOR
+        } else {
+            1.0
+        };
+        let service_time = statistics
+            .and_then(|statistics| statistics.service_time(self.now))
+            .unwrap_or(typical.mul_f64(cold));
+        Selected {
+            id: id.clone(),
+            expected: service_time.mul_f64(load_factor.max(1.0)),
+            load_factor,
+        }
+    }
+
+    /// The mean service time of the instances that are known.
+    pub fn typical_service_time(&self, instances: &[&Instance], left: Duration) -> Duration {
+        let known: Vec<Duration> = instances
+            .iter()
+            .filter_map(|instance| self.statistics.get(&instance.record.id))
+            .filter_map(|statistics| statistics.service_time(self.now))
+            .collect();
+        match u32::try_from(known.len()) {
+            Ok(count) if count > 0 => known.iter().sum::<Duration>() / count,
+            _ => left / 4,
+        }
+    }
+
+    fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
+        let is_ejected = |instance: &&&Instance| {
+            self.statistics
+                .get(&instance.record.id)
+                .is_some_and(|statistics: &Statistics| statistics.is_ejected(self.now))
+        };
+        let ejected = serving.iter().filter(is_ejected).count();
+        if ejected as f64 > serving.len() as f64 * MAX_EJECTED_SHARE {
+            return serving.to_vec();
+        }
+        serving
+            .iter()
+            .filter(|instance| !is_ejected(instance))
+            .copied()
+            .collect()
+    }
+}
+
+/// The one with the shortest expected time; one of them at random where
+/// several are equal.
+fn best(candidates: impl Iterator<Item = Selected>, rng: &mut Pcg64Mcg) -> Option<Selected> {
+    let mut chosen: Option<Selected> = None;
+    let mut equal = 1u32;
+    for candidate in candidates {
+        let replace = match &chosen {
+            None => true,
+            Some(best) if candidate.expected == best.expected => {
+                equal += 1;
+                rng.random_range(0..equal) == 0
+            }
+            Some(best) => {
+                let better = candidate.expected < best.expected;
+                if better {
+                    equal = 1;
+                }
+                better
+            }
+        };
+        if replace {
+            chosen = Some(candidate);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -0,0 +1,134 @@
+//! What this node has seen of each instance.
+
+use crate::Timestamp;
+use crate::identity::InstanceId;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Weight of a new sample of the service time.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Failures in a row after which an instance is ejected.
+const EJECT_AFTER: u32 = 3;
+/// The first ejection's length; it doubles.
+const FIRST_EJECTION: Duration = Duration::from_millis(700);
+/// The longest ejection.
+const MAX_EJECTION: Duration = Duration::from_secs(5);
+/// How long an instance's own figure of its load is used.
+const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(200);
+/// How long a service time is believed without a new sample; an instance that
+/// was slow gets another chance then.
+const SERVICE_TIME_BELIEVED_FOR: Duration = Duration::from_secs(8);
+
+/// What an instance told of its load.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// When it was told.
+    pub at: Timestamp,
+}
+
+/// One instance as seen by this node.
+#[derive(Clone, Debug, Default)]
+pub struct Statistics {
+    /// This node's open requests there.
+    pub open: u32,
+    service_time: Option<(Duration, Timestamp)>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Timestamp,
+    reported: Option<ReportedLoad>,
+}
+
+impl Statistics {
+    /// An answer came after `latency`; `load_factor` is the number of requests
+    /// for each slot, this one with them, as it was sent.
+    pub fn answered(&mut self, latency: Duration, load_factor: f64, now: Timestamp) {
+        self.failures = 0;
+        self.ejections = 0;
+        let sample = latency.div_f64(load_factor.max(1.0));
+        let smoothed = match self.service_time {
+            Some((earlier, _)) => {
+                earlier.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
+            }
+            None => sample,
+        };
+        self.service_time = Some((smoothed, now));
+    }
+
+    /// An attempt failed there.
+    pub fn failed(&mut self, now: Timestamp) {
+        self.failures += 1;
+        if self.failures >= EJECT_AFTER {
+            let length = FIRST_EJECTION
+                .saturating_mul(1 << self.ejections.min(6))
+                .min(MAX_EJECTION);
+            self.ejected_until = now + length;
+            self.ejections += 1;
+            self.failures = EJECT_AFTER - 1;
+        }
+    }
+
+    /// The instance told its load.
+    pub fn told_load(&mut self, load: ReportedLoad) {
+        self.reported = Some(load);
+    }
+
+    /// Whether it is passed over for now.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.ejected_until > now
+    }
+
+    /// Until when it is passed over.
+    pub fn ejected_until(&self) -> Timestamp {
+        self.ejected_until
+    }
+
+    /// The smoothed time of work for one request.
+    pub fn service_time(&self, now: Timestamp) -> Option<Duration> {
+        self.service_time
+            .filter(|(_, at)| *at + SERVICE_TIME_BELIEVED_FOR > now)
+            .map(|(time, _)| time)
+    }
+
+    /// Requests that run or wait there, by its own word, if that is recent.
+    pub fn reported_open(&self, now: Timestamp) -> Option<u32> {
+        self.reported
+            .filter(|load| load.at + LOAD_BELIEVED_FOR > now)
+            .map(|load| load.running + load.waiting)
+    }
+}
+
+/// All instances as seen by this node.
+#[derive(Debug, Default)]
+pub struct StatisticsTable {
+    instances: HashMap<InstanceId, Statistics>,
+}
+
+impl StatisticsTable {
+    /// One instance, if this node has sent it anything.
+    pub fn get(&self, id: &InstanceId) -> Option<&Statistics> {
+        self.instances.get(id)
+    }
+
+    /// One instance.
+    pub fn entry(&mut self, id: &InstanceId) -> &mut Statistics {
+        self.instances.entry(id.clone()).or_default()
+    }
+
+    /// Forgets instances that are unknown to `known` and have nothing open.
+    pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool) {
+        self.instances
+            .retain(|id, statistics| statistics.open > 0 || known(id));
+    }
+
+    /// All instances with open requests.
+    pub fn busy(&self) -> impl Iterator<Item = (&InstanceId, u32)> {
+        self.instances
+            .iter()
+            .filter(|(_, statistics)| statistics.open > 0)
+            .map(|(id, statistics)| (id, statistics.open))
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/settings.rs
@@ -0,0 +1,48 @@
+//! What a node is told at its start, and the times its promises rest on.
+
+use crate::identity::{NodeIdentity, ZoneName};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The settings of one node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// This life of the node.
+    pub identity: NodeIdentity,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
+    /// The store.
+    pub store_address: SocketAddr,
+    /// Retries allowed for each request to a service, over all nodes.
+    pub retry_ratio: f64,
+    /// Retries allowed besides, over all nodes, in one window.
+    pub retry_slack: f64,
+    /// The window of the retry budget.
+    pub retry_window: Duration,
+    /// Time between an instance's heartbeats in the store.
+    pub instance_heartbeat: Duration,
+    /// Time in which a leaving instance must get no more new work.
+    pub drain_bound: Duration,
+    /// Time from the request to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Seed of the node's random decisions.
+    pub seed: u64,
+}
+
+/// How long an instance holds keys after a grant arrived.
+pub const HOLD: Duration = Duration::from_millis(3_000);
+/// Time between renewals of a grant.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a coordinator may give orders after the start of the last call in
+/// which the store confirmed it.
+pub const COORDINATOR_AUTHORITY: Duration = Duration::from_secs(10);
+/// Allowance for transit and for waking up, added to the end of a hold.
+pub const LEASE_SLACK: Duration = Duration::from_millis(300);
+
+/// The longest that an instance can hold keys after a grant reached it: its
+/// clock may be 2% slow.
+pub fn longest_hold() -> Duration {
+    HOLD + HOLD / 50 + LEASE_SLACK
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -0,0 +1,53 @@
+//! Whether the store serves this node.
+
+use crate::Timestamp;
+use std::time::Duration;
+
+/// Without an answer for this long the store counts as lost.
+pub const LOST_AFTER: Duration = Duration::from_millis(1_500);
+
+/// What calls have told of the store.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    last_success: Option<Timestamp>,
+    failing_since: Option<Timestamp>,
+}
+
+impl StoreHealth {
+    /// A call that began at `started` was served.
+    /// Returns whether the store had been lost.
+    pub fn succeeded(&mut self, started: Timestamp) -> bool {
+        let was_lost = self
+            .failing_since
+            .is_some_and(|since| started.saturating_sub(since) >= LOST_AFTER);
+        let newest = self
+            .last_success
+            .map_or(started, |earlier| earlier.max(started));
+        self.last_success = Some(newest);
+        self.failing_since = None;
+        was_lost
+    }
+
+    /// A call failed, or was refused.
+    pub fn failed(&mut self, now: Timestamp) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Whether the last calls were served.
+    pub fn serves(&self) -> bool {
+        self.failing_since.is_none() && self.last_success.is_some()
+    }
+
+    /// Whether calls have failed for longer than a moment.
+    pub fn is_lost(&self, now: Timestamp) -> bool {
+        match self.failing_since {
+            Some(since) => now.saturating_sub(since) >= LOST_AFTER,
+            None => self.last_success.is_none(),
+        }
+    }
+
+    /// When the last call that was served began.
+    pub fn last_success(&self) -> Option<Timestamp> {
+        self.last_success
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -0,0 +1,205 @@
+//! One watch: list, then wait for changes, over and over.
+//!
+//! A history that is forgotten, a watch that is cut, refusals and lost answers
+//! are ordinary: they lead back to a list or to the next call after a pause.
+
+use crate::Timestamp;
+use crate::dialect::{Object, ObjectEvent, ObjectKind, StoreAnswer, StoreCall};
+use std::time::Duration;
+
+/// First pause after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(120);
+/// Longest pause after failed calls.
+const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+
+/// How often a watch calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatcherPace {
+    /// Pause between an answer with changes and the next call.
+    pub after_events: Duration,
+    /// How long the store may wait for a change.
+    pub wait: Duration,
+}
+
+/// What a watch has learned.
+#[derive(Debug)]
+pub enum WatchChange {
+    /// All objects of the kind.
+    All(Vec<Object>),
+    /// Changes since.
+    Events(Vec<ObjectEvent>),
+    /// Nothing new.
+    Unchanged,
+}
+
+#[derive(Debug)]
+enum Position {
+    /// A list is due, with the pages that are already there.
+    Listing {
+        pages: Vec<Object>,
+        after: Option<String>,
+        revision: Option<u64>,
+    },
+    /// Changes after this revision are awaited.
+    Watching { revision: u64 },
+}
+
+/// One watch.
+#[derive(Debug)]
+pub struct Watcher {
+    kind: ObjectKind,
+    pace: WatcherPace,
+    position: Position,
+    in_flight: bool,
+    next_call: Timestamp,
+    failures: u32,
+}
+
+impl Watcher {
+    /// A watch that begins with a list.
+    pub fn new(kind: ObjectKind, pace: WatcherPace) -> Watcher {
+        Watcher {
+            kind,
+            pace,
+            position: Position::start(),
+            in_flight: false,
+            next_call: Timestamp::ZERO,
+            failures: 0,
+        }
+    }
+
+    /// The kind that is watched.
+    pub fn kind(&self) -> ObjectKind {
+        self.kind
+    }
+
+    /// Changes the pace; a call that is out keeps the old one.
+    pub fn set_pace(&mut self, pace: WatcherPace) {
+        self.pace = pace;
+    }
+
+    /// When the next call is due, if none is out.
+    pub fn next_call(&self) -> Option<Timestamp> {
+        (!self.in_flight).then_some(self.next_call)
+    }
+
+    /// The next call, if it is due. The caller makes it.
+    pub fn take_call(&mut self, now: Timestamp) -> Option<StoreCall> {
+        if self.in_flight || self.next_call > now {
+            return None;
+        }
+        self.in_flight = true;
+        Some(match &self.position {
+            Position::Listing { after, .. } => StoreCall::List {
+                kind: self.kind,
+                after: after.clone(),
+            },
+            Position::Watching { revision } => StoreCall::Watch {
+                kind: self.kind,
+                revision: *revision,
+                wait: self.pace.wait,
+            },
+        })
+    }
+
+    /// The call that is out was broken off; the next is due at once.
+    pub fn interrupt(&mut self, now: Timestamp) {
+        self.in_flight = false;
+        self.next_call = now;
+    }
+
+    /// The call failed or was refused.
+    pub fn failed(&mut self, now: Timestamp) {
+        self.in_flight = false;
+        self.next_call = now + self.backoff();
+        self.failures += 1;
+    }
+
+    /// The store answered.
+    pub fn answered(&mut self, answer: StoreAnswer, now: Timestamp) -> WatchChange {
+        match answer {
+            StoreAnswer::Objects {
+                objects,
+                more,
+                revision,
+            } => self.listed(objects, more, revision, now),
+            StoreAnswer::Events { events, revision } => self.changed(events, revision, now),
+            StoreAnswer::HistoryLost | StoreAnswer::Missing => {
+                self.succeeded(now);
+                self.position = Position::start();
+                WatchChange::Unchanged
+            }
+            StoreAnswer::Refused
+            | StoreAnswer::Conflict
+            | StoreAnswer::Written(_)
+            | StoreAnswer::Unreadable(_) => {
+                self.failed(now);
+                WatchChange::Unchanged
+            }
+        }
+    }
+
+    fn listed(
+        &mut self,
+        objects: Vec<Object>,
+        more: bool,
+        revision: u64,
+        now: Timestamp,
+    ) -> WatchChange {
+        self.succeeded(now);
+        let Position::Listing {
+            pages,
+            after,
+            revision: first,
+        } = &mut self.position
+        else {
+            return WatchChange::Unchanged;
+        };
+        // Changes between two pages are told by the watch, so it continues
+        // from the revision of the first page.
+        let start = *first.get_or_insert(revision);
+        *after = objects.last().map(|object| object.name.clone());
+        pages.extend(objects);
+        if more {
+            return WatchChange::Unchanged;
+        }
+        let all = std::mem::take(pages);
+        self.position = Position::Watching { revision: start };
+        WatchChange::All(all)
+    }
+
+    fn changed(&mut self, events: Vec<ObjectEvent>, revision: u64, now: Timestamp) -> WatchChange {
+        self.succeeded(now);
+        let Position::Watching { revision: known } = &mut self.position else {
+            return WatchChange::Unchanged;
+        };
+        *known = (*known).max(revision);
+        if events.is_empty() {
+            return WatchChange::Unchanged;
+        }
+        self.next_call = now + self.pace.after_events;
+        WatchChange::Events(events)
+    }
+
+    fn succeeded(&mut self, now: Timestamp) {
+        self.in_flight = false;
+        self.failures = 0;
+        self.next_call = now;
+    }
+
+    fn backoff(&self) -> Duration {
+        FIRST_BACKOFF
+            .saturating_mul(1 << self.failures.min(6))
+            .min(MAX_BACKOFF)
+    }
+}
+
+impl Position {
+    fn start() -> Position {
+        Position::Listing {
+            pages: Vec::new(),
+            after: None,
+            revision: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -0,0 +1,16 @@
+//! Runs a router node on real sockets: one thread, one event loop.
+//!
+//! `stakker` holds the one actor and its timer, `stakker_mio` wakes it for
+//! sockets. The actor moves bytes and times; all decisions are the node's.
+
+mod endpoint;
+mod inbound;
+pub mod logging;
+mod metrics;
+mod outbound;
+mod process;
+mod reactor;
+mod stream;
+
+pub use endpoint::{Endpoint, Listen, StatusPaths};
+pub use process::{RunError, SettingsSource, run};
--- /dev/null
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -0,0 +1,147 @@
+//! The node's figures in the Prometheus text format.
+
+use ledgelead_router::node::NodeStatus;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// Writes the figures.
+pub(crate) fn render(status: &NodeStatus) -> String {
+    let mut registry = Registry::with_prefix("ledgelead");
+    gauge(
+        &mut registry,
+        "ready",
+        "Whether new clients may be sent here",
+        u64::from(status.ready),
+    );
+    gauge(
+        &mut registry,
+        "configuration_version",
+        "Version in force",
+        status.configuration.unwrap_or(0),
+    );
+    gauge(
+        &mut registry,
+        "instances",
+        "Instances known",
+        status.instances as u64,
+    );
+    gauge(
+        &mut registry,
+        "nodes",
+        "Registered nodes",
+        status.nodes as u64,
+    );
+    gauge(
+        &mut registry,
+        "ownership_epoch",
+        "Epoch of the newest record",
+        status.epoch,
+    );
+    gauge(
+        &mut registry,
+        "coordinating",
+        "Whether this node coordinates",
+        u64::from(status.coordinator.is_some()),
+    );
+    gauge(
+        &mut registry,
+        "open_requests",
+        "Requests without an answer",
+        status.open as u64,
+    );
+    counter(
+        &mut registry,
+        "requests",
+        "Requests received",
+        status.requests.received,
+    );
+    counter(
+        &mut registry,
+        "answers_relayed",
+        "Answers of instances passed on",
+        status.requests.relayed,
+    );
+    counter(
+        &mut registry,
+        "attempts",
+        "Requests sent to instances",
+        status.requests.attempts,
+    );
+    counter(
+        &mut registry,
+        "clients_left",
+        "Clients that left before their answer",
+        status.requests.left,
+    );
+    counter(
+        &mut registry,
+        "store_calls",
+        "Calls to the store",
+        status.store_calls,
+    );
+    counter(
+        &mut registry,
+        "store_failures",
+        "Calls to the store that failed or were refused",
+        status.store_failures,
+    );
+    if let Some(done) = status.coordinator {
+        counter(&mut registry, "grants", "Grants answered", done.grants);
+        counter(
+            &mut registry,
+            "grants_unanswered",
+            "Grants without an answer",
+            done.grants_unanswered,
+        );
+        counter(
+            &mut registry,
+            "releases",
+            "Releases answered",
+            done.releases,
+        );
+        counter(
+            &mut registry,
+            "lease_lapses",
+            "Leases waited out",
+            done.lapses,
+        );
+        counter(
+            &mut registry,
+            "moves",
+            "Ranges that changed their owner",
+            done.moves,
+        );
+    }
+    let refused = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in &status.requests.refused {
+        refused
+            .get_or_create(&ReasonLabel { reason })
+            .inc_by(*count);
+    }
+    registry.register("refusals", "Own answers by reason", refused);
+    let mut text = String::new();
+    // Writing to a string can't fail.
+    let _ = encode(&mut text, &registry);
+    text
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let gauge = Gauge::<i64>::default();
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    registry.register(name, help, gauge);
+}
+
+fn counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter = Counter::<u64>::default();
+    counter.inc_by(value);
+    registry.register(name, help, counter);
+}
--- /dev/null
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -0,0 +1,429 @@
+//! Exchanges with instances and with the store over kept connections.
+
+use crate::stream::{Stream, StreamEnd};
+use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
+use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use slab::Slab;
+use stakker_mio::MioSource;
+use stakker_mio::mio::net::TcpStream;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Longest body of an answer, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Idle connections that are kept for one address.
+const MAX_IDLE_PER_ADDRESS: usize = 12;
+/// After this time an idle connection is closed.
+const MAX_IDLE: Duration = Duration::from_secs(9);
+/// How much earlier than the other side says an idle connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Surplus answers that are passed over in one exchange.
+const MAX_SURPLUS: u32 = 3;
+
+/// Names one use of a place in the table of connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ConnectionKey {
+    pub(crate) index: usize,
+    pub(crate) generation: u64,
+}
+
+struct Running {
+    exchange: ExchangeId,
+    method: String,
+    reader: ResponseReader,
+    match_header: Option<(String, Vec<u8>)>,
+    surplus: u32,
+    connect_by: Instant,
+    answer_by: Instant,
+}
+
+struct Connection {
+    generation: u64,
+    address: SocketAddr,
+    stream: Stream,
+    connected: bool,
+    running: Option<Running>,
+    idle_since: Instant,
+    keep_until: Option<Instant>,
+}
+
+/// A request that waits for its connection to be registered.
+pub(crate) struct NewExchange {
+    pub(crate) exchange: ExchangeId,
+    pub(crate) address: SocketAddr,
+    pub(crate) request: Request,
+    pub(crate) options: ExchangeOptions,
+}
+
+/// All connections to instances and to the store.
+#[derive(Default)]
+pub(crate) struct Outbound {
+    connections: Slab<Connection>,
+    idle: HashMap<SocketAddr, Vec<usize>>,
+    by_exchange: HashMap<ExchangeId, usize>,
+    deadlines: BTreeSet<(Instant, ConnectionKey)>,
+    last_generation: u64,
+}
+
+impl Outbound {
+    /// Begins an exchange on a kept connection, if there is one; gives it back
+    /// otherwise.
+    pub(crate) fn start_on_kept(
+        &mut self,
+        new: Box<NewExchange>,
+        now: Instant,
+        inputs: &mut Vec<Input>,
+    ) -> Result<(), Box<NewExchange>> {
+        let Some(index) = self.take_idle(new.address, new.options.reuse_idle_below, now) else {
+            return Err(new);
+        };
+        self.begin(index, *new, now);
+        self.progress(index, now, inputs);
+        Ok(())
+    }
+
+    /// The key that the next new connection will have.
+    pub(crate) fn next_key(&self) -> ConnectionKey {
+        ConnectionKey {
+            index: self.connections.vacant_key(),
+            generation: self.last_generation + 1,
+        }
+    }
+
+    /// Begins an exchange on a new connection.
+    pub(crate) fn start_on_new(
+        &mut self,
+        source: MioSource<TcpStream>,
+        new: NewExchange,
+        now: Instant,
+    ) {
+        self.last_generation += 1;
+        let index = self.connections.insert(Connection {
+            generation: self.last_generation,
+            address: new.address,
+            stream: Stream::new(source),
+            connected: false,
+            running: None,
+            idle_since: now,
+            keep_until: None,
+        });
+        self.begin(index, new, now);
+    }
+
+    /// Breaks off an exchange by closing its connection.
+    pub(crate) fn cancel(&mut self, exchange: ExchangeId) {
+        if let Some(index) = self.by_exchange.remove(&exchange) {
+            self.drop_connection(index);
+        }
+    }
+
+    /// A socket is ready.
+    pub(crate) fn ready(&mut self, key: ConnectionKey, now: Instant, inputs: &mut Vec<Input>) {
+        let current = self
+            .connections
+            .get(key.index)
+            .is_some_and(|connection| connection.generation == key.generation);
+        if current {
+            self.progress(key.index, now, inputs);
+        }
+    }
+
+    /// The next time limit of an exchange.
+    pub(crate) fn next_deadline(&self) -> Option<Instant> {
+        self.deadlines.first().map(|(at, _)| *at)
+    }
+
+    /// Ends exchanges whose time is over.
+    pub(crate) fn expire(&mut self, now: Instant, inputs: &mut Vec<Input>) {
+        while let Some((at, key)) = self.deadlines.first().copied() {
+            if at > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(connection) = self.connections.get(key.index) else {
+                continue;
+            };
+            let Some(running) = connection.running.as_ref() else {
+                continue;
+            };
+            if connection.generation != key.generation {
+                continue;
+            }
+            if connection.connected && running.answer_by > now {
+                self.deadlines.insert((running.answer_by, key));
+                continue;
+            }
+            let failure = if connection.connected {
+                ExchangeFailure::TimedOut
+            } else {
+                ExchangeFailure::NotConnected
+            };
+            self.fail(key.index, failure, inputs);
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn close_idle(&mut self, now: Instant) {
+        let stale: Vec<usize> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| {
+                connection.running.is_none() && !connection.is_fresh(MAX_IDLE, now)
+            })
+            .map(|(index, _)| index)
+            .collect();
+        for index in stale {
+            self.drop_connection(index);
+        }
+    }
+
+    fn take_idle(&mut self, address: SocketAddr, below: Duration, now: Instant) -> Option<usize> {
+        loop {
+            let index = *self.idle.get(&address)?.last()?;
+            let usable = self.connections.get(index)?.is_fresh(below, now);
+            if usable {
+                self.idle.get_mut(&address)?.pop();
+                return Some(index);
+            }
+            // Older ones are behind it and no fresher.
+            let stale = self.idle.remove(&address)?;
+            for index in stale {
+                self.drop_connection(index);
+            }
+        }
+    }
+
+    fn begin(&mut self, index: usize, new: NewExchange, now: Instant) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        connection.stream.begin_message();
+        write_request(&new.request, connection.stream.output());
+        let connect_by = now + new.options.connect_timeout;
+        let answer_by = now + new.options.timeout;
+        let first_deadline = if connection.connected {
+            answer_by
+        } else {
+            connect_by.min(answer_by)
+        };
+        let key = ConnectionKey {
+            index,
+            generation: connection.generation,
+        };
+        connection.running = Some(Running {
+            exchange: new.exchange,
+            reader: ResponseReader::new(&new.request.method, MAX_BODY_BYTES),
+            method: new.request.method,
+            match_header: new.options.match_header,
+            surplus: 0,
+            connect_by,
+            answer_by,
+        });
+        self.by_exchange.insert(new.exchange, index);
+        self.deadlines.insert((first_deadline, key));
+    }
+
+    /// Moves bytes, and the exchange with them.
+    fn progress(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        if !connection.connected {
+            match connection.stream.check_connected() {
+                Ok(true) => connection.connected = true,
+                Ok(false) => return,
+                Err(()) => {
+                    self.fail(index, ExchangeFailure::NotConnected, inputs);
+                    return;
+                }
+            }
+        }
+        connection.stream.fill();
+        connection.stream.flush();
+        // The answer may have come while the request was written.
+        connection.stream.fill();
+        if connection.running.is_some() {
+            self.read_answer(index, now, inputs);
+        } else if connection.stream.end().is_some() || !connection.stream.input.is_empty() {
+            // Bytes that nobody asked for belong to no request.
+            self.drop_connection(index);
+        }
+    }
+
+    fn read_answer(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        loop {
+            let Some(connection) = self.connections.get_mut(index) else {
+                return;
+            };
+            let Some(running) = connection.running.as_mut() else {
+                return;
+            };
+            match running.reader.read(&mut connection.stream.input) {
+                Ok(ResponseProgress::Complete { response, reusable }) => {
+                    if !running.is_answered_by(&response) {
+                        if running.pass_over() {
+                            continue;
+                        }
+                        self.fail(index, ExchangeFailure::Malformed, inputs);
+                        return;
+                    }
+                    self.complete(index, response, reusable, now, inputs);
+                    return;
+                }
+                Ok(ResponseProgress::Partial) => break,
+                Err(_) => {
+                    self.fail(index, ExchangeFailure::Malformed, inputs);
+                    return;
+                }
+            }
+        }
+        self.check_end(index, now, inputs);
+    }
+
+    /// The other side may have closed, which can end the answer or cut it off.
+    fn check_end(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        let Some(running) = connection.running.as_mut() else {
+            return;
+        };
+        match connection.stream.end() {
+            None => {}
+            Some(StreamEnd::Closed) => match running.reader.closed() {
+                Ok(response) if running.is_answered_by(&response) => {
+                    self.complete(index, response, false, now, inputs);
+                }
+                _ => self.fail_lost(index, inputs),
+            },
+            Some(StreamEnd::Reset) => self.fail_lost(index, inputs),
+        }
+    }
+
+    /// The connection ended without an answer: proof that nothing ran only if
+    /// no byte of the request was written.
+    fn fail_lost(&mut self, index: usize, inputs: &mut Vec<Input>) {
+        let wrote = self
+            .connections
+            .get(index)
+            .is_some_and(|connection| connection.stream.wrote_any());
+        let failure = if wrote {
+            ExchangeFailure::Lost
+        } else {
+            ExchangeFailure::NotConnected
+        };
+        self.fail(index, failure, inputs);
+    }
+
+    fn complete(
+        &mut self,
+        index: usize,
+        response: Response,
+        reusable: bool,
+        now: Instant,
+        inputs: &mut Vec<Input>,
+    ) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        let Some(running) = connection.running.take() else {
+            return;
+        };
+        self.by_exchange.remove(&running.exchange);
+        let clean = connection.stream.input.is_empty()
+            && connection.stream.is_flushed()
+            && connection.stream.end().is_none()
+            && running.surplus == 0;
+        let key = ConnectionKey {
+            index,
+            generation: connection.generation,
+        };
+        self.deadlines.remove(&(running.answer_by, key));
+        self.deadlines.remove(&(running.connect_by, key));
+        if reusable && clean {
+            connection.idle_since = now;
+            connection.keep_until = keep_alive(&response).map(|keep| now + keep);
+            let idle = self.idle.entry(connection.address).or_default();
+            idle.push(index);
+            if idle.len() > MAX_IDLE_PER_ADDRESS {
+                let oldest = idle.remove(0);
+                self.drop_connection(oldest);
+            }
+        } else {
+            self.drop_connection(index);
+        }
+        inputs.push(Input::Exchanged {
+            exchange: running.exchange,
+            result: Ok(response),
+        });
+    }
+
+    fn fail(&mut self, index: usize, failure: ExchangeFailure, inputs: &mut Vec<Input>) {
+        let running = self
+            .connections
+            .get_mut(index)
+            .and_then(|connection| connection.running.take());
+        self.drop_connection(index);
+        if let Some(running) = running {
+            self.by_exchange.remove(&running.exchange);
+            inputs.push(Input::Exchanged {
+                exchange: running.exchange,
+                result: Err(failure),
+            });
+        }
+    }
+
+    fn drop_connection(&mut self, index: usize) {
+        let Some(connection) = self.connections.try_remove(index) else {
+            return;
+        };
+        if let Some(idle) = self.idle.get_mut(&connection.address) {
+            idle.retain(|other| *other != index);
+            if idle.is_empty() {
+                self.idle.remove(&connection.address);
+            }
+        }
+        if let Some(running) = connection.running {
+            let key = ConnectionKey {
+                index,
+                generation: connection.generation,
+            };
+            self.deadlines.remove(&(running.answer_by, key));
+            self.deadlines.remove(&(running.connect_by, key));
+        }
+    }
+}
+
+impl Connection {
+    fn is_fresh(&self, below: Duration, now: Instant) -> bool {
+        let kept = self.keep_until.is_none_or(|until| now < until);
+        kept && now.duration_since(self.idle_since) < below
+    }
+}
+
+impl Running {
+    fn is_answered_by(&self, response: &Response) -> bool {
+        match &self.match_header {
+            None => true,
+            Some((name, value)) => response.headers.get(name) == Some(value),
+        }
+    }
+
+    /// Makes ready for the next answer; false if there were too many.
+    fn pass_over(&mut self) -> bool {
+        self.surplus += 1;
+        self.reader = ResponseReader::new(&self.method, MAX_BODY_BYTES);
+        self.surplus <= MAX_SURPLUS
+    }
+}
+
+/// How long the other side keeps an idle connection, less a margin.
+fn keep_alive(response: &Response) -> Option<Duration> {
+    let value = response.headers.text("keep-alive")?;
+    let seconds = value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse::<u64>().ok())?;
+    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
+}
--- /dev/null
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -0,0 +1,131 @@
+//! The process: sockets, signals and the event loop.
+
+use crate::endpoint::Listen;
+use crate::reactor::{Reactor, ReactorSetup, Signals, Sockets};
+use ledgelead_router::dialect::Dialect;
+use ledgelead_router::node::Node;
+use ledgelead_router::settings::NodeSettings;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use stakker::{ActorOwn, Stakker, actor, ret_nop};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::{Duration, Instant};
+
+/// Events taken from the poller at once.
+const POLL_EVENTS: usize = 256;
+/// Longest wait when nothing happens.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(60);
+/// Priority of the waker, which is not used.
+const WAKER_PRIORITY: u32 = 0;
+
+/// Where settings come from while the process runs.
+pub trait SettingsSource {
+    /// The settings, if they have changed since the last call and are valid.
+    fn changed(&mut self) -> Option<NodeSettings>;
+}
+
+/// Why a process could not run.
+#[derive(Debug)]
+pub enum RunError {
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The event loop failed.
+    Poll(io::Error),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Listen { address, source } => {
+                write!(formatter, "can't listen on {address}: {source}")
+            }
+            RunError::Poll(source) => write!(formatter, "the event loop failed: {source}"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+impl From<io::Error> for RunError {
+    fn from(source: io::Error) -> RunError {
+        RunError::Poll(source)
+    }
+}
+
+/// Runs a node until it is asked to stop.
+///
+/// # Errors
+/// When an address can't be listened on, or the event loop fails.
+pub fn run(
+    settings: NodeSettings,
+    listen: Listen,
+    dialect: Box<dyn Dialect>,
+    source: Box<dyn SettingsSource>,
+) -> Result<(), RunError> {
+    let signals = Signals::default();
+    signal_hook::flag::register(SIGTERM, signals.stop.clone())?;
+    signal_hook::flag::register(SIGHUP, signals.reload.clone())?;
+    let sockets = bind(&listen)?;
+    let start = Instant::now();
+    let mut stakker = Stakker::new(start);
+    let poll = MioPoll::new(
+        &mut stakker,
+        Poll::new()?,
+        Events::with_capacity(POLL_EVENTS),
+        WAKER_PRIORITY,
+    )?;
+    let setup = ReactorSetup {
+        stop_grace: settings.stop_grace,
+        node: Node::new(settings, dialect, Duration::ZERO),
+        sockets,
+        paths: listen.paths,
+        signals,
+        settings: source,
+        start,
+    };
+    let _reactor: ActorOwn<Reactor> = actor!(stakker, Reactor::init(setup), ret_nop!());
+    poll_until_shutdown(&mut stakker, &poll)?;
+    Ok(())
+}
+
+fn bind(listen: &Listen) -> Result<Sockets, RunError> {
+    let status: Result<Vec<TcpListener>, RunError> = listen
+        .status
+        .iter()
+        .map(|address| listener(*address))
+        .collect();
+    let peers = UdpSocket::bind(listen.peers).map_err(|source| RunError::Listen {
+        address: listen.peers,
+        source,
+    })?;
+    Ok(Sockets {
+        clients: listener(listen.clients)?,
+        status: status?,
+        peers,
+    })
+}
+
+fn listener(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).map_err(|source| RunError::Listen { address, source })
+}
+
+fn poll_until_shutdown(stakker: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    while stakker.not_shutdown() {
+        let pending = idle_pending || io_pending;
+        let wait = stakker.next_wait_max(Instant::now(), MAX_POLL_WAIT, pending);
+        let activity;
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -0,0 +1,376 @@
+//! The actor: sockets on one side, the node on the other.
+
+use crate::endpoint::{Endpoint, StatusPaths};
+use crate::inbound::{ClientEvent, Inbound};
+use crate::metrics;
+use crate::outbound::{ConnectionKey, NewExchange, Outbound};
+use crate::process::SettingsSource;
+use ledgelead_http::{Request, Response};
+use ledgelead_router::Timestamp;
+use ledgelead_router::io::{Action, ClientId, ExchangeFailure, Input};
+use ledgelead_router::node::Node;
+use stakker::{CX, MinTimerKey, StopCause, fwd_to, timer_min};
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::{TcpListener, TcpStream, UdpSocket};
+use stakker_mio::{MioPoll, MioSource, Ready};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Priority of all sockets in the poller.
+const POLL_PRIORITY: u32 = 0;
+/// Pause between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a stopping node goes on to take connections, so that whoever
+/// hands them out can notice that it is not ready.
+const STOP_LINGER: Duration = Duration::from_millis(3_200);
+/// How long before the end of the grace a stopping node ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Longest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
+
+/// Signals that reached the process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Signals {
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) reload: Arc<AtomicBool>,
+}
+
+/// Bound sockets.
+pub(crate) struct Sockets {
+    pub(crate) clients: std::net::TcpListener,
+    pub(crate) status: Vec<std::net::TcpListener>,
+    pub(crate) peers: std::net::UdpSocket,
+}
+
+/// What the actor starts with.
+pub(crate) struct ReactorSetup {
+    pub(crate) node: Node,
+    pub(crate) sockets: Sockets,
+    pub(crate) paths: StatusPaths,
+    pub(crate) signals: Signals,
+    pub(crate) settings: Box<dyn SettingsSource>,
+    pub(crate) stop_grace: Duration,
+    pub(crate) start: Instant,
+}
+
+/// The actor.
+pub(crate) struct Reactor {
+    node: Node,
+    start: Instant,
+    listeners: Vec<(Endpoint, MioSource<TcpListener>)>,
+    peers: MioSource<UdpSocket>,
+    inbound: Inbound,
+    outbound: Outbound,
+    paths: StatusPaths,
+    signals: Signals,
+    settings: Box<dyn SettingsSource>,
+    stop_grace: Duration,
+    stopped_at: Option<Instant>,
+    inputs: VecDeque<Input>,
+    timer: MinTimerKey,
+    next_sweep: Instant,
+    next_settings: Instant,
+}
+
+impl Reactor {
+    pub(crate) fn init(cx: CX![], setup: ReactorSetup) -> Option<Reactor> {
+        let now = cx.now();
+        let mut reactor = match Reactor::register(cx, setup, now) {
+            Ok(reactor) => reactor,
+            Err(error) => {
+                log::error!(target: "runtime", "sockets can't be polled: {error}");
+                cx.shutdown(StopCause::Stopped);
+                return None;
+            }
+        };
+        reactor.inputs.push_back(Input::Deadline);
+        reactor.pump(cx);
+        Some(reactor)
+    }
+
+    fn register(cx: CX![], setup: ReactorSetup, now: Instant) -> io::Result<Reactor> {
+        let poll = cx.anymap_get::<MioPoll>();
+        let mut listeners = Vec::new();
+        let clients = [(Endpoint::Clients, setup.sockets.clients)];
+        let status = setup
+            .sockets
+            .status
+            .into_iter()
+            .map(|listener| (Endpoint::Status, listener));
+        for (index, (endpoint, listener)) in clients.into_iter().chain(status).enumerate() {
+            listener.set_nonblocking(true)?;
+            let listener = TcpListener::from_std(listener);
+            let accept = fwd_to!([cx], accept(index) as (Ready));
+            let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, accept)?;
+            listeners.push((endpoint, source));
+        }
+        setup.sockets.peers.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(setup.sockets.peers);
+        let received = fwd_to!([cx], datagrams() as (Ready));
+        let peers = poll.add(socket, Interest::READABLE, POLL_PRIORITY, received)?;
+        Ok(Reactor {
+            node: setup.node,
+            start: setup.start,
+            listeners,
+            peers,
+            inbound: Inbound::default(),
+            outbound: Outbound::default(),
+            paths: setup.paths,
+            signals: setup.signals,
+            settings: setup.settings,
+            stop_grace: setup.stop_grace,
+            stopped_at: None,
+            inputs: VecDeque::new(),
+            timer: MinTimerKey::default(),
+            next_sweep: now + SWEEP_INTERVAL,
+            next_settings: now + SETTINGS_INTERVAL,
+        })
+    }
+
+    fn accept(&mut self, cx: CX![], index: usize, _ready: Ready) {
+        let now = cx.now();
+        loop {
+            let (endpoint, listener) = &self.listeners[index];
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    // Also when descriptors run out: the rest waits in the
+                    // queue for the next event.
+                    log::warn!(target: "runtime", "a connection was not accepted: {error}");
+                    break;
+                }
+            };
+            let key = self.inbound.next_key();
+            let ready = fwd_to!([cx], client_ready(key) as (Ready));
+            let poll = cx.anymap_get::<MioPoll>();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            match poll.add(stream, interest, POLL_PRIORITY, ready) {
+                Ok(source) => self.inbound.accepted(source, *endpoint, now),
+                Err(error) => log::warn!(target: "runtime", "a connection is not polled: {error}"),
+            }
+        }
+    }
+
+    fn client_ready(&mut self, cx: CX![], key: ConnectionKey, _ready: Ready) {
+        let mut events = Vec::new();
+        self.inbound.ready(key, cx.now(), &mut events);
+        self.take_events(cx.now(), events);
+        self.pump(cx);
+    }
+
+    fn server_ready(&mut self, cx: CX![], key: ConnectionKey, _ready: Ready) {
+        let mut inputs = Vec::new();
+        self.outbound.ready(key, cx.now(), &mut inputs);
+        self.inputs.extend(inputs);
+        self.pump(cx);
+    }
+
+    fn datagrams(&mut self, cx: CX![], _ready: Ready) {
+        let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.peers.recv_from(&mut buffer) {
+                Ok((length, from)) => self.inputs.push_back(Input::Datagram {
+                    from,
+                    bytes: buffer[..length].to_vec(),
+                }),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::debug!(target: "runtime", "no datagram received: {error}");
+                    break;
+                }
+            }
+        }
+        self.pump(cx);
+    }
+
+    fn timer_fired(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let mut inputs = vec![Input::Deadline];
+        self.outbound.expire(now, &mut inputs);
+        self.inputs.extend(inputs);
+        if self.next_sweep <= now {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.outbound.close_idle(now);
+            self.inbound.sweep(now);
+        }
+        self.look_at_settings(now);
+        self.look_at_signals(now);
+        self.pump(cx);
+        self.end_if_stopped(cx);
+    }
+
+    fn look_at_settings(&mut self, now: Instant) {
+        let asked = self.signals.reload.swap(false, Ordering::Relaxed);
+        if !asked && self.next_settings > now {
+            return;
+        }
+        self.next_settings = now + SETTINGS_INTERVAL;
+        if let Some(settings) = self.settings.changed() {
+            log::info!(target: "runtime", "settings changed");
+            self.node.change_settings(settings);
+        }
+    }
+
+    fn look_at_signals(&mut self, now: Instant) {
+        if self.stopped_at.is_none() && self.signals.stop.load(Ordering::Relaxed) {
+            self.stopped_at = Some(now);
+            self.inbound.begin_stopping();
+            self.inputs.push_back(Input::Stop);
+        }
+    }
+
+    fn end_if_stopped(&mut self, cx: CX![]) {
+        let Some(stopped_at) = self.stopped_at else {
+            return;
+        };
+        let elapsed = cx.now().duration_since(stopped_at);
+        let idle = self.node.has_finished() && !self.inbound.is_busy();
+        let over = elapsed + STOP_MARGIN >= self.stop_grace;
+        if (idle && elapsed >= STOP_LINGER.min(self.stop_grace)) || over {
+            log::info!(target: "runtime", "ends");
+            cx.shutdown(StopCause::Stopped);
+        }
+    }
+
+    fn take_events(&mut self, now: Instant, events: Vec<ClientEvent>) {
+        let mut queue = VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            match event {
+                ClientEvent::Left { client } => {
+                    self.inputs.push_back(Input::ClientLeft { client });
+                }
+                ClientEvent::Request {
+                    client,
+                    endpoint: Endpoint::Clients,
+                    request,
+                } => self.inputs.push_back(Input::Request { client, request }),
+                ClientEvent::Request {
+                    client,
+                    endpoint: Endpoint::Status,
+                    request,
+                } => {
+                    let mut more = Vec::new();
+                    self.answer_status(client, &request, now, &mut more);
+                    queue.extend(more);
+                }
+            }
+        }
+    }
+
+    fn answer_status(
+        &mut self,
+        client: ClientId,
+        request: &Request,
+        now: Instant,
+        events: &mut Vec<ClientEvent>,
+    ) {
+        let path = request.path();
+        let response = if path == self.paths.readiness {
+            let status = if self.node.is_ready() { 200 } else { 503 };
+            Response::new(status, Vec::new())
+        } else if path == self.paths.metrics {
+            Response::new(200, metrics::render(&self.node.status()))
+        } else {
+            Response::new(404, Vec::new())
+        };
+        self.inbound.respond(client, &response, now, events);
+    }
+
+    /// Passes inputs to the node and carries out its actions, until nothing
+    /// is left, then sets the timer.
+    fn pump(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let time = self.time(now);
+        let mut actions = Vec::new();
+        while let Some(input) = self.inputs.pop_front() {
+            self.node.step(input, time, &mut actions);
+            for action in actions.drain(..) {
+                self.perform(cx, action, now);
+            }
+        }
+        self.inbound.set_limits(self.node.client_limits());
+        self.set_timer(cx);
+    }
+
+    fn time(&self, now: Instant) -> Timestamp {
+        now.saturating_duration_since(self.start)
+    }
+
+    fn set_timer(&mut self, cx: CX![]) {
+        let node = self.start + self.node.next_deadline();
+        let next = [
+            Some(node),
+            self.outbound.next_deadline(),
+            Some(self.next_sweep),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(self.next_sweep);
+        timer_min!(&mut self.timer, next, [cx], timer_fired());
+    }
+
+    fn perform(&mut self, cx: CX![], action: Action, now: Instant) {
+        match action {
+            Action::Respond { client, response } => {
+                let mut events = Vec::new();
+                self.inbound.respond(client, &response, now, &mut events);
+                self.take_events(now, events);
+            }
+            Action::Exchange {
+                exchange,
+                address,
+                request,
+                options,
+            } => {
+                let new = NewExchange {
+                    exchange,
+                    address,
+                    request,
+                    options,
+                };
+                self.start_exchange(cx, new, now);
+            }
+            Action::Cancel { exchange } => self.outbound.cancel(exchange),
+            Action::Datagram { address, bytes } => {
+                // Datagrams may be lost: a full buffer loses this one.
+                let _ = self.peers.send_to(&bytes, address);
+            }
+        }
+    }
+
+    fn start_exchange(&mut self, cx: CX![], new: NewExchange, now: Instant) {
+        let mut inputs = Vec::new();
+        let started = self
+            .outbound
+            .start_on_kept(Box::new(new), now, &mut inputs);
+        self.inputs.extend(inputs);
+        let Err(new) = started else {
+            return;
+        };
+        let exchange = new.exchange;
+        let key = self.outbound.next_key();
+        let ready = fwd_to!([cx], server_ready(key) as (Ready));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let poll = cx.anymap_get::<MioPoll>();
+        let source = TcpStream::connect(new.address)
+            .and_then(|stream| poll.add(stream, interest, POLL_PRIORITY, ready));
+        match source {
+            Ok(source) => self.outbound.start_on_new(source, *new, now),
+            Err(error) => {
+                log::warn!(target: "runtime", "no connection to {}: {error}", new.address);
+                self.inputs.push_back(Input::Exchanged {
+                    exchange,
+                    result: Err(ExchangeFailure::NotConnected),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -0,0 +1,122 @@
+//! A connection's bytes in both directions, without waiting.
+
+use stakker_mio::MioSource;
+use stakker_mio::mio::net::TcpStream;
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16_384;
+
+/// How the other side ended its direction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// In good order.
+    Closed,
+    /// By a reset or another error.
+    Reset,
+}
+
+/// A connection with its buffers.
+pub(crate) struct Stream {
+    source: MioSource<TcpStream>,
+    /// Bytes that were received and not consumed.
+    pub(crate) input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    wrote_any: bool,
+    end: Option<StreamEnd>,
+}
+
+impl Stream {
+    pub(crate) fn new(source: MioSource<TcpStream>) -> Stream {
+        Stream {
+            source,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            wrote_any: false,
+            end: None,
+        }
+    }
+
+    /// Whether the connection has come up. An error means that it never will.
+    pub(crate) fn check_connected(&self) -> Result<bool, ()> {
+        if let Ok(Some(_)) | Err(_) = self.source.take_error() {
+            return Err(());
+        }
+        match self.source.peer_addr() {
+            Ok(_) => {
+                // Small messages must not wait for acknowledgements.
+                let _ = self.source.set_nodelay(true);
+                Ok(true)
+            }
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(_) => Err(()),
+        }
+    }
+
+    /// Reads all that is there.
+    pub(crate) fn fill(&mut self) {
+        let mut buffer = [0u8; READ_BYTES];
+        while self.end.is_none() {
+            match self.source.read(&mut buffer) {
+                Ok(0) => self.end = Some(StreamEnd::Closed),
+                Ok(count) => self.input.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => self.end = Some(StreamEnd::Reset),
+            }
+        }
+    }
+
+    /// Writes what the connection takes.
+    pub(crate) fn flush(&mut self) {
+        while self.written < self.output.len() {
+            match self.source.write(&self.output[self.written..]) {
+                Ok(count) => {
+                    self.written += count;
+                    self.wrote_any |= count > 0;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.end = Some(StreamEnd::Reset);
+                    return;
+                }
+            }
+        }
+        self.output.clear();
+        self.written = 0;
+    }
+
+    /// Where bytes to be sent are appended.
+    pub(crate) fn output(&mut self) -> &mut Vec<u8> {
+        &mut self.output
+    }
+
+    /// Whether all was written.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.output.is_empty()
+    }
+
+    /// From now on `wrote_any` tells of a new message.
+    pub(crate) fn begin_message(&mut self) {
+        self.wrote_any = false;
+    }
+
+    /// Whether a byte of the current message was written.
+    pub(crate) fn wrote_any(&self) -> bool {
+        self.wrote_any
+    }
+
+    /// How the other side ended, if it did.
+    pub(crate) fn end(&self) -> Option<StreamEnd> {
+        self.end
+    }
+
+    /// Ends this side's direction.
+    pub(crate) fn shut_down_output(&mut self) {
+        let _ = self.source.shutdown(Shutdown::Write);
+    }
+}
