An instance whose address answers as another has ended; attempts are reviewed before they are broken off

Change: 421 under another instance's id, or a new registration at the address, proves the end of a life; a rejected owner is asked again once, then only after the record changed; an attempt is given up only if its instance is silent, or after four times the expected time, and never once the node stops.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -57,12 +57,14 @@
     pub presence: Presence,
     /// Until when it is slow after its start.
     pub warm_at: Timestamp,
+    /// Whether this life of it is proved to be over.
+    pub ended: bool,
 }
 
 impl Instance {
     /// Whether it may get new work.
     pub fn serves(&self) -> bool {
-        self.presence == Presence::Serving
+        self.presence == Presence::Serving && !self.ended
     }
 
     /// Since when it is known to be leaving.
@@ -130,18 +132,23 @@
         self.complete = true;
     }
 
-    /// An entry was made or changed.
+    /// An entry was made or changed. A new one at the address of another
+    /// proves that the other life has ended.
     pub fn upsert(&mut self, record: InstanceRecord, now: Timestamp) {
+        if self.complete && !self.instances.contains_key(&record.id) {
+            self.end_others_at(record.address);
+        }
         self.doubted.remove(&record.id);
         let id = record.id.clone();
         let warm_at = now + record.warmup_left;
-        let earlier = self.instances.get(&id).map(|instance| instance.presence);
-        let presence = match (record.draining, earlier) {
+        let earlier = self.instances.get(&id);
+        let presence = match (record.draining, earlier.map(|instance| instance.presence)) {
             (false, _) => Presence::Serving,
             (true, Some(Presence::Draining { since })) => Presence::Draining { since },
             (true, _) => Presence::Draining { since: now },
         };
         let instance = Instance {
+            ended: earlier.is_some_and(|instance| instance.ended),
             record,
             presence,
             warm_at,
@@ -149,6 +156,28 @@
         self.instances.insert(id, instance);
     }
 
+    /// This life of an instance is proved to be over.
+    pub fn end(&mut self, id: &InstanceId) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.ended = true;
+        }
+    }
+
+    /// Whether this life of an instance is proved to be over.
+    pub fn has_ended(&self, id: &InstanceId) -> bool {
+        self.instances
+            .get(id)
+            .is_some_and(|instance| instance.ended)
+    }
+
+    fn end_others_at(&mut self, address: SocketAddr) {
+        for instance in self.instances.values_mut() {
+            if instance.record.address == address {
+                instance.ended = true;
+            }
+        }
+    }
+
     /// An entry is gone.
     pub fn remove(&mut self, id: &InstanceId, now: Timestamp) {
         let Some(instance) = self.instances.get_mut(id) else {
@@ -205,22 +234,6 @@
             .filter(move |instance| instance.record.service == *service)
     }
 
-    /// Whether another life is registered at this instance's address: proof
-    /// that this one has ended.
-    pub fn is_replaced(&self, id: &InstanceId) -> bool {
-        let Some(instance) = self.instances.get(id) else {
-            return false;
-        };
-        if instance.serves() && !self.doubted.contains_key(id) {
-            return false;
-        }
-        self.instances.values().any(|other| {
-            other.record.id != *id
-                && other.record.address == instance.record.address
-                && other.serves()
-        })
-    }
-
     /// All instances.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
         self.instances.values()
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -117,6 +117,9 @@
                 if self.requests.owns(exchange) {
                     let (requests, mut context) = self.requests_and_context(now);
                     requests.exchanged(exchange, result, &mut context, out);
+                    for ended in self.requests.take_ended() {
+                        self.directory.end(&ended);
+                    }
                     self.reconsider_waiting(now, out);
                 } else if self.store.owns(exchange) {
                     self.store_answered(exchange, result, now, out);
@@ -207,6 +210,7 @@
             return;
         }
         self.stopping = true;
+        self.requests.begin_stopping();
         self.coordination.begin_resigning(now);
         log::info!(target: "node", "stopping with {} open requests", self.requests.len());
     }
--- a/crates/ledgelead-router/src/ownership/coordinator.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator.rs
@@ -286,7 +286,7 @@
             let Some(owner) = &holding.owner else {
                 continue;
             };
-            if context.directory.is_replaced(owner) {
+            if context.directory.has_ended(owner) {
                 holding.lease.possible_until = holding.lease.possible_until.min(context.now);
             }
             let leaving = context
--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -58,20 +58,31 @@
     /// Draws one retry, if the share of one among `nodes` nodes allows it.
     /// A node that knows no other nodes has no share of the slack.
     pub fn draw(&mut self, service: &ServiceName, nodes: usize, now: Timestamp) -> bool {
-        let bounds = self.bounds;
-        let usage = self.usage.entry(service.clone()).or_default();
-        usage.forget(now, bounds.window);
-        let slack = match nodes {
-            0 => 0.0,
-            nodes => bounds.slack / nodes as f64,
-        };
-        let allowed = (bounds.ratio * usage.requests.len() as f64 + slack) * SAFETY;
-        if usage.retries.len() as f64 + 1.0 > allowed {
+        let window = self.bounds.window;
+        if let Some(usage) = self.usage.get_mut(service) {
+            usage.forget(now, window);
+        }
+        if !self.may_draw(service, nodes) {
             return false;
         }
+        let usage = self.usage.entry(service.clone()).or_default();
         usage.retries.push_back(now);
         true
     }
+
+    /// Whether a retry could be drawn.
+    pub fn may_draw(&self, service: &ServiceName, nodes: usize) -> bool {
+        let (requests, retries) = self
+            .usage
+            .get(service)
+            .map_or((0, 0), |usage| (usage.requests.len(), usage.retries.len()));
+        let slack = match nodes {
+            0 => 0.0,
+            nodes => self.bounds.slack / nodes as f64,
+        };
+        let allowed = (self.bounds.ratio * requests as f64 + slack) * SAFETY;
+        retries as f64 + 1.0 <= allowed
+    }
 }
 
 impl Usage {
--- a/crates/ledgelead-router/src/requests/lifecycle.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle.rs
@@ -31,10 +31,15 @@
 /// The same for requests that can't be sent again after such a close.
 const REUSE_IDLE_ONCE: Duration = Duration::from_secs(3);
 /// After this share of the target latency an idempotent request is sent to
-/// another instance, if it may.
-const ATTEMPT_SHARE: f64 = 1.3;
+/// another instance, if the first has been silent since.
+const REVIEW_SHARE: f64 = 1.3;
+/// The same for an instance that answers others: its answer to this one may
+/// be lost.
+const REVIEW_EXPECTED: f64 = 4.0;
+/// Pause between two reviews of an attempt.
+const REVIEW_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before an owner that rejected a key is asked again.
-const MISDIRECTED_PAUSE: Duration = Duration::from_millis(40);
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(60);
 /// Share of the time left that an owner's queue may take.
 const OWNER_WAIT_SHARE: f64 = 1.0;
 /// When a refused client may come back, at the earliest.
@@ -95,6 +100,8 @@
     rng: Pcg64Mcg,
     asked: BTreeMap<ServiceName, Vec<u16>>,
     changed: BTreeSet<InstanceId>,
+    ended: Vec<InstanceId>,
+    stopping: bool,
     counters: RequestCounters,
 }
 
@@ -128,6 +135,8 @@
             rng,
             asked: BTreeMap::new(),
             changed: BTreeSet::new(),
+            ended: Vec::new(),
+            stopping: false,
             counters: RequestCounters::default(),
         }
     }
@@ -179,6 +188,17 @@
             .collect()
     }
 
+    /// Instances whose end was proved since the last call.
+    pub fn take_ended(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// From now on no attempt is broken off for another: the node stops, and
+    /// what its clients wait for must not be cut.
+    pub fn begin_stopping(&mut self) {
+        self.stopping = true;
+    }
+
     /// Whether the exchange is an attempt of a request.
     pub fn owns(&self, exchange: ExchangeId) -> bool {
         self.by_exchange.contains_key(&exchange)
@@ -252,7 +272,7 @@
         };
         self.end_attempt(&attempt);
         self.learn(&attempt, &result, context);
-        let verdict = judge(result, context.headers);
+        let verdict = judge(result, &attempt.instance, context.headers);
         match verdict {
             Verdict::Relay(response) => {
                 self.counters.relayed += 1;
@@ -364,9 +384,7 @@
             self.expire(client, context, out);
             return;
         }
-        if open.attempt.is_some() {
-            let due = open.due;
-            self.wake_at(client, due);
+        if open.attempt.is_some() && !self.abandon_attempt(client, context, out) {
             return;
         }
         match self.next_step(client, context) {
@@ -376,6 +394,78 @@
         }
     }
 
+    /// Breaks off an attempt that has been out for too long, if another may
+    /// be made. Returns whether it did.
+    fn abandon_attempt(
+        &mut self,
+        client: ClientId,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(open) = self.open.get(&client) else {
+            return false;
+        };
+        let Some(attempt) = open.attempt.clone() else {
+            return false;
+        };
+        if attempt.review > context.now || self.stopping || !open.is_idempotent() {
+            let next = if attempt.review > context.now && !self.stopping {
+                attempt.review.min(open.due)
+            } else {
+                open.due
+            };
+            self.wake_at(client, next);
+            return false;
+        }
+        if !self.should_abandon(open, &attempt, context) {
+            let next = (context.now + REVIEW_PAUSE).min(open.due);
+            self.wake_at(client, next);
+            return false;
+        }
+        if let Some(open) = self.open.get_mut(&client) {
+            open.attempt = None;
+            open.may_have_run = true;
+            open.timed_out = true;
+        }
+        self.end_attempt(&attempt);
+        self.statistics.entry(&attempt.instance).failed(context.now);
+        out.push(Action::Cancel {
+            exchange: attempt.exchange,
+        });
+        true
+    }
+
+    fn should_abandon(
+        &self,
+        open: &OpenRequest,
+        attempt: &Attempt,
+        context: &RequestContext<'_>,
+    ) -> bool {
+        if open.tried.len() >= open.route.max_attempts as usize {
+            return false;
+        }
+        let answers_others = self
+            .statistics
+            .get(&attempt.instance)
+            .and_then(|seen| seen.last_answer())
+            .is_some_and(|at| at > attempt.sent);
+        let patience = attempt.expected.mul_f64(REVIEW_EXPECTED);
+        if answers_others && attempt.sent + patience > context.now {
+            return false;
+        }
+        let left = open.due.saturating_sub(context.now);
+        let another = match open.key {
+            Some(key) => context
+                .ownership
+                .find(&open.service, key)
+                .is_some_and(|assignment| answers_others || assignment.owner != attempt.instance),
+            None => true,
+        };
+        another
+            && left > attempt.expected.min(open.route.target_latency / 2)
+            && self.budget.may_draw(&open.service, context.nodes)
+    }
+
     fn next_step(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
         let Some(open) = self.open.get(&client) else {
             return Step::Refuse(Refusal::NoInstance);
@@ -404,6 +494,9 @@
             return wait;
         };
         let must_leave = self.drain_bound.mul_f64(DRAIN_SHARE);
+        if owner.ended {
+            return wait;
+        }
         if owner
             .leaving_since()
             .is_some_and(|since| since + must_leave <= context.now)
@@ -412,9 +505,9 @@
         }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
-            if same && misdirection.again > context.now {
+            if same && misdirection.again.is_none_or(|again| again > context.now) {
                 return Step::Wait {
-                    again: Some(misdirection.again),
+                    again: misdirection.again,
                     reason: Refusal::NoOwner,
                 };
             }
@@ -504,6 +597,7 @@
         }
         let exchange = context.exchanges.next_id();
         let options = attempt_options(open, context);
+        let review = open.route.target_latency.mul_f64(REVIEW_SHARE);
         let request = forwarded(open, &selected.id, context);
         open.tried.push(selected.id.clone());
         open.attempt = Some(Attempt {
@@ -511,8 +605,10 @@
             instance: selected.id.clone(),
             sent: context.now,
             load_factor: selected.load_factor,
+            review: context.now + review,
+            expected: selected.expected,
         });
-        let due = open.due;
+        let due = open.due.min(context.now + review);
         self.counters.attempts += 1;
         self.by_exchange.insert(exchange, client);
         self.statistics.entry(&selected.id).open += 1;
@@ -611,15 +707,19 @@
                 }
                 open.misdirection = fence.map(|fence| Misdirection {
                     fence,
-                    again: context.now + MISDIRECTED_PAUSE,
+                    again: Some(context.now + MISDIRECTED_PAUSE),
                 });
             }
-            Verdict::Rejected { misdirected } => {
+            Verdict::Rejected { misdirected, ended } => {
                 open.rejected = true;
-                let pause = if *misdirected { 1 } else { 2 };
+                if *ended {
+                    self.ended.push(attempt.instance.clone());
+                }
+                let again = context.now + MISDIRECTED_PAUSE;
+                let once_more = !ended && (!misdirected || open.tried.len() < 2);
                 open.misdirection = fence.map(|fence| Misdirection {
                     fence,
-                    again: context.now + MISDIRECTED_PAUSE * pause,
+                    again: once_more.then_some(again),
                 });
             }
             Verdict::Unknown { timed_out } => {
@@ -647,6 +747,7 @@
         let seen = self.statistics.entry(&attempt.instance);
         match result {
             Ok(response) => {
+                seen.heard(now);
                 if let Some(load) = reported_load(response, context) {
                     seen.told_load(load);
                 }
@@ -717,12 +818,6 @@
 
 fn attempt_options(open: &OpenRequest, context: &RequestContext<'_>) -> ExchangeOptions {
     let left = open.due.saturating_sub(context.now);
-    let more_attempts = open.tried.len() + 1 < open.route.max_attempts as usize;
-    let timeout = if open.is_idempotent() && more_attempts {
-        left.min(open.route.target_latency.mul_f64(ATTEMPT_SHARE))
-    } else {
-        left
-    };
     let header = &context.headers.attempt_id;
     let match_header = open
         .request
@@ -739,7 +834,7 @@
         connect_timeout: CONNECT_TIMEOUT.min(left),
         // A little longer than this node waits: the final answer at the end
         // of the time is given by the request's own timer.
-        timeout: timeout + ANSWER_MARGIN,
+        timeout: left + ANSWER_MARGIN,
     }
 }
 
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -23,6 +23,10 @@
     pub sent: Timestamp,
     /// Requests for each slot of the instance, this one with them.
     pub load_factor: f64,
+    /// When it is reviewed whether to send the request elsewhere.
+    pub review: Timestamp,
+    /// How long the answer was expected to take.
+    pub expected: Duration,
 }
 
 /// Where a keyed request was rejected.
@@ -30,8 +34,9 @@
 pub struct Misdirection {
     /// The fencing token of the assignment it was sent by.
     pub fence: u64,
-    /// When the same assignment may be tried again.
-    pub again: Timestamp,
+    /// When the same assignment may be tried again; never, if its owner is
+    /// not there any more.
+    pub again: Option<Timestamp>,
 }
 
 /// A request.
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -14,6 +14,7 @@
 //! run is answered 503, any other 502 or 504.
 
 use crate::dialect::HeaderNames;
+use crate::identity::InstanceId;
 use crate::io::ExchangeFailure;
 use ledgelead_http::Response;
 
@@ -28,6 +29,8 @@
     Rejected {
         /// It is another instance, or doesn't hold the key.
         misdirected: bool,
+        /// Another instance has the address: the one meant has ended.
+        ended: bool,
     },
     /// It may have run.
     Unknown {
@@ -37,9 +40,13 @@
 }
 
 /// Judges the end of an attempt.
-pub fn judge(result: Result<Response, ExchangeFailure>, headers: &HeaderNames) -> Verdict {
+pub fn judge(
+    result: Result<Response, ExchangeFailure>,
+    meant: &InstanceId,
+    headers: &HeaderNames,
+) -> Verdict {
     match result {
-        Ok(response) => judge_answer(response, headers),
+        Ok(response) => judge_answer(response, meant, headers),
         Err(failure) if failure.proves_not_sent() => Verdict::NeverSent,
         Err(failure) => Verdict::Unknown {
             timed_out: failure == ExchangeFailure::TimedOut,
@@ -47,10 +54,12 @@
     }
 }
 
-fn judge_answer(response: Response, headers: &HeaderNames) -> Verdict {
+fn judge_answer(response: Response, meant: &InstanceId, headers: &HeaderNames) -> Verdict {
     let misdirected = response.status == 421;
     if misdirected || response.headers.get(&headers.not_executed).is_some() {
-        return Verdict::Rejected { misdirected };
+        let answering = response.headers.text(&headers.instance);
+        let ended = misdirected && answering.is_some_and(|id| id != meant.as_str());
+        return Verdict::Rejected { misdirected, ended };
     }
     if response.is_success() && response.headers.get(&headers.signature).is_none() {
         return Verdict::Unknown { timed_out: false };
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -40,9 +40,20 @@
     ejections: u32,
     ejected_until: Timestamp,
     reported: Option<ReportedLoad>,
+    last_answer: Option<Timestamp>,
 }
 
 impl Statistics {
+    /// Some answer came from there.
+    pub fn heard(&mut self, now: Timestamp) {
+        self.last_answer = Some(now);
+    }
+
+    /// When the last answer came from there.
+    pub fn last_answer(&self) -> Option<Timestamp> {
+        self.last_answer
+    }
+
     /// An answer came after `latency`; `load_factor` is the number of requests
     /// for each slot, this one with them, as it was sent.
     pub fn answered(&mut self, latency: Duration, load_factor: f64, now: Timestamp) {
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -348,9 +348,7 @@
 
     fn start_exchange(&mut self, cx: CX![], new: NewExchange, now: Instant) {
         let mut inputs = Vec::new();
-        let started = self
-            .outbound
-            .start_on_kept(Box::new(new), now, &mut inputs);
+        let started = self.outbound.start_on_kept(Box::new(new), now, &mut inputs);
         self.inputs.extend(inputs);
         let Err(new) = started else {
             return;
