Planner cuts below the wanted amount too; owners' load is told within a zone; a stopping node ends in time

Change: cuts on both sides of the amount, plans every 200 ms, first owners once no more register, counts of open requests for sharded services within the zone, no more connections 2.6 s after SIGTERM.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -135,8 +135,11 @@
     /// An entry was made or changed. A new one at the address of another
     /// proves that the other life has ended.
     pub fn upsert(&mut self, record: InstanceRecord, now: Timestamp) {
-        if self.complete && !self.instances.contains_key(&record.id) {
-            self.end_others_at(record.address);
+        if !self.instances.contains_key(&record.id) {
+            log::info!(target: "instances", "{} of {} registered at {}", record.id, record.service, record.address);
+            if self.complete {
+                self.end_others_at(record.address);
+            }
         }
         self.doubted.remove(&record.id);
         let id = record.id.clone();
@@ -145,7 +148,10 @@
         let presence = match (record.draining, earlier.map(|instance| instance.presence)) {
             (false, _) => Presence::Serving,
             (true, Some(Presence::Draining { since })) => Presence::Draining { since },
-            (true, _) => Presence::Draining { since: now },
+            (true, _) => {
+                log::info!(target: "instances", "{id} drains");
+                Presence::Draining { since: now }
+            }
         };
         let instance = Instance {
             ended: earlier.is_some_and(|instance| instance.ended),
@@ -190,6 +196,7 @@
         if outage {
             self.doubted.entry(id.clone()).or_insert(self.doubt_until);
         } else {
+            log::info!(target: "instances", "{id} is gone");
             instance.presence = Presence::Gone { since: now };
         }
     }
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -13,7 +13,7 @@
 /// Pause between the coordinator's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause between reports of the keys asked for.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two tellings of open requests that did not change.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(700);
 /// Most keys in one report.
@@ -146,19 +146,8 @@
     }
 
     fn tell_counts(&self, counts: Vec<(InstanceId, u32)>, out: &mut Vec<Action>) {
-        let is_shared = |id: &InstanceId| {
-            self.directory.get(id).is_some_and(|instance| {
-                let sharded = self.configuration.as_ref().is_some_and(|configuration| {
-                    configuration
-                        .service(&instance.record.service)
-                        .is_some_and(|service| service.sharded)
-                });
-                instance.record.zone == self.settings.zone && !sharded
-            })
-        };
         let changes: Vec<OpenRequests> = counts
             .into_iter()
-            .filter(|(id, _)| is_shared(id))
             .take(MAX_COUNTS)
             .map(|(id, count)| OpenRequests {
                 instance: id.stable_hash(),
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -201,6 +201,7 @@
             headers: self.dialect.headers(),
             exchanges: &mut self.exchanges,
             nodes: self.registry.len(),
+            zones: self.registry.zones(),
         };
         (&mut self.requests, context)
     }
--- a/crates/ledgelead-router/src/ownership/coordinator.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator.rs
@@ -17,10 +17,14 @@
 /// Pause before a release without an answer is repeated.
 const RELEASE_RETRY: Duration = Duration::from_millis(300);
 /// Pause between two plans.
-const PLAN_INTERVAL: Duration = Duration::from_millis(400);
-/// How long the first owners of a service's keys are waited for, so that not
-/// all keys go to the first instance that registers.
-const FIRST_OWNERS_WAIT: Duration = Duration::from_millis(1_500);
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a further instance after which a service's keys get their
+/// first owners, so that not all keys go to the first that registers.
+const FIRST_OWNERS_SETTLED: Duration = Duration::from_millis(1_500);
+/// The most that first owners are waited for.
+const FIRST_OWNERS_MAX_WAIT: Duration = Duration::from_secs(5);
+/// The least that they are waited for once clients ask for keys.
+const FIRST_OWNERS_MIN_WAIT: Duration = Duration::from_millis(500);
 /// Service time assumed of an instance before one was seen.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(100);
 
@@ -97,6 +101,23 @@
     },
 }
 
+/// The first owners of a service's keys as they register.
+#[derive(Clone, Copy, Debug)]
+struct Gathering {
+    began: Timestamp,
+    count: usize,
+    grew: Timestamp,
+}
+
+impl Gathering {
+    fn is_over(&self, demand: bool, now: Timestamp) -> bool {
+        let waited = now.saturating_sub(self.began);
+        let settled = now >= self.grew + FIRST_OWNERS_SETTLED;
+        let wanted = demand && waited >= FIRST_OWNERS_MIN_WAIT;
+        self.count > 0 && (settled || wanted || waited >= FIRST_OWNERS_MAX_WAIT)
+    }
+}
+
 /// A range of keys and where it stands.
 #[derive(Clone, Debug)]
 struct Holding {
@@ -117,7 +138,7 @@
     writing: Option<OwnershipRecord>,
     authority_end_of_predecessor: Timestamp,
     next_plan: Timestamp,
-    first_seen: BTreeMap<ServiceName, Timestamp>,
+    gatherings: BTreeMap<ServiceName, Gathering>,
     refused: bool,
     counters: OwnershipCounters,
 }
@@ -161,7 +182,7 @@
             writing: None,
             authority_end_of_predecessor: predecessor_end,
             next_plan: now + PLAN_INTERVAL * 2,
-            first_seen: BTreeMap::new(),
+            gatherings: BTreeMap::new(),
             refused: false,
             counters: OwnershipCounters::default(),
         }
@@ -250,20 +271,29 @@
     /// Ranges without an owner for the services of the configuration.
     fn cover_services(&mut self, context: &Context<'_>) {
         for service in context.configuration.sharded_services() {
-            let seen = *self
-                .first_seen
-                .entry(service.clone())
-                .or_insert(context.now);
             let covered = self
                 .holdings
                 .iter()
                 .any(|holding| holding.service == *service);
-            if covered || context.now < seen + FIRST_OWNERS_WAIT {
+            if covered {
                 continue;
             }
             let owners: Vec<InstanceId> = takers(context, service)
                 .map(|instance| instance.record.id.clone())
                 .collect();
+            let gathering = self.gatherings.entry(service.clone()).or_insert(Gathering {
+                began: context.now,
+                count: 0,
+                grew: context.now,
+            });
+            if owners.len() > gathering.count {
+                gathering.count = owners.len();
+                gathering.grew = context.now;
+            }
+            let demand = self.loads.contains_key(service);
+            if !gathering.is_over(demand, context.now) {
+                continue;
+            }
             for (range, owner) in equal_ranges(owners.len()).into_iter().zip(owners) {
                 self.holdings.push(Holding {
                     service: service.clone(),
@@ -394,6 +424,11 @@
         let Some(position) = position else {
             return;
         };
+        log::info!(
+            target: "ownership",
+            "moves {}-{} of {service} from {} to {}",
+            planned.range.first, planned.range.last, planned.from, planned.to
+        );
         let whole = self.holdings.remove(position);
         for range in remainders(whole.range, planned.range) {
             self.holdings.push(Holding {
@@ -606,6 +641,11 @@
                 continue;
             };
             self.counters.moves += 1;
+            log::info!(
+                target: "ownership",
+                "{} owns {}-{} of {} under {fence}",
+                owner, holding.range.first, holding.range.last, holding.service
+            );
             holding.lease = Lease::fresh(now, handover.clone());
             holding.fence = *fence;
             holding.owner = Some(owner.clone());
--- a/crates/ledgelead-router/src/ownership/load.rs
+++ b/crates/ledgelead-router/src/ownership/load.rs
@@ -7,10 +7,10 @@
 /// Number of keys of a service.
 const KEYS: usize = 1 << 16;
 /// Time between two decays.
-pub const DECAY_INTERVAL: Duration = Duration::from_millis(500);
+pub const DECAY_INTERVAL: Duration = Duration::from_millis(200);
 /// What is left of a count after one decay. With the interval above, a count
-/// stands for the requests of the last 1.7 s.
-const DECAY: f32 = 0.7;
+/// stands for the requests of the last second.
+const DECAY: f32 = 0.8;
 
 /// Decaying counts of the requests for each key.
 pub struct KeyLoad {
@@ -48,38 +48,35 @@
         f64::from(slice.iter().sum::<f32>()) * Self::rate_of_one()
     }
 
-    /// The part of `range` at its front, or at its end, that carries about
-    /// `rate` requests a second, and what it carries. None if that would be
-    /// the whole range.
-    pub fn cut(&self, range: KeyRange, rate: f64, from_front: bool) -> Option<(KeyRange, f64)> {
+    /// Parts of `range` at its front, or at its end, that carry about `rate`
+    /// requests a second: the longest that carries no more, and the shortest
+    /// that carries more, each with what it carries. Neither is the whole
+    /// range.
+    pub fn cuts(&self, range: KeyRange, rate: f64, from_front: bool) -> Vec<(KeyRange, f64)> {
+        let mut cuts = Vec::new();
         let mut carried = 0.0;
-        let mut taken: u32 = 0;
-        while carried < rate {
-            if taken + 1 >= range.len() {
-                return None;
-            }
-            let offset = u16::try_from(taken).ok()?;
+        for taken in 0..range.len().saturating_sub(1) {
+            let offset = u16::try_from(taken).unwrap_or(u16::MAX);
             let key = if from_front {
                 range.first + offset
             } else {
                 range.last - offset
             };
-            carried += f64::from(self.counts[usize::from(key)]) * Self::rate_of_one();
-            taken += 1;
-        }
-        let width = u16::try_from(taken.checked_sub(1)?).ok()?;
-        let part = if from_front {
-            KeyRange {
-                first: range.first,
-                last: range.first + width,
-            }
-        } else {
-            KeyRange {
-                first: range.last - width,
-                last: range.last,
+            let next = carried + f64::from(self.counts[usize::from(key)]) * Self::rate_of_one();
+            if next > rate {
+                if offset > 0 {
+                    cuts.push((edge(range, offset - 1, from_front), carried));
+                }
+                cuts.push((edge(range, offset, from_front), next));
+                return cuts;
             }
-        };
-        Some((part, carried))
+            carried = next;
+        }
+        if range.len() > 1 {
+            let offset = u16::try_from(range.len() - 2).unwrap_or(u16::MAX);
+            cuts.push((edge(range, offset, from_front), carried));
+        }
+        cuts
     }
 
     /// What one counted request stands for, in requests a second.
@@ -87,3 +84,18 @@
         f64::from(1.0 - DECAY) / DECAY_INTERVAL.as_secs_f64()
     }
 }
+
+/// The keys of a range up to an offset from its front, or from its end.
+fn edge(range: KeyRange, offset: u16, from_front: bool) -> KeyRange {
+    if from_front {
+        KeyRange {
+            first: range.first,
+            last: range.first + offset,
+        }
+    } else {
+        KeyRange {
+            first: range.last - offset,
+            last: range.last,
+        }
+    }
+}
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -9,11 +9,16 @@
 use crate::identity::InstanceId;
 
 /// Utilisation above which keys are moved away.
-const BUSY_UTILISATION: f64 = 0.6;
+const BUSY_UTILISATION: f64 = 0.5;
 /// By how much the busiest has to stand above the mean.
 const IMBALANCE: f64 = 1.25;
 /// Smallest part of an instance's capacity worth a move.
 const SMALLEST_MOVE: f64 = 0.1;
+/// A part may carry this much less, or more, than the amount that would even
+/// out the two instances.
+const LEAST_OF_AMOUNT: f64 = 0.25;
+/// See above.
+const MOST_OF_AMOUNT: f64 = 1.6;
 /// Most moves planned at once.
 const MAX_MOVES: usize = 4;
 
@@ -99,7 +104,7 @@
         return None;
     }
     let excess = (high - mean) * standings[busiest].candidate.capacity;
-    let room = (mean.max(BUSY_UTILISATION / 2.0) - low) * standings[idlest].candidate.capacity;
+    let room = (high - low) / 2.0 * standings[idlest].candidate.capacity;
     let amount = excess.min(room);
     if amount < SMALLEST_MOVE * standings[idlest].candidate.capacity {
         return None;
@@ -130,14 +135,11 @@
 fn best_part(ranges: &[KeyRange], amount: f64, load: &KeyLoad) -> Option<(usize, KeyRange, f64)> {
     let mut best: Option<(usize, KeyRange, f64)> = None;
     for (index, range) in ranges.iter().enumerate() {
-        let whole = Some((*range, load.rate(*range)));
-        let parts = [
-            whole,
-            load.cut(*range, amount, true),
-            load.cut(*range, amount, false),
-        ];
-        for (part, carried) in parts.into_iter().flatten() {
-            if carried <= 0.0 || carried > amount * 1.6 {
+        let mut parts = vec![(*range, load.rate(*range))];
+        parts.extend(load.cuts(*range, amount, true));
+        parts.extend(load.cuts(*range, amount, false));
+        for (part, carried) in parts {
+            if carried < amount * LEAST_OF_AMOUNT || carried > amount * MOST_OF_AMOUNT {
                 continue;
             }
             let distance = (carried - amount).abs();
--- a/crates/ledgelead-router/src/peers/registry.rs
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::identity::{NodeIdentity, NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// What a node registers.
@@ -56,6 +56,12 @@
         self.nodes.len()
     }
 
+    /// How many zones they are in.
+    pub fn zones(&self) -> u32 {
+        let zones: BTreeSet<&ZoneName> = self.nodes.values().map(|record| &record.zone).collect();
+        u32::try_from(zones.len()).unwrap_or(u32::MAX)
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.nodes.is_empty()
--- a/crates/ledgelead-router/src/requests/lifecycle.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle.rs
@@ -69,6 +69,8 @@
     pub exchanges: &'a mut ExchangeIds,
     /// Registered nodes, which share the retry budget.
     pub nodes: usize,
+    /// How many zones have nodes.
+    pub zones: u32,
 }
 
 /// Counts for metrics.
@@ -521,8 +523,7 @@
         }
         let left = open.time_left(context.now);
         let selection = self.selection(context);
-        let typical = selection.typical_service_time(&[owner], left);
-        let selected = selection.expect(owner, typical);
+        let selected = selection.expect_owner(owner, left);
         if selected.load_factor > 1.0 && selected.expected > left.mul_f64(OWNER_WAIT_SHARE) {
             return Step::Wait {
                 again: None,
@@ -543,6 +544,7 @@
             statistics: &self.statistics,
             shared: context.shared,
             zone: &self.zone,
+            zones: context.zones,
         };
         let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
         let Some(selected) = selected else {
@@ -570,6 +572,7 @@
             statistics: &self.statistics,
             shared: context.shared,
             zone: &self.zone,
+            zones: context.zones,
         }
     }
 
@@ -748,11 +751,18 @@
         match result {
             Ok(response) => {
                 seen.heard(now);
-                if let Some(load) = reported_load(response, context) {
+                let load = reported_load(response, context);
+                let slots = context
+                    .directory
+                    .get(&attempt.instance)
+                    .map_or(1, |instance| instance.record.slots.max(1));
+                let mut factor = attempt.load_factor;
+                if let Some(load) = load {
+                    factor = factor.max(f64::from(load.running + load.waiting) / f64::from(slots));
                     seen.told_load(load);
                 }
                 if response.is_success() {
-                    seen.answered(now.saturating_sub(attempt.sent), attempt.load_factor, now);
+                    seen.answered(now.saturating_sub(attempt.sent), factor, now);
                 }
             }
             Err(_) => seen.failed(now),
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -31,6 +31,8 @@
     pub shared: &'a SharedLoad,
     /// This node's zone.
     pub zone: &'a ZoneName,
+    /// How many zones have nodes.
+    pub zones: u32,
 }
 
 /// An instance and when it is expected to answer.
@@ -61,7 +63,7 @@
             .collect();
         let usable = self.without_ejected(&serving);
         let typical = self.typical_service_time(&serving, left);
-        let expect = |instance: &Instance| self.expect(instance, typical);
+        let expect = |instance: &Instance| self.expect(instance, typical, 1);
         let untried = usable
             .iter()
             .filter(|instance| !tried.contains(&instance.record.id));
@@ -84,14 +86,21 @@
         }
     }
 
-    /// What an instance is expected to need for one more request.
-    pub fn expect(&self, instance: &Instance, typical: Duration) -> Selected {
+    /// What the owner of a key is expected to need for one more request. All
+    /// zones send to it, and only the own zone's nodes tell what they have
+    /// open there.
+    pub fn expect_owner(&self, owner: &Instance, left: Duration) -> Selected {
+        let typical = self.typical_service_time(&[owner], left);
+        self.expect(owner, typical, self.zones.max(1))
+    }
+
+    fn expect(&self, instance: &Instance, typical: Duration, senders: u32) -> Selected {
         let id = &instance.record.id;
         let statistics = self.statistics.get(id);
         let own = statistics.map_or(0, |statistics| statistics.open);
         let told = self.shared.open_at(id.stable_hash(), self.now);
         let reported = statistics.and_then(|statistics| statistics.reported_open(self.now));
-        let open = (own + told).max(reported.unwrap_or(0));
+        let open = ((own + told) * senders).max(reported.unwrap_or(0));
         let slots = f64::from(instance.record.slots.max(1));
         let load_factor = (f64::from(open) + 1.0) / slots;
         let cold = if instance.warm_at > self.now {
@@ -110,7 +119,7 @@
     }
 
     /// The mean service time of the instances that are known.
-    pub fn typical_service_time(&self, instances: &[&Instance], left: Duration) -> Duration {
+    fn typical_service_time(&self, instances: &[&Instance], left: Duration) -> Duration {
         let known: Vec<Duration> = instances
             .iter()
             .filter_map(|instance| self.statistics.get(&instance.record.id))
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -14,7 +14,7 @@
 /// The longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(5);
 /// How long an instance's own figure of its load is used.
-const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(200);
+const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(400);
 /// How long a service time is believed without a new sample; an instance that
 /// was slow gets another chance then.
 const SERVICE_TIME_BELIEVED_FOR: Duration = Duration::from_secs(8);
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -147,6 +147,26 @@
         self.progress(index, now, events);
     }
 
+    /// Ends the connections of clients that ask nothing now. A request that
+    /// crosses the end was never read, which its client can tell.
+    pub(crate) fn end_unused(&mut self) {
+        let unused: Vec<usize> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| {
+                connection.endpoint == Endpoint::Clients
+                    && connection.open.is_none()
+                    && !connection.receiving
+                    && connection.stream.is_flushed()
+                    && connection.ended.is_none()
+            })
+            .map(|(index, _)| index)
+            .collect();
+        for index in unused {
+            self.connections.remove(index);
+        }
+    }
+
     /// Closes what has been idle, or incomplete, for too long.
     pub(crate) fn sweep(&mut self, now: Instant) {
         let limits = self.limits;
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -26,8 +26,9 @@
 /// Pause between two looks at the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a stopping node goes on to take connections, so that whoever
-/// hands them out can notice that it is not ready.
-const STOP_LINGER: Duration = Duration::from_millis(3_200);
+/// hands them out can notice that it is not ready. What was taken by then has
+/// the rest of the grace for its answer.
+const STOP_LINGER: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace a stopping node ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Longest datagram that is read, in bytes.
@@ -62,7 +63,7 @@
 pub(crate) struct Reactor {
     node: Node,
     start: Instant,
-    listeners: Vec<(Endpoint, MioSource<TcpListener>)>,
+    listeners: Vec<Option<(Endpoint, MioSource<TcpListener>)>>,
     peers: MioSource<UdpSocket>,
     inbound: Inbound,
     outbound: Outbound,
@@ -107,7 +108,7 @@
             let listener = TcpListener::from_std(listener);
             let accept = fwd_to!([cx], accept(index) as (Ready));
             let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, accept)?;
-            listeners.push((endpoint, source));
+            listeners.push(Some((endpoint, source)));
         }
         setup.sockets.peers.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(setup.sockets.peers);
@@ -135,7 +136,9 @@
     fn accept(&mut self, cx: CX![], index: usize, _ready: Ready) {
         let now = cx.now();
         loop {
-            let (endpoint, listener) = &self.listeners[index];
+            let Some((endpoint, listener)) = &self.listeners[index] else {
+                return;
+            };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
@@ -231,6 +234,9 @@
             return;
         };
         let elapsed = cx.now().duration_since(stopped_at);
+        if elapsed >= STOP_LINGER {
+            self.stop_accepting();
+        }
         let idle = self.node.has_finished() && !self.inbound.is_busy();
         let over = elapsed + STOP_MARGIN >= self.stop_grace;
         if (idle && elapsed >= STOP_LINGER.min(self.stop_grace)) || over {
@@ -239,6 +245,15 @@
         }
     }
 
+    /// Takes no more connections of clients, and no more requests on those
+    /// that are idle.
+    fn stop_accepting(&mut self) {
+        for listener in &mut self.listeners {
+            listener.take_if(|(endpoint, _)| *endpoint == Endpoint::Clients);
+        }
+        self.inbound.end_unused();
+    }
+
     fn take_events(&mut self, now: Instant, events: Vec<ClientEvent>) {
         let mut queue = VecDeque::from(events);
         while let Some(event) = queue.pop_front() {
