--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -0,0 +1,183 @@
+//! Judges what the stand-ins recorded.
+
+use super::instance::Instance;
+use ledgelead_router::dialect::KeyRange;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// What must never happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ViolationKind {
+    /// Two live instances held the same key by grants that came in time.
+    SingleOwner,
+    /// Two live instances held the same key and both began requests on it.
+    TwoOwnersServed,
+    /// A request that may run once ran twice.
+    OnceOnly,
+    /// A request ran although its client was told that it had not.
+    NotRunIsTrue,
+    /// A leaving instance got a request long after it said so.
+    NoNewWorkAfterLeave,
+    /// A node went back to an older configuration.
+    ConfigurationMonotonic,
+    /// A client got the answer to another request.
+    AnswerMatchesRequest,
+}
+
+impl ViolationKind {
+    /// Its name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            ViolationKind::SingleOwner => "single_owner",
+            ViolationKind::TwoOwnersServed => "two_owners_served",
+            ViolationKind::OnceOnly => "once_only",
+            ViolationKind::NotRunIsTrue => "not_run_is_true",
+            ViolationKind::NoNewWorkAfterLeave => "no_new_work_after_leave",
+            ViolationKind::ConfigurationMonotonic => "configuration_monotonic",
+            ViolationKind::AnswerMatchesRequest => "answer_matches_request",
+        }
+    }
+}
+
+/// One violation.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// Its kind.
+    pub kind: ViolationKind,
+    /// When it was seen.
+    pub at: Duration,
+    /// What was seen.
+    pub what: String,
+}
+
+/// The checker.
+#[derive(Debug, Default)]
+pub struct Checker {
+    /// What was found.
+    pub violations: Vec<Violation>,
+    runs: HashMap<u64, u32>,
+    refused: HashMap<u64, Duration>,
+    versions: BTreeMap<(usize, u64), u64>,
+}
+
+impl Checker {
+    fn found(&mut self, kind: ViolationKind, at: Duration, what: String) {
+        self.violations.push(Violation { kind, at, what });
+    }
+
+    /// An instance took a grant that came in time.
+    pub fn granted(
+        &mut self,
+        holder: usize,
+        range: KeyRange,
+        instances: &[Instance],
+        now: Duration,
+    ) {
+        for (index, other) in instances.iter().enumerate() {
+            let same = index == holder
+                || !other.alive
+                || other.record.service != instances[holder].record.service;
+            if same {
+                continue;
+            }
+            let overlapping = other.holds.iter().find(|hold| {
+                hold.until > now
+                    && !hold.late
+                    && hold.range.first <= range.last
+                    && range.first <= hold.range.last
+            });
+            if let Some(hold) = overlapping {
+                let what = format!(
+                    "{} takes {range:?} while {} holds {:?} until {:?}",
+                    instances[holder].id(),
+                    other.id(),
+                    hold.range,
+                    hold.until
+                );
+                self.found(ViolationKind::SingleOwner, now, what);
+            }
+        }
+    }
+
+    /// An instance began a request.
+    pub fn began(
+        &mut self,
+        holder: usize,
+        attempt: u64,
+        once: bool,
+        key: Option<u16>,
+        instances: &[Instance],
+        now: Duration,
+    ) {
+        let runs = self.runs.entry(attempt).or_default();
+        *runs += 1;
+        if once && *runs > 1 {
+            self.found(ViolationKind::OnceOnly, now, format!("request {attempt}"));
+        }
+        if self.refused.contains_key(&attempt) {
+            let what = format!("request {attempt} begins after its refusal");
+            self.found(ViolationKind::NotRunIsTrue, now, what);
+        }
+        if let Some(key) = key {
+            self.check_owner(holder, key, instances, now);
+        }
+    }
+
+    fn check_owner(&mut self, holder: usize, key: u16, instances: &[Instance], now: Duration) {
+        let Some(own) = instances[holder].hold_of(key, now) else {
+            return;
+        };
+        let both = instances.iter().enumerate().find(|(index, other)| {
+            let relevant = *index != holder
+                && other.alive
+                && other.record.service == instances[holder].record.service;
+            relevant
+                && other.hold_of(key, now).is_some_and(|hold| {
+                    let since = hold.since.max(own.since);
+                    other.begun.get(&key).is_some_and(|begun| *begun >= since)
+                })
+        });
+        if let Some((index, _)) = both {
+            let what = format!(
+                "key {key} at {} and {}",
+                instances[holder].id(),
+                instances[index].id()
+            );
+            self.found(ViolationKind::TwoOwnersServed, now, what);
+        }
+    }
+
+    /// A client was told that its request had not run.
+    pub fn refused(&mut self, attempt: u64, once: bool, now: Duration) {
+        self.refused.insert(attempt, now);
+        if once && self.runs.contains_key(&attempt) {
+            let what = format!("request {attempt} is refused after it ran");
+            self.found(ViolationKind::NotRunIsTrue, now, what);
+        }
+    }
+
+    /// A client got an answer.
+    pub fn answered(&mut self, asked: u64, carried: Option<u64>, now: Duration) {
+        if carried != Some(asked) {
+            let what = format!("request {asked} got the answer to {carried:?}");
+            self.found(ViolationKind::AnswerMatchesRequest, now, what);
+        }
+    }
+
+    /// A leaving instance got a request.
+    pub fn worked_while_leaving(&mut self, instance: &Instance, left: Duration, now: Duration) {
+        let what = format!("{} since {left:?}", instance.id());
+        self.found(ViolationKind::NoNewWorkAfterLeave, now, what);
+    }
+
+    /// A node has this configuration in force.
+    pub fn in_force(&mut self, caller: (usize, u64), version: u64, now: Duration) {
+        let known = self.versions.entry(caller).or_default();
+        if version < *known {
+            let what = format!("node {} goes from {known} to {version}", caller.0);
+            self.found(ViolationKind::ConfigurationMonotonic, now, what);
+        } else {
+            *known = version;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -0,0 +1,120 @@
+//! `ledgelead-lab fleet`.
+
+use super::faults::Schedule;
+use super::report::FleetReport;
+use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
+use ledgelead_router::protections::{Protection, Protections};
+use lexopt::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::ops::RangeInclusive;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Nodes of a run.
+const NODES: usize = 6;
+/// How long clients ask.
+const TRAFFIC: Duration = Duration::from_secs(40);
+/// When the last fault may begin, counted from the first request.
+const LAST_FAULT: Duration = Duration::from_secs(25);
+/// Violations that are printed.
+const SHOWN: usize = 20;
+
+/// A run with faults drawn from a seed.
+pub fn drawn(seed: u64, protections: Protections) -> FleetSettings {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
+    let schedule = Schedule::draw(
+        &mut rng,
+        NODES,
+        SHARDED_INSTANCES,
+        TRAFFIC_FROM,
+        TRAFFIC_FROM + LAST_FAULT,
+    );
+    FleetSettings {
+        seed,
+        nodes: NODES,
+        traffic: TRAFFIC,
+        schedule,
+        trace: false,
+        protections,
+    }
+}
+
+/// Plays the seeds and adds up what they show; with the first seed of each
+/// violation.
+pub fn play(
+    seeds: RangeInclusive<u64>,
+    protections: Protections,
+    trace: bool,
+) -> (FleetReport, Vec<String>) {
+    let mut total = FleetReport::default();
+    let mut lines = Vec::new();
+    for seed in seeds {
+        let report = World::new(FleetSettings {
+            trace,
+            ..drawn(seed, protections)
+        })
+        .run();
+        for line in violation_lines(&report.violations) {
+            lines.push(format!("seed {seed}: {line}"));
+        }
+        total.merge(report);
+    }
+    (total, lines)
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// When the command line is wrong.
+pub fn run(parser: &mut lexopt::Parser) -> Result<ExitCode, lexopt::Error> {
+    let mut seeds = 1..=20;
+    let mut protections = Protections::default();
+    let mut json = false;
+    let mut trace = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
+            Long("sabotage") => protections = sabotage(&parser.value()?.string()?)?,
+            Long("json") => json = true,
+            Long("trace") => trace = true,
+            other => return Err(other.unexpected()),
+        }
+    }
+    let (report, lines) = play(seeds, protections, trace);
+    if !json {
+        for line in lines.iter().take(SHOWN) {
+            println!("{line}");
+        }
+    }
+    println!("{}", report.json());
+    Ok(if report.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn seed_range(text: &str) -> Result<RangeInclusive<u64>, lexopt::Error> {
+    let wrong = || lexopt::Error::from(format!("`{text}` is no range of seeds like 1..200"));
+    let (first, last) = text.split_once("..").ok_or_else(wrong)?;
+    let first = first.parse().map_err(|_| wrong())?;
+    let last = last.parse().map_err(|_| wrong())?;
+    Ok(first..=last)
+}
+
+fn sabotage(name: &str) -> Result<Protections, lexopt::Error> {
+    let found = Protection::SABOTAGES
+        .iter()
+        .find(|(known, _)| *known == name);
+    match found {
+        Some((_, protection)) => Ok(Protections::without(*protection)),
+        None => {
+            let names: Vec<&str> = Protection::SABOTAGES
+                .iter()
+                .map(|(known, _)| *known)
+                .collect();
+            Err(format!("no sabotage `{name}`; there are: {}", names.join(", ")).into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -0,0 +1,140 @@
+//! Faults, and schedules of them drawn from a seed.
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// Whom a fault hits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// The node that coordinates as the fault begins, or the first.
+    Coordinator,
+    /// The node of this number.
+    Node(usize),
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// A node is killed and starts again later.
+    KillNode(Target),
+    /// A node stands still.
+    FreezeNode(Target),
+    /// A node is cut from the store and from other nodes.
+    CutNode(Target),
+    /// A node is cut from the store.
+    CutFromStore(Target),
+    /// A node gets the signal to stop, and starts again later.
+    StopNode(Target),
+    /// All nodes are killed at once.
+    KillAllNodes,
+    /// An instance of the sharded service crashes; its address answers.
+    CrashInstance(usize),
+    /// An instance of the sharded service falls silent.
+    SilenceInstance(usize),
+    /// An instance is cut from the store and from some nodes.
+    CutInstance(usize),
+    /// The coordinator and an instance reach each other, and nobody else.
+    IsolateWithCoordinator(usize),
+    /// An instance says that it leaves, and ends later.
+    DrainInstance(usize),
+    /// The store answers nothing.
+    StoreSilent,
+    /// The store refuses all calls.
+    StoreRefuses,
+    /// The store does writes and answers some of them not, or late.
+    StoreLosesAnswers,
+    /// The store forgets its history.
+    StoreForgets,
+    /// Some orders get no answer and are carried out seconds later.
+    OrdersLate,
+    /// Some requests run and their answers are lost.
+    AnswersLost,
+    /// The operator changes the configuration.
+    Configure,
+}
+
+/// A fault at a time.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What happens.
+    pub kind: FaultKind,
+}
+
+/// Faults of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule(pub Vec<Fault>);
+
+impl Schedule {
+    /// One fault.
+    pub fn one(at: Duration, lasts: Duration, kind: FaultKind) -> Schedule {
+        Schedule(vec![Fault { at, lasts, kind }])
+    }
+
+    /// One more fault.
+    pub fn and(mut self, at: Duration, lasts: Duration, kind: FaultKind) -> Schedule {
+        self.0.push(Fault { at, lasts, kind });
+        self
+    }
+
+    /// Faults drawn at random, between `from` and `to`.
+    pub fn draw(
+        rng: &mut Pcg64Mcg,
+        nodes: usize,
+        instances: usize,
+        from: Duration,
+        to: Duration,
+    ) -> Schedule {
+        let count = rng.random_range(3..9);
+        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
+        let draw = |rng: &mut Pcg64Mcg| Fault {
+            at: from + Duration::from_millis(rng.random_range(0..span)),
+            lasts: draw_length(rng),
+            kind: draw_kind(rng, nodes, instances),
+        };
+        Schedule((0..count).map(|_| draw(rng)).collect())
+    }
+}
+
+/// Most faults are short; some outlast every lease and every authority.
+fn draw_length(rng: &mut Pcg64Mcg) -> Duration {
+    let longest = if rng.random_range(0..4) == 0 {
+        25_000
+    } else {
+        7_000
+    };
+    Duration::from_millis(rng.random_range(500..longest))
+}
+
+fn draw_kind(rng: &mut Pcg64Mcg, nodes: usize, instances: usize) -> FaultKind {
+    let target = if rng.random_range(0..2) == 0 {
+        Target::Coordinator
+    } else {
+        Target::Node(rng.random_range(0..nodes))
+    };
+    let instance = rng.random_range(0..instances);
+    match rng.random_range(0..18) {
+        0 => FaultKind::KillNode(target),
+        1 => FaultKind::FreezeNode(target),
+        2 => FaultKind::CutNode(target),
+        3 => FaultKind::CutFromStore(target),
+        4 => FaultKind::StopNode(target),
+        5 => FaultKind::KillAllNodes,
+        6 => FaultKind::CrashInstance(instance),
+        7 => FaultKind::SilenceInstance(instance),
+        8 => FaultKind::CutInstance(instance),
+        9 => FaultKind::DrainInstance(instance),
+        10 => FaultKind::StoreSilent,
+        11 => FaultKind::StoreRefuses,
+        12 => FaultKind::StoreLosesAnswers,
+        13 => FaultKind::StoreForgets,
+        14 => FaultKind::OrdersLate,
+        15 => FaultKind::AnswersLost,
+        16 => FaultKind::IsolateWithCoordinator(instance),
+        _ => FaultKind::Configure,
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -0,0 +1,24 @@
+//! The store-backed router in virtual time, against stand-ins of what the
+//! platform publishes: a store with revisions and watches, and instances that
+//! hold keys under fenced grants.
+//!
+//! The nodes are the product's own `ledgelead_router::node::Node`. A checker
+//! reads only what the stand-ins recorded.
+
+mod checker;
+mod clients;
+pub mod command;
+mod dialect;
+mod event;
+mod faults;
+mod instance;
+mod network;
+mod orders;
+mod report;
+mod store;
+mod world;
+
+pub use checker::{Violation, ViolationKind};
+pub use faults::{Fault, FaultKind, Schedule, Target};
+pub use report::{FleetReport, Unserved};
+pub use world::{FleetSettings, World};
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -0,0 +1,447 @@
+//! What reaches instances: requests and orders.
+
+use super::dialect::HANDOVER;
+use super::event::{Caller, Event};
+use super::faults::{FaultKind, Target};
+use super::instance::{GrantOutcome, Work};
+use super::network::LATENCY;
+use super::world::{DRAIN_BOUND, Loss, SHARDED_INSTANCES, World, exchanged, instance_address};
+use ledgelead_http::{Request, Response};
+use ledgelead_router::dialect::{KeyRange, Order};
+use ledgelead_router::io::{ExchangeFailure, ExchangeId, Input};
+use rand::RngExt;
+use std::time::Duration;
+
+/// Orders carried out late are so by 2 to 12 seconds.
+const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
+/// Grants within this time of their sender's thaw are not judged.
+const THAW_SLACK: Duration = Duration::from_millis(300);
+/// How much longer than its bound a leaving instance may get requests.
+const LEAVE_SLACK: Duration = Duration::from_millis(300);
+/// How long after its bound a leaving instance ends.
+const LEAVE_LINGER: Duration = Duration::from_secs(1);
+/// Keys of a lost hold that are followed until they are held again.
+const FOLLOWED_KEYS: u16 = 4;
+
+impl World {
+    /// An order is on its way, or is carried out late.
+    pub(super) fn send_order(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        instance: usize,
+        meant: String,
+        order: Order,
+    ) {
+        let late = self.orders_late > 0 && self.rng.random_range(0..3) == 0;
+        let delay = if late {
+            Duration::from_millis(self.rng.random_range(LATE_MS))
+        } else {
+            LATENCY
+        };
+        let event = Event::Order {
+            caller,
+            exchange: (!late).then_some(exchange),
+            instance,
+            meant,
+            order,
+        };
+        self.schedule(delay, event);
+    }
+
+    pub(super) fn order_arrives(
+        &mut self,
+        caller: Caller,
+        exchange: Option<ExchangeId>,
+        instance: usize,
+        meant: &str,
+        order: Order,
+    ) {
+        self.trace(|| format!("node {} to {meant}: {order:?}", caller.0));
+        let target = &self.instances[instance];
+        if !target.alive || target.dark {
+            return;
+        }
+        if target.id().as_str() != meant {
+            self.respond(caller, exchange, Response::new(421, ""), Duration::ZERO);
+            return;
+        }
+        match order {
+            Order::Grant {
+                range, fence, hold, ..
+            } => self.grant(caller, exchange, instance, range, fence, hold),
+            Order::Release { range, .. } => {
+                let now = self.now;
+                let end = self.instances[instance].release(range, now);
+                let mut response = Response::new(200, "");
+                response.headers.push(HANDOVER, "state");
+                self.respond(caller, exchange, response, end - now);
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        caller: Caller,
+        exchange: Option<ExchangeId>,
+        instance: usize,
+        range: KeyRange,
+        fence: u64,
+        hold: Duration,
+    ) {
+        let now = self.now;
+        let late = exchange.is_none();
+        let thawed = now < self.nodes[caller.0].thawed_at + THAW_SLACK;
+        let outcome = self.instances[instance].grant(range, fence, hold, late, now);
+        let status = match outcome {
+            GrantOutcome::Held => 200,
+            GrantOutcome::Fenced => 409,
+        };
+        if outcome == GrantOutcome::Held {
+            if !late && !thawed {
+                self.checker.granted(instance, range, &self.instances, now);
+            }
+            self.keys_held(range);
+        }
+        self.respond(caller, exchange, Response::new(status, ""), Duration::ZERO);
+    }
+
+    fn keys_held(&mut self, range: KeyRange) {
+        let now = self.now;
+        let (held, lost): (Vec<Loss>, Vec<Loss>) = std::mem::take(&mut self.losses)
+            .into_iter()
+            .partition(|loss| range.contains(loss.key));
+        self.losses = lost;
+        for loss in held {
+            self.report.unserved.0.push(now - loss.at);
+        }
+    }
+
+    fn respond(
+        &mut self,
+        caller: Caller,
+        exchange: Option<ExchangeId>,
+        response: Response,
+        after: Duration,
+    ) {
+        if let Some(exchange) = exchange {
+            let input = exchanged(exchange, Ok(response));
+            self.schedule(after + LATENCY, Event::Exchanged(caller, exchange, input));
+        }
+    }
+
+    pub(super) fn request_arrives(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        instance: usize,
+        request: &Request,
+        until: Duration,
+    ) {
+        let now = self.now;
+        let target = &self.instances[instance];
+        let open = self.pending.contains_key(&(caller, exchange));
+        if !target.alive || target.dark || !open {
+            return;
+        }
+        let attempt: u64 = request.headers.number("attempt").unwrap_or_default();
+        let key = request
+            .headers
+            .number::<u16>("key")
+            .filter(|_| target.sharded);
+        let meant = request.headers.text("target").unwrap_or_default();
+        let misdirected = meant != target.id().as_str()
+            || key.is_some_and(|key| target.hold_of(key, now).is_none());
+        let full = !target.has_slot() && !target.has_room();
+        let id = target.id().to_string();
+        if misdirected || full {
+            let mut response = Response::new(if misdirected { 421 } else { 503 }, "");
+            response.headers.push("attempt", attempt.to_string());
+            response.headers.push("not-executed", "1");
+            response.headers.push("instance", id);
+            self.respond(caller, Some(exchange), response, Duration::ZERO);
+            return;
+        }
+        if let Some(left) = self.leaving.get(&instance).copied()
+            && now > left + DRAIN_BOUND + LEAVE_SLACK
+            && self.mood.silent + self.mood.refusing == 0
+            && !self.network.cut_from_store.contains(&caller.0)
+        {
+            let leaving = &self.instances[instance];
+            self.checker.worked_while_leaving(leaving, left, now);
+        }
+        let work = Work {
+            caller,
+            exchange,
+            attempt,
+            key,
+            until,
+        };
+        if self.instances[instance].has_slot() {
+            self.begin_work(instance, work);
+        } else {
+            self.instances[instance].queue.push_back(work);
+        }
+    }
+
+    fn begin_work(&mut self, instance: usize, work: Work) {
+        let now = self.now;
+        let lost_key = work
+            .key
+            .is_some_and(|key| self.instances[instance].hold_of(key, now).is_none());
+        if work.until <= now || lost_key {
+            return;
+        }
+        let once = !self.instances[instance].sharded;
+        self.checker
+            .began(instance, work.attempt, once, work.key, &self.instances, now);
+        let target = &mut self.instances[instance];
+        if let Some(key) = work.key {
+            target.begun.insert(key, now);
+        }
+        let end = now + target.service_time;
+        target.running.push((work.clone(), end));
+        self.schedule_at(end, Event::WorkDone(instance, Box::new(work)));
+    }
+
+    pub(super) fn work_done(&mut self, instance: usize, work: &Work) {
+        let now = self.now;
+        let target = &mut self.instances[instance];
+        let running = target
+            .running
+            .iter()
+            .position(|(other, _)| other.caller == work.caller && other.exchange == work.exchange);
+        if let Some(position) = running {
+            target.running.remove(position);
+            if target.alive && !target.dark {
+                self.answer_work(instance, work);
+            }
+        }
+        while self.instances[instance].has_slot() {
+            let Some(next) = self.instances[instance].queue.pop_front() else {
+                return;
+            };
+            if next.until > now {
+                self.begin_work(instance, next);
+            }
+        }
+    }
+
+    fn answer_work(&mut self, instance: usize, work: &Work) {
+        if self.answers_lost > 0 && self.rng.random_range(0..5) == 0 {
+            let lost = exchanged(work.exchange, Err(ExchangeFailure::Lost));
+            self.schedule(LATENCY, Event::Exchanged(work.caller, work.exchange, lost));
+            return;
+        }
+        if !self.network.instance_connected(work.caller.0, instance) {
+            return;
+        }
+        let mut response = Response::new(200, "done");
+        response.headers.push("attempt", work.attempt.to_string());
+        response.headers.push("signature", "s");
+        self.respond(work.caller, Some(work.exchange), response, Duration::ZERO);
+    }
+
+    /// The caller closed its connection.
+    pub(super) fn drop_work(&mut self, caller: Caller, exchange: ExchangeId) {
+        for instance in &mut self.instances {
+            instance
+                .queue
+                .retain(|work| work.caller != caller || work.exchange != exchange);
+            instance
+                .running
+                .retain(|(work, _)| work.caller != caller || work.exchange != exchange);
+        }
+    }
+
+    pub(super) fn begin_fault(&mut self, kind: &FaultKind) {
+        self.trace(|| format!("{kind:?} begins"));
+        match kind {
+            FaultKind::KillNode(target) => {
+                let index = self.target(*target);
+                self.kill_node(index);
+            }
+            FaultKind::FreezeNode(target) => {
+                let index = self.target(*target);
+                let until = self.now + Duration::from_millis(self.rng.random_range(500..4_000));
+                self.nodes[index].frozen_until = until;
+                self.nodes[index].thawed_at = until;
+            }
+            FaultKind::CutNode(target) => {
+                let index = self.target(*target);
+                self.network.cut_from_nodes.insert(index);
+                self.network.cut_from_store.insert(index);
+            }
+            FaultKind::CutFromStore(target) => {
+                let index = self.target(*target);
+                self.network.cut_from_store.insert(index);
+            }
+            FaultKind::StopNode(target) => {
+                let index = self.target(*target);
+                self.input((index, self.nodes[index].life), Input::Stop);
+            }
+            FaultKind::KillAllNodes => {
+                (0..self.nodes.len()).for_each(|index| self.kill_node(index))
+            }
+            FaultKind::CrashInstance(index) => self.crash(self.occupant(*index)),
+            FaultKind::SilenceInstance(index) => self.silence(self.occupant(*index)),
+            FaultKind::CutInstance(index) => self.cut_instance(self.occupant(*index)),
+            FaultKind::IsolateWithCoordinator(place) => self.isolate(self.occupant(*place)),
+            FaultKind::DrainInstance(index) => self.drain(*index),
+            FaultKind::StoreSilent => {
+                self.mood.silent += 1;
+                self.store.waiting.clear();
+            }
+            FaultKind::StoreRefuses => self.mood.refusing += 1,
+            FaultKind::StoreLosesAnswers => self.mood.losing += 1,
+            FaultKind::StoreForgets => self.store.compact(),
+            FaultKind::OrdersLate => self.orders_late += 1,
+            FaultKind::AnswersLost => self.answers_lost += 1,
+            FaultKind::Configure => self.configure_next(),
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, kind: &FaultKind) {
+        self.trace(|| format!("{kind:?} ends"));
+        match kind {
+            FaultKind::KillNode(_) | FaultKind::KillAllNodes => self.start_dead_nodes(),
+            FaultKind::StopNode(_) => {
+                let stopping: Vec<usize> = (0..self.nodes.len())
+                    .filter(|index| {
+                        let simulated = &self.nodes[*index];
+                        simulated
+                            .node
+                            .as_ref()
+                            .is_some_and(|node| node.is_stopping())
+                    })
+                    .collect();
+                for index in stopping {
+                    self.kill_node(index);
+                    self.start_node(index);
+                }
+            }
+            FaultKind::CutNode(_) | FaultKind::CutFromStore(_) => {
+                self.network.cut_from_nodes.clear();
+                self.network.cut_from_store.clear();
+            }
+            FaultKind::CrashInstance(index) | FaultKind::SilenceInstance(index) => {
+                self.replace(self.occupant(*index));
+            }
+            FaultKind::IsolateWithCoordinator(index) | FaultKind::CutInstance(index) => {
+                self.network.cut_from_nodes.clear();
+                self.network.cut_from_store.clear();
+                let index = self.occupant(*index);
+                self.instances[index].heartbeats = true;
+                self.network.cut_from_instance.clear();
+            }
+            FaultKind::StoreSilent => self.mood.silent -= 1,
+            FaultKind::StoreRefuses => self.mood.refusing -= 1,
+            FaultKind::StoreLosesAnswers => self.mood.losing -= 1,
+            FaultKind::OrdersLate => self.orders_late -= 1,
+            FaultKind::AnswersLost => self.answers_lost -= 1,
+            FaultKind::DrainInstance(_)
+            | FaultKind::FreezeNode(_)
+            | FaultKind::StoreForgets
+            | FaultKind::Configure => {}
+        }
+    }
+
+    /// The instance that has one of the first addresses now.
+    fn occupant(&self, place: usize) -> usize {
+        let address = instance_address(place % SHARDED_INSTANCES);
+        self.instances
+            .iter()
+            .rposition(|instance| instance.record.address == address)
+            .unwrap_or(0)
+    }
+
+    fn start_dead_nodes(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].node.is_none() {
+                self.start_node(index);
+            }
+        }
+    }
+
+    fn crash(&mut self, index: usize) {
+        self.follow_losses(index);
+        self.end_instance(index);
+    }
+
+    fn silence(&mut self, index: usize) {
+        self.follow_losses(index);
+        self.instances[index].dark = true;
+        self.instances[index].running.clear();
+        self.instances[index].queue.clear();
+    }
+
+    fn follow_losses(&mut self, index: usize) {
+        let now = self.now;
+        let followed: Vec<u16> = self.instances[index]
+            .holds
+            .iter()
+            .filter(|hold| hold.until > now)
+            .flat_map(|hold| {
+                let step = (hold.range.last - hold.range.first) / FOLLOWED_KEYS;
+                (0..FOLLOWED_KEYS).map(move |part| hold.range.first + part * step)
+            })
+            .collect();
+        let loss = |key| Loss { at: now, key };
+        self.losses.extend(followed.into_iter().map(loss));
+    }
+
+    fn end_instance(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.alive = false;
+        instance.holds.clear();
+        instance.running.clear();
+        instance.queue.clear();
+    }
+
+    /// A new life at the address of an instance.
+    fn replace(&mut self, index: usize) {
+        self.end_instance(index);
+        let address = self.instances[index].record.address;
+        self.add_instance(true);
+        let last = self.instances.len() - 1;
+        self.instances[last].record.address = address;
+    }
+
+    fn cut_instance(&mut self, index: usize) {
+        self.instances[index].heartbeats = false;
+        for node in 0..self.nodes.len() {
+            if self.rng.random_range(0..3) == 0 {
+                self.network.cut_from_instance.insert((node, index));
+            }
+        }
+    }
+
+    fn isolate(&mut self, instance: usize) {
+        let coordinator = self.target(Target::Coordinator);
+        self.instances[instance].heartbeats = false;
+        self.network.cut_from_nodes.insert(coordinator);
+        self.network.cut_from_store.insert(coordinator);
+        for node in (0..self.nodes.len()).filter(|node| *node != coordinator) {
+            self.network.cut_from_instance.insert((node, instance));
+        }
+    }
+
+    /// An instance says that it leaves; it ends some time after its bound.
+    fn drain(&mut self, place: usize) {
+        let index = self.occupant(place);
+        let instance = &mut self.instances[index];
+        if !instance.alive || instance.dark || !instance.heartbeats {
+            return;
+        }
+        if self.mood.silent + self.mood.refusing > 0 || instance.record.draining {
+            return;
+        }
+        instance.record.draining = true;
+        let record = instance.record.clone();
+        self.store.register(record);
+        self.leaving.insert(index, self.now);
+        self.answer_watches();
+        let end = FaultKind::CrashInstance(place);
+        self.schedule(DRAIN_BOUND + LEAVE_LINGER, Event::FaultEnds(end));
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/report.rs
@@ -0,0 +1,95 @@
+//! Figures of runs.
+
+use super::checker::Violation;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Times for which keys were held by nobody.
+#[derive(Clone, Debug, Default)]
+pub struct Unserved(pub Vec<Duration>);
+
+impl Unserved {
+    /// The time that this share of the losses stayed below.
+    pub fn quantile(&self, share: f64) -> Duration {
+        let mut sorted = self.0.clone();
+        sorted.sort_unstable();
+        let index = (sorted.len() as f64 * share).ceil() as usize;
+        sorted
+            .get(index.saturating_sub(1))
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// What a run, or several, showed.
+#[derive(Clone, Debug, Default)]
+pub struct FleetReport {
+    /// Requests of clients.
+    pub requests: u64,
+    /// Answered by an instance.
+    pub answered: u64,
+    /// Refused as not run.
+    pub refused: u64,
+    /// Ended without knowledge.
+    pub unknown: u64,
+    /// Without any answer, since their node was lost.
+    pub unanswered: u64,
+    /// Calls to the store.
+    pub store_calls: u64,
+    /// Times until lost keys were held again.
+    pub unserved: Unserved,
+    /// What must never happen.
+    pub violations: Vec<Violation>,
+}
+
+#[derive(Serialize)]
+struct Figures<'a> {
+    requests: u64,
+    answered: u64,
+    refused: u64,
+    unknown: u64,
+    unanswered: u64,
+    store_calls: u64,
+    losses: usize,
+    unserved_ms_p50: u128,
+    unserved_ms_p99: u128,
+    unserved_ms_max: u128,
+    violations: BTreeMap<&'a str, usize>,
+}
+
+impl FleetReport {
+    /// Adds another run.
+    pub fn merge(&mut self, other: FleetReport) {
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.unanswered += other.unanswered;
+        self.store_calls += other.store_calls;
+        self.unserved.0.extend(other.unserved.0);
+        self.violations.extend(other.violations);
+    }
+
+    /// One JSON object.
+    pub fn json(&self) -> String {
+        let mut violations = BTreeMap::new();
+        for violation in &self.violations {
+            *violations.entry(violation.kind.name()).or_default() += 1;
+        }
+        let figures = Figures {
+            requests: self.requests,
+            answered: self.answered,
+            refused: self.refused,
+            unknown: self.unknown,
+            unanswered: self.unanswered,
+            store_calls: self.store_calls,
+            losses: self.unserved.0.len(),
+            unserved_ms_p50: self.unserved.quantile(0.5).as_millis(),
+            unserved_ms_p99: self.unserved.quantile(0.99).as_millis(),
+            unserved_ms_max: self.unserved.quantile(1.0).as_millis(),
+            violations,
+        };
+        serde_json::to_string(&figures).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -0,0 +1,212 @@
+//! The store's stand-in: objects with revisions, watches, conditional writes.
+
+use ledgelead_router::configuration::Configuration;
+use ledgelead_router::dialect::{
+    Object, ObjectContent, ObjectEvent, ObjectKind, StoreAnswer, StoreCall, WrittenContent,
+};
+use ledgelead_router::directory::InstanceRecord;
+use ledgelead_router::io::ExchangeId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Most objects of one page of a list.
+const PAGE: usize = 500;
+
+/// Who waits for changes.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The node and its life.
+    pub caller: (usize, u64),
+    /// Its exchange.
+    pub exchange: ExchangeId,
+    /// The kind that is watched.
+    pub kind: ObjectKind,
+    /// Changes after this revision are wanted.
+    pub revision: u64,
+}
+
+/// What a call leads to.
+#[derive(Debug)]
+pub enum Outcome {
+    /// An answer at once.
+    Answer(StoreAnswer),
+    /// The watch waits.
+    Wait {
+        /// The kind that is watched.
+        kind: ObjectKind,
+        /// Changes after this revision are wanted.
+        revision: u64,
+        /// For how long.
+        wait: Duration,
+    },
+}
+
+struct Change {
+    revision: u64,
+    kind: ObjectKind,
+    event: ObjectEvent,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    revision: u64,
+    objects: BTreeMap<(ObjectKind, String), Object>,
+    history: Vec<Change>,
+    forgotten: u64,
+    /// Watches that wait.
+    pub waiting: Vec<Waiting>,
+}
+
+impl Store {
+    /// The operator writes a configuration.
+    pub fn configure(&mut self, configuration: Configuration) {
+        let content = ObjectContent::Configuration(configuration);
+        self.put(ObjectKind::Configuration, "main", content);
+    }
+
+    /// An instance writes its entry.
+    pub fn register(&mut self, record: InstanceRecord) {
+        let name = record.id.to_string();
+        self.put(
+            ObjectKind::Instances,
+            &name,
+            ObjectContent::Instance(record),
+        );
+    }
+
+    /// An entry goes.
+    pub fn remove_instance(&mut self, name: &str) {
+        let key = (ObjectKind::Instances, name.to_owned());
+        if let Some(object) = self.objects.remove(&key) {
+            self.revision += 1;
+            self.history.push(Change {
+                revision: self.revision,
+                kind: ObjectKind::Instances,
+                event: ObjectEvent { object, gone: true },
+            });
+        }
+    }
+
+    /// The history is forgotten; watches that wait get no more of it.
+    pub fn compact(&mut self) {
+        self.forgotten = self.revision;
+        self.history.clear();
+    }
+
+    fn put(&mut self, kind: ObjectKind, name: &str, content: ObjectContent) -> Object {
+        self.revision += 1;
+        let object = Object {
+            name: name.to_owned(),
+            revision: self.revision,
+            content: Ok(content),
+        };
+        self.objects.insert((kind, name.to_owned()), object.clone());
+        self.history.push(Change {
+            revision: self.revision,
+            kind,
+            event: ObjectEvent {
+                object: object.clone(),
+                gone: false,
+            },
+        });
+        object
+    }
+
+    /// Carries out a call.
+    pub fn call(&mut self, call: &StoreCall) -> Outcome {
+        match call {
+            StoreCall::List { kind, after } => Outcome::Answer(self.list(*kind, after.as_deref())),
+            StoreCall::Watch {
+                kind,
+                revision,
+                wait,
+            } => match self.changes(*kind, *revision) {
+                Some(answer) => Outcome::Answer(answer),
+                None => Outcome::Wait {
+                    kind: *kind,
+                    revision: *revision,
+                    wait: *wait,
+                },
+            },
+            StoreCall::Create { name, content } => {
+                let exists = self.objects.contains_key(&(content.kind(), name.clone()));
+                Outcome::Answer(if exists {
+                    StoreAnswer::Conflict
+                } else {
+                    StoreAnswer::Written(self.put(content.kind(), name, unwritten(content)))
+                })
+            }
+            StoreCall::Replace {
+                name,
+                revision,
+                content,
+            } => Outcome::Answer(self.replace(name, *revision, content)),
+        }
+    }
+
+    fn replace(
+        &mut self,
+        name: &str,
+        revision: Option<u64>,
+        content: &WrittenContent,
+    ) -> StoreAnswer {
+        let key = (content.kind(), name.to_owned());
+        let Some(object) = self.objects.get(&key) else {
+            return StoreAnswer::Missing;
+        };
+        if revision.is_some_and(|revision| revision != object.revision) {
+            return StoreAnswer::Conflict;
+        }
+        StoreAnswer::Written(self.put(content.kind(), name, unwritten(content)))
+    }
+
+    fn list(&self, kind: ObjectKind, after: Option<&str>) -> StoreAnswer {
+        let after = after.unwrap_or_default();
+        let mut objects: Vec<Object> = self
+            .objects
+            .iter()
+            .filter(|((of, name), _)| *of == kind && name.as_str() > after)
+            .map(|(_, object)| object.clone())
+            .collect();
+        let more = objects.len() > PAGE;
+        objects.truncate(PAGE);
+        StoreAnswer::Objects {
+            objects,
+            more,
+            revision: self.revision,
+        }
+    }
+
+    /// The changes of a kind after a revision, if there are some.
+    pub fn changes(&self, kind: ObjectKind, revision: u64) -> Option<StoreAnswer> {
+        if revision < self.forgotten {
+            return Some(StoreAnswer::HistoryLost);
+        }
+        let events: Vec<ObjectEvent> = self
+            .history
+            .iter()
+            .filter(|change| change.kind == kind && change.revision > revision)
+            .map(|change| change.event.clone())
+            .collect();
+        (!events.is_empty()).then_some(StoreAnswer::Events {
+            events,
+            revision: self.revision,
+        })
+    }
+
+    /// The answer of a watch whose time is over.
+    pub fn no_changes(&self) -> StoreAnswer {
+        StoreAnswer::Events {
+            events: Vec::new(),
+            revision: self.revision,
+        }
+    }
+}
+
+fn unwritten(content: &WrittenContent) -> ObjectContent {
+    match content {
+        WrittenContent::Ownership(record) => ObjectContent::Ownership(record.clone()),
+        WrittenContent::Node(record) => ObjectContent::Node(record.clone()),
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -0,0 +1,680 @@
+//! The world: nodes, store and instances in virtual time.
+
+use super::checker::{Checker, Violation};
+use super::dialect::{TicketDialect, Tickets};
+use super::event::{Caller, Event, Scheduled};
+use super::faults::{Fault, Schedule, Target};
+use super::instance::Instance;
+use super::network::{LATENCY, Network};
+use super::report::FleetReport;
+use super::store::{Outcome, Store, Waiting};
+use ledgelead_http::Request;
+use ledgelead_router::configuration::{
+    ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
+};
+use ledgelead_router::dialect::{StoreAnswer, StoreCall};
+use ledgelead_router::directory::InstanceRecord;
+use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::node::Node;
+use ledgelead_router::protections::Protections;
+use ledgelead_router::settings::NodeSettings;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The service whose keys have owners.
+pub const SHARDED: &str = "lookup";
+/// The service whose requests run once.
+pub const ONCE: &str = "submit";
+/// The host of all routes.
+pub const HOST: &str = "example";
+/// Instances of the sharded service that are there from the start.
+pub const SHARDED_INSTANCES: usize = 6;
+/// Instances of the other service.
+const ONCE_INSTANCES: usize = 4;
+/// Time between heartbeats of an instance.
+const HEARTBEAT: Duration = Duration::from_millis(1_300);
+/// Heartbeats after which an entry goes.
+const MISSED_HEARTBEATS: u32 = 3;
+/// Time between two requests of clients.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(8);
+/// When clients begin.
+pub const TRAFFIC_FROM: Duration = Duration::from_secs(8);
+/// Time for which a leaving instance goes on.
+pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// What a run is like.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Seed of all randomness.
+    pub seed: u64,
+    /// Number of nodes, spread over three zones.
+    pub nodes: usize,
+    /// How long clients ask.
+    pub traffic: Duration,
+    /// What goes wrong.
+    pub schedule: Schedule,
+    /// Whether faults, orders and records are printed.
+    pub trace: bool,
+    /// Protections of the nodes.
+    pub protections: Protections,
+}
+
+/// One node.
+pub(super) struct SimulatedNode {
+    pub(super) node: Option<Node>,
+    pub(super) life: u64,
+    pub(super) frozen_until: Duration,
+    pub(super) thawed_at: Duration,
+    deadline: Option<Duration>,
+}
+
+/// A lost hold whose keys have to be held again.
+pub(super) struct Loss {
+    pub(super) at: Duration,
+    pub(super) key: u16,
+}
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StoreMood {
+    pub(super) silent: u32,
+    pub(super) refusing: u32,
+    pub(super) losing: u32,
+}
+
+/// The world.
+pub struct World {
+    pub(super) now: Duration,
+    sequence: u64,
+    queue: BinaryHeap<Scheduled>,
+    pub(super) settings: FleetSettings,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) nodes: Vec<SimulatedNode>,
+    pub(super) store: Store,
+    pub(super) mood: StoreMood,
+    pub(super) instances: Vec<Instance>,
+    last_beat: BTreeMap<usize, Duration>,
+    pub(super) leaving: HashMap<usize, Duration>,
+    pub(super) network: Network,
+    pub(super) tickets: Rc<RefCell<Tickets>>,
+    pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
+    pub(super) orders_late: u32,
+    pub(super) answers_lost: u32,
+    pub(super) version: u64,
+    pub(super) checker: Checker,
+    pub(super) report: FleetReport,
+    pub(super) losses: Vec<Loss>,
+    pub(super) clients: super::clients::Clients,
+}
+
+impl World {
+    /// A world before its start.
+    pub fn new(settings: FleetSettings) -> World {
+        let mut world = World {
+            now: Duration::ZERO,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            nodes: Vec::new(),
+            store: Store::default(),
+            mood: StoreMood::default(),
+            instances: Vec::new(),
+            last_beat: BTreeMap::new(),
+            leaving: HashMap::new(),
+            network: Network::default(),
+            tickets: Rc::default(),
+            pending: HashMap::new(),
+            orders_late: 0,
+            answers_lost: 0,
+            version: 1,
+            checker: Checker::default(),
+            report: FleetReport::default(),
+            losses: Vec::new(),
+            clients: super::clients::Clients::default(),
+            settings,
+        };
+        world.populate();
+        world
+    }
+
+    fn populate(&mut self) {
+        self.store.configure(configuration(self.version));
+        for index in 0..SHARDED_INSTANCES + ONCE_INSTANCES {
+            self.add_instance(index < SHARDED_INSTANCES);
+        }
+        for index in 0..self.settings.nodes {
+            self.nodes.push(SimulatedNode {
+                node: None,
+                life: 0,
+                frozen_until: Duration::ZERO,
+                thawed_at: Duration::ZERO,
+                deadline: None,
+            });
+            let delay = Duration::from_millis(self.rng.random_range(0..300));
+            self.schedule(delay, Event::Start(index));
+        }
+        self.schedule(HEARTBEAT, Event::ExpireEntries);
+        self.schedule(TRAFFIC_FROM, Event::Client);
+        for Fault { at, lasts, kind } in self.settings.schedule.0.clone() {
+            self.schedule_at(at, Event::Fault(kind.clone()));
+            self.schedule_at(at + lasts, Event::FaultEnds(kind));
+        }
+    }
+
+    /// A new instance, with an entry soon.
+    pub(super) fn add_instance(&mut self, sharded: bool) {
+        let index = self.instances.len();
+        let zone = format!("zone-{}", index % 3);
+        let service = if sharded { SHARDED } else { ONCE };
+        let record = InstanceRecord {
+            id: InstanceId::from(format!("i-{index}").as_str()),
+            service: ServiceName::from(service),
+            address: instance_address(index),
+            zone: ZoneName::from(zone.as_str()),
+            slots: 2,
+            draining: false,
+            warmup_left: Duration::ZERO,
+        };
+        let work = Duration::from_millis(self.rng.random_range(15..45));
+        self.instances.push(Instance::new(record, sharded, work));
+        let delay = Duration::from_millis(self.rng.random_range(0..1_000));
+        self.schedule(delay, Event::Heartbeat(index));
+    }
+
+    /// Plays the run.
+    pub fn run(mut self) -> FleetReport {
+        let end = TRAFFIC_FROM + self.settings.traffic;
+        while let Some(next) = self.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            self.now = next.at;
+            self.happen(next.event);
+        }
+        self.finish(end)
+    }
+
+    fn finish(mut self, end: Duration) -> FleetReport {
+        // Keys that nobody held at the end count as lost until then.
+        for loss in std::mem::take(&mut self.losses) {
+            self.report.unserved.0.push(end - loss.at);
+        }
+        self.report.unanswered = self.clients.open();
+        self.report.violations = std::mem::take(&mut self.checker.violations);
+        self.report
+    }
+
+    /// Prints what happens, if the run is traced.
+    pub(super) fn trace(&self, what: impl FnOnce() -> String) {
+        if self.settings.trace {
+            println!("{:>10.4} {}", self.now.as_secs_f64(), what());
+        }
+    }
+
+    pub(super) fn schedule(&mut self, delay: Duration, event: Event) {
+        self.schedule_at(self.now + delay, event);
+    }
+
+    pub(super) fn schedule_at(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Scheduled {
+            at,
+            sequence: self.sequence,
+            event,
+        });
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Start(index) => self.start_node(index),
+            Event::Deadline(caller) => self.deadline(caller),
+            Event::Input(caller, input) => self.input(caller, input),
+            Event::Exchanged(caller, exchange, input) => {
+                if self.pending.remove(&(caller, exchange)).is_some() {
+                    self.input(caller, *input);
+                }
+            }
+            Event::StoreCall(caller, exchange, call) => self.store_call(caller, exchange, &call),
+            Event::WatchOver(caller, exchange) => self.watch_over(caller, exchange),
+            Event::LateWrite(call) => {
+                self.store.call(&call);
+                self.answer_watches();
+            }
+            Event::Request(caller, exchange, instance, request, until) => {
+                self.request_arrives(caller, exchange, instance, &request, until);
+            }
+            Event::Order {
+                caller,
+                exchange,
+                instance,
+                meant,
+                order,
+            } => self.order_arrives(caller, exchange, instance, &meant, order),
+            Event::WorkDone(instance, work) => self.work_done(instance, &work),
+            Event::Heartbeat(index) => self.heartbeat(index),
+            Event::ExpireEntries => self.expire_entries(),
+            Event::Client => {
+                self.client_asks();
+                let jitter = Duration::from_micros(self.rng.random_range(0..4_000));
+                self.schedule(CLIENT_INTERVAL + jitter, Event::Client);
+            }
+            Event::Fault(kind) => self.begin_fault(&kind),
+            Event::FaultEnds(kind) => self.end_fault(&kind),
+        }
+    }
+
+    /// Starts a node under a new life.
+    pub(super) fn start_node(&mut self, index: usize) {
+        if self.nodes[index].node.is_some() {
+            return;
+        }
+        let life = self.nodes[index].life + 1;
+        let settings = NodeSettings {
+            identity: NodeIdentity {
+                node: NodeName::from(format!("node-{index}").as_str()),
+                incarnation: life * 1_000 + index as u64,
+            },
+            zone: ZoneName::from(format!("zone-{}", index % 3).as_str()),
+            peer_address: node_address(index),
+            store_address: store_address(),
+            retry_ratio: 0.2,
+            retry_slack: 60.0,
+            retry_window: Duration::from_secs(10),
+            instance_heartbeat: HEARTBEAT,
+            drain_bound: DRAIN_BOUND,
+            stop_grace: Duration::from_secs(6),
+            seed: self.rng.random(),
+            protections: self.settings.protections,
+        };
+        let dialect = Box::new(TicketDialect::new(self.tickets.clone()));
+        let simulated = &mut self.nodes[index];
+        simulated.life = life;
+        simulated.frozen_until = Duration::ZERO;
+        simulated.deadline = None;
+        simulated.node = Some(Node::new(settings, dialect, self.now));
+        self.input((index, life), Input::Deadline);
+    }
+
+    /// A node's process ends at once.
+    pub(super) fn kill_node(&mut self, index: usize) {
+        let life = self.nodes[index].life;
+        self.nodes[index].node = None;
+        self.pending.retain(|((node, _), _), _| *node != index);
+        self.store
+            .waiting
+            .retain(|waiting| waiting.caller.0 != index);
+        self.clients.node_lost((index, life));
+    }
+
+    fn deadline(&mut self, caller: Caller) {
+        let due = self.nodes[caller.0]
+            .deadline
+            .is_some_and(|deadline| deadline <= self.now);
+        if due {
+            self.nodes[caller.0].deadline = None;
+            self.input(caller, Input::Deadline);
+        }
+    }
+
+    /// Passes an input to a node, and carries out what it wants.
+    pub(super) fn input(&mut self, caller: Caller, input: Input) {
+        let simulated = &mut self.nodes[caller.0];
+        if simulated.life != caller.1 || simulated.node.is_none() {
+            return;
+        }
+        if simulated.frozen_until > self.now {
+            let thaw = simulated.frozen_until;
+            self.schedule_at(thaw, Event::Input(caller, input));
+            return;
+        }
+        let Some(node) = &mut simulated.node else {
+            return;
+        };
+        let mut actions = Vec::new();
+        node.step(input, self.now, &mut actions);
+        let version = node.status().configuration;
+        let deadline = node.next_deadline();
+        assert!(
+            deadline > self.now,
+            "node {} has done what is due at {:?}, but asks for {deadline:?}: {:?}",
+            caller.0,
+            self.now,
+            node.next_deadlines()
+        );
+        let sooner = simulated.deadline.is_none_or(|known| deadline < known);
+        if sooner {
+            simulated.deadline = Some(deadline);
+            self.schedule_at(deadline, Event::Deadline(caller));
+        }
+        if let Some(version) = version {
+            self.checker.in_force(caller, version, self.now);
+        }
+        for action in actions {
+            self.perform(caller, action);
+        }
+    }
+
+    fn perform(&mut self, caller: Caller, action: Action) {
+        match action {
+            Action::Respond { client, response } => self.client_answered(caller, client, &response),
+            Action::Exchange {
+                exchange,
+                address,
+                request,
+                options,
+            } => self.exchange(caller, exchange, address, request, &options),
+            Action::Cancel { exchange } => self.cancel(caller, exchange),
+            Action::Datagram { address, bytes } => self.datagram(caller, address, bytes),
+        }
+    }
+
+    fn datagram(&mut self, caller: Caller, address: SocketAddr, bytes: Vec<u8>) {
+        let receiver = (0..self.nodes.len()).find(|index| node_address(*index) == address);
+        let Some(receiver) = receiver else {
+            return;
+        };
+        if !self.network.nodes_connected(caller.0, receiver) {
+            return;
+        }
+        let input = Input::Datagram {
+            from: node_address(caller.0),
+            bytes,
+        };
+        let to = (receiver, self.nodes[receiver].life);
+        self.schedule(LATENCY, Event::Input(to, input));
+    }
+
+    fn cancel(&mut self, caller: Caller, exchange: ExchangeId) {
+        self.pending.remove(&(caller, exchange));
+        self.store
+            .waiting
+            .retain(|waiting| waiting.caller != caller || waiting.exchange != exchange);
+        self.drop_work(caller, exchange);
+    }
+
+    fn exchange(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        address: SocketAddr,
+        request: Request,
+        options: &ExchangeOptions,
+    ) {
+        self.pending
+            .insert((caller, exchange), self.now + options.timeout);
+        let timeout = exchanged(exchange, Err(ExchangeFailure::TimedOut));
+        self.schedule(options.timeout, Event::Exchanged(caller, exchange, timeout));
+        if address == store_address() {
+            let Some(call) = self.tickets.borrow_mut().take_call(&request) else {
+                return;
+            };
+            if !self.network.cut_from_store.contains(&caller.0) {
+                let event = Event::StoreCall(caller, exchange, Box::new(call));
+                self.schedule(LATENCY, event);
+            }
+            return;
+        }
+        let instance = self.live_at(address);
+        match instance {
+            Some(instance) if self.network.instance_connected(caller.0, instance) => {
+                self.reach_instance(caller, exchange, instance, request);
+            }
+            Some(_) => self.not_connected(caller, exchange, options.connect_timeout),
+            None => self.not_connected(caller, exchange, LATENCY * 2),
+        }
+    }
+
+    /// The instance that has an address now.
+    fn live_at(&self, address: SocketAddr) -> Option<usize> {
+        self.instances
+            .iter()
+            .rposition(|instance| instance.record.address == address && instance.alive)
+    }
+
+    fn reach_instance(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        instance: usize,
+        request: Request,
+    ) {
+        if self.instances[instance].dark {
+            let wait = Duration::from_millis(250);
+            self.not_connected(caller, exchange, wait);
+            return;
+        }
+        let order = self.tickets.borrow_mut().take_order(&request);
+        match order {
+            Some(order) => {
+                let meant = request
+                    .headers
+                    .text("target")
+                    .unwrap_or_default()
+                    .to_owned();
+                self.send_order(caller, exchange, instance, meant, order);
+            }
+            None => {
+                let until = self.pending[&(caller, exchange)];
+                let event = Event::Request(caller, exchange, instance, Box::new(request), until);
+                self.schedule(LATENCY, event);
+            }
+        }
+    }
+
+    fn not_connected(&mut self, caller: Caller, exchange: ExchangeId, after: Duration) {
+        let input = exchanged(exchange, Err(ExchangeFailure::NotConnected));
+        self.schedule(after, Event::Exchanged(caller, exchange, input));
+    }
+
+    fn store_call(&mut self, caller: Caller, exchange: ExchangeId, call: &StoreCall) {
+        self.report.store_calls += 1;
+        if self.mood.silent > 0 || !self.pending.contains_key(&(caller, exchange)) {
+            return;
+        }
+        if self.mood.refusing > 0 {
+            self.store_answers(caller, exchange, StoreAnswer::Refused);
+            return;
+        }
+        let writes = matches!(call, StoreCall::Create { .. } | StoreCall::Replace { .. });
+        if writes && self.mood.losing > 0 && self.rng.random_range(0..3) == 0 {
+            let late = Duration::from_millis(self.rng.random_range(0..5_000));
+            self.schedule(late, Event::LateWrite(Box::new(call.clone())));
+            return;
+        }
+        match self.store.call(call) {
+            Outcome::Answer(answer) => self.store_answers(caller, exchange, answer),
+            Outcome::Wait {
+                kind,
+                revision,
+                wait,
+            } => {
+                self.store.waiting.push(Waiting {
+                    caller,
+                    exchange,
+                    kind,
+                    revision,
+                });
+                self.schedule(wait, Event::WatchOver(caller, exchange));
+            }
+        }
+        self.answer_watches();
+    }
+
+    pub(super) fn store_answers(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        answer: StoreAnswer,
+    ) {
+        if self.network.cut_from_store.contains(&caller.0) {
+            return;
+        }
+        let response = self.tickets.borrow_mut().answer(answer);
+        let input = exchanged(exchange, Ok(response));
+        self.schedule(LATENCY * 3, Event::Exchanged(caller, exchange, input));
+    }
+
+    fn watch_over(&mut self, caller: Caller, exchange: ExchangeId) {
+        let position = self
+            .store
+            .waiting
+            .iter()
+            .position(|waiting| waiting.caller == caller && waiting.exchange == exchange);
+        if let Some(position) = position {
+            self.store.waiting.remove(position);
+            if self.mood.silent == 0 {
+                let answer = self.store.no_changes();
+                self.store_answers(caller, exchange, answer);
+            }
+        }
+    }
+
+    /// Answers the watches whose kind has changed.
+    pub(super) fn answer_watches(&mut self) {
+        if self.mood.silent > 0 {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.store.waiting);
+        for watch in waiting {
+            match self.store.changes(watch.kind, watch.revision) {
+                Some(answer) => self.store_answers(watch.caller, watch.exchange, answer),
+                None => self.store.waiting.push(watch),
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        let instance = &self.instances[index];
+        if !instance.alive {
+            return;
+        }
+        if instance.heartbeats && !instance.dark && self.mood.silent + self.mood.refusing == 0 {
+            self.last_beat.insert(index, self.now);
+            self.store.register(instance.record.clone());
+            self.answer_watches();
+        }
+        self.schedule(HEARTBEAT, Event::Heartbeat(index));
+    }
+
+    fn expire_entries(&mut self) {
+        let limit = HEARTBEAT * MISSED_HEARTBEATS;
+        let gone: Vec<usize> = self
+            .last_beat
+            .iter()
+            .filter(|(_, beat)| **beat + limit <= self.now)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in gone {
+            self.remove_entry(index);
+        }
+        self.answer_watches();
+        self.schedule(HEARTBEAT / 4, Event::ExpireEntries);
+    }
+
+    pub(super) fn remove_entry(&mut self, index: usize) {
+        self.last_beat.remove(&index);
+        let name = self.instances[index].id().to_string();
+        self.store.remove_instance(&name);
+    }
+
+    /// The node that a fault hits.
+    pub(super) fn target(&self, target: Target) -> usize {
+        match target {
+            Target::Node(index) => index % self.nodes.len(),
+            Target::Coordinator => self
+                .nodes
+                .iter()
+                .position(|simulated| {
+                    simulated
+                        .node
+                        .as_ref()
+                        .is_some_and(|node| node.coordinator().is_some())
+                })
+                .unwrap_or(0),
+        }
+    }
+
+    /// The configuration with the next version.
+    pub(super) fn configure_next(&mut self) {
+        self.version += 3;
+        self.store.configure(configuration(self.version));
+        self.answer_watches();
+    }
+}
+
+/// The end of an exchange as an input.
+pub(super) fn exchanged(
+    exchange: ExchangeId,
+    result: Result<ledgelead_http::Response, ExchangeFailure>,
+) -> Box<Input> {
+    Box::new(Input::Exchanged { exchange, result })
+}
+
+fn node_address(index: usize) -> SocketAddr {
+    let machine = u8::try_from(index).unwrap_or(u8::MAX);
+    SocketAddr::from(([10, 0, 0, machine], 7_000))
+}
+
+pub(super) fn instance_address(index: usize) -> SocketAddr {
+    let machine = u8::try_from(index).unwrap_or(u8::MAX);
+    SocketAddr::from(([10, 0, 1, machine], 8_000))
+}
+
+fn store_address() -> SocketAddr {
+    SocketAddr::from(([10, 0, 2, 0], 9_000))
+}
+
+fn configuration(version: u64) -> Configuration {
+    let route = |name: &str, repeatability| {
+        Arc::new(Route {
+            name: name.to_owned(),
+            host: HOST.to_owned(),
+            prefix: format!("/{name}/"),
+            targets: vec![RouteTarget {
+                service: ServiceName::from(name),
+                weight: 1.0,
+            }],
+            repeatability,
+            timeout: Duration::from_millis(1_200),
+            target_latency: Duration::from_millis(250),
+            max_attempts: 2,
+            priority: 1,
+        })
+    };
+    let service = |name: &str, sharded| Service {
+        name: ServiceName::from(name),
+        sharded,
+        max_connections: 100,
+    };
+    Configuration {
+        version,
+        routes: vec![
+            route(SHARDED, Repeatability::Idempotent),
+            route(ONCE, Repeatability::Once),
+        ],
+        services: vec![service(SHARDED, true), service(ONCE, false)],
+        limits: ClientLimits::default(),
+    }
+}
+
+/// Violations as lines.
+pub fn violation_lines(violations: &[Violation]) -> Vec<String> {
+    violations
+        .iter()
+        .map(|violation| {
+            format!(
+                "{:?} {}: {}",
+                violation.at,
+                violation.kind.name(),
+                violation.what
+            )
+        })
+        .collect()
+}
--- a/crates/ledgelead-lab/src/lib.rs
+++ b/crates/ledgelead-lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod demo;
+pub mod fleet;
 pub mod hollow;
 pub mod overload;
 pub mod processes;
--- a/crates/ledgelead-lab/src/main.rs
+++ b/crates/ledgelead-lab/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the lab.
 
 use ledgelead_lab::simulation::command::{SimulateError, simulate};
-use ledgelead_lab::{demo, hollow, overload, processes};
+use ledgelead_lab::{demo, fleet, hollow, overload, processes};
 use lexopt::prelude::*;
 use std::process::ExitCode;
 
@@ -14,6 +14,7 @@
   ledgelead-lab hollow [--nodes N] [--groups N] [--servers-per-node N] [--seconds N] [--seed N] [--json]
   ledgelead-lab simulate SCENARIO.toml [--seeds A..B] [--sabotage NAME] [--threads N]
            [--baselines] [--report DIR] [--json | --session]
+  ledgelead-lab fleet [--seeds A..B] [--sabotage NAME] [--json]
   ledgelead-lab overload SCENARIO.toml [--loads 0.5,0.8,..] [--seed N] [--seconds N] [--threads N] [--json]";
 
 fn main() -> ExitCode {
@@ -35,6 +36,7 @@
         Some(Value(name)) if name == "load" => Ok(processes::run_load(&mut parser)),
         Some(Value(name)) if name == "hollow" => Ok(hollow::run_hollow(&mut parser)),
         Some(Value(name)) if name == "simulate" => simulate(&mut parser),
+        Some(Value(name)) if name == "fleet" => Ok(fleet::command::run(&mut parser)?),
         Some(Value(name)) if name == "overload" => overload::run(&mut parser),
         Some(argument) => Err(argument.unexpected().into()),
         None => Err(lexopt::Error::from("a subcommand is missing").into()),
--- /dev/null
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -0,0 +1,188 @@
+//! The store-backed router against the stand-ins of the platform, in virtual
+//! time: drawn faults, directed faults, and the proof that the checker sees
+//! each protection that is turned off.
+
+use googletest::prelude::*;
+use ledgelead_lab::fleet::command::{drawn, play};
+use ledgelead_lab::fleet::{
+    FaultKind, FleetReport, FleetSettings, Schedule, Target, ViolationKind, World,
+};
+use ledgelead_router::protections::{Protection, Protections};
+use std::time::Duration;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn run(schedule: Schedule, protections: Protections) -> FleetReport {
+    World::new(FleetSettings {
+        schedule,
+        protections,
+        ..drawn(3, protections)
+    })
+    .run()
+}
+
+fn count(report: &FleetReport, kind: ViolationKind) -> usize {
+    report
+        .violations
+        .iter()
+        .filter(|violation| violation.kind == kind)
+        .count()
+}
+
+/// The schedule breaks nothing, but does with the protection off.
+fn expect_protected(schedule: &Schedule, protection: Protection, kind: ViolationKind) {
+    let safe = run(schedule.clone(), Protections::default());
+    expect_that!(safe.violations, is_empty());
+    let unsafe_run = run(schedule.clone(), Protections::without(protection));
+    expect_that!(count(&unsafe_run, kind), gt(0));
+}
+
+#[gtest]
+fn a_calm_run_answers_every_request() {
+    let report = run(Schedule::default(), Protections::default());
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.requests, gt(3_000));
+    expect_that!(report.answered + report.unanswered, eq(report.requests));
+}
+
+#[gtest]
+fn drawn_faults_break_nothing() {
+    let (report, lines) = play(1..=60, Protections::default(), false);
+    expect_that!(lines, is_empty());
+    expect_that!(report.answered as f64 / report.requests as f64, gt(0.9));
+}
+
+#[gtest]
+fn the_same_seed_gives_the_same_run() {
+    let once = World::new(drawn(17, Protections::default())).run();
+    let again = World::new(drawn(17, Protections::default())).run();
+    expect_eq!(once.json(), again.json());
+}
+
+#[gtest]
+fn a_silent_owner_keeps_its_keys_until_its_lease_is_over() {
+    // Cut from the store and from all nodes, it goes on holding its keys.
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(20.0),
+        FaultKind::IsolateWithCoordinator(1),
+    )
+    .and(
+        seconds(15.5),
+        seconds(2.0),
+        FaultKind::KillNode(Target::Coordinator),
+    );
+    expect_protected(&schedule, Protection::LeaseWait, ViolationKind::SingleOwner);
+}
+
+#[gtest]
+fn a_deposed_coordinator_cannot_renew_what_has_moved() {
+    // Still in touch with instances, it goes on while the owner drains under
+    // another coordinator.
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(12.0),
+        FaultKind::CutNode(Target::Coordinator),
+    )
+    .and(seconds(18.0), seconds(1.0), FaultKind::DrainInstance(2));
+    expect_protected(
+        &schedule,
+        Protection::TakeoverFence,
+        ViolationKind::SingleOwner,
+    );
+}
+
+#[gtest]
+fn a_coordinator_without_the_store_stops_in_time() {
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(25.0),
+        FaultKind::IsolateWithCoordinator(1),
+    );
+    expect_protected(
+        &schedule,
+        Protection::BoundedAuthority,
+        ViolationKind::SingleOwner,
+    );
+}
+
+#[gtest]
+fn a_request_that_may_have_run_is_not_sent_again_and_not_called_refused() {
+    let schedule = Schedule::one(seconds(12.0), seconds(10.0), FaultKind::AnswersLost);
+    expect_protected(
+        &schedule,
+        Protection::UnknownNotRepeated,
+        ViolationKind::OnceOnly,
+    );
+    expect_protected(
+        &schedule,
+        Protection::HonestRefusal,
+        ViolationKind::NotRunIsTrue,
+    );
+}
+
+#[gtest]
+fn a_leaving_owner_gets_nothing_more_although_nobody_moves_its_keys() {
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(8.0),
+        FaultKind::CutFromStore(Target::Coordinator),
+    )
+    .and(seconds(15.05), seconds(3.0), FaultKind::DrainInstance(2));
+    expect_protected(
+        &schedule,
+        Protection::DrainBound,
+        ViolationKind::NoNewWorkAfterLeave,
+    );
+}
+
+#[gtest]
+fn orders_carried_out_late_break_nothing() {
+    let schedule = Schedule::one(seconds(10.0), seconds(12.0), FaultKind::OrdersLate)
+        .and(seconds(12.0), seconds(1.0), FaultKind::DrainInstance(0))
+        .and(seconds(14.0), seconds(3.0), FaultKind::SilenceInstance(3))
+        .and(
+            seconds(16.0),
+            seconds(3.0),
+            FaultKind::KillNode(Target::Coordinator),
+        )
+        .and(
+            seconds(18.0),
+            seconds(3.0),
+            FaultKind::FreezeNode(Target::Coordinator),
+        );
+    let report = run(schedule, Protections::default());
+    expect_that!(report.violations, is_empty());
+}
+
+#[gtest]
+fn keys_stay_served_while_the_store_is_down() {
+    let schedule = Schedule::one(seconds(15.0), seconds(6.0), FaultKind::StoreSilent);
+    let report = run(schedule, Protections::default());
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.refused as f64 / report.requests as f64, lt(0.01));
+}
+
+#[gtest]
+fn keys_stay_served_while_the_coordinator_is_followed() {
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(5.0),
+        FaultKind::KillNode(Target::Coordinator),
+    );
+    let report = run(schedule, Protections::default());
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.refused as f64 / report.requests as f64, lt(0.01));
+}
+
+#[gtest]
+fn all_nodes_at_once_come_back_to_what_the_store_holds() {
+    let schedule = Schedule::one(seconds(15.0), seconds(2.0), FaultKind::KillAllNodes)
+        .and(seconds(15.1), seconds(3.0), FaultKind::StoreRefuses)
+        .and(seconds(15.2), seconds(1.0), FaultKind::Configure);
+    let report = run(schedule, Protections::default());
+    expect_that!(report.violations, is_empty());
+    expect_that!(report.answered as f64 / report.requests as f64, gt(0.8));
+}
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -150,7 +150,9 @@
             (true, Some(Presence::Draining { since })) => Presence::Draining { since },
             (true, _) => {
                 log::info!(target: "instances", "{id} drains");
-                Presence::Draining { since: now }
+                Presence::Draining {
+                    since: self.leaving_since(now),
+                }
             }
         };
         let instance = Instance {
@@ -162,6 +164,12 @@
         self.instances.insert(id, instance);
     }
 
+    /// Since when an instance has been leaving that is first seen so now. One
+    /// that was so before this node's first list may have been for long.
+    fn leaving_since(&self, now: Timestamp) -> Timestamp {
+        if self.complete { now } else { Timestamp::ZERO }
+    }
+
     /// This life of an instance is proved to be over.
     pub fn end(&mut self, id: &InstanceId) {
         if let Some(instance) = self.instances.get_mut(id) {
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod ownership;
 pub mod peers;
+pub mod protections;
 pub mod requests;
 pub mod settings;
 pub mod store;
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -9,6 +9,7 @@
 use crate::ownership::coordinator::{Context, Coordinator, OutgoingOrder};
 use crate::ownership::election::{Election, rank};
 use crate::ownership::record::OwnershipRecord;
+use crate::protections::{Protection, Protections};
 use crate::settings::COORDINATOR_AUTHORITY;
 use ledgelead_http::Response;
 use std::collections::HashMap;
@@ -22,6 +23,8 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Kept connections for orders.
 const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
+/// Longest pause between two looks at what a coordinator has to do.
+const WITHOUT_AUTHORITY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before a write without an answer is made again, under the same
 /// condition.
 const WRITE_RETRY: Duration = Duration::from_millis(250);
@@ -41,13 +44,15 @@
     taking_over: bool,
     write_out: bool,
     next_write: Timestamp,
+    next_step: Timestamp,
     resigning: bool,
     resign_out: bool,
     resign_done: bool,
+    protections: Protections,
 }
 
 impl Coordination {
-    pub(super) fn new(election: Election) -> Coordination {
+    pub(super) fn new(election: Election, protections: Protections) -> Coordination {
         Coordination {
             coordinator: None,
             orders: HashMap::new(),
@@ -58,9 +63,11 @@
             taking_over: false,
             write_out: false,
             next_write: Timestamp::ZERO,
+            next_step: Timestamp::ZERO,
             resigning: false,
             resign_out: false,
             resign_done: false,
+            protections,
         }
     }
 
@@ -74,9 +81,10 @@
 
     /// Whether orders may be given now.
     pub(super) fn has_authority(&self, now: Timestamp) -> bool {
+        let bounded = self.protections.has(Protection::BoundedAuthority);
         let confirmed = self
             .confirmed
-            .is_some_and(|confirmed| now < confirmed + COORDINATOR_AUTHORITY);
+            .is_some_and(|confirmed| now < confirmed + COORDINATOR_AUTHORITY || !bounded);
         confirmed && self.coordinator.is_some() && !self.resigning
     }
 
@@ -106,21 +114,37 @@
 
 impl Node {
     pub(super) fn coordination_deadline(&self) -> Option<Timestamp> {
-        let coordination = &self.coordination;
-        if let Some(coordinator) = coordination.coordinator() {
-            let write = (coordinator.pending_write().is_some() && !coordination.write_out)
-                .then_some(coordination.next_write);
-            return write.into_iter().chain([coordinator.next_step()]).min();
+        if self.coordination.coordinator.is_some() {
+            return Some(self.coordination.next_step);
         }
         self.may_campaign().then(|| self.campaign_due())
     }
 
+    /// When the coordinator has something to do next. Without authority it
+    /// only waits for the store's word, which is an input of its own.
+    fn next_coordinator_step(&self, now: Timestamp) -> Timestamp {
+        let idle = now + WITHOUT_AUTHORITY_PAUSE;
+        let Some(coordinator) = self.coordination.coordinator() else {
+            return idle;
+        };
+        if !self.coordination.has_authority(now) || self.configuration.is_none() {
+            return idle;
+        }
+        let unwritten = coordinator.pending_write().is_some() && !self.coordination.write_out;
+        let write = unwritten.then_some(self.coordination.next_write);
+        write
+            .into_iter()
+            .chain([coordinator.next_step()])
+            .fold(idle, Timestamp::min)
+    }
+
     /// What is due for the coordinator, or for one that wants to be.
     pub(super) fn coordinate(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.coordination.coordinator.is_some() {
             self.resign_if_asked(now, out);
             self.step_coordinator(now, out);
             self.write_again(now, out);
+            self.coordination.next_step = self.next_coordinator_step(now);
         } else if self.may_campaign() && self.campaign_due() <= now {
             self.campaign(now, out);
         }
@@ -153,7 +177,7 @@
     fn campaign(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let record = self.ownership.record();
         self.coordination.predecessor = record.coordinator.clone();
-        let next = record.taken_over_by(&self.settings.identity);
+        let next = record.taken_over_by(&self.settings.identity, self.settings.protections);
         let content = WrittenContent::Ownership(next.clone());
         let name = OWNERSHIP_NAME.to_owned();
         let call = match self.ownership.revision() {
@@ -231,7 +255,12 @@
         log::info!(target: "ownership", "coordinates under epoch {}, predecessor ended: {ended}", record.epoch);
         self.coordination.orders.clear();
         self.coordination.write_out = false;
-        self.coordination.coordinator = Some(Coordinator::new(record, predecessor_end, now));
+        self.coordination.coordinator = Some(Coordinator::new(
+            record,
+            predecessor_end,
+            self.settings.protections,
+            now,
+        ));
         self.store.set_coordinating(true);
     }
 
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -30,6 +30,7 @@
     next_report: Timestamp,
     next_refresh: Timestamp,
     behind_since: Option<Timestamp>,
+    configuration_behind_since: Option<Timestamp>,
 }
 
 impl Gossip {
@@ -39,6 +40,7 @@
             next_report: now + REPORT_INTERVAL,
             next_refresh: now + REFRESH_INTERVAL,
             behind_since: None,
+            configuration_behind_since: None,
         }
     }
 
@@ -74,6 +76,7 @@
             epoch: coordinator.epoch(),
             store_serves: self.store.health.serves() && self.coordination.has_authority(now),
             revision: self.ownership.revision().unwrap_or(0),
+            configuration: self.configuration_version(),
         };
         let bytes = encode(&message);
         for address in self.others() {
@@ -121,7 +124,10 @@
             .collect();
         out.push(Action::Datagram {
             address: node.address,
-            bytes: encode(&PeerMessage::KeysAsked { reports }),
+            bytes: encode(&PeerMessage::KeysAsked {
+                configuration: self.configuration_version(),
+                reports,
+            }),
         });
     }
 
@@ -192,8 +198,18 @@
                 epoch,
                 store_serves,
                 revision,
-            } => self.heard_coordinator(epoch, store_serves, revision, now, out),
-            PeerMessage::KeysAsked { reports } => self.keys_reported(&reports, now),
+                configuration,
+            } => {
+                self.heard_configuration(configuration, now, out);
+                self.heard_coordinator(epoch, store_serves, revision, now, out);
+            }
+            PeerMessage::KeysAsked {
+                configuration,
+                reports,
+            } => {
+                self.heard_configuration(configuration, now, out);
+                self.keys_reported(&reports, now);
+            }
             PeerMessage::Open {
                 incarnation,
                 changes,
@@ -233,6 +249,25 @@
         }
     }
 
+    fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// Another node has this version of the configuration in force. If this
+    /// one stays behind, its watch has been lost without notice.
+    fn heard_configuration(&mut self, version: u64, now: Timestamp, out: &mut Vec<Action>) {
+        if version <= self.configuration_version() {
+            self.gossip.configuration_behind_since = None;
+            return;
+        }
+        let since = *self.gossip.configuration_behind_since.get_or_insert(now);
+        if now >= since + BEHIND_FOR {
+            self.gossip.configuration_behind_since = Some(now);
+            self.store
+                .interrupt(ObjectKind::Configuration, since, now, out);
+        }
+    }
+
     fn keys_reported(&mut self, reports: &[KeyReport], now: Timestamp) {
         let Some(configuration) = &self.configuration else {
             return;
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -57,7 +57,13 @@
             slack: settings.retry_slack,
             window: settings.retry_window,
         };
-        let requests = Requests::new(settings.zone.clone(), settings.drain_bound, bounds, rng);
+        let requests = Requests::new(
+            settings.zone.clone(),
+            settings.drain_bound,
+            bounds,
+            settings.protections,
+            rng,
+        );
         Node {
             configuration: None,
             routes: RouteTable::default(),
@@ -68,7 +74,7 @@
             requests,
             exchanges: ExchangeIds::default(),
             store: StoreCalls::new(now),
-            coordination: Coordination::new(Election::default()),
+            coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
@@ -136,16 +142,22 @@
 
     /// When `step` wants to be called with `Input::Deadline`.
     pub fn next_deadline(&self) -> Timestamp {
+        self.next_deadlines()
+            .into_iter()
+            .flatten()
+            .fold(self.next_clean_up, Timestamp::min)
+    }
+
+    /// The next deadlines of requests, store calls, coordination, gossip and
+    /// directory, in this order.
+    pub fn next_deadlines(&self) -> [Option<Timestamp>; 5] {
         [
             self.requests.next_deadline(),
-            self.store.next_deadline(),
+            self.store.next_deadline(self.stopping),
             self.coordination_deadline(),
             Some(self.gossip.next_deadline()),
             self.directory.next_expiry(),
         ]
-        .into_iter()
-        .flatten()
-        .fold(self.next_clean_up, Timestamp::min)
     }
 
     /// Takes over settings that may change while the process runs.
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -122,9 +122,10 @@
         self.registered
     }
 
-    pub(super) fn next_deadline(&self) -> Option<Timestamp> {
+    pub(super) fn next_deadline(&self, stopping: bool) -> Option<Timestamp> {
         let watches = self.watchers.iter().filter_map(Watcher::next_call).min();
-        let register = (!self.registered && !self.is_registering()).then_some(self.next_register);
+        let wanted = !self.registered && !self.is_registering() && !stopping;
+        let register = wanted.then_some(self.next_register);
         watches.into_iter().chain(register).min()
     }
 
@@ -299,7 +300,7 @@
                 ObjectKind::Ownership,
                 ObjectKind::Nodes,
             ] {
-                self.store.interrupt(kind, started, now, out);
+                self.store.interrupt(kind, now, now, out);
             }
         }
     }
--- a/crates/ledgelead-router/src/ownership/coordinator.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Directory, Instance};
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::{ExchangeFailure, ExchangeId};
+use crate::protections::Protections;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -140,6 +141,7 @@
     next_plan: Timestamp,
     gatherings: BTreeMap<ServiceName, Gathering>,
     refused: bool,
+    protections: Protections,
     counters: OwnershipCounters,
 }
 
@@ -161,7 +163,12 @@
 impl Coordinator {
     /// A coordinator named by this version of the record.
     /// `predecessor_end` is when the one before can't give orders any more.
-    pub fn new(record: OwnershipRecord, predecessor_end: Timestamp, now: Timestamp) -> Coordinator {
+    pub fn new(
+        record: OwnershipRecord,
+        predecessor_end: Timestamp,
+        protections: Protections,
+        now: Timestamp,
+    ) -> Coordinator {
         let holdings = record
             .assignments
             .iter()
@@ -184,6 +191,7 @@
             next_plan: now + PLAN_INTERVAL * 2,
             gatherings: BTreeMap::new(),
             refused: false,
+            protections,
             counters: OwnershipCounters::default(),
         }
     }
@@ -323,7 +331,8 @@
                 .directory
                 .get(owner)
                 .is_none_or(|instance| !instance.serves());
-            let lapsed = holding.lease.is_silent() && holding.lease.possible_until <= context.now;
+            let over = holding.lease.is_over(self.protections, context.now);
+            let lapsed = holding.lease.is_silent() && over;
             if matches!(holding.state, State::Held) && (leaving || lapsed) {
                 holding.state = State::Releasing {
                     target: None,
@@ -462,7 +471,7 @@
             else {
                 continue;
             };
-            if holding.lease.possible_until <= context.now {
+            if holding.lease.is_over(self.protections, context.now) {
                 self.counters.lapses += 1;
                 holding.state = State::Free {
                     target: target.take(),
@@ -521,7 +530,7 @@
                 continue;
             };
             let exchange = context.exchanges.next_id();
-            holding.lease.granting(exchange, context.now);
+            holding.lease.granting(exchange);
             commands.orders.push(OutgoingOrder {
                 exchange,
                 instance: instance.record.id.clone(),
@@ -551,7 +560,10 @@
             let wished = target
                 .clone()
                 .filter(|id| takers(context, &service).any(|instance| instance.record.id == *id));
-            if wished.is_none() && self.holdings[index].lease.possible_until > context.now {
+            let over = self.holdings[index]
+                .lease
+                .is_over(self.protections, context.now);
+            if wished.is_none() && !over {
                 // Refused by an owner that left since: it may hold the keys.
                 self.holdings[index].state = State::Releasing {
                     target: None,
--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::Timestamp;
 use crate::io::ExchangeId;
+use crate::protections::{Protection, Protections};
 use crate::settings::{RENEWAL_INTERVAL, longest_hold};
 use std::time::Duration;
 
@@ -56,11 +57,10 @@
         }
     }
 
-    /// A grant is sent now. It may arrive until it is given up on, which moves
-    /// the end once more in `unanswered`.
-    pub fn granting(&mut self, order: ExchangeId, now: Timestamp) {
+    /// A grant is sent. Until its end is known the lease is not over; whether
+    /// it moves the end is told by `granted` or `unanswered`.
+    pub fn granting(&mut self, order: ExchangeId) {
         self.order = Some(order);
-        self.possible_until = self.possible_until.max(now + longest_hold());
     }
 
     /// A grant was answered: the earlier coordinator can't renew any more.
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Whether the owner can't hold the keys any more.
+    pub fn is_over(&self, protections: Protections, now: Timestamp) -> bool {
+        let waits = protections.has(Protection::LeaseWait) || !self.is_silent();
+        (self.possible_until <= now && self.order.is_none()) || !waits
+    }
+
     /// Whether the owner has not answered lately.
     pub fn is_silent(&self) -> bool {
         self.failures >= SILENT_AFTER
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::KeyRange;
 use crate::identity::{InstanceId, NodeIdentity, ServiceName};
+use crate::protections::{Protection, Protections};
 use serde::{Deserialize, Serialize};
 
 /// A range of a service's keys and its owner.
@@ -50,11 +51,16 @@
     /// The record under a new coordinator. Every assignment gets a new fencing
     /// token, so that orders of the coordinator before are refused by each
     /// instance that the new one has reached.
-    pub fn taken_over_by(&self, coordinator: &NodeIdentity) -> OwnershipRecord {
+    pub fn taken_over_by(
+        &self,
+        coordinator: &NodeIdentity,
+        protections: Protections,
+    ) -> OwnershipRecord {
         let mut record = self.clone();
         record.epoch += 1;
         record.coordinator = Some(coordinator.clone());
-        for assignment in &mut record.assignments {
+        let raised = protections.has(Protection::TakeoverFence);
+        for assignment in record.assignments.iter_mut().filter(|_| raised) {
             assignment.fence = record.next_fence;
             record.next_fence += 1;
         }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -35,9 +35,13 @@
         store_serves: bool,
         /// The store's revision of the newest record.
         revision: u64,
+        /// The version of the configuration that it has in force.
+        configuration: u64,
     },
     /// Keys asked for; sent to the coordinator.
     KeysAsked {
+        /// The version of the configuration that the sender has in force.
+        configuration: u64,
         /// By service.
         reports: List<KeyReport>,
     },
--- /dev/null
+++ b/crates/ledgelead-router/src/protections.rs
@@ -0,0 +1,53 @@
+//! Switches that turn one protection off, for the proof of the checkers in
+//! simulations. All are on by default, and no setting of a process changes
+//! them.
+
+/// One protection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protection {
+    /// Keys of a silent owner are given away only after its lease.
+    LeaseWait,
+    /// A coordinator raises all fencing tokens as it takes its place.
+    TakeoverFence,
+    /// A coordinator without word from the store stops giving orders.
+    BoundedAuthority,
+    /// A request that may run once is sent again only on proof that it has
+    /// not run.
+    UnknownNotRepeated,
+    /// A request that may have run is not told as refused.
+    HonestRefusal,
+    /// A leaving owner gets nothing more after its time.
+    DrainBound,
+}
+
+impl Protection {
+    /// Every protection, under the name of the sabotage that turns it off.
+    pub const SABOTAGES: [(&'static str, Protection); 6] = [
+        ("skip-lease-wait", Protection::LeaseWait),
+        ("keep-fences", Protection::TakeoverFence),
+        ("endless-authority", Protection::BoundedAuthority),
+        ("repeat-unknown", Protection::UnknownNotRepeated),
+        ("claim-not-run", Protection::HonestRefusal),
+        ("send-while-draining", Protection::DrainBound),
+    ];
+}
+
+/// Which protections are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Protections {
+    off: Option<Protection>,
+}
+
+impl Protections {
+    /// All but one.
+    pub fn without(protection: Protection) -> Protections {
+        Protections {
+            off: Some(protection),
+        }
+    }
+
+    /// Whether a protection is on.
+    pub fn has(self, protection: Protection) -> bool {
+        self.off != Some(protection)
+    }
+}
--- a/crates/ledgelead-router/src/requests/lifecycle.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle.rs
@@ -15,6 +15,7 @@
 use crate::ownership::coordinator::ExchangeIds;
 use crate::ownership::view::OwnershipView;
 use crate::peers::SharedLoad;
+use crate::protections::{Protection, Protections};
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -104,6 +105,7 @@
     changed: BTreeSet<InstanceId>,
     ended: Vec<InstanceId>,
     stopping: bool,
+    protections: Protections,
     counters: RequestCounters,
 }
 
@@ -122,6 +124,7 @@
         zone: ZoneName,
         drain_bound: Duration,
         bounds: BudgetBounds,
+        protections: Protections,
         rng: Pcg64Mcg,
     ) -> Requests {
         Requests {
@@ -139,6 +142,7 @@
             changed: BTreeSet::new(),
             ended: Vec::new(),
             stopping: false,
+            protections,
             counters: RequestCounters::default(),
         }
     }
@@ -495,13 +499,14 @@
         let Some(owner) = context.directory.get(&assignment.owner) else {
             return wait;
         };
+        let bounded = self.protections.has(Protection::DrainBound);
         let must_leave = self.drain_bound.mul_f64(DRAIN_SHARE);
         if owner.ended {
             return wait;
         }
         if owner
             .leaving_since()
-            .is_some_and(|since| since + must_leave <= context.now)
+            .is_some_and(|since| since + must_leave <= context.now && bounded)
         {
             return wait;
         }
@@ -726,12 +731,13 @@
                 });
             }
             Verdict::Unknown { timed_out } => {
-                open.may_have_run = true;
+                open.may_have_run = self.protections.has(Protection::HonestRefusal);
                 open.timed_out |= *timed_out;
             }
             Verdict::Relay(_) => {}
         }
-        if open.may_have_run && !open.is_idempotent() {
+        let repeats_unknown = !self.protections.has(Protection::UnknownNotRepeated);
+        if open.may_have_run && !open.is_idempotent() && !repeats_unknown {
             // Never sent again: exhausted, whatever the route allows.
             let attempts = open.route.max_attempts.max(4) as usize;
             while open.tried.len() < attempts {
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start, and the times its promises rest on.
 
 use crate::identity::{NodeIdentity, ZoneName};
+use crate::protections::Protections;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
     pub stop_grace: Duration,
     /// Seed of the node's random decisions.
     pub seed: u64,
+    /// All on, but in simulations that prove their checker.
+    pub protections: Protections,
 }
 
 /// How long an instance holds keys after a grant arrived.
