--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -65,9 +65,16 @@
         self.put(ObjectKind::Configuration, "main", content);
     }
 
-    /// An instance writes its entry.
+    /// An instance writes its entry; a heartbeat alone is no change.
     pub fn register(&mut self, record: InstanceRecord) {
         let name = record.id.to_string();
+        let known = self.objects.get(&(ObjectKind::Instances, name.clone()));
+        let same = known.is_some_and(|object| {
+            matches!(&object.content, Ok(ObjectContent::Instance(known)) if *known == record)
+        });
+        if same {
+            return;
+        }
         self.put(
             ObjectKind::Instances,
             &name,
--- a/crates/ledgelead-router/src/requests/lifecycle.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle.rs
@@ -663,6 +663,18 @@
         let Some(open) = self.open.get(&client) else {
             return;
         };
+        log::info!(
+            target: "request",
+            "{} of {} key {:?} ends with {} after {} ms, sent to {}, owner's token {:?}, configuration {}",
+            attempt_name(&open.request, context.headers),
+            open.service,
+            open.key,
+            reason.name(),
+            context.now.saturating_sub(open.received).as_millis(),
+            open.tried.len(),
+            owner_fence(open, context),
+            context.configuration.map_or(0, |known| known.version),
+        );
         let request = open.request.clone();
         let response = self.refusal(&request, reason, context);
         self.finish(client, response, out);
@@ -698,13 +710,20 @@
         verdict: &Verdict,
         context: &RequestContext<'_>,
     ) {
-        let fence = self.open.get(&client).and_then(|open| {
-            let key = open.key?;
-            Some(context.ownership.find(&open.service, key)?.fence)
-        });
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
+        let fence = owner_fence(open, context);
+        log::info!(
+            target: "request",
+            "{} of {} key {:?} was at {} for {} ms under token {fence:?}: {}",
+            attempt_name(&open.request, context.headers),
+            open.service,
+            open.key,
+            attempt.instance,
+            context.now.saturating_sub(attempt.sent).as_millis(),
+            verdict.name(),
+        );
         match verdict {
             Verdict::NeverSent => {
                 open.tried.retain(|id| *id != attempt.instance);
@@ -832,6 +851,20 @@
     }
 }
 
+/// How a client names its request.
+fn attempt_name<'a>(request: &'a Request, headers: &HeaderNames) -> &'a str {
+    request
+        .headers
+        .text(&headers.attempt_id)
+        .unwrap_or("unnamed")
+}
+
+/// The fencing token under which the key of a request is owned.
+fn owner_fence(open: &OpenRequest, context: &RequestContext<'_>) -> Option<u64> {
+    let key = open.key?;
+    Some(context.ownership.find(&open.service, key)?.fence)
+}
+
 fn attempt_options(open: &OpenRequest, context: &RequestContext<'_>) -> ExchangeOptions {
     let left = open.due.saturating_sub(context.now);
     let header = &context.headers.attempt_id;
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -39,6 +39,23 @@
     },
 }
 
+impl Verdict {
+    /// A name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Relay(_) => "relayed",
+            Verdict::NeverSent => "never_sent",
+            Verdict::Rejected { ended: true, .. } => "instance_ended",
+            Verdict::Rejected {
+                misdirected: true, ..
+            } => "misdirected",
+            Verdict::Rejected { .. } => "shed",
+            Verdict::Unknown { timed_out: true } => "no_answer_in_time",
+            Verdict::Unknown { .. } => "answer_lost",
+        }
+    }
+}
+
 /// Judges the end of an attempt.
 pub fn judge(
     result: Result<Response, ExchangeFailure>,
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -13,4 +13,4 @@
 mod stream;
 
 pub use endpoint::{Endpoint, Listen, StatusPaths};
-pub use process::{RunError, SettingsSource, run};
+pub use process::{Bound, Control, RunError, SettingsSource, run};
--- a/crates/ledgelead-runtime/src/process.rs
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -1,7 +1,7 @@
 //! The process: sockets, signals and the event loop.
 
 use crate::endpoint::Listen;
-use crate::reactor::{Reactor, ReactorSetup, Signals, Sockets};
+use crate::reactor::{Reactor, ReactorSetup, Sockets};
 use ledgelead_router::dialect::Dialect;
 use ledgelead_router::node::Node;
 use ledgelead_router::settings::NodeSettings;
@@ -12,6 +12,8 @@
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 /// Events taken from the poller at once.
@@ -27,6 +29,38 @@
     fn changed(&mut self) -> Option<NodeSettings>;
 }
 
+/// What a running process is asked to do.
+#[derive(Clone, Debug, Default)]
+pub struct Control {
+    /// Stop in good order.
+    pub stop: Arc<AtomicBool>,
+    /// Read the settings again.
+    pub reload: Arc<AtomicBool>,
+}
+
+impl Control {
+    /// A control that follows the process's signals: SIGTERM stops, SIGHUP
+    /// reads the settings again.
+    ///
+    /// # Errors
+    /// When a signal can't be registered.
+    pub fn by_signals() -> io::Result<Control> {
+        let control = Control::default();
+        signal_hook::flag::register(SIGTERM, control.stop.clone())?;
+        signal_hook::flag::register(SIGHUP, control.reload.clone())?;
+        Ok(control)
+    }
+}
+
+/// Addresses that were bound.
+#[derive(Clone, Debug)]
+pub struct Bound {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For questions about the node, in the order of the settings.
+    pub status: Vec<SocketAddr>,
+}
+
 /// Why a process could not run.
 #[derive(Debug)]
 pub enum RunError {
@@ -60,7 +94,8 @@
     }
 }
 
-/// Runs a node until it is asked to stop.
+/// Runs a node until it is asked to stop. `started` is told the addresses
+/// once they are bound.
 ///
 /// # Errors
 /// When an address can't be listened on, or the event loop fails.
@@ -69,11 +104,11 @@
     listen: Listen,
     dialect: Box<dyn Dialect>,
     source: Box<dyn SettingsSource>,
+    control: Control,
+    started: impl FnOnce(Bound),
 ) -> Result<(), RunError> {
-    let signals = Signals::default();
-    signal_hook::flag::register(SIGTERM, signals.stop.clone())?;
-    signal_hook::flag::register(SIGHUP, signals.reload.clone())?;
     let sockets = bind(&listen)?;
+    started(sockets.bound()?);
     let start = Instant::now();
     let mut stakker = Stakker::new(start);
     let poll = MioPoll::new(
@@ -87,7 +122,7 @@
         node: Node::new(settings, dialect, Duration::ZERO),
         sockets,
         paths: listen.paths,
-        signals,
+        control,
         settings: source,
         start,
     };
@@ -96,6 +131,17 @@
     Ok(())
 }
 
+impl Sockets {
+    fn bound(&self) -> io::Result<Bound> {
+        let status: io::Result<Vec<SocketAddr>> =
+            self.status.iter().map(TcpListener::local_addr).collect();
+        Ok(Bound {
+            clients: self.clients.local_addr()?,
+            status: status?,
+        })
+    }
+}
+
 fn bind(listen: &Listen) -> Result<Sockets, RunError> {
     let status: Result<Vec<TcpListener>, RunError> = listen
         .status
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -4,7 +4,7 @@
 use crate::inbound::{ClientEvent, Inbound};
 use crate::metrics;
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
-use crate::process::SettingsSource;
+use crate::process::{Control, SettingsSource};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::Timestamp;
 use ledgelead_router::io::{Action, ClientId, ExchangeFailure, Input};
@@ -15,8 +15,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Priority of all sockets in the poller.
@@ -34,13 +33,6 @@
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
-/// Signals that reached the process.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Signals {
-    pub(crate) stop: Arc<AtomicBool>,
-    pub(crate) reload: Arc<AtomicBool>,
-}
-
 /// Bound sockets.
 pub(crate) struct Sockets {
     pub(crate) clients: std::net::TcpListener,
@@ -53,7 +45,7 @@
     pub(crate) node: Node,
     pub(crate) sockets: Sockets,
     pub(crate) paths: StatusPaths,
-    pub(crate) signals: Signals,
+    pub(crate) control: Control,
     pub(crate) settings: Box<dyn SettingsSource>,
     pub(crate) stop_grace: Duration,
     pub(crate) start: Instant,
@@ -68,7 +60,7 @@
     inbound: Inbound,
     outbound: Outbound,
     paths: StatusPaths,
-    signals: Signals,
+    control: Control,
     settings: Box<dyn SettingsSource>,
     stop_grace: Duration,
     stopped_at: Option<Instant>,
@@ -122,7 +114,7 @@
             inbound: Inbound::default(),
             outbound: Outbound::default(),
             paths: setup.paths,
-            signals: setup.signals,
+            control: setup.control,
             settings: setup.settings,
             stop_grace: setup.stop_grace,
             stopped_at: None,
@@ -210,7 +202,7 @@
     }
 
     fn look_at_settings(&mut self, now: Instant) {
-        let asked = self.signals.reload.swap(false, Ordering::Relaxed);
+        let asked = self.control.reload.swap(false, Ordering::Relaxed);
         if !asked && self.next_settings > now {
             return;
         }
@@ -222,7 +214,7 @@
     }
 
     fn look_at_signals(&mut self, now: Instant) {
-        if self.stopped_at.is_none() && self.signals.stop.load(Ordering::Relaxed) {
+        if self.stopped_at.is_none() && self.control.stop.load(Ordering::Relaxed) {
             self.stopped_at = Some(now);
             self.inbound.begin_stopping();
             self.inputs.push_back(Input::Stop);
