--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -32,7 +32,7 @@
     CrashInstance(usize),
     /// An instance of the sharded service falls silent.
     SilenceInstance(usize),
-    /// An instance is cut from the store and from some nodes.
+    /// An instance is cut from the store, the coordinator and some nodes.
     CutInstance(usize),
     /// The coordinator and an instance reach each other, and nobody else.
     IsolateWithCoordinator(usize),
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -0,0 +1,169 @@
+//! A range of keys and where it stands.
+
+use super::OwnershipCounters;
+use crate::Timestamp;
+use crate::dialect::{KeyRange, OrderAnswer};
+use crate::identity::{InstanceId, ServiceName};
+use crate::io::{ExchangeFailure, ExchangeId};
+use crate::ownership::lease::Lease;
+use crate::ownership::record::Assignment;
+use std::time::Duration;
+
+/// Pause before a release without an answer is repeated.
+const RELEASE_RETRY: Duration = Duration::from_millis(300);
+
+#[derive(Clone, Debug)]
+pub(super) enum State {
+    /// The owner holds the keys, or is being granted them.
+    Held,
+    /// The owner gives the keys back.
+    Releasing {
+        target: Option<InstanceId>,
+        order: Option<ExchangeId>,
+        next_try: Timestamp,
+    },
+    /// Nobody holds the keys.
+    Free {
+        target: Option<InstanceId>,
+        handover: Option<String>,
+    },
+    /// The record is being written with the next owner.
+    Writing {
+        owner: InstanceId,
+        fence: u64,
+        handover: Option<String>,
+    },
+}
+
+/// A range of keys and where it stands.
+#[derive(Clone, Debug)]
+pub(super) struct Holding {
+    pub(super) service: ServiceName,
+    pub(super) range: KeyRange,
+    pub(super) owner: Option<InstanceId>,
+    pub(super) fence: u64,
+    pub(super) lease: Lease,
+    pub(super) state: State,
+}
+
+impl Holding {
+    pub(super) fn release_order(&self) -> Option<ExchangeId> {
+        match &self.state {
+            State::Releasing { order, .. } => *order,
+            _ => None,
+        }
+    }
+
+    /// The owner that a move leads to, if that is decided.
+    pub(super) fn next_owner(&self) -> Option<&InstanceId> {
+        match &self.state {
+            State::Held => (!self.lease.fenced)
+                .then_some(self.owner.as_ref())
+                .flatten(),
+            State::Releasing { target, .. } | State::Free { target, .. } => target.as_ref(),
+            State::Writing { owner, .. } => Some(owner),
+        }
+    }
+
+    pub(super) fn projected(&self) -> Option<Assignment> {
+        let (owner, fence) = match &self.state {
+            State::Writing { owner, fence, .. } => (owner.clone(), *fence),
+            _ => (self.owner.clone()?, self.fence),
+        };
+        Some(Assignment {
+            service: self.service.clone(),
+            first: self.range.first,
+            last: self.range.last,
+            owner,
+            fence,
+        })
+    }
+
+    /// Returns whether the instance has seen a higher fencing token.
+    pub(super) fn grant_ended(
+        &mut self,
+        result: Result<OrderAnswer, ExchangeFailure>,
+        now: Timestamp,
+        counters: &mut OwnershipCounters,
+    ) -> bool {
+        match result {
+            Ok(OrderAnswer::Done { .. }) => {
+                counters.grants += 1;
+                self.lease.granted(now);
+            }
+            Ok(OrderAnswer::Fenced) => {
+                // Never repeated under this token: the range gets a higher
+                // one, if this node is still the coordinator.
+                self.lease.unanswered(false, now);
+                self.state = State::Free {
+                    target: self.owner.clone(),
+                    handover: None,
+                };
+                return true;
+            }
+            Ok(OrderAnswer::OtherInstance) => {
+                self.lease.unanswered(false, now);
+                self.lease.possible_until = now;
+                self.lease.failures = u32::MAX / 2;
+            }
+            Ok(OrderAnswer::Refused) => {
+                counters.grants_unanswered += 1;
+                self.lease.unanswered(false, now);
+            }
+            Err(failure) => {
+                counters.grants_unanswered += 1;
+                self.lease.unanswered(!failure.proves_not_sent(), now);
+            }
+        }
+        false
+    }
+
+    pub(super) fn release_ended(
+        &mut self,
+        result: Result<OrderAnswer, ExchangeFailure>,
+        now: Timestamp,
+        counters: &mut OwnershipCounters,
+    ) {
+        let State::Releasing {
+            target,
+            order,
+            next_try,
+        } = &mut self.state
+        else {
+            return;
+        };
+        *order = None;
+        let handover = match result {
+            Ok(OrderAnswer::Done { handover }) => handover,
+            Ok(OrderAnswer::OtherInstance) => None,
+            Ok(OrderAnswer::Fenced | OrderAnswer::Refused) | Err(_) => {
+                *next_try = now + RELEASE_RETRY;
+                return;
+            }
+        };
+        counters.releases += 1;
+        self.lease.possible_until = now;
+        self.state = State::Free {
+            target: target.take(),
+            handover,
+        };
+    }
+}
+
+/// What is left of a range without a part of it.
+pub(super) fn remainders(whole: KeyRange, part: KeyRange) -> Vec<KeyRange> {
+    let mut ranges = Vec::new();
+    if whole.first < part.first {
+        ranges.push(KeyRange {
+            first: whole.first,
+            last: part.first - 1,
+        });
+    }
+    if part.last < whole.last {
+        ranges.push(KeyRange {
+            first: part.last + 1,
+            last: whole.last,
+        });
+    }
+    ranges
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -0,0 +1,222 @@
+//! The coordinator of ownership: grants, renewals, moves and the record.
+
+mod holding;
+mod orders;
+mod placement;
+mod writes;
+
+use self::holding::{Holding, State};
+use self::placement::Gathering;
+use super::lease::Lease;
+use super::load::KeyLoad;
+use super::record::OwnershipRecord;
+use crate::Timestamp;
+use crate::configuration::Configuration;
+use crate::dialect::Order;
+use crate::directory::Directory;
+use crate::identity::{InstanceId, ServiceName};
+use crate::io::ExchangeId;
+use crate::protections::Protections;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pause between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Numbers exchanges.
+#[derive(Debug, Default)]
+pub struct ExchangeIds {
+    last: u64,
+}
+
+impl ExchangeIds {
+    /// The next number.
+    pub fn next_id(&mut self) -> ExchangeId {
+        self.last += 1;
+        ExchangeId(self.last)
+    }
+}
+
+/// An order to be sent.
+#[derive(Clone, Debug)]
+pub struct OutgoingOrder {
+    /// The exchange that carries it.
+    pub exchange: ExchangeId,
+    /// The receiver.
+    pub instance: InstanceId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The order.
+    pub order: Order,
+}
+
+/// What the coordinator wants done.
+#[derive(Debug, Default)]
+pub struct Commands {
+    /// Orders to instances.
+    pub orders: Vec<OutgoingOrder>,
+    /// The next version of the record.
+    pub write: Option<OwnershipRecord>,
+}
+
+/// What the coordinator decides with.
+pub struct Context<'a> {
+    /// The time.
+    pub now: Timestamp,
+    /// The instances.
+    pub directory: &'a Directory,
+    /// The configuration.
+    pub configuration: &'a Configuration,
+    /// Seconds of work for one request, by instance, where they are known.
+    pub service_times: &'a dyn Fn(&InstanceId) -> Option<Duration>,
+    /// Numbers exchanges.
+    pub exchanges: &'a mut ExchangeIds,
+}
+
+/// The coordinator.
+pub struct Coordinator {
+    record: OwnershipRecord,
+    next_fence: u64,
+    holdings: Vec<Holding>,
+    loads: BTreeMap<ServiceName, KeyLoad>,
+    writing: Option<OwnershipRecord>,
+    authority_end_of_predecessor: Timestamp,
+    next_plan: Timestamp,
+    gatherings: BTreeMap<ServiceName, Gathering>,
+    refused: bool,
+    protections: Protections,
+    counters: OwnershipCounters,
+}
+
+/// What the coordinator has done, for metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnershipCounters {
+    /// Grants answered.
+    pub grants: u64,
+    /// Grants without an answer.
+    pub grants_unanswered: u64,
+    /// Releases answered.
+    pub releases: u64,
+    /// Ranges whose lease was waited out.
+    pub lapses: u64,
+    /// Ranges that changed their owner.
+    pub moves: u64,
+}
+
+impl Coordinator {
+    /// A coordinator named by this version of the record.
+    /// `predecessor_end` is when the one before can't give orders any more.
+    pub fn new(
+        record: OwnershipRecord,
+        predecessor_end: Timestamp,
+        protections: Protections,
+        now: Timestamp,
+    ) -> Coordinator {
+        let holdings = record
+            .assignments
+            .iter()
+            .map(|assignment| Holding {
+                service: assignment.service.clone(),
+                range: assignment.range(),
+                owner: Some(assignment.owner.clone()),
+                fence: assignment.fence,
+                lease: Lease::inherited(now, predecessor_end.max(now)),
+                state: State::Held,
+            })
+            .collect();
+        Coordinator {
+            next_fence: record.next_fence,
+            record,
+            holdings,
+            loads: BTreeMap::new(),
+            writing: None,
+            authority_end_of_predecessor: predecessor_end,
+            next_plan: now + PLAN_INTERVAL * 2,
+            gatherings: BTreeMap::new(),
+            refused: false,
+            protections,
+            counters: OwnershipCounters::default(),
+        }
+    }
+
+    /// The epoch.
+    pub fn epoch(&self) -> u64 {
+        self.record.epoch
+    }
+
+    /// What has been done.
+    pub fn counters(&self) -> OwnershipCounters {
+        self.counters
+    }
+
+    /// The version that is being written, if one is.
+    pub fn pending_write(&self) -> Option<&OwnershipRecord> {
+        self.writing.as_ref()
+    }
+
+    /// Whether an instance refused an order for a higher fencing token since
+    /// this was asked last.
+    pub fn take_refused(&mut self) -> bool {
+        std::mem::take(&mut self.refused)
+    }
+
+    /// The predecessor has ended for certain.
+    pub fn predecessor_ended(&mut self, now: Timestamp) {
+        if self.authority_end_of_predecessor <= now {
+            return;
+        }
+        self.authority_end_of_predecessor = now;
+        let earliest = Lease::inherited(now, now).possible_until;
+        for holding in &mut self.holdings {
+            holding.lease.possible_until = holding.lease.possible_until.min(earliest);
+        }
+    }
+
+    /// Requests were seen for these keys.
+    pub fn record_load(&mut self, service: &ServiceName, keys: &[u16], now: Timestamp) {
+        let load = self
+            .loads
+            .entry(service.clone())
+            .or_insert_with(|| KeyLoad::new(now));
+        for key in keys {
+            load.record(*key);
+        }
+    }
+
+    /// Decides what is due. Orders must be sent at once or not at all: the
+    /// caller has checked the coordinator's authority for this very moment.
+    pub fn step(&mut self, context: &mut Context<'_>) -> Commands {
+        let mut commands = Commands::default();
+        self.cover_services(context);
+        self.replace_lost_owners(context);
+        self.plan_moves(context);
+        self.release(context, &mut commands);
+        self.grant(context, &mut commands);
+        commands.write = self.begin_write(context);
+        commands
+    }
+
+    /// When `step` has something to do next.
+    pub fn next_step(&self) -> Timestamp {
+        let of_holding = |holding: &Holding| match &holding.state {
+            State::Held if holding.lease.order.is_some() => None,
+            State::Held => Some(holding.lease.next_grant),
+            State::Releasing { order: None, .. } if holding.lease.order.is_some() => None,
+            State::Releasing {
+                order: None,
+                next_try,
+                ..
+            } if holding.lease.fenced => Some(*next_try),
+            State::Releasing { order: None, .. } => Some(holding.lease.next_grant),
+            State::Releasing { .. } => Some(holding.lease.possible_until),
+            State::Free { .. } | State::Writing { .. } => None,
+        };
+        self.holdings
+            .iter()
+            .filter_map(of_holding)
+            .chain([self.next_plan])
+            .min()
+            .unwrap_or(self.next_plan)
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -0,0 +1,258 @@
+//! Who should own what: first owners, moves, the next owner of free keys.
+
+use super::PLAN_INTERVAL;
+use super::holding::{Holding, State, remainders};
+use super::{Context, Coordinator};
+use crate::Timestamp;
+use crate::dialect::KeyRange;
+use crate::directory::Instance;
+use crate::identity::{InstanceId, ServiceName};
+use crate::ownership::lease::Lease;
+use crate::ownership::planner;
+use crate::ownership::planner::Candidate;
+use std::time::Duration;
+
+/// Time without a further instance after which a service's keys get their
+/// first owners, so that not all keys go to the first that registers.
+const FIRST_OWNERS_SETTLED: Duration = Duration::from_millis(1_500);
+/// The most that first owners are waited for.
+const FIRST_OWNERS_MAX_WAIT: Duration = Duration::from_secs(5);
+/// The least that they are waited for once clients ask for keys.
+const FIRST_OWNERS_MIN_WAIT: Duration = Duration::from_millis(500);
+/// Service time assumed of an instance before one was seen.
+const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// The first owners of a service's keys as they register.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Gathering {
+    began: Timestamp,
+    count: usize,
+    grew: Timestamp,
+}
+
+impl Gathering {
+    pub(super) fn is_over(&self, demand: bool, now: Timestamp) -> bool {
+        let waited = now.saturating_sub(self.began);
+        let settled = now >= self.grew + FIRST_OWNERS_SETTLED;
+        let wanted = demand && waited >= FIRST_OWNERS_MIN_WAIT;
+        self.count > 0 && (settled || wanted || waited >= FIRST_OWNERS_MAX_WAIT)
+    }
+}
+
+impl Coordinator {
+    pub(super) fn plan_moves(&mut self, context: &Context<'_>) {
+        if context.now < self.next_plan {
+            return;
+        }
+        self.next_plan = context.now + PLAN_INTERVAL;
+        let services: Vec<ServiceName> = self.loads.keys().cloned().collect();
+        for service in services {
+            let candidates = self.candidates(context, &service);
+            let Some(load) = self.loads.get_mut(&service) else {
+                continue;
+            };
+            load.decay(context.now);
+            for planned in planner::plan(candidates, load) {
+                self.begin_move(&service, &planned, context.now);
+            }
+        }
+    }
+
+    pub(super) fn candidates(
+        &self,
+        context: &Context<'_>,
+        service: &ServiceName,
+    ) -> Vec<Candidate> {
+        let instances: Vec<&Instance> = takers(context, service).collect();
+        let known: Vec<Duration> = instances
+            .iter()
+            .filter_map(|instance| (context.service_times)(&instance.record.id))
+            .collect();
+        let typical = mean(&known).unwrap_or(DEFAULT_SERVICE_TIME);
+        instances
+            .into_iter()
+            .map(|instance| self.candidate(context, service, instance, typical))
+            .collect()
+    }
+
+    pub(super) fn candidate(
+        &self,
+        context: &Context<'_>,
+        service: &ServiceName,
+        instance: &Instance,
+        typical: Duration,
+    ) -> Candidate {
+        let id = &instance.record.id;
+        let service_time = (context.service_times)(id).unwrap_or(typical);
+        let owned =
+            |holding: &&Holding| holding.service == *service && holding.owner.as_ref() == Some(id);
+        let settled =
+            |holding: &&Holding| matches!(holding.state, State::Held) && holding.lease.fenced;
+        let silent = self
+            .holdings
+            .iter()
+            .filter(owned)
+            .any(|holding| holding.lease.is_silent());
+        let load = self.loads.get(service);
+        let incoming = self
+            .holdings
+            .iter()
+            .filter(|holding| holding.service == *service && holding.next_owner() == Some(id))
+            .map(|holding| load.map_or(0.0, |load| load.rate(holding.range)))
+            .sum();
+        Candidate {
+            id: id.clone(),
+            capacity: f64::from(instance.record.slots.max(1))
+                / service_time.as_secs_f64().max(0.001),
+            ranges: self
+                .holdings
+                .iter()
+                .filter(owned)
+                .filter(settled)
+                .map(|holding| holding.range)
+                .collect(),
+            takes_keys: !silent && instance.warm_at <= context.now,
+            incoming,
+        }
+    }
+
+    /// Splits the range off its holding and begins to release it.
+    pub(super) fn begin_move(
+        &mut self,
+        service: &ServiceName,
+        planned: &planner::PlannedMove,
+        now: Timestamp,
+    ) {
+        let position = self.holdings.iter().position(|holding| {
+            holding.service == *service
+                && holding.owner.as_ref() == Some(&planned.from)
+                && holding.range.contains(planned.range.first)
+                && holding.range.contains(planned.range.last)
+                && matches!(holding.state, State::Held)
+                && holding.lease.order.is_none()
+        });
+        let Some(position) = position else {
+            return;
+        };
+        log::info!(
+            target: "ownership",
+            "moves {}-{} of {service} from {} to {}",
+            planned.range.first, planned.range.last, planned.from, planned.to
+        );
+        let whole = self.holdings.remove(position);
+        for range in remainders(whole.range, planned.range) {
+            self.holdings.push(Holding {
+                range,
+                ..whole.clone()
+            });
+        }
+        self.holdings.push(Holding {
+            range: planned.range,
+            state: State::Releasing {
+                target: Some(planned.to.clone()),
+                order: None,
+                next_try: now,
+            },
+            ..whole
+        });
+    }
+
+    pub(super) fn least_loaded(
+        &self,
+        context: &Context<'_>,
+        service: &ServiceName,
+    ) -> Option<InstanceId> {
+        let load = self.loads.get(service);
+        let utilisation = |candidate: &Candidate| {
+            let own: f64 = candidate
+                .ranges
+                .iter()
+                .map(|range| load.map_or(0.0, |load| load.rate(*range)))
+                .sum();
+            let keys: u32 = candidate.ranges.iter().map(|range| range.len()).sum();
+            let tie = f64::from(keys) * 1e-9;
+            (own + candidate.incoming) / candidate.capacity + tie
+        };
+        let candidates = self.candidates(context, service);
+        let pick = |usable: &dyn Fn(&&Candidate) -> bool| {
+            candidates
+                .iter()
+                .filter(usable)
+                .min_by(|left, right| utilisation(left).total_cmp(&utilisation(right)))
+                .map(|candidate| candidate.id.clone())
+        };
+        pick(&|candidate| candidate.takes_keys).or_else(|| pick(&|_| true))
+    }
+
+    /// Ranges without an owner for the services of the configuration.
+    pub(super) fn cover_services(&mut self, context: &Context<'_>) {
+        for service in context.configuration.sharded_services() {
+            let covered = self
+                .holdings
+                .iter()
+                .any(|holding| holding.service == *service);
+            if covered {
+                continue;
+            }
+            let owners: Vec<InstanceId> = takers(context, service)
+                .map(|instance| instance.record.id.clone())
+                .collect();
+            let gathering = self.gatherings.entry(service.clone()).or_insert(Gathering {
+                began: context.now,
+                count: 0,
+                grew: context.now,
+            });
+            if owners.len() > gathering.count {
+                gathering.count = owners.len();
+                gathering.grew = context.now;
+            }
+            let demand = self.loads.contains_key(service);
+            if !gathering.is_over(demand, context.now) {
+                continue;
+            }
+            for (range, owner) in equal_ranges(owners.len()).into_iter().zip(owners) {
+                self.holdings.push(Holding {
+                    service: service.clone(),
+                    range,
+                    owner: None,
+                    fence: 0,
+                    lease: Lease::fresh(context.now, None),
+                    state: State::Free {
+                        target: Some(owner),
+                        handover: None,
+                    },
+                });
+            }
+        }
+    }
+}
+
+/// The instances of a service that keys can be given to.
+pub(super) fn takers<'a>(
+    context: &'a Context<'_>,
+    service: &'a ServiceName,
+) -> impl Iterator<Item = &'a Instance> {
+    context
+        .directory
+        .of_service(service)
+        .filter(|instance| instance.serves())
+}
+
+/// All keys in ranges of about equal length.
+pub(super) fn equal_ranges(count: usize) -> Vec<KeyRange> {
+    let all = KeyRange::ALL.len() as usize;
+    (0..count)
+        .filter_map(|index| {
+            let first = u16::try_from(index * all / count).ok()?;
+            let last = u16::try_from((index + 1) * all / count - 1).ok()?;
+            Some(KeyRange { first, last })
+        })
+        .collect()
+}
+
+pub(super) fn mean(values: &[Duration]) -> Option<Duration> {
+    let count = u32::try_from(values.len())
+        .ok()
+        .filter(|count| *count > 0)?;
+    Some(values.iter().sum::<Duration>() / count)
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -0,0 +1,115 @@
+//! Versions of the record.
+
+use super::holding::{Holding, State};
+use super::placement::takers;
+use super::{Context, Coordinator};
+use crate::Timestamp;
+use crate::ownership::lease::Lease;
+use crate::ownership::record::{Assignment, OwnershipRecord};
+
+impl Coordinator {
+    /// Puts all free ranges under their next owners, in one write.
+    pub(super) fn begin_write(&mut self, context: &Context<'_>) -> Option<OwnershipRecord> {
+        if self.writing.is_some() {
+            return None;
+        }
+        let mut changed = false;
+        for index in 0..self.holdings.len() {
+            let State::Free { target, handover } = &self.holdings[index].state else {
+                continue;
+            };
+            let handover = handover.clone();
+            let service = self.holdings[index].service.clone();
+            let wished = target
+                .clone()
+                .filter(|id| takers(context, &service).any(|instance| instance.record.id == *id));
+            let over = self.holdings[index]
+                .lease
+                .is_over(self.protections, context.now);
+            if wished.is_none() && !over {
+                // Refused by an owner that left since: it may hold the keys.
+                self.holdings[index].state = State::Releasing {
+                    target: None,
+                    order: None,
+                    next_try: context.now,
+                };
+                continue;
+            }
+            let Some(owner) = wished.or_else(|| self.least_loaded(context, &service)) else {
+                continue;
+            };
+            self.holdings[index].state = State::Writing {
+                owner,
+                fence: self.next_fence,
+                handover,
+            };
+            self.next_fence += 1;
+            changed = true;
+        }
+        if !changed {
+            return None;
+        }
+        self.writing = Some(self.projected_record());
+        self.writing.clone()
+    }
+
+    /// The record as it stands once all writes that are decided are done.
+    pub(super) fn projected_record(&self) -> OwnershipRecord {
+        let mut assignments: Vec<Assignment> = self
+            .holdings
+            .iter()
+            .filter_map(Holding::projected)
+            .collect();
+        assignments
+            .sort_by(|left, right| (&left.service, left.first).cmp(&(&right.service, right.first)));
+        let mut record = OwnershipRecord {
+            epoch: self.record.epoch,
+            coordinator: self.record.coordinator.clone(),
+            next_fence: self.next_fence,
+            assignments: Vec::with_capacity(assignments.len()),
+        };
+        for assignment in assignments {
+            match record.assignments.last_mut() {
+                Some(last) if continues(last, &assignment) => last.last = assignment.last,
+                _ => record.assignments.push(assignment),
+            }
+        }
+        record
+    }
+
+    /// The version that was being written is in the store.
+    pub fn written(&mut self, now: Timestamp) {
+        let Some(record) = self.writing.take() else {
+            return;
+        };
+        self.record = record;
+        for holding in &mut self.holdings {
+            let State::Writing {
+                owner,
+                fence,
+                handover,
+            } = &holding.state
+            else {
+                continue;
+            };
+            self.counters.moves += 1;
+            log::info!(
+                target: "ownership",
+                "{} owns {}-{} of {} under {fence}",
+                owner, holding.range.first, holding.range.last, holding.service
+            );
+            holding.lease = Lease::fresh(now, handover.clone());
+            holding.fence = *fence;
+            holding.owner = Some(owner.clone());
+            holding.state = State::Held;
+        }
+    }
+}
+
+/// Whether the second assignment only continues the first.
+fn continues(first: &Assignment, second: &Assignment) -> bool {
+    first.service == second.service
+        && first.owner == second.owner
+        && first.fence == second.fence
+        && first.last.checked_add(1) == Some(second.first)
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -0,0 +1,300 @@
+//! Attempts: sent, reviewed, ended.
+
+use super::ANSWER_MARGIN;
+use super::endings::{attempt_name, owner_fence};
+use super::{RequestContext, Requests};
+use crate::identity::InstanceId;
+use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
+use crate::protections::Protection;
+use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
+use crate::requests::outcome::Verdict;
+use crate::requests::selection::Selected;
+use crate::requests::statistics::ReportedLoad;
+use ledgelead_http::{Request, Response};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for a connection to an instance to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A kept connection that was idle for longer may be closed by now.
+const REUSE_IDLE: Duration = Duration::from_secs(7);
+/// The same for requests that can't be sent again after such a close.
+const REUSE_IDLE_ONCE: Duration = Duration::from_secs(3);
+/// After this share of the target latency an idempotent request is sent to
+/// another instance, if the first has been silent since.
+const REVIEW_SHARE: f64 = 1.3;
+/// The same for an instance that answers others: its answer to this one may
+/// be lost.
+const REVIEW_EXPECTED: f64 = 4.0;
+/// Pause between two reviews of an attempt.
+const REVIEW_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before an owner that rejected a key is asked again.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(60);
+
+impl Requests {
+    /// Breaks off an attempt that has been out for too long, if another may
+    /// be made. Returns whether it did.
+    pub(super) fn abandon_attempt(
+        &mut self,
+        client: ClientId,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(open) = self.open.get(&client) else {
+            return false;
+        };
+        let Some(attempt) = open.attempt.clone() else {
+            return false;
+        };
+        if attempt.review > context.now || self.stopping || !open.is_idempotent() {
+            let next = if attempt.review > context.now && !self.stopping {
+                attempt.review.min(open.due)
+            } else {
+                open.due
+            };
+            self.wake_at(client, next);
+            return false;
+        }
+        if !self.should_abandon(open, &attempt, context) {
+            let next = (context.now + REVIEW_PAUSE).min(open.due);
+            self.wake_at(client, next);
+            return false;
+        }
+        if let Some(open) = self.open.get_mut(&client) {
+            open.attempt = None;
+            open.may_have_run = true;
+            open.timed_out = true;
+        }
+        self.end_attempt(&attempt);
+        self.statistics.entry(&attempt.instance).failed(context.now);
+        out.push(Action::Cancel {
+            exchange: attempt.exchange,
+        });
+        true
+    }
+
+    pub(super) fn should_abandon(
+        &self,
+        open: &OpenRequest,
+        attempt: &Attempt,
+        context: &RequestContext<'_>,
+    ) -> bool {
+        if open.tried.len() >= open.route.max_attempts as usize {
+            return false;
+        }
+        let answers_others = self
+            .statistics
+            .get(&attempt.instance)
+            .and_then(|seen| seen.last_answer())
+            .is_some_and(|at| at > attempt.sent);
+        let patience = attempt.expected.mul_f64(REVIEW_EXPECTED);
+        if answers_others && attempt.sent + patience > context.now {
+            return false;
+        }
+        let left = open.due.saturating_sub(context.now);
+        let another = match open.key {
+            Some(key) => context
+                .ownership
+                .find(&open.service, key)
+                .is_some_and(|assignment| answers_others || assignment.owner != attempt.instance),
+            None => true,
+        };
+        another
+            && left > attempt.expected.min(open.route.target_latency / 2)
+            && self.budget.may_draw(&open.service, context.nodes)
+    }
+
+    pub(super) fn send(
+        &mut self,
+        client: ClientId,
+        selected: Selected,
+        address: SocketAddr,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let nodes = context.nodes;
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
+        // Instances that were never reached are no arrivals.
+        let repeated = !open.tried.is_empty();
+        if repeated && !self.budget.draw(&open.service, nodes, context.now) {
+            let reason = open.failure();
+            self.refuse(client, reason, context, out);
+            return;
+        }
+        if let Some(since) = open.waiting_since.take() {
+            self.waiting.remove(&(open.route.priority, since, client));
+        }
+        let exchange = context.exchanges.next_id();
+        let options = attempt_options(open, context);
+        let review = open.route.target_latency.mul_f64(REVIEW_SHARE);
+        let request = forwarded(open, &selected.id, context);
+        open.tried.push(selected.id.clone());
+        open.attempt = Some(Attempt {
+            exchange,
+            instance: selected.id.clone(),
+            sent: context.now,
+            load_factor: selected.load_factor,
+            review: context.now + review,
+            expected: selected.expected,
+        });
+        let due = open.due.min(context.now + review);
+        self.counters.attempts += 1;
+        self.by_exchange.insert(exchange, client);
+        self.statistics.entry(&selected.id).open += 1;
+        self.changed.insert(selected.id);
+        self.wake_at(client, due);
+        out.push(Action::Exchange {
+            exchange,
+            address,
+            request,
+            options,
+        });
+    }
+
+    pub(super) fn attempt_failed(
+        &mut self,
+        client: ClientId,
+        attempt: &Attempt,
+        verdict: &Verdict,
+        context: &RequestContext<'_>,
+    ) {
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
+        let fence = owner_fence(open, context);
+        log::info!(
+            target: "request",
+            "{} of {} key {:?} was at {} for {} ms under token {fence:?}: {}",
+            attempt_name(&open.request, context.headers),
+            open.service,
+            open.key,
+            attempt.instance,
+            context.now.saturating_sub(attempt.sent).as_millis(),
+            verdict.name(),
+        );
+        match verdict {
+            Verdict::NeverSent => {
+                open.tried.retain(|id| *id != attempt.instance);
+                if open.key.is_none() {
+                    // Another instance is tried at once; this one stays out by
+                    // its failures.
+                    open.rejected = true;
+                }
+                open.misdirection = fence.map(|fence| Misdirection {
+                    fence,
+                    again: Some(context.now + MISDIRECTED_PAUSE),
+                });
+            }
+            Verdict::Rejected { misdirected, ended } => {
+                open.rejected = true;
+                if *ended {
+                    self.ended.push(attempt.instance.clone());
+                }
+                let again = context.now + MISDIRECTED_PAUSE;
+                let once_more = !ended && (!misdirected || open.tried.len() < 2);
+                open.misdirection = fence.map(|fence| Misdirection {
+                    fence,
+                    again: once_more.then_some(again),
+                });
+            }
+            Verdict::Unknown { timed_out } => {
+                open.may_have_run = self.protections.has(Protection::HonestRefusal);
+                open.timed_out |= *timed_out;
+            }
+            Verdict::Relay(_) => {}
+        }
+        let repeats_unknown = !self.protections.has(Protection::UnknownNotRepeated);
+        if open.may_have_run && !open.is_idempotent() && !repeats_unknown {
+            // Never sent again: exhausted, whatever the route allows.
+            let attempts = open.route.max_attempts.max(4) as usize;
+            while open.tried.len() < attempts {
+                open.tried.push(attempt.instance.clone());
+            }
+        }
+    }
+
+    pub(super) fn learn(
+        &mut self,
+        attempt: &Attempt,
+        result: &Result<Response, ExchangeFailure>,
+        context: &RequestContext<'_>,
+    ) {
+        let now = context.now;
+        let seen = self.statistics.entry(&attempt.instance);
+        match result {
+            Ok(response) => {
+                seen.heard(now);
+                let load = reported_load(response, context);
+                let slots = context
+                    .directory
+                    .get(&attempt.instance)
+                    .map_or(1, |instance| instance.record.slots.max(1));
+                let mut factor = attempt.load_factor;
+                if let Some(load) = load {
+                    factor = factor.max(f64::from(load.running + load.waiting) / f64::from(slots));
+                    seen.told_load(load);
+                }
+                if response.is_success() {
+                    seen.answered(now.saturating_sub(attempt.sent), factor, now);
+                }
+            }
+            Err(_) => seen.failed(now),
+        }
+    }
+
+    pub(super) fn end_attempt(&mut self, attempt: &Attempt) {
+        self.by_exchange.remove(&attempt.exchange);
+        let seen = self.statistics.entry(&attempt.instance);
+        seen.open = seen.open.saturating_sub(1);
+        self.changed.insert(attempt.instance.clone());
+    }
+}
+
+fn attempt_options(open: &OpenRequest, context: &RequestContext<'_>) -> ExchangeOptions {
+    let left = open.due.saturating_sub(context.now);
+    let header = &context.headers.attempt_id;
+    let match_header = open
+        .request
+        .headers
+        .get(header)
+        .map(|value| (header.clone(), value.to_vec()));
+    ExchangeOptions {
+        match_header,
+        reuse_idle_below: if open.is_idempotent() {
+            REUSE_IDLE
+        } else {
+            REUSE_IDLE_ONCE
+        },
+        connect_timeout: CONNECT_TIMEOUT.min(left),
+        // A little longer than this node waits: the final answer at the end
+        // of the time is given by the request's own timer.
+        timeout: left + ANSWER_MARGIN,
+    }
+}
+
+fn forwarded(open: &OpenRequest, instance: &InstanceId, context: &RequestContext<'_>) -> Request {
+    let mut request = open.request.clone();
+    request.headers.remove_connection_headers();
+    let left = open.due.saturating_sub(context.now).as_millis().max(1);
+    request
+        .headers
+        .set(&context.headers.deadline, left.to_string());
+    request
+        .headers
+        .set(&context.headers.target_instance, instance.as_str());
+    request
+}
+
+fn reported_load(response: &Response, context: &RequestContext<'_>) -> Option<ReportedLoad> {
+    let text = response.headers.text(&context.headers.load)?;
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
+    let running = numbers.next()?.ok()?;
+    let waiting = numbers.next()?.ok()?;
+    Some(ReportedLoad {
+        running,
+        waiting,
+        at: context.now,
+    })
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -0,0 +1,141 @@
+//! Send, wait or refuse: the next step of a request without an attempt.
+
+use super::{RequestContext, Requests};
+use crate::Timestamp;
+use crate::io::ClientId;
+use crate::protections::Protection;
+use crate::requests::answers::Refusal;
+use crate::requests::open_request::OpenRequest;
+use crate::requests::selection::{Selected, SelectionContext};
+use std::net::SocketAddr;
+
+/// Share of the time left that an owner's queue may take.
+const OWNER_WAIT_SHARE: f64 = 1.0;
+/// Share of the drain bound after which a leaving owner gets nothing more.
+const DRAIN_SHARE: f64 = 0.35;
+
+/// What is done next with a request.
+pub(super) enum Step {
+    Send(Selected, SocketAddr),
+    Wait {
+        again: Option<Timestamp>,
+        reason: Refusal,
+    },
+    Refuse(Refusal),
+}
+
+impl Requests {
+    pub(super) fn next_step(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
+        let Some(open) = self.open.get(&client) else {
+            return Step::Refuse(Refusal::NoInstance);
+        };
+        if !open.tried.is_empty() {
+            let exhausted = open.tried.len() >= open.route.max_attempts as usize;
+            if exhausted && open.key.is_none() || open.tried.len() >= 4 {
+                return Step::Refuse(open.failure());
+            }
+        }
+        match open.key {
+            Some(key) => self.next_step_keyed(open, key, context),
+            None => self.next_step_any(client, context),
+        }
+    }
+
+    pub(super) fn next_step_keyed(
+        &self,
+        open: &OpenRequest,
+        key: u16,
+        context: &RequestContext<'_>,
+    ) -> Step {
+        let wait = Step::Wait {
+            again: None,
+            reason: Refusal::NoOwner,
+        };
+        let Some(assignment) = context.ownership.find(&open.service, key) else {
+            return wait;
+        };
+        let Some(owner) = context.directory.get(&assignment.owner) else {
+            return wait;
+        };
+        let bounded = self.protections.has(Protection::DrainBound);
+        let must_leave = self.drain_bound.mul_f64(DRAIN_SHARE);
+        if owner.ended {
+            return wait;
+        }
+        if owner
+            .leaving_since()
+            .is_some_and(|since| since + must_leave <= context.now && bounded)
+        {
+            return wait;
+        }
+        if let Some(misdirection) = &open.misdirection {
+            let same = misdirection.fence == assignment.fence;
+            if same && misdirection.again.is_none_or(|again| again > context.now) {
+                return Step::Wait {
+                    again: misdirection.again,
+                    reason: Refusal::NoOwner,
+                };
+            }
+        }
+        let seen = self.statistics.get(&assignment.owner);
+        if let Some(seen) = seen.filter(|seen| seen.is_ejected(context.now)) {
+            return Step::Wait {
+                again: Some(seen.ejected_until()),
+                reason: Refusal::NoOwner,
+            };
+        }
+        let left = open.time_left(context.now);
+        let selection = self.selection(context);
+        let selected = selection.expect_owner(owner, left);
+        if selected.load_factor > 1.0 && selected.expected > left.mul_f64(OWNER_WAIT_SHARE) {
+            return Step::Wait {
+                again: None,
+                reason: Refusal::Overloaded,
+            };
+        }
+        Step::Send(selected, owner.record.address)
+    }
+
+    pub(super) fn next_step_any(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
+        let Some(open) = self.open.get(&client) else {
+            return Step::Refuse(Refusal::NoInstance);
+        };
+        let left = open.time_left(context.now);
+        let selection = SelectionContext {
+            now: context.now,
+            directory: context.directory,
+            statistics: &self.statistics,
+            shared: context.shared,
+            zone: &self.zone,
+            zones: context.zones,
+        };
+        let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
+        let Some(selected) = selected else {
+            return Step::Wait {
+                again: None,
+                reason: open.failure_or(Refusal::NoInstance),
+            };
+        };
+        if selected.load_factor > 1.0 && selected.expected > left {
+            return Step::Wait {
+                again: None,
+                reason: Refusal::Overloaded,
+            };
+        }
+        match context.directory.get(&selected.id) {
+            Some(instance) => Step::Send(selected, instance.record.address),
+            None => Step::Refuse(Refusal::NoInstance),
+        }
+    }
+
+    pub(super) fn selection<'a>(&'a self, context: &'a RequestContext<'_>) -> SelectionContext<'a> {
+        SelectionContext {
+            now: context.now,
+            directory: context.directory,
+            statistics: &self.statistics,
+            shared: context.shared,
+            zone: &self.zone,
+            zones: context.zones,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -0,0 +1,148 @@
+//! How requests wait and end.
+
+use super::{RequestContext, Requests};
+use crate::Timestamp;
+use crate::dialect::HeaderNames;
+use crate::io::{Action, ClientId};
+use crate::requests::answers::{Refusal, refusal};
+use crate::requests::open_request::OpenRequest;
+use ledgelead_http::{Request, Response};
+use rand::RngExt;
+use std::time::Duration;
+
+/// When a refused client may come back, at the earliest.
+const RETRY_AFTER: Duration = Duration::from_millis(120);
+/// By how much that is spread, so that clients don't come back together.
+const RETRY_AFTER_SPREAD_MS: u64 = 120;
+
+impl Requests {
+    pub(super) fn wait(
+        &mut self,
+        client: ClientId,
+        again: Option<Timestamp>,
+        reason: Refusal,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
+        let since = *open.waiting_since.get_or_insert(context.now);
+        let limit = open.wait_limit();
+        if limit <= context.now {
+            let reason = open.failure_or(reason);
+            self.refuse(client, reason, context, out);
+            return;
+        }
+        self.waiting.insert((open.route.priority, since, client));
+        let wake = again.map_or(limit, |again| again.min(limit));
+        self.wake_at(client, wake);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        client: ClientId,
+        reason: Refusal,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get(&client) else {
+            return;
+        };
+        log::info!(
+            target: "request",
+            "{} of {} key {:?} ends with {} after {} ms, sent to {}, owner's token {:?}, configuration {}",
+            attempt_name(&open.request, context.headers),
+            open.service,
+            open.key,
+            reason.name(),
+            context.now.saturating_sub(open.received).as_millis(),
+            open.tried.len(),
+            owner_fence(open, context),
+            context.configuration.map_or(0, |known| known.version),
+        );
+        let request = open.request.clone();
+        let response = self.refusal(&request, reason, context);
+        self.finish(client, response, out);
+    }
+
+    /// The final answer at the end of a request's time.
+    pub(super) fn expire(
+        &mut self,
+        client: ClientId,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
+        if let Some(attempt) = open.attempt.take() {
+            open.may_have_run = true;
+            open.timed_out = true;
+            self.end_attempt(&attempt);
+            self.statistics.entry(&attempt.instance).failed(context.now);
+            out.push(Action::Cancel {
+                exchange: attempt.exchange,
+            });
+        }
+        let reason = self
+            .open
+            .get(&client)
+            .map_or(Refusal::NotSentInTime, |open| {
+                open.failure_or(Refusal::NotSentInTime)
+            });
+        self.refuse(client, reason, context, out);
+    }
+
+    pub(super) fn finish(&mut self, client: ClientId, response: Response, out: &mut Vec<Action>) {
+        if let Some(open) = self.open.remove(&client) {
+            self.forget_timers(client, &open);
+        }
+        out.push(Action::Respond { client, response });
+    }
+
+    pub(super) fn refusal(
+        &mut self,
+        request: &Request,
+        reason: Refusal,
+        context: &RequestContext<'_>,
+    ) -> Response {
+        *self.counters.refused.entry(reason.name()).or_default() += 1;
+        let spread = Duration::from_millis(self.rng.random_range(0..RETRY_AFTER_SPREAD_MS));
+        refusal(request, reason, RETRY_AFTER + spread, context.headers)
+    }
+}
+
+impl OpenRequest {
+    /// What to tell the client when no further attempt is made.
+    pub(super) fn failure(&self) -> Refusal {
+        self.failure_or(Refusal::Rejected)
+    }
+
+    pub(super) fn failure_or(&self, not_run: Refusal) -> Refusal {
+        match (self.may_have_run, self.timed_out) {
+            (true, true) => Refusal::AnswerLate,
+            (true, false) => Refusal::AnswerLost,
+            (false, _) => not_run,
+        }
+    }
+}
+
+/// How a client names its request.
+pub(super) fn attempt_name<'a>(request: &'a Request, headers: &HeaderNames) -> &'a str {
+    request
+        .headers
+        .text(&headers.attempt_id)
+        .unwrap_or("unnamed")
+}
+
+/// The fencing token under which the key of a request is owned.
+pub(super) fn owner_fence(open: &OpenRequest, context: &RequestContext<'_>) -> Option<u64> {
+    let key = open.key?;
+    Some(context.ownership.find(&open.service, key)?.fence)
+}
+
+pub(super) fn relayed(mut response: Response) -> Response {
+    response.headers.remove_connection_headers();
+    response
+}
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -0,0 +1,389 @@
+//! Decides on each open request: send, wait, or answer.
+
+mod attempts;
+mod decide;
+mod endings;
+
+use self::decide::Step;
+use self::endings::relayed;
+use super::answers::Refusal;
+use super::budget::{BudgetBounds, RetryBudget};
+use super::open_request::OpenRequest;
+use super::outcome::{Verdict, judge};
+use super::statistics::StatisticsTable;
+use crate::Timestamp;
+use crate::configuration::{Configuration, Route, RouteTable};
+use crate::dialect::HeaderNames;
+use crate::directory::Directory;
+use crate::identity::{InstanceId, ServiceName, ZoneName};
+use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
+use crate::ownership::coordinator::ExchangeIds;
+use crate::ownership::view::OwnershipView;
+use crate::peers::SharedLoad;
+use crate::protections::Protections;
+use ledgelead_http::{Request, Response};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Time that a client needs to get an answer before it leaves.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+
+/// What a step of the requests rests on.
+pub struct RequestContext<'a> {
+    /// The time.
+    pub now: Timestamp,
+    /// The configuration, once one is known.
+    pub configuration: Option<&'a Configuration>,
+    /// Its routes.
+    pub routes: &'a RouteTable,
+    /// The instances.
+    pub directory: &'a Directory,
+    /// The owners of keys.
+    pub ownership: &'a OwnershipView,
+    /// What other nodes of the zone have open.
+    pub shared: &'a SharedLoad,
+    /// Names of headers.
+    pub headers: &'a HeaderNames,
+    /// Numbers exchanges.
+    pub exchanges: &'a mut ExchangeIds,
+    /// Registered nodes, which share the retry budget.
+    pub nodes: usize,
+    /// How many zones have nodes.
+    pub zones: u32,
+}
+
+/// Counts for metrics.
+#[derive(Clone, Debug, Default)]
+pub struct RequestCounters {
+    /// Requests received.
+    pub received: u64,
+    /// Instances' answers passed on.
+    pub relayed: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Clients that left.
+    pub left: u64,
+    /// Own answers by reason.
+    pub refused: BTreeMap<&'static str, u64>,
+}
+
+/// All open requests.
+pub struct Requests {
+    open: HashMap<ClientId, OpenRequest>,
+    by_exchange: HashMap<ExchangeId, ClientId>,
+    waiting: BTreeSet<(u32, Timestamp, ClientId)>,
+    wake: BTreeSet<(Timestamp, ClientId)>,
+    woken_at: HashMap<ClientId, Timestamp>,
+    statistics: StatisticsTable,
+    budget: RetryBudget,
+    zone: ZoneName,
+    drain_bound: Duration,
+    rng: Pcg64Mcg,
+    asked: BTreeMap<ServiceName, Vec<u16>>,
+    changed: BTreeSet<InstanceId>,
+    ended: Vec<InstanceId>,
+    stopping: bool,
+    protections: Protections,
+    counters: RequestCounters,
+}
+
+impl Requests {
+    /// None yet.
+    pub fn new(
+        zone: ZoneName,
+        drain_bound: Duration,
+        bounds: BudgetBounds,
+        protections: Protections,
+        rng: Pcg64Mcg,
+    ) -> Requests {
+        Requests {
+            open: HashMap::new(),
+            by_exchange: HashMap::new(),
+            waiting: BTreeSet::new(),
+            wake: BTreeSet::new(),
+            woken_at: HashMap::new(),
+            statistics: StatisticsTable::default(),
+            budget: RetryBudget::new(bounds),
+            zone,
+            drain_bound,
+            rng,
+            asked: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            ended: Vec::new(),
+            stopping: false,
+            protections,
+            counters: RequestCounters::default(),
+        }
+    }
+
+    /// Takes over changed settings.
+    pub fn set_bounds(&mut self, drain_bound: Duration, bounds: BudgetBounds) {
+        self.drain_bound = drain_bound;
+        self.budget.set_bounds(bounds);
+    }
+
+    /// How many are open.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether none is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Counts for metrics.
+    pub fn counters(&self) -> &RequestCounters {
+        &self.counters
+    }
+
+    /// What this node has seen of the instances.
+    pub fn statistics(&self) -> &StatisticsTable {
+        &self.statistics
+    }
+
+    /// Forgets instances that are unknown.
+    pub fn forget_instances(&mut self, directory: &Directory) {
+        self.statistics.retain(|id| directory.get(id).is_some());
+    }
+
+    /// Keys asked for since the last call, by service.
+    pub fn take_asked(&mut self) -> BTreeMap<ServiceName, Vec<u16>> {
+        std::mem::take(&mut self.asked)
+    }
+
+    /// Instances whose number of open requests changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<(InstanceId, u32)> {
+        std::mem::take(&mut self.changed)
+            .into_iter()
+            .map(|id| {
+                let open = self.statistics.get(&id).map_or(0, |seen| seen.open);
+                (id, open)
+            })
+            .collect()
+    }
+
+    /// Instances whose end was proved since the last call.
+    pub fn take_ended(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// From now on no attempt is broken off for another: the node stops, and
+    /// what its clients wait for must not be cut.
+    pub fn begin_stopping(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether the exchange is an attempt of a request.
+    pub fn owns(&self, exchange: ExchangeId) -> bool {
+        self.by_exchange.contains_key(&exchange)
+    }
+
+    /// The next time at which a request needs a decision.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.wake.first().map(|(at, _)| *at)
+    }
+
+    /// A client's request came.
+    pub fn arrived(
+        &mut self,
+        client: ClientId,
+        request: Request,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.received += 1;
+        match self.classify(request, context) {
+            Ok(open) => {
+                self.budget.requested(&open.service, context.now);
+                if let Some(key) = open.key {
+                    self.asked
+                        .entry(open.service.clone())
+                        .or_default()
+                        .push(key);
+                }
+                self.open.insert(client, open);
+                self.advance(client, context, out);
+            }
+            Err((request, reason)) => {
+                let response = self.refusal(&request, reason, context);
+                out.push(Action::Respond { client, response });
+            }
+        }
+    }
+
+    /// The client left: its request is broken off.
+    pub fn left(&mut self, client: ClientId, out: &mut Vec<Action>) {
+        let Some(mut open) = self.open.remove(&client) else {
+            return;
+        };
+        self.counters.left += 1;
+        self.forget_timers(client, &open);
+        if let Some(attempt) = open.attempt.take() {
+            self.end_attempt(&attempt);
+            out.push(Action::Cancel {
+                exchange: attempt.exchange,
+            });
+        }
+    }
+
+    /// An attempt ended.
+    pub fn exchanged(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<Response, ExchangeFailure>,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(client) = self.by_exchange.get(&exchange).copied() else {
+            return;
+        };
+        let Some(attempt) = self
+            .open
+            .get_mut(&client)
+            .and_then(|open| open.attempt.take())
+        else {
+            return;
+        };
+        self.end_attempt(&attempt);
+        self.learn(&attempt, &result, context);
+        let verdict = judge(result, &attempt.instance, context.headers);
+        match verdict {
+            Verdict::Relay(response) => {
+                self.counters.relayed += 1;
+                self.finish(client, relayed(response), out);
+            }
+            other => {
+                self.attempt_failed(client, &attempt, &other, context);
+                self.advance(client, context, out);
+            }
+        }
+    }
+
+    /// The time has come for some requests.
+    pub fn deadline(&mut self, context: &mut RequestContext<'_>, out: &mut Vec<Action>) {
+        while let Some((at, client)) = self.wake.first().copied() {
+            if at > context.now {
+                return;
+            }
+            self.wake.pop_first();
+            self.woken_at.remove(&client);
+            self.advance(client, context, out);
+        }
+    }
+
+    /// Owners, instances or their load changed: those that wait are looked at
+    /// again, the most urgent and oldest first.
+    pub fn reconsider(&mut self, context: &mut RequestContext<'_>, out: &mut Vec<Action>) {
+        let waiting: Vec<ClientId> = self.waiting.iter().map(|(_, _, client)| *client).collect();
+        for client in waiting {
+            self.advance(client, context, out);
+        }
+    }
+
+    /// Whether some request waits.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    fn classify(
+        &mut self,
+        request: Request,
+        context: &RequestContext<'_>,
+    ) -> Result<OpenRequest, (Request, Refusal)> {
+        let Some(configuration) = context.configuration else {
+            return Err((request, Refusal::NotConfigured));
+        };
+        let host = request.headers.text("host").unwrap_or_default();
+        let Some(route) = context.routes.find(host, request.path()).cloned() else {
+            return Err((request, Refusal::NoRoute));
+        };
+        let service = self.choose_target(&route);
+        let sharded = configuration
+            .service(&service)
+            .is_some_and(|service| service.sharded);
+        let key = request.headers.number::<u16>(&context.headers.key);
+        if sharded && key.is_none() {
+            return Err((request, Refusal::BadKey));
+        }
+        let client_wait = request
+            .headers
+            .number::<u64>(&context.headers.deadline)
+            .map(|wait| Duration::from_millis(wait).saturating_sub(ANSWER_MARGIN));
+        let due = context.now + client_wait.map_or(route.timeout, |wait| wait.min(route.timeout));
+        Ok(OpenRequest {
+            request,
+            route,
+            service,
+            key: key.filter(|_| sharded),
+            received: context.now,
+            due,
+            tried: Vec::new(),
+            attempt: None,
+            waiting_since: None,
+            may_have_run: false,
+            timed_out: false,
+            rejected: false,
+            misdirection: None,
+        })
+    }
+
+    /// One of the route's targets, by weight.
+    fn choose_target(&mut self, route: &Route) -> ServiceName {
+        let total: f64 = route.targets.iter().map(|target| target.weight).sum();
+        let mut drawn = if route.targets.len() > 1 && total > 0.0 {
+            self.rng.random_range(0.0..total)
+        } else {
+            0.0
+        };
+        for target in &route.targets {
+            if drawn < target.weight {
+                return target.service.clone();
+            }
+            drawn -= target.weight;
+        }
+        route.targets[route.targets.len() - 1].service.clone()
+    }
+
+    /// Decides on a request that has no attempt out.
+    fn advance(
+        &mut self,
+        client: ClientId,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get(&client) else {
+            return;
+        };
+        if open.due <= context.now {
+            self.expire(client, context, out);
+            return;
+        }
+        if open.attempt.is_some() && !self.abandon_attempt(client, context, out) {
+            return;
+        }
+        match self.next_step(client, context) {
+            Step::Send(selected, address) => self.send(client, selected, address, context, out),
+            Step::Wait { again, reason } => self.wait(client, again, reason, context, out),
+            Step::Refuse(reason) => self.refuse(client, reason, context, out),
+        }
+    }
+
+    fn forget_timers(&mut self, client: ClientId, open: &OpenRequest) {
+        if let Some(since) = open.waiting_since {
+            self.waiting.remove(&(open.route.priority, since, client));
+        }
+        if let Some(at) = self.woken_at.remove(&client) {
+            self.wake.remove(&(at, client));
+        }
+    }
+
+    fn wake_at(&mut self, client: ClientId, at: Timestamp) {
+        if let Some(earlier) = self.woken_at.insert(client, at) {
+            self.wake.remove(&(earlier, client));
+        }
+        self.wake.insert((at, client));
+    }
+}
