Nodes are told changes of ownership by datagram; the store is asked when one is missing

Ruled out: the watch on instances (0.3 calls a second and node). Change: the coordinator tells what a write changed; nodes that hear from it rest their watch on the record, read it when they are behind, and before they take the coordinator's place (a record known by datagram alone is not written upon).

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -175,6 +175,12 @@
     }
 
     fn campaign(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.ownership.revision().is_some() && !self.ownership.is_confirmed() {
+            // Known by a datagram alone: a take-over rests on the store.
+            self.coordination.election.tried_unconfirmed(now);
+            self.store.refresh_ownership(now, out);
+            return;
+        }
         let record = self.ownership.record();
         self.coordination.predecessor = record.coordinator.clone();
         let next = record.taken_over_by(&self.settings.identity, self.settings.protections);
@@ -408,7 +414,12 @@
             .cloned();
         match (answer, pending) {
             (Ok(StoreAnswer::Written(object)), Some(record)) => {
+                let base = self.ownership.revision();
+                let changes = record.changes_since(self.ownership.record());
                 self.ownership_changed(record, object.revision, started, now, out);
+                if let Some(base) = base {
+                    self.tell_ownership(base, &changes, out);
+                }
             }
             (Ok(StoreAnswer::Conflict), _) => {
                 // Another coordinator, or an earlier write of this one whose
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -5,8 +5,9 @@
 use crate::dialect::ObjectKind;
 use crate::identity::InstanceId;
 use crate::io::Action;
-use crate::peers::{KeyReport, OpenRequests, PeerMessage, decode, encode};
-use ledgelead_types::codec::List;
+use crate::ownership::record::Assignment;
+use crate::peers::{ChangedAssignment, KeyReport, OpenRequests, PeerMessage, decode, encode};
+use ledgelead_types::codec::{List, Text};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 const MAX_KEYS: usize = 500;
 /// Most counts in one datagram.
 const MAX_COUNTS: usize = 80;
+/// Most assignments in one datagram.
+const MAX_CHANGES: usize = 20;
 /// How long this node may know less of the record than the coordinator says
 /// before it asks the store again.
 const BEHIND_FOR: Duration = Duration::from_millis(250);
@@ -255,6 +258,12 @@
                 self.heard_configuration(configuration, now, out);
                 self.heard_coordinator(epoch, store_serves, revision, now, out);
             }
+            PeerMessage::OwnershipChanged {
+                base,
+                revision,
+                changes,
+            } => self.ownership_told(base, revision, &changes, now, out),
+            PeerMessage::Resigned { epoch } => self.heard_resignation(epoch, now, out),
             PeerMessage::KeysAsked {
                 configuration,
                 reports,
@@ -294,6 +303,91 @@
         }
     }
 
+    /// Tells all nodes what a write of the record has changed. A list that is
+    /// too long for a datagram is left to the store.
+    pub(super) fn tell_ownership(&self, base: u64, changes: &[Assignment], out: &mut Vec<Action>) {
+        let Some(revision) = self.ownership.revision() else {
+            return;
+        };
+        if changes.len() > MAX_CHANGES {
+            return;
+        }
+        let changes = changes
+            .iter()
+            .map(|change| ChangedAssignment {
+                service: change.service.stable_hash(),
+                first: change.first,
+                last: change.last,
+                owner: Text(change.owner.to_string()),
+                fence: change.fence,
+            })
+            .collect();
+        let bytes = encode(&PeerMessage::OwnershipChanged {
+            base,
+            revision,
+            changes,
+        });
+        for address in self.others() {
+            out.push(Action::Datagram {
+                address,
+                bytes: bytes.clone(),
+            });
+        }
+    }
+
+    /// Tells all nodes that this one has left the coordinator's place.
+    pub(super) fn tell_resignation(&self, out: &mut Vec<Action>) {
+        let bytes = encode(&PeerMessage::Resigned {
+            epoch: self.ownership.record().epoch,
+        });
+        for address in self.others() {
+            out.push(Action::Datagram {
+                address,
+                bytes: bytes.clone(),
+            });
+        }
+    }
+
+    fn heard_resignation(&mut self, epoch: u64, now: Timestamp, out: &mut Vec<Action>) {
+        if epoch >= self.ownership.record().epoch {
+            self.gossip.informed_until = None;
+            self.store.set_informed(false, now, out);
+            self.store.refresh_ownership(now, out);
+        }
+    }
+
+    fn ownership_told(
+        &mut self,
+        base: u64,
+        revision: u64,
+        changes: &[ChangedAssignment],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        let known = |change: &ChangedAssignment| {
+            let service = configuration
+                .sharded_services()
+                .find(|service| service.stable_hash() == change.service)?;
+            Some(Assignment {
+                service: service.clone(),
+                first: change.first,
+                last: change.last,
+                owner: InstanceId::from(change.owner.0.as_str()),
+                fence: change.fence,
+            })
+        };
+        let assignments: Option<Vec<Assignment>> = changes.iter().map(known).collect();
+        if let Some(assignments) = assignments
+            && self.coordination.coordinator().is_none()
+            && self.ownership.overlay(base, revision, assignments)
+        {
+            self.reconsider_waiting(now, out);
+        }
+    }
+
     fn heard_coordinator(
         &mut self,
         epoch: u64,
@@ -312,8 +406,8 @@
             .ownership
             .revision()
             .is_none_or(|known| known < revision);
-        if let Some(since) = self.gossip.ownership_lag.update(behind, now) {
-            self.store.interrupt(ObjectKind::Ownership, since, now, out);
+        if self.gossip.ownership_lag.update(behind, now).is_some() {
+            self.store.refresh_ownership(now, out);
         }
     }
 
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -95,6 +95,7 @@
         out: &mut Vec<Action>,
     ) {
         if self.ownership.update(record, revision) {
+            self.coordination.election.confirmed(now);
             self.reconcile_role(started, now, out);
         }
     }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -88,6 +88,7 @@
     registered: bool,
     register_exists: bool,
     next_register: Timestamp,
+    coordinating: bool,
     calls: u64,
     failures: u64,
 }
@@ -106,6 +107,7 @@
             registered: false,
             register_exists: false,
             next_register: now,
+            coordinating: false,
             calls: 0,
             failures: 0,
         }
@@ -157,7 +159,10 @@
         } else {
             OWNERSHIP_PACE
         };
-        self.watcher(ObjectKind::Ownership).set_pace(pace);
+        self.coordinating = coordinating;
+        let watcher = self.watcher(ObjectKind::Ownership);
+        watcher.set_pace(pace);
+        watcher.set_paused(false);
     }
 
     /// Whether a coordinator tells of changes of instances. Without one, a
@@ -168,6 +173,9 @@
         } else {
             INSTANCES_PACE
         };
+        let coordinating = self.coordinating;
+        self.watcher(ObjectKind::Ownership)
+            .set_paused(informed && !coordinating);
         let watcher = self.watcher(ObjectKind::Instances);
         if watcher.pace() != pace {
             watcher.set_pace(pace);
@@ -188,6 +196,12 @@
         self.watcher(ObjectKind::Instances).revision().unwrap_or(0)
     }
 
+    /// Reads the record of ownership once more.
+    pub(super) fn refresh_ownership(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.interrupt(ObjectKind::Ownership, now, now, out);
+        self.watcher(ObjectKind::Ownership).refresh(now);
+    }
+
     /// Breaks off the watch of a kind, if it has been out since before
     /// `since`, so that it is made anew.
     pub(super) fn interrupt(
@@ -301,7 +315,10 @@
                 self.take_over_answered(record, answer, pending.started, now, out)
             }
             Purpose::Update => self.update_answered(answer, pending.started, now, out),
-            Purpose::Resign => self.coordination.resigned(),
+            Purpose::Resign => {
+                self.coordination.resigned();
+                self.tell_resignation(out);
+            }
         }
     }
 
--- a/crates/ledgelead-router/src/ownership/election.rs
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -12,6 +12,8 @@
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How much longer each further node waits.
 const RANK_DELAY: Duration = Duration::from_millis(120);
+/// The most that a read of the record before a try is waited for.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(700);
 /// The most that a node waits for those before it.
 const MAX_RANK_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -21,6 +23,7 @@
     last_heard: Timestamp,
     epoch: u64,
     next_try: Timestamp,
+    confirming: bool,
 }
 
 impl Election {
@@ -55,6 +58,20 @@
         (self.last_heard + silence + delay).max(self.next_try)
     }
 
+    /// The record has to be read before a try.
+    pub fn tried_unconfirmed(&mut self, now: Timestamp) {
+        self.confirming = true;
+        self.next_try = now + CONFIRM_PAUSE;
+    }
+
+    /// The record has been read.
+    pub fn confirmed(&mut self, now: Timestamp) {
+        if self.confirming {
+            self.confirming = false;
+            self.next_try = now;
+        }
+    }
+
     /// A try was made; the next one waits.
     pub fn tried(&mut self, now: Timestamp) {
         self.next_try = now + ELECTION_TIMEOUT;
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -21,6 +21,29 @@
 }
 
 impl Assignment {
+    /// What is left of this assignment beside another one.
+    fn without(self, other: &Assignment) -> Vec<Assignment> {
+        let apart =
+            self.service != other.service || self.last < other.first || other.last < self.first;
+        if apart {
+            return vec![self];
+        }
+        let mut left = Vec::new();
+        if self.first < other.first {
+            left.push(Assignment {
+                last: other.first - 1,
+                ..self.clone()
+            });
+        }
+        if other.last < self.last {
+            left.push(Assignment {
+                first: other.last + 1,
+                ..self
+            });
+        }
+        left
+    }
+
     /// The keys.
     pub fn range(&self) -> KeyRange {
         KeyRange {
@@ -67,6 +90,28 @@
         record
     }
 
+    /// The assignments of this record that `before` does not hold.
+    pub fn changes_since(&self, before: &OwnershipRecord) -> Vec<Assignment> {
+        self.assignments
+            .iter()
+            .filter(|assignment| !before.assignments.contains(assignment))
+            .cloned()
+            .collect()
+    }
+
+    /// Lays assignments over this record: what they overlap gives way.
+    pub fn overlay(&mut self, changes: Vec<Assignment>) {
+        for change in changes {
+            let mut kept = Vec::with_capacity(self.assignments.len() + 2);
+            for old in self.assignments.drain(..) {
+                kept.extend(old.without(&change));
+            }
+            kept.push(change);
+            self.assignments = kept;
+        }
+        self.sort();
+    }
+
     /// Puts the assignments into their order.
     pub fn sort(&mut self) {
         self.assignments
--- a/crates/ledgelead-router/src/ownership/view.rs
+++ b/crates/ledgelead-router/src/ownership/view.rs
@@ -8,21 +8,45 @@
 pub struct OwnershipView {
     record: OwnershipRecord,
     revision: Option<u64>,
+    /// Whether the store itself told this version.
+    confirmed: bool,
 }
 
 impl OwnershipView {
     /// Takes over a version, unless a newer one is known.
     /// Returns whether it was newer.
     pub fn update(&mut self, record: OwnershipRecord, revision: u64) -> bool {
-        if self.revision.is_some_and(|known| known >= revision) {
+        let newer = self.revision.is_none_or(|known| known < revision);
+        let confirms = self.revision == Some(revision) && !self.confirmed;
+        if !newer && !confirms {
             return false;
         }
         self.record = record;
         self.record.sort();
         self.revision = Some(revision);
+        self.confirmed = true;
         true
     }
 
+    /// Takes over what the coordinator says it has written, if it follows on
+    /// the version that is known. Requests are routed by it; nothing is
+    /// written on its base before the store has confirmed it.
+    /// Returns whether it did.
+    pub fn overlay(&mut self, base: u64, revision: u64, changes: Vec<Assignment>) -> bool {
+        if self.revision != Some(base) || revision <= base {
+            return false;
+        }
+        self.record.overlay(changes);
+        self.revision = Some(revision);
+        self.confirmed = false;
+        true
+    }
+
+    /// Whether the store itself told this version.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// The record.
     pub fn record(&self) -> &OwnershipRecord {
         &self.record
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -1,6 +1,6 @@
 //! What nodes send each other.
 
-use ledgelead_types::codec::{self, DecodeError, List};
+use ledgelead_types::codec::{self, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
 
 /// Longest datagram that is read, in bytes.
@@ -24,6 +24,21 @@
     pub count: u16,
 }
 
+/// A range of keys that has changed its owner.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct ChangedAssignment {
+    /// Stable hash of the service's name.
+    pub service: u64,
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// The owner.
+    pub owner: Text,
+    /// The fencing token.
+    pub fence: u64,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum PeerMessage {
@@ -43,6 +58,20 @@
         /// How long ago the store told it of instances, in milliseconds.
         instances_age_ms: u16,
     },
+    /// The record has been written anew by the coordinator.
+    OwnershipChanged {
+        /// The revision before.
+        base: u64,
+        /// The revision now.
+        revision: u64,
+        /// Assignments that are new.
+        changes: List<ChangedAssignment>,
+    },
+    /// The coordinator has left its place; the record says so as well.
+    Resigned {
+        /// Its epoch.
+        epoch: u64,
+    },
     /// Keys asked for; sent to the coordinator.
     KeysAsked {
         /// The version of the configuration that the sender has in force.
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -7,6 +7,6 @@
 mod registry;
 mod shared_load;
 
-pub use message::{KeyReport, OpenRequests, PeerMessage, decode, encode};
+pub use message::{ChangedAssignment, KeyReport, OpenRequests, PeerMessage, decode, encode};
 pub use registry::{NodeRecord, Registry};
 pub use shared_load::SharedLoad;
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -54,6 +54,7 @@
     next_call: Timestamp,
     failures: u32,
     last_answer: Option<Timestamp>,
+    paused: bool,
 }
 
 impl Watcher {
@@ -67,6 +68,7 @@
             next_call: Timestamp::ZERO,
             failures: 0,
             last_answer: None,
+            paused: false,
         }
     }
 
@@ -93,6 +95,21 @@
         }
     }
 
+    /// A paused watch asks only when it is told to list once more.
+    pub fn set_paused(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
+    /// Lists once more, as soon as no call is out.
+    pub fn refresh(&mut self, now: Timestamp) {
+        self.position = Position::start();
+        self.next_call = now;
+    }
+
+    fn rests(&self) -> bool {
+        self.paused && matches!(self.position, Position::Watching { .. })
+    }
+
     /// When the store last told the state of this kind.
     pub fn last_answer(&self) -> Option<Timestamp> {
         self.last_answer
@@ -100,12 +117,12 @@
 
     /// When the next call is due, if none is out.
     pub fn next_call(&self) -> Option<Timestamp> {
-        (!self.in_flight).then_some(self.next_call)
+        (!self.in_flight && !self.rests()).then_some(self.next_call)
     }
 
     /// The next call, if it is due. The caller makes it.
     pub fn take_call(&mut self, now: Timestamp) -> Option<StoreCall> {
-        if self.in_flight || self.next_call > now {
+        if self.in_flight || self.rests() || self.next_call > now {
             return None;
         }
         self.in_flight = true;
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -251,3 +251,43 @@
     record.coordinator = None;
     expect_that!(election.due(&record, 0), eq(ms(3_000)));
 }
+
+proptest! {
+    #[test]
+    fn changes_laid_over_a_record_give_the_next_one(
+        keys in proptest::collection::vec(0u16..900, 0..200),
+        fences in proptest::collection::vec(0u64..9, 1..9),
+        first in 0u16..880,
+        length in 0u16..300,
+    ) {
+        let before = record_of(&fences);
+        let mut after = before.clone();
+        let moved = Assignment {
+            service: ServiceName::from("s"),
+            first,
+            last: first + length,
+            owner: InstanceId::from("b"),
+            fence: 100,
+        };
+        after.overlay(vec![moved.clone()]);
+        after.next_fence = 101;
+        prop_assert!(after.is_consistent());
+        let mut view = OwnershipView::default();
+        view.update(before.clone(), 7);
+        prop_assert!(!view.overlay(6, 9, after.changes_since(&before)));
+        prop_assert!(view.overlay(7, 9, after.changes_since(&before)));
+        prop_assert!(!view.is_confirmed());
+        let service = ServiceName::from("s");
+        for key in keys {
+            let expected = if moved.range().contains(key) {
+                Some(&moved.owner)
+            } else {
+                before.find(&service, key).map(|assignment| &assignment.owner)
+            };
+            let found = view.find(&service, key).map(|assignment| &assignment.owner);
+            prop_assert_eq!(found, expected);
+        }
+        prop_assert!(view.update(after, 9));
+        prop_assert!(view.is_confirmed());
+    }
+}
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -134,6 +134,27 @@
     expect_that!(matches!(call, Some(StoreCall::List { .. })), eq(true));
 }
 
+#[gtest]
+fn a_paused_watch_only_lists_when_it_is_told() {
+    let mut watcher = watcher();
+    watcher.take_call(ms(0));
+    watcher.answered(page(7, false), ms(1));
+    watcher.set_paused(true);
+    expect_that!(watcher.take_call(ms(2)).is_none(), eq(true));
+    expect_that!(watcher.next_call(), none());
+    watcher.refresh(ms(3));
+    let call = watcher.take_call(ms(3));
+    expect_that!(matches!(call, Some(StoreCall::List { .. })), eq(true));
+    watcher.answered(page(9, false), ms(4));
+    expect_that!(watcher.take_call(ms(5)).is_none(), eq(true));
+    watcher.set_paused(false);
+    let call = watcher.take_call(ms(6));
+    expect_that!(
+        matches!(call, Some(StoreCall::Watch { revision: 9, .. })),
+        eq(true)
+    );
+}
+
 #[gtest]
 fn failed_calls_are_made_again_after_growing_pauses() {
     let mut watcher = watcher();
