The plan judges a move by the busier of the two instances after it; service times by the instance's own load

Cause: the time of work at an owner was learnt from this node's guess of its queue, three times too high on three zones, so capacities came out 60 to 90 a second where 33 to 55 are right, and owners above 0.8 were left alone; parts of a range with one dominant key fell outside the bounds around the wanted amount. Ruled out: the coordinator's load counts (they matched the traffic). Change: the load that an answer tells goes first; targets are chosen by free capacity; of the parts the one that leaves the busier of the two least busy.

--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -16,11 +16,9 @@
 const FILLED_UTILISATION: f64 = 0.7;
 /// Smallest part of an instance's capacity worth a move.
 const SMALLEST_MOVE: f64 = 0.1;
-/// A part may carry this much less, or more, than the amount that would even
-/// out the two instances.
-const LEAST_OF_AMOUNT: f64 = 0.25;
-/// See above.
-const MOST_OF_AMOUNT: f64 = 1.6;
+/// Share of the source's utilisation that the busier of the two may have after
+/// a move, for the move to be worth it.
+const WORTHWHILE: f64 = 0.9;
 /// Most moves planned at once.
 const MAX_MOVES: usize = 16;
 
@@ -57,7 +55,17 @@
 
 impl Standing {
     fn utilisation(&self) -> f64 {
-        (self.rate + self.candidate.incoming) / self.candidate.capacity
+        self.utilisation_with(0.0)
+    }
+
+    /// The utilisation with this many requests a second more, or less.
+    fn utilisation_with(&self, change: f64) -> f64 {
+        (self.rate + self.candidate.incoming + change) / self.candidate.capacity
+    }
+
+    /// Requests a second that it can take before it counts as filled.
+    fn free_capacity(&self) -> f64 {
+        (FILLED_UTILISATION - self.utilisation()) * self.candidate.capacity
     }
 }
 
@@ -91,14 +99,14 @@
         .map(|standing| standing.rate + standing.candidate.incoming)
         .sum();
     let mean = rate / capacity;
-    let idlest = standings
+    let freest = standings
         .iter()
         .enumerate()
         .filter(|(_, standing)| standing.candidate.takes_keys)
-        .min_by(|(_, left), (_, right)| left.utilisation().total_cmp(&right.utilisation()))
+        .max_by(|(_, left), (_, right)| left.free_capacity().total_cmp(&right.free_capacity()))
         .map(|(index, _)| index)?;
     let mut sources: Vec<usize> = (0..standings.len())
-        .filter(|index| *index != idlest)
+        .filter(|index| *index != freest)
         .filter(|index| standings[*index].utilisation() > BUSY_UTILISATION.max(mean * IMBALANCE))
         .collect();
     sources.sort_by(|left, right| {
@@ -106,18 +114,18 @@
         utilisation(*right).total_cmp(&utilisation(*left))
     });
     let (source, part) = sources.into_iter().find_map(|source| {
-        let amount = amount_to_move(&standings[source], &standings[idlest], mean)?;
-        let part = best_part(&standings[source].candidate.ranges, amount, load)?;
+        let amount = amount_to_move(&standings[source], &standings[freest], mean)?;
+        let part = best_part(&standings[source], &standings[freest], amount, load)?;
         Some((source, part))
     })?;
     let giving = &mut standings[source];
     giving.rate -= part.rate;
     remove_part(&mut giving.candidate.ranges, part.position, part.range);
     let from = giving.candidate.id.clone();
-    standings[idlest].candidate.incoming += part.rate;
+    standings[freest].candidate.incoming += part.rate;
     Some(PlannedMove {
         from,
-        to: standings[idlest].candidate.id.clone(),
+        to: standings[freest].candidate.id.clone(),
         range: part.range,
     })
 }
@@ -145,33 +153,41 @@
     rate: f64,
 }
 
-/// The part of one of the ranges whose load is nearest to `amount`; of equal
-/// ones the one with the fewest keys.
-fn best_part(ranges: &[KeyRange], amount: f64, load: &KeyLoad) -> Option<Part> {
-    let mut best: Option<Part> = None;
-    for (position, range) in ranges.iter().enumerate() {
-        let mut parts = vec![(*range, load.rate(*range))];
-        parts.extend(load.cuts(*range, amount, true));
-        parts.extend(load.cuts(*range, amount, false));
-        for (range, rate) in parts {
-            let fits = rate >= amount * LEAST_OF_AMOUNT && rate <= amount * MOST_OF_AMOUNT;
-            let part = Part {
-                position,
-                range,
-                rate,
-            };
-            if fits && best.is_none_or(|best| is_better(part, best, amount)) {
-                best = Some(part);
-            }
-        }
-    }
-    best
+/// The part of one of the source's ranges after whose move the busier of the
+/// two is least busy, if that is worth it; of equal ones the one with the
+/// fewest keys.
+fn best_part(source: &Standing, target: &Standing, amount: f64, load: &KeyLoad) -> Option<Part> {
+    let busier = |part: &Part| {
+        let left = source.utilisation_with(-part.rate);
+        left.max(target.utilisation_with(part.rate))
+    };
+    let enough = source.utilisation() * WORTHWHILE;
+    let least = SMALLEST_MOVE * target.candidate.capacity;
+    let fits = |part: &Part| part.rate >= least && busier(part) <= enough;
+    source
+        .candidate
+        .ranges
+        .iter()
+        .enumerate()
+        .flat_map(|(position, range)| parts_of(position, *range, amount, load))
+        .filter(fits)
+        .min_by(|left, right| {
+            let by_load = busier(left).total_cmp(&busier(right));
+            by_load.then(left.range.len().cmp(&right.range.len()))
+        })
 }
 
-fn is_better(part: Part, best: Part, amount: f64) -> bool {
-    let distance = (part.rate - amount).abs();
-    let best_distance = (best.rate - amount).abs();
-    distance < best_distance || (distance <= best_distance && part.range.len() < best.range.len())
+/// The whole range, and parts at both of its ends that carry about `amount`.
+fn parts_of(position: usize, range: KeyRange, amount: f64, load: &KeyLoad) -> Vec<Part> {
+    let mut parts = vec![(range, load.rate(range))];
+    parts.extend(load.cuts(range, amount, true));
+    parts.extend(load.cuts(range, amount, false));
+    let part = |(range, rate)| Part {
+        position,
+        range,
+        rate,
+    };
+    parts.into_iter().map(part).collect()
 }
 
 fn remove_part(ranges: &mut Vec<KeyRange>, position: usize, part: KeyRange) {
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -231,9 +231,11 @@
                     .directory
                     .get(&attempt.instance)
                     .map_or(1, |instance| instance.record.slots.max(1));
+                // What the instance says of itself goes before this node's guess,
+                // which for owners stands for all zones.
                 let mut factor = attempt.load_factor;
                 if let Some(load) = load {
-                    factor = factor.max(f64::from(load.running + load.waiting) / f64::from(slots));
+                    factor = f64::from(load.running + load.waiting) / f64::from(slots);
                     seen.told_load(load);
                 }
                 if response.is_success() {
