--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -35,7 +35,7 @@
 }
 
 /// How long an instance holds keys after a grant arrived.
-pub const HOLD: Duration = Duration::from_millis(3_000);
+pub const HOLD: Duration = Duration::from_millis(4_000);
 /// Time between renewals of a grant.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long a coordinator may give orders after the start of the last call in
