Test of left threads waits for a settled count

No thread is started after the node was killed; the list of tasks is read entry by entry, and may miss one while others end. No run proves that. The test was wrong in resting on one reading. Change: the count must equal the one before in 1,000 readings in a row, which is stricter.

--- a/crates/ledgelead-node/tests/threads.rs
+++ b/crates/ledgelead-node/tests/threads.rs
@@ -14,6 +14,10 @@
 /// The HTTP library's idle threads end after 5 s.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Equal readings in a row that count as the end. One is not enough: the list
+/// of tasks is read entry by entry, and may miss one while others go.
+const SETTLED_READINGS: u32 = 1_000;
+
 fn threads() -> usize {
     std::fs::read_dir("/proc/self/task").expect("tasks").count()
 }
@@ -33,8 +37,10 @@
     expect_that!(threads(), gt(before));
     node.kill();
     let until = Instant::now() + PATIENCE;
-    while threads() > before && Instant::now() < until {
+    let mut settled = 0;
+    while settled < SETTLED_READINGS && Instant::now() < until {
+        settled = if threads() == before { settled + 1 } else { 0 };
         std::thread::yield_now();
     }
-    expect_that!(threads(), eq(before));
+    expect_that!(settled, eq(SETTLED_READINGS));
 }
