Remove what nothing calls: a flag of refused orders, two lookups, unused times

Cause: read over the whole change; four pieces were written and never used. Ruled out: any change of behaviour; the same branches run. The tests keep their assertions.

--- a/crates/ledgelead-http/src/response_reader.rs
+++ b/crates/ledgelead-http/src/response_reader.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Whether a part of the response has come.
-    pub fn has_begun(&self) -> bool {
-        self.head.is_some()
-    }
-
     fn complete(&mut self) -> ResponseProgress {
         let Some(head) = self.head.take() else {
             return ResponseProgress::Partial;
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    pub(super) fn begin_resigning(&mut self, _now: Timestamp) {
+    pub(super) fn begin_resigning(&mut self) {
         self.resigning = true;
         self.resign_done = self.coordinator.is_none();
     }
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -181,7 +181,7 @@
     }
 
     /// Tells the zone which of this node's open requests changed.
-    pub(super) fn tell_open_requests(&mut self, _now: Timestamp, out: &mut Vec<Action>) {
+    pub(super) fn tell_open_requests(&mut self, out: &mut Vec<Action>) {
         let changed = self.requests.take_changed();
         if !changed.is_empty() {
             self.tell_counts(changed, out);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -135,7 +135,7 @@
             }
             Input::Datagram { from, bytes } => self.datagram(from, &bytes, now, out),
             Input::Deadline => {}
-            Input::Stop => self.stop(now),
+            Input::Stop => self.stop(),
         }
         self.run_due(now, out);
     }
@@ -183,7 +183,7 @@
         self.call_store(now, out);
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
-        self.tell_open_requests(now, out);
+        self.tell_open_requests(out);
         if self.directory.next_expiry().is_some_and(|at| at <= now) {
             self.directory.expire(now);
             self.reconsider_waiting(now, out);
@@ -219,13 +219,13 @@
         (&mut self.requests, context)
     }
 
-    fn stop(&mut self, now: Timestamp) {
+    fn stop(&mut self) {
         if self.stopping {
             return;
         }
         self.stopping = true;
         self.requests.begin_stopping();
-        self.coordination.begin_resigning(now);
+        self.coordination.begin_resigning();
         log::info!(target: "node", "stopping with {} open requests", self.requests.len());
     }
 }
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -79,13 +79,13 @@
         })
     }
 
-    /// Returns whether the instance has seen a higher fencing token.
+    /// A grant ended.
     pub(super) fn grant_ended(
         &mut self,
         result: Result<OrderAnswer, ExchangeFailure>,
         now: Timestamp,
         counters: &mut OwnershipCounters,
-    ) -> bool {
+    ) {
         match result {
             Ok(OrderAnswer::Done { .. }) => {
                 counters.grants += 1;
@@ -99,7 +99,6 @@
                     target: self.owner.clone(),
                     handover: None,
                 };
-                return true;
             }
             Ok(OrderAnswer::OtherInstance) => {
                 self.lease.unanswered(false, now);
@@ -115,7 +114,6 @@
                 self.lease.unanswered(!failure.proves_not_sent(), now);
             }
         }
-        false
     }
 
     pub(super) fn release_ended(
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -88,7 +88,6 @@
     authority_end_of_predecessor: Timestamp,
     next_plan: Timestamp,
     gatherings: BTreeMap<ServiceName, Gathering>,
-    refused: bool,
     protections: Protections,
     counters: OwnershipCounters,
 }
@@ -139,7 +138,6 @@
             authority_end_of_predecessor: predecessor_end,
             next_plan: now + PLAN_INTERVAL * 2,
             gatherings: BTreeMap::new(),
-            refused: false,
             protections,
             counters: OwnershipCounters::default(),
         }
@@ -160,12 +158,6 @@
         self.writing.as_ref()
     }
 
-    /// Whether an instance refused an order for a higher fencing token since
-    /// this was asked last.
-    pub fn take_refused(&mut self) -> bool {
-        std::mem::take(&mut self.refused)
-    }
-
     /// The predecessor has ended for certain.
     pub fn predecessor_ended(&mut self, now: Timestamp) {
         if self.authority_end_of_predecessor <= now {
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -116,8 +116,7 @@
             return;
         };
         if holding.lease.order == Some(exchange) {
-            let refused = holding.grant_ended(result, now, &mut self.counters);
-            self.refused |= refused;
+            holding.grant_ended(result, now, &mut self.counters);
         } else {
             holding.release_ended(result, now, &mut self.counters);
         }
--- a/crates/ledgelead-router/src/peers/registry.rs
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -67,11 +67,6 @@
         self.nodes.is_empty()
     }
 
-    /// The node at an address.
-    pub fn at(&self, address: SocketAddr) -> Option<&NodeRecord> {
-        self.nodes.values().find(|record| record.address == address)
-    }
-
     /// Whether a later life of this node is registered: this one has ended.
     pub fn has_ended(&self, identity: &NodeIdentity) -> bool {
         self.nodes
