--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -37,10 +37,14 @@
         schedule,
         trace: false,
         hot_from: None,
+        datagram_loss: DATAGRAM_LOSSES[(seed % 3) as usize],
         protections,
     }
 }
 
+/// Share of the datagrams that are lost, by seed.
+const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
+
 /// Plays the seeds and adds up what they show; with the first seed of each
 /// violation.
 pub fn play(
--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -12,6 +12,9 @@
 /// Most objects of one page of a list.
 const PAGE: usize = 500;
 
+/// How many revisions a stale list may be behind.
+const STALE_REVISIONS: u64 = 12;
+
 /// Who waits for changes.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -41,6 +44,12 @@
     },
 }
 
+/// Objects as they were at an earlier revision, for lists that may be stale.
+struct Earlier {
+    objects: BTreeMap<(ObjectKind, String), Object>,
+    revision: u64,
+}
+
 struct Change {
     revision: u64,
     kind: ObjectKind,
@@ -54,6 +63,7 @@
     objects: BTreeMap<(ObjectKind, String), Object>,
     history: Vec<Change>,
     forgotten: u64,
+    earlier: Option<Earlier>,
     /// Watches that wait.
     pub waiting: Vec<Waiting>,
 }
@@ -102,6 +112,12 @@
     }
 
     fn put(&mut self, kind: ObjectKind, name: &str, content: ObjectContent) -> Object {
+        if self.revision.is_multiple_of(STALE_REVISIONS) {
+            self.earlier = Some(Earlier {
+                objects: self.objects.clone(),
+                revision: self.revision,
+            });
+        }
         self.revision += 1;
         let object = Object {
             name: name.to_owned(),
@@ -123,7 +139,9 @@
     /// Carries out a call.
     pub fn call(&mut self, call: &StoreCall) -> Outcome {
         match call {
-            StoreCall::List { kind, after } => Outcome::Answer(self.list(*kind, after.as_deref())),
+            StoreCall::List { kind, after, stale } => {
+                Outcome::Answer(self.list(*kind, after.as_deref(), *stale))
+            }
             StoreCall::Watch {
                 kind,
                 revision,
@@ -168,10 +186,13 @@
         StoreAnswer::Written(self.put(content.kind(), name, unwritten(content)))
     }
 
-    fn list(&self, kind: ObjectKind, after: Option<&str>) -> StoreAnswer {
+    fn list(&self, kind: ObjectKind, after: Option<&str>, stale: bool) -> StoreAnswer {
         let after = after.unwrap_or_default();
-        let mut objects: Vec<Object> = self
-            .objects
+        let (listed, revision) = match &self.earlier {
+            Some(earlier) if stale => (&earlier.objects, earlier.revision),
+            _ => (&self.objects, self.revision),
+        };
+        let mut objects: Vec<Object> = listed
             .iter()
             .filter(|((of, name), _)| *of == kind && name.as_str() > after)
             .map(|(_, object)| object.clone())
@@ -181,7 +202,7 @@
         StoreAnswer::Objects {
             objects,
             more,
-            revision: self.revision,
+            revision,
         }
     }
 
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -17,6 +17,7 @@
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::node::Node;
+use ledgelead_router::ownership::coordinator::Coordinator;
 use ledgelead_router::protections::Protections;
 use ledgelead_router::settings::NodeSettings;
 use rand::{RngExt, SeedableRng};
@@ -49,6 +50,9 @@
 /// Time for which a leaving instance goes on.
 pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
 
+/// The longest that a datagram takes beyond the latency.
+const MAX_DATAGRAM_DELAY: Duration = Duration::from_millis(3);
+
 /// What a run is like.
 #[derive(Clone, Debug)]
 pub struct FleetSettings {
@@ -62,6 +66,10 @@
     pub schedule: Schedule,
     /// From when on nine in ten keyed requests are for a few neighbouring keys.
     pub hot_from: Option<Duration>,
+    /// Share of the datagrams between nodes that are lost. The others take up
+    /// to `MAX_DATAGRAM_DELAY` longer than anything else, so that some overtake
+    /// others.
+    pub datagram_loss: f64,
     /// Whether faults, orders and records are printed.
     pub trace: bool,
     /// Protections of the nodes.
@@ -98,6 +106,8 @@
     queue: BinaryHeap<Scheduled>,
     pub(super) settings: FleetSettings,
     pub(super) rng: Pcg64Mcg,
+    /// Apart from the rest, so that other draws stay as they are.
+    datagram_rng: Pcg64Mcg,
     pub(super) nodes: Vec<SimulatedNode>,
     pub(super) store: Store,
     pub(super) mood: StoreMood,
@@ -124,6 +134,7 @@
             sequence: 0,
             queue: BinaryHeap::new(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            datagram_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xda7a),
             nodes: Vec::new(),
             store: Store::default(),
             mood: StoreMood::default(),
@@ -390,12 +401,16 @@
         if !self.network.nodes_connected(caller.0, receiver) {
             return;
         }
+        if self.datagram_rng.random_bool(self.settings.datagram_loss) {
+            return;
+        }
+        let delay = MAX_DATAGRAM_DELAY.mul_f64(self.datagram_rng.random_range(0.0..1.0));
         let input = Input::Datagram {
             from: node_address(caller.0),
             bytes,
         };
         let to = (receiver, self.nodes[receiver].life);
-        self.schedule(LATENCY, Event::Input(to, input));
+        self.schedule(LATENCY + delay, Event::Input(to, input));
     }
 
     fn cancel(&mut self, caller: Caller, exchange: ExchangeId) {
@@ -593,17 +608,15 @@
 
     /// The node that a fault hits.
     pub(super) fn target(&self, target: Target) -> usize {
+        let epoch = |index: &usize| {
+            let node = self.nodes[*index].node.as_ref()?;
+            node.coordinator().map(Coordinator::epoch)
+        };
         match target {
             Target::Node(index) => index % self.nodes.len(),
-            Target::Coordinator => self
-                .nodes
-                .iter()
-                .position(|simulated| {
-                    simulated
-                        .node
-                        .as_ref()
-                        .is_some_and(|node| node.coordinator().is_some())
-                })
+            Target::Coordinator => (0..self.nodes.len())
+                .filter(|index| epoch(index).is_some())
+                .max_by_key(epoch)
                 .unwrap_or(0),
         }
     }
--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -47,6 +47,35 @@
     expect_that!(report.answered + report.unanswered, eq(report.requests));
 }
 
+/// Calls to the store of a calm run, and those that a node more adds.
+fn calm_calls(nodes: usize, datagram_loss: f64) -> u64 {
+    let report = World::new(FleetSettings {
+        nodes,
+        datagram_loss,
+        schedule: Schedule::default(),
+        ..drawn(3, Protections::default())
+    })
+    .run();
+    expect_that!(report.violations, is_empty());
+    report.store_calls
+}
+
+#[gtest]
+fn nodes_that_hear_a_coordinator_leave_the_store_alone() {
+    // What is left for a node is its start: some lists and its registration.
+    let added = calm_calls(12, 0.0) - calm_calls(6, 0.0);
+    expect_that!(added, le(6 * 9));
+}
+
+#[gtest]
+fn lost_datagrams_cost_calls_but_nothing_else() {
+    let added = calm_calls(12, 0.05) - calm_calls(6, 0.05);
+    expect_that!(added, le(6 * 14));
+    // Three heartbeats in a row are often lost: nodes go back to the store.
+    let added = calm_calls(12, 0.4) - calm_calls(6, 0.4);
+    expect_that!(added, gt(6 * 14));
+}
+
 #[gtest]
 fn drawn_faults_break_nothing() {
     let (report, lines) = play(1..=60, Protections::default(), false);
@@ -179,6 +208,29 @@
     expect_that!(report.refused as f64 / report.requests as f64, lt(0.01));
 }
 
+#[gtest]
+fn the_authority_of_all_earlier_coordinators_is_waited_for() {
+    // The first coordinator is cut off together with an owner, the second one
+    // leaves its place in good order while the first may still give orders.
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(20.0),
+        FaultKind::IsolateWithCoordinator(1),
+    )
+    .and(
+        seconds(18.0),
+        seconds(2.0),
+        FaultKind::StopNode(Target::Coordinator),
+    );
+    let report = run(schedule.clone(), Protections::default());
+    expect_that!(report.violations, is_empty());
+    // Or it is killed, and its next life proves that this one is over.
+    let mut killed = schedule;
+    killed.0[1].kind = FaultKind::KillNode(Target::Coordinator);
+    let report = run(killed, Protections::default());
+    expect_that!(report.violations, is_empty());
+}
+
 #[gtest]
 fn a_coordinator_outlasts_an_outage_of_the_store() {
     let schedule = Schedule::one(seconds(15.0), seconds(6.0), FaultKind::StoreSilent);
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -22,6 +22,20 @@
     Nodes,
 }
 
+impl ObjectKind {
+    /// Whether there is only one object of this kind.
+    pub fn is_single(self) -> bool {
+        matches!(self, ObjectKind::Configuration | ObjectKind::Ownership)
+    }
+
+    /// Whether a node may start from a state of some seconds ago: the changes
+    /// since are told by the watch that follows, or by the coordinator. Who
+    /// takes part in elections needs the others as they are.
+    pub fn follows_from_any_state(self) -> bool {
+        matches!(self, ObjectKind::Configuration | ObjectKind::Instances)
+    }
+}
+
 /// What an object holds.
 #[derive(Clone, Debug)]
 pub enum ObjectContent {
@@ -83,6 +97,8 @@
         kind: ObjectKind,
         /// The last name of the page before.
         after: Option<String>,
+        /// Whether a state from some seconds ago will do, which is cheaper.
+        stale: bool,
     },
     /// Changes after a revision, as soon as there are some.
     Watch {
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -4,9 +4,9 @@
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
-use crate::identity::{InstanceId, NodeIdentity, NodeName};
+use crate::identity::{InstanceId, NodeIdentity};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
-use crate::ownership::coordinator::{Context, Coordinator, OutgoingOrder};
+use crate::ownership::coordinator::{Context, Coordinator, EarlierAuthority, OutgoingOrder};
 use crate::ownership::election::{Election, rank};
 use crate::ownership::record::OwnershipRecord;
 use crate::protections::{Protection, Protections};
@@ -41,6 +41,8 @@
     pub(super) election: Election,
     /// The coordinator that this node last tried to follow.
     predecessor: Option<NodeIdentity>,
+    /// How long those before it may go on to give orders.
+    earlier_authority: Duration,
     taking_over: bool,
     write_out: bool,
     next_write: Timestamp,
@@ -60,6 +62,7 @@
             listed: false,
             election,
             predecessor: None,
+            earlier_authority: Duration::ZERO,
             taking_over: false,
             write_out: false,
             next_write: Timestamp::ZERO,
@@ -152,6 +155,7 @@
 
     fn may_campaign(&self) -> bool {
         self.coordination.listed
+            && !self.registry.is_empty()
             && self.configuration.is_some()
             && self.store.is_registered()
             && self.store.health.serves()
@@ -160,18 +164,15 @@
     }
 
     fn campaign_due(&self) -> Timestamp {
-        let nodes: Vec<NodeName> = self
-            .registry
-            .iter()
-            .map(|record| record.identity.node.clone())
-            .collect();
         let record = self.ownership.record();
-        let rank = rank(
-            &self.settings.identity.node,
-            record.coordinator.as_ref(),
-            &nodes,
-        );
-        self.coordination.election.due(record, rank)
+        self.coordination.election.due(record, self.campaign_rank())
+    }
+
+    /// How many nodes come before this one as successors of the coordinator.
+    pub(super) fn campaign_rank(&self) -> usize {
+        let nodes = self.registry.iter().map(|record| &record.identity.node);
+        let coordinator = self.ownership.record().coordinator.as_ref();
+        rank(&self.settings.identity.node, coordinator, nodes)
     }
 
     fn campaign(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -183,7 +184,11 @@
         }
         let record = self.ownership.record();
         self.coordination.predecessor = record.coordinator.clone();
-        let next = record.taken_over_by(&self.settings.identity, self.settings.protections);
+        self.coordination.earlier_authority = record.earlier_authority();
+        let mut next = record.taken_over_by(&self.settings.identity, self.settings.protections);
+        if !self.predecessor_has_ended() {
+            next.set_earlier_authority(COORDINATOR_AUTHORITY);
+        }
         let content = WrittenContent::Ownership(next.clone());
         let name = OWNERSHIP_NAME.to_owned();
         let call = match self.ownership.revision() {
@@ -211,7 +216,13 @@
         self.coordination.taking_over = false;
         match answer {
             Ok(StoreAnswer::Written(object)) => {
+                let base = self.ownership.revision();
+                let before = self.ownership.record().clone();
                 self.ownership_changed(record, object.revision, started, now, out);
+                if let Some(base) = base {
+                    self.tell_take_over(base, &before, out);
+                }
+                self.gossip.hasten_heartbeat();
             }
             _ => self.store.interrupt(ObjectKind::Ownership, now, now, out),
         }
@@ -227,7 +238,7 @@
         let record = self.ownership.record().clone();
         self.coordination.election.observed(&record, now);
         if record.coordinator.as_ref() != Some(&self.settings.identity) {
-            self.leave_place(&record);
+            self.leave_place(&record, now);
             return;
         }
         self.coordination.confirmed = self.coordination.confirmed.max(Some(started));
@@ -249,29 +260,30 @@
     }
 
     fn take_place(&mut self, record: OwnershipRecord, now: Timestamp, out: &mut Vec<Action>) {
-        let ended = match &self.coordination.predecessor {
-            None => true,
-            Some(earlier) => self.has_ended(earlier),
-        };
-        let predecessor_end = if ended {
+        let ended = self.predecessor_has_ended();
+        let predecessor = if ended {
             now
         } else {
             now + COORDINATOR_AUTHORITY
         };
+        let earlier = EarlierAuthority {
+            predecessor,
+            others: now + self.coordination.earlier_authority,
+        };
         log::info!(target: "ownership", "coordinates under epoch {}, predecessor ended: {ended}", record.epoch);
         self.coordination.orders.clear();
         self.coordination.write_out = false;
         self.coordination.coordinator = Some(Coordinator::new(
             record,
-            predecessor_end,
+            earlier,
             self.settings.protections,
             now,
         ));
-        self.store.set_coordinating(true);
+        self.store.set_coordinating(true, now);
         self.store.set_informed(false, now, out);
     }
 
-    fn leave_place(&mut self, record: &OwnershipRecord) {
+    fn leave_place(&mut self, record: &OwnershipRecord, now: Timestamp) {
         if self.coordination.coordinator.take().is_none() {
             return;
         }
@@ -279,7 +291,14 @@
         self.coordination.orders.clear();
         self.coordination.confirmed = None;
         self.coordination.resign_done = true;
-        self.store.set_coordinating(false);
+        self.store.set_coordinating(false, now);
+    }
+
+    /// Whether the coordinator that this node follows has resigned, or is over
+    /// for certain.
+    fn predecessor_has_ended(&self) -> bool {
+        let predecessor = self.coordination.predecessor.as_ref();
+        predecessor.is_none_or(|earlier| self.has_ended(earlier))
     }
 
     /// Whether this life of a node is over for certain.
@@ -296,11 +315,7 @@
         let Some(configuration) = &self.configuration else {
             return;
         };
-        let ended = self
-            .coordination
-            .predecessor
-            .as_ref()
-            .is_none_or(|earlier| self.has_ended(earlier));
+        let ended = self.predecessor_has_ended();
         let Some(coordinator) = &mut self.coordination.coordinator else {
             return;
         };
@@ -444,6 +459,9 @@
         coordination.resign_out = true;
         let mut record = self.ownership.record().clone();
         record.coordinator = None;
+        if let Some(coordinator) = &self.coordination.coordinator {
+            record.set_earlier_authority(coordinator.earlier_authority(now));
+        }
         let call = StoreCall::Replace {
             name: OWNERSHIP_NAME.to_owned(),
             revision: self.ownership.revision(),
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -1,18 +1,18 @@
 //! What nodes tell each other.
 
 use super::Node;
+use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
-use crate::ownership::record::Assignment;
-use crate::peers::{ChangedAssignment, KeyReport, OpenRequests, PeerMessage, decode, encode};
-use ledgelead_types::codec::{List, Text};
+use crate::peers::{KeyReport, OpenRequests, PeerMessage, RelayedKind, decode, encode};
+use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Pause between the coordinator's heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between reports of the keys asked for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two tellings of open requests that did not change.
@@ -21,12 +21,12 @@
 /// with the share of the drain bound for which a leaving owner is still used,
 /// it stays below that bound, also when the coordinator has lost the store.
 const INFORMED_FOR: Duration = Duration::from_millis(1_100);
+/// How many nodes prepare at once to follow a coordinator that has resigned.
+const PROMPT_SUCCESSORS: usize = 3;
 /// Most keys in one report.
 const MAX_KEYS: usize = 500;
 /// Most counts in one datagram.
 const MAX_COUNTS: usize = 80;
-/// Most assignments in one datagram.
-const MAX_CHANGES: usize = 20;
 /// How long this node may know less of the record than the coordinator says
 /// before it asks the store again.
 const BEHIND_FOR: Duration = Duration::from_millis(250);
@@ -60,7 +60,10 @@
     ownership_lag: Lag,
     configuration_lag: Lag,
     instances_lag: Lag,
+    nodes_lag: Lag,
     instances_revision: u64,
+    nodes_revision: u64,
+    pub(super) relay: RelayState,
     /// When this node is on its own again, unless it hears of instances.
     informed_until: Option<Timestamp>,
 }
@@ -74,14 +77,26 @@
             ownership_lag: Lag::default(),
             configuration_lag: Lag::default(),
             instances_lag: Lag::default(),
+            nodes_lag: Lag::default(),
             instances_revision: 0,
+            nodes_revision: 0,
+            relay: RelayState::default(),
             informed_until: None,
         }
     }
 
-    /// Who may get work has changed; a coordinator tells so at once.
+    /// Who may get work has changed.
     pub(super) fn instances_changed(&mut self, revision: u64) {
         self.instances_revision = self.instances_revision.max(revision);
+    }
+
+    /// Nodes have registered, or have gone.
+    pub(super) fn nodes_changed(&mut self, revision: u64) {
+        self.nodes_revision = self.nodes_revision.max(revision);
+    }
+
+    /// A coordinator has something to tell that its heartbeats carry.
+    pub(super) fn hasten_heartbeat(&mut self) {
         self.next_heartbeat = Timestamp::ZERO;
     }
 
@@ -115,7 +130,7 @@
     }
 
     fn tell_coordinating(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let age = self.store.instances_age(now).as_millis();
+        let age = self.store.age(now).as_millis();
         let Some(coordinator) = self.coordination.coordinator() else {
             return;
         };
@@ -125,7 +140,8 @@
             revision: self.ownership.revision().unwrap_or(0),
             configuration: self.configuration_version(),
             instances: self.gossip.instances_revision,
-            instances_age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            nodes: self.gossip.nodes_revision,
+            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
         };
         let bytes = encode(&message);
         for address in self.others() {
@@ -136,7 +152,7 @@
         }
     }
 
-    fn others(&self) -> Vec<SocketAddr> {
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
         self.registry
             .iter()
             .map(|record| record.address)
@@ -249,20 +265,51 @@
                 revision,
                 configuration,
                 instances,
-                instances_age_ms,
+                nodes,
+                age_ms,
             } => {
-                let age = Duration::from_millis(u64::from(instances_age_ms));
+                let age = Duration::from_millis(u64::from(age_ms));
                 if store_serves && age < INFORMED_FOR {
-                    self.heard_of_instances(epoch, instances, age, now, out);
+                    self.informed(epoch, age, now, out);
+                    self.heard_of_instances(instances, now, out);
+                    self.heard_of_nodes(nodes, now, out);
                 }
                 self.heard_configuration(configuration, now, out);
                 self.heard_coordinator(epoch, store_serves, revision, now, out);
             }
-            PeerMessage::OwnershipChanged {
+            PeerMessage::InstancesChanged { span, changes } => {
+                self.instances_told(span, &changes, now, out);
+            }
+            PeerMessage::NodesChanged { span, changes } => {
+                self.nodes_told(span, &changes, now, out);
+            }
+            PeerMessage::TookOver {
                 base,
                 revision,
-                changes,
-            } => self.ownership_told(base, revision, &changes, now, out),
+                node,
+                incarnation,
+                first_fence,
+                digest,
+            } => {
+                let coordinator = NodeIdentity {
+                    node: NodeName::from(node.0.as_str()),
+                    incarnation,
+                };
+                let told = TakeOver {
+                    base,
+                    revision,
+                    coordinator,
+                    first_fence,
+                    digest,
+                };
+                self.heard_take_over(told, now, out);
+            }
+            PeerMessage::OwnershipChanged { span, changes } => {
+                self.ownership_told(span, &changes, now, out);
+            }
+            PeerMessage::ChangesWanted { kind, since } => {
+                self.changes_wanted(from, kind, since, out);
+            }
             PeerMessage::Resigned { epoch } => self.heard_resignation(epoch, now, out),
             PeerMessage::KeysAsked {
                 configuration,
@@ -281,60 +328,56 @@
         }
     }
 
-    /// The coordinator asks the store for instances more often than this node,
-    /// and tells when they have changed.
-    fn heard_of_instances(
-        &mut self,
-        epoch: u64,
-        revision: u64,
-        age: Duration,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
+    /// A coordinator whom the store serves tells of changes. While the store
+    /// fails this node, it goes on to ask by itself, since only its own calls
+    /// tell when that is over.
+    fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
         let current = epoch >= self.ownership.record().epoch;
-        if !current || self.coordination.coordinator().is_some() {
-            return;
+        let follows = self.coordination.coordinator().is_none() && self.store.health.serves();
+        if current && follows {
+            self.gossip.informed_until = Some(now + INFORMED_FOR.saturating_sub(age));
+            self.store.set_informed(true, now, out);
+        }
+    }
+
+    fn heard_of_instances(&mut self, revision: u64, now: Timestamp, out: &mut Vec<Action>) {
+        let behind = self.is_behind(ObjectKind::Instances, revision);
+        if behind {
+            self.want_changes(RelayedKind::Instances, now, out);
         }
-        self.gossip.informed_until = Some(now + INFORMED_FOR.saturating_sub(age));
-        self.store.set_informed(true, now, out);
-        let behind = self.store.instances_revision() < revision;
         if let Some(since) = self.gossip.instances_lag.update(behind, now) {
-            self.store.interrupt(ObjectKind::Instances, since, now, out);
+            self.ask_again(ObjectKind::Instances, since, now, out);
         }
     }
 
-    /// Tells all nodes what a write of the record has changed. A list that is
-    /// too long for a datagram is left to the store.
-    pub(super) fn tell_ownership(&self, base: u64, changes: &[Assignment], out: &mut Vec<Action>) {
-        let Some(revision) = self.ownership.revision() else {
-            return;
-        };
-        if changes.len() > MAX_CHANGES {
-            return;
+    fn heard_of_nodes(&mut self, revision: u64, now: Timestamp, out: &mut Vec<Action>) {
+        let behind = self.is_behind(ObjectKind::Nodes, revision);
+        if behind {
+            self.want_changes(RelayedKind::Nodes, now, out);
         }
-        let changes = changes
-            .iter()
-            .map(|change| ChangedAssignment {
-                service: change.service.stable_hash(),
-                first: change.first,
-                last: change.last,
-                owner: Text(change.owner.to_string()),
-                fence: change.fence,
-            })
-            .collect();
-        let bytes = encode(&PeerMessage::OwnershipChanged {
-            base,
-            revision,
-            changes,
-        });
-        for address in self.others() {
-            out.push(Action::Datagram {
-                address,
-                bytes: bytes.clone(),
-            });
+        if let Some(since) = self.gossip.nodes_lag.update(behind, now) {
+            self.ask_again(ObjectKind::Nodes, since, now, out);
         }
     }
 
+    fn is_behind(&mut self, kind: ObjectKind, revision: u64) -> bool {
+        let follows = self.coordination.coordinator().is_none();
+        let known = self.store.revision_of(kind);
+        follows && known.is_some_and(|known| known < revision)
+    }
+
+    /// Something was missed: the watch is made anew, or asks once if it rests.
+    fn ask_again(
+        &mut self,
+        kind: ObjectKind,
+        since: Timestamp,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        self.store.interrupt(kind, since, now, out);
+        self.store.poke(kind, now);
+    }
+
     /// Tells all nodes that this one has left the coordinator's place.
     pub(super) fn tell_resignation(&self, out: &mut Vec<Action>) {
         let bytes = encode(&PeerMessage::Resigned {
@@ -348,46 +391,15 @@
         }
     }
 
+    /// Only those that come first as successors read the record at once. The
+    /// others hear from the successor, or miss the coordinator's heartbeats.
     fn heard_resignation(&mut self, epoch: u64, now: Timestamp, out: &mut Vec<Action>) {
-        if epoch >= self.ownership.record().epoch {
-            self.gossip.informed_until = None;
-            self.store.set_informed(false, now, out);
+        let current = epoch >= self.ownership.record().epoch;
+        if current && self.campaign_rank() < PROMPT_SUCCESSORS {
             self.store.refresh_ownership(now, out);
         }
     }
 
-    fn ownership_told(
-        &mut self,
-        base: u64,
-        revision: u64,
-        changes: &[ChangedAssignment],
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(configuration) = &self.configuration else {
-            return;
-        };
-        let known = |change: &ChangedAssignment| {
-            let service = configuration
-                .sharded_services()
-                .find(|service| service.stable_hash() == change.service)?;
-            Some(Assignment {
-                service: service.clone(),
-                first: change.first,
-                last: change.last,
-                owner: InstanceId::from(change.owner.0.as_str()),
-                fence: change.fence,
-            })
-        };
-        let assignments: Option<Vec<Assignment>> = changes.iter().map(known).collect();
-        if let Some(assignments) = assignments
-            && self.coordination.coordinator().is_none()
-            && self.ownership.overlay(base, revision, assignments)
-        {
-            self.reconsider_waiting(now, out);
-        }
-    }
-
     fn heard_coordinator(
         &mut self,
         epoch: u64,
@@ -414,7 +426,7 @@
         }
     }
 
-    fn configuration_version(&self) -> u64 {
+    pub(super) fn configuration_version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |known| known.version)
     }
 
@@ -422,25 +434,22 @@
     /// one stays behind, its watch has been lost without notice.
     fn heard_configuration(&mut self, version: u64, now: Timestamp, out: &mut Vec<Action>) {
         let behind = self.configuration_version() < version;
+        if behind {
+            // Nothing else tells a watch that rests.
+            self.store.poke(ObjectKind::Configuration, now);
+        }
         if let Some(since) = self.gossip.configuration_lag.update(behind, now) {
-            self.store
-                .interrupt(ObjectKind::Configuration, since, now, out);
+            self.ask_again(ObjectKind::Configuration, since, now, out);
         }
     }
 
     fn keys_reported(&mut self, reports: &[KeyReport], now: Timestamp) {
-        let Some(configuration) = &self.configuration else {
-            return;
-        };
-        let Some(coordinator) = self.coordination.coordinator_mut() else {
-            return;
-        };
         for report in reports {
-            let service = configuration
-                .sharded_services()
-                .find(|service| service.stable_hash() == report.service);
-            if let Some(service) = service {
-                coordinator.record_load(service, &report.keys, now);
+            let Some(service) = self.service_by_hash(report.service).cloned() else {
+                continue;
+            };
+            if let Some(coordinator) = self.coordination.coordinator_mut() {
+                coordinator.record_load(&service, &report.keys, now);
             }
         }
     }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod coordination;
 mod gossip;
 mod picture;
+mod relay;
 mod status;
 mod store_calls;
 
--- /dev/null
+++ b/crates/ledgelead-router/src/node/relay.rs
@@ -0,0 +1,540 @@
+//! Changes that the store told the coordinator, passed on to the other nodes.
+//!
+//! A node that gets them all needs no watch of its own. Each list of changes
+//! names the store's revisions it lies between. A node that has missed one
+//! learns so from the next list, or from the coordinator's next heartbeat. It
+//! asks the coordinator for what is missing, and the store if that is of no
+//! help.
+
+use super::Node;
+use crate::Timestamp;
+use crate::dialect::{ObjectContent, ObjectEvent, ObjectKind};
+use crate::directory::InstanceRecord;
+use crate::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use crate::io::Action;
+use crate::ownership::record::{Assignment, OwnershipRecord};
+use crate::peers::{
+    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, InstanceEntry, NodeEntry,
+    NodeRecord, PeerMessage, RelayedKind, encode,
+};
+use ledgelead_types::codec::{List, Text};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most instances in one datagram.
+const INSTANCES_A_PART: usize = 8;
+/// Most nodes in one datagram.
+const NODES_A_PART: usize = 12;
+/// Most assignments in one datagram.
+const ASSIGNMENTS_A_PART: usize = 20;
+/// Most parts of one list; a longer one is left to the store.
+const MAX_PARTS: u8 = 48;
+
+/// How many lists of changes of one kind a coordinator keeps for nodes that
+/// have missed some.
+const KEPT_LISTS: usize = 64;
+/// Pause between two questions for missed changes of one kind.
+const WANT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Which parts of a list of changes have arrived.
+#[derive(Debug, Default)]
+struct PartsReceived {
+    list: Option<(u64, u64)>,
+    /// One bit for each part.
+    parts: u64,
+}
+
+impl PartsReceived {
+    /// Notes a part. Returns whether the whole list is there.
+    fn note(&mut self, span: ChangeSpan) -> bool {
+        let list = (span.base, span.revision);
+        if self.list != Some(list) {
+            self.list = Some(list);
+            self.parts = 0;
+        }
+        self.parts |= 1u64.checked_shl(u32::from(span.part)).unwrap_or(0);
+        self.parts.count_ones() >= u32::from(span.parts)
+    }
+}
+
+/// A list of changes between two revisions.
+#[derive(Clone, Debug)]
+pub(super) struct Changes {
+    pub(super) base: u64,
+    pub(super) revision: u64,
+    pub(super) events: Vec<ObjectEvent>,
+}
+
+/// What is kept of one kind of changes.
+#[derive(Debug, Default)]
+struct Relayed {
+    /// Parts of a list that this node is being told.
+    parts: PartsReceived,
+    /// Lists that this node has told as coordinator, the oldest first; each
+    /// goes on where the one before ends.
+    told: VecDeque<Changes>,
+    /// When the coordinator may be asked for missed changes again.
+    next_want: Timestamp,
+}
+
+impl Relayed {
+    fn keep(&mut self, changes: Changes) {
+        let follows = self
+            .told
+            .back()
+            .is_none_or(|last| last.revision == changes.base);
+        if !follows {
+            self.told.clear();
+        }
+        self.told.push_back(changes);
+        if self.told.len() > KEPT_LISTS {
+            self.told.pop_front();
+        }
+    }
+
+    /// All changes after a revision, if they are still there.
+    fn since(&self, revision: u64) -> Option<Changes> {
+        let first = self.told.front()?;
+        let last = self.told.back()?;
+        if revision < first.base || last.revision <= revision {
+            return None;
+        }
+        let later = self.told.iter().filter(|list| list.revision > revision);
+        Some(Changes {
+            base: revision,
+            revision: last.revision,
+            events: later.flat_map(|list| list.events.clone()).collect(),
+        })
+    }
+}
+
+/// State of what is passed on.
+#[derive(Debug, Default)]
+pub(super) struct RelayState {
+    instances: Relayed,
+    nodes: Relayed,
+    ownership_parts: PartsReceived,
+}
+
+impl RelayState {
+    fn of(&mut self, kind: RelayedKind) -> &mut Relayed {
+        match kind {
+            RelayedKind::Instances => &mut self.instances,
+            RelayedKind::Nodes => &mut self.nodes,
+        }
+    }
+}
+
+/// What a node says that has taken the coordinator's place.
+#[derive(Debug)]
+pub(super) struct TakeOver {
+    /// The revision of the record before.
+    pub(super) base: u64,
+    /// Its revision now.
+    pub(super) revision: u64,
+    pub(super) coordinator: NodeIdentity,
+    /// The token of the first assignment.
+    pub(super) first_fence: u64,
+    /// Digest of the record as it is now.
+    pub(super) digest: u64,
+}
+
+impl Node {
+    /// Tells all nodes what the store has told this coordinator.
+    pub(super) fn relay(&mut self, kind: ObjectKind, changes: Changes, out: &mut Vec<Action>) {
+        let Some(kind) = relayed_kind(kind) else {
+            return;
+        };
+        let datagrams = encode_changes(kind, &changes);
+        for address in self.others() {
+            send_all(address, &datagrams, out);
+        }
+        self.gossip.relay.of(kind).keep(changes);
+    }
+
+    /// A node has missed changes that this coordinator has told.
+    pub(super) fn changes_wanted(
+        &mut self,
+        from: SocketAddr,
+        kind: RelayedKind,
+        since: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if self.coordination.coordinator().is_none() {
+            return;
+        }
+        if let Some(changes) = self.gossip.relay.of(kind).since(since) {
+            send_all(from, &encode_changes(kind, &changes), out);
+        }
+    }
+
+    /// Asks the coordinator for changes that this node has missed. If it gets
+    /// no answer, it asks the store, since it stays behind.
+    pub(super) fn want_changes(
+        &mut self,
+        kind: RelayedKind,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(since) = self.store.revision_of(kind.object_kind()) else {
+            return;
+        };
+        let coordinator = self.ownership.record().coordinator.as_ref();
+        let Some(node) = coordinator.and_then(|identity| self.registry.get(&identity.node)) else {
+            return;
+        };
+        let relayed = self.gossip.relay.of(kind);
+        if relayed.next_want > now {
+            return;
+        }
+        relayed.next_want = now + WANT_PAUSE;
+        out.push(Action::Datagram {
+            address: node.address,
+            bytes: encode(&PeerMessage::ChangesWanted { kind, since }),
+        });
+    }
+
+    /// The coordinator told changed instances.
+    pub(super) fn instances_told(
+        &mut self,
+        span: ChangeSpan,
+        changes: &[ChangedInstance],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.follows_on(RelayedKind::Instances, span, now, out) {
+            return;
+        }
+        for change in changes {
+            let id = InstanceId::from(change.id.0.as_str());
+            match &change.entry {
+                None => self.directory.remove(&id, now),
+                Some(entry) => {
+                    if let Some(record) = instance_record(id, entry) {
+                        self.directory.upsert(record, now);
+                    }
+                }
+            }
+        }
+        if self.gossip.relay.instances.parts.note(span) {
+            self.store.advance(ObjectKind::Instances, span.revision);
+            self.gossip.instances_changed(span.revision);
+        }
+        self.reconsider_waiting(now, out);
+    }
+
+    /// The coordinator told changed registrations of nodes.
+    pub(super) fn nodes_told(
+        &mut self,
+        span: ChangeSpan,
+        changes: &[ChangedNode],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.follows_on(RelayedKind::Nodes, span, now, out) {
+            return;
+        }
+        for change in changes {
+            let name = NodeName::from(change.node.0.as_str());
+            match &change.entry {
+                None => self.registry.remove(&name),
+                Some(entry) => {
+                    if let Some(record) = node_record(name, entry) {
+                        self.registry.upsert(record);
+                    }
+                }
+            }
+        }
+        if self.gossip.relay.nodes.parts.note(span) {
+            self.store.advance(ObjectKind::Nodes, span.revision);
+            self.gossip.nodes_changed(span.revision);
+        }
+    }
+
+    /// Whether changes are news to this node and none before them is missing.
+    /// While the store fails this node, an entry may be gone only because its
+    /// instance couldn't write; that is for its own watch to judge.
+    fn follows_on(
+        &mut self,
+        kind: RelayedKind,
+        span: ChangeSpan,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let judges = self.store.health.serves() && self.coordination.coordinator().is_none();
+        let Some(known) = self.store.revision_of(kind.object_kind()) else {
+            return false;
+        };
+        if judges && known < span.base {
+            self.want_changes(kind, now, out);
+        }
+        judges && span.base <= known && known < span.revision
+    }
+
+    /// Tells all nodes what a write of the record has changed.
+    pub(super) fn tell_ownership(&self, base: u64, changes: &[Assignment], out: &mut Vec<Action>) {
+        let Some(revision) = self.ownership.revision() else {
+            return;
+        };
+        let changed: Vec<ChangedAssignment> = changes.iter().map(changed_assignment).collect();
+        let datagrams = parts(
+            base,
+            revision,
+            &changed,
+            ASSIGNMENTS_A_PART,
+            |span, changes| PeerMessage::OwnershipChanged { span, changes },
+        );
+        for address in self.others() {
+            send_all(address, &datagrams, out);
+        }
+    }
+
+    /// The coordinator told new assignments.
+    pub(super) fn ownership_told(
+        &mut self,
+        span: ChangeSpan,
+        changes: &[ChangedAssignment],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let assignments: Option<Vec<Assignment>> = changes
+            .iter()
+            .map(|change| self.known_assignment(change))
+            .collect();
+        let Some(assignments) = assignments else {
+            return;
+        };
+        let follows = self.coordination.coordinator().is_none();
+        if follows
+            && self
+                .ownership
+                .overlay(span.base, span.revision, assignments)
+        {
+            if self.gossip.relay.ownership_parts.note(span) {
+                self.ownership.overlaid(span.revision);
+            }
+            self.reconsider_waiting(now, out);
+        }
+    }
+
+    fn known_assignment(&self, change: &ChangedAssignment) -> Option<Assignment> {
+        let service = self.service_by_hash(change.service)?;
+        Some(Assignment {
+            service: service.clone(),
+            first: change.first,
+            last: change.last,
+            owner: InstanceId::from(change.owner.0.as_str()),
+            fence: change.fence,
+        })
+    }
+
+    /// The service whose keys have owners and whose name has this hash.
+    pub(super) fn service_by_hash(&self, hash: u64) -> Option<&ServiceName> {
+        self.configuration
+            .as_ref()?
+            .sharded_services()
+            .find(|service| service.stable_hash() == hash)
+    }
+
+    /// Tells all nodes that this one has taken the coordinator's place.
+    pub(super) fn tell_take_over(
+        &self,
+        base: u64,
+        before: &OwnershipRecord,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(revision) = self.ownership.revision() else {
+            return;
+        };
+        let bytes = encode(&PeerMessage::TookOver {
+            base,
+            revision,
+            node: Text(self.settings.identity.node.to_string()),
+            incarnation: self.settings.identity.incarnation,
+            first_fence: before.next_fence,
+            digest: self.ownership.record().digest(),
+        });
+        for address in self.others() {
+            let bytes = bytes.clone();
+            out.push(Action::Datagram { address, bytes });
+        }
+    }
+
+    /// Another node says that it has taken the coordinator's place. The record
+    /// follows from the one before; if this node's doesn't, the store is asked
+    /// as soon as a heartbeat tells of the newer revision.
+    pub(super) fn heard_take_over(
+        &mut self,
+        told: TakeOver,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if self.coordination.coordinator().is_some() {
+            self.store.refresh_ownership(now, out);
+            return;
+        }
+        let mut before = self.ownership.record().clone();
+        before.next_fence = told.first_fence;
+        let record = before.taken_over_by(&told.coordinator, self.settings.protections);
+        let same = record.digest() == told.digest;
+        if same && self.ownership.supersede(told.base, told.revision, record) {
+            let record = self.ownership.record().clone();
+            self.coordination.election.observed(&record, now);
+            self.reconsider_waiting(now, out);
+        }
+    }
+}
+
+/// The last event of each object, by name. What can't be read is not told.
+fn last_events(events: &[ObjectEvent]) -> Vec<&ObjectEvent> {
+    let by_name: BTreeMap<&str, &ObjectEvent> = events
+        .iter()
+        .filter(|event| event.gone || event.object.content.is_ok())
+        .map(|event| (event.object.name.as_str(), event))
+        .collect();
+    by_name.into_values().collect()
+}
+
+impl RelayedKind {
+    fn object_kind(self) -> ObjectKind {
+        match self {
+            RelayedKind::Instances => ObjectKind::Instances,
+            RelayedKind::Nodes => ObjectKind::Nodes,
+        }
+    }
+}
+
+fn relayed_kind(kind: ObjectKind) -> Option<RelayedKind> {
+    match kind {
+        ObjectKind::Instances => Some(RelayedKind::Instances),
+        ObjectKind::Nodes => Some(RelayedKind::Nodes),
+        ObjectKind::Configuration | ObjectKind::Ownership => None,
+    }
+}
+
+fn send_all(address: SocketAddr, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
+    for bytes in datagrams {
+        out.push(Action::Datagram {
+            address,
+            bytes: bytes.clone(),
+        });
+    }
+}
+
+/// Splits a list into parts and encodes each. A list with too many of them is
+/// left to the store.
+fn parts<T: Clone>(
+    base: u64,
+    revision: u64,
+    changed: &[T],
+    a_part: usize,
+    message: impl Fn(ChangeSpan, List<T>) -> PeerMessage,
+) -> Vec<Vec<u8>> {
+    let chunks: Vec<&[T]> = changed.chunks(a_part).collect();
+    let count = match u8::try_from(chunks.len()) {
+        Ok(count) if count <= MAX_PARTS => count,
+        _ => return Vec::new(),
+    };
+    (0..count)
+        .zip(chunks)
+        .map(|(part, chunk)| {
+            let span = ChangeSpan {
+                base,
+                revision,
+                part,
+                parts: count,
+            };
+            encode(&message(span, List(chunk.to_vec())))
+        })
+        .collect()
+}
+
+fn encode_changes(kind: RelayedKind, changes: &Changes) -> Vec<Vec<u8>> {
+    let (base, revision) = (changes.base, changes.revision);
+    let events = last_events(&changes.events).into_iter();
+    match kind {
+        RelayedKind::Instances => {
+            let changed: Vec<ChangedInstance> = events.map(changed_instance).collect();
+            parts(
+                base,
+                revision,
+                &changed,
+                INSTANCES_A_PART,
+                |span, changes| PeerMessage::InstancesChanged { span, changes },
+            )
+        }
+        RelayedKind::Nodes => {
+            let changed: Vec<ChangedNode> = events.map(changed_node).collect();
+            parts(base, revision, &changed, NODES_A_PART, |span, changes| {
+                PeerMessage::NodesChanged { span, changes }
+            })
+        }
+    }
+}
+
+fn changed_assignment(assignment: &Assignment) -> ChangedAssignment {
+    ChangedAssignment {
+        service: assignment.service.stable_hash(),
+        first: assignment.first,
+        last: assignment.last,
+        owner: Text(assignment.owner.to_string()),
+        fence: assignment.fence,
+    }
+}
+
+fn changed_instance(event: &ObjectEvent) -> ChangedInstance {
+    let entry = match &event.object.content {
+        Ok(ObjectContent::Instance(record)) if !event.gone => Some(InstanceEntry {
+            service: Text(record.service.to_string()),
+            address: Text(record.address.to_string()),
+            zone: Text(record.zone.to_string()),
+            slots: record.slots,
+            draining: record.draining,
+            warmup_left_ms: u32::try_from(record.warmup_left.as_millis()).unwrap_or(u32::MAX),
+        }),
+        _ => None,
+    };
+    ChangedInstance {
+        id: Text(event.object.name.clone()),
+        entry,
+    }
+}
+
+fn changed_node(event: &ObjectEvent) -> ChangedNode {
+    let entry = match &event.object.content {
+        Ok(ObjectContent::Node(record)) if !event.gone => Some(NodeEntry {
+            incarnation: record.identity.incarnation,
+            zone: Text(record.zone.to_string()),
+            address: Text(record.address.to_string()),
+        }),
+        _ => None,
+    };
+    ChangedNode {
+        node: Text(event.object.name.clone()),
+        entry,
+    }
+}
+
+fn instance_record(id: InstanceId, entry: &InstanceEntry) -> Option<InstanceRecord> {
+    Some(InstanceRecord {
+        id,
+        service: ServiceName::from(entry.service.0.as_str()),
+        address: entry.address.0.parse().ok()?,
+        zone: ZoneName::from(entry.zone.0.as_str()),
+        slots: entry.slots,
+        draining: entry.draining,
+        warmup_left: Duration::from_millis(u64::from(entry.warmup_left_ms)),
+    })
+}
+
+fn node_record(node: NodeName, entry: &NodeEntry) -> Option<NodeRecord> {
+    Some(NodeRecord {
+        identity: NodeIdentity {
+            node,
+            incarnation: entry.incarnation,
+        },
+        zone: ZoneName::from(entry.zone.0.as_str()),
+        address: entry.address.0.parse().ok()?,
+    })
+}
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -1,6 +1,7 @@
 //! The node's calls to the store.
 
 use super::Node;
+use super::relay::Changes;
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer, StoreCall, WrittenContent};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
@@ -24,40 +25,54 @@
 /// Pause before a failed registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 
-/// Pace of the watch on the configuration.
-const CONFIGURATION_PACE: WatcherPace = WatcherPace {
+/// Pace of a watch that only hastens what the coordinator would tell as well.
+const CALM_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_millis(150),
     wait: Duration::from_secs(10),
 };
 /// Pace of the watch on instances. It is also the call that notices when the
-/// store is lost, so it doesn't wait for long.
+/// store is lost, so it doesn't wait for long. Together with the share of the
+/// drain bound for which a leaving owner is still used, the pause stays below
+/// that bound.
 const INSTANCES_PACE: WatcherPace = WatcherPace {
-    after_events: Duration::from_millis(150),
+    after_events: Duration::from_millis(400),
     wait: Duration::from_millis(700),
 };
-/// The same for a node that hears from a coordinator whom the store serves:
-/// the coordinator tells of changes that matter, so that only the number of
-/// calls is less.
-const INFORMED_PACE: WatcherPace = WatcherPace {
+/// Pace of the coordinator's watches on instances and on the configuration:
+/// what they learn, all nodes go by. An answer is so young when it is told
+/// that a node can miss the next heartbeat and still rest.
+const COORDINATOR_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_millis(150),
-    wait: Duration::from_secs(6),
+    wait: Duration::from_millis(600),
 };
 /// Pace of the watch on ownership.
 const OWNERSHIP_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_millis(5),
     wait: Duration::from_secs(10),
 };
-/// The coordinator's pace: each answer confirms its place.
-const COORDINATOR_PACE: WatcherPace = WatcherPace {
+/// The coordinator's pace there: each answer confirms its place.
+const COORDINATOR_OWNERSHIP_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_millis(5),
     wait: Duration::from_secs(2),
 };
 /// Pace of the watch on nodes.
 const NODES_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_millis(500),
-    wait: Duration::from_secs(25),
+    wait: Duration::from_secs(10),
 };
 
+/// The pace of a watch, at the coordinator and elsewhere.
+fn pace(kind: ObjectKind, coordinating: bool) -> WatcherPace {
+    match (kind, coordinating) {
+        (ObjectKind::Configuration, false) => CALM_PACE,
+        (ObjectKind::Instances, false) => INSTANCES_PACE,
+        (ObjectKind::Configuration | ObjectKind::Instances, true) => COORDINATOR_PACE,
+        (ObjectKind::Ownership, false) => OWNERSHIP_PACE,
+        (ObjectKind::Ownership, true) => COORDINATOR_OWNERSHIP_PACE,
+        (ObjectKind::Nodes, _) => NODES_PACE,
+    }
+}
+
 /// Why a call was made.
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
@@ -95,13 +110,14 @@
 
 impl StoreCalls {
     pub(super) fn new(now: Timestamp) -> StoreCalls {
+        let watcher = |kind| Watcher::new(kind, pace(kind, false));
         StoreCalls {
             health: StoreHealth::default(),
             watchers: vec![
-                Watcher::new(ObjectKind::Configuration, CONFIGURATION_PACE),
-                Watcher::new(ObjectKind::Instances, INSTANCES_PACE),
-                Watcher::new(ObjectKind::Ownership, OWNERSHIP_PACE),
-                Watcher::new(ObjectKind::Nodes, NODES_PACE),
+                watcher(ObjectKind::Configuration),
+                watcher(ObjectKind::Instances),
+                watcher(ObjectKind::Ownership),
+                watcher(ObjectKind::Nodes),
             ],
             pending: HashMap::new(),
             registered: false,
@@ -131,12 +147,23 @@
     }
 
     pub(super) fn next_deadline(&self, stopping: bool) -> Option<Timestamp> {
-        let watches = self.watchers.iter().filter_map(Watcher::next_call).min();
+        let watches = (0..self.watchers.len())
+            .filter(|index| !self.waits_for_registration(*index))
+            .filter_map(|index| self.watchers[index].next_call())
+            .min();
         let wanted = !self.registered && !self.is_registering() && !stopping;
         let register = wanted.then_some(self.next_register);
         watches.into_iter().chain(register).min()
     }
 
+    /// Nodes that start together list each other once they are registered, so
+    /// that only the first of them campaigns.
+    fn waits_for_registration(&self, index: usize) -> bool {
+        let watcher = &self.watchers[index];
+        let first = watcher.kind() == ObjectKind::Nodes && watcher.last_answer().is_none();
+        first && self.is_registering()
+    }
+
     fn is_registering(&self) -> bool {
         self.pending
             .values()
@@ -152,48 +179,59 @@
         &mut self.watchers[position]
     }
 
-    /// The ownership watch serves the coordinator, or not.
-    pub(super) fn set_coordinating(&mut self, coordinating: bool) {
-        let pace = if coordinating {
-            COORDINATOR_PACE
-        } else {
-            OWNERSHIP_PACE
-        };
+    /// The watches serve the coordinator, or not.
+    pub(super) fn set_coordinating(&mut self, coordinating: bool, now: Timestamp) {
         self.coordinating = coordinating;
-        let watcher = self.watcher(ObjectKind::Ownership);
-        watcher.set_pace(pace);
-        watcher.set_paused(false);
+        for watcher in &mut self.watchers {
+            watcher.set_pace(pace(watcher.kind(), coordinating));
+            watcher.set_paused(false);
+            if coordinating {
+                watcher.hasten(now);
+            }
+        }
     }
 
-    /// Whether a coordinator tells of changes of instances. Without one, a
-    /// watch that waits for long is made anew.
+    /// Whether a coordinator tells of changes, so that this node's own watches
+    /// can rest. The coordinator's never do.
     pub(super) fn set_informed(&mut self, informed: bool, now: Timestamp, out: &mut Vec<Action>) {
-        let pace = if informed {
-            INFORMED_PACE
-        } else {
-            INSTANCES_PACE
-        };
-        let coordinating = self.coordinating;
-        self.watcher(ObjectKind::Ownership)
-            .set_paused(informed && !coordinating);
-        let watcher = self.watcher(ObjectKind::Instances);
-        if watcher.pace() != pace {
-            watcher.set_pace(pace);
-            if !informed {
-                self.interrupt(ObjectKind::Instances, now, now, out);
-            }
+        let paused = informed && !self.coordinating;
+        let resumes = !paused && self.watcher(ObjectKind::Instances).is_paused();
+        for watcher in &mut self.watchers {
+            watcher.set_paused(paused);
+        }
+        if resumes {
+            // A call from before the pause may wait where nobody answers.
+            self.interrupt(ObjectKind::Instances, now, now, out);
         }
     }
 
-    /// How long ago the store told of instances.
-    pub(super) fn instances_age(&mut self, now: Timestamp) -> Duration {
-        let last = self.watcher(ObjectKind::Instances).last_answer();
-        last.map_or(Duration::MAX, |last| now.saturating_sub(last))
+    /// How long ago the store told of instances and of the configuration, the
+    /// longer of both.
+    pub(super) fn age(&self, now: Timestamp) -> Duration {
+        [ObjectKind::Instances, ObjectKind::Configuration]
+            .into_iter()
+            .filter_map(|kind| self.watchers.iter().find(|watcher| watcher.kind() == kind))
+            .map(|watcher| match watcher.last_answer() {
+                Some(last) => now.saturating_sub(last),
+                None => Duration::MAX,
+            })
+            .max()
+            .unwrap_or(Duration::MAX)
+    }
+
+    /// The store's revision up to which objects of a kind are known.
+    pub(super) fn revision_of(&mut self, kind: ObjectKind) -> Option<u64> {
+        self.watcher(kind).revision()
     }
 
-    /// The store's revision up to which instances are known.
-    pub(super) fn instances_revision(&mut self) -> u64 {
-        self.watcher(ObjectKind::Instances).revision().unwrap_or(0)
+    /// Another node has told all changes of a kind up to this revision.
+    pub(super) fn advance(&mut self, kind: ObjectKind, revision: u64) {
+        self.watcher(kind).advance(revision);
+    }
+
+    /// Asks the store once for what a paused watch has missed.
+    pub(super) fn poke(&mut self, kind: ObjectKind, now: Timestamp) {
+        self.watcher(kind).poke(now);
     }
 
     /// Reads the record of ownership once more.
@@ -226,12 +264,6 @@
 impl Node {
     /// Makes the calls that are due.
     pub(super) fn call_store(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        for index in 0..self.store.watchers.len() {
-            if let Some(call) = self.store.watchers[index].take_call(now) {
-                let kind = self.store.watchers[index].kind();
-                self.start_call(Purpose::Watch(kind), call, now, out);
-            }
-        }
         let register_due = !self.store.registered
             && !self.store.is_registering()
             && self.store.next_register <= now
@@ -240,6 +272,15 @@
             let call = self.registration();
             self.start_call(Purpose::Register, call, now, out);
         }
+        for index in 0..self.store.watchers.len() {
+            if self.store.waits_for_registration(index) {
+                continue;
+            }
+            if let Some(call) = self.store.watchers[index].take_call(now) {
+                let kind = self.store.watchers[index].kind();
+                self.start_call(Purpose::Watch(kind), call, now, out);
+            }
+        }
     }
 
     fn registration(&self) -> StoreCall {
@@ -338,7 +379,7 @@
             self.store.health.failed(started);
             return;
         }
-        let was_failing = !self.store.health.serves();
+        let was_failing = self.store.health.has_failed();
         if self.store.health.succeeded(started) {
             self.directory.store_was_lost(now);
         }
@@ -364,6 +405,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let base = self.store.revision_of(kind);
         let change = match answer {
             Ok(answer) => {
                 if let StoreAnswer::Unreadable(finding) = &answer {
@@ -384,6 +426,17 @@
                 return;
             }
         };
+        if let (WatchChange::Events(events), Some(base)) = (&change, base)
+            && self.coordination.coordinator().is_some()
+        {
+            let revision = self.store.revision_of(kind).unwrap_or(base);
+            let changes = Changes {
+                base,
+                revision,
+                events: events.clone(),
+            };
+            self.relay(kind, changes, out);
+        }
         self.apply(kind, change, started, now, out);
     }
 
@@ -396,6 +449,7 @@
         out: &mut Vec<Action>,
     ) {
         let instances_before = self.directory.changes();
+        let configuration_before = self.configuration_version();
         match change {
             WatchChange::Unchanged => return,
             WatchChange::All(objects) => self.apply_all(kind, objects, started, now, out),
@@ -405,10 +459,16 @@
                 }
             }
         }
+        let revision = self.store.revision_of(kind).unwrap_or(0);
         if self.directory.changes() != instances_before {
-            let revision = self.store.instances_revision();
             self.gossip.instances_changed(revision);
         }
+        if kind == ObjectKind::Nodes {
+            self.gossip.nodes_changed(revision);
+        }
+        if self.configuration_version() != configuration_before {
+            self.gossip.hasten_heartbeat();
+        }
         self.reconsider_waiting(now, out);
     }
 
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -85,13 +85,30 @@
     loads: BTreeMap<ServiceName, KeyLoad>,
     writing: Option<OwnershipRecord>,
     writing_since: Option<Timestamp>,
-    authority_end_of_predecessor: Timestamp,
+    earlier: EarlierAuthority,
     next_plan: Timestamp,
     gatherings: BTreeMap<ServiceName, Gathering>,
     protections: Protections,
     counters: OwnershipCounters,
 }
 
+/// Until when coordinators before this one may give orders.
+#[derive(Clone, Copy, Debug)]
+pub struct EarlierAuthority {
+    /// The one that this coordinator follows. Proof that it has ended makes
+    /// this void.
+    pub predecessor: Timestamp,
+    /// Those before it, as the predecessor wrote it down.
+    pub others: Timestamp,
+}
+
+impl EarlierAuthority {
+    /// When the last of them is over.
+    pub fn end(&self) -> Timestamp {
+        self.predecessor.max(self.others)
+    }
+}
+
 /// What the coordinator has done, for metrics.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnershipCounters {
@@ -109,10 +126,9 @@
 
 impl Coordinator {
     /// A coordinator named by this version of the record.
-    /// `predecessor_end` is when the one before can't give orders any more.
     pub fn new(
         record: OwnershipRecord,
-        predecessor_end: Timestamp,
+        earlier: EarlierAuthority,
         protections: Protections,
         now: Timestamp,
     ) -> Coordinator {
@@ -124,7 +140,7 @@
                 range: assignment.range(),
                 owner: Some(assignment.owner.clone()),
                 fence: assignment.fence,
-                lease: Lease::inherited(now, predecessor_end.max(now)),
+                lease: Lease::inherited(now, earlier.end().max(now)),
                 state: State::Held,
             })
             .collect();
@@ -135,7 +151,7 @@
             loads: BTreeMap::new(),
             writing: None,
             writing_since: None,
-            authority_end_of_predecessor: predecessor_end,
+            earlier,
             next_plan: now + PLAN_INTERVAL * 2,
             gatherings: BTreeMap::new(),
             protections,
@@ -160,16 +176,21 @@
 
     /// The predecessor has ended for certain.
     pub fn predecessor_ended(&mut self, now: Timestamp) {
-        if self.authority_end_of_predecessor <= now {
+        if self.earlier.predecessor <= now {
             return;
         }
-        self.authority_end_of_predecessor = now;
-        let earliest = Lease::inherited(now, now).possible_until;
+        self.earlier.predecessor = now;
+        let earliest = Lease::inherited(now, self.earlier.end()).possible_until;
         for holding in &mut self.holdings {
             holding.lease.possible_until = holding.lease.possible_until.min(earliest);
         }
     }
 
+    /// How long coordinators before this one may go on to give orders.
+    pub fn earlier_authority(&self, now: Timestamp) -> Duration {
+        self.earlier.end().saturating_sub(now)
+    }
+
     /// Requests were seen for these keys.
     pub fn record_load(&mut self, service: &ServiceName, keys: &[u16], now: Timestamp) {
         let load = self
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -53,13 +53,13 @@
         if !changed {
             return None;
         }
-        self.writing = Some(self.projected_record());
+        self.writing = Some(self.projected_record(context.now));
         self.writing_since = Some(context.now);
         self.writing.clone()
     }
 
     /// The record as it stands once all writes that are decided are done.
-    pub(super) fn projected_record(&self) -> OwnershipRecord {
+    pub(super) fn projected_record(&self, now: Timestamp) -> OwnershipRecord {
         let mut assignments: Vec<Assignment> = self
             .holdings
             .iter()
@@ -70,9 +70,11 @@
         let mut record = OwnershipRecord {
             epoch: self.record.epoch,
             coordinator: self.record.coordinator.clone(),
+            earlier_authority_ms: 0,
             next_fence: self.next_fence,
             assignments: Vec::with_capacity(assignments.len()),
         };
+        record.set_earlier_authority(self.earlier_authority(now));
         for assignment in assignments {
             match record.assignments.last_mut() {
                 Some(last) if continues(last, &assignment) => last.last = assignment.last,
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -4,6 +4,8 @@
 use crate::identity::{InstanceId, NodeIdentity, ServiceName};
 use crate::protections::{Protection, Protections};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
 
 /// A range of a service's keys and its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +57,10 @@
 
 /// Who coordinates, and who owns what.
 ///
+/// Invariant: no coordinator before the one named here gives orders for longer
+/// than `earlier_authority_ms` after this version was written, whichever it
+/// was; so a successor knows how long grants of any of them may go on.
+///
 /// Invariant: the assignments of a service don't overlap, and `next_fence` is
 /// above every fencing token that was ever granted. Both hold in every version
 /// of the record, so that a coordinator that knows nothing else can go on.
@@ -64,6 +70,10 @@
     pub epoch: u64,
     /// The coordinator; none after it resigned.
     pub coordinator: Option<NodeIdentity>,
+    /// How long, in milliseconds from the write of this version, coordinators
+    /// before this one may go on to give orders.
+    #[serde(default)]
+    pub earlier_authority_ms: u64,
     /// The next fencing token to be used.
     pub next_fence: u64,
     /// All assignments, by service and first key.
@@ -90,6 +100,33 @@
         record
     }
 
+    /// How long coordinators before this one may go on to give orders.
+    pub fn earlier_authority(&self) -> Duration {
+        Duration::from_millis(self.earlier_authority_ms)
+    }
+
+    /// Sets how long coordinators before this one may go on to give orders.
+    pub fn set_earlier_authority(&mut self, left: Duration) {
+        // Rounded up, so that nobody is taken for silent too early.
+        let whole = left.as_nanos().div_ceil(1_000_000);
+        self.earlier_authority_ms = u64::try_from(whole).unwrap_or(u64::MAX);
+    }
+
+    /// A number that two records share that have the same epoch and the same
+    /// assignments.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.epoch.to_le_bytes());
+        for assignment in &self.assignments {
+            hasher.update(assignment.service.as_str().as_bytes());
+            hasher.update(&assignment.first.to_le_bytes());
+            hasher.update(&assignment.last.to_le_bytes());
+            hasher.update(assignment.owner.as_str().as_bytes());
+            hasher.update(&assignment.fence.to_le_bytes());
+        }
+        hasher.digest()
+    }
+
     /// The assignments of this record that `before` does not hold.
     pub fn changes_since(&self, before: &OwnershipRecord) -> Vec<Assignment> {
         self.assignments
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -39,6 +39,76 @@
     pub fence: u64,
 }
 
+/// Which of the store's changes a datagram tells, together with other parts of
+/// the same list. An object stands in one part only, so that parts may arrive
+/// in any order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ChangeSpan {
+    /// The store's revision after which the changes begin.
+    pub base: u64,
+    /// The revision of the last of them.
+    pub revision: u64,
+    /// The number of this part, from 0.
+    pub part: u8,
+    /// How many parts there are.
+    pub parts: u8,
+}
+
+/// What a coordinator passes on from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum RelayedKind {
+    /// Instances.
+    Instances,
+    /// Registrations of nodes.
+    Nodes,
+}
+
+/// An instance whose entry has changed.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct ChangedInstance {
+    /// This life of the instance.
+    pub id: Text,
+    /// What it registered; nothing if its entry is gone.
+    pub entry: Option<InstanceEntry>,
+}
+
+/// What an instance registered.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct InstanceEntry {
+    /// Its service.
+    pub service: Text,
+    /// Where it is reached, as text.
+    pub address: Text,
+    /// Its zone.
+    pub zone: Text,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// How much longer it stays slow, in milliseconds.
+    pub warmup_left_ms: u32,
+}
+
+/// A node whose registration has changed.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct ChangedNode {
+    /// The node.
+    pub node: Text,
+    /// What it registered; nothing if its registration is gone.
+    pub entry: Option<NodeEntry>,
+}
+
+/// What a node registered.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct NodeEntry {
+    /// Its life.
+    pub incarnation: u64,
+    /// Its zone.
+    pub zone: Text,
+    /// Where other nodes reach it, as text.
+    pub address: Text,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum PeerMessage {
@@ -55,15 +125,53 @@
         /// The store's revision by which it last read a change of who may get
         /// work.
         instances: u64,
-        /// How long ago the store told it of instances, in milliseconds.
-        instances_age_ms: u16,
+        /// The store's revision by which it last read a change of the nodes.
+        nodes: u64,
+        /// How long ago the store told it of instances and of the
+        /// configuration, the longer of both, in milliseconds.
+        age_ms: u16,
     },
-    /// The record has been written anew by the coordinator.
-    OwnershipChanged {
+    /// The store told the coordinator of changed instances.
+    InstancesChanged {
+        /// Which changes.
+        span: ChangeSpan,
+        /// The instances as they are after the last change.
+        changes: List<ChangedInstance>,
+    },
+    /// The store told the coordinator of changed registrations of nodes.
+    NodesChanged {
+        /// Which changes.
+        span: ChangeSpan,
+        /// The nodes as they are after the last change.
+        changes: List<ChangedNode>,
+    },
+    /// The sender has missed changes; sent to the coordinator.
+    ChangesWanted {
+        /// Changes of what.
+        kind: RelayedKind,
+        /// The revision up to which the sender knows all of them.
+        since: u64,
+    },
+    /// A node has taken the coordinator's place: each assignment has a new
+    /// token, counted from the first in the order of the record.
+    TookOver {
         /// The revision before.
         base: u64,
         /// The revision now.
         revision: u64,
+        /// The coordinator.
+        node: Text,
+        /// Its life.
+        incarnation: u64,
+        /// The token of the first assignment.
+        first_fence: u64,
+        /// Digest of the record as it is now.
+        digest: u64,
+    },
+    /// The record has been written anew by the coordinator.
+    OwnershipChanged {
+        /// Which changes.
+        span: ChangeSpan,
         /// Assignments that are new.
         changes: List<ChangedAssignment>,
     },
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -7,6 +7,9 @@
 mod registry;
 mod shared_load;
 
-pub use message::{ChangedAssignment, KeyReport, OpenRequests, PeerMessage, decode, encode};
+pub use message::{
+    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, InstanceEntry, KeyReport,
+    NodeEntry, OpenRequests, PeerMessage, RelayedKind, decode, encode,
+};
 pub use registry::{NodeRecord, Registry};
 pub use shared_load::SharedLoad;
--- a/crates/ledgelead-router/src/store/health.rs
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -45,6 +45,11 @@
         self.failing_since.is_none() && self.last_success.is_some()
     }
 
+    /// Whether calls have failed since the last one that was served.
+    pub fn has_failed(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Whether the store served again only lately, so that others may not have
     /// noticed yet.
     pub fn recovered_lately(&self, now: Timestamp) -> bool {
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -9,6 +9,12 @@
 
 /// First pause after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(120);
+/// Pause between a node's first list and its first watch: if there is a
+/// coordinator, it is heard by then, and the watch rests.
+const FIRST_WATCH_PAUSE: Duration = Duration::from_millis(1_200);
+/// How long the store may wait for a change that another node has seen there
+/// already.
+const POKE_WAIT: Duration = Duration::from_millis(50);
 /// Longest pause after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -54,7 +60,12 @@
     next_call: Timestamp,
     failures: u32,
     last_answer: Option<Timestamp>,
+    /// Whether changes are told by another node, so that the store isn't asked.
     paused: bool,
+    /// Whether the store is asked once although the watch is paused.
+    poked: bool,
+    /// Whether no list is complete yet.
+    is_first: bool,
 }
 
 impl Watcher {
@@ -69,6 +80,8 @@
             failures: 0,
             last_answer: None,
             paused: false,
+            poked: false,
+            is_first: true,
         }
     }
 
@@ -87,6 +100,11 @@
         self.pace = pace;
     }
 
+    /// The next call is due now, if none is out.
+    pub fn hasten(&mut self, now: Timestamp) {
+        self.next_call = self.next_call.min(now);
+    }
+
     /// The revision that is watched from, once the list is complete.
     pub fn revision(&self) -> Option<u64> {
         match self.position {
@@ -95,9 +113,31 @@
         }
     }
 
-    /// A paused watch asks only when it is told to list once more.
+    /// A paused watch asks only when it is poked or told to list once more.
     pub fn set_paused(&mut self, paused: bool) {
         self.paused = paused;
+        self.poked &= paused;
+    }
+
+    /// Whether the watch is paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused
+    }
+
+    /// A paused watch asks the store once for what it has missed, until the
+    /// store has answered.
+    pub fn poke(&mut self, now: Timestamp) {
+        self.poked = self.paused;
+        if self.failures == 0 {
+            self.hasten(now);
+        }
+    }
+
+    /// Another node has told all changes up to this revision.
+    pub fn advance(&mut self, told: u64) {
+        if let Position::Watching { revision } = &mut self.position {
+            *revision = (*revision).max(told);
+        }
     }
 
     /// Lists once more, as soon as no call is out.
@@ -107,7 +147,7 @@
     }
 
     fn rests(&self) -> bool {
-        self.paused && matches!(self.position, Position::Watching { .. })
+        self.paused && !self.poked && matches!(self.position, Position::Watching { .. })
     }
 
     /// When the store last told the state of this kind.
@@ -126,15 +166,25 @@
             return None;
         }
         self.in_flight = true;
+        if self.paused && self.kind.is_single() {
+            // A list tells one object at once, also where the changes since
+            // this node's last call are forgotten.
+            self.position = Position::start();
+        }
         Some(match &self.position {
             Position::Listing { after, .. } => StoreCall::List {
                 kind: self.kind,
                 after: after.clone(),
+                stale: self.is_first && self.kind.follows_from_any_state(),
             },
             Position::Watching { revision } => StoreCall::Watch {
                 kind: self.kind,
                 revision: *revision,
-                wait: self.pace.wait,
+                wait: if self.paused {
+                    POKE_WAIT
+                } else {
+                    self.pace.wait
+                },
             },
         })
     }
@@ -193,8 +243,9 @@
             return WatchChange::Unchanged;
         };
         // Changes between two pages are told by the watch, so it continues
-        // from the revision of the first page.
-        let start = *first.get_or_insert(revision);
+        // from the revision of the oldest page.
+        let start = first.map_or(revision, |first| first.min(revision));
+        *first = Some(start);
         *after = objects.last().map(|object| object.name.clone());
         pages.extend(objects);
         if more {
@@ -202,6 +253,11 @@
         }
         let all = std::mem::take(pages);
         self.position = Position::Watching { revision: start };
+        let wanted_at_once = self.kind == ObjectKind::Configuration && all.is_empty();
+        if self.is_first && !wanted_at_once {
+            self.next_call = now + FIRST_WATCH_PAUSE;
+        }
+        self.is_first = false;
         WatchChange::All(all)
     }
 
@@ -221,6 +277,7 @@
     fn succeeded(&mut self, now: Timestamp) {
         self.in_flight = false;
         self.failures = 0;
+        self.poked = false;
         self.last_answer = Some(now);
         self.next_call = now;
     }
