Instances that fail in part, connections that are forgotten, slow lists

Causes, from the kinds that came with the grown deployments: - An instance's own 5xx counted as an answer like any other: three failures in a row were needed to eject one, so an instance that fails half of its requests, or all of them with a 500, drew traffic by its short queue. - A request sent on a kept connection that the instance had forgotten is lost; one that must not run twice with it. - A list of the store had 1.5 s in all. Changes: the share of failures (5xx, losses, shed requests; it halves in 3 s) weighs in the choice of an instance; an idempotent request whose instance failed is sent again within attempts and budget, else the instance's answer is passed on. One loss at once on a rested connection limits the rest of all, told within the zone, doubling each 4 s. Each part of a store's answer begins its time anew. Tests, each failing before: an_instance_that_fails_part_of_its_requests_..., a_failure_of_an_instance_is_asked_again_..., connections_that_rested_too_long..., a_forgotten_connection_is_a_lesson, a_long_list_of_the_store_may_take_its_time. only_proof_makes_a_request_not_run now wants Failed where a signed 503 without the header was Relay: still no proof that the request has not run.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -19,6 +19,12 @@
     NotConnected,
     /// The connection was lost after the request, or a part of it, was sent.
     Lost,
+    /// The same on a kept connection that had rested, at once and before any
+    /// answer: the other side may have forgotten the connection.
+    Forgotten {
+        /// How long it had rested.
+        rested: Duration,
+    },
     /// No whole answer came in time; the request was sent.
     TimedOut,
     /// What came was no answer.
@@ -41,8 +47,11 @@
     pub reuse_idle_below: Duration,
     /// Time for a new connection to come up.
     pub connect_timeout: Duration,
-    /// Time for the whole exchange.
+    /// Time for the whole exchange; if `renewed`, time without any progress.
     pub timeout: Duration,
+    /// Whether each part of the answer that arrives begins the time anew. A
+    /// long answer over a slow link then ends, instead of being begun again.
+    pub renewed: bool,
 }
 
 /// What happened outside.
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -362,6 +362,7 @@
                 reuse_idle_below: ORDER_REUSE_IDLE,
                 connect_timeout: ORDER_CONNECT_TIMEOUT,
                 timeout,
+                renewed: false,
             },
         });
     }
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -125,7 +125,7 @@
         }
         if self.gossip.next_refresh <= now {
             self.gossip.next_refresh = now + REFRESH_INTERVAL;
-            self.refresh_open_requests(out);
+            self.refresh_open_requests(now, out);
         }
     }
 
@@ -197,14 +197,14 @@
     }
 
     /// Tells the zone which of this node's open requests changed.
-    pub(super) fn tell_open_requests(&mut self, out: &mut Vec<Action>) {
+    pub(super) fn tell_open_requests(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let changed = self.requests.take_changed();
         if !changed.is_empty() {
-            self.tell_counts(changed, out);
+            self.tell_counts(changed, now, out);
         }
     }
 
-    fn refresh_open_requests(&mut self, out: &mut Vec<Action>) {
+    fn refresh_open_requests(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let busy: Vec<_> = self
             .requests
             .statistics()
@@ -212,11 +212,12 @@
             .map(|(id, open)| (id.clone(), open))
             .collect();
         if !busy.is_empty() {
-            self.tell_counts(busy, out);
+            self.tell_counts(busy, now, out);
         }
     }
 
-    fn tell_counts(&self, counts: Vec<(InstanceId, u32)>, out: &mut Vec<Action>) {
+    fn tell_counts(&self, counts: Vec<(InstanceId, u32)>, now: Timestamp, out: &mut Vec<Action>) {
+        let rest_limit = self.requests.rest_limit(now).unwrap_or(Duration::ZERO);
         let changes: Vec<OpenRequests> = counts
             .into_iter()
             .take(MAX_COUNTS)
@@ -230,6 +231,7 @@
         }
         let bytes = encode(&PeerMessage::Open {
             incarnation: self.settings.identity.incarnation,
+            rest_limit_ms: u16::try_from(rest_limit.as_millis()).unwrap_or(u16::MAX),
             changes: List(changes),
         });
         for record in self.registry.iter() {
@@ -320,8 +322,13 @@
             }
             PeerMessage::Open {
                 incarnation,
+                rest_limit_ms,
                 changes,
             } => {
+                if rest_limit_ms > 0 {
+                    let limit = Duration::from_millis(u64::from(rest_limit_ms));
+                    self.requests.rest_limit_told(limit, now);
+                }
                 self.shared.told(from, incarnation, &changes, now);
                 self.reconsider_waiting(now, out);
             }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -184,7 +184,7 @@
         self.call_store(now, out);
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
-        self.tell_open_requests(out);
+        self.tell_open_requests(now, out);
         if self.directory.next_expiry().is_some_and(|at| at <= now) {
             self.directory.expire(now);
             self.reconsider_waiting(now, out);
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -323,6 +323,7 @@
                 reuse_idle_below: REUSE_IDLE,
                 connect_timeout: CONNECT_TIMEOUT,
                 timeout,
+                renewed: true,
             },
         });
         self.store.calls += 1;
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -191,6 +191,9 @@
     Open {
         /// The sender's life; counts of an earlier one are void.
         incarnation: u64,
+        /// How long the sender lets kept connections rest, in milliseconds; 0
+        /// without a limit.
+        rest_limit_ms: u16,
         /// Those that changed.
         changes: List<OpenRequests>,
     },
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -104,6 +104,17 @@
             && self.budget.may_draw(&open.service, context.nodes)
     }
 
+    /// Whether an idempotent request whose instance failed may be sent again.
+    pub(super) fn may_send_again(&self, client: ClientId, context: &RequestContext<'_>) -> bool {
+        self.open.get(&client).is_some_and(|open| {
+            open.is_idempotent()
+                && !self.stopping
+                && open.tried.len() < open.route.max_attempts as usize
+                && open.due > context.now
+                && self.budget.may_draw(&open.service, context.nodes)
+        })
+    }
+
     pub(super) fn send(
         &mut self,
         client: ClientId,
@@ -127,7 +138,7 @@
             self.waiting.remove(&(open.route.priority, since, client));
         }
         let exchange = context.exchanges.next_id();
-        let options = attempt_options(open, context);
+        let options = attempt_options(open, self.rest_limit.current(context.now), context);
         let review = open.route.target_latency.mul_f64(REVIEW_SHARE);
         let request = forwarded(open, &selected.id, context);
         open.tried.push(selected.id.clone());
@@ -157,7 +168,7 @@
         &mut self,
         client: ClientId,
         attempt: &Attempt,
-        verdict: &Verdict,
+        verdict: Verdict,
         context: &RequestContext<'_>,
     ) {
         let Some(open) = self.open.get_mut(&client) else {
@@ -189,7 +200,7 @@
             }
             Verdict::Rejected { misdirected, ended } => {
                 open.rejected = true;
-                if *ended {
+                if ended {
                     self.ended.push(attempt.instance.clone());
                 }
                 let again = context.now + MISDIRECTED_PAUSE;
@@ -201,7 +212,11 @@
             }
             Verdict::Unknown { timed_out } => {
                 open.may_have_run = self.protections.has(Protection::HonestRefusal);
-                open.timed_out |= *timed_out;
+                open.timed_out |= timed_out;
+            }
+            Verdict::Failed(response) => {
+                open.may_have_run = true;
+                open.failed_answer = Some(response);
             }
             Verdict::Relay(_) => {}
         }
@@ -226,6 +241,15 @@
         match result {
             Ok(response) => {
                 seen.heard(now);
+                let shed = response
+                    .headers
+                    .get(&context.headers.not_executed)
+                    .is_some();
+                if shed && response.status != 421 {
+                    seen.shed(now);
+                } else if response.status >= 500 && response.status != 504 {
+                    seen.failed(now);
+                }
                 let load = reported_load(response, context);
                 let slots = context
                     .directory
@@ -242,7 +266,12 @@
                     seen.answered(now.saturating_sub(attempt.sent), factor, now);
                 }
             }
-            Err(_) => seen.failed(now),
+            Err(failure) => {
+                seen.failed(now);
+                if let ExchangeFailure::Forgotten { rested } = failure {
+                    self.rest_limit.forgotten(*rested, now);
+                }
+            }
         }
     }
 
@@ -254,7 +283,16 @@
     }
 }
 
-fn attempt_options(open: &OpenRequest, context: &RequestContext<'_>) -> ExchangeOptions {
+fn attempt_options(
+    open: &OpenRequest,
+    rest_limit: Option<Duration>,
+    context: &RequestContext<'_>,
+) -> ExchangeOptions {
+    let reuse_idle_below = if open.is_idempotent() {
+        REUSE_IDLE
+    } else {
+        REUSE_IDLE_ONCE
+    };
     let left = open.due.saturating_sub(context.now);
     let header = &context.headers.attempt_id;
     let match_header = open
@@ -264,15 +302,12 @@
         .map(|value| (header.clone(), value.to_vec()));
     ExchangeOptions {
         match_header,
-        reuse_idle_below: if open.is_idempotent() {
-            REUSE_IDLE
-        } else {
-            REUSE_IDLE_ONCE
-        },
+        reuse_idle_below: rest_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
         connect_timeout: CONNECT_TIMEOUT.min(left),
         // A little longer than this node waits: the final answer at the end
         // of the time is given by the request's own timer.
         timeout: left + ANSWER_MARGIN,
+        renewed: false,
     }
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -61,6 +61,11 @@
             owner_fence(open, context),
             context.configuration.map_or(0, |known| known.version),
         );
+        if let Some(response) = open.failed_answer.clone() {
+            self.counters.relayed += 1;
+            self.finish(client, relayed(response), out);
+            return;
+        }
         let request = open.request.clone();
         let response = self.refusal(&request, reason, context);
         self.finish(client, response, out);
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -10,6 +10,7 @@
 use super::budget::{BudgetBounds, RetryBudget};
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
+use super::rest_limit::RestLimit;
 use super::statistics::StatisticsTable;
 use crate::Timestamp;
 use crate::configuration::{Configuration, Route, RouteTable};
@@ -83,6 +84,7 @@
     rng: Pcg64Mcg,
     asked: BTreeMap<ServiceName, Vec<u16>>,
     changed: BTreeSet<InstanceId>,
+    rest_limit: RestLimit,
     ended: Vec<InstanceId>,
     stopping: bool,
     protections: Protections,
@@ -111,6 +113,7 @@
             rng,
             asked: BTreeMap::new(),
             changed: BTreeSet::new(),
+            rest_limit: RestLimit::default(),
             ended: Vec::new(),
             stopping: false,
             protections,
@@ -165,6 +168,16 @@
             .collect()
     }
 
+    /// How long kept connections may rest, if lost requests limit it.
+    pub fn rest_limit(&self, now: Timestamp) -> Option<Duration> {
+        self.rest_limit.current(now)
+    }
+
+    /// Another node of the zone limits the rest of kept connections.
+    pub fn rest_limit_told(&mut self, limit: Duration, now: Timestamp) {
+        self.rest_limit.told(limit, now);
+    }
+
     /// Instances whose end was proved since the last call.
     pub fn take_ended(&mut self) -> Vec<InstanceId> {
         std::mem::take(&mut self.ended)
@@ -255,8 +268,12 @@
                 self.counters.relayed += 1;
                 self.finish(client, relayed(response), out);
             }
+            Verdict::Failed(response) if !self.may_send_again(client, context) => {
+                self.counters.relayed += 1;
+                self.finish(client, relayed(response), out);
+            }
             other => {
-                self.attempt_failed(client, &attempt, &other, context);
+                self.attempt_failed(client, &attempt, other, context);
                 self.advance(client, context, out);
             }
         }
@@ -326,6 +343,7 @@
             may_have_run: false,
             timed_out: false,
             rejected: false,
+            failed_answer: None,
             misdirection: None,
         })
     }
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -5,6 +5,7 @@
 mod lifecycle;
 mod open_request;
 mod outcome;
+mod rest_limit;
 mod selection;
 mod statistics;
 
@@ -12,5 +13,6 @@
 pub use budget::{BudgetBounds, RetryBudget};
 pub use lifecycle::{RequestContext, RequestCounters, Requests};
 pub use outcome::{Verdict, judge};
+pub use rest_limit::RestLimit;
 pub use selection::{Selected, SelectionContext};
 pub use statistics::{ReportedLoad, Statistics, StatisticsTable};
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -4,7 +4,7 @@
 use crate::configuration::{Repeatability, Route};
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::ExchangeId;
-use ledgelead_http::Request;
+use ledgelead_http::{Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +67,8 @@
     pub timed_out: bool,
     /// Whether some instance rejected it.
     pub rejected: bool,
+    /// The last answer by which an instance said that it failed.
+    pub failed_answer: Option<Response>,
     /// Where it was misdirected last.
     pub misdirection: Option<Misdirection>,
 }
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -5,6 +5,7 @@
 //! | no connection came up | not run | sent again | sent again |
 //! | answer with "not executed", or 421 | not run | sent again | sent again |
 //! | other whole answer | run | relayed | relayed |
+//! | answer with a failure of the instance (5xx, not 504) | run | sent again, else relayed | relayed |
 //! | success without a signature | nothing | sent again | 502 |
 //! | connection lost, no whole answer, no answer | nothing | sent again | 502 |
 //! | no answer in time | nothing | sent again | 504 at its time-out |
@@ -23,6 +24,9 @@
 pub enum Verdict {
     /// The instance's answer goes to the client.
     Relay(Response),
+    /// The instance answered that it failed; its answer goes to the client
+    /// unless the request is sent again.
+    Failed(Response),
     /// The request never reached an instance.
     NeverSent,
     /// An instance received the request and did not run it.
@@ -44,6 +48,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Verdict::Relay(_) => "relayed",
+            Verdict::Failed(_) => "failed",
             Verdict::NeverSent => "never_sent",
             Verdict::Rejected { ended: true, .. } => "instance_ended",
             Verdict::Rejected {
@@ -81,5 +86,10 @@
     if response.is_success() && response.headers.get(&headers.signature).is_none() {
         return Verdict::Unknown { timed_out: false };
     }
+    // 504 says that the time is over: sending again is of no use.
+    let failed = (500..=599).contains(&response.status) && response.status != 504;
+    if failed && response.headers.get(&headers.signature).is_some() {
+        return Verdict::Failed(response);
+    }
     Verdict::Relay(response)
 }
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -7,6 +7,11 @@
 
 /// Weight of a new sample of the service time.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a new outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.3;
+/// Time in which a share of failures without new outcomes halves, so that the
+/// instance gets another chance.
+const FAILURES_HALVE_IN: Duration = Duration::from_secs(3);
 /// Failures in a row after which an instance is ejected.
 const EJECT_AFTER: u32 = 3;
 /// The first ejection's length; it doubles.
@@ -37,6 +42,8 @@
     pub open: u32,
     service_time: Option<(Duration, Timestamp)>,
     failures: u32,
+    failure_share: f64,
+    failure_share_at: Timestamp,
     ejections: u32,
     ejected_until: Timestamp,
     reported: Option<ReportedLoad>,
@@ -59,6 +66,7 @@
     pub fn answered(&mut self, latency: Duration, load_factor: f64, now: Timestamp) {
         self.failures = 0;
         self.ejections = 0;
+        self.note_outcome(0.0, now);
         let sample = latency.div_f64(load_factor.max(1.0));
         let smoothed = match self.service_time {
             Some((earlier, _)) => {
@@ -71,6 +79,7 @@
 
     /// An attempt failed there.
     pub fn failed(&mut self, now: Timestamp) {
+        self.note_outcome(1.0, now);
         self.failures += 1;
         if self.failures >= EJECT_AFTER {
             let length = FIRST_EJECTION
@@ -82,6 +91,24 @@
         }
     }
 
+    /// It turned a request away without running it.
+    pub fn shed(&mut self, now: Timestamp) {
+        self.note_outcome(1.0, now);
+    }
+
+    fn note_outcome(&mut self, failed: f64, now: Timestamp) {
+        let earlier = self.failure_share(now);
+        self.failure_share = earlier + (failed - earlier) * OUTCOME_WEIGHT;
+        self.failure_share_at = now;
+    }
+
+    /// The share of lately sent requests that failed there, 0 to 1.
+    pub fn failure_share(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.failure_share_at);
+        let halvings = age.as_secs_f64() / FAILURES_HALVE_IN.as_secs_f64();
+        self.failure_share * 0.5f64.powf(halvings)
+    }
+
     /// The instance told its load.
     pub fn told_load(&mut self, load: ReportedLoad) {
         self.reported = Some(load);
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -18,6 +18,9 @@
 const MAX_IDLE: Duration = Duration::from_secs(9);
 /// How much earlier than the other side says an idle connection is given up.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
+/// A kept connection that ends within this time after a request was sent on it
+/// had perhaps been forgotten by the other side.
+const PROMPT_RESET: Duration = Duration::from_millis(25);
 /// Surplus answers that are passed over in one exchange.
 const MAX_SURPLUS: u32 = 3;
 
@@ -34,8 +37,13 @@
     reader: ResponseReader,
     match_header: Option<(String, Vec<u8>)>,
     surplus: u32,
+    /// How long its connection had rested before it; nothing on a new one.
+    rested: Option<Duration>,
+    began: Instant,
     connect_by: Instant,
     answer_by: Instant,
+    /// The time that each part of the answer begins anew.
+    renewed_by: Option<Duration>,
 }
 
 struct Connection {
@@ -217,8 +225,13 @@
             method: new.request.method,
             match_header: new.options.match_header,
             surplus: 0,
+            rested: connection
+                .connected
+                .then(|| now.duration_since(connection.idle_since)),
+            began: now,
             connect_by,
             answer_by,
+            renewed_by: new.options.renewed.then_some(new.options.timeout),
         });
         self.by_exchange.insert(new.exchange, index);
         self.deadlines.insert((first_deadline, key));
@@ -259,6 +272,12 @@
             let Some(running) = connection.running.as_mut() else {
                 return;
             };
+            if connection.stream.take_read_any()
+                && let Some(time) = running.renewed_by
+            {
+                // The earlier limit in the table finds the new one.
+                running.answer_by = now + time;
+            }
             match running.reader.read(&mut connection.stream.input) {
                 Ok(ResponseProgress::Complete { response, reusable }) => {
                     if !running.is_answered_by(&response) {
@@ -295,24 +314,21 @@
                 Ok(response) if running.is_answered_by(&response) => {
                     self.complete(index, response, false, now, inputs);
                 }
-                _ => self.fail_lost(index, inputs),
+                _ => self.fail_lost(index, now, inputs),
             },
-            Some(StreamEnd::Reset) => self.fail_lost(index, inputs),
+            Some(StreamEnd::Reset) => self.fail_lost(index, now, inputs),
         }
     }
 
     /// The connection ended without an answer: proof that nothing ran only if
     /// no byte of the request was written.
-    fn fail_lost(&mut self, index: usize, inputs: &mut Vec<Input>) {
-        let wrote = self
+    fn fail_lost(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        let failure = self
             .connections
             .get(index)
-            .is_some_and(|connection| connection.stream.wrote_any());
-        let failure = if wrote {
-            ExchangeFailure::Lost
-        } else {
-            ExchangeFailure::NotConnected
-        };
+            .map_or(ExchangeFailure::NotConnected, |connection| {
+                connection.loss(now)
+            });
         self.fail(index, failure, inputs);
     }
 
@@ -396,6 +412,21 @@
 }
 
 impl Connection {
+    /// What the end of the connection without an answer means.
+    fn loss(&self, now: Instant) -> ExchangeFailure {
+        if !self.stream.wrote_any() {
+            return ExchangeFailure::NotConnected;
+        }
+        let prompt = |running: &&Running| now.duration_since(running.began) <= PROMPT_RESET;
+        match self.running.as_ref().filter(prompt) {
+            Some(Running {
+                rested: Some(rested),
+                ..
+            }) => ExchangeFailure::Forgotten { rested: *rested },
+            _ => ExchangeFailure::Lost,
+        }
+    }
+
     fn is_fresh(&self, below: Duration, now: Instant) -> bool {
         let kept = self.keep_until.is_none_or(|until| now < until);
         kept && now.duration_since(self.idle_since) < below
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -25,6 +25,7 @@
     output: Vec<u8>,
     written: usize,
     wrote_any: bool,
+    read_any: bool,
     end: Option<StreamEnd>,
 }
 
@@ -36,6 +37,7 @@
             output: Vec::new(),
             written: 0,
             wrote_any: false,
+            read_any: false,
             end: None,
         }
     }
@@ -62,7 +64,10 @@
         while self.end.is_none() {
             match self.source.read(&mut buffer) {
                 Ok(0) => self.end = Some(StreamEnd::Closed),
-                Ok(count) => self.input.extend_from_slice(&buffer[..count]),
+                Ok(count) => {
+                    self.input.extend_from_slice(&buffer[..count]);
+                    self.read_any = true;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => self.end = Some(StreamEnd::Reset),
@@ -70,6 +75,11 @@
         }
     }
 
+    /// Whether bytes were read since the last call.
+    pub(crate) fn take_read_any(&mut self) -> bool {
+        std::mem::take(&mut self.read_any)
+    }
+
     /// Writes what the connection takes.
     pub(crate) fn flush(&mut self) {
         while self.written < self.output.len() {
