While the store fails one call asks; the coordinator looks at its ranges by the 10 ms

Changes: while calls fail only the watch on instances goes on, slower where a coordinator that fails too is heard (but for the first six successors); its recovery makes others ask at once, watches follow 250 ms later if no heartbeat has made them needless. Heartbeats of earlier epochs count for nothing. Taking the place makes both watches anew. Looks are 10 ms apart at least. Ruled out: lost datagrams as the cause of late heartbeats (their ages grew).

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -25,6 +25,10 @@
 const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
 /// Longest pause between two looks at what a coordinator has to do.
 const WITHOUT_AUTHORITY_PAUSE: Duration = Duration::from_millis(250);
+/// Least pause between two looks of the coordinator at all of its ranges.
+/// Hundreds of answers a second, each followed by such a look, would take the
+/// whole processor of a small machine, and its heartbeats would come late.
+const STEP_PAUSE: Duration = Duration::from_millis(10);
 /// Pause before a write without an answer is made again, under the same
 /// condition.
 const WRITE_RETRY: Duration = Duration::from_millis(250);
@@ -46,7 +50,10 @@
     taking_over: bool,
     write_out: bool,
     next_write: Timestamp,
+    /// When the coordinator looks at all of its ranges next.
     next_step: Timestamp,
+    /// When it did so last.
+    stepped_at: Timestamp,
     resigning: bool,
     resign_out: bool,
     resign_done: bool,
@@ -67,6 +74,7 @@
             write_out: false,
             next_write: Timestamp::ZERO,
             next_step: Timestamp::ZERO,
+            stepped_at: Timestamp::ZERO,
             resigning: false,
             resign_out: false,
             resign_done: false,
@@ -100,7 +108,13 @@
         }
     }
 
+    /// Something has changed that the coordinator decides by.
+    pub(super) fn note_change(&mut self) {
+        self.next_step = self.next_step.min(self.stepped_at + STEP_PAUSE);
+    }
+
     pub(super) fn begin_resigning(&mut self) {
+        self.note_change();
         self.resigning = true;
         self.resign_done = self.coordinator.is_none();
     }
@@ -144,10 +158,15 @@
     /// What is due for the coordinator, or for one that wants to be.
     pub(super) fn coordinate(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.coordination.coordinator.is_some() {
+            if self.coordination.next_step > now {
+                return;
+            }
+            self.coordination.stepped_at = now;
             self.resign_if_asked(now, out);
             self.step_coordinator(now, out);
             self.write_again(now, out);
-            self.coordination.next_step = self.next_coordinator_step(now);
+            let next = self.next_coordinator_step(now);
+            self.coordination.next_step = next.max(now + STEP_PAUSE);
         } else if self.may_campaign() && self.campaign_due() <= now {
             self.campaign(now, out);
         }
@@ -280,6 +299,11 @@
             now,
         ));
         self.store.set_coordinating(true, now);
+        for kind in [ObjectKind::Configuration, ObjectKind::Instances] {
+            // A watch from before may wait longer than a coordinator's word
+            // holds.
+            self.store.interrupt(kind, now, now, out);
+        }
         self.store.set_informed(false, now, out);
     }
 
@@ -376,6 +400,7 @@
         let Some(instance) = self.coordination.orders.remove(&exchange) else {
             return;
         };
+        self.coordination.note_change();
         let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
         if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
             log::warn!(target: "ownership", "order to {instance}: {answer:?}");
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -23,6 +23,10 @@
 const INFORMED_FOR: Duration = Duration::from_millis(1_100);
 /// How many nodes prepare at once to follow a coordinator that has resigned.
 const PROMPT_SUCCESSORS: usize = 3;
+/// How many nodes go on to ask often while the store fails the coordinator.
+const WATCHFUL_SUCCESSORS: usize = 6;
+/// How long after its last heartbeat a coordinator counts as heard.
+const HEARD_FOR: Duration = Duration::from_millis(700);
 /// Most keys in one report.
 const MAX_KEYS: usize = 500;
 /// Most counts in one datagram.
@@ -66,6 +70,10 @@
     pub(super) relay: RelayState,
     /// When this node is on its own again, unless it hears of instances.
     informed_until: Option<Timestamp>,
+    /// Whether the store serves the coordinator, by its last heartbeat.
+    serves_coordinator: bool,
+    /// When no coordinator counts as heard any more.
+    impatient_at: Timestamp,
 }
 
 impl Gossip {
@@ -82,6 +90,8 @@
             nodes_revision: 0,
             relay: RelayState::default(),
             informed_until: None,
+            serves_coordinator: true,
+            impatient_at: now,
         }
     }
 
@@ -104,6 +114,7 @@
         self.next_heartbeat
             .min(self.next_report)
             .min(self.next_refresh)
+            .min(self.impatient_at)
             .min(self.informed_until.unwrap_or(self.next_refresh))
     }
 }
@@ -123,6 +134,10 @@
             self.gossip.informed_until = None;
             self.store.set_informed(false, now, out);
         }
+        if self.gossip.impatient_at <= now {
+            self.gossip.impatient_at = Timestamp::MAX;
+            self.store.set_patient(false);
+        }
         if self.gossip.next_refresh <= now {
             self.gossip.next_refresh = now + REFRESH_INTERVAL;
             self.refresh_open_requests(now, out);
@@ -271,6 +286,9 @@
                 age_ms,
             } => {
                 let age = Duration::from_millis(u64::from(age_ms));
+                if epoch >= self.ownership.record().epoch {
+                    self.heard_of_store(store_serves, now, out);
+                }
                 if store_serves && age < INFORMED_FOR {
                     self.informed(epoch, age, now, out);
                     self.heard_of_instances(instances, now, out);
@@ -347,6 +365,20 @@
         }
     }
 
+    /// While the store fails the coordinator too, this node need not ask often:
+    /// it hears when that is over, also from a successor. Those that come first
+    /// as successors do ask.
+    fn heard_of_store(&mut self, serves: bool, now: Timestamp, out: &mut Vec<Action>) {
+        let recovered = serves && !self.gossip.serves_coordinator;
+        self.gossip.serves_coordinator = serves;
+        self.gossip.impatient_at = now + HEARD_FOR;
+        let succeeds = self.campaign_rank() < WATCHFUL_SUCCESSORS;
+        self.store.set_patient(!serves && !succeeds);
+        if recovered && self.store.health.has_failed() {
+            self.store.probe_again(now, out);
+        }
+    }
+
     fn heard_of_instances(&mut self, revision: u64, now: Timestamp, out: &mut Vec<Action>) {
         let behind = self.is_behind(ObjectKind::Instances, revision);
         if behind {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -126,6 +126,7 @@
                     requests.exchanged(exchange, result, &mut context, out);
                     for ended in self.requests.take_ended() {
                         self.directory.end(&ended);
+                        self.coordination.note_change();
                     }
                     self.reconsider_waiting(now, out);
                 } else if self.store.owns(exchange) {
@@ -178,6 +179,12 @@
     }
 
     fn run_due(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        // Before all that may decide by it.
+        if self.directory.next_expiry().is_some_and(|at| at <= now) {
+            self.directory.expire(now);
+            self.coordination.note_change();
+            self.reconsider_waiting(now, out);
+        }
         self.coordinate(now, out);
         self.gossip(now, out);
         // After all that may have made a watch due.
@@ -185,10 +192,6 @@
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
         self.tell_open_requests(now, out);
-        if self.directory.next_expiry().is_some_and(|at| at <= now) {
-            self.directory.expire(now);
-            self.reconsider_waiting(now, out);
-        }
         if self.next_clean_up <= now {
             self.next_clean_up = now + CLEAN_UP_INTERVAL;
             self.directory.expire(now);
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -22,6 +22,11 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// The name of the one record of ownership.
 pub const OWNERSHIP_NAME: &str = "record";
+/// How long the call that notices whether the store serves is left alone.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between the first call that is served again and the watches; longer
+/// than between two heartbeats of a coordinator.
+const AFTER_FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before a failed registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 
@@ -45,9 +50,9 @@
     after_events: Duration::from_millis(150),
     wait: Duration::from_millis(600),
 };
-/// Pace of the watch on ownership.
+/// Pace of the watch on ownership. Most changes are told by datagram before.
 const OWNERSHIP_PACE: WatcherPace = WatcherPace {
-    after_events: Duration::from_millis(5),
+    after_events: Duration::from_millis(200),
     wait: Duration::from_secs(10),
 };
 /// The coordinator's pace there: each answer confirms its place.
@@ -148,7 +153,7 @@
 
     pub(super) fn next_deadline(&self, stopping: bool) -> Option<Timestamp> {
         let watches = (0..self.watchers.len())
-            .filter(|index| !self.waits_for_registration(*index))
+            .filter(|index| !self.is_held_back(*index))
             .filter_map(|index| self.watchers[index].next_call())
             .min();
         let wanted = !self.registered && !self.is_registering() && !stopping;
@@ -156,6 +161,28 @@
         watches.into_iter().chain(register).min()
     }
 
+    /// While calls fail, only the watch on instances goes on, and tells when
+    /// that is over.
+    fn is_held_back(&self, index: usize) -> bool {
+        let probes = self.watchers[index].kind() == ObjectKind::Instances;
+        (self.health.has_failed() && !probes) || self.waits_for_registration(index)
+    }
+
+    /// Another node says that the store serves again: the call that notices so
+    /// is made anew.
+    pub(super) fn probe_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let before = now.saturating_sub(PROBE_PAUSE);
+        self.interrupt(ObjectKind::Instances, before, now, out);
+        let watcher = self.watcher(ObjectKind::Instances);
+        watcher.poke(now);
+        watcher.hasten(now);
+    }
+
+    /// Whether a coordinator is heard, which tells when the store serves again.
+    pub(super) fn set_patient(&mut self, patient: bool) {
+        self.watcher(ObjectKind::Instances).set_patient(patient);
+    }
+
     /// Nodes that start together list each other once they are registered, so
     /// that only the first of them campaigns.
     fn waits_for_registration(&self, index: usize) -> bool {
@@ -273,7 +300,7 @@
             self.start_call(Purpose::Register, call, now, out);
         }
         for index in 0..self.store.watchers.len() {
-            if self.store.waits_for_registration(index) {
+            if self.store.is_held_back(index) {
                 continue;
             }
             if let Some(call) = self.store.watchers[index].take_call(now) {
@@ -347,6 +374,7 @@
         let Some(pending) = self.store.pending.remove(&exchange) else {
             return;
         };
+        self.coordination.note_change();
         let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
         self.note_health(served, &answer, pending.started, now, out);
@@ -378,6 +406,8 @@
                 log::warn!(target: "store", "a call failed: {}", describe(answer));
             }
             self.store.health.failed(started);
+            // The one call that goes on while others fail, also where it rests.
+            self.store.watcher(ObjectKind::Instances).poke(now);
             return;
         }
         let was_failing = self.store.health.has_failed();
@@ -394,6 +424,10 @@
                 ObjectKind::Nodes,
             ] {
                 self.store.interrupt(kind, now, now, out);
+                if !self.store.coordinating {
+                    // A coordinator that is heard by then makes them needless.
+                    self.store.watcher(kind).defer(now + AFTER_FAILURE_PAUSE);
+                }
             }
         }
     }
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -27,6 +27,9 @@
     pub wait: Duration,
 }
 
+/// The same where a coordinator is heard, which tells when that is over.
+const MAX_PATIENT_BACKOFF: Duration = Duration::from_millis(3_000);
+
 /// What a watch has learned.
 #[derive(Debug)]
 pub enum WatchChange {
@@ -59,6 +62,7 @@
     in_flight: bool,
     next_call: Timestamp,
     failures: u32,
+    max_backoff: Duration,
     last_answer: Option<Timestamp>,
     /// Whether changes are told by another node, so that the store isn't asked.
     paused: bool,
@@ -78,6 +82,7 @@
             in_flight: false,
             next_call: Timestamp::ZERO,
             failures: 0,
+            max_backoff: MAX_BACKOFF,
             last_answer: None,
             paused: false,
             poked: false,
@@ -105,6 +110,21 @@
         self.next_call = self.next_call.min(now);
     }
 
+    /// The next call is not due before this time, if none is out.
+    pub fn defer(&mut self, until: Timestamp) {
+        self.next_call = self.next_call.max(until);
+    }
+
+    /// Sets the longest pause after failed calls: longer where another node
+    /// tells when the store serves again.
+    pub fn set_patient(&mut self, patient: bool) {
+        self.max_backoff = if patient {
+            MAX_PATIENT_BACKOFF
+        } else {
+            MAX_BACKOFF
+        };
+    }
+
     /// The revision that is watched from, once the list is complete.
     pub fn revision(&self) -> Option<u64> {
         match self.position {
@@ -285,7 +305,7 @@
     fn backoff(&self) -> Duration {
         FIRST_BACKOFF
             .saturating_mul(1 << self.failures.min(6))
-            .min(MAX_BACKOFF)
+            .min(self.max_backoff)
     }
 }
 
