Events typed in code; logs never hold the process up

Cause: log lines were assembled strings, and writing them waited for a full pipe. Change: ledgelead_router::events::Event, one record each with fields; lines go through a queue of 2,048 to a thread of their own; what doesn't fit is dropped, counted (ledgelead_log_lines_dropped_total) and told in a line. Requests that belong to no service leave a line too. An idempotent request that ends with its instance's own 5xx is no longer logged as a 502. Ruled out: a non-blocking standard output, which other holders of the same pipe would share. Test: a_stalled_reader_costs_lines_and_they_are_told.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -1,6 +1,7 @@
 //! The instances that registered themselves, as far as this node knows.
 
 use crate::Timestamp;
+use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -144,7 +145,12 @@
     /// proves that the other life has ended.
     pub fn upsert(&mut self, record: InstanceRecord, now: Timestamp) {
         if !self.instances.contains_key(&record.id) {
-            log::info!(target: "instances", "{} of {} registered at {}", record.id, record.service, record.address);
+            let registered = Event::InstanceRegistered {
+                instance: &record.id,
+                service: &record.service,
+                address: record.address,
+            };
+            registered.emit();
             if self.complete {
                 self.end_others_at(record.address);
             }
@@ -157,7 +163,7 @@
             (false, _) => Presence::Serving,
             (true, Some(Presence::Draining { since })) => Presence::Draining { since },
             (true, _) => {
-                log::info!(target: "instances", "{id} drains");
+                Event::InstanceDrains { instance: &id }.emit();
                 Presence::Draining {
                     since: self.leaving_since(now),
                 }
@@ -217,7 +223,7 @@
             self.doubted.entry(id.clone()).or_insert(self.doubt_until);
         } else {
             self.changes += 1;
-            log::info!(target: "instances", "{id} is gone");
+            Event::InstanceGone { instance: id }.emit();
             instance.presence = Presence::Gone { since: now };
         }
     }
--- /dev/null
+++ b/crates/ledgelead-router/src/events.rs
@@ -0,0 +1,204 @@
+//! What a node tells of its decisions and beliefs, one log record each.
+//!
+//! `docs/operations/logs.md` is the schema for readers of the logs.
+
+use crate::identity::{InstanceId, ServiceName};
+use log::Level;
+use serde::Serialize;
+use std::net::SocketAddr;
+
+/// An event. Its fields are the record's `event` object.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// An attempt at an instance ended otherwise than with an answer that was
+    /// passed on.
+    AttemptEnded {
+        /// The client's name for its request.
+        request: &'a str,
+        /// The service.
+        service: &'a ServiceName,
+        /// The key, if the service's keys have owners.
+        key: Option<u16>,
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Milliseconds from the client's request to this attempt.
+        sent_after_ms: u64,
+        /// Milliseconds that the attempt took.
+        took_ms: u64,
+        /// How it ended; the names of `Verdict`.
+        ended: &'static str,
+        /// The token under which this node believes the key to be owned.
+        fence: Option<u64>,
+        /// The store's revision of the ownership that this node goes by.
+        ownership: Option<u64>,
+    },
+    /// The router answered a request by itself.
+    Answered {
+        /// The client's name for its request.
+        request: &'a str,
+        /// The service.
+        service: &'a ServiceName,
+        /// The key, if the service's keys have owners.
+        key: Option<u16>,
+        /// The status.
+        status: u16,
+        /// The reason; the names of `Refusal`.
+        reason: &'static str,
+        /// Milliseconds since the request came.
+        after_ms: u64,
+        /// Instances that it was sent to.
+        attempts: usize,
+        /// The token under which this node believes the key to be owned.
+        fence: Option<u64>,
+        /// The store's revision of the ownership that this node goes by.
+        ownership: Option<u64>,
+        /// The version of the configuration in force.
+        configuration: u64,
+    },
+    /// A request that belongs to no service was answered by the router.
+    Unrouted {
+        /// The client's name for its request.
+        request: &'a str,
+        /// The host that it names.
+        host: &'a str,
+        /// Its path.
+        path: &'a str,
+        /// The status.
+        status: u16,
+        /// The reason; the names of `Refusal`.
+        reason: &'static str,
+        /// The version of the configuration in force; 0 without one.
+        configuration: u64,
+    },
+    /// A version of the configuration came into force.
+    ConfigurationInForce {
+        /// The version.
+        version: u64,
+    },
+    /// An instance registered itself.
+    InstanceRegistered {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Its service.
+        service: &'a ServiceName,
+        /// Where it is reached.
+        address: SocketAddr,
+    },
+    /// An instance says that it is leaving.
+    InstanceDrains {
+        /// The instance.
+        instance: &'a InstanceId,
+    },
+    /// An instance's entry is gone.
+    InstanceGone {
+        /// The instance.
+        instance: &'a InstanceId,
+    },
+    /// A call of the store failed, the first after one that was served.
+    StoreFails {
+        /// What became of the call.
+        cause: &'a str,
+    },
+    /// A call of the store was served again.
+    StoreServes,
+    /// An object of the store can't be read.
+    ObjectUnreadable {
+        /// Its name, or its kind.
+        object: &'a str,
+        /// What is wrong, with its place.
+        finding: &'a str,
+    },
+    /// This node wants the coordinator's place.
+    Campaigns {
+        /// The epoch that would begin.
+        epoch: u64,
+    },
+    /// This node has taken the coordinator's place.
+    Coordinates {
+        /// Its epoch.
+        epoch: u64,
+        /// Whether the coordinator before is known to have ended.
+        predecessor_ended: bool,
+    },
+    /// This node has lost or left the coordinator's place.
+    CoordinatesNoMore {
+        /// The epoch that this node knows now.
+        epoch: u64,
+    },
+    /// The coordinator begins to move keys.
+    MoveBegins {
+        /// The service.
+        service: &'a ServiceName,
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+        /// The owner.
+        from: &'a InstanceId,
+        /// The next owner.
+        to: &'a InstanceId,
+    },
+    /// A write of the record has given keys to an owner.
+    KeysOwned {
+        /// The service.
+        service: &'a ServiceName,
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+        /// The owner.
+        owner: &'a InstanceId,
+        /// The token.
+        fence: u64,
+    },
+    /// An instance didn't carry out an order, as far as the coordinator knows.
+    OrderFailed {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// What became of the order.
+        answer: &'a str,
+    },
+    /// The node was asked to stop.
+    Stops {
+        /// Requests that are open.
+        open: usize,
+    },
+}
+
+impl Event<'_> {
+    /// Logs the event.
+    pub fn emit(&self) {
+        log::log!(target: self.topic(), self.level(), event:serde = self; "");
+    }
+
+    fn topic(&self) -> &'static str {
+        match self {
+            Event::AttemptEnded { .. } | Event::Answered { .. } | Event::Unrouted { .. } => {
+                "request"
+            }
+            Event::ConfigurationInForce { .. } => "configuration",
+            Event::InstanceRegistered { .. }
+            | Event::InstanceDrains { .. }
+            | Event::InstanceGone { .. } => "instances",
+            Event::StoreFails { .. } | Event::StoreServes | Event::ObjectUnreadable { .. } => {
+                "store"
+            }
+            Event::Campaigns { .. }
+            | Event::Coordinates { .. }
+            | Event::CoordinatesNoMore { .. }
+            | Event::MoveBegins { .. }
+            | Event::KeysOwned { .. }
+            | Event::OrderFailed { .. } => "ownership",
+            Event::Stops { .. } => "node",
+        }
+    }
+
+    fn level(&self) -> Level {
+        match self {
+            Event::ObjectUnreadable { .. } => Level::Error,
+            Event::StoreFails { .. } | Event::OrderFailed { .. } => Level::Warn,
+            _ => Level::Info,
+        }
+    }
+}
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -4,6 +4,7 @@
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
+use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::coordinator::{Context, Coordinator, EarlierAuthority, OutgoingOrder};
@@ -218,7 +219,7 @@
             },
             None => StoreCall::Create { name, content },
         };
-        log::info!(target: "ownership", "wants to coordinate under epoch {}", next.epoch);
+        Event::Campaigns { epoch: next.epoch }.emit();
         self.coordination.taking_over = true;
         self.coordination.election.tried(now);
         self.start_call(Purpose::TakeOver(next), call, now, out);
@@ -289,7 +290,11 @@
             predecessor,
             others: now + self.coordination.earlier_authority,
         };
-        log::info!(target: "ownership", "coordinates under epoch {}, predecessor ended: {ended}", record.epoch);
+        let coordinates = Event::Coordinates {
+            epoch: record.epoch,
+            predecessor_ended: ended,
+        };
+        coordinates.emit();
         self.coordination.orders.clear();
         self.coordination.write_out = false;
         self.coordination.coordinator = Some(Coordinator::new(
@@ -311,7 +316,8 @@
         if self.coordination.coordinator.take().is_none() {
             return;
         }
-        log::info!(target: "ownership", "no longer coordinates; epoch is {}", record.epoch);
+        let epoch = record.epoch;
+        Event::CoordinatesNoMore { epoch }.emit();
         self.coordination.orders.clear();
         self.coordination.confirmed = None;
         self.coordination.resign_done = true;
@@ -403,7 +409,11 @@
         self.coordination.note_change();
         let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
         if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
-            log::warn!(target: "ownership", "order to {instance}: {answer:?}");
+            let failed = Event::OrderFailed {
+                instance: &instance,
+                answer: &format!("{answer:?}"),
+            };
+            failed.emit();
         }
         let Some(coordinator) = &mut self.coordination.coordinator else {
             return;
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -14,6 +14,7 @@
 use crate::configuration::{ClientLimits, Configuration, RouteTable};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::events::Event;
 use crate::io::{Action, Input};
 use crate::ownership::coordinator::{Coordinator, ExchangeIds};
 use crate::ownership::election::Election;
@@ -230,6 +231,7 @@
         self.stopping = true;
         self.requests.begin_stopping();
         self.coordination.begin_resigning();
-        log::info!(target: "node", "stopping with {} open requests", self.requests.len());
+        let open = self.requests.len();
+        Event::Stops { open }.emit();
     }
 }
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -4,6 +4,7 @@
 use crate::Timestamp;
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
+use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::Action;
 use crate::ownership::record::OwnershipRecord;
@@ -28,7 +29,7 @@
                 Ok(ObjectContent::Ownership(record)) => {
                     self.ownership_changed(record, object.revision, started, now, out);
                 }
-                Err(finding) => log::error!(target: "store", "{}: {finding}", object.name),
+                Err(finding) => unreadable(&object.name, &finding),
             }
         }
         match kind {
@@ -63,14 +64,14 @@
             Ok(ObjectContent::Ownership(record)) if !event.gone => {
                 self.ownership_changed(record, object.revision, started, now, out);
             }
-            Ok(_) => log::error!(target: "store", "{} was removed", object.name),
+            Ok(_) => unreadable(&object.name, "was removed"),
             Err(finding) if event.gone => {
                 // An entry that is gone may be told by its name alone.
                 log::debug!(target: "store", "{} is gone: {finding}", object.name);
                 self.directory
                     .remove(&InstanceId::from(object.name.as_str()), now);
             }
-            Err(finding) => log::error!(target: "store", "{}: {finding}", object.name),
+            Err(finding) => unreadable(&object.name, &finding),
         }
     }
 
@@ -81,7 +82,8 @@
         if known.is_some_and(|known| known >= configuration.version) {
             return;
         }
-        log::info!(target: "configuration", "version {} is in force", configuration.version);
+        let version = configuration.version;
+        Event::ConfigurationInForce { version }.emit();
         self.routes = RouteTable::new(&configuration);
         self.configuration = Some(configuration);
     }
@@ -100,3 +102,7 @@
         }
     }
 }
+
+fn unreadable(object: &str, finding: &str) {
+    Event::ObjectUnreadable { object, finding }.emit();
+}
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -4,6 +4,7 @@
 use super::relay::Changes;
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer, StoreCall, WrittenContent};
+use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::peers::NodeRecord;
@@ -403,7 +404,8 @@
         if !served {
             self.store.failures += 1;
             if self.store.health.serves() {
-                log::warn!(target: "store", "a call failed: {}", describe(answer));
+                let cause = describe(answer);
+                Event::StoreFails { cause: &cause }.emit();
             }
             self.store.health.failed(started);
             // The one call that goes on while others fail, also where it rests.
@@ -415,7 +417,7 @@
             self.directory.store_was_lost(now);
         }
         if was_failing {
-            log::info!(target: "store", "calls are served");
+            Event::StoreServes.emit();
             // Watches from before may wait on connections that will say
             // nothing any more.
             for kind in [
@@ -444,7 +446,8 @@
         let change = match answer {
             Ok(answer) => {
                 if let StoreAnswer::Unreadable(finding) = &answer {
-                    log::error!(target: "store", "{kind:?}: {finding}");
+                    let object = &format!("{kind:?}");
+                    Event::ObjectUnreadable { object, finding }.emit();
                 }
                 let confirms = matches!(
                     &answer,
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -6,6 +6,7 @@
 use crate::Timestamp;
 use crate::dialect::KeyRange;
 use crate::directory::Instance;
+use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
 use crate::ownership::lease::Lease;
 use crate::ownership::planner;
@@ -139,11 +140,14 @@
         let Some(position) = position else {
             return;
         };
-        log::info!(
-            target: "ownership",
-            "moves {}-{} of {service} from {} to {}",
-            planned.range.first, planned.range.last, planned.from, planned.to
-        );
+        let begins = Event::MoveBegins {
+            service,
+            first: planned.range.first,
+            last: planned.range.last,
+            from: &planned.from,
+            to: &planned.to,
+        };
+        begins.emit();
         let whole = self.holdings.remove(position);
         for range in remainders(whole.range, planned.range) {
             self.holdings.push(Holding {
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -4,6 +4,7 @@
 use super::placement::takers;
 use super::{Context, Coordinator};
 use crate::Timestamp;
+use crate::events::Event;
 use crate::ownership::lease::Lease;
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use std::time::Duration;
@@ -107,11 +108,14 @@
                 continue;
             };
             self.counters.moves += 1;
-            log::info!(
-                target: "ownership",
-                "{} owns {}-{} of {} under {fence}",
-                owner, holding.range.first, holding.range.last, holding.service
-            );
+            let owned = Event::KeysOwned {
+                service: &holding.service,
+                first: holding.range.first,
+                last: holding.range.last,
+                owner,
+                fence: *fence,
+            };
+            owned.emit();
             holding.lease = Lease::fresh(now, handover.clone());
             holding.fence = *fence;
             holding.owner = Some(owner.clone());
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -1,8 +1,9 @@
 //! Attempts: sent, reviewed, ended.
 
 use super::ANSWER_MARGIN;
-use super::endings::{attempt_name, owner_fence};
+use super::endings::{attempt_name, millis, owner_fence};
 use super::{RequestContext, Requests};
+use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::protections::Protection;
@@ -175,16 +176,18 @@
             return;
         };
         let fence = owner_fence(open, context);
-        log::info!(
-            target: "request",
-            "{} of {} key {:?} was at {} for {} ms under token {fence:?}: {}",
-            attempt_name(&open.request, context.headers),
-            open.service,
-            open.key,
-            attempt.instance,
-            context.now.saturating_sub(attempt.sent).as_millis(),
-            verdict.name(),
-        );
+        let ended = Event::AttemptEnded {
+            request: attempt_name(&open.request, context.headers),
+            service: &open.service,
+            key: open.key,
+            instance: &attempt.instance,
+            sent_after_ms: millis(attempt.sent.saturating_sub(open.received)),
+            took_ms: millis(context.now.saturating_sub(attempt.sent)),
+            ended: verdict.name(),
+            fence,
+            ownership: context.ownership.revision(),
+        };
+        ended.emit();
         match verdict {
             Verdict::NeverSent => {
                 open.tried.retain(|id| *id != attempt.instance);
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -3,6 +3,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
+use crate::events::Event;
 use crate::io::{Action, ClientId};
 use crate::requests::answers::{Refusal, refusal};
 use crate::requests::open_request::OpenRequest;
@@ -49,23 +50,24 @@
         let Some(open) = self.open.get(&client) else {
             return;
         };
-        log::info!(
-            target: "request",
-            "{} of {} key {:?} ends with {} after {} ms, sent to {}, owner's token {:?}, configuration {}",
-            attempt_name(&open.request, context.headers),
-            open.service,
-            open.key,
-            reason.name(),
-            context.now.saturating_sub(open.received).as_millis(),
-            open.tried.len(),
-            owner_fence(open, context),
-            context.configuration.map_or(0, |known| known.version),
-        );
         if let Some(response) = open.failed_answer.clone() {
             self.counters.relayed += 1;
             self.finish(client, relayed(response), out);
             return;
         }
+        let answered = Event::Answered {
+            request: attempt_name(&open.request, context.headers),
+            service: &open.service,
+            key: open.key,
+            status: reason.status(),
+            reason: reason.name(),
+            after_ms: millis(context.now.saturating_sub(open.received)),
+            attempts: open.tried.len(),
+            fence: owner_fence(open, context),
+            ownership: context.ownership.revision(),
+            configuration: context.configuration.map_or(0, |known| known.version),
+        };
+        answered.emit();
         let request = open.request.clone();
         let response = self.refusal(&request, reason, context);
         self.finish(client, response, out);
@@ -151,3 +153,8 @@
     response.headers.remove_connection_headers();
     response
 }
+
+/// Whole milliseconds.
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -5,7 +5,7 @@
 mod endings;
 
 use self::decide::Step;
-use self::endings::relayed;
+use self::endings::{attempt_name, relayed};
 use super::answers::Refusal;
 use super::budget::{BudgetBounds, RetryBudget};
 use super::open_request::OpenRequest;
@@ -16,6 +16,7 @@
 use crate::configuration::{Configuration, Route, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
+use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::ownership::coordinator::ExchangeIds;
@@ -221,6 +222,15 @@
                 self.advance(client, context, out);
             }
             Err((request, reason)) => {
+                let unrouted = Event::Unrouted {
+                    request: attempt_name(&request, context.headers),
+                    host: request.headers.text("host").unwrap_or_default(),
+                    path: request.path(),
+                    status: reason.status(),
+                    reason: reason.name(),
+                    configuration: context.configuration.map_or(0, |known| known.version),
+                };
+                unrouted.emit();
                 let response = self.refusal(&request, reason, context);
                 out.push(Action::Respond { client, response });
             }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -94,6 +94,12 @@
         "Calls to the store that failed or were refused",
         status.store_failures,
     );
+    counter(
+        &mut registry,
+        "log_lines_dropped",
+        "Log lines dropped since nobody read them in time",
+        crate::logging::dropped_lines(),
+    );
     if let Some(done) = status.coordinator {
         counter(&mut registry, "grants", "Grants answered", done.grants);
         counter(
