One failure of an instance is chance

Change: shares up to 0.35 count as none. Test, failed before: one_failure_drives_nothing_out_of_the_zone.

--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -19,6 +19,8 @@
 /// What a failure costs, as a multiple of the time that is left: the request is
 /// lost, or begins anew elsewhere.
 const FAILURE_COST: f64 = 2.0;
+/// Share of failures that is taken for chance: one failure alone stays below.
+const CHANCE_FAILURES: f64 = 0.35;
 /// How much longer an instance works while it is cold.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -123,7 +125,10 @@
             .and_then(|statistics| statistics.service_time(self.now))
             .unwrap_or(typical.mul_f64(cold));
         let expected = service_time.mul_f64(load_factor.max(1.0));
-        let failures = statistics.map_or(0.0, |statistics| statistics.failure_share(self.now));
+        let failures = statistics
+            .map(|statistics| statistics.failure_share(self.now))
+            .filter(|share| *share > CHANCE_FAILURES)
+            .unwrap_or(0.0);
         Selected {
             id: id.clone(),
             expected,
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -261,6 +261,16 @@
     expect_that!(seen.failure_share(ms(16_000)), lt(0.05));
 }
 
+#[gtest]
+fn one_failure_drives_nothing_out_of_the_zone() {
+    let mut fixture = Fixture::new();
+    for id in ["a", "b"] {
+        let seen = fixture.statistics.entry(&InstanceId::from(id));
+        seen.failed(ms(999));
+    }
+    expect_that!(fixture.chosen(&[]), any![eq("a"), eq("b")]);
+}
+
 #[gtest]
 fn connections_that_rested_too_long_are_not_used_for_some_time() {
     let mut limit = RestLimit::default();
