A limit on rested connections needs a share of losses, not one

Change: a limit needs two losses by weight, a fifth of the requests on rested connections, and few losses on fresh ones; what other nodes say holds 2 s and is not passed on.

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -634,7 +634,11 @@
     exchange: ExchangeId,
     result: Result<ledgelead_http::Response, ExchangeFailure>,
 ) -> Box<Input> {
-    Box::new(Input::Exchanged { exchange, result })
+    Box::new(Input::Exchanged {
+        exchange,
+        result,
+        rested: Duration::ZERO,
+    })
 }
 
 fn node_address(index: usize) -> SocketAddr {
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -19,12 +19,6 @@
     NotConnected,
     /// The connection was lost after the request, or a part of it, was sent.
     Lost,
-    /// The same on a kept connection that had rested, at once and before any
-    /// answer: the other side may have forgotten the connection.
-    Forgotten {
-        /// How long it had rested.
-        rested: Duration,
-    },
     /// No whole answer came in time; the request was sent.
     TimedOut,
     /// What came was no answer.
@@ -75,6 +69,8 @@
         exchange: ExchangeId,
         /// Its end.
         result: Result<Response, ExchangeFailure>,
+        /// How long its connection had rested before; nothing if it was new.
+        rested: Duration,
     },
     /// Another node sent a datagram.
     Datagram {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -121,10 +121,14 @@
                 requests.arrived(client, request, &mut context, out);
             }
             Input::ClientLeft { client } => self.requests.left(client, out),
-            Input::Exchanged { exchange, result } => {
+            Input::Exchanged {
+                exchange,
+                result,
+                rested,
+            } => {
                 if self.requests.owns(exchange) {
                     let (requests, mut context) = self.requests_and_context(now);
-                    requests.exchanged(exchange, result, &mut context, out);
+                    requests.exchanged(exchange, result, rested, &mut context, out);
                     for ended in self.requests.take_ended() {
                         self.directory.end(&ended);
                         self.coordination.note_change();
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -3,6 +3,7 @@
 use super::ANSWER_MARGIN;
 use super::endings::{attempt_name, millis, owner_fence};
 use super::{RequestContext, Requests};
+use crate::Timestamp;
 use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
@@ -27,6 +28,8 @@
 /// The same for an instance that answers others: its answer to this one may
 /// be lost.
 const REVIEW_EXPECTED: f64 = 4.0;
+/// A request lost within this time was lost as it was sent.
+const PROMPT_LOSS: Duration = Duration::from_millis(25);
 /// Pause between two reviews of an attempt.
 const REVIEW_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before an owner that rejected a key is asked again.
@@ -269,12 +272,24 @@
                     seen.answered(now.saturating_sub(attempt.sent), factor, now);
                 }
             }
-            Err(failure) => {
-                seen.failed(now);
-                if let ExchangeFailure::Forgotten { rested } = failure {
-                    self.rest_limit.forgotten(*rested, now);
-                }
-            }
+            Err(_) => seen.failed(now),
+        }
+    }
+
+    /// A connection that ends as soon as a request is sent on it had perhaps
+    /// been forgotten by the instance.
+    pub(super) fn learn_of_connection(
+        &mut self,
+        attempt: &Attempt,
+        result: &Result<Response, ExchangeFailure>,
+        rested: Duration,
+        now: Timestamp,
+    ) {
+        let prompt = now.saturating_sub(attempt.sent) <= PROMPT_LOSS;
+        match result {
+            Ok(_) => self.rest_limit.answered(rested, now),
+            Err(ExchangeFailure::Lost) if prompt => self.rest_limit.lost(rested, now),
+            Err(_) => {}
         }
     }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -169,9 +169,10 @@
             .collect()
     }
 
-    /// How long kept connections may rest, if lost requests limit it.
+    /// How long kept connections may rest, if requests that this node has lost
+    /// limit it.
     pub fn rest_limit(&self, now: Timestamp) -> Option<Duration> {
-        self.rest_limit.current(now)
+        self.rest_limit.own(now)
     }
 
     /// Another node of the zone limits the rest of kept connections.
@@ -257,6 +258,7 @@
         &mut self,
         exchange: ExchangeId,
         result: Result<Response, ExchangeFailure>,
+        rested: Duration,
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
@@ -272,6 +274,7 @@
         };
         self.end_attempt(&attempt);
         self.learn(&attempt, &result, context);
+        self.learn_of_connection(&attempt, &result, rested, context.now);
         let verdict = judge(result, &attempt.instance, context.headers);
         match verdict {
             Verdict::Relay(response) => {
--- a/crates/ledgelead-router/src/requests/rest_limit.rs
+++ b/crates/ledgelead-router/src/requests/rest_limit.rs
@@ -2,57 +2,93 @@
 //!
 //! Instances may forget connections that have rested, without notice. What is
 //! sent on such a connection is lost, and a request that must not run twice
-//! with it. One such loss makes this node, and the nodes of its zone that it
-//! tells, use only connections that rested for less, for some time.
+//! with it. Connections also end for other reasons, whether they have rested or
+//! not. So what counts is the share of lost requests among those on rested
+//! connections, and that few are lost on others.
 
 use crate::Timestamp;
 use std::time::Duration;
 
-/// Share of the rest after which a connection was forgotten that is still
-/// trusted.
+/// Connections that rested for less count as fresh, and are always used.
+const FRESH: Duration = Duration::from_millis(80);
+/// Time in which what was seen loses half of its weight.
+const HALVES_IN: Duration = Duration::from_secs(3);
+/// Lost requests, by weight, that make a limit.
+const LOST_FOR_LIMIT: f64 = 1.8;
+/// Share of the requests on rested connections that are lost, for a limit.
+const LOST_SHARE: f64 = 0.2;
+/// Share of the shortest rest after which a request was lost that is trusted.
 const TRUSTED_SHARE: f64 = 0.6;
-/// Connections that rested for less are always used.
-const SHORTEST: Duration = Duration::from_millis(80);
-/// How long a limit holds before it doubles.
-const HOLDS_FOR: Duration = Duration::from_secs(4);
-/// A limit that has grown to this is none any more.
-const LONGEST: Duration = Duration::from_secs(8);
-
-/// The limit on the rest of kept connections.
+/// How long the limit of another node is followed.
+const TOLD_HOLDS_FOR: Duration = Duration::from_secs(2);
+
+/// What became of requests on kept connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestLimit {
-    limit: Option<Duration>,
-    doubles_at: Timestamp,
+    lost: f64,
+    answered: f64,
+    lost_fresh: f64,
+    shortest: Duration,
+    at: Timestamp,
+    told: Option<(Duration, Timestamp)>,
 }
 
 impl RestLimit {
-    /// A connection that had rested for this long was forgotten.
-    pub fn forgotten(&mut self, rested: Duration, now: Timestamp) {
-        let trusted = rested.mul_f64(TRUSTED_SHARE).max(SHORTEST);
-        self.tighten(trusted, now);
+    /// A request on a connection that had rested for `rested`, nothing if it
+    /// was new, was answered.
+    pub fn answered(&mut self, rested: Duration, now: Timestamp) {
+        self.fade(now);
+        if rested >= FRESH {
+            self.answered += 1.0;
+        }
+    }
+
+    /// A request was lost as soon as it was sent.
+    pub fn lost(&mut self, rested: Duration, now: Timestamp) {
+        self.fade(now);
+        if rested < FRESH {
+            self.lost_fresh += 1.0;
+            return;
+        }
+        if self.lost < 0.5 {
+            self.shortest = rested;
+        }
+        self.shortest = self.shortest.min(rested);
+        self.lost += 1.0;
     }
 
     /// Another node of the zone goes by this limit.
     pub fn told(&mut self, limit: Duration, now: Timestamp) {
-        if self.current(now).is_none_or(|own| limit < own) {
-            self.tighten(limit.max(SHORTEST), now);
-        }
+        self.told = Some((limit.max(FRESH), now + TOLD_HOLDS_FOR));
     }
 
-    fn tighten(&mut self, limit: Duration, now: Timestamp) {
-        let own = self.current(now).unwrap_or(LONGEST);
-        self.limit = Some(limit.min(own));
-        self.doubles_at = now + HOLDS_FOR;
+    /// The limit by what this node has seen itself.
+    pub fn own(&self, now: Timestamp) -> Option<Duration> {
+        let weight = self.weight(now);
+        let enough = self.lost * weight >= LOST_FOR_LIMIT;
+        let often = self.lost >= (self.lost + self.answered) * LOST_SHARE;
+        let by_rest = self.lost_fresh < self.lost / 2.0;
+        let limit = self.shortest.mul_f64(TRUSTED_SHARE).max(FRESH);
+        (enough && often && by_rest).then_some(limit)
     }
 
-    /// The limit now, if there is one. It doubles as long as nothing is lost.
+    /// The limit now, if there is one.
     pub fn current(&self, now: Timestamp) -> Option<Duration> {
-        let mut limit = self.limit?;
-        let mut doubles_at = self.doubles_at;
-        while doubles_at <= now && limit < LONGEST {
-            limit *= 2;
-            doubles_at += HOLDS_FOR;
-        }
-        (limit < LONGEST).then_some(limit)
+        let told = self.told.filter(|(_, until)| now < *until);
+        let told = told.map(|(limit, _)| limit);
+        self.own(now).into_iter().chain(told).min()
+    }
+
+    fn weight(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        0.5f64.powf(age / HALVES_IN.as_secs_f64())
+    }
+
+    fn fade(&mut self, now: Timestamp) {
+        let weight = self.weight(now);
+        self.lost *= weight;
+        self.answered *= weight;
+        self.lost_fresh *= weight;
+        self.at = now;
     }
 }
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -18,9 +18,6 @@
 const MAX_IDLE: Duration = Duration::from_secs(9);
 /// How much earlier than the other side says an idle connection is given up.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
-/// A kept connection that ends within this time after a request was sent on it
-/// had perhaps been forgotten by the other side.
-const PROMPT_RESET: Duration = Duration::from_millis(25);
 /// Surplus answers that are passed over in one exchange.
 const MAX_SURPLUS: u32 = 3;
 
@@ -38,8 +35,7 @@
     match_header: Option<(String, Vec<u8>)>,
     surplus: u32,
     /// How long its connection had rested before it; nothing on a new one.
-    rested: Option<Duration>,
-    began: Instant,
+    rested: Duration,
     connect_by: Instant,
     answer_by: Instant,
     /// The time that each part of the answer begins anew.
@@ -225,10 +221,11 @@
             method: new.request.method,
             match_header: new.options.match_header,
             surplus: 0,
-            rested: connection
-                .connected
-                .then(|| now.duration_since(connection.idle_since)),
-            began: now,
+            rested: if connection.connected {
+                now.duration_since(connection.idle_since)
+            } else {
+                Duration::ZERO
+            },
             connect_by,
             answer_by,
             renewed_by: new.options.renewed.then_some(new.options.timeout),
@@ -314,21 +311,24 @@
                 Ok(response) if running.is_answered_by(&response) => {
                     self.complete(index, response, false, now, inputs);
                 }
-                _ => self.fail_lost(index, now, inputs),
+                _ => self.fail_lost(index, inputs),
             },
-            Some(StreamEnd::Reset) => self.fail_lost(index, now, inputs),
+            Some(StreamEnd::Reset) => self.fail_lost(index, inputs),
         }
     }
 
     /// The connection ended without an answer: proof that nothing ran only if
     /// no byte of the request was written.
-    fn fail_lost(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
-        let failure = self
+    fn fail_lost(&mut self, index: usize, inputs: &mut Vec<Input>) {
+        let wrote = self
             .connections
             .get(index)
-            .map_or(ExchangeFailure::NotConnected, |connection| {
-                connection.loss(now)
-            });
+            .is_some_and(|connection| connection.stream.wrote_any());
+        let failure = if wrote {
+            ExchangeFailure::Lost
+        } else {
+            ExchangeFailure::NotConnected
+        };
         self.fail(index, failure, inputs);
     }
 
@@ -372,6 +372,7 @@
         inputs.push(Input::Exchanged {
             exchange: running.exchange,
             result: Ok(response),
+            rested: running.rested,
         });
     }
 
@@ -386,6 +387,7 @@
             inputs.push(Input::Exchanged {
                 exchange: running.exchange,
                 result: Err(failure),
+                rested: running.rested,
             });
         }
     }
@@ -412,21 +414,6 @@
 }
 
 impl Connection {
-    /// What the end of the connection without an answer means.
-    fn loss(&self, now: Instant) -> ExchangeFailure {
-        if !self.stream.wrote_any() {
-            return ExchangeFailure::NotConnected;
-        }
-        let prompt = |running: &&Running| now.duration_since(running.began) <= PROMPT_RESET;
-        match self.running.as_ref().filter(prompt) {
-            Some(Running {
-                rested: Some(rested),
-                ..
-            }) => ExchangeFailure::Forgotten { rested: *rested },
-            _ => ExchangeFailure::Lost,
-        }
-    }
-
     fn is_fresh(&self, below: Duration, now: Instant) -> bool {
         let kept = self.keep_until.is_none_or(|until| now < until);
         kept && now.duration_since(self.idle_since) < below
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -374,6 +374,7 @@
                 self.inputs.push_back(Input::Exchanged {
                     exchange,
                     result: Err(ExchangeFailure::NotConnected),
+                    rested: Duration::ZERO,
                 });
             }
         }
