--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -30,6 +30,10 @@
 const REVIEW_EXPECTED: f64 = 4.0;
 /// A request lost within this time was lost as it was sent.
 const PROMPT_LOSS: Duration = Duration::from_millis(25);
+/// How the logs name an attempt that was broken off for another.
+const ABANDONED: &str = "abandoned";
+/// How the logs name an attempt without an answer at the end of the time.
+pub(super) const CUT_AT_TIMEOUT: &str = "cut_at_timeout";
 /// Pause between two reviews of an attempt.
 const REVIEW_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before an owner that rejected a key is asked again.
@@ -68,6 +72,7 @@
             open.attempt = None;
             open.may_have_run = true;
             open.timed_out = true;
+            tell_ended(open, &attempt, ABANDONED, context);
         }
         self.end_attempt(&attempt);
         self.statistics.entry(&attempt.instance).failed(context.now);
@@ -179,18 +184,7 @@
             return;
         };
         let fence = owner_fence(open, context);
-        let ended = Event::AttemptEnded {
-            request: attempt_name(&open.request, context.headers),
-            service: &open.service,
-            key: open.key,
-            instance: &attempt.instance,
-            sent_after_ms: millis(attempt.sent.saturating_sub(open.received)),
-            took_ms: millis(context.now.saturating_sub(attempt.sent)),
-            ended: verdict.name(),
-            fence,
-            ownership: context.ownership.revision(),
-        };
-        ended.emit();
+        tell_ended(open, attempt, verdict.name(), context);
         match verdict {
             Verdict::NeverSent => {
                 open.tried.retain(|id| *id != attempt.instance);
@@ -228,11 +222,7 @@
         }
         let repeats_unknown = !self.protections.has(Protection::UnknownNotRepeated);
         if open.may_have_run && !open.is_idempotent() && !repeats_unknown {
-            // Never sent again: exhausted, whatever the route allows.
-            let attempts = open.route.max_attempts.max(4) as usize;
-            while open.tried.len() < attempts {
-                open.tried.push(attempt.instance.clone());
-            }
+            open.exhausted = true;
         }
     }
 
@@ -301,6 +291,27 @@
     }
 }
 
+/// Logs the end of an attempt.
+pub(super) fn tell_ended(
+    open: &OpenRequest,
+    attempt: &Attempt,
+    ended: &'static str,
+    context: &RequestContext<'_>,
+) {
+    let ended = Event::AttemptEnded {
+        request: attempt_name(&open.request, context.headers),
+        service: &open.service,
+        key: open.key,
+        instance: &attempt.instance,
+        sent_after_ms: millis(attempt.sent.saturating_sub(open.received)),
+        took_ms: millis(context.now.saturating_sub(attempt.sent)),
+        ended,
+        fence: owner_fence(open, context),
+        ownership: context.ownership.revision(),
+    };
+    ended.emit();
+}
+
 fn attempt_options(
     open: &OpenRequest,
     rest_limit: Option<Duration>,
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -14,6 +14,9 @@
 /// Share of the drain bound after which a leaving owner gets nothing more.
 const DRAIN_SHARE: f64 = 0.35;
 
+/// Most attempts of a request, also at one owner.
+const MAX_ATTEMPTS: usize = 4;
+
 /// What is done next with a request.
 pub(super) enum Step {
     Send(Selected, SocketAddr),
@@ -29,9 +32,12 @@
         let Some(open) = self.open.get(&client) else {
             return Step::Refuse(Refusal::NoInstance);
         };
+        if open.exhausted {
+            return Step::Refuse(open.failure());
+        }
         if !open.tried.is_empty() {
             let exhausted = open.tried.len() >= open.route.max_attempts as usize;
-            if exhausted && open.key.is_none() || open.tried.len() >= 4 {
+            if exhausted && open.key.is_none() || open.tried.len() >= MAX_ATTEMPTS {
                 return Step::Refuse(open.failure());
             }
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -1,5 +1,6 @@
 //! How requests wait and end.
 
+use super::attempts::{CUT_AT_TIMEOUT, tell_ended};
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
@@ -84,6 +85,7 @@
             return;
         };
         if let Some(attempt) = open.attempt.take() {
+            tell_ended(open, &attempt, CUT_AT_TIMEOUT, context);
             open.may_have_run = true;
             open.timed_out = true;
             self.end_attempt(&attempt);
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -353,6 +353,7 @@
             tried: Vec::new(),
             attempt: None,
             waiting_since: None,
+            exhausted: false,
             may_have_run: false,
             timed_out: false,
             rejected: false,
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -61,6 +61,8 @@
     pub attempt: Option<Attempt>,
     /// Since when it waits for an owner or for room.
     pub waiting_since: Option<Timestamp>,
+    /// Whether it must not be sent again, whatever the route allows.
+    pub exhausted: bool,
     /// Whether some attempt may have run.
     pub may_have_run: bool,
     /// Whether some attempt got no answer in time.
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets. The actor moves bytes and times; all decisions are the node's.
 
 mod endpoint;
+pub mod explain;
 mod inbound;
 pub mod logging;
 mod metrics;
--- /dev/null
+++ b/crates/ledgelead-runtime/tests/explain.rs
@@ -0,0 +1,55 @@
+//! From a request's id to what its node and others believed.
+
+use googletest::prelude::*;
+use ledgelead_runtime::explain::explain;
+use std::io::{BufRead, Cursor};
+
+const OWN: &str = r#"
+{"event":{"event":"instance_drains","instance":"i-1"},"level":"INFO","node":"b","time":100.0,"topic":"instances"}
+{"event":{"event":"attempt_ended","request":"r1","service":"s","key":7,"instance":"i-1","sent_after_ms":0,"took_ms":12,"ended":"misdirected","fence":4,"ownership":90},"level":"INFO","node":"b","time":100.5,"topic":"request"}
+{"event":{"event":"attempt_ended","request":"r2","service":"s","key":9000,"instance":"i-3","sent_after_ms":0,"took_ms":12,"ended":"shed","fence":5,"ownership":90},"level":"INFO","node":"b","time":100.6,"topic":"request"}
+not json
+{"event":{"event":"answered","request":"r1","service":"s","key":7,"status":503,"reason":"no_owner","after_ms":80,"attempts":1,"fence":4,"ownership":90,"configuration":3},"level":"INFO","node":"b","time":100.58,"topic":"request"}
+"#;
+
+/// This node's clock is two seconds ahead.
+const COORDINATOR: &str = r#"
+{"event":{"event":"move_begins","service":"s","first":0,"last":99,"from":"i-1","to":"i-2"},"level":"INFO","node":"a","time":102.4,"topic":"ownership"}
+{"event":{"event":"move_begins","service":"s","first":500,"last":599,"from":"i-8","to":"i-9"},"level":"INFO","node":"a","time":102.4,"topic":"ownership"}
+{"event":{"event":"keys_owned","service":"s","first":0,"last":99,"owner":"i-2","fence":6},"level":"INFO","node":"a","time":102.7,"topic":"ownership"}
+{"event":{"event":"keys_owned","service":"other","first":0,"last":99,"owner":"i-7","fence":7},"level":"INFO","node":"a","time":102.7,"topic":"ownership"}
+{"event":{"event":"store_serves"},"level":"INFO","node":"a","time":900.0,"topic":"store"}
+"#;
+
+fn explained(request: &str) -> (bool, String) {
+    let logs: Vec<Box<dyn BufRead>> = vec![
+        Box::new(Cursor::new(OWN)),
+        Box::new(Cursor::new(COORDINATOR)),
+    ];
+    let explanation = explain(request, logs).unwrap();
+    (explanation.is_known(), explanation.to_string())
+}
+
+#[gtest]
+fn a_request_is_told_with_all_that_it_depended_on() {
+    let expected = "\
+request r1 at b
+     +0.000 s  attempt_ended ended=misdirected fence=4 instance=i-1 key=7 ownership=90 sent_after_ms=0 service=s took_ms=12
+     +0.080 s  answered after_ms=80 attempts=1 configuration=3 fence=4 key=7 ownership=90 reason=no_owner service=s status=503
+a tells, by its own clock
+     +1.900 s  move_begins first=0 from=i-1 last=99 service=s to=i-2
+     +2.200 s  keys_owned fence=6 first=0 last=99 owner=i-2 service=s
+b tells, by its own clock
+     -0.500 s  instance_drains instance=i-1
+";
+    let (known, text) = explained("r1");
+    expect_that!(known, eq(true));
+    expect_eq!(text, expected);
+}
+
+#[gtest]
+fn an_unknown_request_is_said_to_be_unknown() {
+    let (known, text) = explained("r9");
+    expect_that!(known, eq(false));
+    expect_that!(text, eq("r9: no log knows it\n"));
+}
