A request that its key's earlier owner turned away goes to the next one at once

Change: the pause holds only while the instance that turned it away still owns the key. Test: only_the_present_owner_of_a_key_holds_its_requests_back (the rule did not stand apart before; with the old one its first expectation does not hold).

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -183,7 +183,9 @@
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
-        let fence = owner_fence(open, context);
+        let assignment = open
+            .key
+            .and_then(|key| context.ownership.find(&open.service, key));
         tell_ended(open, attempt, verdict.name(), context);
         match verdict {
             Verdict::NeverSent => {
@@ -193,10 +195,8 @@
                     // its failures.
                     open.rejected = true;
                 }
-                open.misdirection = fence.map(|fence| Misdirection {
-                    fence,
-                    again: Some(context.now + MISDIRECTED_PAUSE),
-                });
+                let again = Some(context.now + MISDIRECTED_PAUSE);
+                open.misdirection = Misdirection::at(&attempt.instance, assignment, again);
             }
             Verdict::Rejected { misdirected, ended } => {
                 open.rejected = true;
@@ -205,10 +205,8 @@
                 }
                 let again = context.now + MISDIRECTED_PAUSE;
                 let once_more = !ended && (!misdirected || open.tried.len() < 2);
-                open.misdirection = fence.map(|fence| Misdirection {
-                    fence,
-                    again: once_more.then_some(again),
-                });
+                let again = once_more.then_some(again);
+                open.misdirection = Misdirection::at(&attempt.instance, assignment, again);
             }
             Verdict::Unknown { timed_out } => {
                 open.may_have_run = self.protections.has(Protection::HonestRefusal);
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -12,6 +12,7 @@
 pub use answers::refusal;
 pub use budget::{BudgetBounds, RetryBudget};
 pub use lifecycle::{RequestContext, RequestCounters, Requests};
+pub use open_request::Misdirection;
 pub use outcome::{Verdict, judge};
 pub use rest_limit::RestLimit;
 pub use selection::{Selected, SelectionContext};
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -4,6 +4,7 @@
 use crate::configuration::{Repeatability, Route};
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::ExchangeId;
+use crate::ownership::record::Assignment;
 use ledgelead_http::{Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +31,7 @@
 }
 
 /// Where a keyed request was rejected.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Misdirection {
     /// The fencing token of the assignment it was sent by.
     pub fence: u64,
@@ -39,6 +40,22 @@
     pub again: Option<Timestamp>,
 }
 
+impl Misdirection {
+    /// What follows for a key's next attempt from one that `instance` did not
+    /// run. Nothing, if the key has another owner by now.
+    pub fn at(
+        instance: &InstanceId,
+        assignment: Option<&Assignment>,
+        again: Option<Timestamp>,
+    ) -> Option<Misdirection> {
+        let assignment = assignment.filter(|assignment| assignment.owner == *instance)?;
+        Some(Misdirection {
+            fence: assignment.fence,
+            again,
+        })
+    }
+}
+
 /// A request.
 #[derive(Debug)]
 pub struct OpenRequest {
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -6,10 +6,11 @@
 use ledgelead_router::directory::{Directory, InstanceRecord};
 use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::ownership::record::Assignment;
 use ledgelead_router::peers::{OpenRequests, SharedLoad};
 use ledgelead_router::requests::{
-    BudgetBounds, RestLimit, RetryBudget, Selected, SelectionContext, StatisticsTable, Verdict,
-    judge,
+    BudgetBounds, Misdirection, RestLimit, RetryBudget, Selected, SelectionContext,
+    StatisticsTable, Verdict, judge,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -261,6 +262,28 @@
     expect_that!(seen.failure_share(ms(16_000)), lt(0.05));
 }
 
+#[gtest]
+fn only_the_present_owner_of_a_key_holds_its_requests_back() {
+    let assignment = Assignment {
+        service: ServiceName::from("s"),
+        first: 0,
+        last: 9,
+        owner: InstanceId::from("b"),
+        fence: 14,
+    };
+    let at = |id: &str| Misdirection::at(&InstanceId::from(id), Some(&assignment), Some(ms(60)));
+    // The request was in the queue of the owner before: the next one gets it at
+    // once.
+    expect_that!(at("a"), none());
+    let held = Misdirection {
+        fence: 14,
+        again: Some(ms(60)),
+    };
+    expect_that!(at("b"), some(eq(&held)));
+    let unowned = Misdirection::at(&InstanceId::from("a"), None, None);
+    expect_that!(unowned, none());
+}
+
 #[gtest]
 fn one_failure_drives_nothing_out_of_the_zone() {
     let mut fixture = Fixture::new();
