--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -23,10 +23,6 @@
 const INFORMED_FOR: Duration = Duration::from_millis(1_100);
 /// How many nodes prepare at once to follow a coordinator that has resigned.
 const PROMPT_SUCCESSORS: usize = 3;
-/// How many nodes go on to ask often while the store fails the coordinator.
-const WATCHFUL_SUCCESSORS: usize = 6;
-/// How long after its last heartbeat a coordinator counts as heard.
-const HEARD_FOR: Duration = Duration::from_millis(700);
 /// Most keys in one report.
 const MAX_KEYS: usize = 500;
 /// Most counts in one datagram.
@@ -72,8 +68,6 @@
     informed_until: Option<Timestamp>,
     /// Whether the store serves the coordinator, by its last heartbeat.
     serves_coordinator: bool,
-    /// When no coordinator counts as heard any more.
-    impatient_at: Timestamp,
 }
 
 impl Gossip {
@@ -91,7 +85,6 @@
             relay: RelayState::default(),
             informed_until: None,
             serves_coordinator: true,
-            impatient_at: now,
         }
     }
 
@@ -114,7 +107,6 @@
         self.next_heartbeat
             .min(self.next_report)
             .min(self.next_refresh)
-            .min(self.impatient_at)
             .min(self.informed_until.unwrap_or(self.next_refresh))
     }
 }
@@ -134,10 +126,6 @@
             self.gossip.informed_until = None;
             self.store.set_informed(false, now, out);
         }
-        if self.gossip.impatient_at <= now {
-            self.gossip.impatient_at = Timestamp::MAX;
-            self.store.set_patient(false);
-        }
         if self.gossip.next_refresh <= now {
             self.gossip.next_refresh = now + REFRESH_INTERVAL;
             self.refresh_open_requests(now, out);
@@ -365,15 +353,11 @@
         }
     }
 
-    /// While the store fails the coordinator too, this node need not ask often:
-    /// it hears when that is over, also from a successor. Those that come first
-    /// as successors do ask.
+    /// A store that serves the coordinator again serves this node as well,
+    /// perhaps: its probe is made anew.
     fn heard_of_store(&mut self, serves: bool, now: Timestamp, out: &mut Vec<Action>) {
         let recovered = serves && !self.gossip.serves_coordinator;
         self.gossip.serves_coordinator = serves;
-        self.gossip.impatient_at = now + HEARD_FOR;
-        let succeeds = self.campaign_rank() < WATCHFUL_SUCCESSORS;
-        self.store.set_patient(!serves && !succeeds);
         if recovered && self.store.health.has_failed() {
             self.store.probe_again(now, out);
         }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -179,11 +179,6 @@
         watcher.hasten(now);
     }
 
-    /// Whether a coordinator is heard, which tells when the store serves again.
-    pub(super) fn set_patient(&mut self, patient: bool) {
-        self.watcher(ObjectKind::Instances).set_patient(patient);
-    }
-
     /// Nodes that start together list each other once they are registered, so
     /// that only the first of them campaigns.
     fn waits_for_registration(&self, index: usize) -> bool {
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -27,9 +27,6 @@
     pub wait: Duration,
 }
 
-/// The same where a coordinator is heard, which tells when that is over.
-const MAX_PATIENT_BACKOFF: Duration = Duration::from_millis(3_000);
-
 /// What a watch has learned.
 #[derive(Debug)]
 pub enum WatchChange {
@@ -62,7 +59,6 @@
     in_flight: bool,
     next_call: Timestamp,
     failures: u32,
-    max_backoff: Duration,
     last_answer: Option<Timestamp>,
     /// Whether changes are told by another node, so that the store isn't asked.
     paused: bool,
@@ -82,7 +78,6 @@
             in_flight: false,
             next_call: Timestamp::ZERO,
             failures: 0,
-            max_backoff: MAX_BACKOFF,
             last_answer: None,
             paused: false,
             poked: false,
@@ -115,16 +110,6 @@
         self.next_call = self.next_call.max(until);
     }
 
-    /// Sets the longest pause after failed calls: longer where another node
-    /// tells when the store serves again.
-    pub fn set_patient(&mut self, patient: bool) {
-        self.max_backoff = if patient {
-            MAX_PATIENT_BACKOFF
-        } else {
-            MAX_BACKOFF
-        };
-    }
-
     /// The revision that is watched from, once the list is complete.
     pub fn revision(&self) -> Option<u64> {
         match self.position {
@@ -305,7 +290,7 @@
     fn backoff(&self) -> Duration {
         FIRST_BACKOFF
             .saturating_mul(1 << self.failures.min(6))
-            .min(self.max_backoff)
+            .min(MAX_BACKOFF)
     }
 }
 
