One broadcast, one state a relayed kind, one way to cut a range

Two looked up where the coordinator is: coordinator_address. - Lag, revision and parts of instances and of nodes stood as pairs of fields with twin functions: one Relayed each, one heard_of, one part_applied. - The coordinator copied each changed configuration to then find that it is not passed on; each follower computed the age of its watches for a heartbeat that it never sends; a take-over cloned the record to look at it. - What is left of a range without a part stood three times: KeyRange::without. - When an instance says that it failed stood twice: tells_failure. Whether the store was lost stood twice in StoreHealth; last_success was called by nobody. - Watches are found by their kind, not by a search with a default.

--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -23,6 +23,14 @@
 }
 
 impl ObjectKind {
+    /// Every kind, in the order of its declaration.
+    pub const ALL: [ObjectKind; 4] = [
+        ObjectKind::Configuration,
+        ObjectKind::Instances,
+        ObjectKind::Ownership,
+        ObjectKind::Nodes,
+    ];
+
     /// Whether there is only one object of this kind.
     pub fn is_single(self) -> bool {
         matches!(self, ObjectKind::Configuration | ObjectKind::Ownership)
@@ -186,6 +194,27 @@
         u32::from(self.last) - u32::from(self.first) + 1
     }
 
+    /// What is left of the range without what it shares with another.
+    pub fn without(self, part: KeyRange) -> Vec<KeyRange> {
+        if self.last < part.first || part.last < self.first {
+            return vec![self];
+        }
+        let mut left = Vec::new();
+        if self.first < part.first {
+            left.push(KeyRange {
+                first: self.first,
+                last: part.first - 1,
+            });
+        }
+        if part.last < self.last {
+            left.push(KeyRange {
+                first: part.last + 1,
+                last: self.last,
+            });
+        }
+        left
+    }
+
     /// Never: a range has at least one key.
     pub fn is_empty(self) -> bool {
         false
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -6,7 +6,7 @@
 use crate::dialect::ObjectKind;
 use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
-use crate::peers::{KeyReport, OpenRequests, PeerMessage, RelayedKind, decode, encode};
+use crate::peers::{KeyReport, NodeRecord, OpenRequests, PeerMessage, RelayedKind, decode, encode};
 use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,12 +33,12 @@
 
 /// For how long this node has known less than another.
 #[derive(Debug, Default)]
-struct Lag(Option<Timestamp>);
+pub(super) struct Lag(Option<Timestamp>);
 
 impl Lag {
     /// Whether this node is behind now. Returns since when, each time that it
     /// has been for so long that its watch must have been lost unnoticed.
-    fn update(&mut self, behind: bool, now: Timestamp) -> Option<Timestamp> {
+    pub(super) fn update(&mut self, behind: bool, now: Timestamp) -> Option<Timestamp> {
         if !behind {
             self.0 = None;
             return None;
@@ -59,10 +59,6 @@
     next_refresh: Timestamp,
     ownership_lag: Lag,
     configuration_lag: Lag,
-    instances_lag: Lag,
-    nodes_lag: Lag,
-    instances_revision: u64,
-    nodes_revision: u64,
     pub(super) relay: RelayState,
     /// When this node is on its own again, unless it hears of instances.
     informed_until: Option<Timestamp>,
@@ -78,26 +74,12 @@
             next_refresh: now + REFRESH_INTERVAL,
             ownership_lag: Lag::default(),
             configuration_lag: Lag::default(),
-            instances_lag: Lag::default(),
-            nodes_lag: Lag::default(),
-            instances_revision: 0,
-            nodes_revision: 0,
             relay: RelayState::default(),
             informed_until: None,
             serves_coordinator: true,
         }
     }
 
-    /// Who may get work has changed.
-    pub(super) fn instances_changed(&mut self, revision: u64) {
-        self.instances_revision = self.instances_revision.max(revision);
-    }
-
-    /// Nodes have registered, or have gone.
-    pub(super) fn nodes_changed(&mut self, revision: u64) {
-        self.nodes_revision = self.nodes_revision.max(revision);
-    }
-
     /// A coordinator has something to tell that its heartbeats carry.
     pub(super) fn hasten_heartbeat(&mut self) {
         self.next_heartbeat = Timestamp::ZERO;
@@ -133,34 +115,39 @@
     }
 
     fn tell_coordinating(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let age = self.store.age(now).as_millis();
         let Some(coordinator) = self.coordination.coordinator() else {
             return;
         };
+        let age = self.store.age(now).as_millis();
         let message = PeerMessage::Coordinating {
             epoch: coordinator.epoch(),
             store_serves: self.store.health.serves() && self.coordination.has_authority(now),
             revision: self.ownership.revision().unwrap_or(0),
             configuration: self.configuration_version(),
-            instances: self.gossip.instances_revision,
-            nodes: self.gossip.nodes_revision,
+            instances: self.gossip.relay.revision(RelayedKind::Instances),
+            nodes: self.gossip.relay.revision(RelayedKind::Nodes),
             age_ms: u16::try_from(age).unwrap_or(u16::MAX),
         };
-        let bytes = encode(&message);
-        for address in self.others() {
-            out.push(Action::Datagram {
-                address,
-                bytes: bytes.clone(),
-            });
+        self.tell_all(&[encode(&message)], out);
+    }
+
+    /// Sends datagrams to all other nodes.
+    pub(super) fn tell_all(&self, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
+        for record in self.others() {
+            send(record.address, datagrams, out);
         }
     }
 
-    pub(super) fn others(&self) -> Vec<SocketAddr> {
+    fn others(&self) -> impl Iterator<Item = &NodeRecord> {
         self.registry
             .iter()
-            .map(|record| record.address)
-            .filter(|address| *address != self.settings.peer_address)
-            .collect()
+            .filter(|record| record.address != self.settings.peer_address)
+    }
+
+    /// Where the coordinator is reached, if this node knows it.
+    pub(super) fn coordinator_address(&self) -> Option<SocketAddr> {
+        let coordinator = self.ownership.record().coordinator.as_ref()?;
+        Some(self.registry.get(&coordinator.node)?.address)
     }
 
     /// Reports the keys asked for to the coordinator.
@@ -175,9 +162,7 @@
             }
             return;
         }
-        let record = self.ownership.record();
-        let coordinator = record.coordinator.as_ref();
-        let Some(node) = coordinator.and_then(|identity| self.registry.get(&identity.node)) else {
+        let Some(address) = self.coordinator_address() else {
             return;
         };
         let reports = asked
@@ -191,7 +176,7 @@
             })
             .collect();
         out.push(Action::Datagram {
-            address: node.address,
+            address,
             bytes: encode(&PeerMessage::KeysAsked {
                 configuration: self.configuration_version(),
                 reports,
@@ -237,13 +222,10 @@
             rest_limit_ms: u16::try_from(rest_limit.as_millis()).unwrap_or(u16::MAX),
             changes: List(changes),
         });
-        for record in self.registry.iter() {
-            let same_zone = record.zone == self.settings.zone;
-            if same_zone && record.address != self.settings.peer_address {
-                out.push(Action::Datagram {
-                    address: record.address,
-                    bytes: bytes.clone(),
-                });
+        let datagrams = [bytes];
+        for record in self.others() {
+            if record.zone == self.settings.zone {
+                send(record.address, &datagrams, out);
             }
         }
     }
@@ -279,8 +261,8 @@
                 }
                 if store_serves && age < INFORMED_FOR {
                     self.informed(epoch, age, now, out);
-                    self.heard_of_instances(instances, now, out);
-                    self.heard_of_nodes(nodes, now, out);
+                    self.heard_of(RelayedKind::Instances, instances, now, out);
+                    self.heard_of(RelayedKind::Nodes, nodes, now, out);
                 }
                 self.heard_configuration(configuration, now, out);
                 self.heard_coordinator(epoch, store_serves, revision, now, out);
@@ -363,34 +345,8 @@
         }
     }
 
-    fn heard_of_instances(&mut self, revision: u64, now: Timestamp, out: &mut Vec<Action>) {
-        let behind = self.is_behind(ObjectKind::Instances, revision);
-        if behind {
-            self.want_changes(RelayedKind::Instances, now, out);
-        }
-        if let Some(since) = self.gossip.instances_lag.update(behind, now) {
-            self.ask_again(ObjectKind::Instances, since, now, out);
-        }
-    }
-
-    fn heard_of_nodes(&mut self, revision: u64, now: Timestamp, out: &mut Vec<Action>) {
-        let behind = self.is_behind(ObjectKind::Nodes, revision);
-        if behind {
-            self.want_changes(RelayedKind::Nodes, now, out);
-        }
-        if let Some(since) = self.gossip.nodes_lag.update(behind, now) {
-            self.ask_again(ObjectKind::Nodes, since, now, out);
-        }
-    }
-
-    fn is_behind(&mut self, kind: ObjectKind, revision: u64) -> bool {
-        let follows = self.coordination.coordinator().is_none();
-        let known = self.store.revision_of(kind);
-        follows && known.is_some_and(|known| known < revision)
-    }
-
     /// Something was missed: the watch is made anew, or asks once if it rests.
-    fn ask_again(
+    pub(super) fn ask_again(
         &mut self,
         kind: ObjectKind,
         since: Timestamp,
@@ -403,15 +359,8 @@
 
     /// Tells all nodes that this one has left the coordinator's place.
     pub(super) fn tell_resignation(&self, out: &mut Vec<Action>) {
-        let bytes = encode(&PeerMessage::Resigned {
-            epoch: self.ownership.record().epoch,
-        });
-        for address in self.others() {
-            out.push(Action::Datagram {
-                address,
-                bytes: bytes.clone(),
-            });
-        }
+        let epoch = self.ownership.record().epoch;
+        self.tell_all(&[encode(&PeerMessage::Resigned { epoch })], out);
     }
 
     /// Only those that come first as successors read the record at once. The
@@ -477,3 +426,13 @@
         }
     }
 }
+
+/// Sends datagrams to one node.
+pub(super) fn send(address: SocketAddr, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
+    for bytes in datagrams {
+        out.push(Action::Datagram {
+            address,
+            bytes: bytes.clone(),
+        });
+    }
+}
--- a/crates/ledgelead-router/src/node/relay.rs
+++ b/crates/ledgelead-router/src/node/relay.rs
@@ -7,6 +7,7 @@
 //! help.
 
 use super::Node;
+use super::gossip::{Lag, send};
 use crate::Timestamp;
 use crate::dialect::{ObjectContent, ObjectEvent, ObjectKind};
 use crate::directory::InstanceRecord;
@@ -74,6 +75,10 @@
     /// Lists that this node has told as coordinator, the oldest first; each
     /// goes on where the one before ends.
     told: VecDeque<Changes>,
+    /// The store's revision by which this node last knew of a change.
+    revision: u64,
+    /// How long this node has known less than the coordinator.
+    lag: Lag,
     /// When the coordinator may be asked for missed changes again.
     next_want: Timestamp,
 }
@@ -124,6 +129,20 @@
             RelayedKind::Nodes => &mut self.nodes,
         }
     }
+
+    /// The store's revision by which this node last knew of a change.
+    pub(super) fn revision(&self, kind: RelayedKind) -> u64 {
+        match kind {
+            RelayedKind::Instances => self.instances.revision,
+            RelayedKind::Nodes => self.nodes.revision,
+        }
+    }
+
+    /// Something of this kind has changed by this revision.
+    pub(super) fn changed(&mut self, kind: RelayedKind, revision: u64) {
+        let relayed = self.of(kind);
+        relayed.revision = relayed.revision.max(revision);
+    }
 }
 
 /// What a node says that has taken the coordinator's place.
@@ -142,17 +161,33 @@
 
 impl Node {
     /// Tells all nodes what the store has told this coordinator.
-    pub(super) fn relay(&mut self, kind: ObjectKind, changes: Changes, out: &mut Vec<Action>) {
-        let Some(kind) = relayed_kind(kind) else {
-            return;
-        };
-        let datagrams = encode_changes(kind, &changes);
-        for address in self.others() {
-            send_all(address, &datagrams, out);
-        }
+    pub(super) fn relay(&mut self, kind: RelayedKind, changes: Changes, out: &mut Vec<Action>) {
+        self.tell_all(&encode_changes(kind, &changes), out);
         self.gossip.relay.of(kind).keep(changes);
     }
 
+    /// The coordinator has seen a change of this revision. What this node has
+    /// missed, it asks the coordinator for, and after a while the store.
+    pub(super) fn heard_of(
+        &mut self,
+        kind: RelayedKind,
+        revision: u64,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let object_kind = kind.object_kind();
+        let follows = self.coordination.coordinator().is_none();
+        let known = self.store.revision_of(object_kind);
+        let behind = follows && known.is_some_and(|known| known < revision);
+        if behind {
+            self.want_changes(kind, now, out);
+        }
+        let relayed = self.gossip.relay.of(kind);
+        if let Some(since) = relayed.lag.update(behind, now) {
+            self.ask_again(object_kind, since, now, out);
+        }
+    }
+
     /// A node has missed changes that this coordinator has told.
     pub(super) fn changes_wanted(
         &mut self,
@@ -165,7 +200,7 @@
             return;
         }
         if let Some(changes) = self.gossip.relay.of(kind).since(since) {
-            send_all(from, &encode_changes(kind, &changes), out);
+            send(from, &encode_changes(kind, &changes), out);
         }
     }
 
@@ -180,8 +215,7 @@
         let Some(since) = self.store.revision_of(kind.object_kind()) else {
             return;
         };
-        let coordinator = self.ownership.record().coordinator.as_ref();
-        let Some(node) = coordinator.and_then(|identity| self.registry.get(&identity.node)) else {
+        let Some(address) = self.coordinator_address() else {
             return;
         };
         let relayed = self.gossip.relay.of(kind);
@@ -190,7 +224,7 @@
         }
         relayed.next_want = now + WANT_PAUSE;
         out.push(Action::Datagram {
-            address: node.address,
+            address,
             bytes: encode(&PeerMessage::ChangesWanted { kind, since }),
         });
     }
@@ -217,10 +251,7 @@
                 }
             }
         }
-        if self.gossip.relay.instances.parts.note(span) {
-            self.store.advance(ObjectKind::Instances, span.revision);
-            self.gossip.instances_changed(span.revision);
-        }
+        self.part_applied(RelayedKind::Instances, span);
         self.reconsider_waiting(now, out);
     }
 
@@ -246,9 +277,14 @@
                 }
             }
         }
-        if self.gossip.relay.nodes.parts.note(span) {
-            self.store.advance(ObjectKind::Nodes, span.revision);
-            self.gossip.nodes_changed(span.revision);
+        self.part_applied(RelayedKind::Nodes, span);
+    }
+
+    /// With the last part of a list, all up to its revision is known.
+    fn part_applied(&mut self, kind: RelayedKind, span: ChangeSpan) {
+        if self.gossip.relay.of(kind).parts.note(span) {
+            self.store.advance(kind.object_kind(), span.revision);
+            self.gossip.relay.changed(kind, span.revision);
         }
     }
 
@@ -285,9 +321,7 @@
             ASSIGNMENTS_A_PART,
             |span, changes| PeerMessage::OwnershipChanged { span, changes },
         );
-        for address in self.others() {
-            send_all(address, &datagrams, out);
-        }
+        self.tell_all(&datagrams, out);
     }
 
     /// The coordinator told new assignments.
@@ -347,7 +381,7 @@
         let Some(revision) = self.ownership.revision() else {
             return;
         };
-        let bytes = encode(&PeerMessage::TookOver {
+        let took_over = encode(&PeerMessage::TookOver {
             base,
             revision,
             node: Text(self.settings.identity.node.to_string()),
@@ -355,10 +389,7 @@
             first_fence: before.next_fence,
             digest: self.ownership.record().digest(),
         });
-        for address in self.others() {
-            let bytes = bytes.clone();
-            out.push(Action::Datagram { address, bytes });
-        }
+        self.tell_all(&[took_over], out);
     }
 
     /// Another node says that it has taken the coordinator's place. The record
@@ -379,8 +410,8 @@
         let record = before.taken_over_by(&told.coordinator, self.settings.protections);
         let same = record.digest() == told.digest;
         if same && self.ownership.supersede(told.base, told.revision, record) {
-            let record = self.ownership.record().clone();
-            self.coordination.election.observed(&record, now);
+            let record = self.ownership.record();
+            self.coordination.election.observed(record, now);
             self.reconsider_waiting(now, out);
         }
     }
@@ -405,7 +436,8 @@
     }
 }
 
-fn relayed_kind(kind: ObjectKind) -> Option<RelayedKind> {
+/// The kind by which changes of these objects are passed on, if they are.
+pub(super) fn relayed_kind(kind: ObjectKind) -> Option<RelayedKind> {
     match kind {
         ObjectKind::Instances => Some(RelayedKind::Instances),
         ObjectKind::Nodes => Some(RelayedKind::Nodes),
@@ -413,15 +445,6 @@
     }
 }
 
-fn send_all(address: SocketAddr, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
-    for bytes in datagrams {
-        out.push(Action::Datagram {
-            address,
-            bytes: bytes.clone(),
-        });
-    }
-}
-
 /// Splits a list into parts and encodes each. A list with too many of them is
 /// left to the store.
 fn parts<T: Clone>(
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -1,13 +1,13 @@
 //! The node's calls to the store.
 
 use super::Node;
-use super::relay::Changes;
+use super::relay::{Changes, relayed_kind};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer, StoreCall, WrittenContent};
 use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
-use crate::peers::NodeRecord;
+use crate::peers::{NodeRecord, RelayedKind};
 use crate::store::{StoreHealth, WatchChange, Watcher, WatcherPace};
 use ledgelead_http::Response;
 use std::collections::HashMap;
@@ -104,7 +104,8 @@
 /// State of the calls.
 pub(super) struct StoreCalls {
     pub(super) health: StoreHealth,
-    watchers: Vec<Watcher>,
+    /// In the order of `ObjectKind::ALL`.
+    watchers: [Watcher; ObjectKind::ALL.len()],
     pending: HashMap<ExchangeId, Pending>,
     registered: bool,
     register_exists: bool,
@@ -119,12 +120,7 @@
         let watcher = |kind| Watcher::new(kind, pace(kind, false));
         StoreCalls {
             health: StoreHealth::default(),
-            watchers: vec![
-                watcher(ObjectKind::Configuration),
-                watcher(ObjectKind::Instances),
-                watcher(ObjectKind::Ownership),
-                watcher(ObjectKind::Nodes),
-            ],
+            watchers: ObjectKind::ALL.map(watcher),
             pending: HashMap::new(),
             registered: false,
             register_exists: false,
@@ -194,12 +190,7 @@
     }
 
     fn watcher(&mut self, kind: ObjectKind) -> &mut Watcher {
-        let position = self
-            .watchers
-            .iter()
-            .position(|watcher| watcher.kind() == kind)
-            .unwrap_or(0);
-        &mut self.watchers[position]
+        &mut self.watchers[kind as usize]
     }
 
     /// The watches serve the coordinator, or not.
@@ -231,20 +222,16 @@
     /// How long ago the store told of instances and of the configuration, the
     /// longer of both.
     pub(super) fn age(&self, now: Timestamp) -> Duration {
-        [ObjectKind::Instances, ObjectKind::Configuration]
-            .into_iter()
-            .filter_map(|kind| self.watchers.iter().find(|watcher| watcher.kind() == kind))
-            .map(|watcher| match watcher.last_answer() {
-                Some(last) => now.saturating_sub(last),
-                None => Duration::MAX,
-            })
-            .max()
-            .unwrap_or(Duration::MAX)
+        let age = |kind: ObjectKind| match self.watchers[kind as usize].last_answer() {
+            Some(last) => now.saturating_sub(last),
+            None => Duration::MAX,
+        };
+        age(ObjectKind::Instances).max(age(ObjectKind::Configuration))
     }
 
     /// The store's revision up to which objects of a kind are known.
-    pub(super) fn revision_of(&mut self, kind: ObjectKind) -> Option<u64> {
-        self.watcher(kind).revision()
+    pub(super) fn revision_of(&self, kind: ObjectKind) -> Option<u64> {
+        self.watchers[kind as usize].revision()
     }
 
     /// Another node has told all changes of a kind up to this revision.
@@ -460,6 +447,7 @@
             }
         };
         if let (WatchChange::Events(events), Some(base)) = (&change, base)
+            && let Some(relayed) = relayed_kind(kind)
             && self.coordination.coordinator().is_some()
         {
             let revision = self.store.revision_of(kind).unwrap_or(base);
@@ -468,7 +456,7 @@
                 revision,
                 events: events.clone(),
             };
-            self.relay(kind, changes, out);
+            self.relay(relayed, changes, out);
         }
         self.apply(kind, change, started, now, out);
     }
@@ -494,10 +482,10 @@
         }
         let revision = self.store.revision_of(kind).unwrap_or(0);
         if self.directory.changes() != instances_before {
-            self.gossip.instances_changed(revision);
+            self.gossip.relay.changed(RelayedKind::Instances, revision);
         }
         if kind == ObjectKind::Nodes {
-            self.gossip.nodes_changed(revision);
+            self.gossip.relay.changed(RelayedKind::Nodes, revision);
         }
         if self.configuration_version() != configuration_before {
             self.gossip.hasten_heartbeat();
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -147,21 +147,3 @@
         };
     }
 }
-
-/// What is left of a range without a part of it.
-pub(super) fn remainders(whole: KeyRange, part: KeyRange) -> Vec<KeyRange> {
-    let mut ranges = Vec::new();
-    if whole.first < part.first {
-        ranges.push(KeyRange {
-            first: whole.first,
-            last: part.first - 1,
-        });
-    }
-    if part.last < whole.last {
-        ranges.push(KeyRange {
-            first: part.last + 1,
-            last: whole.last,
-        });
-    }
-    ranges
-}
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -1,7 +1,7 @@
 //! Who should own what: first owners, moves, the next owner of free keys.
 
 use super::PLAN_INTERVAL;
-use super::holding::{Holding, State, remainders};
+use super::holding::{Holding, State};
 use super::{Context, Coordinator};
 use crate::Timestamp;
 use crate::dialect::KeyRange;
@@ -149,7 +149,7 @@
         };
         begins.emit();
         let whole = self.holdings.remove(position);
-        for range in remainders(whole.range, planned.range) {
+        for range in whole.range.without(planned.range) {
             self.holdings.push(Holding {
                 range,
                 ..whole.clone()
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -120,7 +120,9 @@
     })?;
     let giving = &mut standings[source];
     giving.rate -= part.rate;
-    remove_part(&mut giving.candidate.ranges, part.position, part.range);
+    let ranges = &mut giving.candidate.ranges;
+    let whole = ranges.remove(part.position);
+    ranges.extend(whole.without(part.range));
     let from = giving.candidate.id.clone();
     standings[freest].candidate.incoming += part.rate;
     Some(PlannedMove {
@@ -189,19 +191,3 @@
     };
     parts.into_iter().map(part).collect()
 }
-
-fn remove_part(ranges: &mut Vec<KeyRange>, position: usize, part: KeyRange) {
-    let range = ranges.remove(position);
-    if range.first < part.first {
-        ranges.push(KeyRange {
-            first: range.first,
-            last: part.first - 1,
-        });
-    }
-    if part.last < range.last {
-        ranges.push(KeyRange {
-            first: part.last + 1,
-            last: range.last,
-        });
-    }
-}
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -25,25 +25,16 @@
 impl Assignment {
     /// What is left of this assignment beside another one.
     fn without(self, other: &Assignment) -> Vec<Assignment> {
-        let apart =
-            self.service != other.service || self.last < other.first || other.last < self.first;
-        if apart {
+        if self.service != other.service {
             return vec![self];
         }
-        let mut left = Vec::new();
-        if self.first < other.first {
-            left.push(Assignment {
-                last: other.first - 1,
-                ..self.clone()
-            });
-        }
-        if other.last < self.last {
-            left.push(Assignment {
-                first: other.last + 1,
-                ..self
-            });
-        }
-        left
+        let left = self.range().without(other.range()).into_iter();
+        left.map(|range| Assignment {
+            first: range.first,
+            last: range.last,
+            ..self.clone()
+        })
+        .collect()
     }
 
     /// The keys.
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -9,7 +9,7 @@
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::protections::Protection;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
-use crate::requests::outcome::Verdict;
+use crate::requests::outcome::{Verdict, tells_failure};
 use crate::requests::selection::Selected;
 use crate::requests::statistics::ReportedLoad;
 use ledgelead_http::{Request, Response};
@@ -241,7 +241,7 @@
                     .is_some();
                 if shed && response.status != 421 {
                     seen.shed(now);
-                } else if response.status >= 500 && response.status != 504 {
+                } else if tells_failure(response) {
                     seen.failed(now);
                 }
                 let load = reported_load(response, context);
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -76,6 +76,12 @@
     }
 }
 
+/// Whether an instance says that it failed. 504 only says that the time is over:
+/// neither is the instance at fault, nor is sending again of use.
+pub fn tells_failure(response: &Response) -> bool {
+    (500..=599).contains(&response.status) && response.status != 504
+}
+
 fn judge_answer(response: Response, meant: &InstanceId, headers: &HeaderNames) -> Verdict {
     let misdirected = response.status == 421;
     if misdirected || response.headers.get(&headers.not_executed).is_some() {
@@ -86,9 +92,7 @@
     if response.is_success() && response.headers.get(&headers.signature).is_none() {
         return Verdict::Unknown { timed_out: false };
     }
-    // 504 says that the time is over: sending again is of no use.
-    let failed = (500..=599).contains(&response.status) && response.status != 504;
-    if failed && response.headers.get(&headers.signature).is_some() {
+    if tells_failure(&response) && response.headers.get(&headers.signature).is_some() {
         return Verdict::Failed(response);
     }
     Verdict::Relay(response)
--- a/crates/ledgelead-router/src/store/health.rs
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -21,12 +21,10 @@
     /// A call that began at `started` was served.
     /// Returns whether the store had been lost.
     pub fn succeeded(&mut self, started: Timestamp) -> bool {
-        if self.failing_since.is_some() {
+        let was_lost = self.has_failed() && self.is_lost(started);
+        if self.has_failed() {
             self.recovered_at = Some(started);
         }
-        let was_lost = self
-            .failing_since
-            .is_some_and(|since| started.saturating_sub(since) >= LOST_AFTER);
         let newest = self
             .last_success
             .map_or(started, |earlier| earlier.max(started));
@@ -64,9 +62,4 @@
             None => self.last_success.is_none(),
         }
     }
-
-    /// When the last call that was served began.
-    pub fn last_success(&self) -> Option<Timestamp> {
-        self.last_success
-    }
 }
