The fleet's store traffic in a file of its own; one event loop, one test fixture

The loop that polls until an actor shuts down stood in ledgelead-node and in ledgelead-runtime; ledgelead-node calls the latter's. Two tests of the ownership state built the same slice: one_slice_at, their assertions unchanged.

--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod report;
 mod store;
+mod store_traffic;
 mod world;
 
 pub use checker::{Violation, ViolationKind};
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -0,0 +1,131 @@
+//! What goes to the store and comes from it: nodes' calls, watches that wait,
+//! instances' entries.
+
+use super::event::{Caller, Event};
+use super::network::LATENCY;
+use super::store::{Outcome, Waiting};
+use super::world::{HEARTBEAT, World, exchanged};
+use ledgelead_router::dialect::{StoreAnswer, StoreCall};
+use ledgelead_router::io::ExchangeId;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Heartbeats after which an entry goes.
+const MISSED_HEARTBEATS: u32 = 3;
+
+impl World {
+    /// A node calls the store.
+    pub(super) fn store_call(&mut self, caller: Caller, exchange: ExchangeId, call: &StoreCall) {
+        self.report.store_calls += 1;
+        if self.mood.silent > 0 || !self.pending.contains_key(&(caller, exchange)) {
+            return;
+        }
+        if self.mood.refusing > 0 {
+            self.store_answers(caller, exchange, StoreAnswer::Refused);
+            return;
+        }
+        let writes = matches!(call, StoreCall::Create { .. } | StoreCall::Replace { .. });
+        if writes && self.mood.losing > 0 && self.rng.random_range(0..3) == 0 {
+            let late = Duration::from_millis(self.rng.random_range(0..5_000));
+            self.schedule(late, Event::LateWrite(Box::new(call.clone())));
+            return;
+        }
+        match self.store.call(call) {
+            Outcome::Answer(answer) => self.store_answers(caller, exchange, answer),
+            Outcome::Wait {
+                kind,
+                revision,
+                wait,
+            } => {
+                self.store.waiting.push(Waiting {
+                    caller,
+                    exchange,
+                    kind,
+                    revision,
+                });
+                self.schedule(wait, Event::WatchOver(caller, exchange));
+            }
+        }
+        self.answer_watches();
+    }
+
+    pub(super) fn store_answers(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        answer: StoreAnswer,
+    ) {
+        if self.network.cut_from_store.contains(&caller.0) {
+            return;
+        }
+        let response = self.tickets.borrow_mut().answer(answer);
+        let input = exchanged(exchange, Ok(response));
+        self.schedule(LATENCY * 3, Event::Exchanged(caller, exchange, input));
+    }
+
+    /// The time of a watch that waits is over.
+    pub(super) fn watch_over(&mut self, caller: Caller, exchange: ExchangeId) {
+        let position = self
+            .store
+            .waiting
+            .iter()
+            .position(|waiting| waiting.caller == caller && waiting.exchange == exchange);
+        if let Some(position) = position {
+            self.store.waiting.remove(position);
+            if self.mood.silent == 0 {
+                let answer = self.store.no_changes();
+                self.store_answers(caller, exchange, answer);
+            }
+        }
+    }
+
+    /// Answers the watches whose kind has changed.
+    pub(super) fn answer_watches(&mut self) {
+        if self.mood.silent > 0 {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.store.waiting);
+        for watch in waiting {
+            match self.store.changes(watch.kind, watch.revision) {
+                Some(answer) => self.store_answers(watch.caller, watch.exchange, answer),
+                None => self.store.waiting.push(watch),
+            }
+        }
+    }
+
+    /// An instance writes its entry.
+    pub(super) fn heartbeat(&mut self, index: usize) {
+        let instance = &self.instances[index];
+        if !instance.alive {
+            return;
+        }
+        if instance.heartbeats && !instance.dark && self.mood.silent + self.mood.refusing == 0 {
+            self.last_beat.insert(index, self.now);
+            self.store.register(instance.record.clone());
+            self.answer_watches();
+        }
+        self.schedule(HEARTBEAT, Event::Heartbeat(index));
+    }
+
+    /// Entries that were not written for long go.
+    pub(super) fn expire_entries(&mut self) {
+        let limit = HEARTBEAT * MISSED_HEARTBEATS;
+        let gone: Vec<usize> = self
+            .last_beat
+            .iter()
+            .filter(|(_, beat)| **beat + limit <= self.now)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in gone {
+            self.remove_entry(index);
+        }
+        self.answer_watches();
+        self.schedule(HEARTBEAT / 4, Event::ExpireEntries);
+    }
+
+    pub(super) fn remove_entry(&mut self, index: usize) {
+        self.last_beat.remove(&index);
+        let name = self.instances[index].id().to_string();
+        self.store.remove_instance(&name);
+    }
+}
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -7,12 +7,11 @@
 use super::instance::Instance;
 use super::network::{LATENCY, Network};
 use super::report::FleetReport;
-use super::store::{Outcome, Store, Waiting};
+use super::store::Store;
 use ledgelead_http::Request;
 use ledgelead_router::configuration::{
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
-use ledgelead_router::dialect::{StoreAnswer, StoreCall};
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
@@ -40,9 +39,7 @@
 /// Instances of the other service.
 const ONCE_INSTANCES: usize = 4;
 /// Time between heartbeats of an instance.
-const HEARTBEAT: Duration = Duration::from_millis(1_300);
-/// Heartbeats after which an entry goes.
-const MISSED_HEARTBEATS: u32 = 3;
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1_300);
 /// Time between two requests of clients.
 const CLIENT_INTERVAL: Duration = Duration::from_millis(8);
 /// When clients begin.
@@ -112,7 +109,7 @@
     pub(super) store: Store,
     pub(super) mood: StoreMood,
     pub(super) instances: Vec<Instance>,
-    last_beat: BTreeMap<usize, Duration>,
+    pub(super) last_beat: BTreeMap<usize, Duration>,
     pub(super) leaving: HashMap<usize, Duration>,
     pub(super) network: Network,
     pub(super) tickets: Rc<RefCell<Tickets>>,
@@ -495,117 +492,6 @@
         self.schedule(after, Event::Exchanged(caller, exchange, input));
     }
 
-    fn store_call(&mut self, caller: Caller, exchange: ExchangeId, call: &StoreCall) {
-        self.report.store_calls += 1;
-        if self.mood.silent > 0 || !self.pending.contains_key(&(caller, exchange)) {
-            return;
-        }
-        if self.mood.refusing > 0 {
-            self.store_answers(caller, exchange, StoreAnswer::Refused);
-            return;
-        }
-        let writes = matches!(call, StoreCall::Create { .. } | StoreCall::Replace { .. });
-        if writes && self.mood.losing > 0 && self.rng.random_range(0..3) == 0 {
-            let late = Duration::from_millis(self.rng.random_range(0..5_000));
-            self.schedule(late, Event::LateWrite(Box::new(call.clone())));
-            return;
-        }
-        match self.store.call(call) {
-            Outcome::Answer(answer) => self.store_answers(caller, exchange, answer),
-            Outcome::Wait {
-                kind,
-                revision,
-                wait,
-            } => {
-                self.store.waiting.push(Waiting {
-                    caller,
-                    exchange,
-                    kind,
-                    revision,
-                });
-                self.schedule(wait, Event::WatchOver(caller, exchange));
-            }
-        }
-        self.answer_watches();
-    }
-
-    pub(super) fn store_answers(
-        &mut self,
-        caller: Caller,
-        exchange: ExchangeId,
-        answer: StoreAnswer,
-    ) {
-        if self.network.cut_from_store.contains(&caller.0) {
-            return;
-        }
-        let response = self.tickets.borrow_mut().answer(answer);
-        let input = exchanged(exchange, Ok(response));
-        self.schedule(LATENCY * 3, Event::Exchanged(caller, exchange, input));
-    }
-
-    fn watch_over(&mut self, caller: Caller, exchange: ExchangeId) {
-        let position = self
-            .store
-            .waiting
-            .iter()
-            .position(|waiting| waiting.caller == caller && waiting.exchange == exchange);
-        if let Some(position) = position {
-            self.store.waiting.remove(position);
-            if self.mood.silent == 0 {
-                let answer = self.store.no_changes();
-                self.store_answers(caller, exchange, answer);
-            }
-        }
-    }
-
-    /// Answers the watches whose kind has changed.
-    pub(super) fn answer_watches(&mut self) {
-        if self.mood.silent > 0 {
-            return;
-        }
-        let waiting = std::mem::take(&mut self.store.waiting);
-        for watch in waiting {
-            match self.store.changes(watch.kind, watch.revision) {
-                Some(answer) => self.store_answers(watch.caller, watch.exchange, answer),
-                None => self.store.waiting.push(watch),
-            }
-        }
-    }
-
-    fn heartbeat(&mut self, index: usize) {
-        let instance = &self.instances[index];
-        if !instance.alive {
-            return;
-        }
-        if instance.heartbeats && !instance.dark && self.mood.silent + self.mood.refusing == 0 {
-            self.last_beat.insert(index, self.now);
-            self.store.register(instance.record.clone());
-            self.answer_watches();
-        }
-        self.schedule(HEARTBEAT, Event::Heartbeat(index));
-    }
-
-    fn expire_entries(&mut self) {
-        let limit = HEARTBEAT * MISSED_HEARTBEATS;
-        let gone: Vec<usize> = self
-            .last_beat
-            .iter()
-            .filter(|(_, beat)| **beat + limit <= self.now)
-            .map(|(index, _)| *index)
-            .collect();
-        for index in gone {
-            self.remove_entry(index);
-        }
-        self.answer_watches();
-        self.schedule(HEARTBEAT / 4, Event::ExpireEntries);
-    }
-
-    pub(super) fn remove_entry(&mut self, index: usize) {
-        self.last_beat.remove(&index);
-        let name = self.instances[index].id().to_string();
-        self.store.remove_instance(&name);
-    }
-
     /// The node that a fault hits.
     pub(super) fn target(&self, target: Target) -> usize {
         let epoch = |index: &usize| {
--- a/crates/ledgelead-node/src/node/node_thread.rs
+++ b/crates/ledgelead-node/src/node/node_thread.rs
@@ -21,6 +21,7 @@
 use crate::settings::Settings;
 use crate::work_pool::WorkPool;
 use ledgelead_core::{Input, NodeSettings};
+use ledgelead_runtime::poll_until_shutdown;
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{ActorOwn, CX, Stakker, StopCause, actor, actor_new, call, fwd_to, ret_nop};
 use stakker_mio::MioPoll;
@@ -30,10 +31,8 @@
 use std::sync::Arc;
 use std::sync::mpsc::{self, Sender, SyncSender};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// Longest wait of the node's thread when nothing happens.
-const MAX_POLL_WAIT: Duration = Duration::from_secs(60);
 /// Events taken from the poller at once.
 const POLL_EVENTS: usize = 1_024;
 /// Priority of inputs of other threads in the poller.
@@ -225,16 +224,3 @@
         _guard: guard,
     })
 }
-
-fn poll_until_shutdown(stakker: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
-    let mut idle_pending = stakker.run(Instant::now(), false);
-    let mut io_pending = false;
-    while stakker.not_shutdown() {
-        let pending = idle_pending || io_pending;
-        let wait = stakker.next_wait_max(Instant::now(), MAX_POLL_WAIT, pending);
-        let activity;
-        (activity, io_pending) = poll.poll(wait)?;
-        idle_pending = stakker.run(Instant::now(), !activity);
-    }
-    Ok(())
-}
--- a/crates/ledgelead-ownership/tests/state.rs
+++ b/crates/ledgelead-ownership/tests/state.rs
@@ -250,12 +250,8 @@
     expect_that!(records.len(), eq(MAXIMUM_RECORDS));
 }
 
-/// Seeds 26 and 199 of the Bogota scenario: the former owner was lost before it
-/// had given the slice up, and the slice went to any server.
-#[gtest]
-fn an_acknowledged_move_outlives_the_loss_of_the_former_owner() {
-    let mut state = GroupState::start(Epoch(1), &[]).expect("empty");
-    let (from, to) = (ServerId(0), ServerId(1));
+/// Two servers, and all positions in one slice that the first of them has.
+fn one_slice_at(from: ServerId, to: ServerId) -> Vec<GroupCommand> {
     let range = PositionRange::ALL;
     let mut commands = vec![GroupCommand::CreateSlices {
         space: range,
@@ -270,6 +266,17 @@
         commands.push(GroupCommand::Admit { server, run: 1 });
     }
     commands.push(GroupCommand::Assign { range, to: from });
+    commands
+}
+
+/// Seeds 26 and 199 of the Bogota scenario: the former owner was lost before it
+/// had given the slice up, and the slice went to any server.
+#[gtest]
+fn an_acknowledged_move_outlives_the_loss_of_the_former_owner() {
+    let mut state = GroupState::start(Epoch(1), &[]).expect("empty");
+    let (from, to) = (ServerId(0), ServerId(1));
+    let range = PositionRange::ALL;
+    let commands = one_slice_at(from, to);
     state.apply(Revision(1), Term(1), &commands);
     let operation = GroupOperation::MoveSlice {
         position: range.first,
@@ -317,19 +324,7 @@
     let range = PositionRange::ALL;
     for still_held in [true, false] {
         let mut state = GroupState::start(Epoch(1), &[]).expect("empty");
-        let mut commands = vec![GroupCommand::CreateSlices {
-            space: range,
-            count: 1,
-        }];
-        for server in [from, to] {
-            let definition = ServerDefinition {
-                server,
-                ..ServerDefinition::default()
-            };
-            commands.push(GroupCommand::PutServer(definition));
-            commands.push(GroupCommand::Admit { server, run: 1 });
-        }
-        commands.push(GroupCommand::Assign { range, to: from });
+        let mut commands = one_slice_at(from, to);
         commands.push(GroupCommand::Release { range, from, to });
         state.apply(Revision(1), Term(1), &commands);
         let token = state.slices.at(range.first).expect("a slice").token;
--- /dev/null
+++ b/crates/ledgelead-runtime/src/event_loop.rs
@@ -0,0 +1,26 @@
+//! The event loop of a thread: actors and the sockets that wake them.
+
+use stakker::Stakker;
+use stakker_mio::MioPoll;
+use std::io;
+use std::time::{Duration, Instant};
+
+/// Longest wait when nothing happens.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(60);
+
+/// Runs actors and polls their sockets until an actor shuts the thread down.
+///
+/// # Errors
+/// When the poller fails.
+pub fn poll_until_shutdown(stakker: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    while stakker.not_shutdown() {
+        let pending = idle_pending || io_pending;
+        let wait = stakker.next_wait_max(Instant::now(), MAX_POLL_WAIT, pending);
+        let activity;
+        (activity, io_pending) = poll.poll(wait)?;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    Ok(())
+}
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets. The actor moves bytes and times; all decisions are the node's.
 
 mod endpoint;
+mod event_loop;
 pub mod explain;
 mod inbound;
 pub mod logging;
@@ -14,4 +15,5 @@
 mod stream;
 
 pub use endpoint::{Endpoint, Listen, StatusPaths};
+pub use event_loop::poll_until_shutdown;
 pub use process::{Bound, Control, RunError, SettingsSource, run};
--- a/crates/ledgelead-runtime/src/process.rs
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -1,6 +1,7 @@
 //! The process: sockets, signals and the event loop.
 
 use crate::endpoint::Listen;
+use crate::event_loop::poll_until_shutdown;
 use crate::reactor::{Reactor, ReactorSetup, Sockets};
 use ledgelead_router::dialect::Dialect;
 use ledgelead_router::node::Node;
@@ -18,8 +19,6 @@
 
 /// Events taken from the poller at once.
 const POLL_EVENTS: usize = 256;
-/// Longest wait when nothing happens.
-const MAX_POLL_WAIT: Duration = Duration::from_secs(60);
 /// Priority of the waker, which is not used.
 const WAKER_PRIORITY: u32 = 0;
 
@@ -162,16 +161,3 @@
 fn listener(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).map_err(|source| RunError::Listen { address, source })
 }
-
-fn poll_until_shutdown(stakker: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
-    let mut idle_pending = stakker.run(Instant::now(), false);
-    let mut io_pending = false;
-    while stakker.not_shutdown() {
-        let pending = idle_pending || io_pending;
-        let wait = stakker.next_wait_max(Instant::now(), MAX_POLL_WAIT, pending);
-        let activity;
-        (activity, io_pending) = poll.poll(wait)?;
-        idle_pending = stakker.run(Instant::now(), !activity);
-    }
-    Ok(())
-}
