A node that was cut off stops doubting who left; lists apply whole or not at all

A node that was cut off from 1 to 13 s read the whole list at 14.5 s, found an instance missing that had left at 4.0 s, and took it for one that could not write its entry: it went on sending for three heartbeats (2.6 s), while it counts as in touch from 16.0 s.

The holes found while reading are closed all the same, each with a test: a watch's answer older than what was relayed meanwhile undid it; parts of a list were applied one by one, so a late one could undo newer changes; a coordinator in doubt hid a removal from those it tells; and a leaving owner's time began anew when its entry went.

Change: heartbeats say for how long the store has served the coordinator, and how old its picture of the instances is. Doubt ends 2.2 s after the store's return by the earliest word. A leaving owner's time counts from when this node last knew all. Assembly makes a ChangeList only of all parts. A probe after a failure waits 50 ms, and is made anew when a coordinator is heard after a silence. instance_heartbeat is not needed any more.

--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -45,6 +45,8 @@
     WorkDone(usize, Box<Work>),
     /// An instance writes to the store.
     Heartbeat(usize),
+    /// An instance that left without a word ends.
+    InstanceEnds(usize),
     /// Entries without heartbeats go.
     ExpireEntries,
     /// A client asks.
--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -210,6 +210,22 @@
     expect_that!(report.violations, is_empty());
 }
 
+#[gtest]
+fn who_left_while_a_node_was_cut_off_gets_nothing_from_it() {
+    // One owner of keys and one of the others; the store forgets the history
+    // in which they went.
+    let schedule = Schedule::one(
+        seconds(15.0),
+        seconds(12.0),
+        FaultKind::CutNode(Target::Node(2)),
+    )
+    .and(seconds(18.0), seconds(1.0), FaultKind::LeaveUnannounced(1))
+    .and(seconds(18.0), seconds(1.0), FaultKind::LeaveUnannounced(8))
+    .and(seconds(21.0), seconds(1.0), FaultKind::StoreForgets);
+    let report = run(schedule, Protections::default());
+    expect_that!(report.violations, is_empty());
+}
+
 #[gtest]
 fn orders_carried_out_late_break_nothing() {
     let schedule = Schedule::one(seconds(10.0), seconds(12.0), FaultKind::OrdersLate)
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -9,9 +9,9 @@
 
 /// How long an instance is remembered after its entry is gone.
 const REMEMBER_GONE: Duration = Duration::from_secs(30);
-/// How long an entry that went with an outage of the store is still trusted
-/// after the store is back: some heartbeats of the instance.
-const HEARTBEATS_AFTER_OUTAGE: u32 = 3;
+/// Time after the return of the store within which every instance that lives
+/// and reaches it has written its entry again.
+const ENTRIES_RETURN_WITHIN: Duration = Duration::from_millis(2_200);
 
 /// What an instance registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,12 +39,12 @@
     Serving,
     /// It said that it is leaving.
     Draining {
-        /// Since when this node knows.
+        /// The earliest time at which it can have said so.
         since: Timestamp,
     },
     /// Its entry is gone.
     Gone {
-        /// Since when this node knows.
+        /// The earliest time at which it can have left.
         since: Timestamp,
     },
 }
@@ -60,6 +60,8 @@
     pub warm_at: Timestamp,
     /// Whether this life of it is proved to be over.
     pub ended: bool,
+    /// When it is forgotten, once its entry is gone.
+    forget_at: Option<Timestamp>,
 }
 
 impl Instance {
@@ -68,44 +70,40 @@
         self.presence == Presence::Serving && !self.ended
     }
 
-    /// Since when it is known to be leaving.
+    /// The earliest time at which it can have begun to leave.
     pub fn leaving_since(&self) -> Option<Timestamp> {
         match self.presence {
             Presence::Serving => None,
             Presence::Draining { since } | Presence::Gone { since } => Some(since),
         }
     }
+
+    /// Its entry is gone, and it has been leaving since `since` at the earliest.
+    fn leave(&mut self, since: Timestamp, now: Timestamp) {
+        let instance = &self.record.id;
+        Event::InstanceGone { instance }.emit();
+        self.presence = Presence::Gone { since };
+        self.forget_at = Some(now + REMEMBER_GONE);
+    }
 }
 
 /// All instances.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
     /// Entries that went while the store was in doubt, and until when their
     /// instances are taken for present.
     doubted: BTreeMap<InstanceId, Timestamp>,
-    trust_after_outage: Duration,
     /// Until when vanished entries are doubted.
     doubt_until: Timestamp,
+    /// All that the store acknowledged before this time is known here.
+    current_at: Timestamp,
     complete: bool,
     /// Counts changes of who may get work, heartbeats not among them.
     changes: u64,
 }
 
 impl Directory {
-    /// An empty directory; `heartbeat` is the time between two writes of an
-    /// instance.
-    pub fn new(heartbeat: Duration) -> Directory {
-        Directory {
-            instances: BTreeMap::new(),
-            doubted: BTreeMap::new(),
-            trust_after_outage: heartbeat * HEARTBEATS_AFTER_OUTAGE,
-            doubt_until: Duration::ZERO,
-            complete: false,
-            changes: 0,
-        }
-    }
-
     /// Whether the whole list was read once.
     pub fn is_complete(&self) -> bool {
         self.complete
@@ -119,7 +117,24 @@
     /// The store could not be reached until now: entries that are missing were
     /// perhaps dropped since nobody could write them.
     pub fn store_was_lost(&mut self, now: Timestamp) {
-        self.doubt_until = now + self.trust_after_outage;
+        self.doubt_until = now + ENTRIES_RETURN_WITHIN;
+    }
+
+    /// The store has served a node that asks it all the time since `since`. An
+    /// instance that lives could write its entry since then, whatever kept this
+    /// node from the store.
+    pub fn store_served_since(&mut self, since: Timestamp) {
+        let until = since + ENTRIES_RETURN_WITHIN;
+        self.doubt_until = self.doubt_until.min(until);
+        for doubted in self.doubted.values_mut() {
+            *doubted = until.min(*doubted);
+        }
+    }
+
+    /// All that the store acknowledged before `at` is known here. What is
+    /// learned later has happened since.
+    pub fn note_current(&mut self, at: Timestamp) {
+        self.current_at = self.current_at.max(at);
     }
 
     /// Takes over a whole list.
@@ -159,13 +174,14 @@
         let id = record.id.clone();
         let warm_at = now + record.warmup_left;
         let earlier = self.instances.get(&id);
-        let presence = match (record.draining, earlier.map(|instance| instance.presence)) {
+        let leaving = earlier.and_then(Instance::leaving_since);
+        let presence = match (record.draining, leaving) {
             (false, _) => Presence::Serving,
-            (true, Some(Presence::Draining { since })) => Presence::Draining { since },
-            (true, _) => {
+            (true, Some(since)) => Presence::Draining { since },
+            (true, None) => {
                 Event::InstanceDrains { instance: &id }.emit();
                 Presence::Draining {
-                    since: self.leaving_since(now),
+                    since: self.current_at.min(now),
                 }
             }
         };
@@ -178,16 +194,11 @@
             record,
             presence,
             warm_at,
+            forget_at: None,
         };
         self.instances.insert(id, instance);
     }
 
-    /// Since when an instance has been leaving that is first seen so now. One
-    /// that was so before this node's first list may have been for long.
-    fn leaving_since(&self, now: Timestamp) -> Timestamp {
-        if self.complete { now } else { Timestamp::ZERO }
-    }
-
     /// This life of an instance is proved to be over.
     pub fn end(&mut self, id: &InstanceId) {
         if let Some(instance) = self.instances.get_mut(id) {
@@ -219,12 +230,16 @@
             return;
         }
         let outage = now < self.doubt_until && instance.presence == Presence::Serving;
+        if outage && self.doubted.contains_key(id) {
+            return;
+        }
+        // Others that hear of changes from this node are to look for themselves.
+        self.changes += 1;
         if outage {
-            self.doubted.entry(id.clone()).or_insert(self.doubt_until);
+            self.doubted.insert(id.clone(), self.doubt_until);
         } else {
-            self.changes += 1;
-            Event::InstanceGone { instance: id }.emit();
-            instance.presence = Presence::Gone { since: now };
+            let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
+            instance.leave(since, now);
         }
     }
 
@@ -240,12 +255,12 @@
         for id in ended {
             self.doubted.remove(&id);
             if let Some(instance) = self.instances.get_mut(&id) {
-                instance.presence = Presence::Gone { since: now };
+                // It may have left at any time of the outage.
+                instance.leave(Timestamp::ZERO, now);
             }
         }
-        self.instances.retain(|_, instance| {
-            !matches!(instance.presence, Presence::Gone { since } if since + REMEMBER_GONE <= now)
-        });
+        self.instances
+            .retain(|_, instance| instance.forget_at.is_none_or(|at| now < at));
     }
 
     /// The next time at which `expire` changes something.
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -23,6 +23,9 @@
 const INFORMED_FOR: Duration = Duration::from_millis(1_100);
 /// How many nodes prepare at once to follow a coordinator that has resigned.
 const PROMPT_SUCCESSORS: usize = 3;
+/// Silence after which a coordinator that is heard again tells that this node
+/// was cut off.
+const HEARTBEATS_MISSED: Duration = Duration::from_millis(700);
 /// Most keys in one report.
 const MAX_KEYS: usize = 500;
 /// Most counts in one datagram.
@@ -64,6 +67,8 @@
     informed_until: Option<Timestamp>,
     /// Whether the store serves the coordinator, by its last heartbeat.
     serves_coordinator: bool,
+    /// When it was last heard.
+    heard_store_at: Timestamp,
 }
 
 impl Gossip {
@@ -77,6 +82,7 @@
             relay: RelayState::default(),
             informed_until: None,
             serves_coordinator: true,
+            heard_store_at: now,
         }
     }
 
@@ -118,7 +124,6 @@
         let Some(coordinator) = self.coordination.coordinator() else {
             return;
         };
-        let age = self.store.age(now).as_millis();
         let message = PeerMessage::Coordinating {
             epoch: coordinator.epoch(),
             store_serves: self.store.health.serves() && self.coordination.has_authority(now),
@@ -126,7 +131,9 @@
             configuration: self.configuration_version(),
             instances: self.gossip.relay.revision(RelayedKind::Instances),
             nodes: self.gossip.relay.revision(RelayedKind::Nodes),
-            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            age_ms: millis(self.store.age(now)),
+            instances_age_ms: millis(self.store.instances_age(now)),
+            served_for_ms: millis(self.store.served_for(now)),
         };
         self.tell_all(&[encode(&message)], out);
     }
@@ -254,11 +261,21 @@
                 instances,
                 nodes,
                 age_ms,
+                instances_age_ms,
+                served_for_ms,
             } => {
                 let age = Duration::from_millis(u64::from(age_ms));
-                if epoch >= self.ownership.record().epoch {
+                let current = epoch >= self.ownership.record().epoch;
+                if current {
                     self.heard_of_store(store_serves, now, out);
                 }
+                if current && store_serves && age < INFORMED_FOR {
+                    let served_for = Duration::from_millis(u64::from(served_for_ms));
+                    self.directory
+                        .store_served_since(now.saturating_sub(served_for));
+                    let instances_age = Duration::from_millis(u64::from(instances_age_ms));
+                    self.heard_of_instances(instances, instances_age, now);
+                }
                 if store_serves && age < INFORMED_FOR {
                     self.informed(epoch, age, now, out);
                     self.heard_of(RelayedKind::Instances, instances, now, out);
@@ -268,10 +285,10 @@
                 self.heard_coordinator(epoch, store_serves, revision, now, out);
             }
             PeerMessage::InstancesChanged { span, changes } => {
-                self.instances_told(span, &changes, now, out);
+                self.instances_told(span, changes, now, out);
             }
             PeerMessage::NodesChanged { span, changes } => {
-                self.nodes_told(span, &changes, now, out);
+                self.nodes_told(span, changes, now, out);
             }
             PeerMessage::TookOver {
                 base,
@@ -295,7 +312,7 @@
                 self.heard_take_over(told, now, out);
             }
             PeerMessage::OwnershipChanged { span, changes } => {
-                self.ownership_told(span, &changes, now, out);
+                self.ownership_told(span, changes, now, out);
             }
             PeerMessage::ChangesWanted { kind, since } => {
                 self.changes_wanted(from, kind, since, out);
@@ -335,10 +352,22 @@
         }
     }
 
+    /// The coordinator has read all changes of instances up to this revision,
+    /// and knew of all that were acknowledged before its picture's age.
+    fn heard_of_instances(&mut self, revision: u64, age: Duration, now: Timestamp) {
+        let known = self.store.revision_of(ObjectKind::Instances);
+        if known.is_some_and(|known| known >= revision) {
+            self.directory.note_current(now.saturating_sub(age));
+        }
+    }
+
     /// A store that serves the coordinator again serves this node as well,
-    /// perhaps: its probe is made anew.
+    /// perhaps; likewise when the coordinator is heard again after a silence,
+    /// as at the end of a cut. The probe is made anew.
     fn heard_of_store(&mut self, serves: bool, now: Timestamp, out: &mut Vec<Action>) {
-        let recovered = serves && !self.gossip.serves_coordinator;
+        let silent = self.gossip.heard_store_at + HEARTBEATS_MISSED < now;
+        let recovered = serves && (silent || !self.gossip.serves_coordinator);
+        self.gossip.heard_store_at = now;
         self.gossip.serves_coordinator = serves;
         if recovered && self.store.health.has_failed() {
             self.store.probe_again(now, out);
@@ -427,6 +456,11 @@
     }
 }
 
+/// Whole milliseconds, or the most that fits.
+fn millis(duration: Duration) -> u16 {
+    u16::try_from(duration.as_millis()).unwrap_or(u16::MAX)
+}
+
 /// Sends datagrams to one node.
 pub(super) fn send(address: SocketAddr, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
     for bytes in datagrams {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -69,7 +69,7 @@
         Node {
             configuration: None,
             routes: RouteTable::default(),
-            directory: Directory::new(settings.instance_heartbeat),
+            directory: Directory::default(),
             ownership: OwnershipView::default(),
             registry: Registry::default(),
             shared: SharedLoad::default(),
--- a/crates/ledgelead-router/src/node/relay.rs
+++ b/crates/ledgelead-router/src/node/relay.rs
@@ -15,8 +15,8 @@
 use crate::io::Action;
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use crate::peers::{
-    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, InstanceEntry, NodeEntry,
-    NodeRecord, PeerMessage, RelayedKind, encode,
+    Assembly, ChangeList, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
+    InstanceEntry, MAX_PARTS, NodeEntry, NodeRecord, PeerMessage, RelayedKind, encode,
 };
 use ledgelead_types::codec::{List, Text};
 use std::collections::{BTreeMap, VecDeque};
@@ -29,36 +29,12 @@
 const NODES_A_PART: usize = 12;
 /// Most assignments in one datagram.
 const ASSIGNMENTS_A_PART: usize = 20;
-/// Most parts of one list; a longer one is left to the store.
-const MAX_PARTS: u8 = 48;
-
 /// How many lists of changes of one kind a coordinator keeps for nodes that
 /// have missed some.
 const KEPT_LISTS: usize = 64;
 /// Pause between two questions for missed changes of one kind.
 const WANT_PAUSE: Duration = Duration::from_millis(60);
 
-/// Which parts of a list of changes have arrived.
-#[derive(Debug, Default)]
-struct PartsReceived {
-    list: Option<(u64, u64)>,
-    /// One bit for each part.
-    parts: u64,
-}
-
-impl PartsReceived {
-    /// Notes a part. Returns whether the whole list is there.
-    fn note(&mut self, span: ChangeSpan) -> bool {
-        let list = (span.base, span.revision);
-        if self.list != Some(list) {
-            self.list = Some(list);
-            self.parts = 0;
-        }
-        self.parts |= 1u64.checked_shl(u32::from(span.part)).unwrap_or(0);
-        self.parts.count_ones() >= u32::from(span.parts)
-    }
-}
-
 /// A list of changes between two revisions.
 #[derive(Clone, Debug)]
 struct Changes {
@@ -70,8 +46,6 @@
 /// What is kept of one kind of changes.
 #[derive(Debug, Default)]
 struct Relayed {
-    /// Parts of a list that this node is being told.
-    parts: PartsReceived,
     /// Lists that this node has told as coordinator, the oldest first; each
     /// goes on where the one before ends.
     told: VecDeque<Changes>,
@@ -119,7 +93,9 @@
 pub(super) struct RelayState {
     instances: Relayed,
     nodes: Relayed,
-    ownership_parts: PartsReceived,
+    instance_parts: Assembly<ChangedInstance>,
+    node_parts: Assembly<ChangedNode>,
+    ownership_parts: Assembly<ChangedAssignment>,
 }
 
 impl RelayState {
@@ -247,14 +223,18 @@
     pub(super) fn instances_told(
         &mut self,
         span: ChangeSpan,
-        changes: &[ChangedInstance],
+        changes: List<ChangedInstance>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        if !self.follows_on(RelayedKind::Instances, span, now, out) {
+        let Some(list) = self.gossip.relay.instance_parts.add(span, changes.0) else {
+            return;
+        };
+        if !self.follows_on(RelayedKind::Instances, &list, now, out) {
             return;
         }
-        for change in changes {
+        let revision = list.revision();
+        for change in list.into_changes() {
             let id = InstanceId::from(change.id.0.as_str());
             match &change.entry {
                 None => self.directory.remove(&id, now),
@@ -265,7 +245,7 @@
                 }
             }
         }
-        self.part_applied(RelayedKind::Instances, span);
+        self.list_applied(RelayedKind::Instances, revision);
         self.reconsider_waiting(now, out);
     }
 
@@ -273,14 +253,18 @@
     pub(super) fn nodes_told(
         &mut self,
         span: ChangeSpan,
-        changes: &[ChangedNode],
+        changes: List<ChangedNode>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        if !self.follows_on(RelayedKind::Nodes, span, now, out) {
+        let Some(list) = self.gossip.relay.node_parts.add(span, changes.0) else {
+            return;
+        };
+        if !self.follows_on(RelayedKind::Nodes, &list, now, out) {
             return;
         }
-        for change in changes {
+        let revision = list.revision();
+        for change in list.into_changes() {
             let name = NodeName::from(change.node.0.as_str());
             match &change.entry {
                 None => self.registry.remove(&name),
@@ -291,24 +275,22 @@
                 }
             }
         }
-        self.part_applied(RelayedKind::Nodes, span);
+        self.list_applied(RelayedKind::Nodes, revision);
     }
 
-    /// With the last part of a list, all up to its revision is known.
-    fn part_applied(&mut self, kind: RelayedKind, span: ChangeSpan) {
-        if self.gossip.relay.of(kind).parts.note(span) {
-            self.store.advance(kind.object_kind(), span.revision);
-            self.gossip.relay.changed(kind, span.revision);
-        }
+    /// All up to this revision is known.
+    fn list_applied(&mut self, kind: RelayedKind, revision: u64) {
+        self.store.advance(kind.object_kind(), revision);
+        self.gossip.relay.changed(kind, revision);
     }
 
     /// Whether changes are news to this node and none before them is missing.
     /// While the store fails this node, an entry may be gone only because its
     /// instance couldn't write; that is for its own watch to judge.
-    fn follows_on(
+    fn follows_on<T>(
         &mut self,
         kind: RelayedKind,
-        span: ChangeSpan,
+        list: &ChangeList<T>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) -> bool {
@@ -316,10 +298,10 @@
         let Some(known) = self.store.revision_of(kind.object_kind()) else {
             return false;
         };
-        if judges && known < span.base {
+        if judges && known < list.base() {
             self.want_changes(kind, now, out);
         }
-        judges && span.base <= known && known < span.revision
+        judges && list.follows(known)
     }
 
     /// Tells all nodes what a write of the record has changed.
@@ -342,11 +324,16 @@
     pub(super) fn ownership_told(
         &mut self,
         span: ChangeSpan,
-        changes: &[ChangedAssignment],
+        changes: List<ChangedAssignment>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let assignments: Option<Vec<Assignment>> = changes
+        let Some(list) = self.gossip.relay.ownership_parts.add(span, changes.0) else {
+            return;
+        };
+        let (base, revision) = (list.base(), list.revision());
+        let assignments: Option<Vec<Assignment>> = list
+            .into_changes()
             .iter()
             .map(|change| self.known_assignment(change))
             .collect();
@@ -354,14 +341,7 @@
             return;
         };
         let follows = self.coordination.coordinator().is_none();
-        if follows
-            && self
-                .ownership
-                .overlay(span.base, span.revision, assignments)
-        {
-            if self.gossip.relay.ownership_parts.note(span) {
-                self.ownership.overlaid(span.revision);
-            }
+        if follows && self.ownership.overlay(base, revision, assignments) {
             self.reconsider_waiting(now, out);
         }
     }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -229,6 +229,20 @@
         age(ObjectKind::Instances).max(age(ObjectKind::Configuration))
     }
 
+    /// How long ago this node's picture of the instances was true, by the
+    /// store's own answers.
+    pub(super) fn instances_age(&self, now: Timestamp) -> Duration {
+        let watcher = &self.watchers[ObjectKind::Instances as usize];
+        let as_of = watcher.as_of();
+        as_of.map_or(Duration::MAX, |at| now.saturating_sub(at))
+    }
+
+    /// For how long all calls have been served.
+    pub(super) fn served_for(&self, now: Timestamp) -> Duration {
+        let since = self.health.serving_since();
+        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// The store's revision up to which objects of a kind are known.
     pub(super) fn revision_of(&self, kind: ObjectKind) -> Option<u64> {
         self.watchers[kind as usize].revision()
@@ -453,6 +467,11 @@
             self.relay(relayed, revision, events.clone(), out);
         }
         self.apply(kind, change, started, now, out);
+        if kind == ObjectKind::Instances
+            && let Some(as_of) = self.store.watcher(kind).as_of()
+        {
+            self.directory.note_current(as_of);
+        }
     }
 
     fn apply(
--- a/crates/ledgelead-router/src/ownership/view.rs
+++ b/crates/ledgelead-router/src/ownership/view.rs
@@ -28,24 +28,20 @@
         true
     }
 
-    /// Takes over a part of what the coordinator says it has written, if it
-    /// follows on the version that is known. Requests are routed by it; nothing
-    /// is written on its base before the store has confirmed it.
+    /// Takes over what the coordinator says it has written, if it follows
+    /// on the version that is known. Requests are routed by it; nothing is
+    /// written on its base before the store has confirmed it.
     /// Returns whether it did.
     pub fn overlay(&mut self, base: u64, revision: u64, changes: Vec<Assignment>) -> bool {
         if self.revision != Some(base) || revision <= base {
             return false;
         }
         self.record.overlay(changes);
+        self.revision = Some(revision);
         self.confirmed = false;
         true
     }
 
-    /// All parts of the changes up to this revision have been laid over.
-    pub fn overlaid(&mut self, revision: u64) {
-        self.revision = self.revision.max(Some(revision));
-    }
-
     /// Takes over a version that another node says it has written on the base
     /// of the one that is known; like `overlay`, it is not confirmed.
     /// Returns whether it did.
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -54,6 +54,13 @@
     pub parts: u8,
 }
 
+impl ChangeSpan {
+    /// Whether both are parts of the same list.
+    pub fn is_same_list(self, other: ChangeSpan) -> bool {
+        (self.base, self.revision, self.parts) == (other.base, other.revision, other.parts)
+    }
+}
+
 /// What a coordinator passes on from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum RelayedKind {
@@ -130,6 +137,12 @@
         /// How long ago the store told it of instances and of the
         /// configuration, the longer of both, in milliseconds.
         age_ms: u16,
+        /// How long ago its picture of the instances was true, in
+        /// milliseconds.
+        instances_age_ms: u16,
+        /// For how long the store has served all of its calls, in
+        /// milliseconds; the most that fits if longer.
+        served_for_ms: u16,
     },
     /// The store told the coordinator of changed instances.
     InstancesChanged {
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -3,10 +3,12 @@
 //! Datagrams only hasten what the store or an answer would show later: any of
 //! them may be lost, late or doubled without harm.
 
+mod assembly;
 mod message;
 mod registry;
 mod shared_load;
 
+pub use assembly::{Assembly, ChangeList, MAX_PARTS};
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, InstanceEntry, KeyReport,
     NodeEntry, OpenRequests, PeerMessage, RelayedKind, decode, encode,
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -11,8 +11,10 @@
 
 /// Share of the time left that an owner's queue may take.
 const OWNER_WAIT_SHARE: f64 = 1.0;
-/// Share of the drain bound after which a leaving owner gets nothing more.
-const DRAIN_SHARE: f64 = 0.35;
+/// Share of the drain bound after which a leaving owner gets nothing more,
+/// counted from the earliest time at which it can have begun to leave. The rest
+/// is for datagrams and requests on their way.
+const DRAIN_SHARE: f64 = 0.7;
 
 /// Most attempts of a request, also at one owner.
 const MAX_ATTEMPTS: usize = 4;
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -22,8 +22,6 @@
     pub retry_slack: f64,
     /// The window of the retry budget.
     pub retry_window: Duration,
-    /// Time between an instance's heartbeats in the store.
-    pub instance_heartbeat: Duration,
     /// Time in which a leaving instance must get no more new work.
     pub drain_bound: Duration,
     /// Time from the request to stop until the process is killed.
--- a/crates/ledgelead-router/src/store/health.rs
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -15,6 +15,7 @@
     last_success: Option<Timestamp>,
     failing_since: Option<Timestamp>,
     recovered_at: Option<Timestamp>,
+    serving_since: Option<Timestamp>,
 }
 
 impl StoreHealth {
@@ -25,6 +26,9 @@
         if self.has_failed() {
             self.recovered_at = Some(started);
         }
+        if !self.serves() {
+            self.serving_since = Some(started);
+        }
         let newest = self
             .last_success
             .map_or(started, |earlier| earlier.max(started));
@@ -43,6 +47,11 @@
         self.failing_since.is_none() && self.last_success.is_some()
     }
 
+    /// Since when every call has been served, if the last ones were.
+    pub fn serving_since(&self) -> Option<Timestamp> {
+        self.serving_since.filter(|_| self.serves())
+    }
+
     /// Whether calls have failed since the last one that was served.
     pub fn has_failed(&self) -> bool {
         self.failing_since.is_some()
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -13,8 +13,9 @@
 /// coordinator, it is heard by then, and the watch rests.
 const FIRST_WATCH_PAUSE: Duration = Duration::from_millis(1_200);
 /// How long the store may wait for a change that another node has seen there
-/// already.
-const POKE_WAIT: Duration = Duration::from_millis(50);
+/// already, and after a failed call, whose successor only has to show that the
+/// store serves.
+const PROMPT_WAIT: Duration = Duration::from_millis(50);
 /// Longest pause after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -60,6 +61,11 @@
     next_call: Timestamp,
     failures: u32,
     last_answer: Option<Timestamp>,
+    /// When the call that is out was made, and how long the store may wait.
+    call: Option<(Timestamp, Duration)>,
+    /// When the first page of the present list was asked for.
+    list_began: Timestamp,
+    as_of: Option<Timestamp>,
     /// Whether changes are told by another node, so that the store isn't asked.
     paused: bool,
     /// Whether the store is asked once although the watch is paused.
@@ -79,6 +85,9 @@
             next_call: Timestamp::ZERO,
             failures: 0,
             last_answer: None,
+            call: None,
+            list_began: Timestamp::ZERO,
+            as_of: None,
             paused: false,
             poked: false,
             is_first: true,
@@ -160,6 +169,12 @@
         self.last_answer
     }
 
+    /// All that the store acknowledged before this time has been told by its
+    /// own answers. Unknown after a list that may be stale.
+    pub fn as_of(&self) -> Option<Timestamp> {
+        self.as_of
+    }
+
     /// When the next call is due, if none is out.
     pub fn next_call(&self) -> Option<Timestamp> {
         (!self.in_flight && !self.rests()).then_some(self.next_call)
@@ -176,24 +191,36 @@
             // this node's last call are forgotten.
             self.position = Position::start();
         }
+        let wait = if self.paused || self.failures > 0 {
+            PROMPT_WAIT
+        } else {
+            self.pace.wait
+        };
+        self.call = Some((now, wait));
         Some(match &self.position {
-            Position::Listing { after, .. } => StoreCall::List {
-                kind: self.kind,
-                after: after.clone(),
-                stale: self.is_first && self.kind.follows_from_any_state(),
-            },
+            Position::Listing { after, .. } => {
+                if after.is_none() {
+                    self.list_began = now;
+                }
+                StoreCall::List {
+                    kind: self.kind,
+                    after: after.clone(),
+                    stale: self.lists_stale(),
+                }
+            }
             Position::Watching { revision } => StoreCall::Watch {
                 kind: self.kind,
                 revision: *revision,
-                wait: if self.paused {
-                    POKE_WAIT
-                } else {
-                    self.pace.wait
-                },
+                wait,
             },
         })
     }
 
+    /// Whether the list that is due may be stale.
+    fn lists_stale(&self) -> bool {
+        self.is_first && self.kind.follows_from_any_state()
+    }
+
     /// The call that is out was broken off; the next is due at once.
     pub fn interrupt(&mut self, now: Timestamp) {
         self.in_flight = false;
@@ -258,6 +285,7 @@
         }
         let all = std::mem::take(pages);
         self.position = Position::Watching { revision: start };
+        self.as_of = (!self.lists_stale()).then_some(self.list_began);
         let wanted_at_once = self.kind == ObjectKind::Configuration && all.is_empty();
         if self.is_first && !wanted_at_once {
             self.next_call = now + FIRST_WATCH_PAUSE;
@@ -271,7 +299,16 @@
         let Position::Watching { revision: known } = &mut self.position else {
             return WatchChange::Unchanged;
         };
-        *known = (*known).max(revision);
+        if revision < *known {
+            // Another node has told later changes meanwhile.
+            return WatchChange::Unchanged;
+        }
+        *known = revision;
+        self.as_of = self.call.map(|(began, wait)| {
+            // Without a change the store has waited to the end.
+            let waited = events.is_empty() && began + wait <= now;
+            if waited { began + wait } else { began }
+        });
         if events.is_empty() {
             return WatchChange::Unchanged;
         }
