Each mechanism of the decisions can be switched off, to measure its worth

Cause: the users ask for an ablation table that can be made again; until now a switch was a patch. Decisions are as before with all on. Tests: a switched-off mechanism decides nothing; each has a name of its own.

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -15,6 +15,7 @@
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::coordinator::Coordinator;
 use ledgelead_router::protections::Protections;
@@ -321,6 +322,7 @@
             stop_grace: Duration::from_secs(6),
             seed: self.rng.random(),
             protections: self.settings.protections,
+            mechanisms: Mechanisms::default(),
         };
         let dialect = Box::new(TicketDialect::new(self.tickets.clone()));
         let simulated = &mut self.nodes[index];
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod identity;
 pub mod io;
+pub mod mechanisms;
 pub mod node;
 pub mod ownership;
 pub mod peers;
--- /dev/null
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -0,0 +1,81 @@
+//! Switches that turn one mechanism of the decisions off, to measure what it is
+//! worth. None of them is needed for safety; all are on by default.
+
+/// One mechanism.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Instances of the own zone come first.
+    ZonePreference,
+    /// An idempotent request whose instance is silent is sent to another.
+    Review,
+    /// An idempotent request whose instance failed is sent to another.
+    RepeatFailed,
+    /// An instance that fails several times in a row is passed over.
+    Ejection,
+    /// An instance's share of failures counts against it.
+    FailureShare,
+    /// An instance that has just started is expected to be slow.
+    ColdFactor,
+    /// Nodes of a zone tell each other their open requests.
+    SharedLoad,
+    /// What can't be answered in time is refused before it is sent.
+    EarlyRefusal,
+    /// Requests that wait are looked at in the order of their priority.
+    Priority,
+    /// Kept connections rest for less time where instances forget them.
+    RestLimit,
+    /// Keys move from busy owners to others.
+    KeyMoves,
+    /// Capacities of owners come from all nodes' answers.
+    SharedCapacity,
+    /// Owners count as busy only beyond the chance in their counts.
+    ChanceMargin,
+    /// Nodes that hear a coordinator let their own watches rest.
+    RestingWatches,
+}
+
+impl Mechanism {
+    /// Every mechanism, under the name by which it is switched off.
+    pub const ALL: [(&'static str, Mechanism); 14] = [
+        ("zone-preference", Mechanism::ZonePreference),
+        ("review", Mechanism::Review),
+        ("repeat-failed", Mechanism::RepeatFailed),
+        ("ejection", Mechanism::Ejection),
+        ("failure-share", Mechanism::FailureShare),
+        ("cold-factor", Mechanism::ColdFactor),
+        ("shared-load", Mechanism::SharedLoad),
+        ("early-refusal", Mechanism::EarlyRefusal),
+        ("priority", Mechanism::Priority),
+        ("rest-limit", Mechanism::RestLimit),
+        ("key-moves", Mechanism::KeyMoves),
+        ("shared-capacity", Mechanism::SharedCapacity),
+        ("chance-margin", Mechanism::ChanceMargin),
+        ("resting-watches", Mechanism::RestingWatches),
+    ];
+
+    /// The mechanism of this name.
+    pub fn named(name: &str) -> Option<Mechanism> {
+        let (_, mechanism) = Mechanism::ALL.iter().find(|(known, _)| *known == name)?;
+        Some(*mechanism)
+    }
+}
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mechanisms {
+    off: Option<Mechanism>,
+}
+
+impl Mechanisms {
+    /// All but one.
+    pub fn without(mechanism: Mechanism) -> Mechanisms {
+        Mechanisms {
+            off: Some(mechanism),
+        }
+    }
+
+    /// Whether a mechanism is on.
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.off != Some(mechanism)
+    }
+}
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -364,6 +364,7 @@
             directory: &self.directory,
             configuration,
             store_serves: self.store.health.serves(),
+            mechanisms: self.settings.mechanisms,
             exchanges: &mut self.exchanges,
         };
         let commands = coordinator.step(&mut context);
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -6,6 +6,7 @@
 use crate::dialect::ObjectKind;
 use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
+use crate::mechanisms::Mechanism;
 use crate::ownership::work::Work;
 use crate::peers::{
     KeyReport, NodeRecord, OpenRequests, PeerMessage, RelayedKind, WorkReport, decode, encode,
@@ -359,7 +360,8 @@
     fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
         let current = epoch >= self.ownership.record().epoch;
         let follows = self.coordination.coordinator().is_none() && self.store.health.serves();
-        if current && follows {
+        let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
+        if current && follows && rests {
             self.gossip.informed_until = Some(now + INFORMED_FOR.saturating_sub(age));
             self.store.set_informed(true, now, out);
         }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -64,6 +64,7 @@
             settings.drain_bound,
             bounds,
             settings.protections,
+            settings.mechanisms,
             rng,
         );
         Node {
@@ -182,6 +183,7 @@
         );
         self.settings = NodeSettings {
             identity: self.settings.identity.clone(),
+            mechanisms: self.settings.mechanisms,
             ..settings
         };
     }
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -17,6 +17,7 @@
 use crate::directory::Directory;
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::ExchangeId;
+use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -72,6 +73,8 @@
     /// Whether the store serves this node, so that a next owner can be written
     /// down soon.
     pub store_serves: bool,
+    /// Which mechanisms are on.
+    pub mechanisms: Mechanisms,
     /// Numbers exchanges.
     pub exchanges: &'a mut ExchangeIds,
 }
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -8,9 +8,10 @@
 use crate::directory::{Instance, InstanceRecord};
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
+use crate::mechanisms::Mechanism;
 use crate::ownership::lease::Lease;
 use crate::ownership::planner;
-use crate::ownership::planner::Candidate;
+use crate::ownership::planner::{Candidate, PlanSettings};
 use std::time::Duration;
 
 /// Time without a further instance after which a service's keys get their
@@ -49,7 +50,8 @@
         self.work.decay(context.now);
         // A range that is released while the record can't be written is
         // served by nobody until it can.
-        if !context.store_serves || self.writes_slowly(context.now) {
+        let moves = context.mechanisms.has(Mechanism::KeyMoves);
+        if !moves || !context.store_serves || self.writes_slowly(context.now) {
             return;
         }
         let services: Vec<ServiceName> = self.loads.keys().cloned().collect();
@@ -59,7 +61,10 @@
                 continue;
             };
             load.decay(context.now);
-            for planned in planner::plan(candidates, load) {
+            let settings = PlanSettings {
+                chance_margin: context.mechanisms.has(Mechanism::ChanceMargin),
+            };
+            for planned in planner::plan(candidates, load, settings) {
                 self.begin_move(&service, &planned, context.now);
             }
         }
@@ -75,7 +80,9 @@
             .iter()
             .map(|instance| {
                 let InstanceRecord { id, slots, .. } = &instance.record;
-                self.work.capacity(id, *slots, context.now)
+                let shared = context.mechanisms.has(Mechanism::SharedCapacity);
+                let capacity = self.work.capacity(id, *slots, context.now);
+                capacity.filter(|_| shared)
             })
             .collect();
         let known: Vec<f64> = capacities.iter().copied().flatten().collect();
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -40,6 +40,21 @@
     pub incoming: f64,
 }
 
+/// How moves are planned.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanSettings {
+    /// Whether an owner counts as busy only beyond the chance in its counts.
+    pub chance_margin: bool,
+}
+
+impl Default for PlanSettings {
+    fn default() -> PlanSettings {
+        PlanSettings {
+            chance_margin: true,
+        }
+    }
+}
+
 /// A range that should change its owner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedMove {
@@ -80,7 +95,11 @@
 }
 
 /// The moves that are worth their price now.
-pub fn plan(candidates: Vec<Candidate>, load: &KeyLoad) -> Vec<PlannedMove> {
+pub fn plan(
+    candidates: Vec<Candidate>,
+    load: &KeyLoad,
+    settings: PlanSettings,
+) -> Vec<PlannedMove> {
     let mut standings: Vec<Standing> = candidates
         .into_iter()
         .map(|candidate| Standing {
@@ -90,7 +109,7 @@
         .collect();
     let mut moves = Vec::new();
     while moves.len() < MAX_MOVES {
-        let Some(planned) = next_move(&mut standings, load) else {
+        let Some(planned) = next_move(&mut standings, load, settings) else {
             break;
         };
         moves.push(planned);
@@ -99,7 +118,11 @@
 }
 
 /// The next move from the busiest instance that has a part to give.
-fn next_move(standings: &mut [Standing], load: &KeyLoad) -> Option<PlannedMove> {
+fn next_move(
+    standings: &mut [Standing],
+    load: &KeyLoad,
+    settings: PlanSettings,
+) -> Option<PlannedMove> {
     let capacity: f64 = standings
         .iter()
         .map(|standing| standing.candidate.capacity)
@@ -118,7 +141,12 @@
     let mut sources: Vec<usize> = (0..standings.len())
         .filter(|index| *index != freest)
         .filter(|index| {
-            let busy = standings[*index].certain_utilisation();
+            let standing = &standings[*index];
+            let busy = if settings.chance_margin {
+                standing.certain_utilisation()
+            } else {
+                standing.utilisation()
+            };
             busy > BUSY_UTILISATION.max(mean * IMBALANCE)
         })
         .collect();
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -7,6 +7,7 @@
 use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
+use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{Verdict, tells_failure};
@@ -54,8 +55,9 @@
         let Some(attempt) = open.attempt.clone() else {
             return false;
         };
-        if attempt.review > context.now || self.stopping || !open.is_idempotent() {
-            let next = if attempt.review > context.now && !self.stopping {
+        let reviews = self.mechanisms.has(Mechanism::Review) && !self.stopping;
+        if attempt.review > context.now || !reviews || !open.is_idempotent() {
+            let next = if attempt.review > context.now && reviews {
                 attempt.review.min(open.due)
             } else {
                 open.due
@@ -117,6 +119,7 @@
     pub(super) fn may_send_again(&self, client: ClientId, context: &RequestContext<'_>) -> bool {
         self.open.get(&client).is_some_and(|open| {
             open.is_idempotent()
+                && self.mechanisms.has(Mechanism::RepeatFailed)
                 && !self.stopping
                 && open.tried.len() < open.route.max_attempts as usize
                 && open.due > context.now
@@ -144,10 +147,13 @@
             return;
         }
         if let Some(since) = open.waiting_since.take() {
-            self.waiting.remove(&(open.route.priority, since, client));
+            self.waiting
+                .remove(&(self.mechanisms.rank(open), since, client));
         }
         let exchange = context.exchanges.next_id();
-        let options = attempt_options(open, self.rest_limit.current(context.now), context);
+        let limits = self.mechanisms.has(Mechanism::RestLimit);
+        let rest_limit = self.rest_limit.current(context.now).filter(|_| limits);
+        let options = attempt_options(open, rest_limit, context);
         let review = open.route.target_latency.mul_f64(REVIEW_SHARE);
         let request = forwarded(open, &selected.id, context);
         open.tried.push(selected.id.clone());
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -3,6 +3,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::io::ClientId;
+use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::requests::answers::Refusal;
 use crate::requests::open_request::OpenRequest;
@@ -86,7 +87,8 @@
             }
         }
         let seen = self.statistics.get(&assignment.owner);
-        if let Some(seen) = seen.filter(|seen| seen.is_ejected(context.now)) {
+        let ejects = self.mechanisms.has(Mechanism::Ejection);
+        if let Some(seen) = seen.filter(|seen| ejects && seen.is_ejected(context.now)) {
             return Step::Wait {
                 again: Some(seen.ejected_until()),
                 reason: Refusal::NoOwner,
@@ -95,7 +97,9 @@
         let left = open.time_left(context.now);
         let selection = self.selection(context);
         let selected = selection.expect_owner(owner, left);
-        if selected.load_factor > 1.0 && selected.expected > left.mul_f64(OWNER_WAIT_SHARE) {
+        let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
+        let full = selected.load_factor > 1.0;
+        if refuses && full && selected.expected > left.mul_f64(OWNER_WAIT_SHARE) {
             return Step::Wait {
                 again: None,
                 reason: Refusal::Overloaded,
@@ -116,6 +120,7 @@
             shared: context.shared,
             zone: &self.zone,
             zones: context.zones,
+            mechanisms: self.mechanisms,
         };
         let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
         let Some(selected) = selected else {
@@ -124,7 +129,8 @@
                 reason: open.failure_or(Refusal::NoInstance),
             };
         };
-        if selected.load_factor > 1.0 && selected.expected > left {
+        let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
+        if refuses && selected.load_factor > 1.0 && selected.expected > left {
             return Step::Wait {
                 again: None,
                 reason: Refusal::Overloaded,
@@ -144,6 +150,7 @@
             shared: context.shared,
             zone: &self.zone,
             zones: context.zones,
+            mechanisms: self.mechanisms,
         }
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -36,7 +36,8 @@
             self.refuse(client, reason, context, out);
             return;
         }
-        self.waiting.insert((open.route.priority, since, client));
+        self.waiting
+            .insert((self.mechanisms.rank(open), since, client));
         let wake = again.map_or(limit, |again| again.min(limit));
         self.wake_at(client, wake);
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -19,6 +19,7 @@
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
+use crate::mechanisms::Mechanisms;
 use crate::ownership::coordinator::ExchangeIds;
 use crate::ownership::view::OwnershipView;
 use crate::ownership::work::Work;
@@ -92,6 +93,7 @@
     misdirected: bool,
     stopping: bool,
     protections: Protections,
+    mechanisms: Mechanisms,
     counters: RequestCounters,
 }
 
@@ -102,6 +104,7 @@
         drain_bound: Duration,
         bounds: BudgetBounds,
         protections: Protections,
+        mechanisms: Mechanisms,
         rng: Pcg64Mcg,
     ) -> Requests {
         Requests {
@@ -123,6 +126,7 @@
             misdirected: false,
             stopping: false,
             protections,
+            mechanisms,
             counters: RequestCounters::default(),
         }
     }
@@ -422,7 +426,8 @@
 
     fn forget_timers(&mut self, client: ClientId, open: &OpenRequest) {
         if let Some(since) = open.waiting_since {
-            self.waiting.remove(&(open.route.priority, since, client));
+            self.waiting
+                .remove(&(self.mechanisms.rank(open), since, client));
         }
         if let Some(at) = self.woken_at.remove(&client) {
             self.wake.remove(&(at, client));
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -4,6 +4,7 @@
 use crate::configuration::{Repeatability, Route};
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::ExchangeId;
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::ownership::record::Assignment;
 use ledgelead_http::{Request, Response};
 use std::sync::Arc;
@@ -92,6 +93,17 @@
     pub misdirection: Option<Misdirection>,
 }
 
+impl Mechanisms {
+    /// The rank of a request among those that wait; 0 comes first.
+    pub fn rank(self, open: &OpenRequest) -> u32 {
+        if self.has(Mechanism::Priority) {
+            open.route.priority
+        } else {
+            0
+        }
+    }
+}
+
 impl OpenRequest {
     /// Whether it may run more than once.
     pub fn is_idempotent(&self) -> bool {
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -4,6 +4,7 @@
 use crate::Timestamp;
 use crate::directory::{Directory, Instance};
 use crate::identity::{InstanceId, ServiceName, ZoneName};
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::SharedLoad;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -38,6 +39,8 @@
     pub zone: &'a ZoneName,
     /// How many zones have nodes.
     pub zones: u32,
+    /// Which mechanisms are on.
+    pub mechanisms: Mechanisms,
 }
 
 /// An instance and when it is expected to answer.
@@ -77,16 +80,19 @@
         let (own, other): (Vec<&Instance>, Vec<&Instance>) =
             untried.partition(|instance| instance.record.zone == *self.zone);
         let best_own = best(own.into_iter().map(expect), rng);
-        let enough = best_own
-            .as_ref()
-            .is_some_and(|selected| selected.cost <= left.mul_f64(OWN_ZONE_SHARE));
+        let prefers = self.mechanisms.has(Mechanism::ZonePreference);
+        let enough = prefers
+            && best_own
+                .as_ref()
+                .is_some_and(|selected| selected.cost <= left.mul_f64(OWN_ZONE_SHARE));
         if enough {
             return best_own;
         }
         let best_other = best(other.into_iter().map(expect), rng);
         match (best_own, best_other) {
             (Some(own), Some(other)) => {
-                let better = other.cost <= own.cost.mul_f64(OTHER_ZONE_GAIN);
+                let gain = if prefers { OTHER_ZONE_GAIN } else { 1.0 };
+                let better = other.cost <= own.cost.mul_f64(gain);
                 Some(if better { other } else { own })
             }
             (own, other) => own.or(other),
@@ -111,12 +117,17 @@
         let id = &instance.record.id;
         let statistics = self.statistics.get(id);
         let own = statistics.map_or(0, |statistics| statistics.open);
-        let told = self.shared.open_at(id.stable_hash(), self.now);
+        let told = if self.mechanisms.has(Mechanism::SharedLoad) {
+            self.shared.open_at(id.stable_hash(), self.now)
+        } else {
+            0
+        };
         let reported = statistics.and_then(|statistics| statistics.reported_open(self.now));
         let open = ((own + told) * senders).max(reported.unwrap_or(0));
         let slots = f64::from(instance.record.slots.max(1));
         let load_factor = (f64::from(open) + 1.0) / slots;
-        let cold = if instance.warm_at > self.now {
+        let expects_cold = self.mechanisms.has(Mechanism::ColdFactor);
+        let cold = if expects_cold && instance.warm_at > self.now {
             COLD_FACTOR
         } else {
             1.0
@@ -128,6 +139,7 @@
         let failures = statistics
             .map(|statistics| statistics.failure_share(self.now))
             .filter(|share| *share > CHANCE_FAILURES)
+            .filter(|_| self.mechanisms.has(Mechanism::FailureShare))
             .unwrap_or(0.0);
         Selected {
             id: id.clone(),
@@ -157,7 +169,8 @@
                 .is_some_and(|statistics: &Statistics| statistics.is_ejected(self.now))
         };
         let ejected = serving.iter().filter(is_ejected).count();
-        if ejected as f64 > serving.len() as f64 * MAX_EJECTED_SHARE {
+        let ejects = self.mechanisms.has(Mechanism::Ejection);
+        if !ejects || ejected as f64 > serving.len() as f64 * MAX_EJECTED_SHARE {
             return serving.to_vec();
         }
         serving
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start, and the times its promises rest on.
 
 use crate::identity::{NodeIdentity, ZoneName};
+use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     pub seed: u64,
     /// All on, but in simulations that prove their checker.
     pub protections: Protections,
+    /// All on, but where the worth of one is measured.
+    pub mechanisms: Mechanisms,
 }
 
 /// How long an instance holds keys after a grant arrived.
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -7,7 +7,7 @@
 use ledgelead_router::ownership::election::{Election, rank};
 use ledgelead_router::ownership::lease::Lease;
 use ledgelead_router::ownership::load::KeyLoad;
-use ledgelead_router::ownership::planner::{Candidate, plan};
+use ledgelead_router::ownership::planner::{Candidate, PlanSettings, plan};
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::ownership::view::OwnershipView;
 use ledgelead_router::ownership::work::{Work, WorkTable};
@@ -61,6 +61,7 @@
     let moves = plan(
         vec![candidate("a", vec![low]), candidate("b", vec![high])],
         &load,
+        PlanSettings::default(),
     );
     expect_that!(moves.len(), eq(1));
     let moved = load.rate(moves[0].range);
@@ -76,6 +77,7 @@
     let moves = plan(
         vec![candidate("a", vec![low]), candidate("b", vec![high])],
         &load,
+        PlanSettings::default(),
     );
     expect_that!(moves.len(), eq(1));
     let part = moves[0].range;
@@ -86,11 +88,14 @@
 fn an_even_or_idle_service_is_left_alone() {
     let (low, high) = halves();
     let both = || vec![candidate("a", vec![low]), candidate("b", vec![high])];
-    expect_that!(plan(both(), &loaded(std::iter::empty())), is_empty());
+    expect_that!(
+        plan(both(), &loaded(std::iter::empty()), PlanSettings::default()),
+        is_empty()
+    );
     let even = loaded((0..40).map(|index| index * 1_600));
-    expect_that!(plan(both(), &even), is_empty());
+    expect_that!(plan(both(), &even, PlanSettings::default()), is_empty());
     let light = loaded((0..8).map(|index| 100 + index));
-    expect_that!(plan(both(), &light), is_empty());
+    expect_that!(plan(both(), &light, PlanSettings::default()), is_empty());
 }
 
 #[gtest]
@@ -102,7 +107,11 @@
         ..candidate("b", vec![high])
     };
     expect_that!(
-        plan(vec![candidate("a", vec![low]), closed], &load),
+        plan(
+            vec![candidate("a", vec![low]), closed],
+            &load,
+            PlanSettings::default()
+        ),
         is_empty()
     );
 }
@@ -315,11 +324,21 @@
     };
     let planned = |requests: u16| {
         let load = loaded((0..requests).map(|key| key * 100));
-        plan(vec![slow("a", low), slow("b", high)], &load)
+        plan(
+            vec![slow("a", low), slow("b", high)],
+            &load,
+            PlanSettings::default(),
+        )
     };
     // 5 of 8 may be 3; 20 of 8 are too many.
     expect_that!(planned(5), is_empty());
     expect_that!(planned(20), not(is_empty()));
+    let load = loaded((0..5).map(|key| key * 100));
+    let without = PlanSettings {
+        chance_margin: false,
+    };
+    let moves = plan(vec![slow("a", low), slow("b", high)], &load, without);
+    expect_that!(moves, not(is_empty()));
 }
 
 #[gtest]
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -6,6 +6,7 @@
 use ledgelead_router::directory::{Directory, InstanceRecord};
 use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::mechanisms::{Mechanism, Mechanisms};
 use ledgelead_router::ownership::record::Assignment;
 use ledgelead_router::peers::{OpenRequests, SharedLoad};
 use ledgelead_router::requests::{
@@ -143,6 +144,7 @@
     statistics: StatisticsTable,
     shared: SharedLoad,
     zone: ZoneName,
+    mechanisms: Mechanisms,
 }
 
 impl Fixture {
@@ -174,6 +176,7 @@
             statistics,
             shared: SharedLoad::default(),
             zone: ZoneName::from("here"),
+            mechanisms: Mechanisms::default(),
         }
     }
 
@@ -189,6 +192,7 @@
             shared: &self.shared,
             zone: &self.zone,
             zones: 2,
+            mechanisms: self.mechanisms,
         };
         let tried: Vec<InstanceId> = tried.iter().map(|id| InstanceId::from(*id)).collect();
         let mut rng = Pcg64Mcg::seed_from_u64(1);
@@ -327,6 +331,56 @@
     expect_that!(rare.current(ms(20)), none());
 }
 
+#[gtest]
+fn a_mechanism_that_is_switched_off_decides_nothing() {
+    let without = |mechanism, prepare: &dyn Fn(&mut Fixture)| {
+        let mut fixture = Fixture::new();
+        prepare(&mut fixture);
+        let with = fixture.chosen(&[]);
+        fixture.mechanisms = Mechanisms::without(mechanism);
+        (with, fixture.chosen(&[]))
+    };
+    // A free instance elsewhere goes before a busy one here.
+    let busy_zone = |fixture: &mut Fixture| {
+        fixture.open("a", 3);
+        fixture.open("b", 3);
+    };
+    let (with, off) = without(Mechanism::ZonePreference, &busy_zone);
+    expect_that!((with != "c", off.as_str()), eq((true, "c")));
+    let told = |fixture: &mut Fixture| {
+        fixture.open("b", 2);
+        let changes = vec![OpenRequests {
+            instance: InstanceId::from("a").stable_hash(),
+            count: 5,
+        }];
+        fixture
+            .shared
+            .told(([10, 0, 0, 9], 1).into(), 1, &changes, ms(900));
+    };
+    let (with, off) = without(Mechanism::SharedLoad, &told);
+    expect_that!((with.as_str(), off.as_str()), eq(("b", "a")));
+    let failing = |fixture: &mut Fixture| {
+        fixture.open("b", 3);
+        let seen = fixture.statistics.entry(&InstanceId::from("a"));
+        for at in [700, 750, 800, 850, 900, 950] {
+            seen.failed(ms(at));
+            seen.answered(ms(50), 1.0, ms(at + 10));
+        }
+    };
+    let (with, off) = without(Mechanism::FailureShare, &failing);
+    expect_that!((with.as_str(), off.as_str()), eq(("b", "a")));
+}
+
+#[gtest]
+fn every_mechanism_has_a_name_of_its_own() {
+    for (name, mechanism) in Mechanism::ALL {
+        expect_that!(Mechanism::named(name), some(eq(mechanism)));
+        expect_that!(Mechanisms::without(mechanism).has(mechanism), eq(false));
+        expect_that!(Mechanisms::default().has(mechanism), eq(true));
+    }
+    expect_that!(Mechanism::named("zone"), none());
+}
+
 #[gtest]
 fn no_instance_is_tried_twice() {
     let fixture = Fixture::new();
