In-flight counts cost a bounded number of datagrams; traffic and calls by kind in metrics

Ruled out: dropping the counts everywhere. Change: changes are batched, at most 100 datagrams a second and node; the pause is 30 ms with three peers, as before for practical purposes, and 580 ms with 58. Counts that would be older than 100 ms are not sent for services whose instances report their load. Datagrams share their bytes among receivers. Metrics count datagrams, bytes and calls of the store by kind. Tests: tests/node (a node against a store and peers that the test plays). One bound of lost_datagrams_cost_calls_but_nothing_else was wrong: it wanted more than 14 calls for each added node under heavy loss, so it failed (63 of 84) as calls became fewer. It now wants more calls under heavy loss than under light loss at both sizes, which is what its comment says.

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -403,7 +403,9 @@
                 options,
             } => self.exchange(caller, exchange, address, request, &options),
             Action::Cancel { exchange } => self.cancel(caller, exchange),
-            Action::Datagram { address, bytes } => self.datagram(caller, address, bytes),
+            Action::Datagram { address, datagram } => {
+                self.datagram(caller, address, datagram.bytes.to_vec());
+            }
         }
     }
 
--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -101,8 +101,9 @@
     let added = calm_calls(12, 0.05) - calm_calls(6, 0.05);
     expect_that!(added, le(6 * 14));
     // Three heartbeats in a row are often lost: nodes go back to the store.
-    let added = calm_calls(12, 0.4) - calm_calls(6, 0.4);
-    expect_that!(added, gt(6 * 14));
+    for nodes in [6, 12] {
+        expect_that!(calm_calls(nodes, 0.4), gt(calm_calls(nodes, 0.05)));
+    }
 }
 
 #[gtest]
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -1,5 +1,6 @@
 //! What goes into a node and what comes out of it.
 
+use crate::peers::Datagram;
 use ledgelead_http::{Request, Response};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -115,7 +116,7 @@
     Datagram {
         /// The receiver.
         address: SocketAddr,
-        /// The bytes.
-        bytes: Vec<u8>,
+        /// The message.
+        datagram: Datagram,
     },
 }
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other.
 
 use super::Node;
+use super::open_requests::OpenRequestPace;
 use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
@@ -9,7 +10,7 @@
 use crate::mechanisms::Mechanism;
 use crate::ownership::work::Work;
 use crate::peers::{
-    KeyReport, NodeRecord, OpenRequests, PeerMessage, RelayedKind, WorkReport, decode, encode,
+    Datagram, KeyReport, NodeRecord, PeerMessage, RelayedKind, WorkReport, decode, encode,
 };
 use ledgelead_types::codec::List;
 use std::collections::BTreeMap;
@@ -20,8 +21,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between reports of the keys asked for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Pause between two tellings of open requests that did not change.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(700);
 /// How long what the store told a coordinator of instances holds. With a call
 /// of its own after that, a node learns of a leaving instance within the drain
 /// bound, also when the coordinator has lost the store.
@@ -35,8 +34,6 @@
 const MAX_KEYS: usize = 400;
 /// Most owners in one report.
 const MAX_WORK: usize = 30;
-/// Most counts in one datagram.
-const MAX_COUNTS: usize = 80;
 /// How long this node may know less of the record than the coordinator says
 /// before it asks the store again.
 const BEHIND_FOR: Duration = Duration::from_millis(250);
@@ -66,10 +63,10 @@
 pub(super) struct Gossip {
     next_heartbeat: Timestamp,
     next_report: Timestamp,
-    next_refresh: Timestamp,
     ownership_lag: Lag,
     configuration_lag: Lag,
     pub(super) relay: RelayState,
+    pub(super) open_requests: OpenRequestPace,
     /// When this node is on its own again, unless it hears of instances.
     informed_until: Option<Timestamp>,
     /// Whether the store serves the coordinator, by its last heartbeat.
@@ -83,7 +80,7 @@
         Gossip {
             next_heartbeat: now,
             next_report: now + REPORT_INTERVAL,
-            next_refresh: now + REFRESH_INTERVAL,
+            open_requests: OpenRequestPace::new(now),
             ownership_lag: Lag::default(),
             configuration_lag: Lag::default(),
             relay: RelayState::default(),
@@ -99,10 +96,8 @@
     }
 
     pub(super) fn next_deadline(&self) -> Timestamp {
-        self.next_heartbeat
-            .min(self.next_report)
-            .min(self.next_refresh)
-            .min(self.informed_until.unwrap_or(self.next_refresh))
+        let due = self.next_heartbeat.min(self.next_report);
+        self.informed_until.map_or(due, |until| due.min(until))
     }
 }
 
@@ -121,10 +116,6 @@
             self.gossip.informed_until = None;
             self.store.set_informed(false, now, out);
         }
-        if self.gossip.next_refresh <= now {
-            self.gossip.next_refresh = now + REFRESH_INTERVAL;
-            self.refresh_open_requests(now, out);
-        }
     }
 
     fn tell_coordinating(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -146,13 +137,13 @@
     }
 
     /// Sends datagrams to all other nodes.
-    pub(super) fn tell_all(&self, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
+    pub(super) fn tell_all(&self, datagrams: &[Datagram], out: &mut Vec<Action>) {
         for record in self.others() {
             send(record.address, datagrams, out);
         }
     }
 
-    fn others(&self) -> impl Iterator<Item = &NodeRecord> {
+    pub(super) fn others(&self) -> impl Iterator<Item = &NodeRecord> {
         self.registry
             .iter()
             .filter(|record| record.address != self.settings.peer_address)
@@ -193,60 +184,12 @@
                 }
             })
             .collect();
-        out.push(Action::Datagram {
-            address,
-            bytes: encode(&PeerMessage::KeysAsked {
-                configuration: self.configuration_version(),
-                reports,
-                work: work_reports(worked),
-            }),
-        });
-    }
-
-    /// Tells the zone which of this node's open requests changed.
-    pub(super) fn tell_open_requests(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let changed = self.requests.take_changed();
-        if !changed.is_empty() {
-            self.tell_counts(changed, now, out);
-        }
-    }
-
-    fn refresh_open_requests(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let busy: Vec<_> = self
-            .requests
-            .statistics()
-            .busy()
-            .map(|(id, open)| (id.clone(), open))
-            .collect();
-        if !busy.is_empty() {
-            self.tell_counts(busy, now, out);
-        }
-    }
-
-    fn tell_counts(&self, counts: Vec<(InstanceId, u32)>, now: Timestamp, out: &mut Vec<Action>) {
-        let rest_limit = self.requests.rest_limit(now).unwrap_or(Duration::ZERO);
-        let changes: Vec<OpenRequests> = counts
-            .into_iter()
-            .take(MAX_COUNTS)
-            .map(|(id, count)| OpenRequests {
-                instance: id.stable_hash(),
-                count: u16::try_from(count).unwrap_or(u16::MAX),
-            })
-            .collect();
-        if changes.is_empty() {
-            return;
-        }
-        let bytes = encode(&PeerMessage::Open {
-            incarnation: self.settings.identity.incarnation,
-            rest_limit_ms: u16::try_from(rest_limit.as_millis()).unwrap_or(u16::MAX),
-            changes: List(changes),
+        let report = encode(&PeerMessage::KeysAsked {
+            configuration: self.configuration_version(),
+            reports,
+            work: work_reports(worked),
         });
-        let datagrams = [bytes];
-        for record in self.others() {
-            if record.zone == self.settings.zone {
-                send(record.address, &datagrams, out);
-            }
-        }
+        send(address, &[report], out);
     }
 
     /// Another node told something.
@@ -264,6 +207,7 @@
                 return;
             }
         };
+        self.traffic.received(message.kind(), bytes.len());
         match message {
             PeerMessage::Coordinating {
                 epoch,
@@ -500,11 +444,11 @@
 }
 
 /// Sends datagrams to one node.
-pub(super) fn send(address: SocketAddr, datagrams: &[Vec<u8>], out: &mut Vec<Action>) {
-    for bytes in datagrams {
+pub(super) fn send(address: SocketAddr, datagrams: &[Datagram], out: &mut Vec<Action>) {
+    for datagram in datagrams {
         out.push(Action::Datagram {
             address,
-            bytes: bytes.clone(),
+            datagram: datagram.clone(),
         });
     }
 }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod coordination;
 mod gossip;
+mod open_requests;
 mod picture;
 mod relay;
 mod status;
@@ -19,7 +20,7 @@
 use crate::ownership::coordinator::{Coordinator, ExchangeIds};
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
-use crate::peers::{Registry, SharedLoad};
+use crate::peers::{PeerTraffic, Registry, SharedLoad};
 use crate::requests::{BudgetBounds, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use coordination::Coordination;
@@ -46,6 +47,7 @@
     store: StoreCalls,
     coordination: Coordination,
     gossip: Gossip,
+    traffic: PeerTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
 }
@@ -79,6 +81,7 @@
             store: StoreCalls::new(now),
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
+            traffic: PeerTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
             settings,
@@ -116,6 +119,7 @@
 
     /// Takes one input and everything that is due.
     pub fn step(&mut self, input: Input, now: Timestamp, out: &mut Vec<Action>) {
+        let before = out.len();
         match input {
             Input::Request { client, request } => {
                 let (requests, mut context) = self.requests_and_context(now);
@@ -149,6 +153,15 @@
             Input::Stop => self.stop(),
         }
         self.run_due(now, out);
+        self.count_sent(&out[before..]);
+    }
+
+    fn count_sent(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Datagram { datagram, .. } = action {
+                self.traffic.sent(datagram);
+            }
+        }
     }
 
     /// When `step` wants to be called with `Input::Deadline`.
@@ -166,7 +179,11 @@
             self.requests.next_deadline(),
             self.store.next_deadline(self.stopping),
             self.coordination_deadline(),
-            Some(self.gossip.next_deadline()),
+            Some(
+                self.gossip
+                    .next_deadline()
+                    .min(self.open_requests_deadline()),
+            ),
             self.directory.next_expiry(),
         ]
     }
@@ -201,7 +218,7 @@
         self.call_store(now, out);
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
-        self.tell_open_requests(now, out);
+        self.announce_open_requests(now, out);
         if self.next_clean_up <= now {
             self.next_clean_up = now + CLEAN_UP_INTERVAL;
             self.directory.expire(now);
--- a/crates/ledgelead-router/src/node/relay.rs
+++ b/crates/ledgelead-router/src/node/relay.rs
@@ -15,7 +15,7 @@
 use crate::io::Action;
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use crate::peers::{
-    Assembly, ChangeList, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
+    Assembly, ChangeList, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram,
     InstanceEntry, MAX_PARTS, NodeEntry, NodeRecord, PeerMessage, RelayedKind, encode,
 };
 use ledgelead_types::codec::{List, Text};
@@ -213,10 +213,8 @@
             return;
         }
         relayed.next_want = now + WANT_PAUSE;
-        out.push(Action::Datagram {
-            address,
-            bytes: encode(&PeerMessage::ChangesWanted { kind, since }),
-        });
+        let request = encode(&PeerMessage::ChangesWanted { kind, since });
+        send(address, &[request], out);
     }
 
     /// The coordinator told changed instances.
@@ -447,7 +445,7 @@
     changed: &[T],
     a_part: usize,
     message: impl Fn(ChangeSpan, List<T>) -> PeerMessage,
-) -> Vec<Vec<u8>> {
+) -> Vec<Datagram> {
     let chunks: Vec<&[T]> = changed.chunks(a_part).collect();
     let count = match u8::try_from(chunks.len()) {
         Ok(count) if count <= MAX_PARTS => count,
@@ -467,7 +465,7 @@
         .collect()
 }
 
-fn encode_changes(kind: RelayedKind, changes: &Changes) -> Vec<Vec<u8>> {
+fn encode_changes(kind: RelayedKind, changes: &Changes) -> Vec<Datagram> {
     let (base, revision) = (changes.base, changes.revision);
     let events = last_events(&changes.events).into_iter();
     match kind {
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -2,7 +2,9 @@
 
 use super::Node;
 use crate::ownership::coordinator::OwnershipCounters;
+use crate::peers::PeerTraffic;
 use crate::requests::RequestCounters;
+use std::collections::BTreeMap;
 
 /// What a node knows and has done.
 #[derive(Clone, Debug)]
@@ -27,6 +29,10 @@
     pub store_calls: u64,
     /// Calls to the store that failed or were refused.
     pub store_failures: u64,
+    /// Calls to the store by what they were for.
+    pub store_calls_by: BTreeMap<&'static str, u64>,
+    /// Datagrams to and from other nodes.
+    pub traffic: PeerTraffic,
 }
 
 impl Node {
@@ -43,6 +49,8 @@
             requests: self.requests.counters().clone(),
             store_calls: self.store.calls(),
             store_failures: self.store.failures(),
+            store_calls_by: self.store.calls_by().clone(),
+            traffic: self.traffic.clone(),
         }
     }
 }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -10,7 +10,7 @@
 use crate::peers::NodeRecord;
 use crate::store::{StoreHealth, WatchChange, Watcher, WatcherPace};
 use ledgelead_http::Response;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Time for a call that need not wait for a change.
@@ -117,6 +117,36 @@
     Register,
 }
 
+impl Purpose {
+    /// The name of a call for metrics.
+    fn label(&self, call: &StoreCall) -> &'static str {
+        match (self, call) {
+            (Purpose::Watch(kind), StoreCall::List { stale: true, .. }) => match kind {
+                ObjectKind::Configuration => "list_configuration_stale",
+                ObjectKind::Instances => "list_instances_stale",
+                ObjectKind::Ownership => "list_ownership_stale",
+                ObjectKind::Nodes => "list_nodes_stale",
+            },
+            (Purpose::Watch(kind), StoreCall::List { .. }) => match kind {
+                ObjectKind::Configuration => "list_configuration",
+                ObjectKind::Instances => "list_instances",
+                ObjectKind::Ownership => "list_ownership",
+                ObjectKind::Nodes => "list_nodes",
+            },
+            (Purpose::Watch(kind), _) => match kind {
+                ObjectKind::Configuration => "watch_configuration",
+                ObjectKind::Instances => "watch_instances",
+                ObjectKind::Ownership => "watch_ownership",
+                ObjectKind::Nodes => "watch_nodes",
+            },
+            (Purpose::TakeOver(_), _) => "take_over",
+            (Purpose::Update, _) => "update_ownership",
+            (Purpose::Resign, _) => "resign",
+            (Purpose::Register, _) => "register",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Pending {
     purpose: Purpose,
@@ -137,6 +167,8 @@
     next_doubt: Timestamp,
     coordinating: bool,
     calls: u64,
+    /// Calls by what they are for.
+    calls_by: BTreeMap<&'static str, u64>,
     failures: u64,
 }
 
@@ -153,6 +185,7 @@
             next_doubt: now,
             coordinating: false,
             calls: 0,
+            calls_by: BTreeMap::new(),
             failures: 0,
         }
     }
@@ -165,6 +198,11 @@
         self.calls
     }
 
+    /// Calls by what they were for.
+    pub(super) fn calls_by(&self) -> &BTreeMap<&'static str, u64> {
+        &self.calls_by
+    }
+
     pub(super) fn failures(&self) -> u64 {
         self.failures
     }
@@ -400,6 +438,7 @@
             },
         });
         self.store.calls += 1;
+        *self.store.calls_by.entry(purpose.label(&call)).or_default() += 1;
         self.store.pending.insert(
             exchange,
             Pending {
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use ledgelead_types::codec::{self, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
+use std::sync::Arc;
 
 /// Longest datagram that is read, in bytes.
 const MAX_BYTES: usize = 1_400;
@@ -227,9 +228,39 @@
     },
 }
 
+impl PeerMessage {
+    /// The name of the message's kind in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Coordinating { .. } => "heartbeat",
+            PeerMessage::InstancesChanged { .. } => "instances",
+            PeerMessage::NodesChanged { .. } => "nodes",
+            PeerMessage::ChangesWanted { .. } => "resync_request",
+            PeerMessage::TookOver { .. } => "take_over",
+            PeerMessage::OwnershipChanged { .. } => "ownership",
+            PeerMessage::Resigned { .. } => "resignation",
+            PeerMessage::KeysAsked { .. } => "load_report",
+            PeerMessage::Open { .. } => "open_requests",
+        }
+    }
+}
+
+/// An encoded message. Clones share the bytes, since most messages have many
+/// receivers.
+#[derive(Clone, Debug)]
+pub struct Datagram {
+    /// The kind of the message, for metrics.
+    pub kind: &'static str,
+    /// The message on the wire.
+    pub bytes: Arc<[u8]>,
+}
+
 /// Encodes a message.
-pub fn encode(message: &PeerMessage) -> Vec<u8> {
-    codec::encode(message)
+pub fn encode(message: &PeerMessage) -> Datagram {
+    Datagram {
+        kind: message.kind(),
+        bytes: codec::encode(message).into(),
+    }
 }
 
 /// Decodes a message.
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -7,11 +7,13 @@
 mod message;
 mod registry;
 mod shared_load;
+mod traffic;
 
 pub use assembly::{Assembly, ChangeList, MAX_PARTS};
 pub use message::{
-    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, InstanceEntry, KeyReport,
-    NodeEntry, OpenRequests, PeerMessage, RelayedKind, WorkReport, decode, encode,
+    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, InstanceEntry,
+    KeyReport, NodeEntry, OpenRequests, PeerMessage, RelayedKind, WorkReport, decode, encode,
 };
 pub use registry::{NodeRecord, Registry};
 pub use shared_load::SharedLoad;
+pub use traffic::{PeerTraffic, TrafficCount};
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -5,7 +5,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::events::Event;
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, ServiceName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
@@ -14,6 +14,7 @@
 use crate::requests::selection::Selected;
 use crate::requests::statistics::ReportedLoad;
 use ledgelead_http::{Request, Response};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -277,10 +278,15 @@
                     seen.failed(now);
                 }
                 let load = reported_load(response, context);
-                let slots = context
-                    .directory
-                    .get(&attempt.instance)
-                    .map_or(1, |instance| instance.record.slots.max(1));
+                let instance = context.directory.get(&attempt.instance);
+                let slots = instance.map_or(1, |instance| instance.record.slots.max(1));
+                if let Some(instance) = instance.filter(|_| response.is_success()) {
+                    note_reporting(
+                        &mut self.reporting,
+                        &instance.record.service,
+                        load.is_some(),
+                    );
+                }
                 // What the instance says of itself goes before this node's guess,
                 // which for owners stands for all zones.
                 let mut factor = attempt.load_factor;
@@ -321,6 +327,15 @@
     }
 }
 
+/// Notes whether the instances of a service report their load.
+fn note_reporting(reporting: &mut BTreeSet<ServiceName>, service: &ServiceName, reports: bool) {
+    if !reports {
+        reporting.remove(service);
+    } else if !reporting.contains(service) {
+        reporting.insert(service.clone());
+    }
+}
+
 /// Logs the end of an attempt.
 pub(super) fn tell_ended(
     open: &OpenRequest,
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -88,6 +88,8 @@
     asked: BTreeMap<ServiceName, Vec<u16>>,
     worked: BTreeMap<InstanceId, Work>,
     changed: BTreeSet<InstanceId>,
+    /// Services whose instances report their load in their answers.
+    reporting: BTreeSet<ServiceName>,
     rest_limit: RestLimit,
     ended: Vec<InstanceId>,
     misdirected: bool,
@@ -121,6 +123,7 @@
             asked: BTreeMap::new(),
             worked: BTreeMap::new(),
             changed: BTreeSet::new(),
+            reporting: BTreeSet::new(),
             rest_limit: RestLimit::default(),
             ended: Vec::new(),
             misdirected: false,
@@ -183,6 +186,17 @@
             .collect()
     }
 
+    /// Whether `take_changed` would return anything.
+    pub fn has_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Whether the last answer from an instance of the service carried its
+    /// load.
+    pub fn reports_load(&self, service: &ServiceName) -> bool {
+        self.reporting.contains(service)
+    }
+
     /// How long kept connections may rest, if requests that this node has lost
     /// limit it.
     pub fn rest_limit(&self, now: Timestamp) -> Option<Duration> {
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -0,0 +1,414 @@
+//! One node with a store that answers lists and writes at once, and instances
+//! that answer when a test says so.
+
+use ledgelead_http::{Request, Response};
+use ledgelead_router::Timestamp;
+use ledgelead_router::configuration::{
+    ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
+};
+use ledgelead_router::dialect::{
+    Dialect, HeaderNames, Object, ObjectContent, ObjectKind, Order, OrderAnswer, StoreAnswer,
+    StoreCall, WrittenContent,
+};
+use ledgelead_router::directory::InstanceRecord;
+use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, Input};
+use ledgelead_router::mechanisms::Mechanisms;
+use ledgelead_router::node::Node;
+use ledgelead_router::peers::{NodeRecord, PeerMessage, decode};
+use ledgelead_router::protections::Protections;
+use ledgelead_router::settings::NodeSettings;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The service without keys.
+pub const SERVICE: &str = "jobs";
+/// The service whose keys have owners.
+pub const KEYED: &str = "records";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What the store holds, with one revision for each object.
+#[derive(Default)]
+pub struct Store {
+    pub revision: u64,
+    pub objects: BTreeMap<(ObjectKind, String), Object>,
+    /// Whether calls get no answer.
+    pub is_silent: bool,
+    /// Whether calls are refused.
+    pub refuses: bool,
+}
+
+impl Store {
+    pub fn put(&mut self, kind: ObjectKind, name: &str, content: ObjectContent) -> Object {
+        self.revision += 1;
+        let object = Object {
+            name: name.to_owned(),
+            revision: self.revision,
+            content: Ok(content),
+        };
+        self.objects.insert((kind, name.to_owned()), object.clone());
+        object
+    }
+
+    pub fn configure(&mut self, configuration: Configuration) {
+        let content = ObjectContent::Configuration(configuration);
+        self.put(ObjectKind::Configuration, "main", content);
+    }
+
+    pub fn add_instance(&mut self, record: InstanceRecord) {
+        let name = record.id.to_string();
+        self.put(
+            ObjectKind::Instances,
+            &name,
+            ObjectContent::Instance(record),
+        );
+    }
+
+    pub fn add_node(&mut self, record: NodeRecord) {
+        let name = record.identity.node.to_string();
+        self.put(ObjectKind::Nodes, &name, ObjectContent::Node(record));
+    }
+
+    fn answer(&mut self, call: &StoreCall) -> Option<StoreAnswer> {
+        if self.refuses {
+            return Some(StoreAnswer::Refused);
+        }
+        match call {
+            StoreCall::List { kind, .. } => Some(StoreAnswer::Objects {
+                objects: self.of_kind(*kind),
+                more: false,
+                revision: self.revision,
+            }),
+            StoreCall::Watch { .. } => None,
+            StoreCall::Create { name, content } => {
+                let known = self.objects.contains_key(&(content.kind(), name.clone()));
+                Some(if known {
+                    StoreAnswer::Conflict
+                } else {
+                    self.write(name, content)
+                })
+            }
+            StoreCall::Replace {
+                name,
+                revision,
+                content,
+            } => {
+                let known = self.objects.get(&(content.kind(), name.clone()));
+                Some(match known {
+                    None => StoreAnswer::Missing,
+                    Some(object) if revision.is_some_and(|wanted| wanted != object.revision) => {
+                        StoreAnswer::Conflict
+                    }
+                    Some(_) => self.write(name, content),
+                })
+            }
+        }
+    }
+
+    fn of_kind(&self, kind: ObjectKind) -> Vec<Object> {
+        let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
+        of_kind.map(|(_, object)| object.clone()).collect()
+    }
+
+    fn write(&mut self, name: &str, content: &WrittenContent) -> StoreAnswer {
+        let kind = content.kind();
+        let content = match content {
+            WrittenContent::Ownership(record) => ObjectContent::Ownership(record.clone()),
+            WrittenContent::Node(record) => ObjectContent::Node(record.clone()),
+        };
+        StoreAnswer::Written(self.put(kind, name, content))
+    }
+}
+
+/// Typed calls and answers of a node, by number.
+#[derive(Default)]
+struct Mailbox {
+    last: u64,
+    calls: HashMap<u64, StoreCall>,
+    answers: HashMap<u64, StoreAnswer>,
+}
+
+struct TypedDialect {
+    headers: HeaderNames,
+    mailbox: Rc<RefCell<Mailbox>>,
+}
+
+impl Dialect for TypedDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn store_request(&self, call: &StoreCall) -> Request {
+        let mut mailbox = self.mailbox.borrow_mut();
+        mailbox.last += 1;
+        let number = mailbox.last;
+        mailbox.calls.insert(number, call.clone());
+        Request::new("GET", number.to_string(), Vec::new())
+    }
+
+    fn store_answer(&self, _call: &StoreCall, response: &Response) -> StoreAnswer {
+        let number = std::str::from_utf8(&response.body).expect("a number");
+        let number: u64 = number.parse().expect("a number");
+        let answer = self.mailbox.borrow_mut().answers.remove(&number);
+        answer.expect("an answer of this number")
+    }
+
+    fn order_request(&self, _instance: &InstanceId, _order: &Order) -> Request {
+        Request::new("POST", "order", Vec::new())
+    }
+
+    fn order_answer(&self, _instance: &InstanceId, _response: &Response) -> OrderAnswer {
+        OrderAnswer::Done { handover: None }
+    }
+}
+
+fn headers() -> HeaderNames {
+    let name = |name: &str| name.to_owned();
+    HeaderNames {
+        attempt_id: name("attempt"),
+        deadline: name("deadline"),
+        signature: name("signature"),
+        target_instance: name("target"),
+        load: name("load"),
+        not_executed: name("not-executed"),
+        instance: name("instance"),
+        key: name("key"),
+        retry_after: name("retry-after"),
+    }
+}
+
+/// An attempt that is out.
+#[derive(Debug)]
+pub struct Sent {
+    pub exchange: ExchangeId,
+    pub at: Timestamp,
+}
+
+/// A node and what it has done.
+pub struct Fixture {
+    pub node: Node,
+    pub store: Store,
+    pub now: Timestamp,
+    mailbox: Rc<RefCell<Mailbox>>,
+    store_address: SocketAddr,
+    /// Every call of the store, with its time.
+    pub calls: Vec<(Timestamp, StoreCall)>,
+    /// Every datagram, with its time and receiver.
+    pub datagrams: Vec<(Timestamp, SocketAddr, PeerMessage)>,
+    /// Attempts at instances.
+    pub attempts: Vec<Sent>,
+    /// Answers to clients.
+    pub answers: Vec<(ClientId, Response)>,
+    last_client: u64,
+}
+
+/// The address of the node with this number.
+pub fn node_address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+/// The registration of a node in the zone of the fixture's node.
+pub fn node_record(number: u8) -> NodeRecord {
+    NodeRecord {
+        identity: NodeIdentity {
+            node: NodeName::from(format!("node-{number:03}").as_str()),
+            incarnation: 1,
+        },
+        zone: ZoneName::from("a"),
+        address: node_address(number),
+        millicores: 200,
+    }
+}
+
+/// An instance in the zone of the fixture's node.
+pub fn instance(number: u8, service: &str) -> InstanceRecord {
+    InstanceRecord {
+        id: InstanceId::from(format!("i-{number}").as_str()),
+        service: ServiceName::from(service),
+        address: SocketAddr::from(([10, 0, 1, number], 8_000)),
+        zone: ZoneName::from("a"),
+        slots: 4,
+        draining: false,
+        warmup_left: Duration::ZERO,
+    }
+}
+
+/// A configuration with a route to each service.
+pub fn configuration(version: u64) -> Configuration {
+    let route = |name: &str| {
+        Arc::new(Route {
+            name: name.to_owned(),
+            host: "h".to_owned(),
+            prefix: format!("/{name}/"),
+            targets: vec![RouteTarget {
+                service: ServiceName::from(name),
+                weight: 1.0,
+            }],
+            repeatability: Repeatability::Idempotent,
+            timeout: ms(2_000),
+            target_latency: ms(400),
+            max_attempts: 2,
+            priority: 1,
+        })
+    };
+    let service = |name: &str, sharded| Service {
+        name: ServiceName::from(name),
+        sharded,
+        max_connections: 100,
+    };
+    Configuration {
+        version,
+        routes: vec![route(SERVICE), route(KEYED)],
+        services: vec![service(SERVICE, false), service(KEYED, true)],
+        limits: ClientLimits::default(),
+    }
+}
+
+impl Fixture {
+    /// The node with number 0 in its first life, before its first step.
+    pub fn new(store: Store) -> Fixture {
+        let record = node_record(0);
+        let mailbox = Rc::<RefCell<Mailbox>>::default();
+        let dialect = TypedDialect {
+            headers: headers(),
+            mailbox: mailbox.clone(),
+        };
+        let store_address = SocketAddr::from(([10, 0, 2, 0], 9_000));
+        let settings = NodeSettings {
+            identity: record.identity,
+            zone: record.zone,
+            peer_address: record.address,
+            store_address,
+            millicores: record.millicores,
+            retry_ratio: 0.2,
+            retry_slack: 60.0,
+            retry_window: Duration::from_secs(10),
+            drain_bound: Duration::from_secs(2),
+            stop_grace: Duration::from_secs(6),
+            seed: 7,
+            protections: Protections::default(),
+            mechanisms: Mechanisms::default(),
+        };
+        Fixture {
+            node: Node::new(settings, Box::new(dialect), Duration::ZERO),
+            store,
+            now: Duration::ZERO,
+            mailbox,
+            store_address,
+            calls: Vec::new(),
+            datagrams: Vec::new(),
+            attempts: Vec::new(),
+            answers: Vec::new(),
+            last_client: 0,
+        }
+    }
+
+    /// Passes an input to the node and carries out what it wants.
+    pub fn step(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut actions = Vec::new();
+            self.node.step(input, self.now, &mut actions);
+            for action in actions {
+                inputs.extend(self.perform(action));
+            }
+        }
+    }
+
+    /// Lets time pass, with a step at each of the node's deadlines.
+    pub fn run_until(&mut self, end: Timestamp) {
+        while self.node.next_deadline() <= end {
+            self.now = self.now.max(self.node.next_deadline());
+            self.step(Input::Deadline);
+        }
+        self.now = end;
+    }
+
+    /// A client asks the service, perhaps for a key.
+    pub fn ask(&mut self, service: &str, key: Option<u16>) -> ClientId {
+        self.last_client += 1;
+        let client = ClientId(self.last_client);
+        let mut request = Request::new("GET", format!("/{service}/1"), Vec::new());
+        request.headers.push("host", "h");
+        let attempt = format!("request-{}", self.last_client);
+        request.headers.push("attempt", attempt);
+        if let Some(key) = key {
+            request.headers.push("key", key.to_string());
+        }
+        self.step(Input::Request { client, request });
+        client
+    }
+
+    /// An instance answers an attempt.
+    pub fn answer(&mut self, exchange: ExchangeId, response: Response) {
+        self.end(exchange, Ok(response));
+    }
+
+    /// An attempt ends.
+    pub fn end(&mut self, exchange: ExchangeId, result: Result<Response, ExchangeFailure>) {
+        self.step(Input::Exchanged {
+            exchange,
+            result,
+            rested: Duration::ZERO,
+        });
+    }
+
+    /// Messages of a kind that were sent so far.
+    pub fn sent(&self, kind: &str) -> usize {
+        let of_kind =
+            |(_, _, message): &&(Timestamp, SocketAddr, PeerMessage)| message.kind() == kind;
+        self.datagrams.iter().filter(of_kind).count()
+    }
+
+    fn perform(&mut self, action: Action) -> Option<Input> {
+        match action {
+            Action::Respond { client, response } => {
+                self.answers.push((client, response));
+                None
+            }
+            Action::Datagram { address, datagram } => {
+                let message = decode(&datagram.bytes).expect("a message");
+                self.datagrams.push((self.now, address, message));
+                None
+            }
+            Action::Cancel { .. } => None,
+            Action::Exchange {
+                exchange,
+                address,
+                request,
+                ..
+            } if address == self.store_address => self.call_store(exchange, &request),
+            Action::Exchange { exchange, .. } => {
+                self.attempts.push(Sent {
+                    exchange,
+                    at: self.now,
+                });
+                None
+            }
+        }
+    }
+
+    fn call_store(&mut self, exchange: ExchangeId, request: &Request) -> Option<Input> {
+        let number: u64 = request.target.parse().expect("a number");
+        let call = self.mailbox.borrow_mut().calls.remove(&number);
+        let call = call.expect("a call of this number");
+        self.calls.push((self.now, call.clone()));
+        if self.store.is_silent {
+            return None;
+        }
+        let answer = self.store.answer(&call)?;
+        self.mailbox.borrow_mut().answers.insert(number, answer);
+        Some(Input::Exchanged {
+            exchange,
+            result: Ok(Response::new(200, number.to_string())),
+            rested: Duration::ZERO,
+        })
+    }
+}
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -484,7 +484,7 @@
             .map(|(instance, count)| OpenRequests { instance, count })
             .collect();
         let message = PeerMessage::Open { incarnation: 5, rest_limit_ms: 0, changes };
-        prop_assert_eq!(decode(&encode(&message)).ok(), Some(message));
+        prop_assert_eq!(decode(&encode(&message).bytes).ok(), Some(message));
         let _ = decode(&noise);
     }
 }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The node's figures in the Prometheus text format.
 
 use ledgelead_router::node::NodeStatus;
+use ledgelead_router::peers::PeerTraffic;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -13,6 +14,17 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabel {
+    call: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TrafficLabel {
+    direction: &'static str,
+    kind: &'static str,
+}
+
 /// Writes the figures.
 pub(crate) fn render(status: &NodeStatus) -> String {
     let mut registry = Registry::with_prefix("ledgelead");
@@ -134,12 +146,40 @@
             .inc_by(*count);
     }
     registry.register("refusals", "Own answers by reason", refused);
+    register_calls(&mut registry, status);
+    register_traffic(&mut registry, &status.traffic);
     let mut text = String::new();
     // Writing to a string can't fail.
     let _ = encode(&mut text, &registry);
     text
 }
 
+fn register_calls(registry: &mut Registry, status: &NodeStatus) {
+    let calls = Family::<CallLabel, Counter>::default();
+    for (call, count) in &status.store_calls_by {
+        calls.get_or_create(&CallLabel { call }).inc_by(*count);
+    }
+    registry.register(
+        "store_calls_by",
+        "Calls to the store by what they were for",
+        calls,
+    );
+}
+
+fn register_traffic(registry: &mut Registry, traffic: &PeerTraffic) {
+    let datagrams = Family::<TrafficLabel, Counter>::default();
+    let bytes = Family::<TrafficLabel, Counter>::default();
+    for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
+        for (kind, count) in counts {
+            let label = TrafficLabel { direction, kind };
+            datagrams.get_or_create(&label).inc_by(count.datagrams);
+            bytes.get_or_create(&label).inc_by(count.bytes);
+        }
+    }
+    registry.register("peer_datagrams", "Datagrams between nodes", datagrams);
+    registry.register("peer_bytes", "Bytes of datagrams between nodes", bytes);
+}
+
 fn gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let gauge = Gauge::<i64>::default();
     gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -346,9 +346,11 @@
                 self.start_exchange(cx, new, now);
             }
             Action::Cancel { exchange } => self.outbound.cancel(exchange),
-            Action::Datagram { address, bytes } => {
-                // Datagrams may be lost: a full buffer loses this one.
-                let _ = self.peers.send_to(&bytes, address);
+            Action::Datagram { address, datagram } => {
+                if let Err(error) = self.peers.send_to(&datagram.bytes, address) {
+                    // Datagrams may be lost: a full buffer loses this one.
+                    log::debug!(target: "peers", "{} to {address}: {error}", datagram.kind);
+                }
             }
         }
     }
