Broadcasts of the coordinator go to other zones by way of one node each

Cause: the coordinator sent each heartbeat, list of changes and version to each node by itself, 294 receivers, five sixths of them in other zones. Ruled out: fewer heartbeats (they bound how fast a lost coordinator is followed); a fixed relay a zone (it may be slow, cut or dead). Change: in zones of six nodes or more the strongest node whose reports came within 350 ms and that knows all nodes gets each message and passes it on. Without one, each node gets it by itself. A relay that is lost costs its zone at most 750 ms of silence; nodes campaign after 1 s. Heartbeats carry the sender's clock: what waited at a slow or frozen relay counts as older, so that nothing is taken for current that isn't. Heartbeats have a type and a file of their own.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -11,8 +11,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Nodes of a run.
-const NODES: usize = 6;
+/// Nodes of a run, unless the command line says otherwise.
+pub const NODES: usize = 6;
+/// Most nodes of a run; each has an address of its own.
+const MAX_NODES: usize = 250;
 /// How long clients ask.
 const TRAFFIC: Duration = Duration::from_secs(40);
 /// When the last fault may begin, counted from the first request.
@@ -22,17 +24,22 @@
 
 /// A run with faults drawn from a seed.
 pub fn drawn(seed: u64, protections: Protections) -> FleetSettings {
+    drawn_for(seed, NODES, protections)
+}
+
+/// A run of this many nodes with faults drawn from a seed.
+pub fn drawn_for(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
     let schedule = Schedule::draw(
         &mut rng,
-        NODES,
+        nodes,
         SHARDED_INSTANCES,
         TRAFFIC_FROM,
         TRAFFIC_FROM + LAST_FAULT,
     );
     FleetSettings {
         seed,
-        nodes: NODES,
+        nodes,
         traffic: TRAFFIC,
         schedule,
         trace: false,
@@ -49,6 +56,7 @@
 /// violation.
 pub fn play(
     seeds: RangeInclusive<u64>,
+    nodes: usize,
     protections: Protections,
     trace: bool,
 ) -> (FleetReport, Vec<String>) {
@@ -57,7 +65,7 @@
     for seed in seeds {
         let report = World::new(FleetSettings {
             trace,
-            ..drawn(seed, protections)
+            ..drawn_for(seed, nodes, protections)
         })
         .run();
         for line in violation_lines(&report.violations) {
@@ -74,19 +82,21 @@
 /// When the command line is wrong.
 pub fn run(parser: &mut lexopt::Parser) -> Result<ExitCode, lexopt::Error> {
     let mut seeds = 1..=20;
+    let mut nodes = NODES;
     let mut protections = Protections::default();
     let mut json = false;
     let mut trace = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
+            Long("nodes") => nodes = node_count(&parser.value()?.string()?)?,
             Long("sabotage") => protections = sabotage(&parser.value()?.string()?)?,
             Long("json") => json = true,
             Long("trace") => trace = true,
             other => return Err(other.unexpected()),
         }
     }
-    let (report, lines) = play(seeds, protections, trace);
+    let (report, lines) = play(seeds, nodes, protections, trace);
     if !json {
         for line in lines.iter().take(SHOWN) {
             println!("{line}");
@@ -100,6 +110,13 @@
     })
 }
 
+fn node_count(text: &str) -> Result<usize, lexopt::Error> {
+    match text.parse() {
+        Ok(count) if (1..=MAX_NODES).contains(&count) => Ok(count),
+        _ => Err(format!("--nodes: `{text}` is no number from 1 to {MAX_NODES}").into()),
+    }
+}
+
 fn seed_range(text: &str) -> Result<RangeInclusive<u64>, lexopt::Error> {
     let wrong = || lexopt::Error::from(format!("`{text}` is no range of seeds like 1..200"));
     let (first, last) = text.split_once("..").ok_or_else(wrong)?;
--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -3,7 +3,7 @@
 //! each protection that is turned off.
 
 use googletest::prelude::*;
-use ledgelead_lab::fleet::command::{drawn, play};
+use ledgelead_lab::fleet::command::{NODES, drawn, play};
 use ledgelead_lab::fleet::{
     FaultKind, FleetReport, FleetSettings, Schedule, Target, ViolationKind, World,
 };
@@ -109,16 +109,51 @@
 
 #[gtest]
 fn drawn_faults_break_nothing() {
-    let (report, lines) = play(1..=60, Protections::default(), false);
+    let (report, lines) = play(1..=60, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
     expect_that!(report.answered as f64 / report.requests as f64, gt(0.9));
 }
 
+/// Nodes of a run whose zones are large enough for broadcasts to be passed on.
+const MANY_NODES: usize = 21;
+
+#[gtest]
+fn drawn_faults_break_nothing_where_broadcasts_are_passed_on() {
+    let (report, lines) = play(1..=24, MANY_NODES, Protections::default(), false);
+    expect_that!(lines, is_empty());
+    expect_that!(report.answered as f64 / report.requests as f64, gt(0.9));
+}
+
+#[gtest]
+fn a_node_that_passes_broadcasts_on_may_freeze() {
+    // Every node freezes for a while in turn, those that pass on among them.
+    let freeze = |node| {
+        let at = seconds(10.0 + 1.5 * node as f64);
+        (at, seconds(4.0), FaultKind::FreezeNode(Target::Node(node)))
+    };
+    let schedule = (0..MANY_NODES)
+        .map(freeze)
+        .fold(Schedule::default(), |schedule, (at, lasts, kind)| {
+            schedule.and(at, lasts, kind)
+        })
+        .and(seconds(12.0), seconds(3.0), FaultKind::DrainInstance(1))
+        .and(seconds(18.0), seconds(3.0), FaultKind::DrainInstance(2))
+        .and(seconds(24.0), seconds(3.0), FaultKind::DrainInstance(3))
+        .and(seconds(26.0), seconds(1.0), FaultKind::Configure);
+    let report = World::new(FleetSettings {
+        nodes: MANY_NODES,
+        schedule,
+        ..drawn(5, Protections::default())
+    })
+    .run();
+    expect_that!(report.violations, is_empty());
+}
+
 #[gtest]
 fn a_write_that_is_served_again_renews_the_watch_on_instances() {
     // A coordinator that was cut off writes the record while its watch on
     // instances still waits where nobody answers; an instance left meanwhile.
-    let (_, lines) = play(129..=129, Protections::default(), false);
+    let (_, lines) = play(129..=129, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
 }
 
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -7,10 +7,9 @@
 use crate::dialect::ObjectKind;
 use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
-use crate::mechanisms::Mechanism;
 use crate::ownership::work::Work;
 use crate::peers::{
-    Datagram, KeyReport, NodeRecord, PeerMessage, RelayedKind, WorkReport, decode, encode,
+    Datagram, DelayEstimate, KeyReport, NodeRecord, PeerMessage, WorkReport, decode, encode,
 };
 use ledgelead_types::codec::List;
 use std::collections::BTreeMap;
@@ -21,16 +20,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between reports of the keys asked for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Share of the drain bound, or of the bound of configurations if that is
-/// shorter, for which a coordinator's view of the store is followed. With a call
-/// of its own after that, a node learns of a leaving instance and of a
-/// configuration within its bound, also when the coordinator has lost the store.
-const VIEW_TTL_SHARE: f64 = 0.7;
 /// How many nodes prepare at once to follow a coordinator that has resigned.
 const PROMPT_SUCCESSORS: usize = 3;
-/// Silence after which a coordinator that is heard again tells that this node
-/// was cut off.
-const HEARTBEATS_MISSED: Duration = Duration::from_millis(700);
 /// Most keys in one report.
 const MAX_KEYS: usize = 400;
 /// Most owners in one report.
@@ -67,13 +58,15 @@
     pub(super) relay: RelayState,
     pub(super) open_requests: OpenRequestPace,
     /// Where the last heartbeat of the coordinator came from.
-    coordinator_address: Option<SocketAddr>,
+    pub(super) coordinator_address: Option<SocketAddr>,
     /// When this node is on its own again, unless it hears of instances.
-    informed_until: Option<Timestamp>,
+    pub(super) informed_until: Option<Timestamp>,
     /// Whether the store serves the coordinator, by its last heartbeat.
-    serves_coordinator: bool,
+    pub(super) serves_coordinator: bool,
     /// When it was last heard.
-    heard_store_at: Timestamp,
+    pub(super) heard_store_at: Timestamp,
+    /// How long heartbeats are on their way.
+    pub(super) delay: DelayEstimate,
 }
 
 impl Gossip {
@@ -87,6 +80,7 @@
             informed_until: None,
             serves_coordinator: true,
             heard_store_at: now,
+            delay: DelayEstimate::default(),
         }
     }
 
@@ -106,7 +100,7 @@
     pub(super) fn gossip(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.gossip.next_heartbeat <= now {
             self.gossip.next_heartbeat = now + HEARTBEAT_INTERVAL;
-            self.tell_coordinating(now, out);
+            self.announce_heartbeat(now, out);
         }
         if self.gossip.next_report <= now {
             self.gossip.next_report = now + REPORT_INTERVAL;
@@ -118,25 +112,7 @@
         }
     }
 
-    fn tell_coordinating(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let Some(coordinator) = self.coordination.coordinator() else {
-            return;
-        };
-        let message = PeerMessage::Coordinating {
-            epoch: coordinator.epoch(),
-            store_serves: self.store.health.serves() && self.coordination.has_authority(now),
-            revision: self.ownership.revision().unwrap_or(0),
-            configuration: self.configuration_version(),
-            instances: self.gossip.relay.instances_revision(),
-            nodes: self.gossip.relay.nodes_revision(),
-            age_ms: millis(self.store.age(now)),
-            instances_age_ms: millis(self.store.instances_age(now)),
-            served_for_ms: millis(self.store.served_for(now)),
-        };
-        self.tell_all(&[encode(&message)], out);
-    }
-
-    /// Sends datagrams to all other nodes.
+    /// Sends datagrams to all other nodes, each by itself.
     pub(super) fn tell_all(&self, datagrams: &[Datagram], out: &mut Vec<Action>) {
         for record in self.others() {
             send(record.address, datagrams, out);
@@ -162,7 +138,8 @@
     fn tell_keys(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let asked = self.requests.take_asked();
         let worked = self.requests.take_worked();
-        if asked.is_empty() && worked.is_empty() {
+        let nothing = asked.is_empty() && worked.is_empty();
+        if nothing && !self.may_forward() {
             return;
         }
         if let Some(coordinator) = self.coordination.coordinator_mut() {
@@ -189,6 +166,7 @@
             .collect();
         let report = encode(&PeerMessage::KeysAsked {
             configuration: self.configuration_version(),
+            nodes: self.store.revision_of(ObjectKind::Nodes).unwrap_or(0),
             reports,
             work: work_reports(worked),
         });
@@ -212,38 +190,14 @@
         };
         self.traffic.received(message.kind(), bytes.len());
         match message {
-            PeerMessage::Coordinating {
-                epoch,
-                store_serves,
-                revision,
-                configuration,
-                instances,
-                nodes,
-                age_ms,
-                instances_age_ms,
-                served_for_ms,
-            } => {
-                let age = Duration::from_millis(u64::from(age_ms));
-                let current = epoch >= self.ownership.record().epoch;
-                if current {
-                    self.gossip.coordinator_address = Some(from);
-                    self.heard_of_store(store_serves, now, out);
-                }
-                if current && store_serves && age < self.view_ttl() {
-                    let served_for = Duration::from_millis(u64::from(served_for_ms));
-                    self.directory
-                        .store_served_since(now.saturating_sub(served_for));
-                    let instances_age = Duration::from_millis(u64::from(instances_age_ms));
-                    self.heard_of_instances(instances, instances_age, now);
-                }
-                if store_serves && age < self.view_ttl() {
-                    self.informed(epoch, age, now, out);
-                    self.heard_of(RelayedKind::Instances, instances, now, out);
-                    self.heard_of(RelayedKind::Nodes, nodes, now, out);
-                }
-                self.heard_configuration(configuration, now, out);
-                self.heard_coordinator(epoch, store_serves, revision, now, out);
+            PeerMessage::CoordinatorHeartbeat(heartbeat) => {
+                self.heartbeat_received(from, &heartbeat, now, out);
             }
+            PeerMessage::Forwarded {
+                origin,
+                to_zone,
+                message,
+            } => self.forwarded(origin, to_zone, message, now, out),
             PeerMessage::InstancesChanged { span, changes } => {
                 self.instances_announced(span, changes, now, out);
             }
@@ -285,9 +239,11 @@
             PeerMessage::Resigned { epoch } => self.heard_resignation(epoch, now, out),
             PeerMessage::KeysAsked {
                 configuration,
+                nodes,
                 reports,
                 work,
             } => {
+                self.zone_relays.heard(from, nodes, now);
                 self.heard_configuration(configuration, now, out);
                 self.keys_reported(&reports, now);
                 self.work_reported(&work);
@@ -307,50 +263,6 @@
         }
     }
 
-    /// A coordinator whom the store serves tells of changes. While the store
-    /// fails this node, it goes on to ask by itself, since only its own calls
-    /// tell when that is over.
-    fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
-        let current = epoch >= self.ownership.record().epoch;
-        let follows = self.coordination.coordinator().is_none() && self.store.health.serves();
-        let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
-        if current && follows && rests {
-            self.gossip.informed_until = Some(now + self.view_ttl().saturating_sub(age));
-            self.store.set_informed(true, now, out);
-        }
-    }
-
-    /// How long a coordinator's view of the store is followed.
-    fn view_ttl(&self) -> Duration {
-        let bound = self
-            .settings
-            .drain_bound
-            .min(self.settings.configuration_bound);
-        bound.mul_f64(VIEW_TTL_SHARE)
-    }
-
-    /// The coordinator has read all changes of instances up to this revision,
-    /// and knew of all that were acknowledged before its picture's age.
-    fn heard_of_instances(&mut self, revision: u64, age: Duration, now: Timestamp) {
-        let known = self.store.revision_of(ObjectKind::Instances);
-        if known.is_some_and(|known| known >= revision) {
-            self.directory.note_current(now.saturating_sub(age));
-        }
-    }
-
-    /// A store that serves the coordinator again serves this node as well,
-    /// perhaps; likewise when the coordinator is heard again after a silence,
-    /// as at the end of a cut. The probe is made anew.
-    fn heard_of_store(&mut self, serves: bool, now: Timestamp, out: &mut Vec<Action>) {
-        let silent = self.gossip.heard_store_at + HEARTBEATS_MISSED < now;
-        let recovered = serves && (silent || !self.gossip.serves_coordinator);
-        self.gossip.heard_store_at = now;
-        self.gossip.serves_coordinator = serves;
-        if recovered && self.store.health.has_failed() {
-            self.store.probe_again(now, out);
-        }
-    }
-
     /// Tells all nodes that this one has left the coordinator's place.
     pub(super) fn tell_resignation(&self, out: &mut Vec<Action>) {
         let epoch = self.ownership.record().epoch;
@@ -366,26 +278,6 @@
         }
     }
 
-    fn heard_coordinator(
-        &mut self,
-        epoch: u64,
-        store_serves: bool,
-        revision: u64,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        if epoch < self.ownership.record().epoch {
-            return;
-        }
-        // While the store serves nobody, nobody can follow either; and after
-        // that the coordinator gets its time to notice.
-        let health = &self.store.health;
-        if store_serves || !health.serves() || health.recovered_lately(now) {
-            self.coordination.election.heard(epoch, now);
-        }
-        self.heard_of(RelayedKind::Ownership, revision, now, out);
-    }
-
     fn work_reported(&mut self, reports: &[WorkReport]) {
         let Some(coordinator) = self.coordination.coordinator_mut() else {
             return;
@@ -421,11 +313,6 @@
     List(worked.into_iter().take(MAX_WORK).map(report).collect())
 }
 
-/// Whole milliseconds, or the most that fits.
-fn millis(duration: Duration) -> u16 {
-    u16::try_from(duration.as_millis()).unwrap_or(u16::MAX)
-}
-
 /// Sends datagrams to one node.
 pub(super) fn send(address: SocketAddr, datagrams: &[Datagram], out: &mut Vec<Action>) {
     for datagram in datagrams {
--- /dev/null
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -0,0 +1,148 @@
+//! The coordinator's heartbeats: what they say, and what a node takes from them.
+
+use super::Node;
+use crate::Timestamp;
+use crate::dialect::ObjectKind;
+use crate::io::Action;
+use crate::mechanisms::Mechanism;
+use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Share of the drain bound, or of the bound of configurations if that is
+/// shorter, for which a coordinator's view of the store is followed. With a call
+/// of its own after that, a node learns of a leaving instance and of a
+/// configuration within its bound, also when the coordinator has lost the store.
+const VIEW_TTL_SHARE: f64 = 0.7;
+/// Silence after which a coordinator that is heard again shows that this node
+/// was cut off: three heartbeats and some delay.
+const HEARTBEATS_MISSED: Duration = Duration::from_millis(700);
+
+impl Node {
+    pub(super) fn announce_heartbeat(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(coordinator) = self.coordination.coordinator() else {
+            return;
+        };
+        let heartbeat = Heartbeat {
+            epoch: coordinator.epoch(),
+            sent_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            store_serves: self.store.health.serves() && self.coordination.has_authority(now),
+            revision: self.ownership.revision().unwrap_or(0),
+            configuration: self.configuration_version(),
+            instances: self.gossip.relay.instances_revision(),
+            nodes: self.gossip.relay.nodes_revision(),
+            age_ms: millis(self.store.age(now)),
+            instances_age_ms: millis(self.store.instances_age(now)),
+            served_for_ms: millis(self.store.served_for(now)),
+        };
+        let datagram = encode(&PeerMessage::CoordinatorHeartbeat(heartbeat));
+        self.broadcast(&[datagram], now, out);
+    }
+
+    pub(super) fn heartbeat_received(
+        &mut self,
+        from: SocketAddr,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let Heartbeat {
+            epoch,
+            store_serves,
+            ..
+        } = *heartbeat;
+        // What it says was true when it was sent.
+        let delay = self.gossip.delay.arrived(epoch, heartbeat.sent_ms, now);
+        let age = delay + Duration::from_millis(u64::from(heartbeat.age_ms));
+        let is_current = epoch >= self.ownership.record().epoch;
+        if is_current {
+            self.gossip.coordinator_address = Some(from);
+            self.heard_of_store(store_serves, now, out);
+        }
+        let is_fresh = store_serves && age < self.view_ttl();
+        if is_current && is_fresh {
+            let served_for = Duration::from_millis(u64::from(heartbeat.served_for_ms));
+            let served_since = now.saturating_sub(delay).saturating_sub(served_for);
+            self.directory.store_served_since(served_since);
+            let instances_age =
+                delay + Duration::from_millis(u64::from(heartbeat.instances_age_ms));
+            self.heard_of_instances(heartbeat.instances, instances_age, now);
+        }
+        if is_fresh {
+            self.informed(epoch, age, now, out);
+            self.heard_of(RelayedKind::Instances, heartbeat.instances, now, out);
+            self.heard_of(RelayedKind::Nodes, heartbeat.nodes, now, out);
+        }
+        self.heard_configuration(heartbeat.configuration, now, out);
+        self.heard_coordinator(epoch, store_serves, heartbeat.revision, now, out);
+    }
+
+    /// A coordinator whom the store serves relays changes. While the store fails
+    /// this node, it goes on to ask by itself, since only its own calls tell when
+    /// that is over.
+    fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
+        let current = epoch >= self.ownership.record().epoch;
+        let follows = self.coordination.coordinator().is_none() && self.store.health.serves();
+        let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
+        if current && follows && rests {
+            self.gossip.informed_until = Some(now + self.view_ttl().saturating_sub(age));
+            self.store.set_informed(true, now, out);
+        }
+    }
+
+    /// How long a coordinator's view of the store is followed.
+    fn view_ttl(&self) -> Duration {
+        let bound = self
+            .settings
+            .drain_bound
+            .min(self.settings.configuration_bound);
+        bound.mul_f64(VIEW_TTL_SHARE)
+    }
+
+    /// The coordinator has read all changes of instances up to this revision,
+    /// and knew of all that were acknowledged before its picture's age.
+    fn heard_of_instances(&mut self, revision: u64, age: Duration, now: Timestamp) {
+        let known = self.store.revision_of(ObjectKind::Instances);
+        if known.is_some_and(|known| known >= revision) {
+            self.directory.note_current(now.saturating_sub(age));
+        }
+    }
+
+    /// A store that serves the coordinator again serves this node as well,
+    /// perhaps; likewise when the coordinator is heard again after a silence,
+    /// as at the end of a cut. The probe is made anew.
+    fn heard_of_store(&mut self, serves: bool, now: Timestamp, out: &mut Vec<Action>) {
+        let silent = self.gossip.heard_store_at + HEARTBEATS_MISSED < now;
+        let recovered = serves && (silent || !self.gossip.serves_coordinator);
+        self.gossip.heard_store_at = now;
+        self.gossip.serves_coordinator = serves;
+        if recovered && self.store.health.has_failed() {
+            self.store.probe_again(now, out);
+        }
+    }
+
+    fn heard_coordinator(
+        &mut self,
+        epoch: u64,
+        store_serves: bool,
+        revision: u64,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if epoch < self.ownership.record().epoch {
+            return;
+        }
+        // While the store serves nobody, nobody can follow either; and after
+        // that the coordinator gets its time to notice.
+        let health = &self.store.health;
+        if store_serves || !health.serves() || health.recovered_lately(now) {
+            self.coordination.election.heard(epoch, now);
+        }
+        self.heard_of(RelayedKind::Ownership, revision, now, out);
+    }
+}
+
+/// Whole milliseconds, or the most that fits.
+fn millis(duration: Duration) -> u16 {
+    u16::try_from(duration.as_millis()).unwrap_or(u16::MAX)
+}
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod coordination;
 mod gossip;
+mod heartbeat;
 mod open_requests;
 mod picture;
 mod registration;
@@ -10,6 +11,7 @@
 mod status;
 mod store_calls;
 mod watch_paces;
+mod zone_relay;
 
 pub use status::NodeStatus;
 
@@ -30,6 +32,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
+use zone_relay::ZoneRelays;
 
 /// Pause between two clean-ups of what is no longer needed.
 const CLEAN_UP_INTERVAL: Timestamp = Timestamp::from_secs(1);
@@ -49,6 +52,7 @@
     store: StoreCalls,
     coordination: Coordination,
     gossip: Gossip,
+    zone_relays: ZoneRelays,
     traffic: PeerTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
@@ -83,6 +87,7 @@
             store: StoreCalls::new(settings.millicores, settings.seed, now),
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
+            zone_relays: ZoneRelays::default(),
             traffic: PeerTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
@@ -230,6 +235,7 @@
             self.directory.expire(now);
             self.requests.forget_instances(&self.directory);
             self.shared.expire(now);
+            self.zone_relays.expire(now);
         }
     }
 
--- a/crates/ledgelead-router/src/node/open_requests.rs
+++ b/crates/ledgelead-router/src/node/open_requests.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    fn zone_peers(&self) -> impl Iterator<Item = SocketAddr> {
+    pub(super) fn zone_peers(&self) -> impl Iterator<Item = SocketAddr> {
         self.others()
             .filter(|record| record.zone == self.settings.zone)
             .map(|record| record.address)
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -31,7 +31,7 @@
                     revision: object.revision,
                 }),
                 Ok(ObjectContent::Configuration(configuration)) => {
-                    self.configure(configuration, out);
+                    self.configure(configuration, now, out);
                 }
                 Ok(ObjectContent::Ownership(record)) => {
                     let version = RecordVersion {
@@ -74,7 +74,7 @@
                 revision: object.revision,
             }),
             Ok(ObjectContent::Configuration(configuration)) if !event.gone => {
-                self.configure(configuration, out);
+                self.configure(configuration, now, out);
             }
             Ok(ObjectContent::Ownership(record)) if !event.gone => {
                 let version = RecordVersion::confirmed(object.revision);
@@ -93,7 +93,12 @@
 
     /// Takes a version of the configuration into force, unless this life of
     /// the node has a newer one.
-    pub(super) fn configure(&mut self, configuration: Configuration, out: &mut Vec<Action>) {
+    pub(super) fn configure(
+        &mut self,
+        configuration: Configuration,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         let known = self.configuration.as_ref().map(|known| known.version);
         if known.is_some_and(|known| known >= configuration.version) {
             return;
@@ -102,7 +107,7 @@
         Event::ConfigurationInForce { version }.emit();
         self.routes = RouteTable::new(&configuration);
         self.configuration = Some(configuration);
-        self.configuration_in_force(out);
+        self.configuration_in_force(now, out);
     }
 
     pub(super) fn ownership_changed(
@@ -125,7 +130,7 @@
         self.coordination.election.confirmed(now);
         self.reconcile_role(started, now, out);
         if let Some((Some(base), changes)) = written {
-            self.announce_ownership(base, changes, out);
+            self.announce_ownership(base, changes, now, out);
         }
     }
 }
--- a/crates/ledgelead-router/src/node/relay/configuration.rs
+++ b/crates/ledgelead-router/src/node/relay/configuration.rs
@@ -24,7 +24,11 @@
 
 impl Node {
     /// A version has come into force here. A coordinator announces it.
-    pub(in crate::node) fn configuration_in_force(&mut self, out: &mut Vec<Action>) {
+    pub(in crate::node) fn configuration_in_force(
+        &mut self,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         let Some(next) = self.configuration.clone() else {
             return;
         };
@@ -38,7 +42,7 @@
             return;
         }
         if let Some(datagrams) = self.configuration_datagrams(before) {
-            self.tell_all(&datagrams, out);
+            self.broadcast(&datagrams, now, out);
         }
         // Nodes that need another base learn of the version.
         self.gossip.hasten_heartbeat();
@@ -99,7 +103,7 @@
         };
         match delta.apply_to(self.configuration.as_ref()) {
             Some(configuration) => {
-                self.configure(configuration, out);
+                self.configure(configuration, now, out);
                 self.reconsider_waiting(now, out);
             }
             None => self.request_changes(RelayedKind::Configuration, now, out),
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -30,6 +30,7 @@
         kind: ObjectKind,
         revision: u64,
         events: Vec<ObjectEvent>,
+        now: Timestamp,
         out: &mut Vec<Action>,
     ) {
         let relay = &mut self.gossip.relay;
@@ -51,7 +52,7 @@
             ObjectKind::Nodes => node_datagrams(&changes),
             _ => instance_datagrams(&changes),
         };
-        self.tell_all(&datagrams, out);
+        self.broadcast(&datagrams, now, out);
     }
 
     /// The coordinator has announced changed instances.
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -64,6 +64,7 @@
         &mut self,
         base: u64,
         changed: Vec<Assignment>,
+        now: Timestamp,
         out: &mut Vec<Action>,
     ) {
         let Some(revision) = self.ownership.revision() else {
@@ -74,7 +75,7 @@
             revision,
             items: changed,
         };
-        self.tell_all(&datagrams(&changes), out);
+        self.broadcast(&datagrams(&changes), now, out);
         self.gossip.relay.ownership.push(changes);
     }
 
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -501,7 +501,7 @@
                 return;
             }
         };
-        self.relay_change(kind, &change, out);
+        self.relay_change(kind, &change, now, out);
         self.apply(kind, change, is_first, started, now, out);
         if kind == ObjectKind::Instances
             && let Some(as_of) = self.store.watcher(kind).as_of()
@@ -511,7 +511,13 @@
     }
 
     /// As coordinator, announces what the store has told.
-    fn relay_change(&mut self, kind: ObjectKind, change: &WatchChange, out: &mut Vec<Action>) {
+    fn relay_change(
+        &mut self,
+        kind: ObjectKind,
+        change: &WatchChange,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         if self.coordination.coordinator().is_none() {
             return;
         }
@@ -524,7 +530,7 @@
         };
         if !events.is_empty() {
             let revision = self.store.revision_of(kind).unwrap_or(0);
-            self.relay(kind, revision, events, out);
+            self.relay(kind, revision, events, now, out);
         }
     }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -1,12 +1,14 @@
 //! What nodes send each other.
 
 use super::configuration::{ConfigurationChange, LimitsEntry};
-use ledgelead_types::codec::{self, DecodeError, List, Text};
+use ledgelead_types::codec::{self, Bytes, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-/// Longest datagram that is read, in bytes.
-const MAX_BYTES: usize = 1_400;
+/// Longest datagram that is read, in bytes: what fits an Ethernet frame, with a
+/// message of 1,400 bytes that another node passes on.
+const MAX_BYTES: usize = 1_440;
 
 /// Requests for keys that a node has seen since its last report.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
@@ -137,33 +139,74 @@
     pub revision: u64,
 }
 
+/// Where a node is reached by others, over IPv4.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct PeerAddress {
+    /// The address as a number.
+    pub ip: u32,
+    /// The port.
+    pub port: u16,
+}
+
+impl PeerAddress {
+    /// The address on the wire; none for one that is not IPv4.
+    pub fn new(address: SocketAddr) -> Option<PeerAddress> {
+        match address {
+            SocketAddr::V4(address) => Some(PeerAddress {
+                ip: u32::from(*address.ip()),
+                port: address.port(),
+            }),
+            SocketAddr::V6(_) => None,
+        }
+    }
+
+    /// The address of the socket.
+    pub fn socket(self) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::from(self.ip), self.port))
+    }
+}
+
+/// What the coordinator says each heartbeat.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct Heartbeat {
+    /// Its epoch.
+    pub epoch: u64,
+    /// When it was sent, in milliseconds of the coordinator's own clock.
+    pub sent_ms: u64,
+    /// Whether the store serves it.
+    pub store_serves: bool,
+    /// The store's revision of the newest record.
+    pub revision: u64,
+    /// The version of the configuration that it has in force.
+    pub configuration: u64,
+    /// The store's revision by which it last read a change of who may get work.
+    pub instances: u64,
+    /// The store's revision by which it last read a change of the nodes.
+    pub nodes: u64,
+    /// How long ago the store told it of instances and of the configuration, the
+    /// longer of both, in milliseconds.
+    pub age_ms: u16,
+    /// How long ago its view of the instances was the store's, in milliseconds.
+    pub instances_age_ms: u16,
+    /// For how long the store has served all of its calls, in milliseconds; the
+    /// most that fits if longer.
+    pub served_for_ms: u16,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum PeerMessage {
     /// The coordinator lives.
-    Coordinating {
-        /// Its epoch.
-        epoch: u64,
-        /// Whether the store serves it.
-        store_serves: bool,
-        /// The store's revision of the newest record.
-        revision: u64,
-        /// The version of the configuration that it has in force.
-        configuration: u64,
-        /// The store's revision by which it last read a change of who may get
-        /// work.
-        instances: u64,
-        /// The store's revision by which it last read a change of the nodes.
-        nodes: u64,
-        /// How long ago the store told it of instances and of the
-        /// configuration, the longer of both, in milliseconds.
-        age_ms: u16,
-        /// How long ago its picture of the instances was true, in
-        /// milliseconds.
-        instances_age_ms: u16,
-        /// For how long the store has served all of its calls, in
-        /// milliseconds; the most that fits if longer.
-        served_for_ms: u16,
+    CoordinatorHeartbeat(Heartbeat),
+    /// A message of the coordinator to all nodes of a zone. One node of the zone
+    /// gets it and passes it on, since bytes between zones are dear.
+    Forwarded {
+        /// Where the coordinator is reached.
+        origin: PeerAddress,
+        /// Whether the receiver is to pass it on.
+        to_zone: bool,
+        /// The encoded message.
+        message: Bytes,
     },
     /// The store told the coordinator of changed instances.
     InstancesChanged {
@@ -227,6 +270,9 @@
     KeysAsked {
         /// The version of the configuration that the sender has in force.
         configuration: u64,
+        /// The store's revision by which the sender knows the nodes; 0 before
+        /// it has listed them.
+        nodes: u64,
         /// By service.
         reports: List<KeyReport>,
         /// By owner.
@@ -248,7 +294,8 @@
     /// The name of the message's kind in metrics.
     pub fn kind(&self) -> &'static str {
         match self {
-            PeerMessage::Coordinating { .. } => "heartbeat",
+            PeerMessage::CoordinatorHeartbeat(_) => "heartbeat",
+            PeerMessage::Forwarded { .. } => "forwarded",
             PeerMessage::InstancesChanged { .. } => "instances",
             PeerMessage::NodesChanged { .. } => "nodes",
             PeerMessage::ConfigurationChanged { .. } => "configuration",
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod assembly;
 mod change_log;
 mod configuration;
+mod delay;
 mod message;
 mod registry;
 mod shared_load;
@@ -16,9 +17,11 @@
 pub use configuration::{
     ConfigurationChange, ConfigurationDelta, LimitsEntry, RouteEntry, ServiceEntry, TargetEntry,
 };
+pub use delay::DelayEstimate;
 pub use message::{
-    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, InstanceEntry,
-    KeyReport, NodeEntry, OpenRequests, PeerMessage, RelayedKind, WorkReport, decode, encode,
+    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, Heartbeat,
+    InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage, RelayedKind,
+    WorkReport, decode, encode,
 };
 pub use registry::{NodeRecord, Registration, Registry};
 pub use shared_load::SharedLoad;
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -8,7 +8,7 @@
 use ledgelead_router::identity::ServiceName;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{
-    ChangeSpan, ConfigurationDelta, PeerMessage, RelayedKind, decode, encode,
+    ChangeSpan, ConfigurationDelta, Heartbeat, PeerMessage, RelayedKind, decode, encode,
 };
 use ledgelead_types::codec::List;
 use proptest::prelude::*;
@@ -34,8 +34,9 @@
 }
 
 fn heartbeat(fixture: &Fixture, configuration: u64) -> PeerMessage {
-    PeerMessage::Coordinating {
+    PeerMessage::CoordinatorHeartbeat(Heartbeat {
         epoch: 4,
+        sent_ms: u64::try_from(fixture.now.as_millis()).expect("a short test"),
         store_serves: true,
         revision: fixture
             .store
@@ -47,7 +48,7 @@
         age_ms: 100,
         instances_age_ms: 100,
         served_for_ms: 5_000,
-    }
+    })
 }
 
 /// A node that follows a coordinator.
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod open_requests;
 mod registration;
+mod zone_relay;
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/zone_relay.rs
@@ -0,0 +1,162 @@
+//! Broadcasts by way of one node a zone.
+
+use crate::fixture::{Fixture, Store, configuration, ms, node_address, node_record};
+use googletest::prelude::*;
+use ledgelead_router::identity::ZoneName;
+use ledgelead_router::peers::{
+    DelayEstimate, Heartbeat, NodeRecord, PeerAddress, PeerMessage, encode,
+};
+use ledgelead_types::codec::{Bytes, List};
+use std::collections::BTreeSet;
+
+/// The strongest node of the other zone.
+const STRONGEST: u8 = 10;
+/// Nodes of the other zone.
+const OTHERS: std::ops::Range<u8> = 10..18;
+
+fn record(number: u8, zone: &str) -> NodeRecord {
+    NodeRecord {
+        zone: ZoneName::from(zone),
+        millicores: if number == STRONGEST { 500 } else { 200 },
+        ..node_record(number)
+    }
+}
+
+/// A coordinator, with peers in its own zone and in another.
+fn coordinator() -> Fixture {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 0..3 {
+        store.add_node(record(number, "a"));
+    }
+    for number in OTHERS {
+        store.add_node(record(number, "b"));
+    }
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(5_000));
+    assert!(fixture.node.coordinator().is_some());
+    fixture
+}
+
+fn report(fixture: &mut Fixture, from: u8, nodes: u64) {
+    let message = PeerMessage::KeysAsked {
+        configuration: 1,
+        nodes,
+        reports: List(Vec::new()),
+        work: List(Vec::new()),
+    };
+    fixture.receive(node_address(from), &message);
+}
+
+/// Who got messages while 450 ms passed, those in the other zone alone.
+fn receivers(fixture: &mut Fixture) -> BTreeSet<u8> {
+    fixture.datagrams.clear();
+    let end = fixture.now + ms(450);
+    while fixture.now < end {
+        fixture.run_until(fixture.now + ms(50));
+    }
+    let other = |number: &u8| {
+        let address = node_address(*number);
+        fixture.datagrams.iter().any(|(_, to, _)| *to == address)
+    };
+    OTHERS.filter(other).collect()
+}
+
+fn reporting_receivers(fixture: &mut Fixture, reporting: &[u8], nodes: u64) -> BTreeSet<u8> {
+    fixture.datagrams.clear();
+    for _ in 0..5 {
+        for number in reporting {
+            report(fixture, *number, nodes);
+        }
+        fixture.run_until(fixture.now + ms(100));
+    }
+    let got = |number: &u8| {
+        let address = node_address(*number);
+        fixture.datagrams.iter().any(|(_, to, _)| *to == address)
+    };
+    OTHERS.filter(got).collect()
+}
+
+#[gtest]
+fn the_strongest_node_that_reports_gets_what_is_for_its_zone() {
+    let mut fixture = coordinator();
+    let all: BTreeSet<u8> = OTHERS.collect();
+    expect_that!(receivers(&mut fixture), eq(&all));
+    let one = reporting_receivers(&mut fixture, &[12, STRONGEST, 13], 1_000);
+    expect_that!(one, eq(&BTreeSet::from([STRONGEST])));
+    // It is silent: another takes its place, or each gets it by itself.
+    fixture.run_until(fixture.now + ms(400));
+    let one = reporting_receivers(&mut fixture, &[12, 13], 1_000);
+    expect_that!(one, eq(&BTreeSet::from([12])));
+    fixture.run_until(fixture.now + ms(400));
+    expect_that!(receivers(&mut fixture), eq(&all));
+}
+
+#[gtest]
+fn a_node_that_does_not_know_its_zone_passes_nothing_on() {
+    let mut fixture = coordinator();
+    let all: BTreeSet<u8> = OTHERS.collect();
+    let got = reporting_receivers(&mut fixture, &[STRONGEST], 0);
+    expect_that!(got, eq(&all));
+}
+
+#[gtest]
+fn a_message_is_passed_on_and_taken() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 0..8 {
+        store.add_node(record(number, "a"));
+    }
+    store.add_node(record(STRONGEST, "b"));
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(100));
+    let heartbeat = PeerMessage::CoordinatorHeartbeat(Heartbeat {
+        epoch: 7,
+        sent_ms: 50,
+        store_serves: true,
+        revision: 0,
+        configuration: 9,
+        instances: 0,
+        nodes: 0,
+        age_ms: 0,
+        instances_age_ms: 0,
+        served_for_ms: 100,
+    });
+    let origin = PeerAddress::new(node_address(STRONGEST)).expect("IPv4");
+    let forwarded = |to_zone| PeerMessage::Forwarded {
+        origin,
+        to_zone,
+        message: Bytes(encode(&heartbeat).bytes.to_vec()),
+    };
+    fixture.receive(node_address(STRONGEST), &forwarded(true));
+    let passed_on: BTreeSet<u8> = fixture
+        .datagrams
+        .iter()
+        .filter(|(_, _, message)| *message == forwarded(false))
+        .filter_map(|(_, to, _)| (1..=8).find(|number| node_address(*number) == *to))
+        .collect();
+    expect_that!(passed_on, eq(&(1..8).collect::<BTreeSet<u8>>()));
+    // It takes the message as one of the coordinator, whom it now asks for the
+    // version that it lacks.
+    let wanted = fixture.datagrams.iter().filter(|(_, to, message)| {
+        *to == node_address(STRONGEST) && message.kind() == "resync_request"
+    });
+    expect_that!(wanted.count(), eq(1));
+    // A message that was passed on already goes no further.
+    fixture.datagrams.clear();
+    fixture.receive(node_address(1), &forwarded(false));
+    expect_that!(fixture.sent("forwarded"), eq(0));
+}
+
+#[gtest]
+fn a_heartbeat_that_waited_is_older_than_it_says() {
+    let mut delay = DelayEstimate::default();
+    // The clocks have different origins.
+    expect_that!(delay.arrived(3, 900_000, ms(5_020)), eq(ms(0)));
+    expect_that!(delay.arrived(3, 900_200, ms(5_203)), eq(ms(0)));
+    expect_that!(delay.arrived(3, 900_400, ms(5_405)), eq(ms(2)));
+    expect_that!(delay.arrived(3, 900_600, ms(9_603)), eq(ms(4_000)));
+    expect_that!(delay.arrived(3, 904_600, ms(9_603)), eq(ms(0)));
+    // Another coordinator has another clock.
+    expect_that!(delay.arrived(4, 70, ms(9_700)), eq(ms(0)));
+}
