Nodes probe a lost store the more rarely the more they are

Ruled out: a few nodes that probe for the others. Change: pauses grow with the nodes, from 0.12 and 1 s to 0.6 and 1.7 s at 300 nodes, spread by up to a fifth; the coordinator's stay, and its heartbeat still makes all probe at once. Time budget: 2.0 s + a list 0.3 s + 0.25 s before the other watches, below 3 s. Test: the_calls_of_an_outage_grow_slower_than_the_nodes.

--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use super::registration::RegistrationState;
 use super::relay::differences;
-use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, pace};
+use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, backoff, pace};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer, StoreCall};
 use crate::events::Event;
@@ -435,6 +435,11 @@
     ) {
         if !served {
             self.store.failures += 1;
+            let coordinating = self.store.coordinating;
+            let pauses = backoff(self.registry.len(), coordinating, self.settings.seed);
+            self.store
+                .watcher(ObjectKind::Instances)
+                .set_backoff(pauses);
             if self.store.health.serves() {
                 let cause = describe(answer);
                 Event::StoreFails { cause: &cause }.emit();
--- a/crates/ledgelead-router/src/store/mod.rs
+++ b/crates/ledgelead-router/src/store/mod.rs
@@ -5,4 +5,4 @@
 mod watcher;
 
 pub use health::StoreHealth;
-pub use watcher::{WatchChange, Watcher, WatcherPace};
+pub use watcher::{Backoff, WatchChange, Watcher, WatcherPace};
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -7,8 +7,6 @@
 use crate::dialect::{Object, ObjectEvent, ObjectKind, StoreAnswer, StoreCall};
 use std::time::Duration;
 
-/// First pause after a failed call.
-const FIRST_BACKOFF: Duration = Duration::from_millis(120);
 /// Pause between a node's first list and its first watch: if there is a
 /// coordinator, its heartbeat has come by then, and the watch is suspended.
 const FIRST_WATCH_PAUSE: Duration = Duration::from_millis(1_200);
@@ -19,8 +17,6 @@
 /// Pause between an answer and a call for what another node has seen; many
 /// changes in a row are told by few calls.
 const POKE_PAUSE: Duration = Duration::from_millis(400);
-/// Longest pause after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
 /// How often a watch calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +29,24 @@
     pub wait: Duration,
 }
 
+/// Pauses between calls that fail; each is twice the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    /// The first pause.
+    pub first: Duration,
+    /// The longest pause.
+    pub max: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Backoff {
+        Backoff {
+            first: Duration::from_millis(120),
+            max: Duration::from_secs(1),
+        }
+    }
+}
+
 /// What a watch has learned.
 #[derive(Debug)]
 pub enum WatchChange {
@@ -65,6 +79,7 @@
     in_flight: bool,
     next_call: Timestamp,
     failures: u32,
+    backoff: Backoff,
     last_answer: Option<Timestamp>,
     /// When the call that is out was made, and how long the store may wait.
     call: Option<(Timestamp, Duration)>,
@@ -93,6 +108,7 @@
             in_flight: false,
             next_call: Timestamp::ZERO,
             failures: 0,
+            backoff: Backoff::default(),
             last_answer: None,
             call: None,
             list_began: Timestamp::ZERO,
@@ -130,6 +146,11 @@
         self.pace = pace;
     }
 
+    /// Changes the pauses after failed calls.
+    pub fn set_backoff(&mut self, backoff: Backoff) {
+        self.backoff = backoff;
+    }
+
     /// The next call is due now, if none is out.
     pub fn hasten(&mut self, now: Timestamp) {
         self.next_call = self.next_call.min(now);
@@ -266,7 +287,7 @@
     /// The call failed or was refused.
     pub fn failed(&mut self, now: Timestamp) {
         self.in_flight = false;
-        self.next_call = now + self.backoff();
+        self.next_call = now + self.retry_pause();
         self.failures += 1;
     }
 
@@ -361,10 +382,9 @@
         self.next_call = now;
     }
 
-    fn backoff(&self) -> Duration {
-        FIRST_BACKOFF
-            .saturating_mul(1 << self.failures.min(6))
-            .min(MAX_BACKOFF)
+    fn retry_pause(&self) -> Duration {
+        let Backoff { first, max } = self.backoff;
+        first.saturating_mul(1 << self.failures.min(6)).min(max)
     }
 }
 
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -40,6 +40,8 @@
 pub struct Store {
     pub revision: u64,
     pub objects: BTreeMap<(ObjectKind, String), Object>,
+    /// Whether all calls are refused.
+    pub refuses: bool,
 }
 
 impl Store {
@@ -88,12 +90,20 @@
     }
 
     fn answer(&mut self, call: &StoreCall) -> Option<StoreAnswer> {
+        if self.refuses {
+            return Some(StoreAnswer::Refused);
+        }
         match call {
             StoreCall::List { kind, .. } => Some(StoreAnswer::Objects {
                 objects: self.of_kind(*kind),
                 more: false,
                 revision: self.revision,
             }),
+            // A watch that hardly waits only asks how things are.
+            StoreCall::Watch { wait, .. } if *wait <= ms(50) => Some(StoreAnswer::Events {
+                events: Vec::new(),
+                revision: self.revision,
+            }),
             StoreCall::Watch { .. } => None,
             StoreCall::Create { name, content } => {
                 let known = self.objects.contains_key(&(content.kind(), name.clone()));
@@ -406,6 +416,19 @@
         });
     }
 
+    /// The owner of a key, by the record in the store.
+    pub fn owner_of(&self, key: u16) -> Option<InstanceId> {
+        let name = "record".to_owned();
+        let object = self.store.objects.get(&(ObjectKind::Ownership, name))?;
+        match &object.content {
+            Ok(ObjectContent::Ownership(record)) => {
+                let assignment = record.find(&ServiceName::from(KEYED), key)?;
+                Some(assignment.owner.clone())
+            }
+            _ => None,
+        }
+    }
+
     /// Messages of a kind that were sent so far.
     pub fn sent(&self, kind: &str) -> usize {
         let of_kind =
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -3,5 +3,6 @@
 mod configuration;
 mod fixture;
 mod open_requests;
+mod outage;
 mod registration;
 mod zone_relay;
