What a single key is asked for beyond its owner's capacity is refused at once

One key gets 40 in 100 of the keyed requests, about 600 a second; its owner works on 13. Ruled out: moving the key or its neighbours. Change: the coordinator, which knows rates of keys and capacities of owners, announces with its heartbeats the keys that alone exceed 1.5 of their owner's capacity, and the share that the owner can work on. Nodes admit that share and refuse the rest at once as not run, to come back after 0.6 s. Shares lapse after 0.7 s. Candidates of the plan are made in one pass over the ranges instead of one pass an instance. Tests: tests/node/overload.rs.

--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -20,6 +20,8 @@
     SharedLoad,
     /// What can't be answered in time is refused before it is sent.
     EarlyRefusal,
+    /// What a key is asked for beyond its owner's capacity is refused at once.
+    OverloadedKeys,
     /// Requests that wait are looked at in the order of their priority.
     Priority,
     /// Kept connections rest for less time where instances forget them.
@@ -36,7 +38,7 @@
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 14] = [
+    pub const ALL: [(&'static str, Mechanism); 15] = [
         ("zone-preference", Mechanism::ZonePreference),
         ("review", Mechanism::Review),
         ("repeat-failed", Mechanism::RepeatFailed),
@@ -45,6 +47,7 @@
         ("cold-factor", Mechanism::ColdFactor),
         ("shared-load", Mechanism::SharedLoad),
         ("early-refusal", Mechanism::EarlyRefusal),
+        ("overloaded-keys", Mechanism::OverloadedKeys),
         ("priority", Mechanism::Priority),
         ("rest-limit", Mechanism::RestLimit),
         ("key-moves", Mechanism::KeyMoves),
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -6,6 +6,7 @@
 use crate::io::Action;
 use crate::mechanisms::Mechanism;
 use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
+use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,10 +24,16 @@
         let Some(coordinator) = self.coordination.coordinator() else {
             return;
         };
+        // Without authority it plans no more, and knows nothing new.
+        let has_authority = self.coordination.has_authority(now);
+        let overloads = match has_authority {
+            true => coordinator.overloads().to_vec(),
+            false => Vec::new(),
+        };
         let heartbeat = Heartbeat {
             epoch: coordinator.epoch(),
             sent_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-            store_serves: self.store.health.serves() && self.coordination.has_authority(now),
+            store_serves: self.store.health.serves() && has_authority,
             revision: self.ownership.revision().unwrap_or(0),
             configuration: self.configuration_version(),
             instances: self.gossip.relay.instances_revision(),
@@ -34,7 +41,9 @@
             age_ms: millis(self.store.age(now)),
             instances_age_ms: millis(self.store.instances_age(now)),
             served_for_ms: millis(self.store.served_for(now)),
+            overloads: List(overloads),
         };
+        self.overloads.replace(&heartbeat.overloads, now);
         let datagram = encode(&PeerMessage::CoordinatorHeartbeat(heartbeat));
         self.broadcast(&[datagram], now, out);
     }
@@ -57,6 +66,7 @@
         let is_current = epoch >= self.ownership.record().epoch;
         if is_current {
             self.gossip.coordinator_address = Some(from);
+            self.overloads.replace(&heartbeat.overloads, now);
             self.heard_of_store(store_serves, now, out);
         }
         let is_fresh = store_serves && age < self.view_ttl();
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -25,7 +25,7 @@
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
-use crate::requests::{BudgetBounds, RequestContext, Requests};
+use crate::requests::{BudgetBounds, Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use coordination::Coordination;
 use gossip::Gossip;
@@ -53,6 +53,7 @@
     coordination: Coordination,
     gossip: Gossip,
     zone_relays: ZoneRelays,
+    overloads: Overloads,
     traffic: PeerTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
@@ -88,6 +89,7 @@
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
             zone_relays: ZoneRelays::default(),
+            overloads: Overloads::default(),
             traffic: PeerTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
@@ -254,6 +256,7 @@
             directory: &self.directory,
             ownership: &self.ownership,
             shared: &self.shared,
+            overloads: &self.overloads,
             headers: self.dialect.headers(),
             exchanges: &mut self.exchanges,
             nodes: self.registry.len(),
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -2,6 +2,7 @@
 
 mod holding;
 mod orders;
+mod overload;
 mod placement;
 mod writes;
 
@@ -19,6 +20,7 @@
 use crate::io::ExchangeId;
 use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
+use crate::requests::OverloadedKey;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -90,6 +92,8 @@
     writing_since: Option<Timestamp>,
     earlier: EarlierAuthority,
     next_plan: Timestamp,
+    /// Keys that are asked for more often than their owners can work.
+    overloads: Vec<OverloadedKey>,
     gatherings: BTreeMap<ServiceName, Gathering>,
     protections: Protections,
     counters: OwnershipCounters,
@@ -157,6 +161,7 @@
             writing_since: None,
             earlier,
             next_plan: now + PLAN_INTERVAL * 2,
+            overloads: Vec::new(),
             gatherings: BTreeMap::new(),
             protections,
             counters: OwnershipCounters::default(),
@@ -173,6 +178,12 @@
         self.counters
     }
 
+    /// Keys that are asked for more often than their owners can work, by the last
+    /// plan.
+    pub fn overloads(&self) -> &[OverloadedKey] {
+        &self.overloads
+    }
+
     /// The version that is being written, if one is.
     pub fn pending_write(&self) -> Option<&OwnershipRecord> {
         self.writing.as_ref()
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -12,6 +12,7 @@
 use crate::ownership::lease::Lease;
 use crate::ownership::planner;
 use crate::ownership::planner::{Candidate, PlanSettings};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Time without a further instance after which a service's keys get their
@@ -24,6 +25,17 @@
 /// Service time assumed of an instance before one was seen.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(100);
 
+/// What an instance has of a service's keys.
+#[derive(Clone, Debug, Default)]
+struct Share {
+    /// Ranges that it holds and that are not on the move.
+    ranges: Vec<KeyRange>,
+    /// Requests a second for ranges that are on their way to it.
+    incoming: f64,
+    /// Whether it has not answered some grant lately.
+    is_silent: bool,
+}
+
 /// The first owners of a service's keys as they register.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Gathering {
@@ -48,28 +60,42 @@
         }
         self.next_plan = context.now + PLAN_INTERVAL;
         self.work.decay(context.now);
+        self.overloads.clear();
         // A range that is released while the record can't be written is
         // served by nobody until it can.
         let moves = context.mechanisms.has(Mechanism::KeyMoves);
-        if !moves || !context.store_serves || self.writes_slowly(context.now) {
-            return;
-        }
+        let may_move = moves && context.store_serves && !self.writes_slowly(context.now);
         let services: Vec<ServiceName> = self.loads.keys().cloned().collect();
         for service in services {
+            if let Some(load) = self.loads.get_mut(&service) {
+                load.decay(context.now);
+            }
             let candidates = self.candidates(context, &service);
-            let Some(load) = self.loads.get_mut(&service) else {
-                continue;
-            };
-            load.decay(context.now);
-            let settings = PlanSettings {
-                chance_margin: context.mechanisms.has(Mechanism::ChanceMargin),
-            };
-            for planned in planner::plan(candidates, load, settings) {
-                self.begin_move(&service, &planned, context.now);
+            let overloaded = self.overloaded(&service, &candidates);
+            self.overloads.extend(overloaded);
+            if may_move {
+                self.plan_moves_of(context, &service, candidates);
             }
         }
     }
 
+    fn plan_moves_of(
+        &mut self,
+        context: &Context<'_>,
+        service: &ServiceName,
+        candidates: Vec<Candidate>,
+    ) {
+        let Some(load) = self.loads.get(service) else {
+            return;
+        };
+        let settings = PlanSettings {
+            chance_margin: context.mechanisms.has(Mechanism::ChanceMargin),
+        };
+        for planned in planner::plan(candidates, load, settings) {
+            self.begin_move(service, &planned, context.now);
+        }
+    }
+
     pub(super) fn candidates(
         &self,
         context: &Context<'_>,
@@ -87,54 +113,43 @@
             .collect();
         let known: Vec<f64> = capacities.iter().copied().flatten().collect();
         let typical = mean(&known);
+        let mut shares = self.shares(service);
         instances
             .into_iter()
             .zip(capacities)
             .map(|(instance, capacity)| {
                 let assumed = || typical.unwrap_or_else(|| default_capacity(instance));
-                let capacity = capacity.unwrap_or_else(assumed);
-                self.candidate(context, service, instance, capacity)
+                let share = shares.remove(&instance.record.id).unwrap_or_default();
+                Candidate {
+                    id: instance.record.id.clone(),
+                    capacity: capacity.unwrap_or_else(assumed),
+                    ranges: share.ranges,
+                    takes_keys: !share.is_silent && instance.warm_at <= context.now,
+                    incoming: share.incoming,
+                }
             })
             .collect()
     }
 
-    pub(super) fn candidate(
-        &self,
-        context: &Context<'_>,
-        service: &ServiceName,
-        instance: &Instance,
-        capacity: f64,
-    ) -> Candidate {
-        let id = &instance.record.id;
-        let owned =
-            |holding: &&Holding| holding.service == *service && holding.owner.as_ref() == Some(id);
-        let settled =
-            |holding: &&Holding| matches!(holding.state, State::Held) && holding.lease.fenced;
-        let silent = self
-            .holdings
-            .iter()
-            .filter(owned)
-            .any(|holding| holding.lease.is_silent());
+    /// What each instance has of a service's keys, in one pass over all ranges.
+    fn shares(&self, service: &ServiceName) -> HashMap<InstanceId, Share> {
         let load = self.loads.get(service);
-        let incoming = self
-            .holdings
-            .iter()
-            .filter(|holding| holding.service == *service && holding.next_owner() == Some(id))
-            .map(|holding| load.map_or(0.0, |load| load.rate(holding.range)))
-            .sum();
-        Candidate {
-            id: id.clone(),
-            capacity,
-            ranges: self
-                .holdings
-                .iter()
-                .filter(owned)
-                .filter(settled)
-                .map(|holding| holding.range)
-                .collect(),
-            takes_keys: !silent && instance.warm_at <= context.now,
-            incoming,
+        let mut shares: HashMap<InstanceId, Share> = HashMap::new();
+        let of_service = |holding: &&Holding| holding.service == *service;
+        for holding in self.holdings.iter().filter(of_service) {
+            if let Some(owner) = &holding.owner {
+                let share = shares.entry(owner.clone()).or_default();
+                share.is_silent |= holding.lease.is_silent();
+                if matches!(holding.state, State::Held) && holding.lease.fenced {
+                    share.ranges.push(holding.range);
+                }
+            }
+            if let Some(next) = holding.next_owner() {
+                let share = shares.entry(next.clone()).or_default();
+                share.incoming += load.map_or(0.0, |load| load.rate(holding.range));
+            }
         }
+        shares
     }
 
     /// Splits the range off its holding and begins to release it.
--- a/crates/ledgelead-router/src/ownership/load.rs
+++ b/crates/ledgelead-router/src/ownership/load.rs
@@ -48,6 +48,15 @@
         f64::from(slice.iter().sum::<f32>()) * Self::rate_of_one()
     }
 
+    /// The key of a range that is asked for most, and its requests a second.
+    pub fn hottest(&self, range: KeyRange) -> (u16, f64) {
+        let counts = &self.counts[usize::from(range.first)..=usize::from(range.last)];
+        let keys = (range.first..=range.last).zip(counts);
+        let hottest = keys.max_by(|(_, left), (_, right)| left.total_cmp(right));
+        let (key, count) = hottest.unwrap_or((range.first, &0.0));
+        (key, f64::from(*count) * Self::rate_of_one())
+    }
+
     /// Parts of `range` at its front, or at its end, that carry about `rate`
     /// requests a second: the longest that carries no more, and the shortest
     /// that carries more, each with what it carries. Neither is the whole
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! What nodes send each other.
 
 use super::configuration::{ConfigurationChange, LimitsEntry};
+use crate::requests::OverloadedKey;
 use ledgelead_types::codec::{self, Bytes, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -191,6 +192,8 @@
     /// For how long the store has served all of its calls, in milliseconds; the
     /// most that fits if longer.
     pub served_for_ms: u16,
+    /// Keys that are asked for more often than their owners can work.
+    pub overloads: List<OverloadedKey>,
 }
 
 /// A datagram.
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -15,6 +15,8 @@
     BadKey,
     /// No instance can answer in time.
     Overloaded,
+    /// Its key is asked for more often than its owner can work.
+    KeyOverloaded,
     /// Nobody owns the key now, or its owner can't be reached.
     NoOwner,
     /// The service has no instance.
@@ -37,6 +39,7 @@
             Refusal::BadKey => 400,
             Refusal::NotConfigured
             | Refusal::Overloaded
+            | Refusal::KeyOverloaded
             | Refusal::NoOwner
             | Refusal::NoInstance
             | Refusal::Rejected
@@ -46,6 +49,15 @@
         }
     }
 
+    /// When the client may come back, at the earliest.
+    pub fn retry_after(self) -> Duration {
+        match self {
+            // Such a key stays overloaded for seconds.
+            Refusal::KeyOverloaded => Duration::from_millis(600),
+            _ => Duration::from_millis(120),
+        }
+    }
+
     /// A name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -53,6 +65,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::BadKey => "bad_key",
             Refusal::Overloaded => "overloaded",
+            Refusal::KeyOverloaded => "key_overloaded",
             Refusal::NoOwner => "no_owner",
             Refusal::NoInstance => "no_instance",
             Refusal::Rejected => "rejected",
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -8,6 +8,7 @@
 use crate::requests::answers::Refusal;
 use crate::requests::open_request::OpenRequest;
 use crate::requests::selection::{Selected, SelectionContext};
+use rand::RngExt;
 use std::net::SocketAddr;
 
 /// Share of the time left that an owner's queue may take.
@@ -44,10 +45,37 @@
                 return Step::Refuse(open.failure());
             }
         }
-        match open.key {
-            Some(key) => self.next_step_keyed(open, key, context),
-            None => self.next_step_any(client, context),
+        let Some(key) = open.key else {
+            return self.next_step_any(client, context);
+        };
+        if self.exceeds_admitted(client, key, context) {
+            return Step::Refuse(Refusal::KeyOverloaded);
+        }
+        match self.open.get(&client) {
+            Some(open) => self.next_step_keyed(open, key, context),
+            None => Step::Refuse(Refusal::NoInstance),
+        }
+    }
+
+    /// Whether a request that has just come is among those for its key that its
+    /// owner can't work on.
+    fn exceeds_admitted(
+        &mut self,
+        client: ClientId,
+        key: u16,
+        context: &RequestContext<'_>,
+    ) -> bool {
+        if !self.mechanisms.has(Mechanism::OverloadedKeys) {
+            return false;
+        }
+        let Some(open) = self.open.get_mut(&client) else {
+            return false;
+        };
+        if std::mem::replace(&mut open.passed_admission, true) {
+            return false;
         }
+        let admitted = context.overloads.admitted(&open.service, key, context.now);
+        admitted.is_some_and(|share| self.rng.random_range(0.0..1.0) >= share)
     }
 
     pub(super) fn next_step_keyed(
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -12,9 +12,8 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// When a refused client may come back, at the earliest.
-const RETRY_AFTER: Duration = Duration::from_millis(120);
-/// By how much that is spread, so that clients don't come back together.
+/// By how much the time at which refused clients may come back is spread, so
+/// that they don't come back together.
 const RETRY_AFTER_SPREAD_MS: u64 = 120;
 
 impl Requests {
@@ -119,7 +118,12 @@
     ) -> Response {
         *self.counters.refused.entry(reason.name()).or_default() += 1;
         let spread = Duration::from_millis(self.rng.random_range(0..RETRY_AFTER_SPREAD_MS));
-        refusal(request, reason, RETRY_AFTER + spread, context.headers)
+        refusal(
+            request,
+            reason,
+            reason.retry_after() + spread,
+            context.headers,
+        )
     }
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -10,6 +10,7 @@
 use super::budget::{BudgetBounds, RetryBudget};
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
+use super::overload::Overloads;
 use super::rest_limit::RestLimit;
 use super::statistics::StatisticsTable;
 use crate::Timestamp;
@@ -48,6 +49,8 @@
     pub ownership: &'a OwnershipView,
     /// What other nodes of the zone have open.
     pub shared: &'a SharedLoad,
+    /// Keys that are asked for more often than their owners can work.
+    pub overloads: &'a Overloads,
     /// Names of headers.
     pub headers: &'a HeaderNames,
     /// Numbers exchanges.
@@ -387,6 +390,7 @@
             due,
             tried: Vec::new(),
             attempt: None,
+            passed_admission: false,
             waiting_since: None,
             exhausted: false,
             may_have_run: false,
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -77,6 +77,9 @@
     pub tried: Vec<InstanceId>,
     /// The attempt that is out.
     pub attempt: Option<Attempt>,
+    /// Whether it has been admitted although its key is overloaded, or its key
+    /// is not.
+    pub passed_admission: bool,
     /// Since when it waits for an owner or for room.
     pub waiting_since: Option<Timestamp>,
     /// Whether it must not be sent again, whatever the route allows.
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -48,6 +48,7 @@
         age_ms: 100,
         instances_age_ms: 100,
         served_for_ms: 5_000,
+        overloads: List(Vec::new()),
     })
 }
 
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -4,5 +4,6 @@
 mod fixture;
 mod open_requests;
 mod outage;
+mod overload;
 mod registration;
 mod zone_relay;
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -0,0 +1,189 @@
+//! Keys that are asked for more often than their owner can work.
+
+use crate::fixture::{
+    Fixture, KEYED, Store, configuration, instance, ms, node_address, node_record,
+};
+use googletest::prelude::*;
+use ledgelead_router::dialect::ObjectKind;
+use ledgelead_router::identity::{InstanceId, ServiceName};
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use ledgelead_router::peers::{Heartbeat, KeyReport, PeerMessage, WorkReport};
+use ledgelead_router::requests::OverloadedKey;
+use ledgelead_types::codec::List;
+
+const COORDINATOR: u8 = 1;
+const HOT: u16 = 700;
+
+/// A node whose coordinator says that a tenth of the requests for one key can
+/// be served.
+fn node() -> Fixture {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    store.add_instance(instance(1, KEYED));
+    for number in 0..3 {
+        store.add_node(node_record(number));
+    }
+    store.own(OwnershipRecord {
+        epoch: 4,
+        coordinator: Some(node_record(COORDINATOR).identity),
+        next_fence: 9,
+        assignments: vec![Assignment {
+            service: ServiceName::from(KEYED),
+            first: 0,
+            last: u16::MAX,
+            owner: InstanceId::from("i-1"),
+            fence: 3,
+        }],
+        ..OwnershipRecord::default()
+    });
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(100));
+    announce(&mut fixture, Some(100));
+    fixture
+}
+
+fn announce(fixture: &mut Fixture, admitted_permille: Option<u16>) {
+    let key = |admitted_permille| OverloadedKey {
+        service: ServiceName::from(KEYED).stable_hash(),
+        key: HOT,
+        admitted_permille,
+    };
+    let record = fixture.store.revision_of(ObjectKind::Ownership, "record");
+    let message = PeerMessage::CoordinatorHeartbeat(Heartbeat {
+        epoch: 4,
+        sent_ms: u64::try_from(fixture.now.as_millis()).expect("a short test"),
+        store_serves: true,
+        revision: record.expect("a record"),
+        configuration: 1,
+        instances: 0,
+        nodes: 0,
+        age_ms: 0,
+        instances_age_ms: 0,
+        served_for_ms: 100,
+        overloads: List(admitted_permille.map(key).into_iter().collect()),
+    });
+    fixture.receive(node_address(COORDINATOR), &message);
+}
+
+/// How many of 400 requests for a key reach its owner; the others are refused at
+/// once as not run.
+fn reaching(fixture: &mut Fixture, key: u16) -> usize {
+    fixture.attempts.clear();
+    fixture.answers.clear();
+    for _ in 0..400 {
+        let client = fixture.ask(KEYED, Some(key));
+        if let Some(sent) = fixture.attempts.last() {
+            // The owner has answered before the next one comes.
+            let mut response = ledgelead_http::Response::new(200, "done");
+            response.headers.push("signature", "s");
+            response.headers.push("load", "1,0,4");
+            let exchange = sent.exchange;
+            fixture.answer(exchange, response);
+        }
+        let answered = fixture.answers.iter().any(|(to, _)| *to == client);
+        assert!(answered, "each is answered at once");
+    }
+    let refused = fixture
+        .answers
+        .iter()
+        .filter(|(_, response)| response.status == 503);
+    for (_, response) in refused.clone() {
+        let pause: f64 = response
+            .headers
+            .text("retry-after")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0.0);
+        assert!(pause >= 0.6, "such a key stays overloaded for a while");
+    }
+    expect_that!(refused.count() + fixture.attempts.len(), eq(400));
+    fixture.attempts.len()
+}
+
+#[gtest]
+fn the_share_that_an_owner_can_work_on_is_admitted() {
+    let mut fixture = node();
+    expect_that!(reaching(&mut fixture, HOT), all!(ge(20), le(70)));
+    expect_that!(reaching(&mut fixture, HOT + 1), eq(400));
+}
+
+#[gtest]
+fn all_is_admitted_once_the_coordinator_says_so_or_is_silent() {
+    let mut fixture = node();
+    announce(&mut fixture, None);
+    expect_that!(reaching(&mut fixture, HOT), eq(400));
+    let mut fixture = node();
+    fixture.run_until(fixture.now + ms(800));
+    expect_that!(reaching(&mut fixture, HOT), eq(400));
+}
+
+/// Reports of a node that sees 300 requests a second for the hot key, and some
+/// for others; the owner answers 40 a second with all of its slots taken.
+fn report(fixture: &mut Fixture, owner: &InstanceId) {
+    let mut keys = vec![HOT; 15];
+    keys.push(HOT + 900);
+    let message = PeerMessage::KeysAsked {
+        configuration: 1,
+        nodes: 0,
+        reports: List(vec![KeyReport {
+            service: ServiceName::from(KEYED).stable_hash(),
+            keys: List(keys),
+        }]),
+        work: List(vec![WorkReport {
+            instance: owner.stable_hash(),
+            answered: 2,
+            busy_ms: 200,
+        }]),
+    };
+    fixture.receive(node_address(2), &message);
+}
+
+fn last_overloads(fixture: &Fixture) -> Vec<OverloadedKey> {
+    let heartbeats = fixture.datagrams.iter().rev();
+    let last = heartbeats
+        .filter_map(|(_, _, message)| match message {
+            PeerMessage::CoordinatorHeartbeat(heartbeat) => Some(heartbeat.overloads.0.clone()),
+            _ => None,
+        })
+        .next();
+    last.expect("a heartbeat")
+}
+
+/// Lets the instances carry out what they are asked, and time pass.
+fn pass(fixture: &mut Fixture) {
+    for order in std::mem::take(&mut fixture.attempts) {
+        fixture.answer(order.exchange, ledgelead_http::Response::new(200, ""));
+    }
+    fixture.run_until(fixture.now + ms(50));
+}
+
+#[gtest]
+fn a_coordinator_announces_what_a_single_key_is_asked_for_too_much() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..5 {
+        store.add_instance(instance(number, KEYED));
+    }
+    for number in 0..3 {
+        store.add_node(node_record(number));
+    }
+    let mut fixture = Fixture::new(store);
+    for _ in 0..200 {
+        pass(&mut fixture);
+    }
+    assert!(fixture.node.coordinator().is_some());
+    expect_that!(last_overloads(&fixture), is_empty());
+    for _ in 0..160 {
+        let owner = fixture.owner_of(HOT).expect("an owner");
+        report(&mut fixture, &owner);
+        pass(&mut fixture);
+    }
+    let announced = last_overloads(&fixture);
+    expect_that!(announced.len(), eq(1));
+    expect_that!(announced[0].key, eq(HOT));
+    // 1.1 times 40 of 300 requests a second, less what other keys take.
+    expect_that!(announced[0].admitted_permille, all!(ge(50), le(180)));
+    for _ in 0..60 {
+        pass(&mut fixture);
+    }
+    expect_that!(last_overloads(&fixture), is_empty());
+}
--- a/crates/ledgelead-router/tests/node/zone_relay.rs
+++ b/crates/ledgelead-router/tests/node/zone_relay.rs
@@ -121,6 +121,7 @@
         age_ms: 0,
         instances_age_ms: 0,
         served_for_ms: 100,
+        overloads: List(Vec::new()),
     });
     let origin = PeerAddress::new(node_address(STRONGEST)).expect("IPv4");
     let forwarded = |to_zone| PeerMessage::Forwarded {
