--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other.
+//! Messages between nodes: their dispatch, reports to the coordinator, sending.
 
 use super::Node;
 use super::open_requests::OpenRequestPace;
@@ -51,7 +51,7 @@
     }
 }
 
-/// State of what is told.
+/// State of the messages between nodes.
 pub(super) struct Gossip {
     next_heartbeat: Timestamp,
     next_report: Timestamp,
@@ -84,7 +84,7 @@
         }
     }
 
-    /// A coordinator has something to tell that its heartbeats carry.
+    /// The next heartbeat carries news and is due at once.
     pub(super) fn hasten_heartbeat(&mut self) {
         self.next_heartbeat = Timestamp::ZERO;
     }
@@ -96,7 +96,7 @@
 }
 
 impl Node {
-    /// Tells what is due.
+    /// Sends what is due.
     pub(super) fn gossip(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.gossip.next_heartbeat <= now {
             self.gossip.next_heartbeat = now + HEARTBEAT_INTERVAL;
@@ -104,7 +104,7 @@
         }
         if self.gossip.next_report <= now {
             self.gossip.next_report = now + REPORT_INTERVAL;
-            self.tell_keys(now, out);
+            self.report_load(now, out);
         }
         if self.gossip.informed_until.is_some_and(|until| until <= now) {
             self.gossip.informed_until = None;
@@ -113,7 +113,7 @@
     }
 
     /// Sends datagrams to all other nodes, each by itself.
-    pub(super) fn tell_all(&self, datagrams: &[Datagram], out: &mut Vec<Action>) {
+    pub(super) fn send_to_all(&self, datagrams: &[Datagram], out: &mut Vec<Action>) {
         for record in self.others() {
             send(record.address, datagrams, out);
         }
@@ -134,8 +134,8 @@
         self.gossip.coordinator_address.or_else(registered)
     }
 
-    /// Reports the keys asked for to the coordinator.
-    fn tell_keys(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+    /// Reports to the coordinator which keys were asked for, and what owners did.
+    fn report_load(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let asked = self.requests.take_asked();
         let worked = self.requests.take_worked();
         let nothing = asked.is_empty() && worked.is_empty();
@@ -164,7 +164,7 @@
                 }
             })
             .collect();
-        let report = encode(&PeerMessage::KeysAsked {
+        let report = encode(&PeerMessage::LoadReport {
             configuration: self.configuration_version(),
             nodes: self.store.revision_of(ObjectKind::Nodes).unwrap_or(0),
             reports,
@@ -173,7 +173,7 @@
         send(address, &[report], out);
     }
 
-    /// Another node told something.
+    /// A message of another node.
     pub(super) fn datagram(
         &mut self,
         from: SocketAddr,
@@ -233,11 +233,11 @@
             PeerMessage::OwnershipChanged { span, changes } => {
                 self.ownership_announced(span, changes, now, out);
             }
-            PeerMessage::ChangesWanted { kind, since } => {
+            PeerMessage::ResyncRequest { kind, since } => {
                 self.changes_requested(from, kind, since, out);
             }
             PeerMessage::Resigned { epoch } => self.heard_resignation(epoch, now, out),
-            PeerMessage::KeysAsked {
+            PeerMessage::LoadReport {
                 configuration,
                 nodes,
                 reports,
@@ -245,8 +245,8 @@
             } => {
                 self.zone_relays.heard(from, nodes, now);
                 self.heard_configuration(configuration, now, out);
-                self.keys_reported(&reports, now);
-                self.work_reported(&work);
+                self.record_key_reports(&reports, now);
+                self.record_work_reports(&work);
             }
             PeerMessage::Open {
                 incarnation,
@@ -255,7 +255,7 @@
             } => {
                 if rest_limit_ms > 0 {
                     let limit = Duration::from_millis(u64::from(rest_limit_ms));
-                    self.requests.rest_limit_told(limit, now);
+                    self.requests.follow_rest_limit(limit, now);
                 }
                 self.shared.told(from, incarnation, &changes, now);
                 self.reconsider_waiting(now, out);
@@ -263,10 +263,10 @@
         }
     }
 
-    /// Tells all nodes that this one has left the coordinator's place.
-    pub(super) fn tell_resignation(&self, out: &mut Vec<Action>) {
+    /// Announces that this node has left the coordinator's place.
+    pub(super) fn announce_resignation(&self, out: &mut Vec<Action>) {
         let epoch = self.ownership.record().epoch;
-        self.tell_all(&[encode(&PeerMessage::Resigned { epoch })], out);
+        self.send_to_all(&[encode(&PeerMessage::Resigned { epoch })], out);
     }
 
     /// Only those that come first as successors read the record at once. The
@@ -278,7 +278,7 @@
         }
     }
 
-    fn work_reported(&mut self, reports: &[WorkReport]) {
+    fn record_work_reports(&mut self, reports: &[WorkReport]) {
         let Some(coordinator) = self.coordination.coordinator_mut() else {
             return;
         };
@@ -291,7 +291,7 @@
         }
     }
 
-    fn keys_reported(&mut self, reports: &[KeyReport], now: Timestamp) {
+    fn record_key_reports(&mut self, reports: &[KeyReport], now: Timestamp) {
         for report in reports {
             let Some(service) = self.service_by_hash(report.service).cloned() else {
                 continue;
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod registration;
 mod relay;
 mod status;
+mod store_answers;
 mod store_calls;
 mod watch_paces;
 mod zone_relay;
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -208,7 +208,7 @@
             return;
         }
         gap.next_request = now + REQUEST_PAUSE;
-        let request = encode(&PeerMessage::ChangesWanted { kind, since });
+        let request = encode(&PeerMessage::ResyncRequest { kind, since });
         send(address, &[request], out);
     }
 
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -146,7 +146,7 @@
             first_fence: before.next_fence,
             digest: self.ownership.record().digest(),
         });
-        self.tell_all(std::slice::from_ref(&took_over), out);
+        self.send_to_all(std::slice::from_ref(&took_over), out);
         self.gossip.relay.take_over = Some(AnnouncedTakeOver {
             base,
             revision,
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -2,15 +2,12 @@
 
 use super::Node;
 use super::registration::RegistrationState;
-use super::relay::differences;
-use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, backoff, pace};
+use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, pace};
 use crate::Timestamp;
-use crate::dialect::{ObjectKind, StoreAnswer, StoreCall};
-use crate::events::Event;
-use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
+use crate::dialect::{ObjectKind, StoreCall};
+use crate::io::{Action, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
-use crate::store::{StoreHealth, WatchChange, Watcher};
-use ledgelead_http::Response;
+use crate::store::{StoreHealth, Watcher};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -26,9 +23,6 @@
 pub const OWNERSHIP_NAME: &str = "record";
 /// How long the call that notices whether the store serves is left alone.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
-/// Pause between the first call that is served again and the watches; longer
-/// than between two heartbeats of a coordinator.
-const AFTER_FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two reads of the record because of rejected keys.
 const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -78,10 +72,10 @@
 }
 
 #[derive(Debug)]
-struct Pending {
-    purpose: Purpose,
-    call: StoreCall,
-    started: Timestamp,
+pub(super) struct Pending {
+    pub(super) purpose: Purpose,
+    pub(super) call: StoreCall,
+    pub(super) started: Timestamp,
 }
 
 /// State of the calls.
@@ -89,7 +83,7 @@
     pub(super) health: StoreHealth,
     /// In the order of `ObjectKind::ALL`.
     watchers: [Watcher; ObjectKind::ALL.len()],
-    pending: HashMap<ExchangeId, Pending>,
+    pub(super) pending: HashMap<ExchangeId, Pending>,
     pub(super) registration: RegistrationState,
     /// Pauses of the first calls, if no configuration is found.
     cold_start: ColdStart,
@@ -97,11 +91,11 @@
     starts_cold: bool,
     /// When an owner's rejection may lead to a read of the record again.
     next_doubt: Timestamp,
-    coordinating: bool,
+    pub(super) coordinating: bool,
     calls: u64,
     /// Calls by what they are for.
     calls_by: BTreeMap<&'static str, u64>,
-    failures: u64,
+    pub(super) failures: u64,
 }
 
 impl StoreCalls {
@@ -179,7 +173,7 @@
     }
 
     /// The first list of the configuration is complete.
-    fn configuration_listed(&mut self, is_empty: bool, now: Timestamp) {
+    pub(super) fn configuration_listed(&mut self, is_empty: bool, now: Timestamp) {
         if !is_empty {
             return;
         }
@@ -223,7 +217,7 @@
         self.watcher(ObjectKind::Nodes).refresh(now);
     }
 
-    fn watcher(&mut self, kind: ObjectKind) -> &mut Watcher {
+    pub(super) fn watcher(&mut self, kind: ObjectKind) -> &mut Watcher {
         &mut self.watchers[kind as usize]
     }
 
@@ -396,209 +390,4 @@
             },
         );
     }
-
-    pub(super) fn store_answered(
-        &mut self,
-        exchange: ExchangeId,
-        result: Result<Response, ExchangeFailure>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(pending) = self.store.pending.remove(&exchange) else {
-            return;
-        };
-        self.coordination.note_change();
-        let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
-        let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
-        self.note_health(served, &answer, pending.started, now, out);
-        match pending.purpose {
-            Purpose::Watch(kind) => self.watch_answered(kind, answer, pending.started, now, out),
-            Purpose::Register => self.registration_answered(answer, now),
-            Purpose::TakeOver(record) => {
-                self.take_over_answered(record, answer, pending.started, now, out)
-            }
-            Purpose::Update => self.update_answered(answer, pending.started, now, out),
-            Purpose::Resign => {
-                self.coordination.resigned();
-                self.tell_resignation(out);
-            }
-        }
-    }
-
-    fn note_health(
-        &mut self,
-        served: bool,
-        answer: &Result<StoreAnswer, ExchangeFailure>,
-        started: Timestamp,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        if !served {
-            self.store.failures += 1;
-            let coordinating = self.store.coordinating;
-            let pauses = backoff(self.registry.len(), coordinating, self.settings.seed);
-            self.store
-                .watcher(ObjectKind::Instances)
-                .set_backoff(pauses);
-            if self.store.health.serves() {
-                let cause = describe(answer);
-                Event::StoreFails { cause: &cause }.emit();
-            }
-            self.store.health.failed(started);
-            // The one call that goes on while others fail, also where it rests.
-            self.store.watcher(ObjectKind::Instances).poke(now);
-            return;
-        }
-        let was_failing = self.store.health.has_failed();
-        if self.store.health.succeeded(started) {
-            self.directory.store_was_lost(now);
-        }
-        if was_failing {
-            Event::StoreServes.emit();
-            self.renew_watches(now, out);
-        }
-    }
-
-    /// The store serves again. Watches from before may wait on connections that
-    /// will say nothing any more, or for the end of a pause.
-    fn renew_watches(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let coordinating = self.store.coordinating;
-        for kind in ObjectKind::ALL {
-            self.store.interrupt(kind, now, now, out);
-            let watcher = self.store.watcher(kind);
-            if kind == ObjectKind::Instances {
-                watcher.hasten(now);
-            } else if !coordinating {
-                // A coordinator that is heard by then makes them needless.
-                watcher.defer(now + AFTER_FAILURE_PAUSE);
-            }
-        }
-    }
-
-    fn watch_answered(
-        &mut self,
-        kind: ObjectKind,
-        answer: Result<StoreAnswer, ExchangeFailure>,
-        started: Timestamp,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let is_first = !self.store.has_listed(kind);
-        let change = match answer {
-            Ok(answer) => {
-                if let StoreAnswer::Unreadable(finding) = &answer {
-                    let object = &format!("{kind:?}");
-                    Event::ObjectUnreadable { object, finding }.emit();
-                }
-                let tells_state = matches!(
-                    &answer,
-                    StoreAnswer::Objects { .. } | StoreAnswer::Events { .. }
-                );
-                let change = self.store.watcher(kind).answered(answer, now);
-                let confirms = tells_state && self.store.is_exact(kind);
-                if confirms && kind == ObjectKind::Ownership {
-                    self.coordination.confirmed_if_unchanged(started);
-                }
-                change
-            }
-            Err(_) => {
-                self.store.watcher(kind).failed(now);
-                return;
-            }
-        };
-        self.relay_change(kind, &change, now, out);
-        self.apply(kind, change, is_first, started, now, out);
-        if kind == ObjectKind::Instances
-            && let Some(as_of) = self.store.watcher(kind).as_of()
-        {
-            self.directory.note_current(as_of);
-        }
-    }
-
-    /// As coordinator, announces what the store has told.
-    fn relay_change(
-        &mut self,
-        kind: ObjectKind,
-        change: &WatchChange,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        if self.coordination.coordinator().is_none() {
-            return;
-        }
-        let relists = kind == ObjectKind::Instances && self.directory.is_complete();
-        let events = match change {
-            WatchChange::Events(events) => events.clone(),
-            // The store has forgotten the changes in between.
-            WatchChange::All(objects) if relists => differences(&self.directory, objects),
-            _ => return,
-        };
-        if !events.is_empty() {
-            let revision = self.store.revision_of(kind).unwrap_or(0);
-            self.relay(kind, revision, events, now, out);
-        }
-    }
-
-    fn apply(
-        &mut self,
-        kind: ObjectKind,
-        change: WatchChange,
-        is_first: bool,
-        started: Timestamp,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let instances_before = self.directory.changes();
-        let is_list = matches!(change, WatchChange::All(_));
-        let revision = self.changed_at(kind, &change);
-        match change {
-            WatchChange::Unchanged => return,
-            WatchChange::All(objects) => {
-                if kind == ObjectKind::Configuration {
-                    self.store.configuration_listed(objects.is_empty(), now);
-                }
-                self.apply_all(kind, objects, started, now, out);
-                if kind == ObjectKind::Nodes {
-                    self.store.registration.listed();
-                    if is_first {
-                        self.coordination.election.nodes_listed(now);
-                    }
-                }
-            }
-            WatchChange::Events(events) => {
-                for event in events {
-                    self.apply_event(event, started, now, out);
-                }
-            }
-        }
-        let same = is_list
-            && kind == ObjectKind::Instances
-            && self.directory.changes() == instances_before;
-        if !same {
-            self.gossip.relay.changed(kind, revision);
-        }
-        self.reconsider_waiting(now, out);
-    }
-
-    /// The revision of the last change of a kind that the store has told.
-    fn changed_at(&self, kind: ObjectKind, change: &WatchChange) -> u64 {
-        match change {
-            // Registrations of nodes are not removed, so none can have changed
-            // after the newest one that is listed.
-            WatchChange::All(objects) if kind == ObjectKind::Nodes => {
-                let revisions = objects.iter().map(|object| object.revision);
-                revisions.max().unwrap_or(0)
-            }
-            _ => self.store.revision_of(kind).unwrap_or(0),
-        }
-    }
-}
-
-fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
-    match answer {
-        Ok(StoreAnswer::Refused) => "refused".to_owned(),
-        Ok(StoreAnswer::Unreadable(finding)) => finding.clone(),
-        Ok(_) => "served".to_owned(),
-        Err(failure) => format!("{failure:?}"),
-    }
 }
--- a/crates/ledgelead-router/src/node/zone_relay.rs
+++ b/crates/ledgelead-router/src/node/zone_relay.rs
@@ -106,7 +106,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(origin) = PeerAddress::new(self.settings.peer_address) else {
-            self.tell_all(datagrams, out);
+            self.send_to_all(datagrams, out);
             return;
         };
         let mut zones: BTreeMap<&ZoneName, Vec<&NodeRecord>> = BTreeMap::new();
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -235,7 +235,7 @@
         changes: List<ConfigurationChange>,
     },
     /// The sender has missed changes; sent to the coordinator.
-    ChangesWanted {
+    ResyncRequest {
         /// Changes of what.
         kind: RelayedKind,
         /// The revision up to which the sender knows all of them.
@@ -270,7 +270,7 @@
         epoch: u64,
     },
     /// Keys asked for; sent to the coordinator.
-    KeysAsked {
+    LoadReport {
         /// The version of the configuration that the sender has in force.
         configuration: u64,
         /// The store's revision by which the sender knows the nodes; 0 before
@@ -302,11 +302,11 @@
             PeerMessage::InstancesChanged { .. } => "instances",
             PeerMessage::NodesChanged { .. } => "nodes",
             PeerMessage::ConfigurationChanged { .. } => "configuration",
-            PeerMessage::ChangesWanted { .. } => "resync_request",
+            PeerMessage::ResyncRequest { .. } => "resync_request",
             PeerMessage::TookOver { .. } => "take_over",
             PeerMessage::OwnershipChanged { .. } => "ownership",
             PeerMessage::Resigned { .. } => "resignation",
-            PeerMessage::KeysAsked { .. } => "load_report",
+            PeerMessage::LoadReport { .. } => "load_report",
             PeerMessage::Open { .. } => "open_requests",
         }
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -2,12 +2,14 @@
 
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::identity::ZoneName;
 use crate::io::ClientId;
-use crate::mechanisms::Mechanism;
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::protections::Protection;
 use crate::requests::answers::Refusal;
 use crate::requests::open_request::OpenRequest;
 use crate::requests::selection::{Selected, SelectionContext};
+use crate::requests::statistics::StatisticsTable;
 use rand::RngExt;
 use std::net::SocketAddr;
 
@@ -123,7 +125,7 @@
             };
         }
         let left = open.time_left(context.now);
-        let selection = self.selection(context);
+        let selection = selection_context(&self.statistics, &self.zone, self.mechanisms, context);
         let selected = selection.expect_owner(owner, left);
         let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
         let full = selected.load_factor > 1.0;
@@ -141,15 +143,8 @@
             return Step::Refuse(Refusal::NoInstance);
         };
         let left = open.time_left(context.now);
-        let selection = SelectionContext {
-            now: context.now,
-            directory: context.directory,
-            statistics: &self.statistics,
-            shared: context.shared,
-            zone: &self.zone,
-            zones: context.zones,
-            mechanisms: self.mechanisms,
-        };
+        // Field by field, since the draw below borrows the random numbers.
+        let selection = selection_context(&self.statistics, &self.zone, self.mechanisms, context);
         let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
         let Some(selected) = selected else {
             return Step::Wait {
@@ -169,16 +164,22 @@
             None => Step::Refuse(Refusal::NoInstance),
         }
     }
+}
 
-    pub(super) fn selection<'a>(&'a self, context: &'a RequestContext<'_>) -> SelectionContext<'a> {
-        SelectionContext {
-            now: context.now,
-            directory: context.directory,
-            statistics: &self.statistics,
-            shared: context.shared,
-            zone: &self.zone,
-            zones: context.zones,
-            mechanisms: self.mechanisms,
-        }
+/// What selections of this moment rest on.
+fn selection_context<'a>(
+    statistics: &'a StatisticsTable,
+    zone: &'a ZoneName,
+    mechanisms: Mechanisms,
+    context: &'a RequestContext<'_>,
+) -> SelectionContext<'a> {
+    SelectionContext {
+        now: context.now,
+        directory: context.directory,
+        statistics,
+        shared: context.shared,
+        zone,
+        zones: context.zones,
+        mechanisms,
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -207,7 +207,7 @@
     }
 
     /// Another node of the zone limits the rest of kept connections.
-    pub fn rest_limit_told(&mut self, limit: Duration, now: Timestamp) {
+    pub fn follow_rest_limit(&mut self, limit: Duration, now: Timestamp) {
         self.rest_limit.told(limit, now);
     }
 
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -127,7 +127,7 @@
             let wanted = fixture.datagrams.iter().filter(|(_, to, message)| {
                 let kind = RelayedKind::Configuration;
                 *to == node_address(COORDINATOR)
-                    && *message == PeerMessage::ChangesWanted { kind, since: 5 }
+                    && *message == PeerMessage::ResyncRequest { kind, since: 5 }
             });
             expect_that!(wanted.count(), eq(1));
             expect_that!(lists_of_configuration(&fixture), eq(before));
@@ -176,7 +176,7 @@
     for since in [5, 0] {
         let kind = RelayedKind::Configuration;
         fixture.datagrams.clear();
-        fixture.receive(node_address(3), &PeerMessage::ChangesWanted { kind, since });
+        fixture.receive(node_address(3), &PeerMessage::ResyncRequest { kind, since });
         let bases: Vec<u64> = fixture
             .datagrams
             .iter()
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -121,7 +121,7 @@
 fn report(fixture: &mut Fixture, owner: &InstanceId) {
     let mut keys = vec![HOT; 15];
     keys.push(HOT + 900);
-    let message = PeerMessage::KeysAsked {
+    let message = PeerMessage::LoadReport {
         configuration: 1,
         nodes: 0,
         reports: List(vec![KeyReport {
--- a/crates/ledgelead-router/tests/node/zone_relay.rs
+++ b/crates/ledgelead-router/tests/node/zone_relay.rs
@@ -39,7 +39,7 @@
 }
 
 fn report(fixture: &mut Fixture, from: u8, nodes: u64) {
-    let message = PeerMessage::KeysAsked {
+    let message = PeerMessage::LoadReport {
         configuration: 1,
         nodes,
         reports: List(Vec::new()),
