A node that the store refuses follows a coordinator that the store serves

Ruled out: leaving such a node without any probe; it would not know when it may campaign. Change: it suspends its watches like any other follower, applies relayed lists, gets the configuration from the coordinator even at its start, and probes each 5 s. What it followed counts as known: entries that go afterwards are not doubted for an outage. Tests that failed first: a_node_that_the_store_refuses_follows_a_coordinator_that_is_served, entries_that_go_after_a_coordinator_was_followed_are_gone_at_once.

--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -87,15 +87,16 @@
         self.heard_coordinator(epoch, store_serves, heartbeat.revision, now, out);
     }
 
-    /// A coordinator whom the store serves relays changes. While the store fails
-    /// this node, it goes on to ask by itself, since only its own calls tell when
-    /// that is over.
+    /// A coordinator whom the store serves relays changes, also to a node that the
+    /// store refuses, throttles or doesn't answer. Such a node probes on, if
+    /// rarely, since it can't campaign before its own calls are served.
     fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
         let current = epoch >= self.ownership.record().epoch;
-        let follows = self.coordination.coordinator().is_none() && self.store.health.serves();
+        let follows = self.coordination.coordinator().is_none() && self.store.health.has_served();
         let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
         if current && follows && rests {
             self.gossip.informed_until = Some(now + self.view_ttl().saturating_sub(age));
+            self.store.health.followed_until(now.saturating_sub(age));
             self.store.set_informed(true, now, out);
         }
     }
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -149,8 +149,11 @@
                 listed.then(|| self.ownership.revision().unwrap_or(0))
             }
             RelayedKind::Configuration => {
+                // A node that the store refuses from its start gets it from the
+                // coordinator.
                 let listed = self.store.has_listed(ObjectKind::Configuration);
-                listed.then(|| self.configuration_version())
+                let refused = self.store.health.has_failed();
+                (listed || refused).then(|| self.configuration_version())
             }
         }
     }
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -117,8 +117,9 @@
     }
 
     /// The list, if it is complete, news to this node, and none before it is
-    /// missing. While the store fails this node, an entry may be gone only
-    /// because its instance couldn't write; that is for its own watch to judge.
+    /// missing. While the store fails this node and no coordinator whom it serves
+    /// is followed, an entry may be gone only because its instance couldn't write;
+    /// that is for its own watch to judge.
     fn following<T>(
         &mut self,
         kind: RelayedKind,
@@ -127,7 +128,8 @@
         out: &mut Vec<Action>,
     ) -> Option<ChangeList<T>> {
         let list = list?;
-        let judges = self.store.health.serves() && self.coordination.coordinator().is_none();
+        let is_served = self.store.health.serves() || self.gossip.informed_until.is_some();
+        let judges = is_served && self.coordination.coordinator().is_none();
         let known = self.known_revision(kind).filter(|_| judges)?;
         if known < list.base() {
             self.request_changes(kind, now, out);
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -3,12 +3,12 @@
 use super::Node;
 use super::relay::differences;
 use super::store_calls::Purpose;
-use super::watch_paces::backoff;
+use super::watch_paces::{FOLLOWER_BACKOFF, backoff};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer};
 use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
-use crate::store::WatchChange;
+use crate::store::{Backoff, WatchChange};
 use ledgelead_http::Response;
 use std::time::Duration;
 
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Pauses between this node's calls while the store fails it.
+    fn probe_pauses(&self) -> Backoff {
+        if self.gossip.informed_until.is_some() {
+            return FOLLOWER_BACKOFF;
+        }
+        let coordinating = self.store.coordinating;
+        backoff(self.registry.len(), coordinating, self.settings.seed)
+    }
+
     fn note_health(
         &mut self,
         served: bool,
@@ -55,8 +64,7 @@
     ) {
         if !served {
             self.store.failures += 1;
-            let coordinating = self.store.coordinating;
-            let pauses = backoff(self.registry.len(), coordinating, self.settings.seed);
+            let pauses = self.probe_pauses();
             self.store
                 .watcher(ObjectKind::Instances)
                 .set_backoff(pauses);
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -249,6 +249,7 @@
             watcher.set_paused(paused);
         }
         if resumes {
+            self.watcher(ObjectKind::Instances).hasten(now);
             for (kind, pause) in RESUME_PAUSES {
                 self.watcher(kind).defer(now + pause);
             }
--- a/crates/ledgelead-router/src/node/watch_paces.rs
+++ b/crates/ledgelead-router/src/node/watch_paces.rs
@@ -104,6 +104,14 @@
 /// within the 3 s after which the users count nodes as in touch.
 const MAX_PAUSE: Duration = Duration::from_millis(1_700);
 
+/// Pauses of a node that the store fails while it follows a coordinator whom the
+/// store serves. It lacks nothing but the chance to campaign, so it is enough to
+/// notice the end of that within a few seconds.
+pub(super) const FOLLOWER_BACKOFF: Backoff = Backoff {
+    first: Duration::from_secs(5),
+    max: Duration::from_secs(5),
+};
+
 /// Most by which a grown pause after a failed call is lengthened at random.
 const MAX_SPREAD: f64 = 1.2;
 
--- a/crates/ledgelead-router/src/store/health.rs
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -42,6 +42,20 @@
         self.failing_since.get_or_insert(started);
     }
 
+    /// A coordinator whom the store serves has relayed all changes until now: what
+    /// this node's failed calls would have told, it knows. So the store is lost to
+    /// it from now on at the earliest.
+    pub fn followed_until(&mut self, now: Timestamp) {
+        if let Some(since) = &mut self.failing_since {
+            *since = now;
+        }
+    }
+
+    /// Whether some call has ever been served.
+    pub fn has_served(&self) -> bool {
+        self.last_success.is_some()
+    }
+
     /// Whether the last calls were served.
     pub fn serves(&self) -> bool {
         self.failing_since.is_none() && self.last_success.is_some()
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -42,6 +42,8 @@
     pub objects: BTreeMap<(ObjectKind, String), Object>,
     /// Whether all calls are refused.
     pub refuses: bool,
+    /// Whether the changes of the past are forgotten.
+    pub forgets: bool,
 }
 
 impl Store {
@@ -99,6 +101,9 @@
                 more: false,
                 revision: self.revision,
             }),
+            StoreCall::Watch { revision, .. } if self.forgets && *revision < self.revision => {
+                Some(StoreAnswer::HistoryLost)
+            }
             // A watch that hardly waits only asks how things are.
             StoreCall::Watch { wait, .. } if *wait <= ms(50) => Some(StoreAnswer::Events {
                 events: Vec::new(),
