A coordinator that comes back campaigns at once

Ruled out: a shorter wait for all; it also separates a slow coordinator from a lost one. Change: a node whose earlier life the record names campaigns as soon as it has read the record exactly and is registered. Its predecessor has ended for certain, so nothing else is waited for. Test that failed first: a_coordinator_that_comes_back_follows_itself_at_once.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -197,6 +197,9 @@
     }
 
     pub(super) fn campaign_due(&self) -> Timestamp {
+        if self.succeeds_own_life() {
+            return self.coordination.election.due_after_own_life();
+        }
         let record = self.ownership.record();
         self.coordination.election.due(record, self.campaign_rank())
     }
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -85,7 +85,7 @@
     }
 
     /// Whether an earlier life of this node is named as coordinator.
-    fn succeeds_own_life(&self) -> bool {
+    pub(super) fn succeeds_own_life(&self) -> bool {
         let own = &self.settings.identity;
         let coordinator = self.ownership.record().coordinator.as_ref();
         coordinator.is_some_and(|named| named.node == own.node && named != own)
--- a/crates/ledgelead-router/src/ownership/election.rs
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// When a node should try whose own earlier life is the coordinator that the
+    /// record names: at once, since nobody else knows as early that it has ended.
+    pub fn due_after_own_life(&self) -> Timestamp {
+        self.next_try
+    }
+
     /// A try was made; the next one waits.
     pub fn tried(&mut self, now: Timestamp) {
         self.next_try = now + ELECTION_TIMEOUT;
--- a/crates/ledgelead-router/tests/node/registration.rs
+++ b/crates/ledgelead-router/tests/node/registration.rs
@@ -138,3 +138,18 @@
     expect_that!(writes(&fixture, ObjectKind::Ownership).len(), ge(1));
     expect_that!(fixture.node.coordinator().is_some(), eq(true));
 }
+
+#[gtest]
+fn a_coordinator_that_comes_back_follows_itself_at_once() {
+    let mut store = store_with_earlier_life();
+    store.own(record_of(Some(earlier_life().identity)));
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(100));
+    expect_that!(fixture.node.coordinator().is_some(), eq(true));
+    // Not where another has followed meanwhile.
+    let mut store = store_with_earlier_life();
+    store.own(record_of(Some(node_record(2).identity)));
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(900));
+    expect_that!(fixture.node.coordinator().is_some(), eq(false));
+}
