A node that the store fails goes on probing while it follows; lists are not begun again

The version was too large for datagrams, and while calls fail only the probe may call. Ruled out: the delta itself (nodes that were told applied it), a lost answer of the store. Change: a following node whose calls fail keeps its probe; a gap that only the store can fill makes it probe at once, each second at most. On the way: a list that took longer than half a second was broken off and begun again for each gap that was noticed; only watches are now. Tests that failed first: a_node_probes_at_once_when_the_store_serves_the_coordinator_again, a_version_that_is_not_announced_is_read_soon_after_the_store_serves_again, a_list_that_takes_long_is_not_begun_again.

--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -187,6 +187,9 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        if self.store.health.has_failed() {
+            self.store.probe_for_gap(now, out);
+        }
         if kind == RelayedKind::Ownership {
             self.store.refresh_ownership(now, out);
             return;
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -26,6 +26,11 @@
 /// Pause between two reads of the record because of rejected keys.
 const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause between two probes of a failing store because of gaps; with a list and
+/// the pause before the other watches (0.25 s) it stays below the bound of
+/// configurations of 2 s.
+const GAP_PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Why a call was made.
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
@@ -91,6 +96,8 @@
     starts_cold: bool,
     /// When an owner's rejection may lead to a read of the record again.
     next_doubt: Timestamp,
+    /// When a gap may lead to a probe again.
+    next_gap_probe: Timestamp,
     pub(super) coordinating: bool,
     calls: u64,
     /// Calls by what they are for.
@@ -109,6 +116,7 @@
             cold_start: ColdStart::new(millicores, seed),
             starts_cold: false,
             next_doubt: now,
+            next_gap_probe: now,
             coordinating: false,
             calls: 0,
             calls_by: BTreeMap::new(),
@@ -248,6 +256,10 @@
         for watcher in &mut self.watchers {
             watcher.set_paused(paused);
         }
+        if paused && self.health.has_failed() {
+            // It goes on as the probe.
+            self.watcher(ObjectKind::Instances).poke(now);
+        }
         if resumes {
             self.watcher(ObjectKind::Instances).hasten(now);
             for (kind, pause) in RESUME_PAUSES {
@@ -297,6 +309,15 @@
         self.watcher(kind).poke(now);
     }
 
+    /// This node lacks something that only the store can tell, while its calls
+    /// fail: the probe is made anew, though not for each heartbeat that says so.
+    pub(super) fn probe_for_gap(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.next_gap_probe <= now {
+            self.next_gap_probe = now + GAP_PROBE_PAUSE;
+            self.probe_again(now, out);
+        }
+    }
+
     /// Reads the record of ownership once more.
     pub(super) fn refresh_ownership(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.interrupt(ObjectKind::Ownership, now, now, out);
@@ -321,7 +342,8 @@
     }
 
     /// Breaks off the watch of a kind, if it has been out since before
-    /// `since`, so that it is made anew.
+    /// `since`, so that it is made anew. A list is left alone: it waits for no
+    /// change, and a long one over a slow link would never come to its end.
     pub(super) fn interrupt(
         &mut self,
         kind: ObjectKind,
@@ -330,7 +352,8 @@
         out: &mut Vec<Action>,
     ) {
         let found = self.pending.iter().find_map(|(exchange, pending)| {
-            let same = matches!(pending.purpose, Purpose::Watch(watched) if watched == kind);
+            let same = matches!(pending.purpose, Purpose::Watch(watched) if watched == kind)
+                && matches!(pending.call, StoreCall::Watch { .. });
             (same && pending.started < since).then_some(*exchange)
         });
         if let Some(exchange) = found {
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -138,6 +138,23 @@
     expect_that!(lists_of_configuration(&fixture), gt(before));
 }
 
+#[gtest]
+fn a_list_that_takes_long_is_not_begun_again() {
+    let mut fixture = follower();
+    fixture.store.configure(next_version(8));
+    // The answer is long on its way; heartbeats go on meanwhile.
+    fixture.store.is_slow = true;
+    let before = lists_of_configuration(&fixture);
+    for _ in 0..10 {
+        let message = heartbeat(&fixture, 8);
+        fixture.receive(node_address(COORDINATOR), &message);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    expect_that!(lists_of_configuration(&fixture), eq(before + 1));
+    fixture.deliver();
+    expect_that!(fixture.node.status().configuration, some(eq(8)));
+}
+
 #[gtest]
 fn a_change_of_another_version_is_not_applied() {
     let mut fixture = follower();
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -42,6 +42,8 @@
     pub objects: BTreeMap<(ObjectKind, String), Object>,
     /// Whether all calls are refused.
     pub refuses: bool,
+    /// Whether answers are kept back until `Fixture::deliver`.
+    pub is_slow: bool,
     /// Whether the changes of the past are forgotten.
     pub forgets: bool,
 }
@@ -229,6 +231,8 @@
     pub attempts: Vec<Sent>,
     /// Watches that wait, with the numbers of their calls.
     watches: Vec<(ExchangeId, u64, StoreCall)>,
+    /// Answers of the store that are on their way.
+    on_the_way: Vec<Input>,
     /// Answers to clients.
     pub answers: Vec<(ClientId, Response)>,
     last_client: u64,
@@ -332,6 +336,7 @@
             datagrams: Vec::new(),
             attempts: Vec::new(),
             watches: Vec::new(),
+            on_the_way: Vec::new(),
             answers: Vec::new(),
             last_client: 0,
         }
@@ -392,6 +397,13 @@
         self.end(exchange, Ok(Response::new(200, number.to_string())));
     }
 
+    /// Answers of a slow store arrive.
+    pub fn deliver(&mut self) {
+        for input in std::mem::take(&mut self.on_the_way) {
+            self.step(input);
+        }
+    }
+
     /// A client asks the service, perhaps for a key.
     pub fn ask(&mut self, service: &str, key: Option<u16>) -> ClientId {
         self.last_client += 1;
@@ -479,10 +491,15 @@
             return None;
         };
         self.mailbox.borrow_mut().answers.insert(number, answer);
-        Some(Input::Exchanged {
+        let input = Input::Exchanged {
             exchange,
             result: Ok(Response::new(200, number.to_string())),
             rested: Duration::ZERO,
-        })
+        };
+        if self.store.is_slow {
+            self.on_the_way.push(input);
+            return None;
+        }
+        Some(input)
     }
 }
--- a/crates/ledgelead-router/tests/node/outage.rs
+++ b/crates/ledgelead-router/tests/node/outage.rs
@@ -145,3 +145,60 @@
         }]),
     }
 }
+
+/// The coordinator's heartbeat with a version that it can't announce in full.
+fn heartbeat_of_version(fixture: &Fixture, store_serves: bool, configuration: u64) -> PeerMessage {
+    match heartbeat(fixture, 0) {
+        PeerMessage::CoordinatorHeartbeat(heartbeat) => {
+            PeerMessage::CoordinatorHeartbeat(Heartbeat {
+                store_serves,
+                configuration,
+                ..heartbeat
+            })
+        }
+        other => other,
+    }
+}
+
+#[gtest]
+fn a_node_probes_at_once_when_the_store_serves_the_coordinator_again() {
+    let mut fixture = refused_node();
+    for _ in 0..15 {
+        let message = heartbeat_of_version(&fixture, false, 1);
+        fixture.receive(node_address(1), &message);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    fixture.store.refuses = false;
+    let failures = fixture.node.status().store_failures;
+    let before = fixture.calls.len();
+    let message = heartbeat_of_version(&fixture, true, 1);
+    fixture.receive(node_address(1), &message);
+    fixture.run_until(fixture.now + ms(100));
+    expect_that!(fixture.calls.len(), gt(before));
+    expect_that!(fixture.node.status().store_failures, eq(failures));
+}
+
+#[gtest]
+fn a_version_that_is_not_announced_is_read_soon_after_the_store_serves_again() {
+    let mut fixture = refused_node();
+    // The node is refused still, while the coordinator is served.
+    for _ in 0..10 {
+        let message = heartbeat_of_version(&fixture, true, 1);
+        fixture.receive(node_address(1), &message);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    fixture.store.configure(configuration(9));
+    for _ in 0..5 {
+        let message = heartbeat_of_version(&fixture, true, 9);
+        fixture.receive(node_address(1), &message);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    expect_that!(fixture.node.status().configuration, some(eq(1)));
+    fixture.store.refuses = false;
+    for _ in 0..9 {
+        let message = heartbeat_of_version(&fixture, true, 9);
+        fixture.receive(node_address(1), &message);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    expect_that!(fixture.node.status().configuration, some(eq(9)));
+}
