Ranges that are free at once are spread over the instances

From the log: a new coordinator (11.7 s) knew of no load and of no settled range, so all instances were equal, and each of 64 free ranges went to the first by id. That one had 38 in 100 of the keys, reset connections, grants among them, so that it was never fenced and nothing could be moved from it. Change: among instances without known load the one with the fewest keys, those on their way included, comes first. Left: an owner that resets its grants keeps its keys, since each grant may have arrived.

--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -32,6 +32,8 @@
     ranges: Vec<KeyRange>,
     /// Requests a second for ranges that are on their way to it.
     incoming: f64,
+    /// Keys that it owns or that are on their way to it.
+    keys: u32,
     /// Whether it has not answered some grant lately.
     is_silent: bool,
 }
@@ -126,6 +128,7 @@
                     ranges: share.ranges,
                     takes_keys: !share.is_silent && instance.warm_at <= context.now,
                     incoming: share.incoming,
+                    keys: share.keys,
                 }
             })
             .collect()
@@ -142,11 +145,13 @@
                 share.is_silent |= holding.lease.is_silent();
                 if matches!(holding.state, State::Held) && holding.lease.fenced {
                     share.ranges.push(holding.range);
+                    share.keys += holding.range.len();
                 }
             }
             if let Some(next) = holding.next_owner() {
                 let share = shares.entry(next.clone()).or_default();
                 share.incoming += load.map_or(0.0, |load| load.rate(holding.range));
+                share.keys += holding.range.len();
             }
         }
         shares
@@ -208,8 +213,8 @@
                 .iter()
                 .map(|range| load.map_or(0.0, |load| load.rate(*range)))
                 .sum();
-            let keys: u32 = candidate.ranges.iter().map(|range| range.len()).sum();
-            let tie = f64::from(keys) * 1e-9;
+            // A new coordinator knows of no load: then keys count.
+            let tie = f64::from(candidate.keys) * 1e-9;
             (own + candidate.incoming) / candidate.capacity + tie
         };
         let candidates = self.candidates(context, service);
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -38,6 +38,8 @@
     pub takes_keys: bool,
     /// Requests a second of keys on their way to it.
     pub incoming: f64,
+    /// Keys that it owns or that are on their way to it.
+    pub keys: u32,
 }
 
 /// How moves are planned.
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -5,5 +5,6 @@
 mod open_requests;
 mod outage;
 mod overload;
+mod placement;
 mod registration;
 mod zone_relay;
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/placement.rs
@@ -0,0 +1,45 @@
+//! Who gets keys whose owners are lost.
+
+use crate::fixture::{Fixture, KEYED, Store, configuration, instance, ms, node_record};
+use googletest::prelude::*;
+use ledgelead_router::identity::{InstanceId, ServiceName};
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use std::collections::BTreeMap;
+
+#[gtest]
+fn ranges_that_are_free_at_once_are_spread_over_the_instances() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..=4 {
+        store.add_instance(instance(number, KEYED));
+    }
+    store.add_node(node_record(0));
+    let lost = |place: u16| Assignment {
+        service: ServiceName::from(KEYED),
+        first: place * 8_192,
+        last: place * 8_192 + 8_191,
+        owner: InstanceId::from(format!("lost-{place}").as_str()),
+        fence: u64::from(place),
+    };
+    store.own(OwnershipRecord {
+        epoch: 4,
+        next_fence: 9,
+        assignments: (0..8).map(lost).collect(),
+        ..OwnershipRecord::default()
+    });
+    let mut fixture = Fixture::new(store);
+    // A new coordinator that knows of no load, once the leases are over.
+    for _ in 0..240 {
+        for order in std::mem::take(&mut fixture.attempts) {
+            fixture.answer(order.exchange, ledgelead_http::Response::new(200, ""));
+        }
+        fixture.run_until(fixture.now + ms(50));
+    }
+    let mut ranges: BTreeMap<InstanceId, usize> = BTreeMap::new();
+    for place in 0..8 {
+        let owner = fixture.owner_of(place * 8_192).expect("an owner");
+        *ranges.entry(owner).or_default() += 1;
+    }
+    expect_that!(ranges.len(), eq(4));
+    expect_that!(ranges.values().copied().max(), some(eq(2)));
+}
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -30,6 +30,7 @@
         ranges,
         takes_keys: true,
         incoming: 0.0,
+        keys: 0,
     }
 }
 
