Differences of configurations are made by name, once for all nodes that ask

Cause, read from the code: the difference of two versions compared each route with each, and was made anew for each node that asked. With 1,700 routes and 86 nodes asking, that is seconds of a coordinator's processor, in which it sends no heartbeat. Change: routes and services are compared by name; what a version changes of an earlier one is kept until the next version. A delayed heartbeat counts for elections from when it was sent. Test: a_change_of_thousands_of_routes_is_left_to_the_store.

--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -84,7 +84,7 @@
             self.heard_of(RelayedKind::Nodes, heartbeat.nodes, now, out);
         }
         self.heard_configuration(heartbeat.configuration, now, out);
-        self.heard_coordinator(epoch, store_serves, heartbeat.revision, now, out);
+        self.heard_coordinator(epoch, store_serves, heartbeat.revision, delay, now, out);
     }
 
     /// A coordinator whom the store serves relays changes, also to a node that the
@@ -111,7 +111,7 @@
     }
 
     /// The coordinator has read all changes of instances up to this revision,
-    /// and knew of all that were acknowledged before its picture's age.
+    /// and knew of all that were acknowledged before its view's age.
     fn heard_of_instances(&mut self, revision: u64, age: Duration, now: Timestamp) {
         let known = self.store.revision_of(ObjectKind::Instances);
         if known.is_some_and(|known| known >= revision) {
@@ -137,6 +137,7 @@
         epoch: u64,
         store_serves: bool,
         revision: u64,
+        delay: Duration,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
@@ -147,7 +148,9 @@
         // that the coordinator gets its time to notice.
         let health = &self.store.health;
         if store_serves || !health.serves() || health.recovered_lately(now) {
-            self.coordination.election.heard(epoch, now);
+            self.coordination
+                .election
+                .heard(epoch, now.saturating_sub(delay));
         }
         self.heard_of(RelayedKind::Ownership, revision, now, out);
     }
--- a/crates/ledgelead-router/src/node/relay/configuration.rs
+++ b/crates/ledgelead-router/src/node/relay/configuration.rs
@@ -1,5 +1,6 @@
 //! Versions of the configuration, passed on as what they change.
 
+use super::RelayState;
 use crate::Timestamp;
 use crate::configuration::Configuration;
 use crate::dialect::ObjectKind;
@@ -22,6 +23,24 @@
 /// bytes are dearest (18 credits a GB and 3 a call).
 const MAX_DATAGRAMS: usize = 12;
 
+impl RelayState {
+    /// The datagrams that bring a node with version `since` to the newest one, if
+    /// few do.
+    pub(super) fn configuration_datagrams(&mut self, since: u64) -> Option<Vec<Datagram>> {
+        if let Some(known) = self.configuration_datagrams.get(&since) {
+            return known.clone();
+        }
+        let kept = &self.configurations;
+        let next = kept.back().filter(|next| next.version > since)?;
+        let earlier = kept.iter().find(|earlier| earlier.version == since);
+        let delta = ConfigurationDelta::between(earlier, next);
+        let datagrams = delta.and_then(|delta| datagrams(&delta));
+        self.configuration_datagrams
+            .insert(since, datagrams.clone());
+        datagrams
+    }
+}
+
 impl Node {
     /// A version has come into force here. A coordinator announces it.
     pub(in crate::node) fn configuration_in_force(
@@ -32,6 +51,7 @@
         let Some(next) = self.configuration.clone() else {
             return;
         };
+        self.gossip.relay.configuration_datagrams.clear();
         let kept = &mut self.gossip.relay.configurations;
         let before = kept.back().map_or(0, |earlier| earlier.version);
         kept.push_back(next);
@@ -41,41 +61,13 @@
         if self.coordination.coordinator().is_none() {
             return;
         }
-        if let Some(datagrams) = self.configuration_datagrams(before) {
+        if let Some(datagrams) = self.gossip.relay.configuration_datagrams(before) {
             self.broadcast(&datagrams, now, out);
         }
         // Nodes that need another base learn of the version.
         self.gossip.hasten_heartbeat();
     }
 
-    /// The datagrams that bring a node with version `since` to the one in
-    /// force, if few do.
-    pub(super) fn configuration_datagrams(&self, since: u64) -> Option<Vec<Datagram>> {
-        let kept = &self.gossip.relay.configurations;
-        let next = kept.back().filter(|next| next.version > since)?;
-        let earlier = kept.iter().find(|earlier| earlier.version == since);
-        let delta = ConfigurationDelta::between(earlier, next)?;
-        let chunks = chunks(&delta.changes);
-        let parts = u8::try_from(chunks.len()).ok()?;
-        if chunks.len() > MAX_DATAGRAMS {
-            return None;
-        }
-        let datagram = |(part, changes)| {
-            let span = ChangeSpan {
-                base: delta.base,
-                revision: delta.version,
-                part,
-                parts,
-            };
-            encode(&PeerMessage::ConfigurationChanged {
-                span,
-                limits: delta.limits,
-                changes: List(changes),
-            })
-        };
-        Some((0..parts).zip(chunks).map(datagram).collect())
-    }
-
     /// The coordinator has announced a version.
     pub(in crate::node) fn configuration_announced(
         &mut self,
@@ -130,6 +122,29 @@
     }
 }
 
+/// The datagrams that carry a delta, if they are not too many.
+fn datagrams(delta: &ConfigurationDelta) -> Option<Vec<Datagram>> {
+    let chunks = chunks(&delta.changes);
+    let parts = u8::try_from(chunks.len()).ok()?;
+    if chunks.len() > MAX_DATAGRAMS {
+        return None;
+    }
+    let datagram = |(part, changes)| {
+        let span = ChangeSpan {
+            base: delta.base,
+            revision: delta.version,
+            part,
+            parts,
+        };
+        encode(&PeerMessage::ConfigurationChanged {
+            span,
+            limits: delta.limits,
+            changes: List(changes),
+        })
+    };
+    Some((0..parts).zip(chunks).map(datagram).collect())
+}
+
 /// Splits changes so that each part fits a datagram; at least one part, since
 /// a version may change the limits alone.
 fn chunks(changes: &[ConfigurationChange]) -> Vec<Vec<ConfigurationChange>> {
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -28,7 +28,7 @@
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
 use ledgelead_types::codec::List;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -60,6 +60,9 @@
     take_over: Option<AnnouncedTakeOver>,
     /// The newest versions, the oldest first.
     configurations: VecDeque<Configuration>,
+    /// The datagrams that bring a node with an earlier version to the newest one,
+    /// or none where they would be too many. Many nodes ask for the same.
+    configuration_datagrams: HashMap<u64, Option<Vec<Datagram>>>,
     /// The store's revision by which this node last knew of a change of an
     /// instance.
     instances_revision: u64,
@@ -80,6 +83,7 @@
             ownership: ChangeLog::new(KEPT_OWNERSHIP),
             take_over: None,
             configurations: VecDeque::new(),
+            configuration_datagrams: HashMap::new(),
             instances_revision: 0,
             nodes_revision: 0,
             gaps: Default::default(),
@@ -229,7 +233,7 @@
         if self.coordination.coordinator().is_none() {
             return;
         }
-        let relay = &self.gossip.relay;
+        let relay = &mut self.gossip.relay;
         let datagrams = match kind {
             RelayedKind::Instances => {
                 let changes = relay.instances.since(since);
@@ -240,7 +244,7 @@
                 changes.map(|changes| objects::node_datagrams(&changes))
             }
             RelayedKind::Ownership => relay.ownership_datagrams(since),
-            RelayedKind::Configuration => self.configuration_datagrams(since),
+            RelayedKind::Configuration => relay.configuration_datagrams(since),
         };
         if let Some(datagrams) = datagrams {
             send(from, &datagrams, out);
--- a/crates/ledgelead-router/src/ownership/election.rs
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -33,7 +33,7 @@
     pub fn heard(&mut self, epoch: u64, now: Timestamp) {
         if epoch >= self.epoch {
             self.epoch = epoch;
-            self.last_heard = now;
+            self.last_heard = self.last_heard.max(now);
         }
     }
 
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -7,7 +7,7 @@
 use crate::identity::ServiceName;
 use ledgelead_types::codec::{List, Text};
 use nanoserde::{DeBin, SerBin};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,30 +106,26 @@
         if !unique {
             return None;
         }
-        let known_routes = earlier.map_or(&[][..], |known| &known.routes);
-        let known_services = earlier.map_or(&[][..], |known| &known.services);
+        // By name, since configurations of thousands of routes are compared.
+        let mut former_routes = earlier.map(routes_by_name).unwrap_or_default();
+        let mut former_services = earlier.map(services_by_name).unwrap_or_default();
         let mut changes = Vec::new();
         for service in &next.services {
-            if !known_services.contains(service) {
+            if former_services.remove(service.name.as_str()) != Some(service) {
                 changes.push(ConfigurationChange::Service(service_entry(service)));
             }
         }
         for route in &next.routes {
-            if !known_routes.contains(route) {
+            if former_routes.remove(route.name.as_str()) != Some(route.as_ref()) {
                 changes.push(ConfigurationChange::Route(route_entry(route)));
             }
         }
-        for route in known_routes {
-            if !next.routes.iter().any(|other| other.name == route.name) {
-                changes.push(ConfigurationChange::RouteRemoved(Text(route.name.clone())));
-            }
-        }
-        for service in known_services {
-            if next.service(&service.name).is_none() {
-                let name = Text(service.name.to_string());
-                changes.push(ConfigurationChange::ServiceRemoved(name));
-            }
-        }
+        let removed = former_routes.into_keys().map(|name| Text(name.to_owned()));
+        changes.extend(removed.map(ConfigurationChange::RouteRemoved));
+        let removed = former_services
+            .into_keys()
+            .map(|name| Text(name.to_owned()));
+        changes.extend(removed.map(ConfigurationChange::ServiceRemoved));
         Some(ConfigurationDelta {
             base: earlier.map_or(0, |known| known.version),
             version: next.version,
@@ -190,18 +186,24 @@
     }
 }
 
+fn routes_by_name(configuration: &Configuration) -> BTreeMap<&str, &Route> {
+    let routes = configuration.routes.iter();
+    routes
+        .map(|route| (route.name.as_str(), route.as_ref()))
+        .collect()
+}
+
+fn services_by_name(configuration: &Configuration) -> BTreeMap<&str, &Service> {
+    let services = configuration.services.iter();
+    services
+        .map(|service| (service.name.as_str(), service))
+        .collect()
+}
+
 fn has_unique_names(configuration: &Configuration) -> bool {
-    let routes: BTreeSet<&str> = configuration
-        .routes
-        .iter()
-        .map(|route| route.name.as_str())
-        .collect();
-    let services: BTreeSet<&ServiceName> = configuration
-        .services
-        .iter()
-        .map(|service| &service.name)
-        .collect();
-    routes.len() == configuration.routes.len() && services.len() == configuration.services.len()
+    let routes = routes_by_name(configuration).len();
+    let services = services_by_name(configuration).len();
+    routes == configuration.routes.len() && services == configuration.services.len()
 }
 
 fn route_entry(route: &Route) -> RouteEntry {
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -174,8 +174,7 @@
     }
 }
 
-#[gtest]
-fn a_coordinator_announces_versions_and_repeats_them() {
+fn coordinator() -> Fixture {
     let mut store = store();
     store.own(OwnershipRecord {
         epoch: 4,
@@ -186,6 +185,44 @@
     let mut fixture = Fixture::new(store);
     fixture.run_until(ms(3_000));
     expect_that!(fixture.node.coordinator().is_some(), eq(true));
+    fixture
+}
+
+#[gtest]
+fn a_change_of_thousands_of_routes_is_left_to_the_store() {
+    let mut fixture = coordinator();
+    let mut large = next_version(8);
+    let template = Route::clone(&large.routes[0]);
+    let more = (0..2_000).map(|number| {
+        Arc::new(Route {
+            name: format!("more-{number}"),
+            prefix: format!("/more-{number}/"),
+            ..template.clone()
+        })
+    });
+    large.routes.extend(more);
+    fixture.store.configure(large);
+    fixture.change_watched(ObjectKind::Configuration);
+    expect_that!(fixture.node.status().configuration, some(eq(8)));
+    for since in [5, 0, 5] {
+        let kind = RelayedKind::Configuration;
+        fixture.receive(node_address(3), &PeerMessage::ResyncRequest { kind, since });
+    }
+    expect_that!(fixture.sent("configuration"), eq(0));
+    // The next version changes little again.
+    fixture.datagrams.clear();
+    fixture.store.configure(next_version(9));
+    fixture.run_until(fixture.now + ms(200));
+    fixture.change_watched(ObjectKind::Configuration);
+    let kind = RelayedKind::Configuration;
+    let since = 0;
+    fixture.receive(node_address(3), &PeerMessage::ResyncRequest { kind, since });
+    expect_that!(fixture.sent("configuration"), ge(1));
+}
+
+#[gtest]
+fn a_coordinator_announces_versions_and_repeats_them() {
+    let mut fixture = coordinator();
     fixture.store.configure(next_version(8));
     fixture.change_watched(ObjectKind::Configuration);
     expect_that!(fixture.node.status().configuration, some(eq(8)));
