After an outage, nodes that come first as coordinators get their time

Played until 19 s with logs: the coordinator's machine was replaced at 3.0 s while the store was down until 7.4 s. At 7.54 s some 20 nodes campaigned within 50 ms, since their delays by rank had run out during the outage; front-suba-8, a machine of 0.1 cores, won, sent too few heartbeats, and was followed at 10.24 s by a strong one, whose place it noticed at 13.94 s. Ruled out: the hot key's owner (busiest/mean 36 comes from the window without a coordinator); a lasting loss of owners (from 14 s on this play served 0.97, the one before 0.78 to 0.89). Change: the delay by rank counts from when the store began to serve the node, if that is later than the end of the coordinator's time. Test that failed first (the delays had run out): after_an_outage_those_that_come_first_get_their_time.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -201,7 +201,9 @@
             return self.coordination.election.due_after_own_life();
         }
         let record = self.ownership.record();
-        self.coordination.election.due(record, self.campaign_rank())
+        let served_since = self.store.health.serving_since().unwrap_or_default();
+        let rank = self.campaign_rank();
+        self.coordination.election.due(record, rank, served_since)
     }
 
     /// How many nodes come before this one as successors of the coordinator.
--- a/crates/ledgelead-router/src/ownership/election.rs
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -53,7 +53,10 @@
     }
 
     /// When this node should try, unless it hears from the coordinator before.
-    pub fn due(&self, record: &OwnershipRecord, rank: usize) -> Timestamp {
+    /// `served_since` is when the store began to serve this node: after an outage
+    /// in which the coordinator was lost, those that come first get their time
+    /// too, else whichever node notices first would coordinate.
+    pub fn due(&self, record: &OwnershipRecord, rank: usize, served_since: Timestamp) -> Timestamp {
         let delay = RANK_DELAY
             .saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
             .min(MAX_RANK_DELAY);
@@ -63,7 +66,8 @@
         } else {
             ELECTION_TIMEOUT
         };
-        (self.last_heard + silence + delay).max(self.next_try)
+        let begin = served_since.max(self.last_heard + silence);
+        (begin + delay).max(self.next_try)
     }
 
     /// The record has to be read before a try.
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -364,13 +364,13 @@
     let mut record = record_of(&[1]);
     record.coordinator = Some(leader);
     election.observed(&record, ms(1_000));
-    let first = election.due(&record, 0);
+    let first = election.due(&record, 0, ms(0));
     expect_that!(first, gt(ms(1_000)));
-    expect_that!(election.due(&record, 1), gt(first));
+    expect_that!(election.due(&record, 1, ms(0)), gt(first));
     election.heard(4, ms(3_000));
-    expect_that!(election.due(&record, 0), gt(ms(3_000)));
+    expect_that!(election.due(&record, 0, ms(0)), gt(ms(3_000)));
     record.coordinator = None;
-    expect_that!(election.due(&record, 0), eq(ms(3_000)));
+    expect_that!(election.due(&record, 0, ms(0)), eq(ms(3_000)));
 }
 
 proptest! {
@@ -413,6 +413,25 @@
     }
 }
 
+#[gtest]
+fn after_an_outage_those_that_come_first_get_their_time() {
+    // The coordinator was lost long ago, while the store served nobody.
+    let election = Election::default();
+    let record = OwnershipRecord {
+        epoch: 3,
+        coordinator: Some(NodeIdentity {
+            node: NodeName::from("lost"),
+            incarnation: 1,
+        }),
+        ..OwnershipRecord::default()
+    };
+    expect_that!(election.due(&record, 0, ms(9_000)), eq(ms(9_000)));
+    let strong = election.due(&record, 3, ms(9_000));
+    let weak = election.due(&record, 200, ms(9_000));
+    expect_that!(strong, all!(gt(ms(9_000)), lt(ms(9_500))));
+    expect_that!(weak, ge(ms(10_300)));
+}
+
 #[gtest]
 fn a_record_that_may_be_stale_is_not_confirmed() {
     let stale = |revision| RecordVersion {
