An answered watch proves that the store serves at its answer, not since its start

Change: service counts from an answer's arrival. A node doubts missing entries for 2.2 s whenever 1.5 s of failures, or 2 s without any word of the store, lie between two words of it, be it its own call or a coordinator's heartbeat. A coordinator says in relayed removals for how long they are unconfirmed. An owner that is unknown here is lost only once the picture is settled, 2.2 s after the first list or an outage.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -99,6 +99,8 @@
     /// All that the store acknowledged before this time is known here.
     current_at: Timestamp,
     complete: bool,
+    /// From when on instances that are missing here are gone.
+    settled_at: Timestamp,
     /// Counts changes of who may get work, heartbeats not among them.
     changes: u64,
 }
@@ -117,7 +119,26 @@
     /// The store could not be reached until now: entries that are missing were
     /// perhaps dropped since nobody could write them.
     pub fn store_was_lost(&mut self, now: Timestamp) {
-        self.doubt_until = now + ENTRIES_RETURN_WITHIN;
+        self.doubt_removals_until(now + ENTRIES_RETURN_WITHIN);
+    }
+
+    /// Entries that go before this time may come back: whoever tells of them
+    /// says so.
+    pub fn doubt_removals_until(&mut self, until: Timestamp) {
+        self.doubt_until = self.doubt_until.max(until);
+        self.settled_at = self.settled_at.max(until);
+    }
+
+    /// How much longer an entry that goes now may come back.
+    pub fn doubt_left(&self, now: Timestamp) -> Duration {
+        self.doubt_until.saturating_sub(now)
+    }
+
+    /// Whether an instance that is unknown here is gone: not before entries that
+    /// lapsed in an outage have had their time to come back, nor sooner after the
+    /// first list, which may be of just such a moment.
+    pub fn is_settled(&self, now: Timestamp) -> bool {
+        self.complete && self.settled_at <= now
     }
 
     /// The store has served a node that asks it all the time since `since`. An
@@ -153,7 +174,10 @@
         for id in missing {
             self.remove(&id, now);
         }
-        self.complete = true;
+        if !self.complete {
+            self.complete = true;
+            self.settled_at = self.settled_at.max(now + ENTRIES_RETURN_WITHIN);
+        }
     }
 
     /// An entry was made or changed. A new one at the address of another
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -198,7 +198,13 @@
                 to_zone,
                 message,
             } => self.forwarded(origin, to_zone, message, now, out),
-            PeerMessage::InstancesChanged { span, changes } => {
+            PeerMessage::InstancesChanged {
+                span,
+                unconfirmed_ms,
+                changes,
+            } => {
+                let unconfirmed = Duration::from_millis(u64::from(unconfirmed_ms));
+                self.directory.doubt_removals_until(now + unconfirmed);
                 self.instances_announced(span, changes, now, out);
             }
             PeerMessage::NodesChanged { span, changes } => {
@@ -234,7 +240,7 @@
                 self.ownership_announced(span, changes, now, out);
             }
             PeerMessage::ResyncRequest { kind, since } => {
-                self.changes_requested(from, kind, since, out);
+                self.changes_requested(from, kind, since, now, out);
             }
             PeerMessage::Resigned { epoch } => self.heard_resignation(epoch, now, out),
             PeerMessage::LoadReport {
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -70,6 +70,9 @@
             self.heard_of_store(store_serves, now, out);
         }
         let is_fresh = store_serves && age < self.view_ttl();
+        if is_fresh {
+            self.informed(epoch, age, now, out);
+        }
         if is_current && is_fresh {
             let served_for = Duration::from_millis(u64::from(heartbeat.served_for_ms));
             let served_since = now.saturating_sub(delay).saturating_sub(served_for);
@@ -79,7 +82,6 @@
             self.heard_of_instances(heartbeat.instances, instances_age, now);
         }
         if is_fresh {
-            self.informed(epoch, age, now, out);
             self.heard_of(RelayedKind::Instances, heartbeat.instances, now, out);
             self.heard_of(RelayedKind::Nodes, heartbeat.nodes, now, out);
         }
@@ -96,7 +98,10 @@
         let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
         if current && follows && rests {
             self.gossip.informed_until = Some(now + self.view_ttl().saturating_sub(age));
-            self.store.health.followed_until(now.saturating_sub(age));
+            if self.store.health.followed_until(now.saturating_sub(age)) {
+                // Until the coordinator says for how long the store has served.
+                self.directory.store_was_lost(now);
+            }
             self.store.set_informed(true, now, out);
         }
     }
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -228,16 +228,18 @@
         from: SocketAddr,
         kind: RelayedKind,
         since: u64,
+        now: Timestamp,
         out: &mut Vec<Action>,
     ) {
         if self.coordination.coordinator().is_none() {
             return;
         }
+        let unconfirmed = self.directory.doubt_left(now);
         let relay = &mut self.gossip.relay;
         let datagrams = match kind {
             RelayedKind::Instances => {
                 let changes = relay.instances.since(since);
-                changes.map(|changes| objects::instance_datagrams(&changes))
+                changes.map(|changes| objects::instance_datagrams(&changes, unconfirmed))
             }
             RelayedKind::Nodes => {
                 let changes = relay.nodes.since(since);
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -14,6 +14,7 @@
 };
 use ledgelead_types::codec::List;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Most instances in one datagram.
 const INSTANCES_A_PART: usize = 8;
@@ -33,6 +34,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let unconfirmed = self.directory.doubt_left(now);
         let relay = &mut self.gossip.relay;
         let (log, base) = match kind {
             ObjectKind::Instances => (&mut relay.instances, relay.instances_revision),
@@ -50,7 +52,7 @@
         log.push(changes.clone());
         let datagrams = match kind {
             ObjectKind::Nodes => node_datagrams(&changes),
-            _ => instance_datagrams(&changes),
+            _ => instance_datagrams(&changes, unconfirmed),
         };
         self.broadcast(&datagrams, now, out);
     }
@@ -169,11 +171,19 @@
     changed.chain(gone).collect()
 }
 
-/// The datagrams that carry changed instances.
-pub(super) fn instance_datagrams(changes: &Changes<ObjectEvent>) -> Vec<Datagram> {
+/// The datagrams that carry changed instances. Entries that are gone may come back
+/// for a while, if the store was away.
+pub(super) fn instance_datagrams(
+    changes: &Changes<ObjectEvent>,
+    unconfirmed: Duration,
+) -> Vec<Datagram> {
     let events = last_events(&changes.items).into_iter();
     let changed: Vec<ChangedInstance> = events.map(changed_instance).collect();
-    let message = |span, changes| PeerMessage::InstancesChanged { span, changes };
+    let message = |span, changes| PeerMessage::InstancesChanged {
+        span,
+        unconfirmed_ms: u16::try_from(unconfirmed.as_millis()).unwrap_or(u16::MAX),
+        changes,
+    };
     parts(
         changes.base,
         changes.revision,
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -78,7 +78,7 @@
             return;
         }
         let was_failing = self.store.health.has_failed();
-        if self.store.health.succeeded(started) {
+        if self.store.health.succeeded(now) {
             self.directory.store_was_lost(now);
         }
         if was_failing {
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -131,10 +131,10 @@
             if context.directory.has_ended(owner) {
                 holding.lease.possible_until = holding.lease.possible_until.min(context.now);
             }
-            let leaving = context
-                .directory
-                .get(owner)
-                .is_none_or(|instance| !instance.serves());
+            let leaving = match context.directory.get(owner) {
+                Some(instance) => !instance.serves(),
+                None => context.directory.is_settled(context.now),
+            };
             let over = holding.lease.is_over(self.protections, context.now);
             let lapsed = holding.lease.is_silent() && over;
             if matches!(holding.state, State::Held) && (leaving || lapsed) {
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -215,6 +215,9 @@
     InstancesChanged {
         /// Which changes.
         span: ChangeSpan,
+        /// How much longer entries that are gone may come back, in milliseconds:
+        /// the store was away.
+        unconfirmed_ms: u16,
         /// The instances as they are after the last change.
         changes: List<ChangedInstance>,
     },
--- a/crates/ledgelead-router/src/store/health.rs
+++ b/crates/ledgelead-router/src/store/health.rs
@@ -6,35 +6,58 @@
 /// Without an answer for this long the store counts as lost.
 pub const LOST_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Time without any word of the store, although no call failed, after which it may
+/// have been away: longer than a follower's view lasts (1.75 s) before it asks by
+/// itself, shorter than three heartbeats of an instance (2.6 s and more).
+const UNSEEN_AFTER: Duration = Duration::from_millis(2_000);
+
 /// Time in which every node notices that the store serves again.
 const RECOVERY: Duration = Duration::from_millis(3_500);
 
 /// What calls have told of the store.
 #[derive(Debug, Default)]
 pub struct StoreHealth {
-    last_success: Option<Timestamp>,
+    /// Until when the store is known to have served: by an answer to this node, or
+    /// by a coordinator that relayed its changes.
+    vouched_until: Option<Timestamp>,
+    has_served: bool,
     failing_since: Option<Timestamp>,
     recovered_at: Option<Timestamp>,
     serving_since: Option<Timestamp>,
 }
 
 impl StoreHealth {
-    /// A call that began at `started` was served.
-    /// Returns whether the store had been lost.
-    pub fn succeeded(&mut self, started: Timestamp) -> bool {
-        let was_lost = self.has_failed() && self.is_lost(started);
+    /// The store answered a call at this time, whenever the call began: a watch may
+    /// have waited through a whole outage. Returns whether the store may have been
+    /// away before, so that entries that are missing prove nothing yet.
+    pub fn succeeded(&mut self, at: Timestamp) -> bool {
+        let was_away = self.may_have_been_away(at);
         if self.has_failed() {
-            self.recovered_at = Some(started);
+            self.recovered_at = Some(at);
         }
-        if !self.serves() {
-            self.serving_since = Some(started);
+        if !self.serves() || was_away {
+            self.serving_since = Some(at);
         }
-        let newest = self
-            .last_success
-            .map_or(started, |earlier| earlier.max(started));
-        self.last_success = Some(newest);
+        self.vouch(at);
+        self.has_served = true;
         self.failing_since = None;
-        was_lost
+        was_away
+    }
+
+    fn may_have_been_away(&self, at: Timestamp) -> bool {
+        let Some(vouched) = self.vouched_until else {
+            return false;
+        };
+        let limit = if self.has_failed() {
+            LOST_AFTER
+        } else {
+            UNSEEN_AFTER
+        };
+        at.saturating_sub(vouched) >= limit
+    }
+
+    fn vouch(&mut self, until: Timestamp) {
+        self.vouched_until = self.vouched_until.max(Some(until));
     }
 
     /// A call that began at `started` failed, or was refused.
@@ -44,21 +67,25 @@
 
     /// A coordinator whom the store serves has relayed all changes until now: what
     /// this node's failed calls would have told, it knows. So the store is lost to
-    /// it from now on at the earliest.
-    pub fn followed_until(&mut self, now: Timestamp) {
+    /// it from now on at the earliest. Returns whether the store may have been away
+    /// between the last word of it and this one.
+    pub fn followed_until(&mut self, now: Timestamp) -> bool {
+        let was_away = self.may_have_been_away(now);
+        self.vouch(now);
         if let Some(since) = &mut self.failing_since {
             *since = now;
         }
+        was_away
     }
 
     /// Whether some call has ever been served.
     pub fn has_served(&self) -> bool {
-        self.last_success.is_some()
+        self.has_served
     }
 
     /// Whether the last calls were served.
     pub fn serves(&self) -> bool {
-        self.failing_since.is_none() && self.last_success.is_some()
+        self.failing_since.is_none() && self.has_served
     }
 
     /// Since when every call has been served, if the last ones were.
@@ -82,7 +109,7 @@
     pub fn is_lost(&self, now: Timestamp) -> bool {
         match self.failing_since {
             Some(since) => now.saturating_sub(since) >= LOST_AFTER,
-            None => self.last_success.is_none(),
+            None => !self.has_served,
         }
     }
 }
--- a/crates/ledgelead-router/tests/node/outage.rs
+++ b/crates/ledgelead-router/tests/node/outage.rs
@@ -139,6 +139,7 @@
             part: 0,
             parts: 1,
         },
+        unconfirmed_ms: 0,
         changes: List(vec![ChangedInstance {
             id: Text(record.id.to_string()),
             entry: Some(entry),
@@ -202,3 +203,64 @@
     }
     expect_that!(fixture.node.status().configuration, some(eq(9)));
 }
+
+/// Requests that instances have received for the service without keys.
+fn sent_for_service(fixture: &mut Fixture) -> usize {
+    let before = fixture.attempts.len();
+    fixture.ask(SERVICE, None);
+    fixture.attempts.len() - before
+}
+
+/// All entries of instances have lapsed, and the changes are forgotten.
+fn lapse(fixture: &mut Fixture) {
+    let objects = &mut fixture.store.objects;
+    objects.retain(|(kind, _), _| *kind != ObjectKind::Instances);
+    fixture.store.revision += 2;
+    fixture.store.forgets = true;
+}
+
+#[gtest]
+fn a_watch_that_waits_through_an_outage_proves_no_service_before_its_answer() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    store.add_instance(instance(1, SERVICE));
+    store.add_node(node_record(0));
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(3_000));
+    expect_that!(fixture.node.coordinator().is_some(), eq(true));
+    fixture.store.refuses = true;
+    fixture.run_until(ms(7_000));
+    lapse(&mut fixture);
+    fixture.store.refuses = false;
+    // The first answer is that to a watch from before the outage.
+    fixture.change_watched(ObjectKind::Nodes);
+    fixture.run_until(ms(7_100));
+    expect_that!(sent_for_service(&mut fixture), eq(1));
+    // Whoever has not come back by then is gone.
+    fixture.run_until(ms(9_500));
+    expect_that!(sent_for_service(&mut fixture), eq(0));
+}
+
+#[gtest]
+fn a_coordinator_in_doubt_says_so_to_those_that_it_relays_removals_to() {
+    let mut fixture = refused_node();
+    let known = fixture.store.revision;
+    fixture.receive(node_address(1), &heartbeat(&fixture, known));
+    let gone = PeerMessage::InstancesChanged {
+        span: ChangeSpan {
+            base: known,
+            revision: known + 1,
+            part: 0,
+            parts: 1,
+        },
+        unconfirmed_ms: 2_000,
+        changes: List(vec![ChangedInstance {
+            id: Text("i-1".to_owned()),
+            entry: None,
+        }]),
+    };
+    fixture.receive(node_address(1), &gone);
+    expect_that!(sent_for_service(&mut fixture), eq(1));
+    fixture.run_until(fixture.now + ms(2_100));
+    expect_that!(sent_for_service(&mut fixture), eq(0));
+}
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -424,6 +424,110 @@
     expect_that!(health.serves(), eq(true));
 }
 
+#[gtest]
+fn a_store_that_nobody_has_asked_for_long_may_have_been_away() {
+    let mut health = StoreHealth::default();
+    health.succeeded(ms(100));
+    expect_that!(health.succeeded(ms(1_900)), eq(false));
+    expect_that!(health.serving_since(), some(eq(ms(100))));
+    // A coordinator that was served has vouched for the time until here.
+    health.followed_until(ms(9_000));
+    expect_that!(health.succeeded(ms(10_800)), eq(false));
+    expect_that!(health.succeeded(ms(12_800)), eq(true));
+    expect_that!(health.serving_since(), some(eq(ms(12_800))));
+}
+
+/// A store that is away from time to time, and drops all entries meanwhile.
+#[derive(Clone, Debug)]
+struct Outages {
+    /// Beginning, end, and when the entries are back after it.
+    times: Vec<(Duration, Duration, Duration)>,
+}
+
+impl Outages {
+    /// From pauses, lengths and returns of entries, all in milliseconds.
+    fn new(drawn: &[(u64, u64, u64)]) -> Outages {
+        let mut times = Vec::new();
+        let mut at = Duration::ZERO;
+        for (pause, length, back) in drawn {
+            let begin = at + ms(*pause);
+            at = begin + ms(*length);
+            times.push((begin, at, at + ms(*back)));
+        }
+        Outages { times }
+    }
+
+    fn serves(&self, now: Duration) -> bool {
+        !self
+            .times
+            .iter()
+            .any(|(from, to, _)| *from <= now && now < *to)
+    }
+
+    fn lists(&self, now: Duration) -> bool {
+        !self
+            .times
+            .iter()
+            .any(|(from, _, back)| *from <= now && now < *back)
+    }
+}
+
+proptest! {
+    /// Whatever calls are out when the store goes away and returns, one that waits
+    /// through the outage among them, an instance that lives stays in use.
+    #[test]
+    fn an_instance_that_lives_is_never_taken_for_gone(
+        outages in proptest::collection::vec((5_000u64..9_000, 2_000u64..6_000, 0u64..2_000), 1..4),
+        short in proptest::collection::vec((1u64..150, 1u64..50), 400),
+        long in proptest::collection::vec((1u64..300, 500u64..10_000), 40),
+        paused in 0u64..30_000,
+    ) {
+        let outages = Outages::new(&outages);
+        // Beginning and end of each call, and whether it lists the instances.
+        let mut calls = Vec::new();
+        for (drawn, lists) in [(&short, true), (&long, false)] {
+            let mut at = Duration::ZERO;
+            for (pause, wait) in drawn {
+                let began = at + ms(*pause);
+                at = began + ms(*wait);
+                calls.push((at, began, lists));
+            }
+        }
+        calls.sort();
+        let mut health = StoreHealth::default();
+        let mut directory = directory(vec![record("a", 1)]);
+        for (now, began, lists) in calls {
+            // For some time a coordinator is followed, who relays what returns, and
+            // nothing is asked.
+            let follows = ms(paused) <= now && now < ms(paused + 4_000);
+            if follows && outages.serves(now) {
+                if health.followed_until(now) {
+                    directory.store_was_lost(now);
+                }
+                if outages.lists(now) {
+                    directory.upsert(record("a", 1), now);
+                }
+            }
+            if follows && lists {
+                continue;
+            }
+            directory.expire(now);
+            if !outages.serves(now) {
+                health.failed(began);
+                continue;
+            }
+            if health.succeeded(now) {
+                directory.store_was_lost(now);
+            }
+            if lists {
+                let listed = outages.lists(now).then(|| record("a", 1));
+                directory.replace_all(listed.into_iter().collect(), now);
+            }
+            prop_assert!(serves(&directory, "a"), "gone at {now:?}");
+        }
+    }
+}
+
 #[gtest]
 fn counts_of_an_earlier_life_or_from_long_ago_are_void() {
     let told = |count| vec![OpenRequests { instance: 1, count }];
