A keyed request is not broken off to ask the same owner again

Two ways: the review as it was, and one that only leaves an owner that the record no longer names. Kept: the second. Test: work_of_the_owner_of_a_key_is_not_broken_off... fails before.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -104,11 +104,13 @@
             return false;
         }
         let left = open.due.saturating_sub(context.now);
+        // The owner of a key works on the request, or has lost it: to ask the same one
+        // again breaks off work that is paid for.
         let another = match open.key {
             Some(key) => context
                 .ownership
                 .find(&open.service, key)
-                .is_some_and(|assignment| answers_others || assignment.owner != attempt.instance),
+                .is_some_and(|assignment| assignment.owner != attempt.instance),
             None => true,
         };
         another
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -7,4 +7,5 @@
 mod overload;
 mod placement;
 mod registration;
+mod review;
 mod zone_relay;
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/review.rs
@@ -0,0 +1,65 @@
+//! Which attempts that take long are broken off for another.
+
+use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_record};
+use googletest::prelude::*;
+use ledgelead_http::Response;
+use ledgelead_router::identity::{InstanceId, ServiceName};
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+
+/// A node that knows two instances of the service without keys, and one owner of
+/// all keys.
+fn node() -> Fixture {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    store.add_instance(instance(1, SERVICE));
+    store.add_instance(instance(2, SERVICE));
+    store.add_instance(instance(3, KEYED));
+    for number in 0..3 {
+        store.add_node(node_record(number));
+    }
+    store.own(OwnershipRecord {
+        epoch: 4,
+        coordinator: Some(node_record(1).identity),
+        next_fence: 9,
+        assignments: vec![Assignment {
+            service: ServiceName::from(KEYED),
+            first: 0,
+            last: u16::MAX,
+            owner: InstanceId::from("i-3"),
+            fence: 3,
+        }],
+        ..OwnershipRecord::default()
+    });
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(900));
+    fixture
+}
+
+/// Attempts for one request that takes long, while its instance answers another.
+fn attempts_of_slow_request(service: &str, key: Option<u16>) -> usize {
+    let mut fixture = node();
+    fixture.attempts.clear();
+    fixture.ask(service, key);
+    let slow = fixture.attempts[0].address;
+    for _ in 0..6 {
+        fixture.run_until(fixture.now + ms(20));
+        fixture.ask(service, key);
+        let other = fixture.attempts.pop().expect("an attempt");
+        let mut response = Response::new(200, "");
+        response.headers.push("signature", "s");
+        fixture.answer(other.exchange, response);
+    }
+    let to_same = fixture.attempts.iter().filter(|sent| sent.address == slow);
+    expect_that!(to_same.count(), eq(1));
+    fixture.run_until(ms(2_600));
+    let path = format!("/{service}/1");
+    let requests = fixture.attempts.iter().filter(|sent| sent.target == path);
+    requests.count()
+}
+
+#[gtest]
+fn work_of_the_owner_of_a_key_is_not_broken_off_for_the_same_owner() {
+    expect_that!(attempts_of_slow_request(KEYED, Some(7)), eq(1));
+    // Where another instance can do it, a slow one is given up.
+    expect_that!(attempts_of_slow_request(SERVICE, None), eq(2));
+}
