Evacuated zones get nothing more, and their keys move

Change: evacuations are a kind of object that the coordinator watches (2 s long, so that a silent connection is noticed within the bound); each heartbeat carries the zones whole, with their revision, so nothing can be missed and an older word undoes nothing. Nodes that hear no coordinator watch by themselves, those that start list. With all zones evacuated requests are refused. After a zone is taken back its instances count as cold for 1.5 s, within which they have told so. Only where the settings name a bound for it: elsewhere no call is added.

Weighed: relayed lists between two revisions, as for instances (more messages, a gap has to be asked for); the zones whole in each heartbeat, taken.

Tests: tests/node/evacuation.rs (follower, coordinator, start in the middle, never back). RequestSettings of the constructor and of changes come from NodeSettings now.

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -19,6 +19,7 @@
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::coordinator::Coordinator;
 use ledgelead_router::protections::Protections;
+use ledgelead_router::requests::BudgetBounds;
 use ledgelead_router::settings::NodeSettings;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -315,11 +316,14 @@
             peer_address: node_address(index),
             store_address: store_address(),
             millicores: 200,
-            retry_ratio: 0.2,
-            retry_slack: 60.0,
-            retry_window: Duration::from_secs(10),
+            retry_budget: BudgetBounds {
+                ratio: 0.2,
+                slack: 60.0,
+                window: Duration::from_secs(10),
+            },
             drain_bound: DRAIN_BOUND,
             configuration_bound: Duration::from_secs(2),
+            evacuation_bound: Some(Duration::from_secs(5)),
             stop_grace: Duration::from_secs(6),
             seed: self.rng.random(),
             protections: self.settings.protections,
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use crate::configuration::Configuration;
 use crate::directory::InstanceRecord;
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, ZoneName};
 use crate::ownership::record::OwnershipRecord;
 use crate::peers::NodeRecord;
 use ledgelead_http::{Request, Response};
@@ -20,15 +20,18 @@
     Ownership,
     /// The nodes, registered by themselves.
     Nodes,
+    /// Zones that the operator has emptied, one object each.
+    Evacuations,
 }
 
 impl ObjectKind {
     /// Every kind, in the order of its declaration.
-    pub const ALL: [ObjectKind; 4] = [
+    pub const ALL: [ObjectKind; 5] = [
         ObjectKind::Configuration,
         ObjectKind::Instances,
         ObjectKind::Ownership,
         ObjectKind::Nodes,
+        ObjectKind::Evacuations,
     ];
 
     /// Whether there is only one object of this kind.
@@ -48,6 +51,8 @@
     Ownership(OwnershipRecord),
     /// A registered node.
     Node(NodeRecord),
+    /// A zone that the operator has emptied.
+    Evacuation(ZoneName),
 }
 
 /// An object of the store.
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::Timestamp;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +13,10 @@
 /// and reaches it has written its entry again.
 const ENTRIES_RETURN_WITHIN: Duration = Duration::from_millis(2_200);
 
+/// Time within which an instance that has become cold has written so: a heartbeat
+/// (0.9 to 1.3 s), and the way to this node.
+const COLDNESS_TOLD_WITHIN: Duration = Duration::from_millis(1_500);
+
 /// What an instance registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InstanceRecord {
@@ -60,6 +64,8 @@
     pub warm_at: Timestamp,
     /// Whether this life of it is proved to be over.
     pub ended: bool,
+    /// Since when this node knows that its zone is evacuated.
+    pub evacuated_since: Option<Timestamp>,
     /// When it is forgotten, once its entry is gone.
     forget_at: Option<Timestamp>,
 }
@@ -67,7 +73,7 @@
 impl Instance {
     /// Whether it may get new work.
     pub fn serves(&self) -> bool {
-        self.presence == Presence::Serving && !self.ended
+        self.presence == Presence::Serving && !self.ended && self.evacuated_since.is_none()
     }
 
     /// The earliest time at which it can have begun to leave.
@@ -94,6 +100,9 @@
     /// Entries that went while the store was in doubt, and until when their
     /// instances are taken for present.
     doubted: BTreeMap<InstanceId, Timestamp>,
+    /// Evacuated zones, by the stable hashes of their names, and since when this
+    /// node knows of it.
+    evacuated: BTreeMap<u64, Timestamp>,
     /// Until when vanished entries are doubted.
     doubt_until: Timestamp,
     /// All that the store acknowledged before this time is known here.
@@ -160,8 +169,7 @@
 
     /// Takes over a whole list.
     pub fn replace_all(&mut self, records: Vec<InstanceRecord>, now: Timestamp) {
-        let listed: std::collections::BTreeSet<InstanceId> =
-            records.iter().map(|record| record.id.clone()).collect();
+        let listed: BTreeSet<InstanceId> = records.iter().map(|record| record.id.clone()).collect();
         for record in records {
             self.upsert(record, now);
         }
@@ -213,7 +221,9 @@
             instance.presence == presence && instance.record.address == record.address
         });
         self.changes += u64::from(!known);
+        let evacuated_since = self.evacuated_since(&record.zone);
         let instance = Instance {
+            evacuated_since,
             ended: earlier.is_some_and(|instance| instance.ended),
             record,
             presence,
@@ -223,6 +233,34 @@
         self.instances.insert(id, instance);
     }
 
+    fn evacuated_since(&self, zone: &ZoneName) -> Option<Timestamp> {
+        if self.evacuated.is_empty() {
+            return None;
+        }
+        self.evacuated.get(&zone.stable_hash()).copied()
+    }
+
+    /// The operator has emptied these zones, by the stable hashes of their names,
+    /// and no others. Instances of a zone that is taken back count as cold until
+    /// their entries can have told otherwise.
+    pub fn evacuate(&mut self, zones: &BTreeSet<u64>, now: Timestamp) {
+        let taken_back: Vec<u64> = self
+            .evacuated
+            .keys()
+            .filter(|zone| !zones.contains(zone))
+            .copied()
+            .collect();
+        let since = |zone: &u64| (*zone, self.evacuated.get(zone).copied().unwrap_or(now));
+        self.evacuated = zones.iter().map(since).collect();
+        for instance in self.instances.values_mut() {
+            let zone = instance.record.zone.stable_hash();
+            instance.evacuated_since = self.evacuated.get(&zone).copied();
+            if taken_back.contains(&zone) {
+                instance.warm_at = instance.warm_at.max(now + COLDNESS_TOLD_WITHIN);
+            }
+        }
+    }
+
     /// This life of an instance is proved to be over.
     pub fn end(&mut self, id: &InstanceId) {
         if let Some(instance) = self.instances.get_mut(id) {
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -95,6 +95,11 @@
         /// The instance.
         instance: &'a InstanceId,
     },
+    /// Other zones than before are evacuated.
+    Evacuated {
+        /// How many are.
+        zones: usize,
+    },
     /// A call of the store failed, the first after one that was served.
     StoreFails {
         /// What became of the call.
@@ -180,6 +185,7 @@
             Event::ConfigurationInForce { .. } => "configuration",
             Event::InstanceRegistered { .. }
             | Event::InstanceDrains { .. }
+            | Event::Evacuated { .. }
             | Event::InstanceGone { .. } => "instances",
             Event::StoreFails { .. } | Event::StoreServes | Event::ObjectUnreadable { .. } => {
                 "store"
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod dialect;
 pub mod directory;
+pub mod evacuation;
 pub mod events;
 pub mod identity;
 pub mod io;
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
+use crate::evacuation::EvacuationsEntry;
 use crate::io::Action;
 use crate::mechanisms::Mechanism;
 use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
@@ -42,6 +43,7 @@
             instances_age_ms: millis(self.store.instances_age(now)),
             served_for_ms: millis(self.store.served_for(now)),
             overloads: List(overloads),
+            evacuations: self.evacuations.entry(),
         };
         self.overloads.replace(&heartbeat.overloads, now);
         let datagram = encode(&PeerMessage::CoordinatorHeartbeat(heartbeat));
@@ -69,6 +71,7 @@
             self.overloads.replace(&heartbeat.overloads, now);
             self.heard_of_store(store_serves, now, out);
         }
+        self.heard_of_evacuations(&heartbeat.evacuations, now, out);
         let is_fresh = store_serves && age < self.view_ttl();
         if is_fresh {
             self.informed(epoch, age, now, out);
@@ -89,6 +92,19 @@
         self.heard_coordinator(epoch, store_serves, heartbeat.revision, delay, now, out);
     }
 
+    /// Evacuations stand whole in each heartbeat, with their revision: a newer one
+    /// counts, whoever sends it.
+    fn heard_of_evacuations(
+        &mut self,
+        entry: &EvacuationsEntry,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if self.evacuations.heard(entry) {
+            self.evacuations_changed(now, out);
+        }
+    }
+
     /// A coordinator whom the store serves relays changes, also to a node that the
     /// store refuses, throttles or doesn't answer. Such a node probes on, if
     /// rarely, since it can't campaign before its own calls are served.
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -20,13 +20,14 @@
 use crate::configuration::{ClientLimits, Configuration, RouteTable};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::evacuation::Evacuations;
 use crate::events::Event;
 use crate::io::{Action, Input};
 use crate::ownership::coordinator::{Coordinator, ExchangeIds};
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
-use crate::requests::{BudgetBounds, Overloads, RequestContext, Requests};
+use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use coordination::Coordination;
 use gossip::Gossip;
@@ -55,6 +56,7 @@
     gossip: Gossip,
     zone_relays: ZoneRelays,
     overloads: Overloads,
+    evacuations: Evacuations,
     traffic: PeerTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
@@ -64,19 +66,7 @@
     /// A node that knows nothing yet.
     pub fn new(settings: NodeSettings, dialect: Box<dyn Dialect>, now: Timestamp) -> Node {
         let rng = Pcg64Mcg::seed_from_u64(settings.seed);
-        let bounds = BudgetBounds {
-            ratio: settings.retry_ratio,
-            slack: settings.retry_slack,
-            window: settings.retry_window,
-        };
-        let requests = Requests::new(
-            settings.zone.clone(),
-            settings.drain_bound,
-            bounds,
-            settings.protections,
-            settings.mechanisms,
-            rng,
-        );
+        let requests = Requests::new(&settings, rng);
         Node {
             configuration: None,
             routes: RouteTable::default(),
@@ -86,11 +76,12 @@
             shared: SharedLoad::default(),
             requests,
             exchanges: ExchangeIds::default(),
-            store: StoreCalls::new(settings.millicores, settings.seed, now),
+            store: StoreCalls::new(&settings, now),
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
             zone_relays: ZoneRelays::default(),
             overloads: Overloads::default(),
+            evacuations: Evacuations::default(),
             traffic: PeerTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
@@ -204,14 +195,7 @@
 
     /// Takes over settings that may change while the process runs.
     pub fn change_settings(&mut self, settings: NodeSettings) {
-        self.requests.set_bounds(
-            settings.drain_bound,
-            BudgetBounds {
-                ratio: settings.retry_ratio,
-                slack: settings.retry_slack,
-                window: settings.retry_window,
-            },
-        );
+        self.requests.set_bounds(&settings);
         self.settings = NodeSettings {
             identity: self.settings.identity.clone(),
             mechanisms: self.settings.mechanisms,
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -23,6 +23,7 @@
     ) {
         let mut instances = Vec::new();
         let mut nodes = Vec::new();
+        let mut zones = Vec::new();
         for object in objects {
             match object.content {
                 Ok(ObjectContent::Instance(record)) => instances.push(record),
@@ -41,6 +42,7 @@
                     };
                     self.ownership_changed(record, version, started, now, out);
                 }
+                Ok(ObjectContent::Evacuation(zone)) => zones.push(zone),
                 Err(finding) => unreadable(&object.name, &finding),
             }
         }
@@ -49,9 +51,25 @@
             ObjectKind::Nodes => self.registry.replace_all(nodes),
             ObjectKind::Ownership => self.coordination.listed = true,
             ObjectKind::Configuration => {}
+            ObjectKind::Evacuations => {
+                let revision = self.store.revision_of(kind).unwrap_or(0);
+                if self.evacuations.listed(&zones, revision) {
+                    self.evacuations_changed(now, out);
+                }
+            }
         }
     }
 
+    /// Takes changed evacuations into force, and passes them on at once.
+    pub(super) fn evacuations_changed(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let zones = self.evacuations.zones();
+        Event::Evacuated { zones: zones.len() }.emit();
+        self.directory.evacuate(zones, now);
+        self.coordination.note_change();
+        self.gossip.hasten_heartbeat();
+        self.reconsider_waiting(now, out);
+    }
+
     /// One change.
     pub(super) fn apply_event(
         &mut self,
@@ -80,6 +98,13 @@
                 let version = RecordVersion::confirmed(object.revision);
                 self.ownership_changed(record, version, started, now, out);
             }
+            Ok(ObjectContent::Evacuation(zone)) => {
+                let revision = self.store.revision_of(ObjectKind::Evacuations);
+                let revision = revision.unwrap_or(object.revision);
+                if self.evacuations.changed(&zone, !event.gone, revision) {
+                    self.evacuations_changed(now, out);
+                }
+            }
             Ok(_) => unreadable(&object.name, "was removed"),
             Err(finding) if event.gone => {
                 // An entry that is gone may be told by its name alone.
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -115,7 +115,7 @@
         let known = match kind {
             ObjectKind::Instances => &mut self.instances_revision,
             ObjectKind::Nodes => &mut self.nodes_revision,
-            ObjectKind::Configuration | ObjectKind::Ownership => return,
+            ObjectKind::Configuration | ObjectKind::Ownership | ObjectKind::Evacuations => return,
         };
         *known = revision.max(*known);
     }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{ObjectKind, StoreCall};
 use crate::io::{Action, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
+use crate::settings::NodeSettings;
 use crate::store::{StoreHealth, Watcher};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -55,18 +56,21 @@
                 ObjectKind::Instances => "list_instances_stale",
                 ObjectKind::Ownership => "list_ownership_stale",
                 ObjectKind::Nodes => "list_nodes_stale",
+                ObjectKind::Evacuations => "list_evacuations_stale",
             },
             (Purpose::Watch(kind), StoreCall::List { .. }) => match kind {
                 ObjectKind::Configuration => "list_configuration",
                 ObjectKind::Instances => "list_instances",
                 ObjectKind::Ownership => "list_ownership",
                 ObjectKind::Nodes => "list_nodes",
+                ObjectKind::Evacuations => "list_evacuations",
             },
             (Purpose::Watch(kind), _) => match kind {
                 ObjectKind::Configuration => "watch_configuration",
                 ObjectKind::Instances => "watch_instances",
                 ObjectKind::Ownership => "watch_ownership",
                 ObjectKind::Nodes => "watch_nodes",
+                ObjectKind::Evacuations => "watch_evacuations",
             },
             (Purpose::TakeOver(_), _) => "take_over",
             (Purpose::Update, _) => "update_ownership",
@@ -92,6 +96,8 @@
     pub(super) registration: RegistrationState,
     /// Pauses of the first calls, if no configuration is found.
     cold_start: ColdStart,
+    /// Whether zones can be evacuated at all.
+    reads_evacuations: bool,
     /// Whether the first list of the configuration was empty.
     starts_cold: bool,
     /// When an owner's rejection may lead to a read of the record again.
@@ -106,14 +112,15 @@
 }
 
 impl StoreCalls {
-    pub(super) fn new(millicores: u32, seed: u64, now: Timestamp) -> StoreCalls {
+    pub(super) fn new(settings: &NodeSettings, now: Timestamp) -> StoreCalls {
         let watcher = |kind| Watcher::new(kind, pace(kind, false));
         StoreCalls {
             health: StoreHealth::default(),
             watchers: ObjectKind::ALL.map(watcher),
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
-            cold_start: ColdStart::new(millicores, seed),
+            cold_start: ColdStart::new(settings.millicores, settings.seed),
+            reads_evacuations: settings.evacuation_bound.is_some(),
             starts_cold: false,
             next_doubt: now,
             next_gap_probe: now,
@@ -172,6 +179,9 @@
     /// that is over.
     fn is_held_back(&self, index: usize) -> bool {
         let kind = self.watchers[index].kind();
+        if kind == ObjectKind::Evacuations && !self.reads_evacuations {
+            return true;
+        }
         if self.health.has_failed() {
             return kind != ObjectKind::Instances;
         }
--- a/crates/ledgelead-router/src/node/watch_paces.rs
+++ b/crates/ledgelead-router/src/node/watch_paces.rs
@@ -54,6 +54,15 @@
     wait: Duration::from_secs(10),
 };
 
+/// Pace of the watch on evacuations. A connection that falls silent is noticed after
+/// the wait and the slack of a watch (0.7 s); with a call after that and the way to
+/// all nodes, an evacuation is in force within its bound of 5 s.
+const EVACUATIONS_PACE: WatcherPace = WatcherPace {
+    after_events: Duration::from_millis(100),
+    after_nothing: Duration::ZERO,
+    wait: Duration::from_secs(2),
+};
+
 /// The pace of a watch, at the coordinator and elsewhere.
 pub(super) fn pace(kind: ObjectKind, coordinating: bool) -> WatcherPace {
     match (kind, coordinating) {
@@ -63,6 +72,7 @@
         (ObjectKind::Ownership, false) => OWNERSHIP_PACE,
         (ObjectKind::Ownership, true) => COORDINATOR_OWNERSHIP_PACE,
         (ObjectKind::Nodes, _) => NODES_PACE,
+        (ObjectKind::Evacuations, _) => EVACUATIONS_PACE,
     }
 }
 
@@ -70,8 +80,9 @@
 /// one on instances: another coordinator may be heard meanwhile. Configurations
 /// have to be in force in time; who owns what and which nodes there are is
 /// changed by a coordinator alone, or told by an answer, or read for a campaign.
-pub(super) const RESUME_PAUSES: [(ObjectKind, Duration); 3] = [
+pub(super) const RESUME_PAUSES: [(ObjectKind, Duration); 4] = [
     (ObjectKind::Configuration, Duration::from_millis(300)),
+    (ObjectKind::Evacuations, Duration::from_millis(300)),
     (ObjectKind::Ownership, Duration::from_millis(2_500)),
     (ObjectKind::Nodes, Duration::from_millis(2_500)),
 ];
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! What nodes send each other.
 
 use super::configuration::{ConfigurationChange, LimitsEntry};
+use crate::evacuation::EvacuationsEntry;
 use crate::requests::OverloadedKey;
 use ledgelead_types::codec::{self, Bytes, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
@@ -194,6 +195,8 @@
     pub served_for_ms: u16,
     /// Keys that are asked for more often than their owners can work.
     pub overloads: List<OverloadedKey>,
+    /// Zones that the operator has emptied.
+    pub evacuations: EvacuationsEntry,
 }
 
 /// A datagram.
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -20,6 +20,11 @@
 /// is for datagrams and requests on their way.
 const DRAIN_SHARE: f64 = 0.7;
 
+/// Share of the bound of evacuations, counted from when this node knows of one, for
+/// which owners of keys are still used there: their keys move within one or two
+/// seconds. The rest is for the way of an evacuation to this node.
+const EVACUATION_SHARE: f64 = 0.5;
+
 /// Most attempts of a request, also at one owner.
 const MAX_ATTEMPTS: usize = 4;
 
@@ -107,6 +112,13 @@
         {
             return wait;
         }
+        let must_be_empty = self.evacuation_bound.mul_f64(EVACUATION_SHARE);
+        if owner
+            .evacuated_since
+            .is_some_and(|since| since + must_be_empty <= context.now)
+        {
+            return wait;
+        }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
             if same && misdirection.again.is_none_or(|again| again > context.now) {
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -7,7 +7,7 @@
 use self::decide::Step;
 use self::endings::{attempt_name, relayed};
 use super::answers::Refusal;
-use super::budget::{BudgetBounds, RetryBudget};
+use super::budget::RetryBudget;
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
@@ -26,6 +26,7 @@
 use crate::ownership::work::Work;
 use crate::peers::SharedLoad;
 use crate::protections::Protections;
+use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -87,6 +88,8 @@
     budget: RetryBudget,
     zone: ZoneName,
     drain_bound: Duration,
+    /// Time in which an evacuated zone must get nothing more.
+    evacuation_bound: Duration,
     rng: Pcg64Mcg,
     asked: BTreeMap<ServiceName, Vec<u16>>,
     worked: BTreeMap<InstanceId, Work>,
@@ -103,15 +106,8 @@
 }
 
 impl Requests {
-    /// None yet.
-    pub fn new(
-        zone: ZoneName,
-        drain_bound: Duration,
-        bounds: BudgetBounds,
-        protections: Protections,
-        mechanisms: Mechanisms,
-        rng: Pcg64Mcg,
-    ) -> Requests {
+    /// None yet, at a node with these settings.
+    pub fn new(settings: &NodeSettings, rng: Pcg64Mcg) -> Requests {
         Requests {
             open: HashMap::new(),
             by_exchange: HashMap::new(),
@@ -119,9 +115,10 @@
             wake: BTreeSet::new(),
             woken_at: HashMap::new(),
             statistics: StatisticsTable::default(),
-            budget: RetryBudget::new(bounds),
-            zone,
-            drain_bound,
+            budget: RetryBudget::new(settings.retry_budget),
+            zone: settings.zone.clone(),
+            drain_bound: settings.drain_bound,
+            evacuation_bound: settings.evacuation_bound.unwrap_or_default(),
             rng,
             asked: BTreeMap::new(),
             worked: BTreeMap::new(),
@@ -131,16 +128,17 @@
             ended: Vec::new(),
             misdirected: false,
             stopping: false,
-            protections,
-            mechanisms,
+            protections: settings.protections,
+            mechanisms: settings.mechanisms,
             counters: RequestCounters::default(),
         }
     }
 
     /// Takes over changed settings.
-    pub fn set_bounds(&mut self, drain_bound: Duration, bounds: BudgetBounds) {
-        self.drain_bound = drain_bound;
-        self.budget.set_bounds(bounds);
+    pub fn set_bounds(&mut self, settings: &NodeSettings) {
+        self.drain_bound = settings.drain_bound;
+        self.evacuation_bound = settings.evacuation_bound.unwrap_or_default();
+        self.budget.set_bounds(settings.retry_budget);
     }
 
     /// How many are open.
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -3,6 +3,7 @@
 use crate::identity::{NodeIdentity, ZoneName};
 use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
+use crate::requests::BudgetBounds;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,16 +20,15 @@
     pub store_address: SocketAddr,
     /// What this node may use of a core, in thousandths.
     pub millicores: u32,
-    /// Retries allowed for each request to a service, over all nodes.
-    pub retry_ratio: f64,
-    /// Retries allowed besides, over all nodes, in one window.
-    pub retry_slack: f64,
-    /// The window of the retry budget.
-    pub retry_window: Duration,
+    /// What all nodes together may retry.
+    pub retry_budget: BudgetBounds,
     /// Time in which a leaving instance must get no more new work.
     pub drain_bound: Duration,
     /// Time in which an acknowledged configuration must be in force.
     pub configuration_bound: Duration,
+    /// Time in which an evacuated zone must get nothing more. None where zones are
+    /// never evacuated, so that nothing is asked of the store.
+    pub evacuation_bound: Option<Duration>,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
     /// Seed of the node's random decisions.
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use ledgelead_router::configuration::{Configuration, Route, RouteTarget, Service};
 use ledgelead_router::dialect::{ObjectKind, StoreCall};
+use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::ServiceName;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{
@@ -49,6 +50,7 @@
         instances_age_ms: 100,
         served_for_ms: 5_000,
         overloads: List(Vec::new()),
+        evacuations: EvacuationsEntry::default(),
     })
 }
 
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -18,6 +18,7 @@
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{Datagram, NodeRecord, PeerMessage, decode, encode};
 use ledgelead_router::protections::Protections;
+use ledgelead_router::requests::BudgetBounds;
 use ledgelead_router::settings::NodeSettings;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -319,11 +320,14 @@
             peer_address: record.address,
             store_address,
             millicores: record.millicores,
-            retry_ratio: 0.2,
-            retry_slack: 60.0,
-            retry_window: Duration::from_secs(10),
+            retry_budget: BudgetBounds {
+                ratio: 0.2,
+                slack: 60.0,
+                window: Duration::from_secs(10),
+            },
             drain_bound: Duration::from_secs(2),
             configuration_bound: Duration::from_secs(2),
+            evacuation_bound: Some(Duration::from_secs(5)),
             stop_grace: Duration::from_secs(6),
             seed: 7,
             protections: Protections::default(),
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Whole nodes against a store and peers that a test plays.
 
 mod configuration;
+mod evacuation;
 mod fixture;
 mod open_requests;
 mod outage;
--- a/crates/ledgelead-router/tests/node/outage.rs
+++ b/crates/ledgelead-router/tests/node/outage.rs
@@ -4,6 +4,7 @@
 use crate::fixture::{ms, node_address, node_record};
 use googletest::prelude::*;
 use ledgelead_router::dialect::ObjectKind;
+use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{ChangeSpan, ChangedInstance, Heartbeat, InstanceEntry, PeerMessage};
 use ledgelead_types::codec::{List, Text};
@@ -59,6 +60,7 @@
         instances_age_ms: 200,
         served_for_ms: 30_000,
         overloads: List(Vec::new()),
+        evacuations: EvacuationsEntry::default(),
     })
 }
 
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -5,6 +5,7 @@
 };
 use googletest::prelude::*;
 use ledgelead_router::dialect::ObjectKind;
+use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::{InstanceId, ServiceName};
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{Heartbeat, KeyReport, PeerMessage, WorkReport};
@@ -61,6 +62,7 @@
         instances_age_ms: 0,
         served_for_ms: 100,
         overloads: List(admitted_permille.map(key).into_iter().collect()),
+        evacuations: EvacuationsEntry::default(),
     });
     fixture.receive(node_address(COORDINATOR), &message);
 }
--- a/crates/ledgelead-router/tests/node/zone_relay.rs
+++ b/crates/ledgelead-router/tests/node/zone_relay.rs
@@ -2,6 +2,7 @@
 
 use crate::fixture::{Fixture, Store, configuration, ms, node_address, node_record};
 use googletest::prelude::*;
+use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::ZoneName;
 use ledgelead_router::peers::{
     DelayEstimate, Heartbeat, NodeRecord, PeerAddress, PeerMessage, encode,
@@ -122,6 +123,7 @@
         instances_age_ms: 0,
         served_for_ms: 100,
         overloads: List(Vec::new()),
+        evacuations: EvacuationsEntry::default(),
     });
     let origin = PeerAddress::new(node_address(STRONGEST)).expect("IPv4");
     let forwarded = |to_zone| PeerMessage::Forwarded {
