Few nodes send to a cold instance, and each of them little

An instance that is cold gets requests only from the nodes that come first for it by rendezvous hashing among those of its zone, two a second from each, together what it bears with the overage (6 of 6.3); the slack of the bound (8) is for nodes whose views differ. Its keys move to warm owners if it becomes cold again, and it is given none. Without a bound in the configuration all is as before.

Weighed: an equal share for each of 74 nodes (one request in 12 s each: nothing), a share by chance of the rate that a node sees (not a bound), few senders (taken).

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -19,7 +19,7 @@
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::coordinator::Coordinator;
 use ledgelead_router::protections::Protections;
-use ledgelead_router::requests::BudgetBounds;
+use ledgelead_router::requests::{BudgetBounds, ColdBound};
 use ledgelead_router::settings::NodeSettings;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -324,6 +324,7 @@
             drain_bound: DRAIN_BOUND,
             configuration_bound: Duration::from_secs(2),
             evacuation_bound: Some(Duration::from_secs(5)),
+            cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             seed: self.rng.random(),
             protections: self.settings.protections,
@@ -586,6 +587,7 @@
         name: ServiceName::from(name),
         sharded,
         max_connections: 100,
+        cold_rate: None,
     };
     Configuration {
         version,
--- a/crates/ledgelead-router/src/configuration.rs
+++ b/crates/ledgelead-router/src/configuration.rs
@@ -55,6 +55,9 @@
     pub sharded: bool,
     /// Connections that one instance accepts from all callers.
     pub max_connections: u32,
+    /// Requests a second that an instance bears while it is cold, if that is
+    /// bounded.
+    pub cold_rate: Option<f64>,
 }
 
 /// Bounds on what clients send.
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -76,6 +76,11 @@
         self.presence == Presence::Serving && !self.ended && self.evacuated_since.is_none()
     }
 
+    /// Whether it is slow after its start, as far as it has said.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.warm_at > now
+    }
+
     /// The earliest time at which it can have begun to leave.
     pub fn leaving_since(&self) -> Option<Timestamp> {
         match self.presence {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -220,7 +220,7 @@
         if self.next_clean_up <= now {
             self.next_clean_up = now + CLEAN_UP_INTERVAL;
             self.directory.expire(now);
-            self.requests.forget_instances(&self.directory);
+            self.requests.clean_up(&self.directory, now);
             self.shared.expire(now);
             self.zone_relays.expire(now);
         }
@@ -244,8 +244,8 @@
             overloads: &self.overloads,
             headers: self.dialect.headers(),
             exchanges: &mut self.exchanges,
-            nodes: self.registry.len(),
-            zones: self.registry.zones(),
+            registry: &self.registry,
+            node: &self.settings.identity.node,
         };
         (&mut self.requests, context)
     }
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -2,9 +2,11 @@
 
 use super::holding::RELEASE_RETRY;
 use super::holding::State;
+use super::placement::takers;
 use super::{Commands, Context, Coordinator, OutgoingOrder};
 use crate::Timestamp;
 use crate::dialect::{Order, OrderAnswer};
+use crate::directory::Instance;
 use crate::io::{ExchangeFailure, ExchangeId};
 
 impl Coordinator {
@@ -133,7 +135,7 @@
                 holding.lease.possible_until = holding.lease.possible_until.min(context.now);
             }
             let leaving = match context.directory.get(owner) {
-                Some(instance) => !instance.serves(),
+                Some(instance) => !instance.serves() || must_warm_up(context, instance),
                 None => context.directory.is_settled(context.now),
             };
             let over = holding.lease.is_over(self.protections, context.now);
@@ -151,3 +153,15 @@
         }
     }
 }
+
+/// Whether an owner has become cold again and can't bear the requests for its keys,
+/// while others could.
+fn must_warm_up(context: &Context<'_>, instance: &Instance) -> bool {
+    let service = &instance.record.service;
+    let is_bounded = || {
+        let service = context.configuration.service(service);
+        service.is_some_and(|service| service.cold_rate.is_some())
+    };
+    let is_warm = |other: &Instance| !other.is_cold(context.now);
+    instance.is_cold(context.now) && is_bounded() && takers(context, service).any(is_warm)
+}
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -128,7 +128,7 @@
                     id: instance.record.id.clone(),
                     capacity: capacity.unwrap_or_else(assumed),
                     ranges: share.ranges,
-                    takes_keys: takes_keys && instance.warm_at <= context.now,
+                    takes_keys: takes_keys && !instance.is_cold(context.now),
                     incoming: share.incoming,
                     keys: share.keys,
                 }
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -52,6 +52,9 @@
     pub sharded: bool,
     /// Connections that one instance accepts from all callers.
     pub max_connections: u32,
+    /// Requests a second that an instance bears while it is cold; 0 if that is not
+    /// bounded.
+    pub cold_rate: f64,
 }
 
 /// Bounds on what clients send.
@@ -251,6 +254,7 @@
         name: Text(service.name.to_string()),
         sharded: service.sharded,
         max_connections: service.max_connections,
+        cold_rate: service.cold_rate.unwrap_or(0.0),
     }
 }
 
@@ -259,6 +263,7 @@
         name: ServiceName::from(entry.name.0.as_str()),
         sharded: entry.sharded,
         max_connections: entry.max_connections,
+        cold_rate: Some(entry.cold_rate).filter(|rate| *rate > 0.0),
     }
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -115,7 +115,7 @@
         };
         another
             && left > attempt.expected.min(open.route.target_latency / 2)
-            && self.budget.may_draw(&open.service, context.nodes)
+            && self.budget.may_draw(&open.service, context.registry.len())
     }
 
     /// Whether an idempotent request whose instance failed may be sent again.
@@ -126,7 +126,7 @@
                 && !self.stopping
                 && open.tried.len() < open.route.max_attempts as usize
                 && open.due > context.now
-                && self.budget.may_draw(&open.service, context.nodes)
+                && self.budget.may_draw(&open.service, context.registry.len())
         })
     }
 
@@ -138,7 +138,7 @@
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
-        let nodes = context.nodes;
+        let nodes = context.registry.len();
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
@@ -153,6 +153,10 @@
             self.waiting
                 .remove(&(self.mechanisms.rank(open), since, client));
         }
+        let instance = context.directory.get(&selected.id);
+        if instance.is_some_and(|instance| instance.is_cold(context.now)) {
+            self.cold_sends.note(&selected.id, context.now);
+        }
         let exchange = context.exchanges.next_id();
         let limits = self.mechanisms.has(Mechanism::RestLimit);
         let rest_limit = self.rest_limit.current(context.now).filter(|_| limits);
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -7,6 +7,7 @@
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::protections::Protection;
 use crate::requests::answers::Refusal;
+use crate::requests::cold_start::{ColdBound, ColdGate, ColdSends};
 use crate::requests::open_request::OpenRequest;
 use crate::requests::selection::{Selected, SelectionContext};
 use crate::requests::statistics::StatisticsTable;
@@ -28,6 +29,29 @@
 /// Most attempts of a request, also at one owner.
 const MAX_ATTEMPTS: usize = 4;
 
+/// What this node itself knows for selections: parts of `Requests`, apart from its
+/// random numbers, which a selection draws from at the same time.
+struct SelectionSources<'a> {
+    statistics: &'a StatisticsTable,
+    zone: &'a ZoneName,
+    cold_bound: ColdBound,
+    cold_sends: &'a ColdSends,
+    mechanisms: Mechanisms,
+}
+
+/// Borrows the parts field by field.
+macro_rules! selection_sources {
+    ($requests:expr) => {
+        SelectionSources {
+            statistics: &$requests.statistics,
+            zone: &$requests.zone,
+            cold_bound: $requests.cold_bound,
+            cold_sends: &$requests.cold_sends,
+            mechanisms: $requests.mechanisms,
+        }
+    };
+}
+
 /// What is done next with a request.
 pub(super) enum Step {
     Send(Selected, SocketAddr),
@@ -137,7 +161,11 @@
             };
         }
         let left = open.time_left(context.now);
-        let selection = selection_context(&self.statistics, &self.zone, self.mechanisms, context);
+        let sources = selection_sources!(self);
+        let selection = sources.context(context);
+        if !selection.cold.admits(owner, context.now) {
+            return wait;
+        }
         let selected = selection.expect_owner(owner, left);
         let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
         let full = selected.load_factor > 1.0;
@@ -155,8 +183,8 @@
             return Step::Refuse(Refusal::NoInstance);
         };
         let left = open.time_left(context.now);
-        // Field by field, since the draw below borrows the random numbers.
-        let selection = selection_context(&self.statistics, &self.zone, self.mechanisms, context);
+        let sources = selection_sources!(self);
+        let selection = sources.context(context);
         let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
         let Some(selected) = selected else {
             return Step::Wait {
@@ -178,20 +206,24 @@
     }
 }
 
-/// What selections of this moment rest on.
-fn selection_context<'a>(
-    statistics: &'a StatisticsTable,
-    zone: &'a ZoneName,
-    mechanisms: Mechanisms,
-    context: &'a RequestContext<'_>,
-) -> SelectionContext<'a> {
-    SelectionContext {
-        now: context.now,
-        directory: context.directory,
-        statistics,
-        shared: context.shared,
-        zone,
-        zones: context.zones,
-        mechanisms,
+impl SelectionSources<'_> {
+    /// What selections of this moment rest on.
+    fn context<'a>(&'a self, context: &'a RequestContext<'_>) -> SelectionContext<'a> {
+        SelectionContext {
+            now: context.now,
+            directory: context.directory,
+            statistics: self.statistics,
+            shared: context.shared,
+            zone: self.zone,
+            zones: context.registry.zones(),
+            cold: ColdGate {
+                bound: self.cold_bound,
+                configuration: context.configuration,
+                registry: context.registry,
+                node: context.node,
+                sends: self.cold_sends,
+            },
+            mechanisms: self.mechanisms,
+        }
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -8,6 +8,7 @@
 use self::endings::{attempt_name, relayed};
 use super::answers::Refusal;
 use super::budget::RetryBudget;
+use super::cold_start::{ColdBound, ColdSends};
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
@@ -18,13 +19,13 @@
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
 use crate::events::Event;
-use crate::identity::{InstanceId, ServiceName, ZoneName};
+use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
 use crate::ownership::coordinator::ExchangeIds;
 use crate::ownership::view::OwnershipView;
 use crate::ownership::work::Work;
-use crate::peers::SharedLoad;
+use crate::peers::{Registry, SharedLoad};
 use crate::protections::Protections;
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
@@ -56,10 +57,10 @@
     pub headers: &'a HeaderNames,
     /// Numbers exchanges.
     pub exchanges: &'a mut ExchangeIds,
-    /// Registered nodes, which share the retry budget.
-    pub nodes: usize,
-    /// How many zones have nodes.
-    pub zones: u32,
+    /// Registered nodes, which share the retry budget and cold instances.
+    pub registry: &'a Registry,
+    /// This node.
+    pub node: &'a NodeName,
 }
 
 /// Counts for metrics.
@@ -97,6 +98,8 @@
     /// Services whose instances report their load in their answers.
     reporting: BTreeSet<ServiceName>,
     rest_limit: RestLimit,
+    cold_bound: ColdBound,
+    cold_sends: ColdSends,
     ended: Vec<InstanceId>,
     misdirected: bool,
     stopping: bool,
@@ -125,6 +128,8 @@
             changed: BTreeSet::new(),
             reporting: BTreeSet::new(),
             rest_limit: RestLimit::default(),
+            cold_bound: settings.cold_bound,
+            cold_sends: ColdSends::default(),
             ended: Vec::new(),
             misdirected: false,
             stopping: false,
@@ -138,6 +143,7 @@
     pub fn set_bounds(&mut self, settings: &NodeSettings) {
         self.drain_bound = settings.drain_bound;
         self.evacuation_bound = settings.evacuation_bound.unwrap_or_default();
+        self.cold_bound = settings.cold_bound;
         self.budget.set_bounds(settings.retry_budget);
     }
 
@@ -161,8 +167,9 @@
         &self.statistics
     }
 
-    /// Forgets instances that are unknown.
-    pub fn forget_instances(&mut self, directory: &Directory) {
+    /// Forgets instances that are unknown, and what no longer counts.
+    pub fn clean_up(&mut self, directory: &Directory, now: Timestamp) {
+        self.cold_sends.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
     }
 
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod budget;
+mod cold_start;
 mod lifecycle;
 mod open_request;
 mod outcome;
@@ -12,6 +13,7 @@
 
 pub use answers::refusal;
 pub use budget::{BudgetBounds, RetryBudget};
+pub use cold_start::{ColdBound, ColdGate, ColdSends};
 pub use lifecycle::{RequestContext, RequestCounters, Requests};
 pub use open_request::Misdirection;
 pub use outcome::{Verdict, judge};
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -1,5 +1,6 @@
 //! Which instance of a service gets a request.
 
+use super::cold_start::ColdGate;
 use super::statistics::{Statistics, StatisticsTable};
 use crate::Timestamp;
 use crate::directory::{Directory, Instance};
@@ -39,6 +40,8 @@
     pub zone: &'a ZoneName,
     /// How many zones have nodes.
     pub zones: u32,
+    /// Which cold instances this node may send to.
+    pub cold: ColdGate<'a>,
     /// Which mechanisms are on.
     pub mechanisms: Mechanisms,
 }
@@ -76,7 +79,8 @@
         let expect = |instance: &Instance| self.expect(instance, typical, 1, left);
         let untried = usable
             .iter()
-            .filter(|instance| !tried.contains(&instance.record.id));
+            .filter(|instance| !tried.contains(&instance.record.id))
+            .filter(|instance| self.cold.admits(instance, self.now));
         let (own, other): (Vec<&Instance>, Vec<&Instance>) =
             untried.partition(|instance| instance.record.zone == *self.zone);
         let best_own = best(own.into_iter().map(expect), rng);
@@ -127,7 +131,7 @@
         let slots = f64::from(instance.record.slots.max(1));
         let load_factor = (f64::from(open) + 1.0) / slots;
         let expects_cold = self.mechanisms.has(Mechanism::ColdFactor);
-        let cold = if expects_cold && instance.warm_at > self.now {
+        let cold = if expects_cold && instance.is_cold(self.now) {
             COLD_FACTOR
         } else {
             1.0
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::identity::{NodeIdentity, ZoneName};
 use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
-use crate::requests::BudgetBounds;
+use crate::requests::{BudgetBounds, ColdBound};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
     /// Time in which an evacuated zone must get nothing more. None where zones are
     /// never evacuated, so that nothing is asked of the store.
     pub evacuation_bound: Option<Duration>,
+    /// What may be sent to a cold instance, over all nodes.
+    pub cold_bound: ColdBound,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
     /// Seed of the node's random decisions.
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -275,6 +275,7 @@
                 name: ServiceName::from(format!("s{name}").as_str()),
                 sharded,
                 max_connections,
+                cold_rate: sharded.then(|| f64::from(max_connections) + 0.5),
             })
             .collect();
         drawn
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -18,7 +18,7 @@
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{Datagram, NodeRecord, PeerMessage, decode, encode};
 use ledgelead_router::protections::Protections;
-use ledgelead_router::requests::BudgetBounds;
+use ledgelead_router::requests::{BudgetBounds, ColdBound};
 use ledgelead_router::settings::NodeSettings;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -295,6 +295,7 @@
         name: ServiceName::from(name),
         sharded,
         max_connections: 100,
+        cold_rate: None,
     };
     Configuration {
         version,
@@ -328,6 +329,7 @@
             drain_bound: Duration::from_secs(2),
             configuration_bound: Duration::from_secs(2),
             evacuation_bound: Some(Duration::from_secs(5)),
+            cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             seed: 7,
             protections: Protections::default(),
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -4,14 +4,14 @@
 use ledgelead_http::Response;
 use ledgelead_router::dialect::HeaderNames;
 use ledgelead_router::directory::{Directory, InstanceRecord};
-use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
+use ledgelead_router::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::mechanisms::{Mechanism, Mechanisms};
 use ledgelead_router::ownership::record::Assignment;
-use ledgelead_router::peers::{OpenRequests, SharedLoad};
+use ledgelead_router::peers::{OpenRequests, Registry, SharedLoad};
 use ledgelead_router::requests::{
-    BudgetBounds, Misdirection, RestLimit, RetryBudget, Selected, SelectionContext,
-    StatisticsTable, Verdict, judge,
+    BudgetBounds, ColdBound, ColdGate, ColdSends, Misdirection, RestLimit, RetryBudget, Selected,
+    SelectionContext, StatisticsTable, Verdict, judge,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -192,6 +192,13 @@
             shared: &self.shared,
             zone: &self.zone,
             zones: 2,
+            cold: ColdGate {
+                bound: ColdBound::default(),
+                configuration: None,
+                registry: &Registry::default(),
+                node: &NodeName::from("n"),
+                sends: &ColdSends::default(),
+            },
             mechanisms: self.mechanisms,
         };
         let tried: Vec<InstanceId> = tried.iter().map(|id| InstanceId::from(*id)).collect();
