--- a/crates/ledgelead-router/tests/cold_start.rs
+++ b/crates/ledgelead-router/tests/cold_start.rs
@@ -137,7 +137,7 @@
     ) {
         let directory = directory();
         let instance = directory.get(&InstanceId::from("i")).expect("known");
-        let misses = |node: usize, other: usize| (node * 31 + other * 17 + salt) % 7 == 0;
+        let misses = |node: usize, other: usize| (node * 31 + other * 17 + salt).is_multiple_of(7);
         let mut senders = senders(nodes, zones, misses);
         let sent = sent_in_three_seconds(&mut senders, instance);
         prop_assert!(most_in_a_second(&sent) <= MOST);
