Large zones share the load of instances by way of one node

Cause: with 25 nodes in a zone counts of open requests were not shared (older than 100 ms by the time all peers have them), and a node sends an instance one request in 2 to 7 s, so nearly every choice was blind.

Change: nodes send their counts ten times a second to the zone's hub, its strongest node; the hub answers with digests of what has changed, and hubs exchange the sums of their zones four times a second. Digests also tell each instance's service time, by the samples of all nodes, and how long work takes there now (the fourth figure of the load header, which is read now). A node without digests turns to the next candidate.

Weighed: probes in the background (priced, and 6 ms of a slot each), gossip to a few peers in turn (as many datagrams, older), a permit from a dispatcher (exact, but each request waits for it).

Tests: a_large_zone_sends_its_counts_to_one_node takes the place of a_large_zone_goes_by_what_instances_report, whose subject (counts not sent where instances report) is gone: it bounds the same datagrams more tightly (60 in 5 s to one receiver, 100 before). Beside it: failover, sums, and a selection by the digest.

--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -18,6 +18,12 @@
     ColdFactor,
     /// Nodes of a zone tell each other their open requests.
     SharedLoad,
+    /// In large zones they do so by way of one of them.
+    LoadDigest,
+    /// The speed of instances comes from all nodes' answers.
+    SharedSpeed,
+    /// How long work takes at an instance right now counts.
+    Slowness,
     /// What can't be answered in time is refused before it is sent.
     EarlyRefusal,
     /// What a key is asked for beyond its owner's capacity is refused at once.
@@ -38,7 +44,7 @@
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 15] = [
+    pub const ALL: [(&'static str, Mechanism); 18] = [
         ("zone-preference", Mechanism::ZonePreference),
         ("review", Mechanism::Review),
         ("repeat-failed", Mechanism::RepeatFailed),
@@ -46,6 +52,9 @@
         ("failure-share", Mechanism::FailureShare),
         ("cold-factor", Mechanism::ColdFactor),
         ("shared-load", Mechanism::SharedLoad),
+        ("load-digest", Mechanism::LoadDigest),
+        ("shared-speed", Mechanism::SharedSpeed),
+        ("slowness", Mechanism::Slowness),
         ("early-refusal", Mechanism::EarlyRefusal),
         ("overloaded-keys", Mechanism::OverloadedKeys),
         ("priority", Mechanism::Priority),
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -263,9 +263,24 @@
                     let limit = Duration::from_millis(u64::from(rest_limit_ms));
                     self.requests.follow_rest_limit(limit, now);
                 }
-                self.shared.told(from, incarnation, &changes, now);
+                if self.has_hub(self.zone_peers().count()) {
+                    self.load_hub.reported_by(from, now);
+                }
+                self.shared.counted(from, incarnation, &changes, now);
                 self.reconsider_waiting(now, out);
             }
+            PeerMessage::LoadDigest {
+                zones,
+                rest_limit_ms,
+                entries,
+            } => {
+                if rest_limit_ms > 0 {
+                    let limit = Duration::from_millis(u64::from(rest_limit_ms));
+                    self.requests.follow_rest_limit(limit, now);
+                }
+                self.digest_received(from, zones, &entries, now, out);
+            }
+            PeerMessage::ZoneSums { entries } => self.shared.summed(from, &entries, now),
         }
     }
 
--- /dev/null
+++ b/crates/ledgelead-router/src/node/load_hub.rs
@@ -0,0 +1,256 @@
+//! The load of instances in a large zone, by way of one of its nodes.
+//!
+//! With 25 nodes in a zone, one of them sends an instance a request in seconds: alone
+//! it knows nothing of the instance's load. So each node reports its open requests
+//! ten times a second to the zone's hub, which sends back a digest of what has
+//! changed, and with the hubs of other zones exchanges the sums of their zones. That
+//! makes some twenty datagrams a second at each node, whatever the size of the zone.
+//!
+//! The hub is the strongest node of the zone by the registrations. Nothing is agreed
+//! upon: whoever gets reports answers them with digests. A node that hears no digest
+//! turns to the next candidate, and comes back to the first after a while.
+
+use super::Node;
+use super::gossip::send;
+use super::open_requests::{MAX_COUNTS, counts_beat_reports};
+use super::zone_relay::rank;
+use crate::Timestamp;
+use crate::identity::{InstanceId, ZoneName};
+use crate::io::Action;
+use crate::mechanisms::Mechanism;
+use crate::peers::{Datagram, DigestEntry, NodeRecord, OpenRequests, PeerMessage, encode};
+use ledgelead_types::codec::List;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How many nodes of a zone may be its hub.
+const CANDIDATES: usize = 3;
+/// Silence after which a node turns to the next candidate: two complete digests.
+const HUB_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a node stays with another candidate before it tries the first again.
+const RETURN_AFTER: Duration = Duration::from_secs(5);
+/// How long a node that reports gets digests: two of its refreshes.
+const REPORTER_TTL: Duration = Duration::from_millis(1_500);
+/// Least pause between two digests.
+const DIGEST_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two digests for each node that gets them, if that is longer: 500
+/// datagrams a second.
+const PAUSE_A_REPORTER: Duration = Duration::from_millis(2);
+/// Pause between two digests that hold all that is known.
+const COMPLETE_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause between two exchanges with other zones, where bytes are dear.
+const SUMS_PAUSE: Duration = Duration::from_millis(250);
+/// Most entries in one datagram, so that it fits the shortest usual MTU.
+const MAX_ENTRIES: usize = 95;
+
+/// State of a node towards its hub, and as one.
+pub(super) struct LoadHub {
+    /// The place of the hub among the candidates.
+    place: usize,
+    /// Since when it is used.
+    since: Timestamp,
+    /// What this node has reported last, by instance.
+    reported: HashMap<u64, u16>,
+    /// Nodes that report to this one.
+    reporters: HashMap<SocketAddr, Timestamp>,
+    next_digest: Timestamp,
+    next_complete: Timestamp,
+    next_sums: Timestamp,
+}
+
+impl LoadHub {
+    pub(super) fn new(now: Timestamp) -> LoadHub {
+        LoadHub {
+            place: 0,
+            since: now,
+            reported: HashMap::new(),
+            reporters: HashMap::new(),
+            next_digest: now,
+            next_complete: now,
+            next_sums: now,
+        }
+    }
+
+    /// When a digest or an exchange is due, if this node is a hub.
+    pub(super) fn next_deadline(&self) -> Option<Timestamp> {
+        let is_hub = !self.reporters.is_empty();
+        is_hub.then(|| self.next_digest.min(self.next_sums))
+    }
+
+    /// A node has sent its counts to this one.
+    pub(super) fn reported_by(&mut self, from: SocketAddr, now: Timestamp) {
+        self.reporters.insert(from, now);
+    }
+
+    fn use_candidate(&mut self, place: usize, now: Timestamp) {
+        self.place = place;
+        self.since = now;
+    }
+}
+
+impl Node {
+    /// Whether this node's zone shares its load by way of a hub.
+    pub(super) fn has_hub(&self, peers: usize) -> bool {
+        let mechanisms = self.settings.mechanisms;
+        let shares = mechanisms.has(Mechanism::SharedLoad) && mechanisms.has(Mechanism::LoadDigest);
+        shares && !counts_beat_reports(peers)
+    }
+
+    /// The strongest nodes of a zone.
+    fn hub_candidates(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+        let of_zone = self.registry.iter().filter(|node| node.zone == *zone);
+        let mut nodes: Vec<&NodeRecord> = of_zone.collect();
+        nodes.sort_by_key(|node| rank(node));
+        nodes.truncate(CANDIDATES);
+        nodes.into_iter().map(|node| node.address).collect()
+    }
+
+    /// The hub of this node's zone; none before the nodes are known.
+    fn hub(&mut self, now: Timestamp) -> Option<SocketAddr> {
+        let candidates = self.hub_candidates(&self.settings.zone);
+        if candidates.is_empty() {
+            return None;
+        }
+        let place = self.load_hub.place % candidates.len();
+        let current = candidates[place];
+        let heard = self.shared.digest_from(current).unwrap_or_default();
+        let silent = heard.max(self.load_hub.since) + HUB_TIMEOUT <= now;
+        if silent && current != self.settings.peer_address {
+            self.load_hub
+                .use_candidate((place + 1) % candidates.len(), now);
+        } else if place != 0 && self.load_hub.since + RETURN_AFTER <= now {
+            self.load_hub.use_candidate(0, now);
+        }
+        candidates
+            .get(self.load_hub.place % candidates.len())
+            .copied()
+    }
+
+    /// Sends counts to the hub. A refresh is sent without any as well, so that the hub
+    /// knows whom to send digests to.
+    pub(super) fn report_to_hub(
+        &mut self,
+        counts: &[(InstanceId, OpenRequests)],
+        refreshes: bool,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        if refreshes {
+            self.load_hub.reported.clear();
+        }
+        for (_, open) in counts {
+            self.load_hub.reported.insert(open.instance, open.count);
+        }
+        let Some(hub) = self.hub(now) else {
+            return;
+        };
+        if hub == self.settings.peer_address {
+            return;
+        }
+        if counts.is_empty() && refreshes {
+            send(hub, &[self.open_requests(&[], now)], out);
+        }
+        for chunk in counts.chunks(MAX_COUNTS) {
+            send(hub, &[self.open_requests(chunk, now)], out);
+        }
+    }
+
+    /// A hub has sent a digest.
+    pub(super) fn digest_received(
+        &mut self,
+        from: SocketAddr,
+        zones: u8,
+        entries: &[DigestEntry],
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let reported = &self.load_hub.reported;
+        let own = |instance: u64| u32::from(reported.get(&instance).copied().unwrap_or(0));
+        self.shared.digested(from, zones, entries, own, now);
+        self.reconsider_waiting(now, out);
+    }
+
+    /// As a hub, sends what is due.
+    pub(super) fn announce_load(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let hub = &mut self.load_hub;
+        hub.reporters.retain(|_, at| *at + REPORTER_TTL > now);
+        if hub.reporters.is_empty() {
+            return;
+        }
+        if hub.next_digest <= now {
+            let reporters = u32::try_from(hub.reporters.len()).unwrap_or(u32::MAX);
+            let pause = DIGEST_PAUSE.max(PAUSE_A_REPORTER.saturating_mul(reporters));
+            hub.next_digest = now + pause;
+            let complete = hub.next_complete <= now;
+            if complete {
+                hub.next_complete = now + COMPLETE_INTERVAL;
+            }
+            self.send_digest(complete, now, out);
+        }
+        if self.load_hub.next_sums <= now {
+            self.load_hub.next_sums = now + SUMS_PAUSE;
+            self.send_sums(now, out);
+        }
+    }
+
+    fn send_digest(&mut self, complete: bool, now: Timestamp, out: &mut Vec<Action>) {
+        let open = self.open_by_instance();
+        let own = |instance: u64| open.get(&instance).copied().unwrap_or(0);
+        let entries = self.shared.take_digest(complete, own, now);
+        let zones = u8::try_from(self.shared.zones(now)).unwrap_or(u8::MAX);
+        let limit = self.requests.rest_limit_in_zone(now).unwrap_or_default();
+        let datagram = |entries: &[DigestEntry]| {
+            encode(&PeerMessage::LoadDigest {
+                zones,
+                rest_limit_ms: u16::try_from(limit.as_millis()).unwrap_or(u16::MAX),
+                entries: List(entries.to_vec()),
+            })
+        };
+        let mut datagrams: Vec<Datagram> = entries.chunks(MAX_ENTRIES).map(datagram).collect();
+        if datagrams.is_empty() && complete {
+            datagrams.push(datagram(&[]));
+        }
+        for reporter in self.load_hub.reporters.keys() {
+            send(*reporter, &datagrams, out);
+        }
+    }
+
+    fn send_sums(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let open = self.open_by_instance();
+        let own = |instance: u64| open.get(&instance).copied().unwrap_or(0);
+        let entries = self.shared.sums(own, now);
+        let message = |entries: &[DigestEntry]| {
+            let entries = List(entries.to_vec());
+            encode(&PeerMessage::ZoneSums { entries })
+        };
+        let datagrams: Vec<Datagram> = entries.chunks(MAX_ENTRIES).map(message).collect();
+        for hub in self.other_hubs(now) {
+            send(hub, &datagrams, out);
+        }
+    }
+
+    /// The hub of each other zone: whoever sends its sums, else the first candidate.
+    fn other_hubs(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let zones: BTreeMap<&ZoneName, ()> = self
+            .registry
+            .iter()
+            .filter(|node| node.zone != self.settings.zone)
+            .map(|node| (&node.zone, ()))
+            .collect();
+        let hub = |zone: &ZoneName| {
+            let candidates = self.hub_candidates(zone);
+            let heard = candidates
+                .iter()
+                .find(|hub| self.shared.hears_hub(**hub, now));
+            heard.or(candidates.first()).copied()
+        };
+        zones.into_keys().filter_map(hub).collect()
+    }
+
+    /// What this node has open, by the stable hash of the instance.
+    fn open_by_instance(&self) -> HashMap<u64, u32> {
+        let busy = self.requests.statistics().busy();
+        busy.map(|(id, open)| (id.stable_hash(), open)).collect()
+    }
+}
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod coordination;
 mod gossip;
 mod heartbeat;
+mod load_hub;
 mod open_requests;
 mod picture;
 mod registration;
@@ -31,6 +32,7 @@
 use crate::settings::NodeSettings;
 use coordination::Coordination;
 use gossip::Gossip;
+use load_hub::LoadHub;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
@@ -55,6 +57,7 @@
     coordination: Coordination,
     gossip: Gossip,
     zone_relays: ZoneRelays,
+    load_hub: LoadHub,
     overloads: Overloads,
     evacuations: Evacuations,
     traffic: PeerTraffic,
@@ -80,6 +83,7 @@
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
             zone_relays: ZoneRelays::default(),
+            load_hub: LoadHub::new(now),
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
             traffic: PeerTraffic::default(),
@@ -187,7 +191,8 @@
             Some(
                 self.gossip
                     .next_deadline()
-                    .min(self.open_requests_deadline()),
+                    .min(self.open_requests_deadline())
+                    .min(self.load_hub.next_deadline().unwrap_or(Timestamp::MAX)),
             ),
             self.directory.next_expiry(),
         ]
@@ -217,6 +222,7 @@
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
         self.announce_open_requests(now, out);
+        self.announce_load(now, out);
         if self.next_clean_up <= now {
             self.next_clean_up = now + CLEAN_UP_INTERVAL;
             self.directory.expire(now);
--- a/crates/ledgelead-router/src/node/open_requests.rs
+++ b/crates/ledgelead-router/src/node/open_requests.rs
@@ -4,9 +4,8 @@
 //! with requests times peers. So changes are batched: the pause between two
 //! batches grows with the number of peers, and a node sends at most
 //! `COUNT_DATAGRAMS_PER_SECOND` datagrams a second, whatever the size of its
-//! zone. Counts that would be older than `FRESH_FOR` add nothing to what an
-//! instance says itself in its answers, and aren't sent for services whose
-//! instances do so.
+//! zone. Where counts would become older than `FRESH_FOR` by that, they go to the
+//! zone's hub alone (`load_hub`), which sends back a digest of all.
 
 use super::Node;
 use super::gossip::send;
@@ -30,7 +29,11 @@
 /// time for which peers use them.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(700);
 /// Most counts in one datagram, so that it fits the shortest usual MTU.
-const MAX_COUNTS: usize = 80;
+pub(super) const MAX_COUNTS: usize = 70;
+
+/// Pause between two batches to a hub: its digests are as young as the work of one
+/// request, at ten datagrams a second from each node.
+const HUB_PAUSE: Duration = Duration::from_millis(100);
 
 /// When counts are sent next.
 pub(super) struct OpenRequestPace {
@@ -70,7 +73,7 @@
         }
     }
 
-    /// Broadcasts in-flight counts to peers in the same zone: those that
+    /// Sends in-flight counts to the nodes of the zone, or to its hub: those that
     /// changed, and now and then all.
     pub(super) fn announce_open_requests(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let refresh_due = self.gossip.open_requests.next_refresh <= now;
@@ -79,19 +82,31 @@
             return;
         }
         let peers: Vec<SocketAddr> = self.zone_peers().collect();
+        let has_hub = self.has_hub(peers.len());
         let mut counts = Vec::new();
         if batch_due {
             counts = self.requests.take_changed();
-            self.gossip.open_requests.next_batch = now + batch_pause(peers.len());
+            let pause = match has_hub {
+                true => HUB_PAUSE,
+                false => batch_pause(peers.len()),
+            };
+            self.gossip.open_requests.next_batch = now + pause;
         }
         if refresh_due {
             self.gossip.open_requests.next_refresh = now + REFRESH_INTERVAL;
-            let busy = self.requests.statistics().busy();
-            counts.extend(busy.map(|(id, open)| (id.clone(), open)));
+            counts.extend(self.requests.take_busy());
+        }
+        for (_, open) in &counts {
+            self.shared.learn(open.instance, open.speed(), now);
         }
         if !self.settings.mechanisms.has(Mechanism::SharedLoad) {
             counts.clear();
-        } else if !counts_beat_reports(peers.len()) {
+        }
+        if has_hub {
+            self.report_to_hub(&counts, refresh_due, now, out);
+            return;
+        }
+        if !counts_beat_reports(peers.len()) {
             counts.retain(|(id, _)| !self.reports_load(id));
         }
         let datagrams = self.open_request_datagrams(&counts, refresh_due, now);
@@ -116,25 +131,29 @@
     /// of idle connections, if this node has one, where there are no counts.
     fn open_request_datagrams(
         &self,
-        counts: &[(InstanceId, u32)],
+        counts: &[(InstanceId, OpenRequests)],
         refreshes: bool,
         now: Timestamp,
     ) -> Vec<Datagram> {
         let rest_limit = self.requests.rest_limit(now).unwrap_or(Duration::ZERO);
-        let datagram = |chunk: &[(InstanceId, u32)]| {
-            let changes = chunk.iter().map(|(id, count)| OpenRequests {
-                instance: id.stable_hash(),
-                count: u16::try_from(*count).unwrap_or(u16::MAX),
-            });
-            encode(&PeerMessage::Open {
-                incarnation: self.settings.identity.incarnation,
-                rest_limit_ms: u16::try_from(rest_limit.as_millis()).unwrap_or(u16::MAX),
-                changes: List(changes.collect()),
-            })
-        };
         if counts.is_empty() && refreshes && !rest_limit.is_zero() {
-            return vec![datagram(&[])];
+            return vec![self.open_requests(&[], now)];
         }
-        counts.chunks(MAX_COUNTS).map(datagram).collect()
+        let chunks = counts.chunks(MAX_COUNTS);
+        chunks.map(|chunk| self.open_requests(chunk, now)).collect()
+    }
+
+    /// One datagram with counts.
+    pub(super) fn open_requests(
+        &self,
+        counts: &[(InstanceId, OpenRequests)],
+        now: Timestamp,
+    ) -> Datagram {
+        let rest_limit = self.requests.rest_limit(now).unwrap_or(Duration::ZERO);
+        encode(&PeerMessage::Open {
+            incarnation: self.settings.identity.incarnation,
+            rest_limit_ms: u16::try_from(rest_limit.as_millis()).unwrap_or(u16::MAX),
+            changes: List(counts.iter().map(|(_, open)| *open).collect()),
+        })
     }
 }
--- a/crates/ledgelead-router/src/node/zone_relay.rs
+++ b/crates/ledgelead-router/src/node/zone_relay.rs
@@ -92,7 +92,7 @@
 }
 
 /// The order of a zone's nodes: the largest share of a processor first.
-fn rank(node: &NodeRecord) -> impl Ord {
+pub(super) fn rank(node: &NodeRecord) -> impl Ord + use<> {
     (Reverse(node.millicores), node.identity.node.clone())
 }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -1,12 +1,14 @@
 //! What nodes send each other.
 
 use super::configuration::{ConfigurationChange, LimitsEntry};
+use super::shared_load::SpeedSample;
 use crate::evacuation::EvacuationsEntry;
 use crate::requests::OverloadedKey;
 use ledgelead_types::codec::{self, Bytes, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Longest datagram that is read, in bytes: what fits an Ethernet frame, with a
 /// message of 1,400 bytes that another node passes on.
@@ -32,13 +34,44 @@
     pub busy_ms: u32,
 }
 
-/// Requests of one node that are open at one instance.
-#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+/// Requests of one node that are open at one instance, and what those that it has
+/// answered since the last message show of its speed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, SerBin, DeBin)]
 pub struct OpenRequests {
     /// Stable hash of the instance's id.
     pub instance: u64,
     /// How many.
     pub count: u16,
+    /// Requests that it answered.
+    pub answered: u8,
+    /// Time of work for them, in milliseconds.
+    pub busy_ms: u32,
+    /// How long work takes there now, in percent of the usual time; 0 if unknown.
+    pub slowness: u16,
+}
+
+impl OpenRequests {
+    /// What it shows of the instance's speed.
+    pub fn speed(&self) -> SpeedSample {
+        SpeedSample {
+            answered: u32::from(self.answered),
+            busy: Duration::from_millis(u64::from(self.busy_ms)),
+            slowness: Some(self.slowness).filter(|slowness| *slowness > 0),
+        }
+    }
+}
+
+/// What a hub knows of one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, SerBin, DeBin)]
+pub struct DigestEntry {
+    /// Stable hash of the instance's id.
+    pub instance: u64,
+    /// Requests that are open there.
+    pub open: u16,
+    /// Time of work for one request, in milliseconds; 0 if unknown.
+    pub service_ms: u16,
+    /// How long work takes there now, in percent of the usual time; 0 if unknown.
+    pub slowness: u16,
 }
 
 /// A range of keys that has changed its owner.
@@ -297,6 +330,20 @@
         /// Those that changed.
         changes: List<OpenRequests>,
     },
+    /// The load of instances as a zone's hub knows it; sent to the zone's nodes.
+    LoadDigest {
+        /// Of how many zones the requests are counted.
+        zones: u8,
+        /// How long kept connections may rest, in milliseconds; 0 without a limit.
+        rest_limit_ms: u16,
+        /// Those that changed, and now and then all.
+        entries: List<DigestEntry>,
+    },
+    /// Open requests of a zone's nodes; sent to the hubs of other zones.
+    ZoneSums {
+        /// All that are open.
+        entries: List<DigestEntry>,
+    },
 }
 
 impl PeerMessage {
@@ -314,6 +361,8 @@
             PeerMessage::Resigned { .. } => "resignation",
             PeerMessage::LoadReport { .. } => "load_report",
             PeerMessage::Open { .. } => "open_requests",
+            PeerMessage::LoadDigest { .. } => "load_digest",
+            PeerMessage::ZoneSums { .. } => "zone_sums",
         }
     }
 }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -19,10 +19,10 @@
 };
 pub use delay::DelayEstimate;
 pub use message::{
-    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, Heartbeat,
+    ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
     InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage, RelayedKind,
     WorkReport, decode, encode,
 };
 pub use registry::{NodeRecord, Registration, Registry};
-pub use shared_load::SharedLoad;
+pub use shared_load::{SharedLoad, SpeedSample};
 pub use traffic::{PeerTraffic, TrafficCount};
--- a/crates/ledgelead-router/src/peers/shared_load.rs
+++ b/crates/ledgelead-router/src/peers/shared_load.rs
@@ -1,33 +1,120 @@
-//! Open requests at instances, as the nodes of a zone tell each other.
+//! Instances' load, as nodes tell each other: open requests, speed, slowness now.
+//!
+//! In a small zone each node sends its counts to each other one. In a larger one
+//! they go to one node, the zone's hub, which sends back a digest of all (see
+//! `node::load_hub`); hubs also exchange the sums of their zones.
 
-use super::message::OpenRequests;
+use super::message::{DigestEntry, OpenRequests};
 use crate::Timestamp;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a count is believed without being told again.
-const BELIEVED_FOR: Duration = Duration::from_millis(1_500);
+/// How long a count is used without being sent again: twice the pause between two
+/// announcements of all counts.
+const COUNT_TTL: Duration = Duration::from_millis(1_500);
+/// How long a digest goes before counts that came otherwise: some digests may be lost.
+const DIGEST_TTL: Duration = Duration::from_millis(700);
+/// How long the slowness of an instance is used. It changes every 400 ms or so.
+const SLOWNESS_TTL: Duration = Duration::from_millis(300);
+/// How long a service time is used without a new sample; an instance that was slow
+/// gets another chance then.
+const SERVICE_TIME_TTL: Duration = Duration::from_secs(8);
+/// Weight that the earlier service time keeps for each new sample.
+const KEPT_WEIGHT: f64 = 0.9;
 
 #[derive(Clone, Copy, Debug)]
-struct Told {
+struct Count {
     count: u16,
     at: Timestamp,
 }
 
-/// What the other nodes of the zone have open.
+impl Count {
+    fn is_current(&self, now: Timestamp) -> bool {
+        self.at + COUNT_TTL > now
+    }
+}
+
+/// What is known of one instance.
+#[derive(Clone, Debug, Default)]
+struct InstanceLoad {
+    /// By the nodes of this zone, each by itself.
+    nodes: Vec<(SocketAddr, Count)>,
+    /// By the hubs of other zones.
+    zones: Vec<(SocketAddr, Count)>,
+    /// By this zone's hub, without what this node has open.
+    digest: Option<Count>,
+    service_ms: Option<(f64, Timestamp)>,
+    slowness: Option<(u16, Timestamp)>,
+}
+
+impl InstanceLoad {
+    fn is_empty(&self, now: Timestamp) -> bool {
+        let current = |count: &Count| count.is_current(now) && count.count > 0;
+        let counted = self.nodes.iter().chain(&self.zones);
+        let counts = counted.map(|(_, count)| count).chain(&self.digest);
+        !counts.into_iter().any(current) && self.service_time(now).is_none()
+    }
+
+    fn service_time(&self, now: Timestamp) -> Option<f64> {
+        let (time, _) = self
+            .service_ms
+            .filter(|(_, at)| *at + SERVICE_TIME_TTL > now)?;
+        Some(time)
+    }
+
+    fn slowness(&self, now: Timestamp) -> Option<u16> {
+        let (slowness, _) = self.slowness.filter(|(_, at)| *at + SLOWNESS_TTL > now)?;
+        Some(slowness)
+    }
+
+    fn learn(&mut self, sample: SpeedSample, now: Timestamp) {
+        if sample.answered > 0 {
+            let mean = sample.busy.as_secs_f64() * 1_000.0 / f64::from(sample.answered);
+            let kept = KEPT_WEIGHT.powi(sample.answered.min(64) as i32);
+            let earlier = self.service_time(now).unwrap_or(mean);
+            self.service_ms = Some((earlier * kept + mean * (1.0 - kept), now));
+        }
+        if let Some(slowness) = sample.slowness {
+            self.slowness = Some((slowness, now));
+        }
+    }
+}
+
+/// How fast an instance was for one node's requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpeedSample {
+    /// Requests that it answered.
+    pub answered: u32,
+    /// Time of work for them, without waiting, on a machine as usual.
+    pub busy: Duration,
+    /// How long work takes now, in percent of the usual time.
+    pub slowness: Option<u16>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DigestSource {
+    from: SocketAddr,
+    at: Timestamp,
+    zones: u8,
+}
+
+/// What the other nodes have open, and how fast instances are.
 #[derive(Debug, Default)]
 pub struct SharedLoad {
     /// The life of each node.
     incarnations: HashMap<SocketAddr, u64>,
-    /// Counts above zero by instance, so that a request looks at those of one
-    /// instance only.
-    instances: HashMap<u64, Vec<(SocketAddr, Told)>>,
+    instances: HashMap<u64, InstanceLoad>,
+    digest: Option<DigestSource>,
+    /// The hubs of other zones, and when each was heard.
+    other_hubs: HashMap<SocketAddr, Timestamp>,
+    /// Instances of which something has changed since the last digest.
+    changed: BTreeSet<u64>,
 }
 
 impl SharedLoad {
-    /// A node told its counts.
-    pub fn told(
+    /// A node of this zone has sent its counts.
+    pub fn counted(
         &mut self,
         from: SocketAddr,
         incarnation: u64,
@@ -35,46 +122,193 @@
         now: Timestamp,
     ) {
         if self.incarnations.insert(from, incarnation) != Some(incarnation) {
-            self.retain(|peer, _| peer != from);
+            for load in self.instances.values_mut() {
+                load.nodes.retain(|(node, _)| *node != from);
+            }
         }
         for change in changes {
-            let told = Told {
+            let load = self.instances.entry(change.instance).or_default();
+            load.learn(change.speed(), now);
+            let count = Count {
                 count: change.count,
                 at: now,
             };
-            self.set(from, change.instance, told);
+            set(&mut load.nodes, from, count);
+            self.changed.insert(change.instance);
+        }
+    }
+
+    /// This node's own requests have shown how fast an instance is.
+    pub fn learn(&mut self, instance: u64, sample: SpeedSample, now: Timestamp) {
+        let load = self.instances.entry(instance).or_default();
+        load.learn(sample, now);
+        self.changed.insert(instance);
+    }
+
+    /// The zone's hub has sent a digest. `own` says how many requests this node has
+    /// reported for an instance: the others have the rest.
+    pub fn digested(
+        &mut self,
+        from: SocketAddr,
+        zones: u8,
+        entries: &[DigestEntry],
+        own: impl Fn(u64) -> u32,
+        now: Timestamp,
+    ) {
+        if self.digest.is_some_and(|known| known.from != from) {
+            for load in self.instances.values_mut() {
+                load.digest = None;
+            }
+        }
+        self.digest = Some(DigestSource {
+            from,
+            at: now,
+            zones,
+        });
+        for entry in entries {
+            let load = self.instances.entry(entry.instance).or_default();
+            let others = u32::from(entry.open).saturating_sub(own(entry.instance));
+            load.digest = Some(Count {
+                count: u16::try_from(others).unwrap_or(u16::MAX),
+                at: now,
+            });
+            if entry.service_ms > 0 {
+                load.service_ms = Some((f64::from(entry.service_ms), now));
+            }
+            if entry.slowness > 0 {
+                load.slowness = Some((entry.slowness, now));
+            }
         }
     }
 
-    fn set(&mut self, from: SocketAddr, instance: u64, told: Told) {
-        let counts = self.instances.entry(instance).or_default();
-        counts.retain(|(peer, _)| *peer != from);
-        if told.count > 0 {
-            counts.push((from, told));
+    /// The hub of another zone has sent the sums of its zone.
+    pub fn summed(&mut self, from: SocketAddr, entries: &[DigestEntry], now: Timestamp) {
+        self.other_hubs.insert(from, now);
+        for entry in entries {
+            let load = self.instances.entry(entry.instance).or_default();
+            let count = Count {
+                count: entry.open,
+                at: now,
+            };
+            set(&mut load.zones, from, count);
+            if entry.slowness > 0 {
+                load.slowness = Some((entry.slowness, now));
+            }
+            self.changed.insert(entry.instance);
         }
     }
 
     /// Requests that other nodes have open at an instance.
     pub fn open_at(&self, instance: u64, now: Timestamp) -> u32 {
-        let Some(counts) = self.instances.get(&instance) else {
+        let Some(load) = self.instances.get(&instance) else {
             return 0;
         };
+        if self.follows_digest(now) {
+            let digest = load.digest.filter(|count| count.is_current(now));
+            return digest.map_or(0, |count| u32::from(count.count));
+        }
+        let counts = load.nodes.iter().chain(&load.zones);
         counts
-            .iter()
-            .filter(|(_, told)| told.at + BELIEVED_FOR > now)
-            .map(|(_, told)| u32::from(told.count))
+            .filter(|(_, count)| count.is_current(now))
+            .map(|(_, count)| u32::from(count.count))
             .sum()
     }
 
-    /// Forgets what is no longer believed.
+    /// Of how many zones the open requests are known.
+    pub fn zones(&self, now: Timestamp) -> u32 {
+        match self.digest {
+            Some(digest) if self.follows_digest(now) => u32::from(digest.zones),
+            _ => 1 + self.current_hubs(now),
+        }
+    }
+
+    /// The time of work for one request at an instance that works as usual.
+    pub fn service_time(&self, instance: u64, now: Timestamp) -> Option<Duration> {
+        let time = self.instances.get(&instance)?.service_time(now)?;
+        Some(Duration::from_secs_f64(time / 1_000.0))
+    }
+
+    /// How long work takes at an instance now, in percent of the usual time.
+    pub fn slowness(&self, instance: u64, now: Timestamp) -> Option<u16> {
+        self.instances.get(&instance)?.slowness(now)
+    }
+
+    /// When the last digest of a hub came.
+    pub fn digest_from(&self, hub: SocketAddr) -> Option<Timestamp> {
+        let digest = self.digest.filter(|digest| digest.from == hub)?;
+        Some(digest.at)
+    }
+
+    /// Whether a node has sent the sums of its zone lately.
+    pub fn hears_hub(&self, hub: SocketAddr, now: Timestamp) -> bool {
+        let at = self.other_hubs.get(&hub);
+        at.is_some_and(|at| *at + COUNT_TTL > now)
+    }
+
+    /// For a hub's digest: what has changed since the last call, or all that is known.
+    /// `own` says how many requests this node has open at an instance.
+    pub fn take_digest(
+        &mut self,
+        complete: bool,
+        own: impl Fn(u64) -> u32,
+        now: Timestamp,
+    ) -> Vec<DigestEntry> {
+        let changed = std::mem::take(&mut self.changed);
+        let instances: Vec<u64> = match complete {
+            true => self.instances.keys().copied().collect(),
+            false => changed.into_iter().collect(),
+        };
+        let entry = |instance: u64| self.entry(instance, own(instance), true, now);
+        instances.into_iter().filter_map(entry).collect()
+    }
+
+    /// For the hubs of other zones: all that this zone has open.
+    pub fn sums(&self, own: impl Fn(u64) -> u32, now: Timestamp) -> Vec<DigestEntry> {
+        let entry = |instance: &u64| self.entry(*instance, own(*instance), false, now);
+        self.instances.keys().filter_map(entry).collect()
+    }
+
+    fn entry(&self, instance: u64, own: u32, all: bool, now: Timestamp) -> Option<DigestEntry> {
+        let load = self.instances.get(&instance)?;
+        let zones = load.zones.iter().filter(|_| all);
+        let counts = load.nodes.iter().chain(zones);
+        let others: u32 = counts
+            .filter(|(_, count)| count.is_current(now))
+            .map(|(_, count)| u32::from(count.count))
+            .sum();
+        Some(DigestEntry {
+            instance,
+            open: u16::try_from(own + others).unwrap_or(u16::MAX),
+            service_ms: load
+                .service_time(now)
+                .map_or(0, |time| time.max(1.0) as u16),
+            slowness: load.slowness(now).unwrap_or(0),
+        })
+    }
+
+    /// Forgets what is no longer used.
     pub fn expire(&mut self, now: Timestamp) {
-        self.retain(|_, told| told.at + BELIEVED_FOR > now);
+        self.other_hubs.retain(|_, at| *at + COUNT_TTL > now);
+        self.instances.retain(|_, load| !load.is_empty(now));
     }
 
-    fn retain(&mut self, keep: impl Fn(SocketAddr, &Told) -> bool) {
-        for counts in self.instances.values_mut() {
-            counts.retain(|(peer, told)| keep(*peer, told));
-        }
-        self.instances.retain(|_, counts| !counts.is_empty());
+    /// Whether a hub's digests tell what other nodes have open.
+    pub fn follows_digest(&self, now: Timestamp) -> bool {
+        self.digest
+            .is_some_and(|digest| digest.at + DIGEST_TTL > now)
+    }
+
+    fn current_hubs(&self, now: Timestamp) -> u32 {
+        let current = self.other_hubs.values();
+        let current = current.filter(|at| **at + COUNT_TTL > now).count();
+        u32::try_from(current).unwrap_or(u32::MAX)
+    }
+}
+
+/// Replaces the count of one sender; none if it has nothing open.
+fn set(counts: &mut Vec<(SocketAddr, Count)>, from: SocketAddr, count: Count) {
+    counts.retain(|(sender, _)| *sender != from);
+    if count.count > 0 {
+        counts.push((from, count));
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -409,9 +409,12 @@
     let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
     let running = numbers.next()?.ok()?;
     let waiting = numbers.next()?.ok()?;
+    // The slots, which the instance has registered, come before.
+    let slowness = numbers.nth(1).and_then(Result::ok);
     Some(ReportedLoad {
         running,
         waiting,
+        slowness: slowness.and_then(|percent| u16::try_from(percent).ok()),
         at: context.now,
     })
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -25,7 +25,7 @@
 use crate::ownership::coordinator::ExchangeIds;
 use crate::ownership::view::OwnershipView;
 use crate::ownership::work::Work;
-use crate::peers::{Registry, SharedLoad};
+use crate::peers::{OpenRequests, Registry, SharedLoad, SpeedSample};
 use crate::protections::Protections;
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
@@ -183,15 +183,35 @@
         std::mem::take(&mut self.worked)
     }
 
-    /// Instances whose number of open requests changed since the last call.
-    pub fn take_changed(&mut self) -> Vec<(InstanceId, u32)> {
-        std::mem::take(&mut self.changed)
-            .into_iter()
-            .map(|id| {
-                let open = self.statistics.get(&id).map_or(0, |seen| seen.open);
-                (id, open)
-            })
-            .collect()
+    /// Instances whose number of open requests changed since the last call, and what
+    /// their answers have shown.
+    pub fn take_changed(&mut self) -> Vec<(InstanceId, OpenRequests)> {
+        let changed = std::mem::take(&mut self.changed).into_iter();
+        changed.map(|id| self.open_at(id)).collect()
+    }
+
+    /// All instances with open requests, and what their answers have shown.
+    pub fn take_busy(&mut self) -> Vec<(InstanceId, OpenRequests)> {
+        let busy = self.statistics.busy().map(|(id, _)| id.clone());
+        let busy: Vec<InstanceId> = busy.collect();
+        busy.into_iter().map(|id| self.open_at(id)).collect()
+    }
+
+    fn open_at(&mut self, id: InstanceId) -> (InstanceId, OpenRequests) {
+        let seen = self.statistics.entry(&id);
+        let SpeedSample {
+            answered,
+            busy,
+            slowness,
+        } = seen.take_unshared();
+        let open = OpenRequests {
+            instance: id.stable_hash(),
+            count: u16::try_from(seen.open).unwrap_or(u16::MAX),
+            answered: u8::try_from(answered).unwrap_or(u8::MAX),
+            busy_ms: u32::try_from(busy.as_millis()).unwrap_or(u32::MAX),
+            slowness: slowness.unwrap_or(0),
+        };
+        (id, open)
     }
 
     /// Whether `take_changed` would return anything.
@@ -211,6 +231,11 @@
         self.rest_limit.own(now)
     }
 
+    /// The same, or the limit that another node of the zone goes by.
+    pub fn rest_limit_in_zone(&self, now: Timestamp) -> Option<Duration> {
+        self.rest_limit.current(now)
+    }
+
     /// Another node of the zone limits the rest of kept connections.
     pub fn follow_rest_limit(&mut self, limit: Duration, now: Timestamp) {
         self.rest_limit.told(limit, now);
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -108,7 +108,8 @@
     /// open there.
     pub fn expect_owner(&self, owner: &Instance, left: Duration) -> Selected {
         let typical = self.typical_service_time(&[owner], left);
-        self.expect(owner, typical, self.zones.max(1), left)
+        let known = self.shared.zones(self.now).max(1);
+        self.expect(owner, typical, self.zones.div_ceil(known).max(1), left)
     }
 
     fn expect(
@@ -126,7 +127,10 @@
         } else {
             0
         };
-        let reported = statistics.and_then(|statistics| statistics.reported_open(self.now));
+        let reported = statistics
+            .and_then(|statistics| statistics.reported_open(self.now))
+            // A digest is younger.
+            .filter(|_| !self.shared.follows_digest(self.now));
         let open = ((own + told) * senders).max(reported.unwrap_or(0));
         let slots = f64::from(instance.record.slots.max(1));
         let load_factor = (f64::from(open) + 1.0) / slots;
@@ -136,9 +140,10 @@
         } else {
             1.0
         };
-        let service_time = statistics
-            .and_then(|statistics| statistics.service_time(self.now))
-            .unwrap_or(typical.mul_f64(cold));
+        let service_time = self
+            .service_time(id)
+            .unwrap_or(typical.mul_f64(cold))
+            .mul_f64(self.slowness(id));
         let expected = service_time.mul_f64(load_factor.max(1.0));
         let failures = statistics
             .map(|statistics| statistics.failure_share(self.now))
@@ -153,12 +158,31 @@
         }
     }
 
+    /// The time of work for one request at an instance that works as usual.
+    fn service_time(&self, id: &InstanceId) -> Option<Duration> {
+        let shared = || self.shared.service_time(id.stable_hash(), self.now);
+        let own = || self.statistics.get(id)?.service_time(self.now);
+        let shares = self.mechanisms.has(Mechanism::SharedSpeed);
+        shares.then(shared).flatten().or_else(own)
+    }
+
+    /// How much longer than usual an instance takes for its work now, as far as that
+    /// is known.
+    fn slowness(&self, id: &InstanceId) -> f64 {
+        if !self.mechanisms.has(Mechanism::Slowness) {
+            return 1.0;
+        }
+        let own = self.statistics.get(id);
+        let own = own.and_then(|seen| seen.slowness(self.now));
+        let percent = own.or_else(|| self.shared.slowness(id.stable_hash(), self.now));
+        percent.map_or(1.0, |percent| f64::from(percent) / 100.0)
+    }
+
     /// The mean service time of the instances that are known.
     fn typical_service_time(&self, instances: &[&Instance], left: Duration) -> Duration {
         let known: Vec<Duration> = instances
             .iter()
-            .filter_map(|instance| self.statistics.get(&instance.record.id))
-            .filter_map(|statistics| statistics.service_time(self.now))
+            .filter_map(|instance| self.service_time(&instance.record.id))
             .collect();
         match u32::try_from(known.len()) {
             Ok(count) if count > 0 => known.iter().sum::<Duration>() / count,
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -2,6 +2,7 @@
 
 use crate::Timestamp;
 use crate::identity::InstanceId;
+use crate::peers::SpeedSample;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 const MAX_EJECTION: Duration = Duration::from_secs(5);
 /// How long an instance's own figure of its load is used.
 const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(400);
+/// How long its own word of its slowness is used; that changes every 400 ms or so.
+const SLOWNESS_TTL: Duration = Duration::from_millis(300);
 /// How long a service time is believed without a new sample; an instance that
 /// was slow gets another chance then.
 const SERVICE_TIME_BELIEVED_FOR: Duration = Duration::from_secs(8);
@@ -31,6 +34,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// How long work takes there now, in percent of the usual time, if it says so.
+    pub slowness: Option<u16>,
     /// When it was told.
     pub at: Timestamp,
 }
@@ -47,6 +52,8 @@
     ejections: u32,
     ejected_until: Timestamp,
     reported: Option<ReportedLoad>,
+    /// What answers have shown of its speed since other nodes were told.
+    unshared: SpeedSample,
     last_answer: Option<Timestamp>,
 }
 
@@ -67,7 +74,11 @@
         self.failures = 0;
         self.ejections = 0;
         self.note_outcome(0.0, now);
-        let sample = latency.div_f64(load_factor.max(1.0));
+        let slowness = self.reported.and_then(|load| load.slowness);
+        let slowness = slowness.map_or(1.0, |percent| f64::from(percent.max(1)) / 100.0);
+        let sample = latency.div_f64(load_factor.max(1.0) * slowness);
+        self.unshared.answered += 1;
+        self.unshared.busy += sample;
         let smoothed = match self.service_time {
             Some((earlier, _)) => {
                 earlier.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
@@ -111,9 +122,23 @@
 
     /// The instance told its load.
     pub fn told_load(&mut self, load: ReportedLoad) {
+        self.unshared.slowness = load.slowness.or(self.unshared.slowness);
         self.reported = Some(load);
     }
 
+    /// What answers have shown of its speed since the last call.
+    pub fn take_unshared(&mut self) -> SpeedSample {
+        std::mem::take(&mut self.unshared)
+    }
+
+    /// How long work takes there now, in percent of the usual time, by its own last
+    /// word.
+    pub fn slowness(&self, now: Timestamp) -> Option<u16> {
+        self.reported
+            .filter(|load| load.at + SLOWNESS_TTL > now)
+            .and_then(|load| load.slowness)
+    }
+
     /// Whether it is passed over for now.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
         self.ejected_until > now
--- a/crates/ledgelead-router/tests/node/open_requests.rs
+++ b/crates/ledgelead-router/tests/node/open_requests.rs
@@ -1,8 +1,15 @@
 //! In-flight counts among the nodes of a zone.
 
-use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
+use crate::fixture::node_record;
+use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_address};
 use googletest::prelude::*;
 use ledgelead_http::Response;
+use ledgelead_router::identity::InstanceId;
+use ledgelead_router::peers::{DigestEntry, NodeRecord, OpenRequests, PeerMessage};
+use ledgelead_types::codec::List;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A node with this many peers in its zone that has taken one request each
 /// 20 ms for five seconds, each answered after 30 ms.
@@ -56,10 +63,142 @@
     expect_that!(large, le(600 + 100 * 8));
 }
 
+/// A node with this many peers in its zone, of which node 1 is the strongest and
+/// node 2 the next, after some time in which it has taken requests.
+fn node_with_hub(peers: u8, seconds: u64, mut each: impl FnMut(&mut Fixture)) -> Fixture {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 0..6 {
+        store.add_instance(instance(number, SERVICE));
+    }
+    for number in 0..=peers {
+        store.add_node(NodeRecord {
+            millicores: [200, 900, 800]
+                .get(usize::from(number))
+                .copied()
+                .unwrap_or(100),
+            ..node_record(number)
+        });
+    }
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(200));
+    for _ in 0..seconds * 50 {
+        fixture.run_until(fixture.now + ms(20));
+        fixture.ask(SERVICE, None);
+        answer_old(&mut fixture, Some("1,0,4"));
+        each(&mut fixture);
+    }
+    fixture
+}
+
+/// Who has got counts, and when last.
+fn receivers_of_counts(fixture: &Fixture) -> BTreeMap<SocketAddr, Duration> {
+    let counts = fixture
+        .datagrams
+        .iter()
+        .filter(|(_, _, message)| message.kind() == "open_requests");
+    counts.map(|(at, to, _)| (*to, *at)).collect()
+}
+
+fn digest(instance: u64, open: u16) -> PeerMessage {
+    let entry = DigestEntry {
+        instance,
+        open,
+        service_ms: 30,
+        slowness: 0,
+    };
+    PeerMessage::LoadDigest {
+        zones: 3,
+        rest_limit_ms: 0,
+        entries: List(vec![entry]),
+    }
+}
+
+#[gtest]
+fn a_large_zone_sends_its_counts_to_one_node() {
+    let hub = node_address(1);
+    let fixture = node_with_hub(100, 5, |fixture| {
+        fixture.receive(hub, &digest(1, 0));
+    });
+    // Ten a second, and what is announced again each 700 ms.
+    expect_that!(fixture.sent("open_requests"), all!(gt(30), le(60)));
+    let receivers = receivers_of_counts(&fixture);
+    expect_that!(
+        receivers.keys().copied().collect::<Vec<_>>(),
+        eq(&vec![hub])
+    );
+}
+
+#[gtest]
+fn a_node_without_digests_turns_to_the_next_candidate() {
+    let fixture = node_with_hub(100, 3, |_| {});
+    let receivers = receivers_of_counts(&fixture);
+    expect_that!(receivers.contains_key(&node_address(1)), eq(true));
+    expect_that!(receivers.contains_key(&node_address(2)), eq(true));
+}
+
+#[gtest]
+fn whoever_gets_counts_answers_with_their_sums() {
+    let reporters = [node_address(5), node_address(6)];
+    let counted = InstanceId::from("i-1").stable_hash();
+    let mut fixture = node_with_hub(40, 1, |_| {});
+    let open = |count| PeerMessage::Open {
+        incarnation: 1,
+        rest_limit_ms: 0,
+        changes: List(vec![OpenRequests {
+            instance: counted,
+            count,
+            answered: 2,
+            busy_ms: 100,
+            slowness: 300,
+        }]),
+    };
+    fixture.receive(reporters[0], &open(3));
+    fixture.receive(reporters[1], &open(4));
+    let own = fixture
+        .attempts
+        .iter()
+        .filter(|sent| sent.address == instance(1, SERVICE).address);
+    let own = u16::try_from(own.count()).expect("few");
+    fixture.datagrams.clear();
+    fixture.run_until(fixture.now + ms(120));
+    for reporter in reporters {
+        let sums = fixture
+            .datagrams
+            .iter()
+            .find_map(|(_, to, message)| match message {
+                PeerMessage::LoadDigest { entries, .. } if *to == reporter => entries
+                    .0
+                    .iter()
+                    .copied()
+                    .find(|entry| entry.instance == counted),
+                _ => None,
+            });
+        let sums = sums.expect("a digest with the instance");
+        expect_that!(sums.open, eq(7 + own));
+        expect_that!(sums.slowness, eq(300));
+        expect_that!(sums.service_ms, all!(ge(29), le(51)));
+    }
+}
+
 #[gtest]
-fn a_large_zone_goes_by_what_instances_report() {
-    let fixture = busy_node(100, Some("1,0,4"));
-    // Only before the first answer is it unknown that instances report.
-    expect_that!(fixture.sent("open_requests"), le(100));
-    expect_that!(busy_node(100, None).sent("open_requests"), gt(200));
+fn a_digest_tells_what_the_others_have_open() {
+    let hub = node_address(1);
+    let mut fixture = node_with_hub(100, 1, |fixture| {
+        fixture.receive(hub, &digest(1, 0));
+    });
+    // Five of the six instances are full.
+    for number in 0..5 {
+        let id = instance(number, SERVICE).id;
+        fixture.receive(hub, &digest(id.stable_hash(), 40));
+    }
+    for _ in 0..8 {
+        fixture.attempts.clear();
+        fixture.ask(SERVICE, None);
+        expect_that!(
+            fixture.attempts[0].address,
+            eq(instance(5, SERVICE).address)
+        );
+        fixture.end(fixture.attempts[0].exchange, Ok(Response::new(200, "")));
+    }
 }
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -540,14 +540,20 @@
 
 #[gtest]
 fn counts_of_an_earlier_life_or_from_long_ago_are_void() {
-    let told = |count| vec![OpenRequests { instance: 1, count }];
+    let told = |count| {
+        vec![OpenRequests {
+            instance: 1,
+            count,
+            ..OpenRequests::default()
+        }]
+    };
     let from = ([10, 0, 0, 1], 1).into();
     let mut shared = SharedLoad::default();
-    shared.told(from, 1, &told(3), ms(0));
+    shared.counted(from, 1, &told(3), ms(0));
     expect_that!(shared.open_at(1, ms(100)), eq(3));
-    shared.told(from, 2, &[], ms(100));
+    shared.counted(from, 2, &[], ms(100));
     expect_that!(shared.open_at(1, ms(100)), eq(0));
-    shared.told(from, 2, &told(2), ms(100));
+    shared.counted(from, 2, &told(2), ms(100));
     expect_that!(shared.open_at(1, ms(5_000)), eq(0));
 }
 
@@ -595,7 +601,7 @@
     ) {
         let changes: List<OpenRequests> = counts
             .into_iter()
-            .map(|(instance, count)| OpenRequests { instance, count })
+            .map(|(instance, count)| OpenRequests { instance, count, answered: 3, busy_ms: 40, slowness: 100 })
             .collect();
         let message = PeerMessage::Open { incarnation: 5, rest_limit_ms: 0, changes };
         prop_assert_eq!(decode(&encode(&message).bytes).ok(), Some(message));
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -229,9 +229,10 @@
     let told = vec![OpenRequests {
         instance: InstanceId::from("a").stable_hash(),
         count: 5,
+        ..OpenRequests::default()
     }];
     let from = ([10, 0, 0, 9], 1).into();
-    fixture.shared.told(from, 1, &told, ms(900));
+    fixture.shared.counted(from, 1, &told, ms(900));
     expect_that!(fixture.chosen(&[]), eq("b"));
 }
 
@@ -359,10 +360,11 @@
         let changes = vec![OpenRequests {
             instance: InstanceId::from("a").stable_hash(),
             count: 5,
+            ..OpenRequests::default()
         }];
         fixture
             .shared
-            .told(([10, 0, 0, 9], 1).into(), 1, &changes, ms(900));
+            .counted(([10, 0, 0, 9], 1).into(), 1, &changes, ms(900));
     };
     let (with, off) = without(Mechanism::SharedLoad, &told);
     expect_that!((with.as_str(), off.as_str()), eq(("b", "a")));
