Once-only requests are written to connections that are known to be alive

Change: a new connection is watched for 2 ms before a once-only request is written; no byte goes out on a connection whose end is seen before. Both prove that nothing ran, so the request is tried elsewhere or refused truly. Deadlines of failed exchanges are forgotten with them.

Tests: tests/outbound.rs of the runtime, on real sockets with virtual time; the first found the deadlines that stayed behind.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -42,6 +42,9 @@
     pub reuse_idle_below: Duration,
     /// Time for a new connection to come up.
     pub connect_timeout: Duration,
+    /// How long a new connection is watched before the first byte is written: an
+    /// instance that takes no more connections resets them at once.
+    pub settle: Duration,
     /// Time for the whole exchange; if `renewed`, time without any progress.
     pub timeout: Duration,
     /// Whether each part of the answer that arrives begins the time anew. A
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -409,6 +409,7 @@
                 match_header: None,
                 reuse_idle_below: REUSE_IDLE,
                 connect_timeout: CONNECT_TIMEOUT,
+                settle: Duration::ZERO,
                 timeout,
                 renewed: true,
             },
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -24,6 +24,10 @@
 const REUSE_IDLE: Duration = Duration::from_secs(7);
 /// The same for requests that can't be sent again after such a close.
 const REUSE_IDLE_ONCE: Duration = Duration::from_secs(3);
+/// How long a new connection is watched before a request that runs at most once is
+/// written. A reset follows the connection by some tenths of a millisecond; what is
+/// written before it may have run for all that this node knows.
+const SETTLE_ONCE: Duration = Duration::from_millis(2);
 /// After this share of the target latency an idempotent request is sent to
 /// another instance, if the first has been silent since.
 const REVIEW_SHARE: f64 = 1.3;
@@ -384,6 +388,12 @@
         match_header,
         reuse_idle_below: rest_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
         connect_timeout: CONNECT_TIMEOUT.min(left),
+        // Sent again, an idempotent request loses less than by waiting.
+        settle: if open.is_idempotent() {
+            Duration::ZERO
+        } else {
+            SETTLE_ONCE
+        },
         // A little longer than this node waits: the final answer at the end
         // of the time is given by the request's own timer.
         timeout: left + ANSWER_MARGIN,
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -36,6 +36,9 @@
     surplus: u32,
     /// How long its connection had rested before it; nothing on a new one.
     rested: Duration,
+    /// When the request is written, if the connection is watched before.
+    write_at: Option<Instant>,
+    settle: Duration,
     connect_by: Instant,
     answer_by: Instant,
     /// The time that each part of the answer begins anew.
@@ -156,6 +159,9 @@
             }
             if connection.connected && running.answer_by > now {
                 self.deadlines.insert((running.answer_by, key));
+                if running.write_at == Some(at) {
+                    self.progress(key.index, now, inputs);
+                }
                 continue;
             }
             let failure = if connection.connected {
@@ -226,6 +232,8 @@
             } else {
                 Duration::ZERO
             },
+            write_at: None,
+            settle: new.options.settle,
             connect_by,
             answer_by,
             renewed_by: new.options.renewed.then_some(new.options.timeout),
@@ -241,7 +249,10 @@
         };
         if !connection.connected {
             match connection.stream.check_connected() {
-                Ok(true) => connection.connected = true,
+                Ok(true) => {
+                    connection.connected = true;
+                    self.watch_new(index, now);
+                }
                 Ok(false) => return,
                 Err(()) => {
                     self.fail(index, ExchangeFailure::NotConnected, inputs);
@@ -249,7 +260,19 @@
                 }
             }
         }
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
         connection.stream.fill();
+        let unsent = connection.running.is_some() && !connection.stream.wrote_any();
+        if unsent && connection.stream.end().is_some() {
+            // Nothing was written, and never will be.
+            self.fail(index, ExchangeFailure::NotConnected, inputs);
+            return;
+        }
+        if connection.is_watched(now) {
+            return;
+        }
         connection.stream.flush();
         // The answer may have come while the request was written.
         connection.stream.fill();
@@ -261,6 +284,27 @@
         }
     }
 
+    /// A new connection has come up: it is watched for a moment, if its request must
+    /// not be written in vain.
+    fn watch_new(&mut self, index: usize, now: Instant) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        let Some(running) = connection.running.as_mut() else {
+            return;
+        };
+        if running.settle.is_zero() {
+            return;
+        }
+        let write_at = now + running.settle;
+        running.write_at = Some(write_at);
+        let key = ConnectionKey {
+            index,
+            generation: connection.generation,
+        };
+        self.deadlines.insert((write_at, key));
+    }
+
     fn read_answer(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
         loop {
             let Some(connection) = self.connections.get_mut(index) else {
@@ -355,8 +399,10 @@
             index,
             generation: connection.generation,
         };
-        self.deadlines.remove(&(running.answer_by, key));
-        self.deadlines.remove(&(running.connect_by, key));
+        self.forget_deadlines(key, &running);
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
         if reusable && clean {
             connection.idle_since = now;
             connection.keep_until = keep_alive(&response).map(|keep| now + keep);
@@ -377,12 +423,17 @@
     }
 
     fn fail(&mut self, index: usize, failure: ExchangeFailure, inputs: &mut Vec<Input>) {
-        let running = self
-            .connections
-            .get_mut(index)
-            .and_then(|connection| connection.running.take());
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        let key = ConnectionKey {
+            index,
+            generation: connection.generation,
+        };
+        let running = connection.running.take();
         self.drop_connection(index);
         if let Some(running) = running {
+            self.forget_deadlines(key, &running);
             self.by_exchange.remove(&running.exchange);
             inputs.push(Input::Exchanged {
                 exchange: running.exchange,
@@ -407,13 +458,27 @@
                 index,
                 generation: connection.generation,
             };
-            self.deadlines.remove(&(running.answer_by, key));
-            self.deadlines.remove(&(running.connect_by, key));
+            self.forget_deadlines(key, &running);
+        }
+    }
+
+    fn forget_deadlines(&mut self, key: ConnectionKey, running: &Running) {
+        let write_at = running.write_at.into_iter();
+        for at in write_at.chain([running.answer_by, running.connect_by]) {
+            self.deadlines.remove(&(at, key));
         }
     }
 }
 
 impl Connection {
+    /// Whether nothing may be written yet.
+    fn is_watched(&self, now: Instant) -> bool {
+        let running = self.running.as_ref();
+        running
+            .and_then(|running| running.write_at)
+            .is_some_and(|write_at| now < write_at)
+    }
+
     fn is_fresh(&self, below: Duration, now: Instant) -> bool {
         let kept = self.keep_until.is_none_or(|until| now < until);
         kept && now.duration_since(self.idle_since) < below
@@ -445,3 +510,7 @@
         .find_map(|seconds| seconds.trim().parse::<u64>().ok())?;
     Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
 }
+
+#[cfg(test)]
+#[path = "../tests/outbound.rs"]
+mod tests;
