Free slots that a digest shows are chosen by chance, in other zones too

Change: where a digest tells the load, the better of two free slots is taken, drawn by how much work the free slots of each instance can do; of the own zone if it has some, else of all; without any free slot the best of four instances drawn from all zones. The zone preference yields so to how loaded the zone is, not to how long one request may still take. Small zones, whose counts are exact, select as before.

--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -6,6 +6,8 @@
 pub enum Mechanism {
     /// Instances of the own zone come first.
     ZonePreference,
+    /// Where a digest tells the load, free slots are chosen at random.
+    FreeSlots,
     /// An idempotent request whose instance is silent is sent to another.
     Review,
     /// An idempotent request whose instance failed is sent to another.
@@ -44,8 +46,9 @@
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 18] = [
+    pub const ALL: [(&'static str, Mechanism); 19] = [
         ("zone-preference", Mechanism::ZonePreference),
+        ("free-slots", Mechanism::FreeSlots),
         ("review", Mechanism::Review),
         ("repeat-failed", Mechanism::RepeatFailed),
         ("ejection", Mechanism::Ejection),
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -8,6 +8,7 @@
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::SharedLoad;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
@@ -23,6 +24,11 @@
 const FAILURE_COST: f64 = 2.0;
 /// Share of failures that is taken for chance: one failure alone stays below.
 const CHANCE_FAILURES: f64 = 0.35;
+/// Instances that are drawn where no slot is free (Mitzenmacher's power of choices;
+/// more gain little).
+const CHOICES: usize = 4;
+/// Least cost that counts in a draw, so that its inverse stays finite.
+const LEAST_COST_SECONDS: f64 = 0.001;
 /// How much longer an instance works while it is cold.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -57,6 +63,15 @@
     pub cost: Duration,
     /// Requests for each slot, this one with them.
     pub load_factor: f64,
+    /// Slots that are free.
+    free_slots: f64,
+}
+
+impl Selected {
+    /// Requests a second that the free slots can work on.
+    fn free_rate(&self) -> f64 {
+        self.free_slots / self.cost.as_secs_f64().max(LEAST_COST_SECONDS)
+    }
 }
 
 impl SelectionContext<'_> {
@@ -83,7 +98,12 @@
             .filter(|instance| self.cold.admits(instance, self.now));
         let (own, other): (Vec<&Instance>, Vec<&Instance>) =
             untried.partition(|instance| instance.record.zone == *self.zone);
-        let best_own = best(own.into_iter().map(expect), rng);
+        let own: Vec<Selected> = own.into_iter().map(expect).collect();
+        if self.chooses_free_slots() {
+            let other: Vec<Selected> = other.into_iter().map(expect).collect();
+            return self.select_free(own, other, left, rng);
+        }
+        let best_own = best(own, rng);
         let prefers = self.mechanisms.has(Mechanism::ZonePreference);
         let enough = prefers
             && best_own
@@ -103,6 +123,34 @@
         }
     }
 
+    /// Whether nodes choose at random among free slots. Where many nodes go by the
+    /// same digest, all would take the instance that it shows as the best one.
+    fn chooses_free_slots(&self) -> bool {
+        self.mechanisms.has(Mechanism::FreeSlots) && self.shared.follows_digest(self.now)
+    }
+
+    /// An instance with a free slot, of the own zone if it has some; without any, the
+    /// best of a few that are drawn from all zones.
+    fn select_free(
+        &self,
+        own: Vec<Selected>,
+        other: Vec<Selected>,
+        left: Duration,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<Selected> {
+        let prefers = self.mechanisms.has(Mechanism::ZonePreference);
+        if prefers && let Some(free) = draw_free(&own, left, rng) {
+            return Some(free);
+        }
+        let all: Vec<Selected> = own.into_iter().chain(other).collect();
+        if let Some(free) = draw_free(&all, left, rng) {
+            return Some(free);
+        }
+        let drawn = (0..CHOICES).filter_map(|_| all.choose(rng).cloned());
+        let drawn: Vec<Selected> = drawn.collect();
+        best(drawn, rng)
+    }
+
     /// What the owner of a key is expected to need for one more request. All
     /// zones send to it, and only the own zone's nodes tell what they have
     /// open there.
@@ -155,6 +203,7 @@
             expected,
             cost: expected + left.mul_f64(failures * FAILURE_COST),
             load_factor,
+            free_slots: (slots - f64::from(open)).max(0.0),
         }
     }
 
@@ -209,9 +258,26 @@
     }
 }
 
+/// One of those with a free slot that are likely to answer well within the time left:
+/// the better one of two that are drawn by how much work their free slots can do.
+fn draw_free(candidates: &[Selected], left: Duration, rng: &mut Pcg64Mcg) -> Option<Selected> {
+    let enough = left.mul_f64(OWN_ZONE_SHARE);
+    let is_free = |selected: &&Selected| selected.load_factor <= 1.0 && selected.cost <= enough;
+    let free: Vec<&Selected> = candidates.iter().filter(is_free).collect();
+    let draw = |rng: &mut Pcg64Mcg| free.choose_weighted(rng, |selected| selected.free_rate());
+    let first = draw(rng).ok()?;
+    let second = draw(rng).ok()?;
+    let better = if first.cost <= second.cost {
+        first
+    } else {
+        second
+    };
+    Some((*better).clone())
+}
+
 /// The one with the lowest cost; one of them at random where
 /// several are equal.
-fn best(candidates: impl Iterator<Item = Selected>, rng: &mut Pcg64Mcg) -> Option<Selected> {
+fn best(candidates: impl IntoIterator<Item = Selected>, rng: &mut Pcg64Mcg) -> Option<Selected> {
     let mut chosen: Option<Selected> = None;
     let mut equal = 1u32;
     for candidate in candidates {
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -8,7 +8,7 @@
 use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::mechanisms::{Mechanism, Mechanisms};
 use ledgelead_router::ownership::record::Assignment;
-use ledgelead_router::peers::{OpenRequests, Registry, SharedLoad};
+use ledgelead_router::peers::{DigestEntry, OpenRequests, Registry, SharedLoad};
 use ledgelead_router::requests::{
     BudgetBounds, ColdBound, ColdGate, ColdSends, Misdirection, RestLimit, RetryBudget, Selected,
     SelectionContext, StatisticsTable, Verdict, judge,
@@ -185,6 +185,10 @@
     }
 
     fn select(&self, tried: &[&str]) -> Option<Selected> {
+        self.select_with(tried, &mut Pcg64Mcg::seed_from_u64(1))
+    }
+
+    fn select_with(&self, tried: &[&str], rng: &mut Pcg64Mcg) -> Option<Selected> {
         let context = SelectionContext {
             now: ms(1_000),
             directory: &self.directory,
@@ -202,8 +206,7 @@
             mechanisms: self.mechanisms,
         };
         let tried: Vec<InstanceId> = tried.iter().map(|id| InstanceId::from(*id)).collect();
-        let mut rng = Pcg64Mcg::seed_from_u64(1);
-        context.select(&ServiceName::from("s"), &tried, ms(200), &mut rng)
+        context.select(&ServiceName::from("s"), &tried, ms(200), rng)
     }
 
     fn chosen(&self, tried: &[&str]) -> String {
@@ -296,6 +299,64 @@
     expect_that!(unowned, none());
 }
 
+/// A digest says what is open at the instances, and how slow each is now.
+fn digest(fixture: &mut Fixture, loads: &[(&str, u16, u16)]) {
+    let entry = |(id, open, slowness): &(&str, u16, u16)| DigestEntry {
+        instance: InstanceId::from(*id).stable_hash(),
+        open: *open,
+        service_ms: 50,
+        slowness: *slowness,
+    };
+    let entries: Vec<DigestEntry> = loads.iter().map(entry).collect();
+    let hub = ([10, 0, 0, 9], 1).into();
+    fixture.shared.digested(hub, 2, &entries, |_| 0, ms(950));
+}
+
+/// How often each of the three instances is chosen in a hundred selections.
+fn choices(fixture: &Fixture) -> [usize; 3] {
+    let mut counts = [0; 3];
+    for seed in 0..100 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let chosen = fixture.select_with(&[], &mut rng).expect("an instance");
+        let place = ["a", "b", "c"]
+            .iter()
+            .position(|id| chosen.id.as_str() == *id);
+        counts[place.expect("a known one")] += 1;
+    }
+    counts
+}
+
+#[gtest]
+fn free_slots_that_a_digest_shows_are_shared_by_chance() {
+    let mut fixture = Fixture::new();
+    digest(&mut fixture, &[("a", 0, 100), ("b", 1, 100), ("c", 0, 100)]);
+    let [a, b, c] = choices(&fixture);
+    // Twice the free slots, and no slot of the other zone.
+    expect_that!(a, gt(b));
+    expect_that!(b, gt(10));
+    expect_that!(c, eq(0));
+}
+
+#[gtest]
+fn a_zone_without_a_free_slot_yields_to_others() {
+    let mut fixture = Fixture::new();
+    digest(&mut fixture, &[("a", 2, 100), ("b", 2, 100), ("c", 1, 100)]);
+    expect_that!(choices(&fixture), eq([0, 0, 100]));
+    // Without any free slot, the least loaded of those that are drawn.
+    digest(&mut fixture, &[("a", 9, 100), ("b", 9, 100), ("c", 3, 100)]);
+    let [a, b, c] = choices(&fixture);
+    expect_that!(c, gt(60));
+    expect_that!(a + b, gt(0));
+}
+
+#[gtest]
+fn an_instance_that_is_slow_now_is_avoided_for_a_moment() {
+    let mut fixture = Fixture::new();
+    digest(&mut fixture, &[("a", 0, 400), ("b", 1, 100), ("c", 0, 100)]);
+    // It can't answer well in time: 200 ms of work are all that is left.
+    expect_that!(choices(&fixture)[0], eq(0));
+}
+
 #[gtest]
 fn one_failure_drives_nothing_out_of_the_zone() {
     let mut fixture = Fixture::new();
