An attempt is broken off only where another instance has a free slot

Change: the review needs an instance that was not tried, has a free slot and is expected to answer in the time left. Signals are looked at before each step, not only at timers.

--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -178,15 +178,28 @@
         Step::Send(selected, owner.record.address)
     }
 
+    /// The best instance for a request without a key.
+    pub(super) fn select_any(
+        &mut self,
+        client: ClientId,
+        context: &RequestContext<'_>,
+    ) -> Option<Selected> {
+        let open = self.open.get(&client)?;
+        let left = open.time_left(context.now);
+        let sources = selection_sources!(self);
+        let selection = sources.context(context);
+        selection.select(&open.service, &open.tried, left, &mut self.rng)
+    }
+
     pub(super) fn next_step_any(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
         let Some(open) = self.open.get(&client) else {
             return Step::Refuse(Refusal::NoInstance);
         };
         let left = open.time_left(context.now);
-        let sources = selection_sources!(self);
-        let selection = sources.context(context);
-        let selected = selection.select(&open.service, &open.tried, left, &mut self.rng);
-        let Some(selected) = selected else {
+        let Some(selected) = self.select_any(client, context) else {
+            let Some(open) = self.open.get(&client) else {
+                return Step::Refuse(Refusal::NoInstance);
+            };
             return Step::Wait {
                 again: None,
                 reason: open.failure_or(Refusal::NoInstance),
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -196,7 +196,6 @@
             self.inbound.sweep(now);
         }
         self.look_at_settings(now);
-        self.look_at_signals(now);
         self.pump(cx);
         self.end_if_stopped(cx);
     }
@@ -294,6 +293,8 @@
     /// is left, then sets the timer.
     fn pump(&mut self, cx: CX![]) {
         let now = cx.now();
+        // Before anything is decided: a node that stops breaks nothing off.
+        self.look_at_signals(now);
         let time = self.time(now);
         let mut actions = Vec::new();
         while let Some(input) = self.inputs.pop_front() {
