A free range that is too much for one instance is divided, and none waits for ever

Change: a free range is given away in parts of what each instance has room for; a single key that is too much for any goes to the least utilised one. What is bearable rises with the mean utilisation, so that what all together can't bear is shared. Logs and metrics say why a key's owner gets nothing: no_owner, owner_left, key_moving, owner_fails, owner_cold.

--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -4,10 +4,11 @@
 use super::placement::takers;
 use super::{Context, Coordinator, PLAN_INTERVAL};
 use crate::Timestamp;
+use crate::dialect::KeyRange;
 use crate::events::Event;
 use crate::identity::ServiceName;
 use crate::ownership::lease::Lease;
-use crate::ownership::next_owner::NextOwners;
+use crate::ownership::next_owner::{NextOwners, TakenPart};
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,6 +16,16 @@
 /// A write that takes longer tells that the store is slow or lost.
 const SLOW_WRITE: Duration = Duration::from_millis(150);
 
+/// A free range whose next owners are decided.
+struct GivenRange {
+    /// Its place among the holdings.
+    index: usize,
+    parts: Vec<TakenPart>,
+    /// What nobody has room for.
+    rest: Vec<KeyRange>,
+    handover: Option<String>,
+}
+
 impl Coordinator {
     /// Puts all free ranges under their next owners, in one write.
     pub(super) fn begin_write(&mut self, context: &Context<'_>) -> Option<OwnershipRecord> {
@@ -23,7 +34,7 @@
         }
         let places = self.next_placement <= context.now;
         let mut placements: BTreeMap<ServiceName, NextOwners> = BTreeMap::new();
-        let mut changed = false;
+        let mut given = Vec::new();
         for index in 0..self.holdings.len() {
             let State::Free { target, handover } = &self.holdings[index].state else {
                 continue;
@@ -45,30 +56,38 @@
                 };
                 continue;
             }
-            let owner = match wished {
-                Some(owner) => owner,
+            let range = self.holdings[index].range;
+            let parts = match wished {
+                Some(owner) => vec![TakenPart { range, owner }],
                 None if !places => continue,
                 None => {
-                    let range = self.holdings[index].range;
                     let load = self.loads.get(&service);
-                    let rate = load.map_or(0.0, |load| load.rate(range));
                     let next_owners = placements.entry(service.clone()).or_insert_with(|| {
                         NextOwners::new(self.candidates(context, &service), load)
                     });
-                    let Some(owner) = next_owners.take(range, rate) else {
-                        self.next_placement = context.now + PLAN_INTERVAL;
-                        continue;
-                    };
-                    owner
+                    next_owners.take(range)
                 }
             };
-            self.holdings[index].state = State::Writing {
-                owner,
-                fence: self.next_fence,
+            let rest = parts.iter().fold(vec![range], |left, part| {
+                let without = left.iter().flat_map(|range| range.without(part.range));
+                without.collect()
+            });
+            if !rest.is_empty() {
+                self.next_placement = context.now + PLAN_INTERVAL;
+            }
+            if parts.is_empty() {
+                continue;
+            }
+            given.push(GivenRange {
+                index,
+                parts,
+                rest,
                 handover,
-            };
-            self.next_fence += 1;
-            changed = true;
+            });
+        }
+        let changed = !given.is_empty();
+        for range in given {
+            self.divide(range);
         }
         if !changed {
             return None;
@@ -78,6 +97,39 @@
         self.writing.clone()
     }
 
+    /// Puts the parts of a free range under their next owners; the rest stays free.
+    fn divide(&mut self, given: GivenRange) {
+        let GivenRange {
+            index,
+            parts,
+            rest,
+            handover,
+        } = given;
+        let whole = self.holdings[index].clone();
+        let mut divided = Vec::new();
+        for part in parts {
+            divided.push(Holding {
+                range: part.range,
+                state: State::Writing {
+                    owner: part.owner,
+                    fence: self.next_fence,
+                    handover: handover.clone(),
+                },
+                ..whole.clone()
+            });
+            self.next_fence += 1;
+        }
+        divided.extend(rest.into_iter().map(|range| Holding {
+            range,
+            ..whole.clone()
+        }));
+        let mut divided = divided.into_iter();
+        if let Some(first) = divided.next() {
+            self.holdings[index] = first;
+        }
+        self.holdings.extend(divided);
+    }
+
     /// The record as it stands once all writes that are decided are done.
     pub(super) fn projected_record(&self, now: Timestamp) -> OwnershipRecord {
         let mut assignments: Vec<Assignment> = self
--- a/crates/ledgelead-router/src/ownership/next_owner.rs
+++ b/crates/ledgelead-router/src/ownership/next_owner.rs
@@ -9,6 +9,11 @@
 /// can work on, since rates and capacities are estimates; beyond, one range more
 /// would take the time of those that it serves.
 const BEARABLE_UTILISATION: f64 = 1.2;
+/// The same as a multiple of the mean utilisation, where that is higher: what all
+/// instances together can't bear is shared by them, not left to nobody.
+const BEARABLE_IMBALANCE: f64 = 1.5;
+/// Least part of an instance's capacity that a part of a range is cut off for.
+const LEAST_ROOM: f64 = 0.05;
 
 /// An instance that ranges can be given to.
 #[derive(Clone, Debug)]
@@ -27,22 +32,33 @@
         (self.rate + rate) / self.capacity + tie
     }
 
-    /// Whether it can bear a range besides what it has. A range that is too much for
-    /// any instance goes to one that has no other load.
-    fn bears(&self, rate: f64) -> bool {
-        self.rate <= 0.0 || self.utilisation_with(rate) <= BEARABLE_UTILISATION
+    /// Requests a second that it can take up to a utilisation.
+    fn room(&self, utilisation: f64) -> f64 {
+        utilisation * self.capacity - self.rate
     }
 }
 
+/// A part of a free range, and who gets it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TakenPart {
+    /// The keys.
+    pub range: KeyRange,
+    /// Their next owner.
+    pub owner: InstanceId,
+}
+
 /// The instances of a service that can be given free ranges at one moment.
-#[derive(Clone, Debug)]
-pub struct NextOwners {
+#[derive(Clone)]
+pub struct NextOwners<'a> {
     takers: Vec<Taker>,
+    load: Option<&'a KeyLoad>,
+    /// Up to which utilisation they are given ranges.
+    bearable: f64,
 }
 
-impl NextOwners {
+impl<'a> NextOwners<'a> {
     /// Those that take keys, or all where none does. Without a `load` none is known.
-    pub fn new(candidates: Vec<Candidate>, load: Option<&KeyLoad>) -> NextOwners {
+    pub fn new(candidates: Vec<Candidate>, load: Option<&'a KeyLoad>) -> NextOwners<'a> {
         let any_takes = candidates.iter().any(|candidate| candidate.takes_keys);
         let rate = |range: &KeyRange| load.map_or(0.0, |load| load.rate(*range));
         let taker = |candidate: Candidate| Taker {
@@ -51,29 +67,78 @@
             capacity: candidate.capacity,
             keys: candidate.keys,
         };
+        let takers: Vec<Taker> = candidates
+            .into_iter()
+            .filter(|candidate| candidate.takes_keys || !any_takes)
+            .map(taker)
+            .collect();
+        let capacity: f64 = takers.iter().map(|taker| taker.capacity).sum();
+        let mean = rate(&KeyRange::ALL) / capacity;
         NextOwners {
-            takers: candidates
-                .into_iter()
-                .filter(|candidate| candidate.takes_keys || !any_takes)
-                .map(taker)
-                .collect(),
+            takers,
+            load,
+            bearable: BEARABLE_UTILISATION.max(mean * BEARABLE_IMBALANCE),
         }
     }
 
-    /// Gives a range that is asked for `rate` times a second to the instance that is
-    /// least utilised with it. None if that can't bear it: then the range stays free
-    /// until there is room.
-    pub fn take(&mut self, range: KeyRange, rate: f64) -> Option<InstanceId> {
-        let utilisation = |taker: &&mut Taker| taker.utilisation_with(rate);
-        let least = self
-            .takers
-            .iter_mut()
-            .min_by(|left, right| utilisation(left).total_cmp(&utilisation(right)))?;
-        if !least.bears(rate) {
-            return None;
+    /// Gives a free range to the instances that are least utilised, in parts where it
+    /// is more than one of them can bear. What is left over stays free until there is
+    /// room. A single key that is too much for any instance goes to the one that is
+    /// least utilised.
+    pub fn take(&mut self, range: KeyRange) -> Vec<TakenPart> {
+        let mut parts = Vec::new();
+        let mut left = Some(range);
+        while let Some(range) = left.take() {
+            let rate = self.rate(range);
+            let Some(least) = self.least_utilised(rate) else {
+                break;
+            };
+            let room = self.takers[least].room(self.bearable);
+            let (taken, rest) = if rate <= room {
+                (range, None)
+            } else if room < LEAST_ROOM * self.takers[least].capacity {
+                break;
+            } else {
+                self.front(range, room)
+            };
+            parts.push(self.give(least, taken));
+            left = rest;
+        }
+        parts
+    }
+
+    fn rate(&self, range: KeyRange) -> f64 {
+        self.load.map_or(0.0, |load| load.rate(range))
+    }
+
+    /// The one that is least utilised with this many requests a second more.
+    fn least_utilised(&self, rate: f64) -> Option<usize> {
+        let utilisation = |place: &usize| self.takers[*place].utilisation_with(rate);
+        let places = 0..self.takers.len();
+        places.min_by(|left, right| utilisation(left).total_cmp(&utilisation(right)))
+    }
+
+    /// The front of a range that carries no more than `room`, one key at least, and
+    /// the rest.
+    fn front(&self, range: KeyRange, room: f64) -> (KeyRange, Option<KeyRange>) {
+        let single = KeyRange {
+            last: range.first,
+            ..range
+        };
+        let cuts = self.load.map(|load| load.cuts(range, room, true));
+        let fitting = cuts.into_iter().flatten().find(|(_, rate)| *rate <= room);
+        let front = fitting.map_or(single, |(front, _)| front);
+        (front, range.without(front).pop())
+    }
+
+    fn give(&mut self, place: usize, range: KeyRange) -> TakenPart {
+        let rate = self.rate(range);
+        let taker = &mut self.takers[place];
+        taker.rate += rate;
+        taker.keys += range.len();
+        TakenPart {
+            range,
+            owner: taker.id.clone(),
         }
-        least.rate += rate;
-        least.keys += range.len();
-        Some(least.id.clone())
     }
 }
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -17,8 +17,16 @@
     Overloaded,
     /// Its key is asked for more often than its owner can work.
     KeyOverloaded,
-    /// Nobody owns the key now, or its owner can't be reached.
+    /// Nobody is known to own the key now.
     NoOwner,
+    /// The key's owner has left, or is leaving.
+    OwnerLeft,
+    /// The key's owner has rejected it: it is on the move.
+    KeyMoving,
+    /// The key's owner has failed several times in a row.
+    OwnerFails,
+    /// The key's owner is cold, and others send to it.
+    OwnerCold,
     /// The service has no instance.
     NoInstance,
     /// Rejected by instances; it was not run.
@@ -41,6 +49,10 @@
             | Refusal::Overloaded
             | Refusal::KeyOverloaded
             | Refusal::NoOwner
+            | Refusal::OwnerLeft
+            | Refusal::KeyMoving
+            | Refusal::OwnerFails
+            | Refusal::OwnerCold
             | Refusal::NoInstance
             | Refusal::Rejected
             | Refusal::NotSentInTime => 503,
@@ -67,6 +79,10 @@
             Refusal::Overloaded => "overloaded",
             Refusal::KeyOverloaded => "key_overloaded",
             Refusal::NoOwner => "no_owner",
+            Refusal::OwnerLeft => "owner_left",
+            Refusal::KeyMoving => "key_moving",
+            Refusal::OwnerFails => "owner_fails",
+            Refusal::OwnerCold => "owner_cold",
             Refusal::NoInstance => "no_instance",
             Refusal::Rejected => "rejected",
             Refusal::NotSentInTime => "not_sent_in_time",
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -115,40 +115,40 @@
         key: u16,
         context: &RequestContext<'_>,
     ) -> Step {
-        let wait = Step::Wait {
+        let wait = |reason: Refusal| Step::Wait {
             again: None,
-            reason: Refusal::NoOwner,
+            reason,
         };
         let Some(assignment) = context.ownership.find(&open.service, key) else {
-            return wait;
+            return wait(Refusal::NoOwner);
         };
         let Some(owner) = context.directory.get(&assignment.owner) else {
-            return wait;
+            return wait(Refusal::OwnerLeft);
         };
         let bounded = self.protections.has(Protection::DrainBound);
         let must_leave = self.drain_bound.mul_f64(DRAIN_SHARE);
         if owner.ended {
-            return wait;
+            return wait(Refusal::OwnerLeft);
         }
         if owner
             .leaving_since()
             .is_some_and(|since| since + must_leave <= context.now && bounded)
         {
-            return wait;
+            return wait(Refusal::OwnerLeft);
         }
         let must_be_empty = self.evacuation_bound.mul_f64(EVACUATION_SHARE);
         if owner
             .evacuated_since
             .is_some_and(|since| since + must_be_empty <= context.now)
         {
-            return wait;
+            return wait(Refusal::OwnerLeft);
         }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
             if same && misdirection.again.is_none_or(|again| again > context.now) {
                 return Step::Wait {
                     again: misdirection.again,
-                    reason: Refusal::NoOwner,
+                    reason: Refusal::KeyMoving,
                 };
             }
         }
@@ -157,14 +157,14 @@
         if let Some(seen) = seen.filter(|seen| ejects && seen.is_ejected(context.now)) {
             return Step::Wait {
                 again: Some(seen.ejected_until()),
-                reason: Refusal::NoOwner,
+                reason: Refusal::OwnerFails,
             };
         }
         let left = open.time_left(context.now);
         let sources = selection_sources!(self);
         let selection = sources.context(context);
         if !selection.cold.admits(owner, context.now) {
-            return wait;
+            return wait(Refusal::OwnerCold);
         }
         let selected = selection.expect_owner(owner, left);
         let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
