Who can't be answered in time is refused at once, and told when there may be room

All refused callers came back after 120 to 240 ms, most of them to be refused again.

Change: a request joins a queue if queue and work are expected to take no more than 0.6 of the time to its target; one that is late only takes a free slot. Otherwise it is refused at once. Retry-After is 150 ms where few requests of the service are refused, up to 1.65 s with their share, for an overloaded key with the share that its owner can't work on, and spread by 0.7.

--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -61,13 +61,9 @@
         }
     }
 
-    /// When the client may come back, at the earliest.
-    pub fn retry_after(self) -> Duration {
-        match self {
-            // Such a key stays overloaded for seconds.
-            Refusal::KeyOverloaded => Duration::from_millis(600),
-            _ => Duration::from_millis(120),
-        }
+    /// Whether there was no room for the request, so that others are refused as well.
+    pub fn lacks_room(self) -> bool {
+        matches!(self, Refusal::Overloaded | Refusal::Rejected)
     }
 
     /// A name for logs and metrics.
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -14,8 +14,9 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 
-/// Share of the time left that an owner's queue may take.
-const OWNER_WAIT_SHARE: f64 = 1.0;
+/// Share of the time left that queue and work may be expected to take. Work spreads by
+/// half of its mean, and machines are slow for moments: more is likely to be late.
+const ADMITTED_SHARE: f64 = 0.6;
 /// Share of the drain bound after which a leaving owner gets nothing more,
 /// counted from the earliest time at which it can have begun to leave. The rest
 /// is for datagrams and requests on their way.
@@ -167,17 +168,27 @@
             return wait(Refusal::OwnerCold);
         }
         let selected = selection.expect_owner(owner, left);
-        let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
-        let full = selected.load_factor > 1.0;
-        if refuses && full && selected.expected > left.mul_f64(OWNER_WAIT_SHARE) {
-            return Step::Wait {
-                again: None,
-                reason: Refusal::Overloaded,
-            };
+        if !self.admits(open, &selected, context) {
+            return Step::Refuse(open.failure_or(Refusal::Overloaded));
         }
         Step::Send(selected, owner.record.address)
     }
 
+    /// Whether a request may join the queue of an instance: it is likely to be answered
+    /// within its target then. A late one only takes a free slot.
+    fn admits(
+        &self,
+        open: &OpenRequest,
+        selected: &Selected,
+        context: &RequestContext<'_>,
+    ) -> bool {
+        if !self.mechanisms.has(Mechanism::EarlyRefusal) || selected.load_factor <= 1.0 {
+            return true;
+        }
+        let left = open.target().saturating_sub(context.now);
+        selected.expected <= left.mul_f64(ADMITTED_SHARE)
+    }
+
     /// The best instance for a request without a key.
     pub(super) fn select_any(
         &mut self,
@@ -192,25 +203,18 @@
     }
 
     pub(super) fn next_step_any(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
+        let selected = self.select_any(client, context);
         let Some(open) = self.open.get(&client) else {
             return Step::Refuse(Refusal::NoInstance);
         };
-        let left = open.time_left(context.now);
-        let Some(selected) = self.select_any(client, context) else {
-            let Some(open) = self.open.get(&client) else {
-                return Step::Refuse(Refusal::NoInstance);
-            };
+        let Some(selected) = selected else {
             return Step::Wait {
                 again: None,
                 reason: open.failure_or(Refusal::NoInstance),
             };
         };
-        let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
-        if refuses && selected.load_factor > 1.0 && selected.expected > left {
-            return Step::Wait {
-                again: None,
-                reason: Refusal::Overloaded,
-            };
+        if !self.admits(open, &selected, context) {
+            return Step::Refuse(open.failure_or(Refusal::Overloaded));
         }
         match context.directory.get(&selected.id) {
             Some(instance) => Step::Send(selected, instance.record.address),
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -5,16 +5,18 @@
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
 use crate::events::Event;
+use crate::identity::ServiceName;
 use crate::io::{Action, ClientId};
 use crate::requests::answers::{Refusal, refusal};
 use crate::requests::open_request::OpenRequest;
+use crate::requests::refusal_share::return_after;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use std::time::Duration;
 
-/// By how much the time at which refused clients may come back is spread, so
+/// Share by which the time at which refused clients may come back is spread, so
 /// that they don't come back together.
-const RETRY_AFTER_SPREAD_MS: u64 = 120;
+const RETURN_SPREAD: f64 = 0.7;
 
 impl Requests {
     pub(super) fn wait(
@@ -70,7 +72,10 @@
         };
         answered.emit();
         let request = open.request.clone();
-        let response = self.refusal(&request, reason, context);
+        let service = open.service.clone();
+        let key = open.key;
+        let again = self.return_after(&service, key, reason, context);
+        let response = self.refusal(&request, reason, again, context);
         self.finish(client, response, out);
     }
 
@@ -110,20 +115,37 @@
         out.push(Action::Respond { client, response });
     }
 
+    /// When the client of a refused request may come back.
+    fn return_after(
+        &mut self,
+        service: &ServiceName,
+        key: Option<u16>,
+        reason: Refusal,
+        context: &RequestContext<'_>,
+    ) -> Duration {
+        if reason.lacks_room() {
+            self.refusals.refused(service, context.now);
+        }
+        let admitted = key
+            .filter(|_| reason == Refusal::KeyOverloaded)
+            .and_then(|key| context.overloads.admitted(service, key, context.now));
+        let refused = match admitted {
+            Some(admitted) => 1.0 - admitted,
+            None => self.refusals.share(service, context.now),
+        };
+        return_after(refused)
+    }
+
     pub(super) fn refusal(
         &mut self,
         request: &Request,
         reason: Refusal,
+        again: Duration,
         context: &RequestContext<'_>,
     ) -> Response {
         *self.counters.refused.entry(reason.name()).or_default() += 1;
-        let spread = Duration::from_millis(self.rng.random_range(0..RETRY_AFTER_SPREAD_MS));
-        refusal(
-            request,
-            reason,
-            reason.retry_after() + spread,
-            context.headers,
-        )
+        let spread = again.mul_f64(self.rng.random_range(0.0..RETURN_SPREAD));
+        refusal(request, reason, again + spread, context.headers)
     }
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -12,6 +12,7 @@
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
+use super::refusal_share::{RefusalShares, return_after};
 use super::rest_limit::RestLimit;
 use super::statistics::StatisticsTable;
 use crate::Timestamp;
@@ -98,6 +99,7 @@
     /// Services whose instances report their load in their answers.
     reporting: BTreeSet<ServiceName>,
     rest_limit: RestLimit,
+    refusals: RefusalShares,
     cold_bound: ColdBound,
     cold_sends: ColdSends,
     ended: Vec<InstanceId>,
@@ -128,6 +130,7 @@
             changed: BTreeSet::new(),
             reporting: BTreeSet::new(),
             rest_limit: RestLimit::default(),
+            refusals: RefusalShares::default(),
             cold_bound: settings.cold_bound,
             cold_sends: ColdSends::default(),
             ended: Vec::new(),
@@ -280,6 +283,7 @@
         match self.classify(request, context) {
             Ok(open) => {
                 self.budget.requested(&open.service, context.now);
+                self.refusals.received(&open.service, context.now);
                 if let Some(key) = open.key {
                     self.asked
                         .entry(open.service.clone())
@@ -299,7 +303,7 @@
                     configuration: context.configuration.map_or(0, |known| known.version),
                 };
                 unrouted.emit();
-                let response = self.refusal(&request, reason, context);
+                let response = self.refusal(&request, reason, return_after(0.0), context);
                 out.push(Action::Respond { client, response });
             }
         }
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/refusal_share.rs
@@ -0,0 +1,71 @@
+//! Which share of a service's requests is refused lately, so that callers learn when
+//! to come back: soon where few are refused, late where most would be refused again.
+
+use crate::Timestamp;
+use crate::identity::ServiceName;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time in which what was seen loses half of its weight: bursts last seconds.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+/// When a caller may come back where hardly any request is refused: the work of one
+/// request, after which a slot is free.
+const SOONEST_RETURN: Duration = Duration::from_millis(150);
+/// How much later where all are refused; bursts that a service can't bear last that
+/// long at least.
+const LATEST_RETURN: Duration = Duration::from_millis(1_500);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    received: f64,
+    refused: f64,
+    at: Timestamp,
+}
+
+impl Share {
+    fn fade(&mut self, now: Timestamp) {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        let weight = 0.5f64.powf(age / HALF_LIFE.as_secs_f64());
+        self.received *= weight;
+        self.refused *= weight;
+        self.at = now;
+    }
+}
+
+/// Shares of refused requests by service.
+#[derive(Clone, Debug, Default)]
+pub struct RefusalShares {
+    services: BTreeMap<ServiceName, Share>,
+}
+
+impl RefusalShares {
+    /// A request came.
+    pub fn received(&mut self, service: &ServiceName, now: Timestamp) {
+        self.faded(service, now).received += 1.0;
+    }
+
+    /// A request was refused since there was no room.
+    pub fn refused(&mut self, service: &ServiceName, now: Timestamp) {
+        self.faded(service, now).refused += 1.0;
+    }
+
+    /// The share of requests that are refused, 0 to 1.
+    pub fn share(&mut self, service: &ServiceName, now: Timestamp) -> f64 {
+        let share = self.faded(service, now);
+        if share.received <= 0.0 {
+            return 0.0;
+        }
+        (share.refused / share.received).min(1.0)
+    }
+
+    fn faded(&mut self, service: &ServiceName, now: Timestamp) -> &mut Share {
+        let share = self.services.entry(service.clone()).or_default();
+        share.fade(now);
+        share
+    }
+}
+
+/// When a caller may come back, if this share of requests is refused.
+pub fn return_after(refused_share: f64) -> Duration {
+    SOONEST_RETURN + LATEST_RETURN.mul_f64(refused_share.clamp(0.0, 1.0))
+}
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -1,9 +1,10 @@
 //! Keys that are asked for more often than their owner can work.
 
 use crate::fixture::{
-    Fixture, KEYED, Store, configuration, instance, ms, node_address, node_record,
+    Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_address, node_record,
 };
 use googletest::prelude::*;
+use ledgelead_http::Response;
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::{InstanceId, ServiceName};
@@ -189,3 +190,53 @@
     }
     expect_that!(last_overloads(&fixture), is_empty());
 }
+
+/// A node whose only instance without keys works 320 ms on a request and has a queue.
+fn node_with_full_instance() -> Fixture {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    store.add_instance(instance(1, SERVICE));
+    store.add_node(node_record(0));
+    store.add_node(node_record(1));
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(900));
+    for _ in 0..4 {
+        fixture.ask(SERVICE, None);
+    }
+    fixture.run_until(fixture.now + ms(320));
+    for sent in std::mem::take(&mut fixture.attempts) {
+        let mut response = Response::new(200, "");
+        response.headers.push("signature", "s");
+        response.headers.push("load", "4,2,4");
+        fixture.answer(sent.exchange, response);
+    }
+    fixture.answers.clear();
+    fixture
+}
+
+/// Seconds until a refused client may come back.
+fn retry_after(fixture: &Fixture) -> f64 {
+    let (_, response) = fixture.answers.last().expect("an answer");
+    expect_that!(response.status, eq(503));
+    let text = response.headers.text("retry-after").expect("a time");
+    text.parse().expect("a number")
+}
+
+#[gtest]
+fn what_can_not_be_answered_in_time_is_refused_at_once() {
+    let mut fixture = node_with_full_instance();
+    fixture.ask(SERVICE, None);
+    expect_that!(fixture.attempts, is_empty());
+    expect_that!(fixture.answers.len(), eq(1));
+    let first = retry_after(&fixture);
+    expect_that!(first, all!(ge(0.15), lt(1.0)));
+    // Where nearly all are refused, callers come back later.
+    for _ in 0..60 {
+        fixture.ask(SERVICE, None);
+    }
+    expect_that!(retry_after(&fixture), all!(ge(1.0), gt(first)));
+    // Once its word is old, requests show anew how the instance is.
+    fixture.run_until(fixture.now + ms(450));
+    fixture.ask(SERVICE, None);
+    expect_that!(fixture.attempts.len(), eq(1));
+}
