Instances are drawn by the room that they have until the next digest

Change: the weight of an instance is its free slots and the requests that it finishes in 150 ms, so that under load requests spread by speed; other zones count the more the emptier they are for each slot (fully at three times).

--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -8,6 +8,8 @@
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::SharedLoad;
 use rand::RngExt;
+use rand::distr::Distribution;
+use rand::distr::weighted::WeightedIndex;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -27,8 +29,10 @@
 /// Instances that are drawn where no slot is free (Mitzenmacher's power of choices;
 /// more gain little).
 const CHOICES: usize = 4;
-/// Least cost that counts in a draw, so that its inverse stays finite.
-const LEAST_COST_SECONDS: f64 = 0.001;
+/// How old a digest is when the next one comes, with the reports that it rests on.
+const DIGEST_AGE: Duration = Duration::from_millis(150);
+/// Least service time that is reckoned with, so that its inverse stays finite.
+const LEAST_SERVICE_TIME: Duration = Duration::from_millis(1);
 /// How much longer an instance works while it is cold.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -63,14 +67,24 @@
     pub cost: Duration,
     /// Requests for each slot, this one with them.
     pub load_factor: f64,
-    /// Slots that are free.
-    free_slots: f64,
+    /// Slots of the instance.
+    slots: f64,
+    /// Requests that are open there, without this one.
+    open: f64,
+    /// Expected time of work for one request.
+    service_time: Duration,
 }
 
 impl Selected {
-    /// Requests a second that the free slots can work on.
-    fn free_rate(&self) -> f64 {
-        self.free_slots / self.cost.as_secs_f64().max(LEAST_COST_SECONDS)
+    /// Requests that find a free slot there before the next digest: its free slots, and
+    /// those that become free. None if it is unlikely to answer in the time left.
+    fn room(&self, left: Duration) -> f64 {
+        if self.cost > left.mul_f64(OWN_ZONE_SHARE) {
+            return 0.0;
+        }
+        let service_time = self.service_time.max(LEAST_SERVICE_TIME);
+        let finished = self.slots * DIGEST_AGE.as_secs_f64() / service_time.as_secs_f64();
+        (self.slots + finished - self.open).max(0.0)
     }
 }
 
@@ -123,14 +137,15 @@
         }
     }
 
-    /// Whether nodes choose at random among free slots. Where many nodes go by the
-    /// same digest, all would take the instance that it shows as the best one.
+    /// Whether nodes choose by chance among instances with room. Where many nodes go by
+    /// the same digest, all would take the instance that it shows as the best one.
     fn chooses_free_slots(&self) -> bool {
         self.mechanisms.has(Mechanism::FreeSlots) && self.shared.follows_digest(self.now)
     }
 
-    /// An instance with a free slot, of the own zone if it has some; without any, the
-    /// best of a few that are drawn from all zones.
+    /// An instance with room until the next digest: of the own zone, and of others the
+    /// more the emptier they are. Without any room, the best of a few that are drawn
+    /// from all zones.
     fn select_free(
         &self,
         own: Vec<Selected>,
@@ -138,17 +153,21 @@
         left: Duration,
         rng: &mut Pcg64Mcg,
     ) -> Option<Selected> {
-        let prefers = self.mechanisms.has(Mechanism::ZonePreference);
-        if prefers && let Some(free) = draw_free(&own, left, rng) {
-            return Some(free);
-        }
+        let preference = match self.mechanisms.has(Mechanism::ZonePreference) {
+            true => weight_of_others(&own, &other, left),
+            false => 1.0,
+        };
+        let weighted = |weight: f64| move |selected: &Selected| selected.room(left) * weight;
+        let own_weights = own.iter().map(weighted(1.0));
+        let weights: Vec<f64> = own_weights
+            .chain(other.iter().map(weighted(preference)))
+            .collect();
         let all: Vec<Selected> = own.into_iter().chain(other).collect();
-        if let Some(free) = draw_free(&all, left, rng) {
-            return Some(free);
-        }
-        let drawn = (0..CHOICES).filter_map(|_| all.choose(rng).cloned());
-        let drawn: Vec<Selected> = drawn.collect();
-        best(drawn, rng)
+        draw_by_room(&all, &weights, rng).or_else(|| {
+            let drawn = (0..CHOICES).filter_map(|_| all.choose(rng).cloned());
+            let drawn: Vec<Selected> = drawn.collect();
+            best(drawn, rng)
+        })
     }
 
     /// What the owner of a key is expected to need for one more request. All
@@ -203,7 +222,9 @@
             expected,
             cost: expected + left.mul_f64(failures * FAILURE_COST),
             load_factor,
-            free_slots: (slots - f64::from(open)).max(0.0),
+            slots,
+            open: f64::from(open),
+            service_time,
         }
     }
 
@@ -258,21 +279,32 @@
     }
 }
 
-/// One of those with a free slot that are likely to answer well within the time left:
-/// the better one of two that are drawn by how much work their free slots can do.
-fn draw_free(candidates: &[Selected], left: Duration, rng: &mut Pcg64Mcg) -> Option<Selected> {
-    let enough = left.mul_f64(OWN_ZONE_SHARE);
-    let is_free = |selected: &&Selected| selected.load_factor <= 1.0 && selected.cost <= enough;
-    let free: Vec<&Selected> = candidates.iter().filter(is_free).collect();
-    let draw = |rng: &mut Pcg64Mcg| free.choose_weighted(rng, |selected| selected.free_rate());
-    let first = draw(rng).ok()?;
-    let second = draw(rng).ok()?;
+/// How much instances of other zones count beside those of the own: nothing as long as
+/// they have no more room for each slot, fully if they have three times as much.
+fn weight_of_others(own: &[Selected], other: &[Selected], left: Duration) -> f64 {
+    let room_a_slot = |zone: &[Selected]| {
+        let room: f64 = zone.iter().map(|selected| selected.room(left)).sum();
+        let slots: f64 = zone.iter().map(|selected| selected.slots).sum();
+        room / slots.max(1.0)
+    };
+    let (own, other) = (room_a_slot(own), room_a_slot(other));
+    if other <= own {
+        return 0.0;
+    }
+    ((other / own.max(f64::MIN_POSITIVE) - 1.0) / 2.0).min(1.0)
+}
+
+/// The better one of two instances that are drawn by their weights, if any has one.
+fn draw_by_room(candidates: &[Selected], weights: &[f64], rng: &mut Pcg64Mcg) -> Option<Selected> {
+    let places = WeightedIndex::new(weights).ok()?;
+    let first = &candidates[places.sample(rng)];
+    let second = &candidates[places.sample(rng)];
     let better = if first.cost <= second.cost {
         first
     } else {
         second
     };
-    Some((*better).clone())
+    Some(better.clone())
 }
 
 /// The one with the lowest cost; one of them at random where
