--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -11,7 +11,10 @@
 /// Utilisation above which keys are moved away.
 const BUSY_UTILISATION: f64 = 0.5;
 /// By how much the busiest has to stand above the mean.
-const IMBALANCE: f64 = 1.1;
+const IMBALANCE: f64 = 1.25;
+/// Seconds of requests that a rate rests on: few requests may be many by
+/// chance.
+const COUNTED_SECONDS: f64 = 1.8;
 /// Up to which an instance is filled at once, where the mean is lower.
 const FILLED_UTILISATION: f64 = 0.7;
 /// Smallest part of an instance's capacity worth a move.
@@ -78,8 +81,8 @@
 
     /// The utilisation that is there even if chance has raised the rate by its
     /// standard deviation, counts being Poisson.
-    fn certain_utilisation(&self, counted_seconds: f64) -> f64 {
-        let deviation = (self.rate.max(0.0) / counted_seconds).sqrt();
+    fn certain_utilisation(&self) -> f64 {
+        let deviation = (self.rate.max(0.0) / COUNTED_SECONDS).sqrt();
         self.utilisation_with(-deviation)
     }
 
@@ -143,7 +146,7 @@
         .filter(|index| {
             let standing = &standings[*index];
             let busy = if settings.chance_margin {
-                standing.certain_utilisation(load.counted_seconds())
+                standing.certain_utilisation()
             } else {
                 standing.utilisation()
             };
