--- a/crates/ledgelead-router/src/ownership/load.rs
+++ b/crates/ledgelead-router/src/ownership/load.rs
@@ -12,20 +12,9 @@
 /// stands for the requests of the last second.
 const DECAY: f32 = 0.8;
 
-/// Standard deviations by which the requests of the last interval must exceed the
-/// decaying counts, to show that keys have become hot: less is chance.
-const CERTAIN_DEVIATIONS: f64 = 2.0;
-
 /// Decaying counts of the requests for each key.
-///
-/// A count stands for a second, so it shows a fifth of a burst after the first
-/// interval. Where the last interval alone is far above it, that counts.
 pub struct KeyLoad {
     counts: Vec<f32>,
-    /// Requests since the last decay.
-    recent: Vec<f32>,
-    /// Requests in the interval before the last decay.
-    last: Vec<f32>,
     next_decay: Timestamp,
 }
 
@@ -34,8 +23,6 @@
     pub fn new(now: Timestamp) -> KeyLoad {
         KeyLoad {
             counts: vec![0.0; KEYS],
-            recent: vec![0.0; KEYS],
-            last: vec![0.0; KEYS],
             next_decay: now + DECAY_INTERVAL,
         }
     }
@@ -43,7 +30,6 @@
     /// One request for a key.
     pub fn record(&mut self, key: u16) {
         self.counts[usize::from(key)] += 1.0;
-        self.recent[usize::from(key)] += 1.0;
     }
 
     /// Lets older requests count less.
@@ -53,26 +39,13 @@
             for count in &mut self.counts {
                 *count *= DECAY;
             }
-            std::mem::swap(&mut self.last, &mut self.recent);
-            self.recent.fill(0.0);
         }
     }
 
     /// Requests a second for a range of keys.
     pub fn rate(&self, range: KeyRange) -> f64 {
-        sum(&self.counts, range) * Self::rate_of_one() * self.rise(range)
-    }
-
-    /// By how much a range is asked for more than its counts show yet: 1, unless the
-    /// last interval is above them beyond chance.
-    fn rise(&self, range: KeyRange) -> f64 {
-        let counted = sum(&self.counts, range) * Self::rate_of_one();
-        let last = sum(&self.last, range);
-        let certain = (last - CERTAIN_DEVIATIONS * last.sqrt()) / DECAY_INTERVAL.as_secs_f64();
-        if certain <= counted {
-            return 1.0;
-        }
-        certain / counted
+        let slice = &self.counts[usize::from(range.first)..=usize::from(range.last)];
+        f64::from(slice.iter().sum::<f32>()) * Self::rate_of_one()
     }
 
     /// The key of a range that is asked for most, and its requests a second.
@@ -80,12 +53,8 @@
         let counts = &self.counts[usize::from(range.first)..=usize::from(range.last)];
         let keys = (range.first..=range.last).zip(counts);
         let hottest = keys.max_by(|(_, left), (_, right)| left.total_cmp(right));
-        let (key, _) = hottest.unwrap_or((range.first, &0.0));
-        let single = KeyRange {
-            first: key,
-            last: key,
-        };
-        (key, self.rate(single))
+        let (key, count) = hottest.unwrap_or((range.first, &0.0));
+        (key, f64::from(*count) * Self::rate_of_one())
     }
 
     /// Parts of `range` at its front, or at its end, that carry about `rate`
@@ -95,7 +64,6 @@
     pub fn cuts(&self, range: KeyRange, rate: f64, from_front: bool) -> Vec<(KeyRange, f64)> {
         let mut cuts = Vec::new();
         let mut carried = 0.0;
-        let rate_of_one = Self::rate_of_one() * self.rise(range);
         for taken in 0..range.len().saturating_sub(1) {
             let offset = u16::try_from(taken).unwrap_or(u16::MAX);
             let key = if from_front {
@@ -103,7 +71,7 @@
             } else {
                 range.last - offset
             };
-            let next = carried + f64::from(self.counts[usize::from(key)]) * rate_of_one;
+            let next = carried + f64::from(self.counts[usize::from(key)]) * Self::rate_of_one();
             if next > rate {
                 if offset > 0 {
                     cuts.push((edge(range, offset - 1, from_front), carried));
@@ -126,12 +94,6 @@
     }
 }
 
-/// The sum of the counts of a range.
-fn sum(counts: &[f32], range: KeyRange) -> f64 {
-    let slice = &counts[usize::from(range.first)..=usize::from(range.last)];
-    f64::from(slice.iter().sum::<f32>())
-}
-
 /// The keys of a range up to an offset from its front, or from its end.
 fn edge(range: KeyRange, offset: u16, from_front: bool) -> KeyRange {
     if from_front {
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -22,9 +22,8 @@
 /// Share of the source's utilisation that the busier of the two may have after
 /// a move, for the move to be worth it.
 const WORTHWHILE: f64 = 0.9;
-/// Most moves planned at once: 200 neighbouring keys that take half of a service's
-/// load need as many owners as a third of its instances.
-const MAX_MOVES: usize = 48;
+/// Most moves planned at once.
+const MAX_MOVES: usize = 16;
 
 /// An instance that can own keys.
 #[derive(Clone, Debug)]
