Reviews leave instances that answer others their time; small zones wait for slots

The stop was queued behind the deadline that reviewed.

Change: a stop goes before what is due. An instance that answers others is reviewed after twice the target instead of four times the expected time. Refusal at once and the share of 0.6 hold where a digest tells the load; in a small zone a slot is waited for as before. The two ways now stand side by side, by what the node knows.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -31,9 +31,9 @@
 /// After this share of the target latency an idempotent request is sent to
 /// another instance, if the first has been silent since.
 const REVIEW_SHARE: f64 = 1.3;
-/// The same for an instance that answers others: its answer to this one may
-/// be lost.
-const REVIEW_EXPECTED: f64 = 4.0;
+/// The same for an instance that answers others: mostly it is at work on this one as
+/// well, and what is broken off begins anew elsewhere. Its answer may be lost, though.
+const REVIEW_ANSWERING: f64 = 2.0;
 /// A request lost within this time was lost as it was sent.
 const PROMPT_LOSS: Duration = Duration::from_millis(25);
 /// How the logs name an attempt that was broken off for another.
@@ -105,7 +105,7 @@
             .get(&attempt.instance)
             .and_then(|seen| seen.last_answer())
             .is_some_and(|at| at > attempt.sent);
-        let patience = attempt.expected.mul_f64(REVIEW_EXPECTED);
+        let patience = open.route.target_latency.mul_f64(REVIEW_ANSWERING);
         if answers_others && attempt.sent + patience > context.now {
             return false;
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -14,8 +14,9 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 
-/// Share of the time left that queue and work may be expected to take. Work spreads by
-/// half of its mean, and machines are slow for moments: more is likely to be late.
+/// Share of the time to the target that queue and work may be expected to take, where
+/// digests tell the load. Work spreads by half of its mean, machines are slow for
+/// moments, and a digest is old: more is likely to be late.
 const ADMITTED_SHARE: f64 = 0.6;
 /// Share of the drain bound after which a leaving owner gets nothing more,
 /// counted from the earliest time at which it can have begun to leave. The rest
@@ -168,25 +169,43 @@
             return wait(Refusal::OwnerCold);
         }
         let selected = selection.expect_owner(owner, left);
-        if !self.admits(open, &selected, context) {
-            return Step::Refuse(open.failure_or(Refusal::Overloaded));
-        }
-        Step::Send(selected, owner.record.address)
+        self.send_or_refuse(open, selected, owner.record.address, context)
     }
 
-    /// Whether a request may join the queue of an instance: it is likely to be answered
-    /// within its target then. A late one only takes a free slot.
-    fn admits(
+    /// What is done with a request that an instance is selected for: it joins the queue
+    /// there only if it is likely to be answered in time.
+    ///
+    /// Where counts of a small zone are exact, a slot that becomes free is known at
+    /// once, and a short wait for it is worth it. Where a digest tells the load, others
+    /// take it first: who can't be answered is refused at once, and a late request
+    /// only takes a free slot.
+    fn send_or_refuse(
         &self,
         open: &OpenRequest,
-        selected: &Selected,
+        selected: Selected,
+        address: SocketAddr,
         context: &RequestContext<'_>,
-    ) -> bool {
-        if !self.mechanisms.has(Mechanism::EarlyRefusal) || selected.load_factor <= 1.0 {
-            return true;
+    ) -> Step {
+        let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
+        if !refuses || selected.load_factor <= 1.0 {
+            return Step::Send(selected, address);
+        }
+        let reason = open.failure_or(Refusal::Overloaded);
+        if context.shared.follows_digest(context.now) {
+            let left = open.target().saturating_sub(context.now);
+            let admitted = selected.expected <= left.mul_f64(ADMITTED_SHARE);
+            return match admitted {
+                true => Step::Send(selected, address),
+                false => Step::Refuse(reason),
+            };
+        }
+        match selected.expected <= open.time_left(context.now) {
+            true => Step::Send(selected, address),
+            false => Step::Wait {
+                again: None,
+                reason,
+            },
         }
-        let left = open.target().saturating_sub(context.now);
-        selected.expected <= left.mul_f64(ADMITTED_SHARE)
     }
 
     /// The best instance for a request without a key.
@@ -213,11 +232,8 @@
                 reason: open.failure_or(Refusal::NoInstance),
             };
         };
-        if !self.admits(open, &selected, context) {
-            return Step::Refuse(open.failure_or(Refusal::Overloaded));
-        }
         match context.directory.get(&selected.id) {
-            Some(instance) => Step::Send(selected, instance.record.address),
+            Some(instance) => self.send_or_refuse(open, selected, instance.record.address, context),
             None => Step::Refuse(Refusal::NoInstance),
         }
     }
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -216,7 +216,8 @@
         if self.stopped_at.is_none() && self.control.stop.load(Ordering::Relaxed) {
             self.stopped_at = Some(now);
             self.inbound.begin_stopping();
-            self.inputs.push_back(Input::Stop);
+            // Before what is due: a review would still break work off.
+            self.inputs.push_front(Input::Stop);
         }
     }
 
