--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -17,6 +17,8 @@
     pub instances: usize,
     /// Registered nodes.
     pub nodes: usize,
+    /// Zones that are evacuated.
+    pub evacuated_zones: usize,
     /// The epoch of the newest record.
     pub epoch: u64,
     /// Whether it coordinates, and what it has done as coordinator.
@@ -43,6 +45,7 @@
             configuration: self.configuration.as_ref().map(|known| known.version),
             instances: self.directory.iter().count(),
             nodes: self.registry.len(),
+            evacuated_zones: self.evacuations.zones().len(),
             epoch: self.ownership.record().epoch,
             coordinator: self.coordinator().map(|known| known.counters()),
             open: self.requests.len(),
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -2,15 +2,13 @@
 
 use super::{RequestContext, Requests};
 use crate::Timestamp;
-use crate::identity::ZoneName;
 use crate::io::ClientId;
-use crate::mechanisms::{Mechanism, Mechanisms};
+use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::requests::answers::Refusal;
-use crate::requests::cold_start::{ColdBound, ColdGate, ColdSends};
+use crate::requests::cold_start::ColdGate;
 use crate::requests::open_request::OpenRequest;
 use crate::requests::selection::{Selected, SelectionContext};
-use crate::requests::statistics::StatisticsTable;
 use rand::RngExt;
 use std::net::SocketAddr;
 
@@ -31,29 +29,6 @@
 /// Most attempts of a request, also at one owner.
 const MAX_ATTEMPTS: usize = 4;
 
-/// What this node itself knows for selections: parts of `Requests`, apart from its
-/// random numbers, which a selection draws from at the same time.
-struct SelectionSources<'a> {
-    statistics: &'a StatisticsTable,
-    zone: &'a ZoneName,
-    cold_bound: ColdBound,
-    cold_sends: &'a ColdSends,
-    mechanisms: Mechanisms,
-}
-
-/// Borrows the parts field by field.
-macro_rules! selection_sources {
-    ($requests:expr) => {
-        SelectionSources {
-            statistics: &$requests.statistics,
-            zone: &$requests.zone,
-            cold_bound: $requests.cold_bound,
-            cold_sends: &$requests.cold_sends,
-            mechanisms: $requests.mechanisms,
-        }
-    };
-}
-
 /// What is done next with a request.
 pub(super) enum Step {
     Send(Selected, SocketAddr),
@@ -163,23 +138,19 @@
             };
         }
         let left = open.time_left(context.now);
-        let sources = selection_sources!(self);
-        let selection = sources.context(context);
+        let selection = self.selection(context);
         if !selection.cold.admits(owner, context.now) {
             return wait(Refusal::OwnerCold);
         }
         let selected = selection.expect_owner(owner, left);
-        self.send_or_refuse(open, selected, owner.record.address, context)
+        self.send_or_wait(open, selected, owner.record.address, context)
     }
 
     /// What is done with a request that an instance is selected for: it joins the queue
-    /// there only if it is likely to be answered in time.
-    ///
-    /// Where counts of a small zone are exact, a slot that becomes free is known at
-    /// once, and a short wait for it is worth it. Where a digest tells the load, others
-    /// take it first: who can't be answered is refused at once, and a late request
-    /// only takes a free slot.
-    fn send_or_refuse(
+    /// there only if it is likely to be answered in time, and else waits a little for
+    /// a slot. Where a digest tells the load, others may have taken the slot, so that
+    /// less is admitted, and a late request only takes a free slot.
+    fn send_or_wait(
         &self,
         open: &OpenRequest,
         selected: Selected,
@@ -187,24 +158,20 @@
         context: &RequestContext<'_>,
     ) -> Step {
         let refuses = self.mechanisms.has(Mechanism::EarlyRefusal);
-        if !refuses || selected.load_factor <= 1.0 {
+        let follows_digest = context.shared.follows_digest(context.now);
+        let time = match follows_digest {
+            true => {
+                let to_target = open.target().saturating_sub(context.now);
+                to_target.mul_f64(ADMITTED_SHARE)
+            }
+            false => open.time_left(context.now),
+        };
+        if !refuses || selected.load_factor <= 1.0 || selected.expected <= time {
             return Step::Send(selected, address);
         }
-        let reason = open.failure_or(Refusal::Overloaded);
-        if context.shared.follows_digest(context.now) {
-            let left = open.target().saturating_sub(context.now);
-            let admitted = selected.expected <= left.mul_f64(ADMITTED_SHARE);
-            return match admitted {
-                true => Step::Send(selected, address),
-                false => Step::Refuse(reason),
-            };
-        }
-        match selected.expected <= open.time_left(context.now) {
-            true => Step::Send(selected, address),
-            false => Step::Wait {
-                again: None,
-                reason,
-            },
+        Step::Wait {
+            again: None,
+            reason: open.failure_or(Refusal::Overloaded),
         }
     }
 
@@ -216,9 +183,12 @@
     ) -> Option<Selected> {
         let open = self.open.get(&client)?;
         let left = open.time_left(context.now);
-        let sources = selection_sources!(self);
-        let selection = sources.context(context);
-        selection.select(&open.service, &open.tried, left, &mut self.rng)
+        // A selection borrows all that this node knows, and draws random numbers.
+        let mut rng = self.rng.clone();
+        let selection = self.selection(context);
+        let selected = selection.select(&open.service, &open.tried, left, &mut rng);
+        self.rng = rng;
+        selected
     }
 
     pub(super) fn next_step_any(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
@@ -233,28 +203,26 @@
             };
         };
         match context.directory.get(&selected.id) {
-            Some(instance) => self.send_or_refuse(open, selected, instance.record.address, context),
+            Some(instance) => self.send_or_wait(open, selected, instance.record.address, context),
             None => Step::Refuse(Refusal::NoInstance),
         }
     }
-}
 
-impl SelectionSources<'_> {
     /// What selections of this moment rest on.
-    fn context<'a>(&'a self, context: &'a RequestContext<'_>) -> SelectionContext<'a> {
+    fn selection<'a>(&'a self, context: &'a RequestContext<'_>) -> SelectionContext<'a> {
         SelectionContext {
             now: context.now,
             directory: context.directory,
-            statistics: self.statistics,
+            statistics: &self.statistics,
             shared: context.shared,
-            zone: self.zone,
+            zone: &self.zone,
             zones: context.registry.zones(),
             cold: ColdGate {
                 bound: self.cold_bound,
                 configuration: context.configuration,
                 registry: context.registry,
                 node: context.node,
-                sends: self.cold_sends,
+                sends: &self.cold_sends,
             },
             mechanisms: self.mechanisms,
         }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -52,6 +52,12 @@
         "Registered nodes",
         status.nodes as u64,
     );
+    gauge(
+        &mut registry,
+        "evacuated_zones",
+        "Zones whose instances get nothing",
+        status.evacuated_zones as u64,
+    );
     gauge(
         &mut registry,
         "ownership_epoch",
