Zones use others only without room of their own; hubs exchange what has changed

Other zones were drawn as soon as they had a little more room for each slot, and hubs sent the sums of all known instances four times a second.

Change: a zone needs no other while it has room for half a request a slot until the next digest; below, others count the more the less it has. Hubs exchange the counts that changed, 2.5 times a second, and each 1.2 s all that are above zero.

--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -280,7 +280,7 @@
                 }
                 self.digest_received(from, zones, &entries, now, out);
             }
-            PeerMessage::ZoneSums { entries } => self.shared.summed(from, &entries, now),
+            PeerMessage::ZoneSums { sums } => self.shared.summed(from, &sums, now),
         }
     }
 
--- a/crates/ledgelead-router/src/node/load_hub.rs
+++ b/crates/ledgelead-router/src/node/load_hub.rs
@@ -3,7 +3,7 @@
 //! With 25 nodes in a zone, one of them sends an instance a request in seconds: alone
 //! it knows nothing of the instance's load. So each node reports its open requests
 //! ten times a second to the zone's hub, which sends back a digest of what has
-//! changed, and with the hubs of other zones exchanges the sums of their zones. That
+//! changed, and with the hubs of other zones exchanges what has changed of their sums. That
 //! makes some twenty datagrams a second at each node, whatever the size of the zone.
 //!
 //! The hub is the strongest node of the zone by the registrations. Nothing is agreed
@@ -18,7 +18,7 @@
 use crate::identity::{InstanceId, ZoneName};
 use crate::io::Action;
 use crate::mechanisms::Mechanism;
-use crate::peers::{Datagram, DigestEntry, NodeRecord, OpenRequests, PeerMessage, encode};
+use crate::peers::{Datagram, DigestEntry, NodeRecord, OpenRequests, PeerMessage, ZoneSum, encode};
 use ledgelead_types::codec::List;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -39,8 +39,13 @@
 const PAUSE_A_REPORTER: Duration = Duration::from_millis(2);
 /// Pause between two digests that hold all that is known.
 const COMPLETE_INTERVAL: Duration = Duration::from_millis(400);
-/// Pause between two exchanges with other zones, where bytes are dear.
-const SUMS_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two exchanges with other zones, where bytes are dear: a few hundred
+/// of them for each.
+const SUMS_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two exchanges of all that is open, below the life of a count (1.5 s).
+const ALL_SUMS_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Most sums in one datagram.
+const MAX_SUMS: usize = 135;
 /// Most entries in one datagram, so that it fits the shortest usual MTU.
 const MAX_ENTRIES: usize = 95;
 
@@ -57,6 +62,9 @@
     next_digest: Timestamp,
     next_complete: Timestamp,
     next_sums: Timestamp,
+    next_all_sums: Timestamp,
+    /// What other zones were sent last.
+    sent_sums: HashMap<u64, u16>,
 }
 
 impl LoadHub {
@@ -69,6 +77,8 @@
             next_digest: now,
             next_complete: now,
             next_sums: now,
+            next_all_sums: now,
+            sent_sums: HashMap::new(),
         }
     }
 
@@ -219,12 +229,28 @@
     fn send_sums(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let open = self.open_by_instance();
         let own = |instance: u64| open.get(&instance).copied().unwrap_or(0);
-        let entries = self.shared.sums(own, now);
-        let message = |entries: &[DigestEntry]| {
-            let entries = List(entries.to_vec());
-            encode(&PeerMessage::ZoneSums { entries })
+        let mut sums = self.shared.sums(own, now);
+        let hub = &mut self.load_hub;
+        let refreshes = hub.next_all_sums <= now;
+        if refreshes {
+            hub.next_all_sums = now + ALL_SUMS_INTERVAL;
+        }
+        // A count that is not sent again lapses at its receivers.
+        sums.retain(|sum| {
+            let sent = hub.sent_sums.insert(sum.instance, sum.open).unwrap_or(0);
+            sent != sum.open || refreshes && sum.open > 0
+        });
+        if refreshes {
+            hub.sent_sums.retain(|_, open| *open > 0);
+        }
+        let message = |sums: &[ZoneSum]| {
+            let sums = List(sums.to_vec());
+            encode(&PeerMessage::ZoneSums { sums })
         };
-        let datagrams: Vec<Datagram> = entries.chunks(MAX_ENTRIES).map(message).collect();
+        let mut datagrams: Vec<Datagram> = sums.chunks(MAX_SUMS).map(message).collect();
+        if datagrams.is_empty() && refreshes {
+            datagrams.push(message(&[]));
+        }
         for hub in self.other_hubs(now) {
             send(hub, &datagrams, out);
         }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// Requests that a zone's nodes have open at one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, SerBin, DeBin)]
+pub struct ZoneSum {
+    /// Stable hash of the instance's id.
+    pub instance: u64,
+    /// How many.
+    pub open: u16,
+}
+
 /// What a hub knows of one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, SerBin, DeBin)]
 pub struct DigestEntry {
@@ -341,8 +350,8 @@
     },
     /// Open requests of a zone's nodes; sent to the hubs of other zones.
     ZoneSums {
-        /// All that are open.
-        entries: List<DigestEntry>,
+        /// Those that changed, and now and then all that are open.
+        sums: List<ZoneSum>,
     },
 }
 
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -21,7 +21,7 @@
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
     InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage, RelayedKind,
-    WorkReport, decode, encode,
+    WorkReport, ZoneSum, decode, encode,
 };
 pub use registry::{NodeRecord, Registration, Registry};
 pub use shared_load::{SharedLoad, SpeedSample};
--- a/crates/ledgelead-router/src/peers/shared_load.rs
+++ b/crates/ledgelead-router/src/peers/shared_load.rs
@@ -4,7 +4,7 @@
 //! they go to one node, the zone's hub, which sends back a digest of all (see
 //! `node::load_hub`); hubs also exchange the sums of their zones.
 
-use super::message::{DigestEntry, OpenRequests};
+use super::message::{DigestEntry, OpenRequests, ZoneSum};
 use crate::Timestamp;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -182,19 +182,16 @@
     }
 
     /// The hub of another zone has sent the sums of its zone.
-    pub fn summed(&mut self, from: SocketAddr, entries: &[DigestEntry], now: Timestamp) {
+    pub fn summed(&mut self, from: SocketAddr, sums: &[ZoneSum], now: Timestamp) {
         self.other_hubs.insert(from, now);
-        for entry in entries {
-            let load = self.instances.entry(entry.instance).or_default();
+        for sum in sums {
+            let load = self.instances.entry(sum.instance).or_default();
             let count = Count {
-                count: entry.open,
+                count: sum.open,
                 at: now,
             };
             set(&mut load.zones, from, count);
-            if entry.slowness > 0 {
-                load.slowness = Some((entry.slowness, now));
-            }
-            self.changed.insert(entry.instance);
+            self.changed.insert(sum.instance);
         }
     }
 
@@ -258,27 +255,24 @@
             true => self.instances.keys().copied().collect(),
             false => changed.into_iter().collect(),
         };
-        let entry = |instance: u64| self.entry(instance, own(instance), true, now);
+        let entry = |instance: u64| self.entry(instance, own(instance), now);
         instances.into_iter().filter_map(entry).collect()
     }
 
-    /// For the hubs of other zones: all that this zone has open.
-    pub fn sums(&self, own: impl Fn(u64) -> u32, now: Timestamp) -> Vec<DigestEntry> {
-        let entry = |instance: &u64| self.entry(*instance, own(*instance), false, now);
-        self.instances.keys().filter_map(entry).collect()
+    /// For the hubs of other zones: what this zone has open, by instance.
+    pub fn sums(&self, own: impl Fn(u64) -> u32, now: Timestamp) -> Vec<ZoneSum> {
+        let sum = |(instance, load): (&u64, &InstanceLoad)| ZoneSum {
+            instance: *instance,
+            open: total(own(*instance), load.nodes.iter(), now),
+        };
+        self.instances.iter().map(sum).collect()
     }
 
-    fn entry(&self, instance: u64, own: u32, all: bool, now: Timestamp) -> Option<DigestEntry> {
+    fn entry(&self, instance: u64, own: u32, now: Timestamp) -> Option<DigestEntry> {
         let load = self.instances.get(&instance)?;
-        let zones = load.zones.iter().filter(|_| all);
-        let counts = load.nodes.iter().chain(zones);
-        let others: u32 = counts
-            .filter(|(_, count)| count.is_current(now))
-            .map(|(_, count)| u32::from(count.count))
-            .sum();
         Some(DigestEntry {
             instance,
-            open: u16::try_from(own + others).unwrap_or(u16::MAX),
+            open: total(own, load.nodes.iter().chain(&load.zones), now),
             service_ms: load
                 .service_time(now)
                 .map_or(0, |time| time.max(1.0) as u16),
@@ -305,6 +299,17 @@
     }
 }
 
+/// This node's count and those of others.
+fn total<'a>(
+    own: u32,
+    others: impl Iterator<Item = &'a (SocketAddr, Count)>,
+    now: Timestamp,
+) -> u16 {
+    let current = others.filter(|(_, count)| count.is_current(now));
+    let others: u32 = current.map(|(_, count)| u32::from(count.count)).sum();
+    u16::try_from(own + others).unwrap_or(u16::MAX)
+}
+
 /// Replaces the count of one sender; none if it has nothing open.
 fn set(counts: &mut Vec<(SocketAddr, Count)>, from: SocketAddr, count: Count) {
     counts.retain(|(sender, _)| *sender != from);
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -29,6 +29,9 @@
 /// Instances that are drawn where no slot is free (Mitzenmacher's power of choices;
 /// more gain little).
 const CHOICES: usize = 4;
+/// Room for each slot with which a zone needs no other: below, requests wait for half
+/// of the work of another on average.
+const ENOUGH_ROOM: f64 = 0.5;
 /// How old a digest is when the next one comes, with the reports that it rests on.
 const DIGEST_AGE: Duration = Duration::from_millis(150);
 /// Least service time that is reckoned with, so that its inverse stays finite.
@@ -144,7 +147,7 @@
     }
 
     /// An instance with room until the next digest: of the own zone, and of others the
-    /// more the emptier they are. Without any room, the best of a few that are drawn
+    /// less room it has. Without any room, the best of a few that are drawn
     /// from all zones.
     fn select_free(
         &self,
@@ -280,18 +283,18 @@
 }
 
 /// How much instances of other zones count beside those of the own: nothing as long as
-/// they have no more room for each slot, fully if they have three times as much.
+/// the own zone has room, since bytes between zones are dear; fully once it has none.
 fn weight_of_others(own: &[Selected], other: &[Selected], left: Duration) -> f64 {
     let room_a_slot = |zone: &[Selected]| {
         let room: f64 = zone.iter().map(|selected| selected.room(left)).sum();
         let slots: f64 = zone.iter().map(|selected| selected.slots).sum();
         room / slots.max(1.0)
     };
-    let (own, other) = (room_a_slot(own), room_a_slot(other));
-    if other <= own {
+    let own = room_a_slot(own);
+    if own >= ENOUGH_ROOM || room_a_slot(other) <= own {
         return 0.0;
     }
-    ((other / own.max(f64::MIN_POSITIVE) - 1.0) / 2.0).min(1.0)
+    1.0 - own / ENOUGH_ROOM
 }
 
 /// The better one of two instances that are drawn by their weights, if any has one.
--- a/crates/ledgelead-router/tests/node/open_requests.rs
+++ b/crates/ledgelead-router/tests/node/open_requests.rs
@@ -4,7 +4,7 @@
 use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_address};
 use googletest::prelude::*;
 use ledgelead_http::Response;
-use ledgelead_router::identity::InstanceId;
+use ledgelead_router::identity::{InstanceId, ZoneName};
 use ledgelead_router::peers::{DigestEntry, NodeRecord, OpenRequests, PeerMessage};
 use ledgelead_types::codec::List;
 use std::collections::BTreeMap;
@@ -202,3 +202,58 @@
         fixture.end(fixture.attempts[0].exchange, Ok(Response::new(200, "")));
     }
 }
+
+/// Sums for other zones that a hub has sent by now: instances, and bytes.
+fn sums_sent(fixture: &Fixture) -> (usize, usize) {
+    let sums = fixture
+        .datagrams
+        .iter()
+        .filter_map(|(_, to, message)| match message {
+            PeerMessage::ZoneSums { sums } if *to == node_address(200) => Some(sums.0.len()),
+            _ => None,
+        });
+    sums.fold((0, 0), |(entries, messages), count| {
+        (entries + count, messages + 1)
+    })
+}
+
+#[gtest]
+fn other_zones_are_sent_what_has_changed() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 0..6 {
+        store.add_instance(instance(number, SERVICE));
+    }
+    for number in 0..20 {
+        store.add_node(node_record(number));
+    }
+    store.add_node(NodeRecord {
+        zone: ZoneName::from("b"),
+        ..node_record(200)
+    });
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(200));
+    let open = |instance, count| PeerMessage::Open {
+        incarnation: 1,
+        rest_limit_ms: 0,
+        changes: List(vec![OpenRequests {
+            instance,
+            count,
+            ..OpenRequests::default()
+        }]),
+    };
+    // 300 instances are known, 2 of them are in use.
+    for instance in 0..300 {
+        fixture.receive(node_address(5), &open(instance, 0));
+    }
+    fixture.datagrams.clear();
+    for _ in 0..20 {
+        fixture.receive(node_address(5), &open(7, 3));
+        fixture.receive(node_address(5), &open(8, 1));
+        fixture.run_until(fixture.now + ms(200));
+    }
+    // Two at first, and two again each 1.2 s.
+    let (entries, messages) = sums_sent(&fixture);
+    expect_that!(entries, all!(ge(6), le(12)));
+    expect_that!(messages, le(5));
+}
