A node that hears a coordinator lists no evacuations

Change: the first list is left 400 ms, in which a heartbeat comes, and the watch rests while a coordinator is followed.

--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -27,6 +27,9 @@
 /// Pause between two reads of the record because of rejected keys.
 const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time in which a node that starts hears a coordinator, whose heartbeats (each 200 ms)
+/// hold the evacuations, so that it need not list them.
+const FIRST_EVACUATIONS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two probes of a failing store because of gaps; with a list and
 /// the pause before the other watches (0.25 s) it stays below the bound of
 /// configurations of 2 s.
@@ -114,9 +117,11 @@
 impl StoreCalls {
     pub(super) fn new(settings: &NodeSettings, now: Timestamp) -> StoreCalls {
         let watcher = |kind| Watcher::new(kind, pace(kind, false));
+        let mut watchers = ObjectKind::ALL.map(watcher);
+        watchers[ObjectKind::Evacuations as usize].defer(now + FIRST_EVACUATIONS_PAUSE);
         StoreCalls {
             health: StoreHealth::default(),
-            watchers: ObjectKind::ALL.map(watcher),
+            watchers,
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
             cold_start: ColdStart::new(settings.millicores, settings.seed),
@@ -179,7 +184,9 @@
     /// that is over.
     fn is_held_back(&self, index: usize) -> bool {
         let kind = self.watchers[index].kind();
-        if kind == ObjectKind::Evacuations && !self.reads_evacuations {
+        // A coordinator that is heard tells them whole.
+        let is_told = !self.reads_evacuations || self.watchers[index].is_paused();
+        if kind == ObjectKind::Evacuations && is_told {
             return true;
         }
         if self.health.has_failed() {
