--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -6,7 +6,7 @@
 pub enum Mechanism {
     /// Instances of the own zone come first.
     ZonePreference,
-    /// Where a digest tells the load, free slots are chosen at random.
+    /// Where a digest tells the load, instances are drawn by the room that they have.
     FreeSlots,
     /// An idempotent request whose instance is silent is sent to another.
     Review,
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -259,10 +259,7 @@
                 rest_limit_ms,
                 changes,
             } => {
-                if rest_limit_ms > 0 {
-                    let limit = Duration::from_millis(u64::from(rest_limit_ms));
-                    self.requests.follow_rest_limit(limit, now);
-                }
+                self.follow_rest_limit(rest_limit_ms, now);
                 if self.has_hub(self.zone_peers().count()) {
                     self.load_hub.reported_by(from, now);
                 }
@@ -274,16 +271,21 @@
                 rest_limit_ms,
                 entries,
             } => {
-                if rest_limit_ms > 0 {
-                    let limit = Duration::from_millis(u64::from(rest_limit_ms));
-                    self.requests.follow_rest_limit(limit, now);
-                }
+                self.follow_rest_limit(rest_limit_ms, now);
                 self.digest_received(from, zones, &entries, now, out);
             }
             PeerMessage::ZoneSums { sums } => self.shared.summed(from, &sums, now),
         }
     }
 
+    /// Another node of the zone limits the rest of kept connections; 0 for no limit.
+    fn follow_rest_limit(&mut self, rest_limit_ms: u16, now: Timestamp) {
+        if rest_limit_ms > 0 {
+            let limit = Duration::from_millis(u64::from(rest_limit_ms));
+            self.requests.follow_rest_limit(limit, now);
+        }
+    }
+
     /// Announces that this node has left the coordinator's place.
     pub(super) fn announce_resignation(&self, out: &mut Vec<Action>) {
         let epoch = self.ownership.record().epoch;
--- a/crates/ledgelead-router/src/node/load_hub.rs
+++ b/crates/ledgelead-router/src/node/load_hub.rs
@@ -20,7 +20,7 @@
 use crate::mechanisms::Mechanism;
 use crate::peers::{Datagram, DigestEntry, NodeRecord, OpenRequests, PeerMessage, ZoneSum, encode};
 use ledgelead_types::codec::List;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -258,11 +258,11 @@
 
     /// The hub of each other zone: whoever sends its sums, else the first candidate.
     fn other_hubs(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let zones: BTreeMap<&ZoneName, ()> = self
+        let zones: BTreeSet<&ZoneName> = self
             .registry
             .iter()
-            .filter(|node| node.zone != self.settings.zone)
-            .map(|node| (&node.zone, ()))
+            .map(|node| &node.zone)
+            .filter(|zone| **zone != self.settings.zone)
             .collect();
         let hub = |zone: &ZoneName| {
             let candidates = self.hub_candidates(zone);
@@ -271,7 +271,7 @@
                 .find(|hub| self.shared.hears_hub(**hub, now));
             heard.or(candidates.first()).copied()
         };
-        zones.into_keys().filter_map(hub).collect()
+        zones.into_iter().filter_map(hub).collect()
     }
 
     /// What this node has open, by the stable hash of the instance.
--- a/crates/ledgelead-router/src/peers/shared_load.rs
+++ b/crates/ledgelead-router/src/peers/shared_load.rs
@@ -30,6 +30,10 @@
 }
 
 impl Count {
+    fn new(count: u16, at: Timestamp) -> Count {
+        Count { count, at }
+    }
+
     fn is_current(&self, now: Timestamp) -> bool {
         self.at + COUNT_TTL > now
     }
@@ -129,11 +133,7 @@
         for change in changes {
             let load = self.instances.entry(change.instance).or_default();
             load.learn(change.speed(), now);
-            let count = Count {
-                count: change.count,
-                at: now,
-            };
-            set(&mut load.nodes, from, count);
+            set(&mut load.nodes, from, Count::new(change.count, now));
             self.changed.insert(change.instance);
         }
     }
@@ -168,10 +168,8 @@
         for entry in entries {
             let load = self.instances.entry(entry.instance).or_default();
             let others = u32::from(entry.open).saturating_sub(own(entry.instance));
-            load.digest = Some(Count {
-                count: u16::try_from(others).unwrap_or(u16::MAX),
-                at: now,
-            });
+            let others = u16::try_from(others).unwrap_or(u16::MAX);
+            load.digest = Some(Count::new(others, now));
             if entry.service_ms > 0 {
                 load.service_ms = Some((f64::from(entry.service_ms), now));
             }
@@ -186,11 +184,7 @@
         self.other_hubs.insert(from, now);
         for sum in sums {
             let load = self.instances.entry(sum.instance).or_default();
-            let count = Count {
-                count: sum.open,
-                at: now,
-            };
-            set(&mut load.zones, from, count);
+            set(&mut load.zones, from, Count::new(sum.open, now));
             self.changed.insert(sum.instance);
         }
     }
@@ -204,11 +198,7 @@
             let digest = load.digest.filter(|count| count.is_current(now));
             return digest.map_or(0, |count| u32::from(count.count));
         }
-        let counts = load.nodes.iter().chain(&load.zones);
-        counts
-            .filter(|(_, count)| count.is_current(now))
-            .map(|(_, count)| u32::from(count.count))
-            .sum()
+        u32::from(total(0, load.nodes.iter().chain(&load.zones), now))
     }
 
     /// Of how many zones the open requests are known.
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -116,9 +116,9 @@
         let (own, other): (Vec<&Instance>, Vec<&Instance>) =
             untried.partition(|instance| instance.record.zone == *self.zone);
         let own: Vec<Selected> = own.into_iter().map(expect).collect();
-        if self.chooses_free_slots() {
+        if self.draws_by_room() {
             let other: Vec<Selected> = other.into_iter().map(expect).collect();
-            return self.select_free(own, other, left, rng);
+            return self.select_by_room(own, other, left, rng);
         }
         let best_own = best(own, rng);
         let prefers = self.mechanisms.has(Mechanism::ZonePreference);
@@ -142,14 +142,14 @@
 
     /// Whether nodes choose by chance among instances with room. Where many nodes go by
     /// the same digest, all would take the instance that it shows as the best one.
-    fn chooses_free_slots(&self) -> bool {
+    fn draws_by_room(&self) -> bool {
         self.mechanisms.has(Mechanism::FreeSlots) && self.shared.follows_digest(self.now)
     }
 
     /// An instance with room until the next digest: of the own zone, and of others the
     /// less room it has. Without any room, the best of a few that are drawn
     /// from all zones.
-    fn select_free(
+    fn select_by_room(
         &self,
         own: Vec<Selected>,
         other: Vec<Selected>,
@@ -173,9 +173,8 @@
         })
     }
 
-    /// What the owner of a key is expected to need for one more request. All
-    /// zones send to it, and only the own zone's nodes tell what they have
-    /// open there.
+    /// What the owner of a key is expected to need for one more request. All zones
+    /// send to it; those whose open requests are not known count like the others.
     pub fn expect_owner(&self, owner: &Instance, left: Duration) -> Selected {
         let typical = self.typical_service_time(&[owner], left);
         let known = self.shared.zones(self.now).max(1);
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -191,13 +191,13 @@
     expect_that!(last_overloads(&fixture), is_empty());
 }
 
-/// A digest that says that the only instance without keys works 330 ms on a request,
-/// and has two more than it has slots.
-fn digest(fixture: &mut Fixture) {
+/// A digest of the only instance without keys: what is open there, and its work for a
+/// request in milliseconds.
+fn digest(fixture: &mut Fixture, open: u16, service_ms: u16) {
     let entry = DigestEntry {
         instance: instance(1, SERVICE).id.stable_hash(),
-        open: 6,
-        service_ms: 330,
+        open,
+        service_ms,
         slowness: 100,
     };
     let message = PeerMessage::LoadDigest {
@@ -242,7 +242,7 @@
 #[gtest]
 fn what_can_not_be_answered_in_time_waits_a_little_and_is_refused() {
     let mut fixture = node_with_full_instance();
-    digest(&mut fixture);
+    digest(&mut fixture, 6, 330);
     fixture.ask(SERVICE, None);
     expect_that!(fixture.attempts, is_empty());
     expect_that!(fixture.answers, is_empty());
@@ -250,7 +250,7 @@
     let first = retry_after(&fixture);
     expect_that!(first, all!(ge(0.15), lt(1.0)));
     // Where nearly all are refused, callers come back later.
-    digest(&mut fixture);
+    digest(&mut fixture, 6, 330);
     for _ in 0..60 {
         fixture.ask(SERVICE, None);
     }
@@ -270,18 +270,7 @@
     fixture.ask(SERVICE, None);
     expect_that!(fixture.attempts, is_empty());
     // 300 ms are within the target, but not within six tenths of it.
-    let entry = DigestEntry {
-        instance: instance(1, SERVICE).id.stable_hash(),
-        open: 5,
-        service_ms: 200,
-        slowness: 100,
-    };
-    let message = PeerMessage::LoadDigest {
-        zones: 1,
-        rest_limit_ms: 0,
-        entries: List(vec![entry]),
-    };
-    fixture.receive(node_address(1), &message);
+    digest(&mut fixture, 5, 200);
     fixture.ask(SERVICE, None);
     expect_that!(fixture.attempts, is_empty());
 }
