Events and figures of who is followed and what is missing

A node said nothing of whom it follows, of changes that it knows to lack, and of a take-over that it can't follow, so logs of an incident in which versions came late could not tell its hypotheses apart. Logic unchanged.

--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -131,6 +131,35 @@
         /// The epoch that this node knows now.
         epoch: u64,
     },
+    /// This node suspends its watches and follows a coordinator's view of the store.
+    FollowsCoordinator {
+        /// The coordinator's epoch.
+        epoch: u64,
+        /// Where its heartbeats come from.
+        from: SocketAddr,
+    },
+    /// No view of a coordinator is recent enough: this node's watches go on.
+    FollowsNobody,
+    /// A coordinator's take-over doesn't follow on the record that this node knows.
+    TakeOverNotFollowed {
+        /// The revision of the record before, by the coordinator.
+        base: u64,
+        /// The revision that this node knows.
+        known: u64,
+        /// Whether the record that would result has the coordinator's digest.
+        same_digest: bool,
+    },
+    /// This node asks the store for changes that were announced and never came.
+    ChangesMissing {
+        /// Changes of what.
+        kind: &'static str,
+        /// The newest revision, or version, that was announced.
+        announced: u64,
+        /// The one that this node knows.
+        known: u64,
+        /// For how long it has lacked them, in milliseconds.
+        missing_ms: u64,
+    },
     /// The coordinator begins to move keys.
     MoveBegins {
         /// The service.
@@ -187,12 +216,16 @@
             | Event::InstanceDrains { .. }
             | Event::Evacuated { .. }
             | Event::InstanceGone { .. } => "instances",
-            Event::StoreFails { .. } | Event::StoreServes | Event::ObjectUnreadable { .. } => {
-                "store"
-            }
+            Event::StoreFails { .. }
+            | Event::StoreServes
+            | Event::ChangesMissing { .. }
+            | Event::ObjectUnreadable { .. } => "store",
             Event::Campaigns { .. }
             | Event::Coordinates { .. }
             | Event::CoordinatesNoMore { .. }
+            | Event::FollowsCoordinator { .. }
+            | Event::FollowsNobody
+            | Event::TakeOverNotFollowed { .. }
             | Event::MoveBegins { .. }
             | Event::KeysOwned { .. }
             | Event::OrderFailed { .. } => "ownership",
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -5,6 +5,7 @@
 use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
+use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
 use crate::ownership::work::Work;
@@ -61,10 +62,16 @@
     pub(super) coordinator_address: Option<SocketAddr>,
     /// When this node is on its own again, unless it hears of instances.
     pub(super) informed_until: Option<Timestamp>,
+    /// The epoch of the coordinator whose view is followed until then.
+    pub(super) followed: Option<u64>,
     /// Whether the store serves the coordinator, by its last heartbeat.
     pub(super) serves_coordinator: bool,
     /// When it was last heard.
     pub(super) heard_store_at: Timestamp,
+    /// The newest epoch of a heartbeat.
+    pub(super) newest_epoch: u64,
+    /// Heartbeats of an earlier epoch than the newest.
+    pub(super) former_heartbeats: u64,
     /// How long heartbeats are on their way.
     pub(super) delay: DelayEstimate,
 }
@@ -78,8 +85,11 @@
             coordinator_address: None,
             relay: RelayState::default(),
             informed_until: None,
+            followed: None,
             serves_coordinator: true,
             heard_store_at: now,
+            newest_epoch: 0,
+            former_heartbeats: 0,
             delay: DelayEstimate::default(),
         }
     }
@@ -108,6 +118,8 @@
         }
         if self.gossip.informed_until.is_some_and(|until| until <= now) {
             self.gossip.informed_until = None;
+            self.gossip.followed = None;
+            Event::FollowsNobody.emit();
             self.store.set_informed(false, now, out);
         }
     }
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -4,6 +4,7 @@
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
 use crate::evacuation::EvacuationsEntry;
+use crate::events::Event;
 use crate::io::Action;
 use crate::mechanisms::Mechanism;
 use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
@@ -62,6 +63,10 @@
             store_serves,
             ..
         } = *heartbeat;
+        self.gossip.newest_epoch = self.gossip.newest_epoch.max(epoch);
+        if epoch < self.gossip.newest_epoch {
+            self.gossip.former_heartbeats += 1;
+        }
         // What it says was true when it was sent.
         let delay = self.gossip.delay.arrived(epoch, heartbeat.sent_ms, now);
         let age = delay + Duration::from_millis(u64::from(heartbeat.age_ms));
@@ -74,7 +79,7 @@
         self.heard_of_evacuations(&heartbeat.evacuations, now, out);
         let is_fresh = store_serves && age < self.view_ttl();
         if is_fresh {
-            self.informed(epoch, age, now, out);
+            self.informed(from, epoch, age, now, out);
         }
         if is_current && is_fresh {
             let served_for = Duration::from_millis(u64::from(heartbeat.served_for_ms));
@@ -108,11 +113,21 @@
     /// A coordinator whom the store serves relays changes, also to a node that the
     /// store refuses, throttles or doesn't answer. Such a node probes on, if
     /// rarely, since it can't campaign before its own calls are served.
-    fn informed(&mut self, epoch: u64, age: Duration, now: Timestamp, out: &mut Vec<Action>) {
+    fn informed(
+        &mut self,
+        from: SocketAddr,
+        epoch: u64,
+        age: Duration,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         let current = epoch >= self.ownership.record().epoch;
         let follows = self.coordination.coordinator().is_none() && self.store.health.has_served();
         let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
         if current && follows && rests {
+            if self.gossip.followed.replace(epoch) != Some(epoch) {
+                Event::FollowsCoordinator { epoch, from }.emit();
+            }
             self.gossip.informed_until = Some(now + self.view_ttl().saturating_sub(age));
             if self.store.health.followed_until(now.saturating_sub(age)) {
                 // Until the coordinator says for how long the store has served.
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -21,6 +21,7 @@
 use crate::Timestamp;
 use crate::configuration::Configuration;
 use crate::dialect::{ObjectEvent, ObjectKind};
+use crate::events::Event;
 use crate::io::Action;
 use crate::ownership::record::Assignment;
 use crate::peers::{
@@ -28,7 +29,7 @@
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
 use ledgelead_types::codec::List;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -47,6 +48,8 @@
 struct Gap {
     /// How long this node has known less than the coordinator.
     lag: Lag,
+    /// The newest revision that any node has announced.
+    announced: u64,
     /// When the coordinator may be asked for missed changes again.
     next_request: Timestamp,
 }
@@ -130,6 +133,16 @@
         RelayedKind::Configuration,
     ];
 
+    /// Its name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            RelayedKind::Instances => "instances",
+            RelayedKind::Nodes => "nodes",
+            RelayedKind::Ownership => "ownership",
+            RelayedKind::Configuration => "configuration",
+        }
+    }
+
     fn object_kind(self) -> ObjectKind {
         match self {
             RelayedKind::Instances => ObjectKind::Instances,
@@ -162,6 +175,16 @@
         }
     }
 
+    /// By kind: the newest revision that was announced, and the one that is known.
+    pub(super) fn announced_and_known(&self) -> BTreeMap<&'static str, (u64, u64)> {
+        let of_kind = |kind: RelayedKind| {
+            let announced = self.gossip.relay.gaps[kind as usize].announced;
+            let known = self.known_revision(kind).unwrap_or(0);
+            (kind.name(), (announced, known))
+        };
+        RelayedKind::ALL.into_iter().map(of_kind).collect()
+    }
+
     /// The coordinator knows of a change of this revision. What this node has
     /// missed, it asks the coordinator for, and after a while the store.
     pub(super) fn heard_of(
@@ -171,6 +194,8 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let gap = self.gossip.relay.gap(kind);
+        gap.announced = gap.announced.max(revision);
         let behind = self
             .known_revision(kind)
             .is_some_and(|known| known < revision);
@@ -178,6 +203,13 @@
             self.request_changes(kind, now, out);
         }
         if let Some(since) = self.gossip.relay.gap(kind).lag.update(behind, now) {
+            let missing = Event::ChangesMissing {
+                kind: kind.name(),
+                announced: revision,
+                known: self.known_revision(kind).unwrap_or(0),
+                missing_ms: millis(now.saturating_sub(since)),
+            };
+            missing.emit();
             self.ask_store(kind, since, now, out);
         }
     }
@@ -254,6 +286,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Splits a list into parts and encodes each. A list with too many of them is
 /// left to the store.
 fn parts<T: Clone>(
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -3,6 +3,7 @@
 use super::entries::changed_assignment;
 use super::{RelayState, parts};
 use crate::Timestamp;
+use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity, ServiceName};
 use crate::io::Action;
 use crate::node::Node;
@@ -170,8 +171,9 @@
         let mut before = self.ownership.record().clone();
         before.next_fence = take_over.first_fence;
         let record = before.taken_over_by(&take_over.coordinator, self.settings.protections);
-        let same = record.digest() == take_over.digest;
-        if same
+        let same_digest = record.digest() == take_over.digest;
+        let known = self.ownership.revision().unwrap_or(0);
+        if same_digest
             && self
                 .ownership
                 .supersede(take_over.base, take_over.revision, record)
@@ -179,6 +181,14 @@
             let record = self.ownership.record();
             self.coordination.election.observed(record, now);
             self.reconsider_waiting(now, out);
+        } else if known < take_over.revision {
+            let base = take_over.base;
+            let not_followed = Event::TakeOverNotFollowed {
+                base,
+                known,
+                same_digest,
+            };
+            not_followed.emit();
         }
     }
 }
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -33,6 +33,11 @@
     pub store_failures: u64,
     /// Calls to the store by what they were for.
     pub store_calls_by: BTreeMap<&'static str, u64>,
+    /// Heartbeats of coordinators before the newest one that was heard.
+    pub former_heartbeats: u64,
+    /// What coordinators relay, by kind: the newest revision that was announced,
+    /// and the one that this node knows.
+    pub announced_and_known: BTreeMap<&'static str, (u64, u64)>,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
 }
@@ -53,6 +58,8 @@
             store_calls: self.store.calls(),
             store_failures: self.store.failures(),
             store_calls_by: self.store.calls_by().clone(),
+            former_heartbeats: self.gossip.former_heartbeats,
+            announced_and_known: self.announced_and_known(),
             traffic: self.traffic.clone(),
         }
     }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -19,6 +19,11 @@
     call: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RelayedLabel {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct TrafficLabel {
     direction: &'static str,
@@ -118,6 +123,12 @@
         "Log lines dropped since nobody read them in time",
         crate::logging::dropped_lines(),
     );
+    counter(
+        &mut registry,
+        "former_heartbeats",
+        "Heartbeats of coordinators before the newest one",
+        status.former_heartbeats,
+    );
     if let Some(done) = status.coordinator {
         counter(&mut registry, "grants", "Grants answered", done.grants);
         counter(
@@ -153,6 +164,7 @@
     }
     registry.register("refusals", "Own answers by reason", refused);
     register_calls(&mut registry, status);
+    register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     let mut text = String::new();
     // Writing to a string can't fail.
@@ -172,6 +184,22 @@
     );
 }
 
+fn register_relayed(registry: &mut Registry, status: &NodeStatus) {
+    let announced = Family::<RelayedLabel, Gauge>::default();
+    let known = Family::<RelayedLabel, Gauge>::default();
+    for (kind, revisions) in &status.announced_and_known {
+        let label = RelayedLabel { kind };
+        set(&announced.get_or_create(&label), revisions.0);
+        set(&known.get_or_create(&label), revisions.1);
+    }
+    registry.register(
+        "announced_revision",
+        "Newest revision that another node has announced",
+        announced,
+    );
+    registry.register("known_revision", "Revision that this node knows", known);
+}
+
 fn register_traffic(registry: &mut Registry, traffic: &PeerTraffic) {
     let datagrams = Family::<TrafficLabel, Counter>::default();
     let bytes = Family::<TrafficLabel, Counter>::default();
@@ -187,11 +215,15 @@
 }
 
 fn gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
-    let gauge = Gauge::<i64>::default();
-    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    let gauge = Gauge::default();
+    set(&gauge, value);
     registry.register(name, help, gauge);
 }
 
+fn set(gauge: &Gauge, value: u64) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
 fn counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let counter = Counter::<u64>::default();
     counter.inc_by(value);
