--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -2,7 +2,7 @@
 
 use super::instance::Instance;
 use ledgelead_router::dialect::KeyRange;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// What must never happen.
@@ -20,6 +20,8 @@
     NoNewWorkAfterLeave,
     /// A node went back to an older configuration.
     ConfigurationMonotonic,
+    /// A node in touch lacked a configuration long after it was acknowledged.
+    ConfigurationInTime,
     /// A client got the answer to another request.
     AnswerMatchesRequest,
 }
@@ -34,6 +36,7 @@
             ViolationKind::NotRunIsTrue => "not_run_is_true",
             ViolationKind::NoNewWorkAfterLeave => "no_new_work_after_leave",
             ViolationKind::ConfigurationMonotonic => "configuration_monotonic",
+            ViolationKind::ConfigurationInTime => "configuration_in_time",
             ViolationKind::AnswerMatchesRequest => "answer_matches_request",
         }
     }
@@ -58,6 +61,7 @@
     runs: HashMap<u64, u32>,
     refused: HashMap<u64, Duration>,
     versions: BTreeMap<(usize, u64), u64>,
+    late: BTreeSet<((usize, u64), u64)>,
 }
 
 impl Checker {
@@ -170,6 +174,16 @@
         self.found(ViolationKind::NoNewWorkAfterLeave, now, what);
     }
 
+    /// A node in touch has to have this configuration in force by now.
+    pub fn due_in_force(&mut self, caller: (usize, u64), due: u64, now: Duration) {
+        let known = self.versions.get(&caller).copied().unwrap_or(0);
+        // One report for each version that a life of a node lacks.
+        if known < due && self.late.insert((caller, due)) {
+            let what = format!("node {} has {known} and lacks {due}", caller.0);
+            self.found(ViolationKind::ConfigurationInTime, now, what);
+        }
+    }
+
     /// A node has this configuration in force.
     pub fn in_force(&mut self, caller: (usize, u64), version: u64, now: Duration) {
         let known = self.versions.entry(caller).or_default();
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -49,25 +49,59 @@
     }
 }
 
+/// A run with drawn faults, and versions drawn among refusals by the store.
+pub fn drawn_versions(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x7e25);
+    let versions =
+        Schedule::draw_versions(&mut rng, nodes, TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    // Half of the runs have no other faults, so that nodes are in touch for longer.
+    let schedule = match seed % 2 {
+        0 => versions,
+        _ => drawn.schedule.join(versions),
+    };
+    FleetSettings { schedule, ..drawn }
+}
+
 /// Share of the datagrams that are lost, by seed.
 const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
 
-/// Plays the seeds and adds up what they show; with the first seed of each
-/// violation.
+/// Plays drawn faults.
 pub fn play(
     seeds: RangeInclusive<u64>,
     nodes: usize,
     protections: Protections,
     trace: bool,
+) -> (FleetReport, Vec<String>) {
+    play_each(seeds, |seed| FleetSettings {
+        trace,
+        ..drawn_for(seed, nodes, protections)
+    })
+}
+
+/// Plays drawn faults, and versions among refusals by the store.
+pub fn play_versions(
+    seeds: RangeInclusive<u64>,
+    nodes: usize,
+    protections: Protections,
+    trace: bool,
+) -> (FleetReport, Vec<String>) {
+    play_each(seeds, |seed| FleetSettings {
+        trace,
+        ..drawn_versions(seed, nodes, protections)
+    })
+}
+
+/// Plays the run of each seed and adds up what they show; with the first seed of each
+/// violation.
+fn play_each(
+    seeds: RangeInclusive<u64>,
+    settings: impl Fn(u64) -> FleetSettings,
 ) -> (FleetReport, Vec<String>) {
     let mut total = FleetReport::default();
     let mut lines = Vec::new();
     for seed in seeds {
-        let report = World::new(FleetSettings {
-            trace,
-            ..drawn_for(seed, nodes, protections)
-        })
-        .run();
+        let report = World::new(settings(seed)).run();
         for line in violation_lines(&report.violations) {
             lines.push(format!("seed {seed}: {line}"));
         }
@@ -86,6 +120,7 @@
     let mut protections = Protections::default();
     let mut json = false;
     let mut trace = false;
+    let mut versions = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
@@ -93,10 +128,14 @@
             Long("sabotage") => protections = sabotage(&parser.value()?.string()?)?,
             Long("json") => json = true,
             Long("trace") => trace = true,
+            Long("versions") => versions = true,
             other => return Err(other.unexpected()),
         }
     }
-    let (report, lines) = play(seeds, nodes, protections, trace);
+    let (report, lines) = match versions {
+        true => play_versions(seeds, nodes, protections, trace),
+        false => play(seeds, nodes, protections, trace),
+    };
     if !json {
         for line in lines.iter().take(SHOWN) {
             println!("{line}");
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -51,6 +51,8 @@
     ExpireEntries,
     /// A client asks.
     Client,
+    /// Every node's version of the configuration is looked at.
+    CheckVersions,
     /// A fault begins.
     Fault(FaultKind),
     /// A fault ends.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod report;
 mod store;
 mod store_traffic;
+mod versions;
 mod world;
 
 pub use checker::{Violation, ViolationKind};
--- a/crates/ledgelead-lab/src/fleet/network.rs
+++ b/crates/ledgelead-lab/src/fleet/network.rs
@@ -11,6 +11,8 @@
 pub struct Network {
     /// Nodes that don't reach the store.
     pub cut_from_store: BTreeSet<usize>,
+    /// Nodes whose calls the store refuses.
+    pub refused_by_store: BTreeSet<usize>,
     /// Nodes that reach no other node.
     pub cut_from_nodes: BTreeSet<usize>,
     /// Pairs of node and instance that don't reach each other.
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -5,6 +5,7 @@
 use super::faults::{FaultKind, Target};
 use super::instance::{GrantOutcome, Work};
 use super::network::LATENCY;
+use super::versions::{CONTACT, LARGE_VERSION_ROUTES};
 use super::world::{DRAIN_BOUND, Loss, SHARDED_INSTANCES, World, exchanged, instance_address};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
@@ -22,9 +23,6 @@
 const LEAVE_LINGER: Duration = Duration::from_secs(1);
 /// How long an instance serves on that left without a word.
 const UNANNOUNCED_LINGER: Duration = Duration::from_secs(15);
-/// Time after an outage or a cut in which nodes needn't know yet who has left
-/// meanwhile.
-const CONTACT: Duration = Duration::from_secs(3);
 /// Keys of a lost hold that are followed until they are held again.
 const FOLLOWED_KEYS: u16 = 4;
 
@@ -304,7 +302,12 @@
             FaultKind::StoreForgets => self.store.compact(),
             FaultKind::OrdersLate => self.orders_late += 1,
             FaultKind::AnswersLost => self.answers_lost += 1,
-            FaultKind::Configure => self.configure_next(),
+            FaultKind::Configure => self.configure_next(0),
+            FaultKind::ConfigureLarge => self.configure_next(LARGE_VERSION_ROUTES),
+            FaultKind::StoreRefusesNode(target) => {
+                let index = self.target(*target);
+                self.network.refused_by_store.insert(index);
+            }
         }
     }
 
@@ -345,14 +348,23 @@
                 self.mood.refusing -= 1;
                 self.mood.returned_at = self.now;
             }
-            FaultKind::StoreLosesAnswers => self.mood.losing -= 1,
+            FaultKind::StoreLosesAnswers => {
+                self.mood.losing -= 1;
+                self.mood.lost_until = self.now;
+            }
+            FaultKind::StoreRefusesNode(_) => {
+                for index in std::mem::take(&mut self.network.refused_by_store) {
+                    self.nodes[index].refused_until = self.now;
+                }
+            }
             FaultKind::OrdersLate => self.orders_late -= 1,
             FaultKind::AnswersLost => self.answers_lost -= 1,
             FaultKind::DrainInstance(_)
             | FaultKind::LeaveUnannounced(_)
             | FaultKind::FreezeNode(_)
             | FaultKind::StoreForgets
-            | FaultKind::Configure => {}
+            | FaultKind::Configure
+            | FaultKind::ConfigureLarge => {}
         }
     }
 
--- a/crates/ledgelead-lab/src/fleet/store_traffic.rs
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -20,7 +20,8 @@
         if self.mood.silent > 0 || !self.pending.contains_key(&(caller, exchange)) {
             return;
         }
-        if self.mood.refusing > 0 {
+        let is_refused = self.network.refused_by_store.contains(&caller.0);
+        if self.mood.refusing > 0 || is_refused {
             self.store_answers(caller, exchange, StoreAnswer::Refused);
             return;
         }
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/versions.rs
@@ -0,0 +1,151 @@
+//! Versions of the configuration: what the operator writes, and the promise that
+//! each is in force in time at every node in touch.
+
+use super::world::{HOST, ONCE, SHARDED, World};
+use ledgelead_router::configuration::{
+    ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
+};
+use ledgelead_router::identity::ServiceName;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time from the acknowledgement of a configuration in which nodes bring it into force.
+pub(super) const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+/// Time between two looks at the nodes' versions.
+pub(super) const VERSION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Routes that a large version adds: three times what nodes send each other in datagrams
+/// (12 of 1,100 bytes, some 115 bytes a route).
+pub(super) const LARGE_VERSION_ROUTES: usize = 390;
+/// Time without trouble after which a node counts as in touch with the store.
+pub(super) const CONTACT: Duration = Duration::from_secs(3);
+/// By how much each version exceeds the one before.
+const VERSION_STEP: u64 = 3;
+
+/// What the operator has written.
+#[derive(Debug)]
+pub(super) struct Versions {
+    newest: u64,
+    more_routes: usize,
+    /// When each was acknowledged.
+    acknowledged: Vec<(Duration, u64)>,
+}
+
+impl Default for Versions {
+    fn default() -> Versions {
+        Versions {
+            newest: 1,
+            more_routes: 0,
+            acknowledged: Vec::new(),
+        }
+    }
+}
+
+impl Versions {
+    /// The newest configuration.
+    pub(super) fn newest(&self) -> Configuration {
+        configuration(self.newest, self.more_routes)
+    }
+
+    /// The operator writes the next version, with so many routes more.
+    fn write(&mut self, more_routes: usize, now: Duration) -> Configuration {
+        self.newest += VERSION_STEP;
+        self.more_routes += more_routes;
+        self.acknowledged.push((now, self.newest));
+        self.newest()
+    }
+
+    /// The newest version that has to be in force by now.
+    fn due_in_force(&self, now: Duration) -> Option<u64> {
+        let is_due = |(at, _): &&(Duration, u64)| *at + CONFIGURATION_BOUND <= now;
+        let last = self.acknowledged.iter().rfind(is_due);
+        last.map(|(_, version)| *version)
+    }
+}
+
+impl World {
+    /// The configuration with the next version, and so many routes more.
+    pub(super) fn configure_next(&mut self, more_routes: usize) {
+        let next = self.versions.write(more_routes, self.now);
+        self.store.configure(next);
+        self.answer_watches();
+    }
+
+    /// Each node in touch has every version that was acknowledged long enough ago.
+    pub(super) fn check_versions(&mut self) {
+        let now = self.now;
+        let Some(due) = self.versions.due_in_force(now) else {
+            return;
+        };
+        for index in 0..self.nodes.len() {
+            if self.is_in_touch(index) {
+                let caller = (index, self.nodes[index].life);
+                self.checker.due_in_force(caller, due, now);
+            }
+        }
+    }
+
+    /// Whether a node has run, and has been served by a sound store, for `CONTACT`.
+    fn is_in_touch(&self, index: usize) -> bool {
+        let simulated = &self.nodes[index];
+        let runs = simulated
+            .node
+            .as_ref()
+            .is_some_and(|node| !node.is_stopping());
+        let mood = &self.mood;
+        let is_cut = self.network.cut_from_store.contains(&index)
+            || self.network.cut_from_nodes.contains(&index)
+            || self.network.refused_by_store.contains(&index);
+        let disturbed_until = [
+            simulated.started_at,
+            simulated.thawed_at,
+            simulated.healed_at,
+            simulated.refused_until,
+            mood.returned_at,
+            mood.lost_until,
+        ];
+        let is_calm = disturbed_until
+            .into_iter()
+            .all(|until| until + CONTACT <= self.now);
+        runs && !is_cut && is_calm && mood.silent + mood.refusing + mood.losing == 0
+    }
+}
+
+/// A configuration with a route to each service, and so many routes more.
+fn configuration(version: u64, more_routes: usize) -> Configuration {
+    let route = |name: &str, repeatability| {
+        Arc::new(Route {
+            name: name.to_owned(),
+            host: HOST.to_owned(),
+            prefix: format!("/{name}/"),
+            targets: vec![RouteTarget {
+                service: ServiceName::from(name),
+                weight: 1.0,
+            }],
+            repeatability,
+            timeout: Duration::from_millis(1_200),
+            target_latency: Duration::from_millis(250),
+            max_attempts: 2,
+            priority: 1,
+        })
+    };
+    let service = |name: &str, sharded| Service {
+        name: ServiceName::from(name),
+        sharded,
+        max_connections: 100,
+        cold_rate: None,
+    };
+    let first = [
+        route(SHARDED, Repeatability::Idempotent),
+        route(ONCE, Repeatability::Once),
+    ];
+    let more = (0..more_routes).map(|number| {
+        let name = format!("more-{number}");
+        route(&name, Repeatability::Idempotent)
+    });
+    Configuration {
+        version,
+        routes: first.into_iter().chain(more).collect(),
+        services: vec![service(SHARDED, true), service(ONCE, false)],
+        limits: ClientLimits::default(),
+    }
+}
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -8,10 +8,8 @@
 use super::network::{LATENCY, Network};
 use super::report::FleetReport;
 use super::store::Store;
+use super::versions::{CONFIGURATION_BOUND, VERSION_CHECK_INTERVAL, Versions};
 use ledgelead_http::Request;
-use ledgelead_router::configuration::{
-    ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
-};
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
@@ -27,7 +25,6 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// The service whose keys have owners.
@@ -85,6 +82,8 @@
     pub(super) thawed_at: Duration,
     /// When its last cut from the store ended.
     pub(super) healed_at: Duration,
+    /// Until when the store refused its calls.
+    pub(super) refused_until: Duration,
     /// When its life began.
     pub(super) started_at: Duration,
     deadline: Option<Duration>,
@@ -104,6 +103,8 @@
     pub(super) losing: u32,
     /// When the last outage ended.
     pub(super) returned_at: Duration,
+    /// Until when answers were lost.
+    pub(super) lost_until: Duration,
 }
 
 /// The world.
@@ -128,7 +129,7 @@
     pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
     pub(super) orders_late: u32,
     pub(super) answers_lost: u32,
-    pub(super) version: u64,
+    pub(super) versions: Versions,
     pub(super) checker: Checker,
     pub(super) report: FleetReport,
     pub(super) losses: Vec<Loss>,
@@ -156,7 +157,7 @@
             pending: HashMap::new(),
             orders_late: 0,
             answers_lost: 0,
-            version: 1,
+            versions: Versions::default(),
             checker: Checker::default(),
             report: FleetReport::default(),
             losses: Vec::new(),
@@ -168,7 +169,7 @@
     }
 
     fn populate(&mut self) {
-        self.store.configure(configuration(self.version));
+        self.store.configure(self.versions.newest());
         for index in 0..ALL_INSTANCES {
             self.add_instance(index < SHARDED_INSTANCES);
         }
@@ -179,6 +180,7 @@
                 frozen_until: Duration::ZERO,
                 thawed_at: Duration::ZERO,
                 healed_at: Duration::ZERO,
+                refused_until: Duration::ZERO,
                 started_at: Duration::ZERO,
                 deadline: None,
             });
@@ -187,6 +189,7 @@
         }
         self.schedule(HEARTBEAT, Event::ExpireEntries);
         self.schedule(TRAFFIC_FROM, Event::Client);
+        self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
         for Fault { at, lasts, kind } in self.settings.schedule.0.clone() {
             self.schedule_at(at, Event::Fault(kind.clone()));
             self.schedule_at(at + lasts, Event::FaultEnds(kind));
@@ -296,6 +299,10 @@
                 let jitter = Duration::from_micros(self.rng.random_range(0..4_000));
                 self.schedule(CLIENT_INTERVAL + jitter, Event::Client);
             }
+            Event::CheckVersions => {
+                self.check_versions();
+                self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
+            }
             Event::Fault(kind) => self.begin_fault(&kind),
             Event::FaultEnds(kind) => self.end_fault(&kind),
         }
@@ -322,7 +329,7 @@
                 window: Duration::from_secs(10),
             },
             drain_bound: DRAIN_BOUND,
-            configuration_bound: Duration::from_secs(2),
+            configuration_bound: CONFIGURATION_BOUND,
             evacuation_bound: Some(Duration::from_secs(5)),
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
@@ -377,7 +384,7 @@
         };
         let mut actions = Vec::new();
         node.step(input, self.now, &mut actions);
-        let version = node.status().configuration;
+        let version = node.configuration().map(|known| known.version);
         let deadline = node.next_deadline();
         assert!(
             deadline > self.now,
@@ -531,13 +538,6 @@
                 .unwrap_or(0),
         }
     }
-
-    /// The configuration with the next version.
-    pub(super) fn configure_next(&mut self) {
-        self.version += 3;
-        self.store.configure(configuration(self.version));
-        self.answer_watches();
-    }
 }
 
 /// The end of an exchange as an input.
@@ -566,40 +566,6 @@
     SocketAddr::from(([10, 0, 2, 0], 9_000))
 }
 
-fn configuration(version: u64) -> Configuration {
-    let route = |name: &str, repeatability| {
-        Arc::new(Route {
-            name: name.to_owned(),
-            host: HOST.to_owned(),
-            prefix: format!("/{name}/"),
-            targets: vec![RouteTarget {
-                service: ServiceName::from(name),
-                weight: 1.0,
-            }],
-            repeatability,
-            timeout: Duration::from_millis(1_200),
-            target_latency: Duration::from_millis(250),
-            max_attempts: 2,
-            priority: 1,
-        })
-    };
-    let service = |name: &str, sharded| Service {
-        name: ServiceName::from(name),
-        sharded,
-        max_connections: 100,
-        cold_rate: None,
-    };
-    Configuration {
-        version,
-        routes: vec![
-            route(SHARDED, Repeatability::Idempotent),
-            route(ONCE, Repeatability::Once),
-        ],
-        services: vec![service(SHARDED, true), service(ONCE, false)],
-        limits: ClientLimits::default(),
-    }
-}
-
 /// Violations as lines.
 pub fn violation_lines(violations: &[Violation]) -> Vec<String> {
     violations
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -109,6 +109,11 @@
         self.stopping
     }
 
+    /// The configuration in force, if one is known.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_ref()
+    }
+
     /// Bounds on what clients send.
     pub fn client_limits(&self) -> ClientLimits {
         self.configuration
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -47,6 +47,8 @@
     pub is_slow: bool,
     /// Whether the changes of the past are forgotten.
     pub forgets: bool,
+    /// Whether a watch is answered at once if there are changes.
+    pub answers_changes: bool,
 }
 
 impl Store {
@@ -112,6 +114,13 @@
                 events: Vec::new(),
                 revision: self.revision,
             }),
+            StoreCall::Watch { kind, revision, .. } if self.answers_changes => {
+                let events = self.changes(*kind, *revision);
+                (!events.is_empty()).then_some(StoreAnswer::Events {
+                    events,
+                    revision: self.revision,
+                })
+            }
             StoreCall::Watch { .. } => None,
             StoreCall::Create { name, content } => {
                 let known = self.objects.contains_key(&(content.kind(), name.clone()));
@@ -138,6 +147,28 @@
         }
     }
 
+    /// The version of the configuration; 0 without one.
+    pub fn version(&self) -> u64 {
+        match self.of_kind(ObjectKind::Configuration).pop() {
+            Some(Object {
+                content: Ok(ObjectContent::Configuration(configuration)),
+                ..
+            }) => configuration.version,
+            _ => 0,
+        }
+    }
+
+    fn changes(&self, kind: ObjectKind, since: u64) -> Vec<ObjectEvent> {
+        let objects = self.of_kind(kind).into_iter();
+        objects
+            .filter(|object| object.revision > since)
+            .map(|object| ObjectEvent {
+                object,
+                gone: false,
+            })
+            .collect()
+    }
+
     fn of_kind(&self, kind: ObjectKind) -> Vec<Object> {
         let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
         of_kind.map(|(_, object)| object.clone()).collect()
@@ -236,7 +267,7 @@
     /// Watches that wait, with the numbers of their calls.
     watches: Vec<(ExchangeId, u64, StoreCall)>,
     /// Answers of the store that are on their way.
-    on_the_way: Vec<Input>,
+    on_the_way: Vec<(StoreCall, Input)>,
     /// Answers to clients.
     pub answers: Vec<(ClientId, Response)>,
     last_client: u64,
@@ -391,15 +422,8 @@
         let StoreCall::Watch { revision, .. } = call else {
             return;
         };
-        let objects = self.store.of_kind(kind).into_iter();
-        let changed = objects.filter(|object| object.revision > revision);
         let answer = StoreAnswer::Events {
-            events: changed
-                .map(|object| ObjectEvent {
-                    object,
-                    gone: false,
-                })
-                .collect(),
+            events: self.store.changes(kind, revision),
             revision: self.store.revision,
         };
         self.mailbox.borrow_mut().answers.insert(number, answer);
@@ -408,8 +432,17 @@
 
     /// Answers of a slow store arrive.
     pub fn deliver(&mut self) {
-        for input in std::mem::take(&mut self.on_the_way) {
-            self.step(input);
+        self.deliver_all_but(|_| false);
+    }
+
+    /// Answers of a slow store arrive, but for those to some calls.
+    pub fn deliver_all_but(&mut self, stays: impl Fn(&StoreCall) -> bool) {
+        for (call, input) in std::mem::take(&mut self.on_the_way) {
+            if stays(&call) {
+                self.on_the_way.push((call, input));
+            } else {
+                self.step(input);
+            }
         }
     }
 
@@ -513,7 +546,7 @@
             rested: Duration::ZERO,
         };
         if self.store.is_slow {
-            self.on_the_way.push(input);
+            self.on_the_way.push((call, input));
             return None;
         }
         Some(input)
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod evacuation;
 mod fixture;
+mod former_coordinator;
 mod open_requests;
 mod outage;
 mod overload;
