The word of a former coordinator counts for nothing once a later epoch is known

Cause: what a node lacks was counted against whichever coordinator spoke last. While the store refuses a coordinator and serves the others, two of them send heartbeats; the former one's, which knows no more than the follower, ended every count that its successor's began, so the store was never asked, for versions too large for datagrams as for the record of ownership. The estimate of delays began anew with each of them, overloads and the address for reports changed hands ten times a second.

Ruled out: calls that wait or fail (followers made none), lost datagrams (none are sent for such a version), nodes cut off from each other (version 16 had reached all of them).

Change: heartbeats of an epoch before the newest known are counted and dropped; a coordinator that hears of a later epoch leaves its place at once; a gap is closed only by knowing what was announced, and asked for at a deadline of its own, not at the next heartbeat; a take-over that is acknowledged after a later epoch was heard gives no place. The age of a coordinator's view counts from when the store answered about the configuration, not from when a machine that stood still read that (an_answer_that_is_read_late_does_not_make_a_view_young: 200 ms told, at least 600 wanted).

--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -169,8 +169,14 @@
     }
 
     /// A leaving instance got a request.
-    pub fn worked_while_leaving(&mut self, instance: &Instance, left: Duration, now: Duration) {
-        let what = format!("{} since {left:?}", instance.id());
+    pub fn worked_while_leaving(
+        &mut self,
+        caller: (usize, u64),
+        instance: &Instance,
+        left: Duration,
+        now: Duration,
+    ) {
+        let what = format!("{} since {left:?}, from node {}", instance.id(), caller.0);
         self.found(ViolationKind::NoNewWorkAfterLeave, now, what);
     }
 
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -171,7 +171,8 @@
             && !self.network.cut_from_store.contains(&caller.0)
         {
             let leaving = &self.instances[instance];
-            self.checker.worked_while_leaving(leaving, left, now);
+            self.checker
+                .worked_while_leaving(caller, leaving, left, now);
         }
         self.check_left(caller, instance);
         let work = Work {
@@ -306,6 +307,7 @@
             FaultKind::ConfigureLarge => self.configure_next(LARGE_VERSION_ROUTES),
             FaultKind::StoreRefusesNode(target) => {
                 let index = self.target(*target);
+                self.trace(|| format!("node {index} is refused"));
                 self.network.refused_by_store.insert(index);
             }
         }
@@ -491,7 +493,8 @@
         let outage = self.mood.silent + self.mood.refusing + self.mood.losing > 0;
         if self.now > known_from + LEAVE_SLACK && !cut && !outage {
             let leaving = &self.instances[instance];
-            self.checker.worked_while_leaving(leaving, left, self.now);
+            self.checker
+                .worked_while_leaving(caller, leaving, left, self.now);
         }
     }
 
--- a/crates/ledgelead-lab/tests/fleet_versions.rs
+++ b/crates/ledgelead-lab/tests/fleet_versions.rs
@@ -10,8 +10,8 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::command::{NODES, drawn, play_versions};
-use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, Target, World};
-use ledgelead_router::protections::Protections;
+use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, Target, ViolationKind, World};
+use ledgelead_router::protections::{Protection, Protections};
 use std::time::Duration;
 
 /// Nodes of a run whose zones are large enough for broadcasts to be passed on.
@@ -63,3 +63,18 @@
     let (_, lines) = play_versions(1..=20, MANY_NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
 }
+
+#[gtest]
+fn the_checker_sees_versions_that_a_former_coordinator_holds_up() {
+    let protections = Protections::without(Protection::NewestEpoch);
+    let schedule = refusal(&[], ms(700), FaultKind::ConfigureLarge);
+    let report = World::new(FleetSettings {
+        schedule,
+        ..drawn(3, protections)
+    })
+    .run();
+    let is_late = |kind| kind == ViolationKind::ConfigurationInTime;
+    let violations = report.violations.iter();
+    let late: Vec<_> = violations.filter(|seen| is_late(seen.kind)).collect();
+    expect_that!(late, not(is_empty()));
+}
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -263,8 +263,10 @@
                 let before = self.ownership.record().clone();
                 let version = RecordVersion::confirmed(object.revision);
                 self.ownership_changed(record, version, started, now, out);
-                self.announce_take_over(base.unwrap_or(0), &before, out);
-                self.gossip.hasten_heartbeat();
+                if self.coordinator().is_some() {
+                    self.announce_take_over(base.unwrap_or(0), &before, out);
+                    self.gossip.hasten_heartbeat();
+                }
             }
             _ => self.store.refresh_ownership(now, out),
         }
@@ -285,8 +287,10 @@
     ) {
         let record = self.ownership.record().clone();
         self.coordination.election.observed(&record, now);
-        if record.coordinator.as_ref() != Some(&self.settings.identity) {
-            self.leave_place(&record, now);
+        let is_named = record.coordinator.as_ref() == Some(&self.settings.identity);
+        // An answer may arrive after the heartbeat of a successor.
+        if !is_named || record.epoch < self.newest_epoch() {
+            self.leave_place(record.epoch, now);
             return;
         }
         self.coordination.confirmed = self.coordination.confirmed.max(Some(started));
@@ -340,11 +344,11 @@
         self.store.set_informed(false, now, out);
     }
 
-    fn leave_place(&mut self, record: &OwnershipRecord, now: Timestamp) {
+    /// Another node coordinates in this epoch, or nobody.
+    pub(super) fn leave_place(&mut self, epoch: u64, now: Timestamp) {
         if self.coordination.coordinator.take().is_none() {
             return;
         }
-        let epoch = record.epoch;
         Event::CoordinatesNoMore { epoch }.emit();
         self.coordination.orders.clear();
         self.coordination.confirmed = None;
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -27,31 +27,6 @@
 const MAX_KEYS: usize = 400;
 /// Most owners in one report.
 const MAX_WORK: usize = 30;
-/// How long this node may know less of the record than the coordinator says
-/// before it asks the store again.
-const BEHIND_FOR: Duration = Duration::from_millis(250);
-
-/// For how long this node has known less than another.
-#[derive(Debug, Default)]
-pub(super) struct Lag(Option<Timestamp>);
-
-impl Lag {
-    /// Whether this node is behind now. Returns since when, each time that it
-    /// has been for so long that its watch must have been lost unnoticed.
-    pub(super) fn update(&mut self, behind: bool, now: Timestamp) -> Option<Timestamp> {
-        if !behind {
-            self.0 = None;
-            return None;
-        }
-        let since = *self.0.get_or_insert(now);
-        if now < since + BEHIND_FOR {
-            return None;
-        }
-        self.0 = Some(now);
-        Some(since)
-    }
-}
-
 /// State of the messages between nodes.
 pub(super) struct Gossip {
     next_heartbeat: Timestamp,
@@ -70,7 +45,7 @@
     pub(super) heard_store_at: Timestamp,
     /// The newest epoch of a heartbeat.
     pub(super) newest_epoch: u64,
-    /// Heartbeats of an earlier epoch than the newest.
+    /// Heartbeats of an earlier epoch than the newest that is known.
     pub(super) former_heartbeats: u64,
     /// How long heartbeats are on their way.
     pub(super) delay: DelayEstimate,
@@ -101,7 +76,8 @@
 
     pub(super) fn next_deadline(&self) -> Timestamp {
         let due = self.next_heartbeat.min(self.next_report);
-        self.informed_until.map_or(due, |until| due.min(until))
+        let others = [self.informed_until, self.relay.next_ask()];
+        others.into_iter().flatten().fold(due, Timestamp::min)
     }
 }
 
@@ -122,6 +98,7 @@
             Event::FollowsNobody.emit();
             self.store.set_informed(false, now, out);
         }
+        self.review_gaps(now, out);
     }
 
     /// Sends datagrams to all other nodes, each by itself.
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -7,7 +7,9 @@
 use crate::events::Event;
 use crate::io::Action;
 use crate::mechanisms::Mechanism;
+use crate::ownership::coordinator::Coordinator;
 use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
+use crate::protections::Protection;
 use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,7 +43,7 @@
             instances: self.gossip.relay.instances_revision(),
             nodes: self.gossip.relay.nodes_revision(),
             age_ms: millis(self.store.age(now)),
-            instances_age_ms: millis(self.store.instances_age(now)),
+            instances_age_ms: millis(self.store.state_age(ObjectKind::Instances, now)),
             served_for_ms: millis(self.store.served_for(now)),
             overloads: List(overloads),
             evacuations: self.evacuations.entry(),
@@ -63,33 +65,24 @@
             store_serves,
             ..
         } = *heartbeat;
-        self.gossip.newest_epoch = self.gossip.newest_epoch.max(epoch);
-        if epoch < self.gossip.newest_epoch {
-            self.gossip.former_heartbeats += 1;
+        if !self.counts_as_coordinator(epoch, now) {
+            return;
         }
         // What it says was true when it was sent.
         let delay = self.gossip.delay.arrived(epoch, heartbeat.sent_ms, now);
         let age = delay + Duration::from_millis(u64::from(heartbeat.age_ms));
-        let is_current = epoch >= self.ownership.record().epoch;
-        if is_current {
-            self.gossip.coordinator_address = Some(from);
-            self.overloads.replace(&heartbeat.overloads, now);
-            self.heard_of_store(store_serves, now, out);
-        }
+        self.gossip.coordinator_address = Some(from);
+        self.overloads.replace(&heartbeat.overloads, now);
+        self.heard_of_store(store_serves, now, out);
         self.heard_of_evacuations(&heartbeat.evacuations, now, out);
-        let is_fresh = store_serves && age < self.view_ttl();
-        if is_fresh {
+        if store_serves && age < self.view_ttl() {
             self.informed(from, epoch, age, now, out);
-        }
-        if is_current && is_fresh {
             let served_for = Duration::from_millis(u64::from(heartbeat.served_for_ms));
             let served_since = now.saturating_sub(delay).saturating_sub(served_for);
             self.directory.store_served_since(served_since);
             let instances_age =
                 delay + Duration::from_millis(u64::from(heartbeat.instances_age_ms));
             self.heard_of_instances(heartbeat.instances, instances_age, now);
-        }
-        if is_fresh {
             self.heard_of(RelayedKind::Instances, heartbeat.instances, now, out);
             self.heard_of(RelayedKind::Nodes, heartbeat.nodes, now, out);
         }
@@ -97,6 +90,33 @@
         self.heard_coordinator(epoch, store_serves, heartbeat.revision, delay, now, out);
     }
 
+    /// Whether the coordinator of this epoch is the newest that is known. Epochs rise only
+    /// by writes of the record, so a later one proves that an earlier coordinator has lost
+    /// its place, which that one can't read while the store refuses it. Its word would undo
+    /// its successor's.
+    fn counts_as_coordinator(&mut self, epoch: u64, now: Timestamp) -> bool {
+        let is_protected = self.settings.protections.has(Protection::NewestEpoch);
+        if epoch < self.newest_epoch() {
+            self.gossip.former_heartbeats += 1;
+            return !is_protected;
+        }
+        if epoch > self.gossip.newest_epoch {
+            self.gossip.newest_epoch = epoch;
+            self.gossip.relay.coordinator_changed();
+        }
+        let own_epoch = self.coordinator().map(Coordinator::epoch);
+        if is_protected && own_epoch.is_some_and(|own| own < epoch) {
+            self.leave_place(epoch, now);
+        }
+        true
+    }
+
+    /// The newest epoch that this node knows of.
+    pub(super) fn newest_epoch(&self) -> u64 {
+        let read = self.ownership.record().epoch;
+        self.gossip.newest_epoch.max(read)
+    }
+
     /// Evacuations stand whole in each heartbeat, with their revision: a newer one
     /// counts, whoever sends it.
     fn heard_of_evacuations(
@@ -121,10 +141,9 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let current = epoch >= self.ownership.record().epoch;
         let follows = self.coordination.coordinator().is_none() && self.store.health.has_served();
         let rests = self.settings.mechanisms.has(Mechanism::RestingWatches);
-        if current && follows && rests {
+        if follows && rests {
             if self.gossip.followed.replace(epoch) != Some(epoch) {
                 Event::FollowsCoordinator { epoch, from }.emit();
             }
@@ -177,9 +196,6 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        if epoch < self.ownership.record().epoch {
-            return;
-        }
         // While the store serves nobody, nobody can follow either; and after
         // that the coordinator gets its time to notice.
         let health = &self.store.health;
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -17,7 +17,7 @@
 use ownership::AnnouncedTakeOver;
 
 use super::Node;
-use super::gossip::{Lag, send};
+use super::gossip::send;
 use crate::Timestamp;
 use crate::configuration::Configuration;
 use crate::dialect::{ObjectEvent, ObjectKind};
@@ -28,6 +28,7 @@
     Assembly, ChangeLog, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
+use crate::protections::Protection;
 use ledgelead_types::codec::List;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -43,17 +44,34 @@
 /// Pause between two requests for missed changes of one kind.
 const REQUEST_PAUSE: Duration = Duration::from_millis(60);
 
+/// How long changes that were announced may be missing before the store is asked for
+/// them, and between two such calls.
+const MISSING_FOR: Duration = Duration::from_millis(250);
+
 /// What this node lacks of one kind.
+///
+/// Only knowing what was announced closes a gap: a node that announces less may be one
+/// that knows less.
 #[derive(Debug, Default)]
 struct Gap {
-    /// How long this node has known less than the coordinator.
-    lag: Lag,
-    /// The newest revision that any node has announced.
+    /// The newest revision that was announced.
     announced: u64,
+    /// Since when this node has known less than that.
+    missing_since: Option<Timestamp>,
+    /// Since when the store has not been asked for it.
+    unasked_since: Timestamp,
     /// When the coordinator may be asked for missed changes again.
     next_request: Timestamp,
 }
 
+impl Gap {
+    /// When the store is to be asked, if something is missing.
+    fn next_ask(&self) -> Option<Timestamp> {
+        self.missing_since?;
+        Some(self.unasked_since + MISSING_FOR)
+    }
+}
+
 /// State of what is passed on.
 pub(super) struct RelayState {
     instances: ChangeLog<ObjectEvent>,
@@ -103,6 +121,20 @@
         &mut self.gaps[kind as usize]
     }
 
+    /// When the store is to be asked next for what is missing.
+    pub(super) fn next_ask(&self) -> Option<Timestamp> {
+        self.gaps.iter().filter_map(Gap::next_ask).min()
+    }
+
+    /// A coordinator of a later epoch is heard. It reads changes of instances and nodes
+    /// by itself, under revisions of its own calls; those of the one before name no change
+    /// that it will relay.
+    pub(super) fn coordinator_changed(&mut self) {
+        for kind in [RelayedKind::Instances, RelayedKind::Nodes] {
+            self.gap(kind).announced = 0;
+        }
+    }
+
     /// The store's revision by which this node last knew of a change.
     pub(super) fn instances_revision(&self) -> u64 {
         self.instances_revision
@@ -185,8 +217,8 @@
         RelayedKind::ALL.into_iter().map(of_kind).collect()
     }
 
-    /// The coordinator knows of a change of this revision. What this node has
-    /// missed, it asks the coordinator for, and after a while the store.
+    /// Another node knows of a change of this revision. What this node has missed, it
+    /// asks the coordinator for, and after a while the store.
     pub(super) fn heard_of(
         &mut self,
         kind: RelayedKind,
@@ -194,23 +226,57 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let keeps = self.settings.protections.has(Protection::NewestEpoch);
         let gap = self.gossip.relay.gap(kind);
-        gap.announced = gap.announced.max(revision);
-        let behind = self
-            .known_revision(kind)
-            .is_some_and(|known| known < revision);
-        if behind {
+        let earlier = if keeps { gap.announced } else { 0 };
+        gap.announced = revision.max(earlier);
+        if self.lacks_changes(kind) {
             self.request_changes(kind, now, out);
         }
-        if let Some(since) = self.gossip.relay.gap(kind).lag.update(behind, now) {
-            let missing = Event::ChangesMissing {
-                kind: kind.name(),
-                announced: revision,
-                known: self.known_revision(kind).unwrap_or(0),
-                missing_ms: millis(now.saturating_sub(since)),
-            };
-            missing.emit();
-            self.ask_store(kind, since, now, out);
+        self.review_gap(kind, now, out);
+    }
+
+    fn lacks_changes(&self, kind: RelayedKind) -> bool {
+        let announced = self.gossip.relay.gaps[kind as usize].announced;
+        let known = self.known_revision(kind);
+        known.is_some_and(|known| known < announced)
+    }
+
+    /// Asks the store for what has been missing for long.
+    fn review_gap(&mut self, kind: RelayedKind, now: Timestamp, out: &mut Vec<Action>) {
+        let is_missing = self.lacks_changes(kind);
+        let known = self.known_revision(kind).unwrap_or(0);
+        let gap = self.gossip.relay.gap(kind);
+        if !is_missing {
+            gap.missing_since = None;
+            return;
+        }
+        if gap.missing_since.is_none() {
+            gap.missing_since = Some(now);
+            gap.unasked_since = now;
+        }
+        if gap.next_ask().is_none_or(|due| now < due) {
+            return;
+        }
+        let since = std::mem::replace(&mut gap.unasked_since, now);
+        let missing = gap.missing_since.map_or(Duration::ZERO, |at| now - at);
+        let missing = Event::ChangesMissing {
+            kind: kind.name(),
+            announced: gap.announced,
+            known,
+            missing_ms: millis(missing),
+        };
+        missing.emit();
+        self.ask_store(kind, since, now, out);
+    }
+
+    /// Asks the store for what is due, also while no coordinator is heard.
+    pub(super) fn review_gaps(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for kind in RelayedKind::ALL {
+            let due = self.gossip.relay.gap(kind).next_ask();
+            if due.is_some_and(|due| due <= now) {
+                self.review_gap(kind, now, out);
+            }
         }
     }
 
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -287,21 +287,20 @@
         }
     }
 
-    /// How long ago the store told of instances and of the configuration, the
-    /// longer of both.
+    /// The age of this node's view of the store: how long ago it had an answer about
+    /// instances, and how long ago the configuration that it knows was the newest. The
+    /// latter counts from when the store answered, since a machine that stood still reads
+    /// old answers; versions are rare enough for that to be recent.
     pub(super) fn age(&self, now: Timestamp) -> Duration {
-        let age = |kind: ObjectKind| match self.watchers[kind as usize].last_answer() {
-            Some(last) => now.saturating_sub(last),
-            None => Duration::MAX,
-        };
-        age(ObjectKind::Instances).max(age(ObjectKind::Configuration))
+        let instances = self.watchers[ObjectKind::Instances as usize].last_answer();
+        let since = |at: Option<Timestamp>| at.map_or(Duration::MAX, |at| now.saturating_sub(at));
+        since(instances).max(self.state_age(ObjectKind::Configuration, now))
     }
 
-    /// How long ago this node's picture of the instances was true, by the
-    /// store's own answers.
-    pub(super) fn instances_age(&self, now: Timestamp) -> Duration {
-        let watcher = &self.watchers[ObjectKind::Instances as usize];
-        let as_of = watcher.as_of();
+    /// How long ago what this node knows of a kind was the store's state, by the store's
+    /// own answers.
+    pub(super) fn state_age(&self, kind: ObjectKind, now: Timestamp) -> Duration {
+        let as_of = self.watchers[kind as usize].as_of();
         as_of.map_or(Duration::MAX, |at| now.saturating_sub(at))
     }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -227,8 +227,8 @@
     pub instances: u64,
     /// The store's revision by which it last read a change of the nodes.
     pub nodes: u64,
-    /// How long ago the store told it of instances and of the configuration, the
-    /// longer of both, in milliseconds.
+    /// How long ago the store told it of instances, or how long ago its configuration was
+    /// the store's, the longer of both, in milliseconds.
     pub age_ms: u16,
     /// How long ago its view of the instances was the store's, in milliseconds.
     pub instances_age_ms: u16,
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -18,17 +18,20 @@
     HonestRefusal,
     /// A leaving owner gets nothing more after its time.
     DrainBound,
+    /// The word of a coordinator counts for nothing once a later epoch is known.
+    NewestEpoch,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 6] = [
+    pub const SABOTAGES: [(&'static str, Protection); 7] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
         ("repeat-unknown", Protection::UnknownNotRepeated),
         ("claim-not-run", Protection::HonestRefusal),
         ("send-while-draining", Protection::DrainBound),
+        ("heed-former", Protection::NewestEpoch),
     ];
 }
 
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -222,6 +222,29 @@
     expect_that!(fixture.sent("configuration"), ge(1));
 }
 
+#[gtest]
+fn an_answer_that_is_read_late_does_not_make_a_view_young() {
+    // A coordinator that stood still for 1.2 s reads an answer that the store gave after
+    // 600 ms. A version may have been acknowledged since, and the others go by this age.
+    let mut fixture = coordinator();
+    fixture.change_watched(ObjectKind::Configuration);
+    fixture.run_until(fixture.now + ms(1_200));
+    fixture.change_watched(ObjectKind::Instances);
+    fixture.change_watched(ObjectKind::Configuration);
+    fixture.datagrams.clear();
+    fixture.run_until(fixture.now + ms(250));
+    let ages = fixture
+        .datagrams
+        .iter()
+        .filter_map(|(_, _, message)| match message {
+            PeerMessage::CoordinatorHeartbeat(heartbeat) => Some(heartbeat.age_ms),
+            _ => None,
+        });
+    let ages: Vec<u16> = ages.collect();
+    expect_that!(ages, not(is_empty()));
+    expect_that!(ages, each(ge(&600)));
+}
+
 #[gtest]
 fn a_coordinator_announces_versions_and_repeats_them() {
     let mut fixture = coordinator();
