--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -45,8 +45,9 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(60);
 
 /// How long changes that were announced may be missing before the store is asked for
-/// them, and between two such calls.
-const MISSING_FOR: Duration = Duration::from_millis(250);
+/// them, and between two such calls. The coordinator is asked for them with each heartbeat
+/// (200 ms), so two such requests may be lost or late before the store has to answer.
+const MISSING_FOR: Duration = Duration::from_millis(400);
 
 /// What this node lacks of one kind.
 ///
--- a/crates/ledgelead-router/tests/node/former_coordinator.rs
+++ b/crates/ledgelead-router/tests/node/former_coordinator.rs
@@ -32,8 +32,8 @@
 const FORMER: (u8, u64) = (1, 4);
 /// The one that follows it.
 const SUCCESSOR: (u8, u64) = (2, 5);
-/// Within this time a node has what it has heard of: 250 ms for datagrams, a heartbeat
-/// (200 ms), and a call of the store.
+/// Within this time a node has what it has heard of: 400 ms for datagrams, and a call of
+/// the store.
 const KNOWN_WITHIN: Duration = Duration::from_millis(700);
 
 fn record((node, epoch): (u8, u64)) -> OwnershipRecord {
