--- a/crates/ledgelead-lab/tests/fleet_versions.rs
+++ b/crates/ledgelead-lab/tests/fleet_versions.rs
@@ -78,3 +78,12 @@
     let late: Vec<_> = violations.filter(|seen| is_late(seen.kind)).collect();
     expect_that!(late, not(is_empty()));
 }
+
+#[gtest]
+fn a_node_that_the_store_refuses_learns_who_leaves() {
+    // The former coordinator hears its successor and knows that it lacks changes of
+    // instances. Those from before its successor's first list are in no node's log, the
+    // store refuses to list them, and it sends work to an instance that left 2.7 s ago.
+    let (_, lines) = play_versions(127..=127, NODES, Protections::default(), false);
+    expect_that!(lines, is_empty());
+}
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -22,3 +22,8 @@
 
 /// A time on the process's monotonic clock, counted from its start.
 pub type Timestamp = std::time::Duration;
+
+/// Whole milliseconds, or the most that fits.
+fn whole_millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -27,6 +27,7 @@
 const MAX_KEYS: usize = 400;
 /// Most owners in one report.
 const MAX_WORK: usize = 30;
+
 /// State of the messages between nodes.
 pub(super) struct Gossip {
     next_heartbeat: Timestamp,
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -10,6 +10,7 @@
 use crate::ownership::coordinator::Coordinator;
 use crate::peers::{Heartbeat, PeerMessage, RelayedKind, encode};
 use crate::protections::Protection;
+use crate::whole_millis;
 use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,7 +37,7 @@
         };
         let heartbeat = Heartbeat {
             epoch: coordinator.epoch(),
-            sent_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            sent_ms: whole_millis(now),
             store_serves: self.store.health.serves() && has_authority,
             revision: self.ownership.revision().unwrap_or(0),
             configuration: self.configuration_version(),
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -8,12 +8,14 @@
 
 mod configuration;
 mod entries;
+mod gaps;
 mod objects;
 mod ownership;
 
 pub(super) use objects::differences;
 pub(super) use ownership::TakeOver;
 
+use gaps::Gap;
 use ownership::AnnouncedTakeOver;
 
 use super::Node;
@@ -21,16 +23,14 @@
 use crate::Timestamp;
 use crate::configuration::Configuration;
 use crate::dialect::{ObjectEvent, ObjectKind};
-use crate::events::Event;
 use crate::io::Action;
 use crate::ownership::record::Assignment;
 use crate::peers::{
     Assembly, ChangeLog, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
-use crate::protections::Protection;
 use ledgelead_types::codec::List;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,35 +44,6 @@
 /// Pause between two requests for missed changes of one kind.
 const REQUEST_PAUSE: Duration = Duration::from_millis(60);
 
-/// How long changes that were announced may be missing before the store is asked for
-/// them, and between two such calls. The coordinator is asked for them with each heartbeat
-/// (200 ms), so two such requests may be lost or late before the store has to answer.
-const MISSING_FOR: Duration = Duration::from_millis(400);
-
-/// What this node lacks of one kind.
-///
-/// Only knowing what was announced closes a gap: a node that announces less may be one
-/// that knows less.
-#[derive(Debug, Default)]
-struct Gap {
-    /// The newest revision that was announced.
-    announced: u64,
-    /// Since when this node has known less than that.
-    missing_since: Option<Timestamp>,
-    /// Since when the store has not been asked for it.
-    unasked_since: Timestamp,
-    /// When the coordinator may be asked for missed changes again.
-    next_request: Timestamp,
-}
-
-impl Gap {
-    /// When the store is to be asked, if something is missing.
-    fn next_ask(&self) -> Option<Timestamp> {
-        self.missing_since?;
-        Some(self.unasked_since + MISSING_FOR)
-    }
-}
-
 /// State of what is passed on.
 pub(super) struct RelayState {
     instances: ChangeLog<ObjectEvent>,
@@ -118,24 +89,6 @@
 }
 
 impl RelayState {
-    fn gap(&mut self, kind: RelayedKind) -> &mut Gap {
-        &mut self.gaps[kind as usize]
-    }
-
-    /// When the store is to be asked next for what is missing.
-    pub(super) fn next_ask(&self) -> Option<Timestamp> {
-        self.gaps.iter().filter_map(Gap::next_ask).min()
-    }
-
-    /// A coordinator of a later epoch is heard. It reads changes of instances and nodes
-    /// by itself, under revisions of its own calls; those of the one before name no change
-    /// that it will relay.
-    pub(super) fn coordinator_changed(&mut self) {
-        for kind in [RelayedKind::Instances, RelayedKind::Nodes] {
-            self.gap(kind).announced = 0;
-        }
-    }
-
     /// The store's revision by which this node last knew of a change.
     pub(super) fn instances_revision(&self) -> u64 {
         self.instances_revision
@@ -208,99 +161,6 @@
         }
     }
 
-    /// By kind: the newest revision that was announced, and the one that is known.
-    pub(super) fn announced_and_known(&self) -> BTreeMap<&'static str, (u64, u64)> {
-        let of_kind = |kind: RelayedKind| {
-            let announced = self.gossip.relay.gaps[kind as usize].announced;
-            let known = self.known_revision(kind).unwrap_or(0);
-            (kind.name(), (announced, known))
-        };
-        RelayedKind::ALL.into_iter().map(of_kind).collect()
-    }
-
-    /// Another node knows of a change of this revision. What this node has missed, it
-    /// asks the coordinator for, and after a while the store.
-    pub(super) fn heard_of(
-        &mut self,
-        kind: RelayedKind,
-        revision: u64,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let keeps = self.settings.protections.has(Protection::NewestEpoch);
-        let gap = self.gossip.relay.gap(kind);
-        let earlier = if keeps { gap.announced } else { 0 };
-        gap.announced = revision.max(earlier);
-        if self.lacks_changes(kind) {
-            self.request_changes(kind, now, out);
-        }
-        self.review_gap(kind, now, out);
-    }
-
-    fn lacks_changes(&self, kind: RelayedKind) -> bool {
-        let announced = self.gossip.relay.gaps[kind as usize].announced;
-        let known = self.known_revision(kind);
-        known.is_some_and(|known| known < announced)
-    }
-
-    /// Asks the store for what has been missing for long.
-    fn review_gap(&mut self, kind: RelayedKind, now: Timestamp, out: &mut Vec<Action>) {
-        let is_missing = self.lacks_changes(kind);
-        let known = self.known_revision(kind).unwrap_or(0);
-        let gap = self.gossip.relay.gap(kind);
-        if !is_missing {
-            gap.missing_since = None;
-            return;
-        }
-        if gap.missing_since.is_none() {
-            gap.missing_since = Some(now);
-            gap.unasked_since = now;
-        }
-        if gap.next_ask().is_none_or(|due| now < due) {
-            return;
-        }
-        let since = std::mem::replace(&mut gap.unasked_since, now);
-        let missing = gap.missing_since.map_or(Duration::ZERO, |at| now - at);
-        let missing = Event::ChangesMissing {
-            kind: kind.name(),
-            announced: gap.announced,
-            known,
-            missing_ms: millis(missing),
-        };
-        missing.emit();
-        self.ask_store(kind, since, now, out);
-    }
-
-    /// Asks the store for what is due, also while no coordinator is heard.
-    pub(super) fn review_gaps(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        for kind in RelayedKind::ALL {
-            let due = self.gossip.relay.gap(kind).next_ask();
-            if due.is_some_and(|due| due <= now) {
-                self.review_gap(kind, now, out);
-            }
-        }
-    }
-
-    /// Asks the store for what the coordinator has not told in time. A watch
-    /// that has been out since before `since` is made anew.
-    fn ask_store(
-        &mut self,
-        kind: RelayedKind,
-        since: Timestamp,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        if self.store.health.has_failed() {
-            self.store.probe_for_gap(now, out);
-        }
-        if kind == RelayedKind::Ownership {
-            self.store.refresh_ownership(now, out);
-            return;
-        }
-        self.store.interrupt(kind.object_kind(), since, now, out);
-        self.store.poke(kind.object_kind(), now);
-    }
-
     /// Asks the coordinator for changes that this node has missed.
     fn request_changes(&mut self, kind: RelayedKind, now: Timestamp, out: &mut Vec<Action>) {
         if self.coordination.coordinator().is_some() {
@@ -353,10 +213,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Splits a list into parts and encodes each. A list with too many of them is
 /// left to the store.
 fn parts<T: Clone>(
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -5,6 +5,7 @@
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
 use crate::identity::ServiceName;
+use crate::whole_millis;
 use ledgelead_types::codec::{List, Text};
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
@@ -220,7 +221,7 @@
         prefix: Text(route.prefix.clone()),
         targets: route.targets.iter().map(target).collect(),
         idempotent: route.repeatability == Repeatability::Idempotent,
-        timeout_ms: millis(route.timeout),
+        timeout_ms: whole_millis(route.timeout),
         target_latency_us: u64::try_from(route.target_latency.as_micros()).unwrap_or(u64::MAX),
         max_attempts: route.max_attempts,
         priority: route.priority,
@@ -271,8 +272,8 @@
     LimitsEntry {
         max_head_bytes: limits.max_head_bytes as u64,
         max_body_bytes: limits.max_body_bytes as u64,
-        head_timeout_ms: millis(limits.head_timeout),
-        idle_timeout_ms: millis(limits.idle_timeout),
+        head_timeout_ms: whole_millis(limits.head_timeout),
+        idle_timeout_ms: whole_millis(limits.idle_timeout),
     }
 }
 
@@ -284,7 +285,3 @@
         idle_timeout: Duration::from_millis(entry.idle_timeout_ms),
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: sent, reviewed, ended.
 
 use super::ANSWER_MARGIN;
-use super::endings::{attempt_name, millis, owner_fence};
+use super::endings::{attempt_name, owner_fence};
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::events::Event;
@@ -13,6 +13,7 @@
 use crate::requests::outcome::{Verdict, tells_failure};
 use crate::requests::selection::Selected;
 use crate::requests::statistics::ReportedLoad;
+use crate::whole_millis;
 use ledgelead_http::{Request, Response};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -374,8 +375,8 @@
         service: &open.service,
         key: open.key,
         instance: &attempt.instance,
-        sent_after_ms: millis(attempt.sent.saturating_sub(open.received)),
-        took_ms: millis(context.now.saturating_sub(attempt.sent)),
+        sent_after_ms: whole_millis(attempt.sent.saturating_sub(open.received)),
+        took_ms: whole_millis(context.now.saturating_sub(attempt.sent)),
         ended,
         fence: owner_fence(open, context),
         ownership: context.ownership.revision(),
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -10,6 +10,7 @@
 use crate::requests::answers::{Refusal, refusal};
 use crate::requests::open_request::OpenRequest;
 use crate::requests::refusal_share::return_after;
+use crate::whole_millis;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use std::time::Duration;
@@ -64,7 +65,7 @@
             key: open.key,
             status: reason.status(),
             reason: reason.name(),
-            after_ms: millis(context.now.saturating_sub(open.received)),
+            after_ms: whole_millis(context.now.saturating_sub(open.received)),
             attempts: open.tried.len(),
             fence: owner_fence(open, context),
             ownership: context.ownership.revision(),
@@ -182,8 +183,3 @@
     response.headers.remove_connection_headers();
     response
 }
-
-/// Whole milliseconds.
-pub(super) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
