--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -178,16 +178,8 @@
 
 fn coordinator() -> Fixture {
     let mut store = store();
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: None,
-        next_fence: 9,
-        ..OwnershipRecord::default()
-    });
-    let mut fixture = Fixture::new(store);
-    fixture.run_until(ms(3_000));
-    expect_that!(fixture.node.coordinator().is_some(), eq(true));
-    fixture
+    store.vacate();
+    Fixture::coordinating(store)
 }
 
 #[gtest]
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -1,6 +1,7 @@
 //! One node with a store that answers lists and writes at once, and instances
 //! that answer when a test says so.
 
+use googletest::prelude::*;
 use ledgelead_http::{Request, Response};
 use ledgelead_router::Timestamp;
 use ledgelead_router::configuration::{
@@ -90,6 +91,16 @@
         );
     }
 
+    /// The record names no coordinator.
+    pub fn vacate(&mut self) {
+        self.own(OwnershipRecord {
+            epoch: 4,
+            coordinator: None,
+            next_fence: 9,
+            ..OwnershipRecord::default()
+        });
+    }
+
     /// The revision of an object.
     pub fn revision_of(&self, kind: ObjectKind, name: &str) -> Option<u64> {
         let object = self.objects.get(&(kind, name.to_owned()));
@@ -382,6 +393,14 @@
         }
     }
 
+    /// The node as coordinator of a store that has none.
+    pub fn coordinating(store: Store) -> Fixture {
+        let mut fixture = Fixture::new(store);
+        fixture.run_until(ms(3_000));
+        expect_that!(fixture.node.coordinator().is_some(), eq(true));
+        fixture
+    }
+
     /// Passes an input to the node and carries out what it wants.
     pub fn step(&mut self, input: Input) {
         let mut inputs = vec![input];
--- a/crates/ledgelead-router/tests/node/former_coordinator.rs
+++ b/crates/ledgelead-router/tests/node/former_coordinator.rs
@@ -97,9 +97,19 @@
 
 /// Both coordinators are heard each 200 ms, 100 ms apart.
 fn hear_both(fixture: &mut Fixture, former: &Heartbeat, lasts: Duration) {
+    hear_successor_say(fixture, former, lasts, |prompt| prompt);
+}
+
+/// The same, with what the successor says changed.
+fn hear_successor_say(
+    fixture: &mut Fixture,
+    former: &Heartbeat,
+    lasts: Duration,
+    change: impl Fn(Heartbeat) -> Heartbeat,
+) {
     let end = fixture.now + lasts;
     while fixture.now < end {
-        let said = heartbeat(fixture, SUCCESSOR);
+        let said = change(heartbeat(fixture, SUCCESSOR));
         hear(fixture, SUCCESSOR, &said);
         fixture.run_until(fixture.now + ms(100));
         hear(fixture, FORMER, former);
@@ -140,17 +150,10 @@
     fixture.store.add_instance(instance(3, SERVICE));
     let changed = fixture.store.revision;
     let before = calls_about(&fixture, ObjectKind::Instances);
-    let end = fixture.now + KNOWN_WITHIN;
-    while fixture.now < end {
-        let said = Heartbeat {
-            instances: changed,
-            ..heartbeat(&fixture, SUCCESSOR)
-        };
-        hear(&mut fixture, SUCCESSOR, &said);
-        fixture.run_until(fixture.now + ms(100));
-        hear(&mut fixture, FORMER, &former);
-        fixture.run_until(fixture.now + ms(100));
-    }
+    hear_successor_say(&mut fixture, &former, KNOWN_WITHIN, |prompt| Heartbeat {
+        instances: changed,
+        ..prompt
+    });
     let after = calls_about(&fixture, ObjectKind::Instances);
     expect_that!(after, gt(before));
 }
@@ -161,18 +164,10 @@
     let (mut fixture, former) = follower();
     hear_both(&mut fixture, &former, ms(2_000));
     let before = calls_about(&fixture, ObjectKind::Instances);
-    let end = fixture.now + ms(2_000);
-    while fixture.now < end {
-        let prompt = heartbeat(&fixture, SUCCESSOR);
-        let late = Heartbeat {
-            sent_ms: prompt.sent_ms - 1_500,
-            ..prompt
-        };
-        hear(&mut fixture, SUCCESSOR, &late);
-        fixture.run_until(fixture.now + ms(100));
-        hear(&mut fixture, FORMER, &former);
-        fixture.run_until(fixture.now + ms(100));
-    }
+    hear_successor_say(&mut fixture, &former, ms(2_000), |prompt| Heartbeat {
+        sent_ms: prompt.sent_ms - 1_500,
+        ..prompt
+    });
     let after = calls_about(&fixture, ObjectKind::Instances);
     expect_that!(after, gt(before));
 }
@@ -197,22 +192,16 @@
     expect_that!(receivers, each(eq(&node_address(SUCCESSOR.0))));
 }
 
-/// A node that coordinates.
-fn coordinator() -> Fixture {
+/// The store without a coordinator.
+fn vacant_store() -> Store {
     let mut store = store();
-    store.own(OwnershipRecord {
-        coordinator: None,
-        ..record(FORMER)
-    });
-    let mut fixture = Fixture::new(store);
-    fixture.run_until(ms(3_000));
-    expect_that!(fixture.node.coordinator().is_some(), eq(true));
-    fixture
+    store.vacate();
+    store
 }
 
 #[gtest]
 fn a_coordinator_that_hears_of_a_later_epoch_leaves_its_place() {
-    let mut fixture = coordinator();
+    let mut fixture = Fixture::coordinating(vacant_store());
     let epoch = fixture.node.status().epoch;
     fixture.store.refuses = true;
     fixture.run_until(fixture.now + ms(1_000));
@@ -230,12 +219,7 @@
 
 #[gtest]
 fn a_take_over_that_is_acknowledged_late_gives_no_place_after_a_later_epoch() {
-    let mut store = store();
-    store.own(OwnershipRecord {
-        coordinator: None,
-        ..record(FORMER)
-    });
-    let mut fixture = Fixture::new(store);
+    let mut fixture = Fixture::new(vacant_store());
     while fixture.calls.iter().all(|(_, call)| !writes_record(call)) {
         fixture.store.is_slow = fixture.node.status().epoch == FORMER.1;
         fixture.deliver_all_but(writes_record);
@@ -256,7 +240,7 @@
 #[gtest]
 fn a_coordinator_reads_a_version_that_one_of_several_reports_names() {
     // Its own watch is lost without notice.
-    let mut fixture = coordinator();
+    let mut fixture = Fixture::coordinating(vacant_store());
     fixture.store.answers_changes = true;
     fixture.store.configure(configuration(8));
     let report = |configuration| PeerMessage::LoadReport {
