--- a/crates/ledgelead-lab/src/fleet/clients.rs
+++ b/crates/ledgelead-lab/src/fleet/clients.rs
@@ -6,12 +6,16 @@
 use ledgelead_router::io::{ClientId, Input};
 use rand::RngExt;
 use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr};
 use std::ops::Range;
 use std::time::Duration;
 
 /// Time that a client waits, in milliseconds.
 const DEADLINE_MS: u64 = 1_500;
 
+/// Where clients connect from.
+const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 3, 1));
+
 /// Neighbouring keys that much is asked of, if a run has hot keys.
 const HOT_KEYS: Range<u16> = 1_000..1_040;
 
@@ -74,7 +78,11 @@
             .asked
             .insert((caller, client), Asked { attempt, once });
         self.report.requests += 1;
-        let input = Input::Request { client, request };
+        let input = Input::Request {
+            client,
+            source: CALLER,
+            request,
+        };
         self.schedule(Duration::ZERO, Event::Input(caller, input));
     }
 
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -478,7 +478,10 @@
                 self.reach_instance(caller, exchange, instance, request);
             }
             Some(_) => self.not_connected(caller, exchange, options.connect_timeout),
-            None => self.not_connected(caller, exchange, LATENCY * 2),
+            None => {
+                let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
+                self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+            }
         }
     }
 
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -3,6 +3,7 @@
 //! `docs/operations/logs.md` is the schema for readers of the logs.
 
 use crate::identity::{InstanceId, ServiceName};
+use crate::requests::RequestDigest;
 use log::Level;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -16,6 +17,8 @@
     AttemptEnded {
         /// The client's name for its request.
         request: &'a str,
+        /// The same for all tries of the request, at all nodes.
+        digest: RequestDigest,
         /// The service.
         service: &'a ServiceName,
         /// The key, if the service's keys have owners.
@@ -37,6 +40,8 @@
     Answered {
         /// The client's name for its request.
         request: &'a str,
+        /// The same for all tries of the request, at all nodes.
+        digest: RequestDigest,
         /// The service.
         service: &'a ServiceName,
         /// The key, if the service's keys have owners.
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -2,7 +2,7 @@
 
 use crate::peers::Datagram;
 use ledgelead_http::{Request, Response};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// A request of a client, while it is open.
@@ -18,6 +18,8 @@
 pub enum ExchangeFailure {
     /// No connection came up; nothing was sent.
     NotConnected,
+    /// The connection was refused at once: nobody listens there. Nothing was sent.
+    Refused,
     /// The connection was lost after the request, or a part of it, was sent.
     Lost,
     /// No whole answer came in time; the request was sent.
@@ -29,7 +31,10 @@
 impl ExchangeFailure {
     /// Whether it is proved that the receiver never saw the request.
     pub fn proves_not_sent(self) -> bool {
-        self == ExchangeFailure::NotConnected
+        matches!(
+            self,
+            ExchangeFailure::NotConnected | ExchangeFailure::Refused
+        )
     }
 }
 
@@ -59,6 +64,8 @@
     Request {
         /// Names the request until it is answered or its client left.
         client: ClientId,
+        /// Where its connection comes from.
+        source: IpAddr,
         /// The request.
         request: Request,
     },
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -131,9 +131,13 @@
     pub fn step(&mut self, input: Input, now: Timestamp, out: &mut Vec<Action>) {
         let before = out.len();
         match input {
-            Input::Request { client, request } => {
+            Input::Request {
+                client,
+                source,
+                request,
+            } => {
                 let (requests, mut context) = self.requests_and_context(now);
-                requests.arrived(client, request, &mut context, out);
+                requests.arrived(client, source, request, &mut context, out);
             }
             Input::ClientLeft { client } => self.requests.left(client, out),
             Input::Exchanged {
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/digest.rs
@@ -0,0 +1,65 @@
+//! Recognises a request that is sent again.
+//!
+//! Two tries are the same request if method, host, path with query, caller and body are
+//! the same. The caller is the address that the connection came from, without its port.
+//! Other headers differ from try to try (the client's name for it, the time left), or
+//! belong to the client's software.
+
+use ledgelead_http::Request;
+use serde::{Serialize, Serializer};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::net::IpAddr;
+
+/// Bytes of a digest: so many of SHA-256 that nobody can find a request with the digest of
+/// somebody else's (2^128 tries).
+pub const DIGEST_BYTES: usize = 16;
+
+/// Identifies a request over all of its tries, at any node.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest(pub [u8; DIGEST_BYTES]);
+
+impl RequestDigest {
+    /// The digest of a request that came from this address.
+    pub fn new(request: &Request, source: IpAddr) -> RequestDigest {
+        let host = request.headers.text("host").unwrap_or_default();
+        let host = host.to_lowercase();
+        let source = source.to_string();
+        let parts = [&request.method, &host, &request.target, &source];
+        let mut hasher = Sha256::new();
+        for part in parts {
+            // With its length, so that no two lists of parts are the same bytes.
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&request.body);
+        let mut bytes = [0; DIGEST_BYTES];
+        bytes.copy_from_slice(&hasher.finalize()[..DIGEST_BYTES]);
+        RequestDigest(bytes)
+    }
+
+    /// The digest that `Display` has written.
+    pub fn parse(text: &str) -> Option<RequestDigest> {
+        let is_hex = text.len() == 2 * DIGEST_BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = is_hex.then(|| u128::from_str_radix(text, 16).ok())?;
+        Some(RequestDigest(number?.to_be_bytes()))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+impl Serialize for RequestDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -222,7 +222,7 @@
             .and_then(|key| context.ownership.find(&open.service, key));
         tell_ended(open, attempt, verdict.name(), context);
         match verdict {
-            Verdict::NeverSent => {
+            Verdict::NeverSent { .. } => {
                 open.tried.retain(|id| *id != attempt.instance);
                 if open.key.is_none() {
                     // Another instance is tried at once; this one stays out by
@@ -372,6 +372,7 @@
 ) {
     let ended = Event::AttemptEnded {
         request: attempt_name(&open.request, context.headers),
+        digest: open.digest(),
         service: &open.service,
         key: open.key,
         instance: &attempt.instance,
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -61,6 +61,7 @@
         }
         let answered = Event::Answered {
             request: attempt_name(&open.request, context.headers),
+            digest: open.digest(),
             service: &open.service,
             key: open.key,
             status: reason.status(),
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -32,7 +32,9 @@
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::IpAddr;
 use std::time::Duration;
 
 /// Time that a client needs to get an answer before it leaves.
@@ -275,12 +277,13 @@
     pub fn arrived(
         &mut self,
         client: ClientId,
+        source: IpAddr,
         request: Request,
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
         self.counters.received += 1;
-        match self.classify(request, context) {
+        match self.classify(source, request, context) {
             Ok(open) => {
                 self.budget.requested(&open.service, context.now);
                 self.refusals.received(&open.service, context.now);
@@ -392,6 +395,7 @@
 
     fn classify(
         &mut self,
+        source: IpAddr,
         request: Request,
         context: &RequestContext<'_>,
     ) -> Result<OpenRequest, (Request, Refusal)> {
@@ -416,6 +420,8 @@
             .map(|wait| Duration::from_millis(wait).saturating_sub(ANSWER_MARGIN));
         let due = context.now + client_wait.map_or(route.timeout, |wait| wait.min(route.timeout));
         Ok(OpenRequest {
+            source,
+            digest: OnceCell::new(),
             request,
             route,
             service,
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod budget;
 mod cold_start;
+mod digest;
 mod lifecycle;
 mod open_request;
 mod outcome;
@@ -15,6 +16,7 @@
 pub use answers::refusal;
 pub use budget::{BudgetBounds, RetryBudget};
 pub use cold_start::{ColdBound, ColdGate, ColdSends};
+pub use digest::{DIGEST_BYTES, RequestDigest};
 pub use lifecycle::{RequestContext, RequestCounters, Requests};
 pub use open_request::Misdirection;
 pub use outcome::{Verdict, judge};
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -6,7 +6,10 @@
 use crate::io::ExchangeId;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::ownership::record::Assignment;
+use crate::requests::digest::RequestDigest;
 use ledgelead_http::{Request, Response};
+use std::cell::OnceCell;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +63,10 @@
 /// A request.
 #[derive(Debug)]
 pub struct OpenRequest {
+    /// Where it came from.
+    pub source: IpAddr,
+    /// Its digest, once that was asked for.
+    pub digest: OnceCell<RequestDigest>,
     /// The request.
     pub request: Request,
     /// Its route.
@@ -108,6 +115,13 @@
 }
 
 impl OpenRequest {
+    /// Identifies it over all of its tries. Worked out when it is first asked for, since
+    /// most requests end without.
+    pub fn digest(&self) -> RequestDigest {
+        let digest = || RequestDigest::new(&self.request, self.source);
+        *self.digest.get_or_init(digest)
+    }
+
     /// Whether it may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.repeatability == Repeatability::Idempotent
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -28,7 +28,10 @@
     /// unless the request is sent again.
     Failed(Response),
     /// The request never reached an instance.
-    NeverSent,
+    NeverSent {
+        /// The connection was refused at once.
+        refused: bool,
+    },
     /// An instance received the request and did not run it.
     Rejected {
         /// It is another instance, or doesn't hold the key.
@@ -49,7 +52,8 @@
         match self {
             Verdict::Relay(_) => "relayed",
             Verdict::Failed(_) => "failed",
-            Verdict::NeverSent => "never_sent",
+            Verdict::NeverSent { refused: true } => "connection_refused",
+            Verdict::NeverSent { refused: false } => "never_sent",
             Verdict::Rejected { ended: true, .. } => "instance_ended",
             Verdict::Rejected {
                 misdirected: true, ..
@@ -69,7 +73,9 @@
 ) -> Verdict {
     match result {
         Ok(response) => judge_answer(response, meant, headers),
-        Err(failure) if failure.proves_not_sent() => Verdict::NeverSent,
+        Err(failure) if failure.proves_not_sent() => Verdict::NeverSent {
+            refused: failure == ExchangeFailure::Refused,
+        },
         Err(failure) => Verdict::Unknown {
             timed_out: failure == ExchangeFailure::TimedOut,
         },
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -23,7 +23,7 @@
 use ledgelead_router::settings::NodeSettings;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// The service whose keys have owners.
 pub const KEYED: &str = "records";
 
+/// Where clients connect from.
+pub const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 3, 1));
+
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -476,7 +479,11 @@
         if let Some(key) = key {
             request.headers.push("key", key.to_string());
         }
-        self.step(Input::Request { client, request });
+        self.step(Input::Request {
+            client,
+            source: CALLER,
+            request,
+        });
         client
     }
 
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -51,7 +51,15 @@
 #[gtest]
 fn only_proof_makes_a_request_not_run() {
     let not_connected = verdict(Err(ExchangeFailure::NotConnected));
-    expect_that!(matches!(not_connected, Verdict::NeverSent), eq(true));
+    expect_that!(
+        matches!(not_connected, Verdict::NeverSent { refused: false }),
+        eq(true)
+    );
+    let refused = verdict(Err(ExchangeFailure::Refused));
+    expect_that!(
+        matches!(refused, Verdict::NeverSent { refused: true }),
+        eq(true)
+    );
     for failure in [
         ExchangeFailure::Lost,
         ExchangeFailure::TimedOut,
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -12,6 +12,7 @@
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 /// How long a connection that this side has ended waits for the other side's
@@ -25,6 +26,7 @@
     Request {
         client: ClientId,
         endpoint: Endpoint,
+        source: IpAddr,
         request: Request,
     },
     /// The client closed while its request was open.
@@ -34,6 +36,8 @@
 struct Connection {
     generation: u64,
     endpoint: Endpoint,
+    /// The client's address.
+    source: IpAddr,
     stream: Stream,
     reader: RequestReader,
     open: Option<ClientId>,
@@ -88,16 +92,18 @@
     /// A connection was accepted.
     pub(crate) fn accepted(
         &mut self,
-        source: MioSource<TcpStream>,
+        stream: MioSource<TcpStream>,
+        source: IpAddr,
         endpoint: Endpoint,
         now: Instant,
     ) {
         self.last_generation += 1;
-        let _ = source.set_nodelay(true);
+        let _ = stream.set_nodelay(true);
         self.connections.insert(Connection {
             generation: self.last_generation,
             endpoint,
-            stream: Stream::new(source),
+            source,
+            stream: Stream::new(stream),
             reader: RequestReader::default(),
             open: None,
             to_head_request: false,
@@ -231,10 +237,12 @@
                 connection.to_head_request = request.method == "HEAD";
                 connection.close_after_answer = request.headers.has_token("connection", "close");
                 let endpoint = connection.endpoint;
+                let source = connection.source;
                 self.by_client.insert(client, index);
                 events.push(ClientEvent::Request {
                     client,
                     endpoint,
+                    source,
                     request,
                 });
             }
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -254,8 +254,8 @@
                     self.watch_new(index, now);
                 }
                 Ok(false) => return,
-                Err(()) => {
-                    self.fail(index, ExchangeFailure::NotConnected, inputs);
+                Err(failure) => {
+                    self.fail(index, failure, inputs);
                     return;
                 }
             }
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -5,9 +5,10 @@
 use crate::metrics;
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
 use crate::process::{Control, SettingsSource};
+use crate::stream::connect_failure;
 use ledgelead_http::{Request, Response};
 use ledgelead_router::Timestamp;
-use ledgelead_router::io::{Action, ClientId, ExchangeFailure, Input};
+use ledgelead_router::io::{Action, ClientId, Input};
 use ledgelead_router::node::Node;
 use stakker::{CX, MinTimerKey, StopCause, fwd_to, timer_min};
 use stakker_mio::mio::Interest;
@@ -131,8 +132,8 @@
             let Some((endpoint, listener)) = &self.listeners[index] else {
                 return;
             };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
+            let (stream, from) = match listener.accept() {
+                Ok(accepted) => accepted,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) => {
                     // Also when descriptors run out: the rest waits in the
@@ -146,7 +147,7 @@
             let poll = cx.anymap_get::<MioPoll>();
             let interest = Interest::READABLE | Interest::WRITABLE;
             match poll.add(stream, interest, POLL_PRIORITY, ready) {
-                Ok(source) => self.inbound.accepted(source, *endpoint, now),
+                Ok(source) => self.inbound.accepted(source, from.ip(), *endpoint, now),
                 Err(error) => log::warn!(target: "runtime", "a connection is not polled: {error}"),
             }
         }
@@ -256,12 +257,18 @@
                 ClientEvent::Request {
                     client,
                     endpoint: Endpoint::Clients,
+                    source,
                     request,
-                } => self.inputs.push_back(Input::Request { client, request }),
+                } => self.inputs.push_back(Input::Request {
+                    client,
+                    source,
+                    request,
+                }),
                 ClientEvent::Request {
                     client,
                     endpoint: Endpoint::Status,
                     request,
+                    ..
                 } => {
                     let mut more = Vec::new();
                     self.answer_status(client, &request, now, &mut more);
@@ -377,7 +384,7 @@
                 log::warn!(target: "runtime", "no connection to {}: {error}", new.address);
                 self.inputs.push_back(Input::Exchanged {
                     exchange,
-                    result: Err(ExchangeFailure::NotConnected),
+                    result: Err(connect_failure(&error)),
                     rested: Duration::ZERO,
                 });
             }
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -1,8 +1,9 @@
 //! A connection's bytes in both directions, without waiting.
 
+use ledgelead_router::io::ExchangeFailure;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 
 /// Bytes read at once.
@@ -17,6 +18,14 @@
     Reset,
 }
 
+/// What an error proves with which a connection did not come up.
+pub(crate) fn connect_failure(error: &io::Error) -> ExchangeFailure {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => ExchangeFailure::Refused,
+        _ => ExchangeFailure::NotConnected,
+    }
+}
+
 /// A connection with its buffers.
 pub(crate) struct Stream {
     source: MioSource<TcpStream>,
@@ -43,9 +52,9 @@
     }
 
     /// Whether the connection has come up. An error means that it never will.
-    pub(crate) fn check_connected(&self) -> Result<bool, ()> {
-        if let Ok(Some(_)) | Err(_) = self.source.take_error() {
-            return Err(());
+    pub(crate) fn check_connected(&self) -> Result<bool, ExchangeFailure> {
+        if let Ok(Some(error)) | Err(error) = self.source.take_error() {
+            return Err(connect_failure(&error));
         }
         match self.source.peer_addr() {
             Ok(_) => {
@@ -54,7 +63,7 @@
                 Ok(true)
             }
             Err(error) if error.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(_) => Err(()),
+            Err(error) => Err(connect_failure(&error)),
         }
     }
 
