--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -24,6 +24,10 @@
     ConfigurationInTime,
     /// A client got the answer to another request.
     AnswerMatchesRequest,
+    /// A request under which three instances had ended went on to be sent.
+    CrashesContained,
+    /// A request was held back under which no instance ended by itself.
+    HarmlessServed,
 }
 
 impl ViolationKind {
@@ -38,6 +42,8 @@
             ViolationKind::ConfigurationMonotonic => "configuration_monotonic",
             ViolationKind::ConfigurationInTime => "configuration_in_time",
             ViolationKind::AnswerMatchesRequest => "answer_matches_request",
+            ViolationKind::CrashesContained => "crashes_contained",
+            ViolationKind::HarmlessServed => "harmless_served",
         }
     }
 }
@@ -160,6 +166,18 @@
         }
     }
 
+    /// A request has reached instances too often after the third had ended under it.
+    pub fn crashing_sent_on(&mut self, number: usize, node: usize, ended: usize, now: Duration) {
+        let what = format!("request {number} from node {node}, {ended} instances have ended");
+        self.found(ViolationKind::CrashesContained, now, what);
+    }
+
+    /// A harmless request was refused as one that crashes instances.
+    pub fn harmless_held_back(&mut self, attempt: u64, now: Duration) {
+        let what = format!("request {attempt}");
+        self.found(ViolationKind::HarmlessServed, now, what);
+    }
+
     /// A client got an answer.
     pub fn answered(&mut self, asked: u64, carried: Option<u64>, now: Duration) {
         if carried != Some(asked) {
--- a/crates/ledgelead-lab/src/fleet/clients.rs
+++ b/crates/ledgelead-lab/src/fleet/clients.rs
@@ -1,9 +1,10 @@
 //! Clients, and what they were told.
 
 use super::event::{Caller, Event};
-use super::world::{HOST, ONCE, SHARDED, World};
+use super::world::{HOST, ONCE, READ, SHARDED, World};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::io::{ClientId, Input};
+use ledgelead_router::node::Node;
 use rand::RngExt;
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr};
@@ -19,6 +20,21 @@
 /// Neighbouring keys that much is asked of, if a run has hot keys.
 const HOT_KEYS: Range<u16> = 1_000..1_040;
 
+/// The body of the refusal of a request that crashes instances.
+const HELD_BACK: &[u8] = b"quarantined";
+/// Every so many-th request asks for one of a few things, again and again.
+const HOT_EVERY: u64 = 3;
+/// How many such things there are.
+const HOT_THINGS: u64 = 2;
+
+/// The last part of a request's path.
+fn path_of(attempt: u64) -> String {
+    match attempt % HOT_EVERY {
+        0 => format!("hot{}", attempt / HOT_EVERY % HOT_THINGS),
+        _ => format!("x{attempt}"),
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Asked {
     attempt: u64,
@@ -48,14 +64,18 @@
 }
 
 impl World {
+    /// The nodes that are ready.
+    pub(super) fn ready_nodes(&self) -> Vec<usize> {
+        let is_ready = |index: &usize| {
+            let node = self.nodes[*index].node.as_ref();
+            node.is_some_and(Node::is_ready)
+        };
+        (0..self.nodes.len()).filter(is_ready).collect()
+    }
+
     /// A client sends a request to some node that is ready.
     pub(super) fn client_asks(&mut self) {
-        let ready: Vec<usize> = (0..self.nodes.len())
-            .filter(|index| {
-                let simulated = &self.nodes[*index];
-                simulated.node.as_ref().is_some_and(|node| node.is_ready())
-            })
-            .collect();
+        let ready = self.ready_nodes();
         if ready.is_empty() {
             return;
         }
@@ -64,12 +84,17 @@
         self.clients.last += 1;
         let attempt = self.clients.last;
         let once = self.rng.random_range(0..4) == 0;
-        let service = if once { ONCE } else { SHARDED };
-        let mut request = Request::new("GET", format!("/{service}/x"), Vec::new());
+        let mut service = if once { ONCE } else { SHARDED };
+        // Where there is one, half of the rest is for the service without keys.
+        if !once && !self.crashing.is_empty() && attempt.is_multiple_of(2) {
+            service = READ;
+        }
+        let target = format!("/{service}/{}", path_of(attempt));
+        let mut request = Request::new("GET", target, Vec::new());
         request.headers.push("host", HOST);
         request.headers.push("attempt", attempt.to_string());
         request.headers.push("deadline", DEADLINE_MS.to_string());
-        if !once {
+        if service == SHARDED {
             let key = self.draw_key();
             request.headers.push("key", key.to_string());
         }
@@ -102,6 +127,8 @@
         response: &Response,
     ) {
         let Some(asked) = self.clients.asked.remove(&(caller, client)) else {
+            // A request that crashes instances.
+            self.report.held_back += u64::from(response.body == HELD_BACK);
             return;
         };
         match response.status {
@@ -111,6 +138,9 @@
                 self.checker.answered(asked.attempt, carried, self.now);
             }
             503 => {
+                if response.body == HELD_BACK {
+                    self.checker.harmless_held_back(asked.attempt, self.now);
+                }
                 self.report.refused += 1;
                 self.checker.refused(asked.attempt, asked.once, self.now);
             }
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -1,5 +1,6 @@
 //! `ledgelead-lab fleet`.
 
+use super::crashing::CrashingRequest;
 use super::faults::Schedule;
 use super::report::FleetReport;
 use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
@@ -44,6 +45,7 @@
         schedule,
         trace: false,
         hot_from: None,
+        crashing: Vec::new(),
         datagram_loss: DATAGRAM_LOSSES[(seed % 3) as usize],
         protections,
     }
@@ -63,6 +65,25 @@
     FleetSettings { schedule, ..drawn }
 }
 
+/// A run with drawn faults, and requests that crash instances.
+pub fn drawn_crashing(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xc4a5);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT / 2);
+    let crashing = CrashingRequest::draw(&mut rng, from, to);
+    let crashes = Schedule::draw_crashes(&mut rng, TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    // Half of the runs have no other faults, so that nodes are in touch for longer.
+    let schedule = match seed % 2 {
+        0 => crashes,
+        _ => drawn.schedule.join(crashes),
+    };
+    FleetSettings {
+        schedule,
+        crashing,
+        ..drawn
+    }
+}
+
 /// Share of the datagrams that are lost, by seed.
 const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
 
@@ -92,6 +113,19 @@
     })
 }
 
+/// Plays drawn faults, and requests that crash instances.
+pub fn play_crashing(
+    seeds: RangeInclusive<u64>,
+    nodes: usize,
+    protections: Protections,
+    trace: bool,
+) -> (FleetReport, Vec<String>) {
+    play_each(seeds, |seed| FleetSettings {
+        trace,
+        ..drawn_crashing(seed, nodes, protections)
+    })
+}
+
 /// Plays the run of each seed and adds up what they show; with the first seed of each
 /// violation.
 fn play_each(
@@ -121,6 +155,7 @@
     let mut json = false;
     let mut trace = false;
     let mut versions = false;
+    let mut crashing = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
@@ -129,12 +164,16 @@
             Long("json") => json = true,
             Long("trace") => trace = true,
             Long("versions") => versions = true,
+            Long("crashing") => crashing = true,
             other => return Err(other.unexpected()),
         }
     }
-    let (report, lines) = match versions {
-        true => play_versions(seeds, nodes, protections, trace),
-        false => play(seeds, nodes, protections, trace),
+    let (report, lines) = if crashing {
+        play_crashing(seeds, nodes, protections, trace)
+    } else if versions {
+        play_versions(seeds, nodes, protections, trace)
+    } else {
+        play(seeds, nodes, protections, trace)
     };
     if !json {
         for line in lines.iter().take(SHOWN) {
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -47,6 +47,12 @@
     Heartbeat(usize),
     /// An instance that left without a word ends.
     InstanceEnds(usize),
+    /// Another life of an instance that has crashed begins.
+    InstanceReturns(usize),
+    /// An instance crashes by itself.
+    InstanceCrashes(usize),
+    /// A request comes that crashes instances.
+    CrashingClient(usize),
     /// Entries without heartbeats go.
     ExpireEntries,
     /// A client asks.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -58,6 +58,10 @@
     Configure,
     /// The operator adds more routes than nodes send each other in datagrams.
     ConfigureLarge,
+    /// Half of all instances crash at the same moment, with their work.
+    CrashMany,
+    /// All instances crash with their work, one after the other.
+    CrashInTurn,
     /// The store refuses all calls of a node, and serves the others.
     StoreRefusesNode(Target),
 }
--- a/crates/ledgelead-lab/src/fleet/instance.rs
+++ b/crates/ledgelead-lab/src/fleet/instance.rs
@@ -41,6 +41,8 @@
     pub key: Option<u16>,
     /// Until when the caller waits.
     pub until: Duration,
+    /// The number of the request among those that crash instances.
+    pub crashes: Option<usize>,
 }
 
 /// An instance.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod checker;
 mod clients;
 pub mod command;
+mod crashing;
 mod dialect;
 mod event;
 mod faults;
@@ -21,6 +22,7 @@
 mod world;
 
 pub use checker::{Violation, ViolationKind};
+pub use crashing::{CrashedService, CrashingRequest};
 pub use faults::{Fault, FaultKind, Schedule, Target};
 pub use report::{FleetReport, Unserved};
 pub use world::{FleetSettings, World};
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -1,12 +1,15 @@
 //! What reaches instances: requests and orders.
 
+use super::crashing::CRASHES;
 use super::dialect::HANDOVER;
 use super::event::{Caller, Event};
 use super::faults::{FaultKind, Target};
 use super::instance::{GrantOutcome, Work};
 use super::network::LATENCY;
 use super::versions::{CONTACT, LARGE_VERSION_ROUTES};
-use super::world::{DRAIN_BOUND, Loss, SHARDED_INSTANCES, World, exchanged, instance_address};
+use super::world::{
+    DRAIN_BOUND, Loss, ONCE, SHARDED_INSTANCES, World, exchanged, instance_address,
+};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
 use ledgelead_router::io::{ExchangeFailure, ExchangeId, Input};
@@ -147,6 +150,11 @@
         if !target.alive || target.dark || !open {
             return;
         }
+        let crashes: Option<usize> = request.headers.number(CRASHES);
+        if let Some(number) = crashes {
+            self.crashing_arrives(number, caller);
+        }
+        let target = &self.instances[instance];
         let attempt: u64 = request.headers.number("attempt").unwrap_or_default();
         let key = request
             .headers
@@ -182,6 +190,7 @@
             attempt,
             key,
             until,
+            crashes,
         };
         if self.instances[instance].has_slot() {
             self.begin_work(instance, work);
@@ -198,9 +207,13 @@
         if work.until <= now || lost_key {
             return;
         }
-        let once = !self.instances[instance].sharded;
+        let once = self.instances[instance].record.service.as_str() == ONCE;
         self.checker
             .began(instance, work.attempt, once, work.key, &self.instances, now);
+        if let Some(number) = work.crashes {
+            self.crash_under(instance, number, work);
+            return;
+        }
         let target = &mut self.instances[instance];
         if let Some(key) = work.key {
             target.begun.insert(key, now);
@@ -304,6 +317,8 @@
             FaultKind::StoreForgets => self.store.compact(),
             FaultKind::OrdersLate => self.orders_late += 1,
             FaultKind::AnswersLost => self.answers_lost += 1,
+            FaultKind::CrashMany => self.crash_many(),
+            FaultKind::CrashInTurn => self.crash_in_turn(),
             FaultKind::Configure => self.configure_next(0),
             FaultKind::ConfigureLarge => self.configure_next(LARGE_VERSION_ROUTES),
             FaultKind::StoreRefusesNode(target) => {
@@ -367,7 +382,9 @@
             | FaultKind::FreezeNode(_)
             | FaultKind::StoreForgets
             | FaultKind::Configure
-            | FaultKind::ConfigureLarge => {}
+            | FaultKind::ConfigureLarge
+            | FaultKind::CrashMany
+            | FaultKind::CrashInTurn => {}
         }
     }
 
@@ -395,7 +412,7 @@
         }
     }
 
-    fn crash(&mut self, index: usize) {
+    pub(super) fn crash(&mut self, index: usize) {
         self.follow_losses(index);
         self.end_instance(index);
     }
@@ -431,10 +448,11 @@
     }
 
     /// A new life at the address of an instance.
-    fn replace(&mut self, index: usize) {
+    pub(super) fn replace(&mut self, index: usize) {
         self.end_instance(index);
         let address = self.instances[index].record.address;
-        self.add_instance(self.instances[index].sharded);
+        let service = self.instances[index].record.service.clone();
+        self.add_instance(service.as_str());
         let last = self.instances.len() - 1;
         self.instances[last].record.address = address;
     }
--- a/crates/ledgelead-lab/src/fleet/report.rs
+++ b/crates/ledgelead-lab/src/fleet/report.rs
@@ -35,6 +35,12 @@
     pub unknown: u64,
     /// Without any answer, since their node was lost.
     pub unanswered: u64,
+    /// Tries of requests that crash instances.
+    pub crashing_tries: u64,
+    /// Instances that ended under them.
+    pub ended_by_requests: u64,
+    /// Tries that were refused as such.
+    pub held_back: u64,
     /// Calls to the store.
     pub store_calls: u64,
     /// Coordinators that there were.
@@ -52,6 +58,9 @@
     refused: u64,
     unknown: u64,
     unanswered: u64,
+    crashing_tries: u64,
+    ended_by_requests: u64,
+    held_back: u64,
     store_calls: u64,
     losses: usize,
     unserved_ms_p50: u128,
@@ -68,6 +77,9 @@
         self.refused += other.refused;
         self.unknown += other.unknown;
         self.unanswered += other.unanswered;
+        self.crashing_tries += other.crashing_tries;
+        self.ended_by_requests += other.ended_by_requests;
+        self.held_back += other.held_back;
         self.store_calls += other.store_calls;
         self.epochs += other.epochs;
         self.unserved.0.extend(other.unserved.0);
@@ -86,6 +98,9 @@
             refused: self.refused,
             unknown: self.unknown,
             unanswered: self.unanswered,
+            crashing_tries: self.crashing_tries,
+            ended_by_requests: self.ended_by_requests,
+            held_back: self.held_back,
             store_calls: self.store_calls,
             losses: self.unserved.0.len(),
             unserved_ms_p50: self.unserved.quantile(0.5).as_millis(),
--- a/crates/ledgelead-lab/src/fleet/versions.rs
+++ b/crates/ledgelead-lab/src/fleet/versions.rs
@@ -2,7 +2,7 @@
 //! each is in force in time at every node in touch.
 
 use super::faults::{FaultKind, Schedule, Target, draw_length};
-use super::world::{HOST, ONCE, SHARDED, World};
+use super::world::{HOST, ONCE, READ, SHARDED, World};
 use ledgelead_router::configuration::{
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
@@ -30,25 +30,27 @@
 #[derive(Debug)]
 pub(super) struct Versions {
     newest: u64,
+    /// Whether there is a service without keys whose requests may be repeated.
+    has_read: bool,
     more_routes: usize,
     /// When each was acknowledged.
     acknowledged: Vec<(Duration, u64)>,
 }
 
-impl Default for Versions {
-    fn default() -> Versions {
+impl Versions {
+    /// The first version.
+    pub(super) fn new(has_read: bool) -> Versions {
         Versions {
             newest: 1,
+            has_read,
             more_routes: 0,
             acknowledged: Vec::new(),
         }
     }
-}
 
-impl Versions {
     /// The newest configuration.
     pub(super) fn newest(&self) -> Configuration {
-        configuration(self.newest, self.more_routes)
+        configuration(self.newest, self.more_routes, self.has_read)
     }
 
     /// The operator writes the next version, with so many routes more.
@@ -123,7 +125,7 @@
     }
 
     /// Whether a node has run, and has been served by a sound store, for `CONTACT`.
-    fn is_in_touch(&self, index: usize) -> bool {
+    pub(super) fn is_in_touch(&self, index: usize) -> bool {
         let simulated = &self.nodes[index];
         let runs = simulated
             .node
@@ -149,7 +151,7 @@
 }
 
 /// A configuration with a route to each service, and so many routes more.
-fn configuration(version: u64, more_routes: usize) -> Configuration {
+fn configuration(version: u64, more_routes: usize, has_read: bool) -> Configuration {
     let route = |name: &str, repeatability| {
         Arc::new(Route {
             name: name.to_owned(),
@@ -176,14 +178,19 @@
         route(SHARDED, Repeatability::Idempotent),
         route(ONCE, Repeatability::Once),
     ];
+    let read = has_read.then(|| route(READ, Repeatability::Idempotent));
+    let read_service = has_read.then(|| service(READ, false));
     let more = (0..more_routes).map(|number| {
         let name = format!("more-{number}");
         route(&name, Repeatability::Idempotent)
     });
     Configuration {
         version,
-        routes: first.into_iter().chain(more).collect(),
-        services: vec![service(SHARDED, true), service(ONCE, false)],
+        routes: first.into_iter().chain(read).chain(more).collect(),
+        services: [service(SHARDED, true), service(ONCE, false)]
+            .into_iter()
+            .chain(read_service)
+            .collect(),
         limits: ClientLimits::default(),
     }
 }
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -1,6 +1,7 @@
 //! The world: nodes, store and instances in virtual time.
 
 use super::checker::{Checker, Violation};
+use super::crashing::{Crashing, CrashingRequest};
 use super::dialect::{TicketDialect, Tickets};
 use super::event::{Caller, Event, Scheduled};
 use super::faults::{Fault, Schedule, Target};
@@ -31,12 +32,17 @@
 pub const SHARDED: &str = "lookup";
 /// The service whose requests run once.
 pub const ONCE: &str = "submit";
+/// A service without keys whose requests may run more than once; only runs with requests
+/// that crash instances have it.
+pub const READ: &str = "read";
 /// The host of all routes.
 pub const HOST: &str = "example";
 /// Instances of the sharded service that are there from the start.
 pub const SHARDED_INSTANCES: usize = 6;
 /// Instances of the other service.
 const ONCE_INSTANCES: usize = 4;
+/// Instances of the service without keys, where there is one.
+const READ_INSTANCES: usize = 6;
 /// Instances that are there from the start.
 pub const ALL_INSTANCES: usize = SHARDED_INSTANCES + ONCE_INSTANCES;
 /// Time between heartbeats of an instance.
@@ -68,6 +74,8 @@
     /// to `MAX_DATAGRAM_DELAY` longer than anything else, so that some overtake
     /// others.
     pub datagram_loss: f64,
+    /// Requests that crash the instances which run them.
+    pub crashing: Vec<CrashingRequest>,
     /// Whether faults, orders and records are printed.
     pub trace: bool,
     /// Protections of the nodes.
@@ -116,6 +124,10 @@
     pub(super) rng: Pcg64Mcg,
     /// Apart from the rest, so that other draws stay as they are.
     datagram_rng: Pcg64Mcg,
+    /// The same for requests that crash instances.
+    pub(super) crash_rng: Pcg64Mcg,
+    pub(super) crashing: Vec<Crashing>,
+    pub(super) crashing_tries: u64,
     pub(super) nodes: Vec<SimulatedNode>,
     pub(super) store: Store,
     pub(super) mood: StoreMood,
@@ -145,6 +157,13 @@
             queue: BinaryHeap::new(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             datagram_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xda7a),
+            crash_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xc4a5),
+            crashing: settings
+                .crashing
+                .iter()
+                .map(|_| Crashing::default())
+                .collect(),
+            crashing_tries: 0,
             nodes: Vec::new(),
             store: Store::default(),
             mood: StoreMood::default(),
@@ -157,7 +176,7 @@
             pending: HashMap::new(),
             orders_late: 0,
             answers_lost: 0,
-            versions: Versions::default(),
+            versions: Versions::new(!settings.crashing.is_empty()),
             checker: Checker::default(),
             report: FleetReport::default(),
             losses: Vec::new(),
@@ -171,7 +190,18 @@
     fn populate(&mut self) {
         self.store.configure(self.versions.newest());
         for index in 0..ALL_INSTANCES {
-            self.add_instance(index < SHARDED_INSTANCES);
+            let service = if index < SHARDED_INSTANCES {
+                SHARDED
+            } else {
+                ONCE
+            };
+            self.add_instance(service);
+        }
+        if !self.settings.crashing.is_empty() {
+            (0..READ_INSTANCES).for_each(|_| self.add_instance(READ));
+        }
+        for (number, crashing) in self.settings.crashing.clone().into_iter().enumerate() {
+            self.schedule_at(crashing.from, Event::CrashingClient(number));
         }
         for index in 0..self.settings.nodes {
             self.nodes.push(SimulatedNode {
@@ -197,10 +227,10 @@
     }
 
     /// A new instance, with an entry soon.
-    pub(super) fn add_instance(&mut self, sharded: bool) {
+    pub(super) fn add_instance(&mut self, service: &str) {
         let index = self.instances.len();
         let zone = format!("zone-{}", index % 3);
-        let service = if sharded { SHARDED } else { ONCE };
+        let sharded = service == SHARDED;
         let record = InstanceRecord {
             id: InstanceId::from(format!("i-{index}").as_str()),
             service: ServiceName::from(service),
@@ -294,6 +324,9 @@
             Event::Heartbeat(index) => self.heartbeat(index),
             Event::InstanceEnds(index) => self.left_instance_ends(index),
             Event::ExpireEntries => self.expire_entries(),
+            Event::InstanceReturns(index) => self.instance_returns(index),
+            Event::InstanceCrashes(index) => self.crash_with_work(index),
+            Event::CrashingClient(number) => self.crashing_client_asks(number),
             Event::Client => {
                 self.client_asks();
                 let jitter = Duration::from_micros(self.rng.random_range(0..4_000));
@@ -486,7 +519,7 @@
     }
 
     /// The instance that has an address now.
-    fn live_at(&self, address: SocketAddr) -> Option<usize> {
+    pub(super) fn live_at(&self, address: SocketAddr) -> Option<usize> {
         self.instances
             .iter()
             .rposition(|instance| instance.record.address == address && instance.alive)
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/crashing.rs
@@ -0,0 +1,57 @@
+//! A request that ends each instance which begins to run it.
+//!
+//! Its callers send it again and again, each time as a new try. What a node had seen of a
+//! try ended with the try, so the next one went to the next instance, and an idempotent
+//! one without a key to two of them. Of one caller's tries, from the logs of two nodes:
+//!
+//!     12.7542 records-room-3 attempt_ended answer_lost i-aeb876abf9 key 38298 took_ms 114
+//!     18.2682 bench-hall-2   attempt_ended answer_lost i-4d5bb0992e key 38298 took_ms 46
+//!
+//! and 1 ms after each of them the instance refused connections (`never_sent`, took_ms 1).
+
+use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
+use googletest::prelude::*;
+use ledgelead_router::io::ExchangeFailure;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Instances that may end before a request counts as one that crashes them.
+const ENDS_ALLOWED: usize = 3;
+
+fn store() -> Store {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..=8 {
+        store.add_instance(instance(number, SERVICE));
+    }
+    store.add_node(node_record(0));
+    store.add_node(node_record(1));
+    store
+}
+
+/// Each instance that gets a client's request ends, and refuses connections after that.
+fn end_all_that_run(fixture: &mut Fixture, ended: &mut BTreeSet<SocketAddr>) {
+    while let Some(sent) = fixture.attempts.pop() {
+        fixture.run_until(fixture.now + ms(1));
+        let failure = match ended.insert(sent.address) {
+            true => ExchangeFailure::Lost,
+            false => ExchangeFailure::Refused,
+        };
+        fixture.end(sent.exchange, Err(failure));
+    }
+}
+
+#[gtest]
+fn a_request_under_which_three_instances_ended_is_sent_no_more() {
+    let mut fixture = Fixture::coordinating(store());
+    let mut ended = BTreeSet::new();
+    for _ in 0..8 {
+        fixture.ask(SERVICE, None);
+        end_all_that_run(&mut fixture, &mut ended);
+        fixture.run_until(fixture.now + ms(1_000));
+    }
+    expect_that!(ended.len(), eq(ENDS_ALLOWED));
+    let (_, last) = fixture.answers.last().expect("an answer");
+    expect_that!(last.status, eq(503));
+    expect_that!(last.body.as_slice(), eq(b"quarantined"));
+}
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Whole nodes against a store and peers that a test plays.
 
 mod configuration;
+mod crashing;
 mod evacuation;
 mod fixture;
 mod former_coordinator;
