--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -159,7 +159,7 @@
         if self.acquitted.is_empty() && is_everybodys(&by_caller) {
             judged.push(CallerId::ALL);
         }
-        judged.retain(|caller| !self.quarantined.contains_key(caller));
+        judged.retain(|caller| !self.holds_back(*caller));
         judged
     }
 
--- a/crates/ledgelead-router/tests/node/crashing.rs
+++ b/crates/ledgelead-router/tests/node/crashing.rs
@@ -12,6 +12,7 @@
 use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
 use googletest::prelude::*;
 use ledgelead_http::Response;
+use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::io::ExchangeFailure;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -68,3 +69,51 @@
     expect_that!(last.status, eq(503));
     expect_that!(last.body.as_slice(), eq(b"quarantined"));
 }
+
+#[gtest]
+fn what_is_held_back_stays_so_over_the_loss_of_all_nodes() {
+    let mut fixture = Fixture::coordinating(store());
+    let mut ended = BTreeSet::new();
+    for _ in 0..3 {
+        fixture.ask(SERVICE, None);
+        end_all_that_run(&mut fixture, &mut ended);
+        fixture.run_until(fixture.now + ms(1_000));
+    }
+    let kept = std::mem::take(&mut fixture.store);
+    let mut fixture = Fixture::coordinating(kept);
+    fixture.run_until(fixture.now + ms(1_000));
+    fixture.ask(SERVICE, None);
+    expect_that!(fixture.attempts, is_empty());
+    let (_, last) = fixture.answers.last().expect("an answer");
+    expect_that!(last.body.as_slice(), eq(b"quarantined"));
+}
+
+#[gtest]
+fn what_an_operator_removes_from_the_store_is_sent_again() {
+    let mut fixture = Fixture::coordinating(store());
+    let mut ended = BTreeSet::new();
+    for _ in 0..3 {
+        fixture.ask(SERVICE, None);
+        end_all_that_run(&mut fixture, &mut ended);
+        fixture.run_until(fixture.now + ms(1_000));
+    }
+    fixture.store.remove_all(ObjectKind::Quarantine);
+    fixture.change_watched(ObjectKind::Quarantine);
+    fixture.ask(SERVICE, None);
+    expect_that!(fixture.attempts, len(eq(1)));
+}
+
+#[gtest]
+fn a_lost_answer_of_an_instance_that_lives_accuses_nobody() {
+    let mut fixture = Fixture::coordinating(store());
+    for _ in 0..6 {
+        fixture.ask(SERVICE, None);
+        while let Some(sent) = fixture.attempts.pop() {
+            fixture.end(sent.exchange, Err(ExchangeFailure::Lost));
+            end_probes(&mut fixture, &BTreeSet::new());
+        }
+        fixture.run_until(fixture.now + ms(2_000));
+    }
+    let reasons = fixture.answers.iter().map(|(_, answer)| answer.status);
+    expect_that!(reasons.collect::<Vec<_>>(), each(eq(&502)));
+}
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -45,6 +45,8 @@
 pub struct Store {
     pub revision: u64,
     pub objects: BTreeMap<(ObjectKind, String), Object>,
+    /// Objects that were removed, at the revisions at which they went.
+    gone: Vec<(ObjectKind, Object)>,
     /// Whether all calls are refused.
     pub refuses: bool,
     /// Whether answers are kept back until `Fixture::deliver`.
@@ -67,6 +69,17 @@
         object
     }
 
+    /// Removes all objects of a kind.
+    pub fn remove_all(&mut self, kind: ObjectKind) {
+        let names = self.objects.keys().filter(|(of, _)| *of == kind);
+        for name in names.cloned().collect::<Vec<_>>() {
+            self.revision += 1;
+            let object = self.objects.remove(&name).expect("it is there");
+            let revision = self.revision;
+            self.gone.push((kind, Object { revision, ..object }));
+        }
+    }
+
     pub fn configure(&mut self, configuration: Configuration) {
         let content = ObjectContent::Configuration(configuration);
         self.put(ObjectKind::Configuration, "main", content);
@@ -173,13 +186,12 @@
     }
 
     fn changes(&self, kind: ObjectKind, since: u64) -> Vec<ObjectEvent> {
-        let objects = self.of_kind(kind).into_iter();
-        objects
-            .filter(|object| object.revision > since)
-            .map(|object| ObjectEvent {
-                object,
-                gone: false,
-            })
+        let of_kind = self.gone.iter().filter(|(of, _)| *of == kind);
+        let gone = of_kind.map(|(_, object)| (object.clone(), true));
+        let present = self.of_kind(kind).into_iter().map(|object| (object, false));
+        let all = gone.chain(present);
+        all.filter(|(object, _)| object.revision > since)
+            .map(|(object, gone)| ObjectEvent { object, gone })
             .collect()
     }
 
--- /dev/null
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -0,0 +1,229 @@
+//! Evidence of requests that crash instances: a set of facts whose order doesn't matter.
+
+use googletest::prelude::*;
+use ledgelead_http::Request;
+use ledgelead_router::Timestamp;
+use ledgelead_router::peers::RequestEntry;
+use ledgelead_router::quarantine::{CallerId, End, Entry, Evidence, QuarantineRecord};
+use ledgelead_router::requests::RequestDigest;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn request(path: &str) -> RequestDigest {
+    RequestDigest::new(&Request::new("GET", path, Vec::new()))
+}
+
+fn caller(last: u8) -> CallerId {
+    CallerId::new([10, 0, 0, last].into())
+}
+
+fn end(by: u8, instance: u64, at: u64) -> End {
+    End {
+        caller: caller(by),
+        instance,
+        at: ms(at),
+        settled: false,
+    }
+}
+
+/// Evidence of these ends, judged a second after the last.
+fn judged(ends: &[End]) -> Evidence {
+    let mut evidence = Evidence::default();
+    for end in ends {
+        evidence.accuse(request("/a"), "/a", *end);
+    }
+    review(&mut evidence);
+    evidence
+}
+
+fn review(evidence: &mut Evidence) {
+    evidence.review(Timestamp::from_secs(100));
+}
+
+fn holds_back(evidence: &Evidence, by: u8) -> bool {
+    evidence.holds_back(&request("/a"), caller(by))
+}
+
+#[gtest]
+fn three_ends_hold_a_request_of_one_caller_back() {
+    let ends = [end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)];
+    expect_that!(holds_back(&judged(&ends[..2]), 1), eq(false));
+    expect_that!(holds_back(&judged(&ends), 1), eq(true));
+    expect_that!(holds_back(&judged(&ends), 2), eq(false), "another caller");
+    let same = [end(1, 1, 0), end(1, 1, 1_000), end(1, 1, 2_000)];
+    expect_that!(holds_back(&judged(&same), 1), eq(false), "one instance");
+}
+
+#[gtest]
+fn an_answer_before_or_after_the_third_end_acquits() {
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000)]);
+    evidence.acquit(request("/a"), caller(1), ms(1_500));
+    evidence.accuse(request("/a"), "/a", end(1, 3, 2_000));
+    review(&mut evidence);
+    expect_that!(holds_back(&evidence, 1), eq(false));
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    evidence.acquit(request("/a"), caller(1), ms(100_500));
+    expect_that!(holds_back(&evidence, 1), eq(false));
+}
+
+#[gtest]
+fn what_ends_with_others_at_the_same_moment_accuses_nobody() {
+    let mut evidence = judged(&[]);
+    for (number, at) in [(1, 0), (2, 2_000), (3, 4_000)] {
+        evidence.accuse(request("/a"), "/a", end(1, number, at));
+        evidence.accuse(request("/b"), "/b", end(2, 10 + number, at + 100));
+    }
+    review(&mut evidence);
+    expect_that!(holds_back(&evidence, 1), eq(false));
+}
+
+#[gtest]
+fn an_end_that_an_answer_disproves_counts_no_more() {
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    evidence.disprove(2, ms(100_500));
+    expect_that!(holds_back(&evidence, 1), eq(false));
+    evidence.accuse(request("/a"), "/a", end(1, 2, 101_000));
+    expect_that!(evidence.ends_of(&request("/a"), caller(1)), eq(0));
+}
+
+#[gtest]
+fn a_request_that_ends_instances_for_several_callers_is_held_back_for_all() {
+    let together = [
+        end(1, 1, 0),
+        end(2, 1, 0),
+        end(1, 2, 1_000),
+        end(2, 2, 1_000),
+    ];
+    expect_that!(holds_back(&judged(&together), 3), eq(false));
+    let alone = [
+        end(1, 1, 0),
+        end(1, 2, 1_000),
+        end(2, 3, 2_000),
+        end(2, 4, 3_000),
+    ];
+    expect_that!(holds_back(&judged(&alone[..3]), 3), eq(false));
+    expect_that!(holds_back(&judged(&alone), 3), eq(true));
+}
+
+#[gtest]
+fn what_an_operator_lifts_is_sent_until_three_more_ends() {
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    evidence.lift(request("/a"), ms(100_500));
+    expect_that!(holds_back(&evidence, 1), eq(false));
+    for (number, at) in [(4, 101_000), (5, 102_000), (6, 103_000)] {
+        expect_that!(holds_back(&evidence, 1), eq(false));
+        evidence.accuse(request("/a"), "/a", end(1, number, at));
+        evidence.review(ms(at + 500));
+    }
+    expect_that!(holds_back(&evidence, 1), eq(true));
+}
+
+#[gtest]
+fn what_the_store_keeps_holds_the_request_back_again() {
+    let evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    let entry = evidence.get(&request("/a")).expect("an entry");
+    let record = QuarantineRecord::new(entry);
+    let text = serde_json::to_string(&record).expect("text");
+    let read: QuarantineRecord = serde_json::from_str(&text).expect("a record");
+    let mut other = Evidence::default();
+    other.merge(request("/a"), &read.entry(ms(5)));
+    expect_that!(holds_back(&other, 1), eq(true));
+    expect_that!(holds_back(&other, 2), eq(false));
+}
+
+#[gtest]
+fn what_is_remembered_is_bounded_and_a_quarantine_goes_last() {
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    for number in 0..2_000_u64 {
+        let path = format!("/innocent/{number}");
+        let at = 10_000 + number;
+        evidence.accuse(request(&path), &path, end(2, 100 + number, at));
+    }
+    evidence.expire(ms(20_000));
+    expect_that!(evidence.iter().count(), eq(512));
+    expect_that!(holds_back(&evidence, 1), eq(true));
+    evidence.expire(Timestamp::from_secs(3_600));
+    expect_that!(evidence.iter().count(), eq(1));
+    expect_that!(holds_back(&evidence, 1), eq(true));
+}
+
+/// A fact that some node learns.
+#[derive(Clone, Debug)]
+enum Fact {
+    Ended { by: u8, instance: u64, at: u64 },
+    Answered { by: u8, at: u64 },
+    Lives { instance: u64 },
+}
+
+fn fact() -> impl Strategy<Value = Fact> {
+    let ended = (1..3_u8, 1..6_u64, 0..40_u64);
+    prop_oneof![
+        5 => ended.prop_map(|(by, instance, at)| Fact::Ended { by, instance, at: at * 500 }),
+        1 => (1..3_u8, 0..40_u64).prop_map(|(by, at)| Fact::Answered { by, at: at * 500 }),
+        1 => (1..6_u64).prop_map(|instance| Fact::Lives { instance }),
+    ]
+}
+
+/// The evidence of a node that learns facts as others send them.
+fn received(facts: &[Fact]) -> Evidence {
+    let mut evidence = Evidence::default();
+    let now = Timestamp::from_secs(90);
+    for fact in facts {
+        let mut entry = Entry::default();
+        match fact {
+            Fact::Ended { by, instance, at } => entry.ends.push(end(*by, *instance, *at)),
+            Fact::Answered { by, at } => {
+                entry.acquitted.insert(caller(*by), ms(*at));
+            }
+            Fact::Lives { instance } => {
+                evidence.note_alive(*instance, now);
+                continue;
+            }
+        }
+        let wire = RequestEntry::new(&request("/a"), &entry, now);
+        let (known, entry) = wire.received(now);
+        evidence.merge(known, &entry);
+    }
+    evidence
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(33),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Repeats and another order of messages lead to the same.
+    #[test]
+    fn the_order_of_messages_does_not_matter(
+        facts in prop::collection::vec(fact(), 1..12),
+        turn in 0..12_usize,
+    ) {
+        // The same end is the same fact, whenever two nodes saw it.
+        let mut facts = facts;
+        let mut seen = std::collections::BTreeSet::new();
+        facts.retain(|fact| match fact {
+            Fact::Ended { by, instance, .. } => seen.insert((0, u64::from(*by), *instance)),
+            Fact::Answered { by, .. } => seen.insert((1, u64::from(*by), 0)),
+            Fact::Lives { .. } => true,
+        });
+        let mut turned = facts.clone();
+        let length = turned.len();
+        turned.rotate_left(turn % length);
+        turned.extend(facts.iter().cloned());
+        let (mut one, mut other) = (received(&facts), received(&turned));
+        review(&mut one);
+        review(&mut other);
+        prop_assert_eq!(one.checksum(), other.checksum());
+        for by in 1..4 {
+            prop_assert_eq!(holds_back(&one, by), holds_back(&other, by));
+        }
+    }
+}
--- a/crates/ledgelead-runtime/src/explain.rs
+++ b/crates/ledgelead-runtime/src/explain.rs
@@ -53,6 +53,8 @@
     services: BTreeSet<String>,
     instances: BTreeSet<String>,
     key: Option<u64>,
+    /// The same for all tries of the request.
+    digest: Option<String>,
 }
 
 impl Subject {
@@ -71,6 +73,10 @@
             services: texts("service"),
             instances: texts("instance"),
             key: lines.iter().find_map(|line| line.number("key")),
+            digest: lines
+                .iter()
+                .find_map(|line| line.text("digest"))
+                .map(str::to_owned),
         }
     }
 
@@ -80,6 +86,9 @@
             .filter_map(|field| line.text(field))
             .any(|name| self.instances.contains(name));
         match line.topic.as_str() {
+            // Who held it back, and whose end it is suspected of.
+            "quarantine" => named || self.is_same_request(line),
+            "request" => self.is_same_request(line),
             "instances" => named && line.node == self.node,
             "ownership" if line.event.get("first").is_some() => self.holds_key(line),
             "ownership" if line.text("event") == Some("order_failed") => named,
@@ -90,6 +99,11 @@
         }
     }
 
+    /// Whether a line tells of a try of the same request.
+    fn is_same_request(&self, line: &Line) -> bool {
+        self.digest.is_some() && line.text("digest") == self.digest.as_deref()
+    }
+
     fn holds_key(&self, line: &Line) -> bool {
         let (Some(first), Some(last), Some(key)) =
             (line.number("first"), line.number("last"), self.key)
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -24,6 +24,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct QuarantineLabel {
+    digest: String,
+    path: String,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct TrafficLabel {
     direction: &'static str,
@@ -164,6 +170,7 @@
     }
     registry.register("refusals", "Own answers by reason", refused);
     register_calls(&mut registry, status);
+    register_quarantine(&mut registry, status);
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     let mut text = String::new();
@@ -200,6 +207,28 @@
     registry.register("known_revision", "Revision that this node knows", known);
 }
 
+fn register_quarantine(registry: &mut Registry, status: &NodeStatus) {
+    gauge(
+        registry,
+        "suspected_requests",
+        "Requests under which some instance ended",
+        status.suspected as u64,
+    );
+    let held_back = Family::<QuarantineLabel, Gauge>::default();
+    for (digest, path) in &status.quarantined {
+        let label = QuarantineLabel {
+            digest: digest.to_string(),
+            path: path.clone(),
+        };
+        set(&held_back.get_or_create(&label), 1);
+    }
+    registry.register(
+        "quarantined_request",
+        "Held back, since instances ended under it",
+        held_back,
+    );
+}
+
 fn register_traffic(registry: &mut Registry, traffic: &PeerTraffic) {
     let datagrams = Family::<TrafficLabel, Counter>::default();
     let bytes = Family::<TrafficLabel, Counter>::default();
--- a/crates/ledgelead-runtime/tests/explain.rs
+++ b/crates/ledgelead-runtime/tests/explain.rs
@@ -53,3 +53,26 @@
     expect_that!(known, eq(false));
     expect_that!(text, eq("r9: no log knows it\n"));
 }
+
+#[gtest]
+fn other_tries_of_a_request_are_told_and_who_holds_it_back() {
+    let own = r#"
+{"event":{"event":"answered","request":"r3","digest":"0a","service":"s","status":503,"reason":"quarantined"},"level":"INFO","node":"b","time":100.0,"topic":"request"}
+"#;
+    let other = r#"
+{"event":{"event":"attempt_ended","request":"r1","digest":"0a","service":"s","instance":"i-1","ended":"answer_lost"},"level":"INFO","node":"a","time":90.0,"topic":"request"}
+{"event":{"event":"attempt_ended","request":"r2","digest":"0b","service":"s","instance":"i-1","ended":"answer_lost"},"level":"INFO","node":"a","time":90.0,"topic":"request"}
+{"event":{"event":"quarantined","digest":"0a","path":"/p","all_callers":false,"ended":3},"level":"WARN","node":"a","time":95.0,"topic":"quarantine"}
+{"event":{"event":"quarantined","digest":"0c","path":"/q","all_callers":false,"ended":3},"level":"WARN","node":"a","time":95.0,"topic":"quarantine"}
+"#;
+    let logs: Vec<Box<dyn BufRead>> =
+        vec![Box::new(Cursor::new(own)), Box::new(Cursor::new(other))];
+    let expected = "\
+request r3 at b
+     +0.000 s  answered digest=0a reason=quarantined service=s status=503
+a tells, by its own clock
+    -10.000 s  attempt_ended digest=0a ended=answer_lost instance=i-1 service=s
+     -5.000 s  quarantined all_callers=false digest=0a ended=3 path=/p
+";
+    expect_eq!(explain("r3", logs).unwrap().to_string(), expected);
+}
