--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -5,6 +5,7 @@
 use super::report::FleetReport;
 use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
 use ledgelead_router::protections::{Protection, Protections};
+use ledgelead_runtime::clock::ProcessClock;
 use lexopt::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -43,6 +44,7 @@
         nodes,
         traffic: TRAFFIC,
         schedule,
+        clock: ProcessClock::SOURCE,
         trace: false,
         hot_from: None,
         crashing: Vec::new(),
@@ -84,6 +86,19 @@
     }
 }
 
+/// A run with suspended machines, and drawn faults besides in half of the runs.
+pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5199);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let suspensions = Schedule::draw_suspensions(&mut rng, nodes, from, to);
+    let schedule = match seed % 2 {
+        0 => suspensions,
+        _ => drawn.schedule.join(suspensions),
+    };
+    FleetSettings { schedule, ..drawn }
+}
+
 /// Share of the datagrams that are lost, by seed.
 const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
 
@@ -126,6 +141,19 @@
     })
 }
 
+/// Plays drawn faults, and suspended machines.
+pub fn play_suspended(
+    seeds: RangeInclusive<u64>,
+    nodes: usize,
+    protections: Protections,
+    trace: bool,
+) -> (FleetReport, Vec<String>) {
+    play_each(seeds, |seed| FleetSettings {
+        trace,
+        ..drawn_suspended(seed, nodes, protections)
+    })
+}
+
 /// Plays the run of each seed and adds up what they show; with the first seed of each
 /// violation.
 fn play_each(
@@ -156,6 +184,7 @@
     let mut trace = false;
     let mut versions = false;
     let mut crashing = false;
+    let mut suspended = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
@@ -165,11 +194,14 @@
             Long("trace") => trace = true,
             Long("versions") => versions = true,
             Long("crashing") => crashing = true,
+            Long("suspended") => suspended = true,
             other => return Err(other.unexpected()),
         }
     }
     let (report, lines) = if crashing {
         play_crashing(seeds, nodes, protections, trace)
+    } else if suspended {
+        play_suspended(seeds, nodes, protections, trace)
     } else if versions {
         play_versions(seeds, nodes, protections, trace)
     } else {
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -59,8 +59,8 @@
     Client,
     /// Every node's version of the configuration is looked at.
     CheckVersions,
-    /// A fault begins.
-    Fault(FaultKind),
+    /// A fault begins, which lasts for so long.
+    Fault(FaultKind, Duration),
     /// A fault ends.
     FaultEnds(FaultKind),
     /// A node starts.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -5,6 +5,10 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
+/// How long a machine is suspended, in milliseconds: up to where every lease and every
+/// authority is over.
+const SUSPENDED_MS: std::ops::Range<u64> = 1_000..18_000;
+
 /// Whom a fault hits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -21,6 +25,8 @@
     KillNode(Target),
     /// A node stands still.
     FreezeNode(Target),
+    /// A node's machine is suspended: it stands still, and its steady clock with it.
+    SuspendNode(Target),
     /// A node is cut from the store and from other nodes.
     CutNode(Target),
     /// A node is cut from the store.
@@ -99,6 +105,26 @@
         self
     }
 
+    /// Suspensions of nodes, of the coordinator first.
+    pub(super) fn draw_suspensions(
+        rng: &mut Pcg64Mcg,
+        nodes: usize,
+        from: Duration,
+        to: Duration,
+    ) -> Schedule {
+        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
+        let one = |number: usize, rng: &mut Pcg64Mcg| Fault {
+            at: from + Duration::from_millis(rng.random_range(0..span)),
+            lasts: Duration::from_millis(rng.random_range(SUSPENDED_MS)),
+            kind: FaultKind::SuspendNode(match number {
+                0 => Target::Coordinator,
+                _ => Target::Node(rng.random_range(0..nodes)),
+            }),
+        };
+        let count = rng.random_range(1..4);
+        Schedule((0..count).map(|number| one(number, rng)).collect())
+    }
+
     /// Faults drawn at random, between `from` and `to`.
     pub fn draw(
         rng: &mut Pcg64Mcg,
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -13,6 +13,7 @@
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
 use ledgelead_router::io::{ExchangeFailure, ExchangeId, Input};
+use ledgelead_runtime::clock::ClockSource;
 use rand::RngExt;
 use std::time::Duration;
 
@@ -273,7 +274,7 @@
         }
     }
 
-    pub(super) fn begin_fault(&mut self, kind: &FaultKind) {
+    pub(super) fn begin_fault(&mut self, kind: &FaultKind, lasts: Duration) {
         self.trace(|| format!("{kind:?} begins"));
         match kind {
             FaultKind::KillNode(target) => {
@@ -286,6 +287,10 @@
                 self.nodes[index].frozen_until = until;
                 self.nodes[index].thawed_at = until;
             }
+            FaultKind::SuspendNode(target) => {
+                let index = self.target(*target);
+                self.suspend(index, lasts);
+            }
             FaultKind::CutNode(target) => {
                 let index = self.target(*target);
                 self.network.cut_from_nodes.insert(index);
@@ -380,6 +385,7 @@
             FaultKind::DrainInstance(_)
             | FaultKind::LeaveUnannounced(_)
             | FaultKind::FreezeNode(_)
+            | FaultKind::SuspendNode(_)
             | FaultKind::StoreForgets
             | FaultKind::Configure
             | FaultKind::ConfigureLarge
@@ -388,6 +394,22 @@
         }
     }
 
+    /// A machine stands still, and its steady clock with it.
+    fn suspend(&mut self, index: usize, lasts: Duration) {
+        let until = self.now + lasts;
+        let counts = self.settings.clock == ClockSource::SinceBoot;
+        let simulated = &mut self.nodes[index];
+        if simulated.frozen_until > self.now {
+            return;
+        }
+        simulated.frozen_until = until;
+        simulated.thawed_at = until;
+        simulated.resumes = true;
+        if !counts {
+            simulated.clock_behind += lasts;
+        }
+    }
+
     fn heal_nodes(&mut self) {
         for index in std::mem::take(&mut self.network.cut_from_store) {
             self.nodes[index].healed_at = self.now;
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -20,6 +20,7 @@
 use ledgelead_router::protections::Protections;
 use ledgelead_router::requests::{BudgetBounds, ColdBound};
 use ledgelead_router::settings::NodeSettings;
+use ledgelead_runtime::clock::ClockSource;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::RefCell;
@@ -68,6 +69,8 @@
     pub traffic: Duration,
     /// What goes wrong.
     pub schedule: Schedule,
+    /// The clock by which nodes go.
+    pub clock: ClockSource,
     /// From when on nine in ten keyed requests are for a few neighbouring keys.
     pub hot_from: Option<Duration>,
     /// Share of the datagrams between nodes that are lost. The others take up
@@ -88,6 +91,10 @@
     pub(super) life: u64,
     pub(super) frozen_until: Duration,
     pub(super) thawed_at: Duration,
+    /// By how much its clock is behind, since that stood still.
+    pub(super) clock_behind: Duration,
+    /// Whether it has done nothing since it was suspended.
+    pub(super) resumes: bool,
     /// When its last cut from the store ended.
     pub(super) healed_at: Duration,
     /// Until when the store refused its calls.
@@ -209,6 +216,8 @@
                 life: 0,
                 frozen_until: Duration::ZERO,
                 thawed_at: Duration::ZERO,
+                clock_behind: Duration::ZERO,
+                resumes: false,
                 healed_at: Duration::ZERO,
                 refused_until: Duration::ZERO,
                 started_at: Duration::ZERO,
@@ -221,7 +230,7 @@
         self.schedule(TRAFFIC_FROM, Event::Client);
         self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
         for Fault { at, lasts, kind } in self.settings.schedule.0.clone() {
-            self.schedule_at(at, Event::Fault(kind.clone()));
+            self.schedule_at(at, Event::Fault(kind.clone(), lasts));
             self.schedule_at(at + lasts, Event::FaultEnds(kind));
         }
     }
@@ -336,7 +345,7 @@
                 self.check_versions();
                 self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
             }
-            Event::Fault(kind) => self.begin_fault(&kind),
+            Event::Fault(kind, lasts) => self.begin_fault(&kind, lasts),
             Event::FaultEnds(kind) => self.end_fault(&kind),
         }
     }
@@ -376,6 +385,8 @@
         simulated.started_at = self.now;
         simulated.frozen_until = Duration::ZERO;
         simulated.deadline = None;
+        simulated.clock_behind = Duration::ZERO;
+        simulated.resumes = false;
         simulated.node = Some(Node::new(settings, dialect, self.now));
         self.input((index, life), Input::Deadline);
     }
@@ -416,9 +427,14 @@
             return;
         };
         let mut actions = Vec::new();
-        node.step(input, self.now, &mut actions);
+        let time = self.now - simulated.clock_behind;
+        if std::mem::take(&mut simulated.resumes) && node.next_deadline() <= time {
+            // What is due comes before what waited.
+            node.step(Input::Deadline, time, &mut actions);
+        }
+        node.step(input, time, &mut actions);
         let version = node.configuration().map(|known| known.version);
-        let deadline = node.next_deadline();
+        let deadline = node.next_deadline() + simulated.clock_behind;
         assert!(
             deadline > self.now,
             "node {} has done what is due at {:?}, but asks for {deadline:?}: {:?}",
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! `stakker` holds the one actor and its timer, `stakker_mio` wakes it for
 //! sockets. The actor moves bytes and times; all decisions are the node's.
 
+pub mod clock;
 mod endpoint;
 mod event_loop;
 pub mod explain;
