Nodes go by a clock that counts suspensions of their machine

Cause: all time of a node came from the steady clock, which stands still while the machine is suspended; authority, leases, views and evidence of service looked younger by as much. Change: the node's time is CLOCK_BOOTTIME (rustix), read at each wake; what is due by it is done before any input that waited; idle connections age by what the steady clock missed. Timers still go by the steady clock: one that was set before a suspension fires at most 0.2 s of running time later, since a node always has a report or heartbeat that soon. The same clock for the older stack.

--- a/crates/ledgelead-node/src/clock.rs
+++ b/crates/ledgelead-node/src/clock.rs
@@ -1,24 +1,20 @@
-//! The process's monotonic clock.
+//! The process's clock, which counts suspensions of the machine.
 
+use ledgelead_runtime::clock;
 use ledgelead_types::Time;
-use std::time::Instant;
 
 /// Counts from its creation. All parts of one node share one.
 #[derive(Clone, Copy, Debug)]
-pub struct ProcessClock {
-    origin: Instant,
-}
+pub struct ProcessClock(clock::ProcessClock);
 
 impl ProcessClock {
     /// A clock that starts now.
     pub fn start() -> ProcessClock {
-        ProcessClock {
-            origin: Instant::now(),
-        }
+        ProcessClock(clock::ProcessClock::start())
     }
 
     /// The present time.
     pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
+        Time(self.0.now().as_micros() as u64)
     }
 }
--- a/crates/ledgelead-runtime/src/clock.rs
+++ b/crates/ledgelead-runtime/src/clock.rs
@@ -1,7 +1,7 @@
 //! The clock of a process, counted from its start.
 
 use rustix::time::{ClockId, clock_gettime};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Which clock of the machine is read. Neither is ever set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,8 +35,9 @@
 }
 
 impl ProcessClock {
-    /// The clock by which processes go.
-    pub const SOURCE: ClockSource = ClockSource::Steady;
+    /// The clock by which processes go. A process that was suspended has to know, else it
+    /// takes its authority and leases for younger than they are, and keys get two owners.
+    pub const SOURCE: ClockSource = ClockSource::SinceBoot;
 
     /// A clock that starts now.
     pub fn start() -> ProcessClock {
@@ -56,3 +57,37 @@
         self.source.read().saturating_sub(self.origin)
     }
 }
+
+/// Least difference of the two clocks that counts as a suspension: a process may lose its
+/// processor between the readings.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(200);
+
+/// Notices that the steady clock stood still.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspension {
+    steady_origin: Instant,
+    /// By how much the process's clock is ahead.
+    ahead: Duration,
+}
+
+impl Suspension {
+    /// From a reading of both clocks.
+    pub fn new(steady: Instant, time: Duration) -> Suspension {
+        Suspension {
+            steady_origin: steady,
+            ahead: time,
+        }
+    }
+
+    /// For how long the machine was suspended since the last reading.
+    pub fn passed(&mut self, steady: Instant, time: Duration) -> Duration {
+        let ran = steady.saturating_duration_since(self.steady_origin);
+        let ahead = time.saturating_sub(ran);
+        let more = ahead.saturating_sub(self.ahead);
+        if more < LEAST_SUSPENSION {
+            return Duration::ZERO;
+        }
+        self.ahead = ahead;
+        more
+    }
+}
--- a/crates/ledgelead-runtime/src/process.rs
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -1,5 +1,6 @@
 //! The process: sockets, signals and the event loop.
 
+use crate::clock::ProcessClock;
 use crate::endpoint::Listen;
 use crate::event_loop::poll_until_shutdown;
 use crate::reactor::{Reactor, ReactorSetup, Sockets};
@@ -15,7 +16,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Events taken from the poller at once.
 const POLL_EVENTS: usize = 256;
@@ -108,8 +109,8 @@
 ) -> Result<(), RunError> {
     let sockets = bind(&listen)?;
     started(sockets.bound()?);
-    let start = Instant::now();
-    let mut stakker = Stakker::new(start);
+    let clock = ProcessClock::start();
+    let mut stakker = Stakker::new(Instant::now());
     let poll = MioPoll::new(
         &mut stakker,
         Poll::new()?,
@@ -118,12 +119,12 @@
     )?;
     let setup = ReactorSetup {
         stop_grace: settings.stop_grace,
-        node: Node::new(settings, dialect, Duration::ZERO),
+        node: Node::new(settings, dialect, clock.now()),
         sockets,
         paths: listen.paths,
         control,
         settings: source,
-        start,
+        clock,
     };
     let _reactor: ActorOwn<Reactor> = actor!(stakker, Reactor::init(setup), ret_nop!());
     poll_until_shutdown(&mut stakker, &poll)?;
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -1,5 +1,6 @@
 //! The actor: sockets on one side, the node on the other.
 
+use crate::clock::{ProcessClock, Suspension};
 use crate::endpoint::{Endpoint, StatusPaths};
 use crate::inbound::{ClientEvent, Inbound};
 use crate::metrics;
@@ -7,7 +8,6 @@
 use crate::process::{Control, SettingsSource};
 use crate::stream::connect_failure;
 use ledgelead_http::{Request, Response};
-use ledgelead_router::Timestamp;
 use ledgelead_router::io::{Action, ClientId, Input};
 use ledgelead_router::node::Node;
 use stakker::{CX, MinTimerKey, StopCause, fwd_to, timer_min};
@@ -49,13 +49,15 @@
     pub(crate) control: Control,
     pub(crate) settings: Box<dyn SettingsSource>,
     pub(crate) stop_grace: Duration,
-    pub(crate) start: Instant,
+    pub(crate) clock: ProcessClock,
 }
 
 /// The actor.
 pub(crate) struct Reactor {
     node: Node,
-    start: Instant,
+    /// The node's time. Timers and sockets go by the steady clock.
+    clock: ProcessClock,
+    suspension: Suspension,
     listeners: Vec<Option<(Endpoint, MioSource<TcpListener>)>>,
     peers: MioSource<UdpSocket>,
     inbound: Inbound,
@@ -109,7 +111,8 @@
         let peers = poll.add(socket, Interest::READABLE, POLL_PRIORITY, received)?;
         Ok(Reactor {
             node: setup.node,
-            start: setup.start,
+            clock: setup.clock,
+            suspension: Suspension::new(now, setup.clock.now()),
             listeners,
             peers,
             inbound: Inbound::default(),
@@ -301,9 +304,19 @@
     /// is left, then sets the timer.
     fn pump(&mut self, cx: CX![]) {
         let now = cx.now();
+        let time = self.clock.now();
+        let suspended = self.suspension.passed(Instant::now(), time);
+        if !suspended.is_zero() {
+            log::info!(target: "runtime", "was suspended for {} ms", suspended.as_millis());
+            self.outbound.rested_longer(suspended);
+        }
+        // What is due comes before what waited: after a suspension an authority may be
+        // over that the input would still be decided by.
+        if self.node.next_deadline() <= time {
+            self.inputs.push_front(Input::Deadline);
+        }
         // Before anything is decided: a node that stops breaks nothing off.
         self.look_at_signals(now);
-        let time = self.time(now);
         let mut actions = Vec::new();
         while let Some(input) = self.inputs.pop_front() {
             self.node.step(input, time, &mut actions);
@@ -315,12 +328,11 @@
         self.set_timer(cx);
     }
 
-    fn time(&self, now: Instant) -> Timestamp {
-        now.saturating_duration_since(self.start)
-    }
-
     fn set_timer(&mut self, cx: CX![]) {
-        let node = self.start + self.node.next_deadline();
+        // A timer that was set before a suspension fires late by what was left of it: at
+        // most the pause between two reports of a node (0.2 s).
+        let left = self.node.next_deadline().saturating_sub(self.clock.now());
+        let node = Instant::now() + left;
         let next = [
             Some(node),
             self.outbound.next_deadline(),
