--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -3,6 +3,7 @@
 use super::crashing::CrashingRequest;
 use super::faults::Schedule;
 use super::report::FleetReport;
+use super::transport::Transport;
 use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
 use ledgelead_router::protections::{Protection, Protections};
 use ledgelead_runtime::clock::ProcessClock;
@@ -44,6 +45,7 @@
         nodes,
         traffic: TRAFFIC,
         schedule,
+        transport: Transport::WITHOUT_MEMORY,
         clock: ProcessClock::SOURCE,
         trace: false,
         hot_from: None,
@@ -86,6 +88,24 @@
     }
 }
 
+/// A run with cuts between nodes and instances that hold orders up, and drawn faults
+/// besides in half of the runs.
+pub fn drawn_cuts(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xc075);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let cuts = Schedule::draw_cuts(&mut rng, nodes, from, to);
+    let schedule = match seed % 2 {
+        0 => cuts,
+        _ => drawn.schedule.join(cuts),
+    };
+    FleetSettings {
+        schedule,
+        transport: Transport::OF_RUNTIME,
+        ..drawn
+    }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -141,6 +161,19 @@
     })
 }
 
+/// Plays drawn faults, and cuts that hold orders up.
+pub fn play_cuts(
+    seeds: RangeInclusive<u64>,
+    nodes: usize,
+    protections: Protections,
+    trace: bool,
+) -> (FleetReport, Vec<String>) {
+    play_each(seeds, |seed| FleetSettings {
+        trace,
+        ..drawn_cuts(seed, nodes, protections)
+    })
+}
+
 /// Plays drawn faults, and suspended machines.
 pub fn play_suspended(
     seeds: RangeInclusive<u64>,
@@ -185,6 +218,7 @@
     let mut versions = false;
     let mut crashing = false;
     let mut suspended = false;
+    let mut cuts = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
@@ -195,11 +229,14 @@
             Long("versions") => versions = true,
             Long("crashing") => crashing = true,
             Long("suspended") => suspended = true,
+            Long("cuts") => cuts = true,
             other => return Err(other.unexpected()),
         }
     }
     let (report, lines) = if crashing {
         play_crashing(seeds, nodes, protections, trace)
+    } else if cuts {
+        play_cuts(seeds, nodes, protections, trace)
     } else if suspended {
         play_suspended(seeds, nodes, protections, trace)
     } else if versions {
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -2,6 +2,7 @@
 
 use super::faults::FaultKind;
 use super::instance::Work;
+use super::transport::HeldOrder;
 use ledgelead_http::Request;
 use ledgelead_router::dialect::{Order, StoreCall};
 use ledgelead_router::io::{ExchangeId, Input};
@@ -41,6 +42,8 @@
         /// The order.
         order: Order,
     },
+    /// A kernel repeats an order that a cut has held up.
+    HeldOrder(Box<HeldOrder>),
     /// A request has ended at an instance.
     WorkDone(usize, Box<Work>),
     /// An instance writes to the store.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -5,6 +5,9 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
+/// How long a node is cut from instances, in milliseconds: some cuts end between two
+/// repetitions of TCP at 3.0, 6.2 and 12.6 s.
+const CUT_MS: std::ops::Range<u64> = 1_000..15_000;
 /// How long a machine is suspended, in milliseconds: up to where every lease and every
 /// authority is over.
 const SUSPENDED_MS: std::ops::Range<u64> = 1_000..18_000;
@@ -41,6 +44,8 @@
     SilenceInstance(usize),
     /// An instance is cut from the store, the coordinator and some nodes.
     CutInstance(usize),
+    /// A node is cut from some instances, and from nobody else.
+    CutFromInstances(Target),
     /// The coordinator and an instance reach each other, and nobody else.
     IsolateWithCoordinator(usize),
     /// An instance says that it leaves, and ends later.
@@ -105,6 +110,33 @@
         self
     }
 
+    /// Cuts between nodes and instances of 1 to 15 s, and in half of the cases the node is
+    /// killed meanwhile.
+    pub(super) fn draw_cuts(
+        rng: &mut Pcg64Mcg,
+        nodes: usize,
+        from: Duration,
+        to: Duration,
+    ) -> Schedule {
+        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
+        let mut schedule = Schedule::default();
+        for number in 0..rng.random_range(1..4) {
+            let at = from + Duration::from_millis(rng.random_range(0..span));
+            let lasts = Duration::from_millis(rng.random_range(CUT_MS));
+            let target = match number {
+                0 => Target::Coordinator,
+                _ => Target::Node(rng.random_range(0..nodes)),
+            };
+            schedule = schedule.and(at, lasts, FaultKind::CutFromInstances(target));
+            if rng.random_bool(0.5) {
+                let after = lasts.mul_f64(rng.random_range(0.0..1.0));
+                let kill = FaultKind::KillNode(target);
+                schedule = schedule.and(at + after, Duration::from_secs(2), kill);
+            }
+        }
+        schedule
+    }
+
     /// Suspensions of nodes, of the coordinator first.
     pub(super) fn draw_suspensions(
         rng: &mut Pcg64Mcg,
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod report;
 mod store;
 mod store_traffic;
+mod transport;
 mod versions;
 mod world;
 
@@ -25,4 +26,5 @@
 pub use crashing::{CrashedService, CrashingRequest};
 pub use faults::{Fault, FaultKind, Schedule, Target};
 pub use report::{FleetReport, Unserved};
+pub use transport::Transport;
 pub use world::{FleetSettings, World};
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -310,6 +310,7 @@
             FaultKind::CrashInstance(index) => self.crash(self.occupant(*index)),
             FaultKind::SilenceInstance(index) => self.silence(self.occupant(*index)),
             FaultKind::CutInstance(index) => self.cut_instance(self.occupant(*index)),
+            FaultKind::CutFromInstances(target) => self.cut_from_instances(*target),
             FaultKind::IsolateWithCoordinator(place) => self.isolate(self.occupant(*place)),
             FaultKind::DrainInstance(index) => self.drain(*index),
             FaultKind::LeaveUnannounced(index) => self.leave_unannounced(*index),
@@ -363,6 +364,7 @@
                 self.instances[index].heartbeats = !self.left.contains_key(&index);
                 self.network.cut_from_instance.clear();
             }
+            FaultKind::CutFromInstances(_) => self.network.cut_from_instance.clear(),
             FaultKind::StoreSilent => {
                 self.mood.silent -= 1;
                 self.mood.returned_at = self.now;
@@ -489,6 +491,16 @@
         }
     }
 
+    /// A node loses its path to a third of the instances.
+    fn cut_from_instances(&mut self, target: Target) {
+        let node = self.target(target);
+        for instance in 0..self.instances.len() {
+            if self.rng.random_range(0..3) == 0 {
+                self.network.cut_from_instance.insert((node, instance));
+            }
+        }
+    }
+
     fn isolate(&mut self, instance: usize) {
         let coordinator = self.target(Target::Coordinator);
         self.instances[instance].heartbeats = false;
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -9,6 +9,7 @@
 use super::network::{LATENCY, Network};
 use super::report::FleetReport;
 use super::store::Store;
+use super::transport::{HeldOrder, Transport};
 use super::versions::{CONFIGURATION_BOUND, VERSION_CHECK_INTERVAL, Versions};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::directory::InstanceRecord;
@@ -69,6 +70,8 @@
     pub traffic: Duration,
     /// What goes wrong.
     pub schedule: Schedule,
+    /// What their connections are like.
+    pub transport: Transport,
     /// The clock by which nodes go.
     pub clock: ClockSource,
     /// From when on nine in ten keyed requests are for a few neighbouring keys.
@@ -329,6 +332,7 @@
                 meant,
                 order,
             } => self.order_arrives(caller, exchange, instance, &meant, order),
+            Event::HeldOrder(held) => self.repeat_order(*held),
             Event::WorkDone(instance, work) => self.work_done(instance, &work),
             Event::Heartbeat(index) => self.heartbeat(index),
             Event::InstanceEnds(index) => self.left_instance_ends(index),
@@ -531,7 +535,14 @@
             Some(instance) if self.network.instance_connected(caller.0, instance) => {
                 self.reach_instance(caller, exchange, instance, request);
             }
-            Some(_) => self.not_connected(caller, exchange, options.connect_timeout),
+            Some(instance) => {
+                let held = self.held_order(caller, exchange, instance, &request);
+                match held {
+                    // On a kept connection; its end is that of the exchange's time.
+                    Some(held) => self.repeat_later(held),
+                    None => self.not_connected(caller, exchange, options.connect_timeout),
+                }
+            }
             None => {
                 let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
                 self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
@@ -539,6 +550,29 @@
         }
     }
 
+    /// An order that was written into a cut, if kernels hold such bytes.
+    fn held_order(
+        &self,
+        caller: Caller,
+        exchange: ExchangeId,
+        instance: usize,
+        request: &Request,
+    ) -> Option<HeldOrder> {
+        if !self.settings.transport.holds_bytes {
+            return None;
+        }
+        let order = self.tickets.borrow_mut().take_order(request)?;
+        let meant = request.headers.text("target").unwrap_or_default();
+        Some(HeldOrder {
+            caller,
+            exchange,
+            instance,
+            meant: meant.to_owned(),
+            order,
+            sent: self.now,
+        })
+    }
+
     /// A connection is opened, and nothing sent on it.
     fn probe(
         &mut self,
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -14,6 +14,7 @@
 mod process;
 mod reactor;
 mod stream;
+pub mod transport;
 
 pub use endpoint::{Endpoint, Listen, StatusPaths};
 pub use event_loop::poll_until_shutdown;
