An order that is broken off does not arrive once a cut ends

Cause: breaking an exchange off closed its connection; the kernel kept what it had not delivered and repeated it up to 12.6 s later, so an earlier owner took its keys under an old token beside the present one.

Change: the connection of an exchange that is broken off is reset. For a node that is killed, and can't reset, TCP_USER_TIMEOUT of 1 s bounds how long its kernel goes on; leases inherited from an earlier coordinator end as much later.

--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -3,7 +3,7 @@
 use crate::Timestamp;
 use crate::io::ExchangeId;
 use crate::protections::{Protection, Protections};
-use crate::settings::{RENEWAL_INTERVAL, longest_hold};
+use crate::settings::{ORDER_TRANSIT, RENEWAL_INTERVAL, longest_hold};
 use std::time::Duration;
 
 /// Pause before a grant without an answer is repeated. The same grant again
@@ -53,10 +53,10 @@
     }
 
     /// A lease of an assignment that an earlier coordinator may have granted
-    /// until `authority_end`.
+    /// until `authority_end`. It may have been killed with grants on their way.
     pub fn inherited(now: Timestamp, authority_end: Timestamp) -> Lease {
         Lease {
-            possible_until: authority_end + longest_hold(),
+            possible_until: authority_end + ORDER_TRANSIT + longest_hold(),
             ..Lease::fresh(now, None)
         }
     }
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -51,6 +51,12 @@
 /// Allowance for transit and for waking up, added to the end of a hold.
 pub const LEASE_SLACK: Duration = Duration::from_millis(300);
 
+/// How long an order may be on its way once its sender can't take it back: the sender was
+/// killed, and its kernel repeats what nobody has acknowledged. The runtime bounds that for
+/// each connection. Longer than a grant is waited for (0.6 s), so that what a living node
+/// gives up is reset before.
+pub const ORDER_TRANSIT: Duration = Duration::from_millis(1_000);
+
 /// The longest that an instance can hold keys after a grant reached it: its
 /// clock may be 2% slow.
 pub fn longest_hold() -> Duration {
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -480,6 +480,9 @@
             generation: connection.generation,
         };
         let running = connection.running.take();
+        if running.is_some() {
+            connection.stream.reset_on_close();
+        }
         self.drop_connection(index);
         if let Some(running) = running {
             self.forget_deadlines(key, &running);
@@ -503,6 +506,8 @@
             }
         }
         if let Some(running) = connection.running {
+            // Broken off: what the kernel still holds must not arrive later.
+            connection.stream.reset_on_close();
             let key = ConnectionKey {
                 index,
                 generation: connection.generation,
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -7,6 +7,7 @@
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
 use crate::process::{Control, SettingsSource};
 use crate::stream::connect_failure;
+use crate::transport;
 use ledgelead_http::{Request, Response};
 use ledgelead_router::io::{Action, ClientId, Input};
 use ledgelead_router::node::Node;
@@ -397,8 +398,10 @@
         let ready = fwd_to!([cx], server_ready(key) as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
         let poll = cx.anymap_get::<MioPoll>();
-        let source = TcpStream::connect(new.address)
-            .and_then(|stream| poll.add(stream, interest, POLL_PRIORITY, ready));
+        let source = TcpStream::connect(new.address).and_then(|stream| {
+            transport::bound_repeats(&stream)?;
+            poll.add(stream, interest, POLL_PRIORITY, ready)
+        });
         match source {
             Ok(source) => self.outbound.start_on_new(source, new, now),
             Err(error) => {
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -1,5 +1,6 @@
 //! A connection's bytes in both directions, without waiting.
 
+use crate::transport;
 use ledgelead_router::io::ExchangeFailure;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
@@ -134,6 +135,14 @@
         self.end
     }
 
+    /// The close that follows takes back what has not arrived.
+    pub(crate) fn reset_on_close(&self) {
+        if let Err(error) = transport::reset_on_close(&self.source) {
+            // The connection has ended already, and with it what it held.
+            log::debug!(target: "runtime", "a connection is not reset: {error}");
+        }
+    }
+
     /// Ends this side's direction.
     pub(crate) fn shut_down_output(&mut self) {
         let _ = self.source.shutdown(Shutdown::Write);
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -106,3 +106,41 @@
     expect_that!(buffer[..count].starts_with(b"POST /once"), eq(true));
     expect_that!(inputs, is_empty());
 }
+
+/// Breaks the exchange off once its request is written, and returns what the other side
+/// reads after that.
+fn read_after_break_off(
+    fixture: &mut Fixture,
+    break_off: impl Fn(&mut Outbound, Instant),
+) -> std::io::Result<usize> {
+    let mut inputs = Vec::new();
+    while fixture.outbound.next_deadline() != Some(fixture.start + SETTLE) {
+        fixture
+            .outbound
+            .ready(fixture.key, fixture.start, &mut inputs);
+    }
+    fixture.outbound.expire(fixture.start + SETTLE, &mut inputs);
+    let mut buffer = [0; 1_024];
+    let count = fixture.peer.read(&mut buffer).expect("the request");
+    expect_that!(count, gt(0));
+    break_off(&mut fixture.outbound, fixture.start);
+    fixture.peer.read(&mut buffer)
+}
+
+#[gtest]
+fn an_exchange_that_is_broken_off_takes_back_what_has_not_arrived() {
+    let is_reset = err(predicate(|error: &std::io::Error| {
+        error.kind() == ErrorKind::ConnectionReset
+    }));
+    let cancelled = read_after_break_off(&mut fixture(), |outbound, _| {
+        outbound.cancel(ExchangeId(1));
+    });
+    expect_that!(cancelled, is_reset);
+    let is_reset = err(predicate(|error: &std::io::Error| {
+        error.kind() == ErrorKind::ConnectionReset
+    }));
+    let timed_out = read_after_break_off(&mut fixture(), |outbound, start| {
+        outbound.expire(start + SETTLE * 2, &mut Vec::new());
+    });
+    expect_that!(timed_out, is_reset);
+}
