--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -195,7 +195,16 @@
     OrderFailed {
         /// The instance.
         instance: &'a InstanceId,
-        /// What became of the order.
+        /// A grant or a release.
+        order: &'static str,
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+        /// The token.
+        fence: u64,
+        /// The instance's answer, or how the connection ended: an order without an
+        /// answer in time is broken off by a reset.
         answer: &'a str,
     },
     /// An instance has ended, and requests that were in flight there are suspected.
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
-use crate::dialect::{ObjectKind, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
+use crate::dialect::{ObjectKind, Order, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
 use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
@@ -48,7 +48,7 @@
 pub(super) struct Coordination {
     coordinator: Option<Coordinator>,
     /// The instance of each order that is out.
-    orders: HashMap<ExchangeId, InstanceId>,
+    orders: HashMap<ExchangeId, (InstanceId, Order)>,
     /// Start of the newest call in which the store confirmed this place.
     confirmed: Option<Timestamp>,
     /// Whether the record was read, or its absence seen.
@@ -404,8 +404,8 @@
 
     fn send_order(&mut self, outgoing: OutgoingOrder, out: &mut Vec<Action>) {
         let timeout = match &outgoing.order {
-            crate::dialect::Order::Grant { .. } => GRANT_TIMEOUT,
-            crate::dialect::Order::Release { .. } => RELEASE_TIMEOUT,
+            Order::Grant { .. } => GRANT_TIMEOUT,
+            Order::Release { .. } => RELEASE_TIMEOUT,
         };
         log::debug!(target: "ownership", "{}: {:?}", outgoing.instance, outgoing.order);
         let request = self
@@ -413,7 +413,7 @@
             .order_request(&outgoing.instance, &outgoing.order);
         self.coordination
             .orders
-            .insert(outgoing.exchange, outgoing.instance);
+            .insert(outgoing.exchange, (outgoing.instance, outgoing.order));
         out.push(Action::Exchange {
             exchange: outgoing.exchange,
             address: outgoing.address,
@@ -435,14 +435,22 @@
         result: Result<Response, ExchangeFailure>,
         now: Timestamp,
     ) {
-        let Some(instance) = self.coordination.orders.remove(&exchange) else {
+        let Some((instance, order)) = self.coordination.orders.remove(&exchange) else {
             return;
         };
         self.coordination.note_change();
         let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
         if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
+            let (kind, range, fence) = match &order {
+                Order::Grant { range, fence, .. } => ("grant", range, fence),
+                Order::Release { range, fence } => ("release", range, fence),
+            };
             let failed = Event::OrderFailed {
                 instance: &instance,
+                order: kind,
+                first: range.first,
+                last: range.last,
+                fence: *fence,
                 answer: &format!("{answer:?}"),
             };
             failed.emit();
--- a/crates/ledgelead-runtime/src/explain.rs
+++ b/crates/ledgelead-runtime/src/explain.rs
@@ -90,8 +90,8 @@
             "quarantine" => named || self.is_same_request(line),
             "request" => self.is_same_request(line),
             "instances" => named && line.node == self.node,
-            "ownership" if line.event.get("first").is_some() => self.holds_key(line),
             "ownership" if line.text("event") == Some("order_failed") => named,
+            "ownership" if line.event.get("first").is_some() => self.holds_key(line),
             "ownership" => true,
             // What other nodes believed of these did not decide the request.
             "store" | "configuration" | "node" | "logs" => line.node == self.node,
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -198,8 +198,8 @@
     /// The machine was suspended: idle connections are older than the steady clock says,
     /// and the other side may have closed them.
     pub(crate) fn rested_longer(&mut self, by: Duration) {
+        let earlier = |at: Instant| at.checked_sub(by).unwrap_or(at);
         for (_, connection) in &mut self.connections {
-            let earlier = |at: Instant| at.checked_sub(by).unwrap_or(at);
             connection.idle_since = earlier(connection.idle_since);
             connection.keep_until = connection.keep_until.map(earlier);
         }
