--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -122,60 +122,12 @@
 /// Share of the datagrams that are lost, by seed.
 const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
 
-/// Plays drawn faults.
-pub fn play(
-    seeds: RangeInclusive<u64>,
-    nodes: usize,
-    protections: Protections,
-    trace: bool,
-) -> (FleetReport, Vec<String>) {
-    play_each(seeds, |seed| FleetSettings {
-        trace,
-        ..drawn_for(seed, nodes, protections)
-    })
-}
-
-/// Plays drawn faults, and versions among refusals by the store.
-pub fn play_versions(
-    seeds: RangeInclusive<u64>,
-    nodes: usize,
-    protections: Protections,
-    trace: bool,
-) -> (FleetReport, Vec<String>) {
-    play_each(seeds, |seed| FleetSettings {
-        trace,
-        ..drawn_versions(seed, nodes, protections)
-    })
-}
+/// Draws a run from a seed, for so many nodes.
+pub type Draw = fn(u64, usize, Protections) -> FleetSettings;
 
-/// Plays drawn faults, and requests that crash instances.
-pub fn play_crashing(
-    seeds: RangeInclusive<u64>,
-    nodes: usize,
-    protections: Protections,
-    trace: bool,
-) -> (FleetReport, Vec<String>) {
-    play_each(seeds, |seed| FleetSettings {
-        trace,
-        ..drawn_crashing(seed, nodes, protections)
-    })
-}
-
-/// Plays drawn faults, and cuts that hold orders up.
-pub fn play_cuts(
-    seeds: RangeInclusive<u64>,
-    nodes: usize,
-    protections: Protections,
-    trace: bool,
-) -> (FleetReport, Vec<String>) {
-    play_each(seeds, |seed| FleetSettings {
-        trace,
-        ..drawn_cuts(seed, nodes, protections)
-    })
-}
-
-/// Plays drawn faults, and suspended machines.
-pub fn play_suspended(
+/// Plays runs that are drawn from their seeds.
+pub fn play(
+    draw: Draw,
     seeds: RangeInclusive<u64>,
     nodes: usize,
     protections: Protections,
@@ -183,7 +135,7 @@
 ) -> (FleetReport, Vec<String>) {
     play_each(seeds, |seed| FleetSettings {
         trace,
-        ..drawn_suspended(seed, nodes, protections)
+        ..draw(seed, nodes, protections)
     })
 }
 
@@ -215,10 +167,7 @@
     let mut protections = Protections::default();
     let mut json = false;
     let mut trace = false;
-    let mut versions = false;
-    let mut crashing = false;
-    let mut suspended = false;
-    let mut cuts = false;
+    let mut draw: Draw = drawn_for;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("seeds") => seeds = seed_range(&parser.value()?.string()?)?,
@@ -226,24 +175,14 @@
             Long("sabotage") => protections = sabotage(&parser.value()?.string()?)?,
             Long("json") => json = true,
             Long("trace") => trace = true,
-            Long("versions") => versions = true,
-            Long("crashing") => crashing = true,
-            Long("suspended") => suspended = true,
-            Long("cuts") => cuts = true,
+            Long("versions") => draw = drawn_versions,
+            Long("crashing") => draw = drawn_crashing,
+            Long("suspended") => draw = drawn_suspended,
+            Long("cuts") => draw = drawn_cuts,
             other => return Err(other.unexpected()),
         }
     }
-    let (report, lines) = if crashing {
-        play_crashing(seeds, nodes, protections, trace)
-    } else if cuts {
-        play_cuts(seeds, nodes, protections, trace)
-    } else if suspended {
-        play_suspended(seeds, nodes, protections, trace)
-    } else if versions {
-        play_versions(seeds, nodes, protections, trace)
-    } else {
-        play(seeds, nodes, protections, trace)
-    };
+    let (report, lines) = play(draw, seeds, nodes, protections, trace);
     if !json {
         for line in lines.iter().take(SHOWN) {
             println!("{line}");
--- a/crates/ledgelead-lab/src/fleet/crashing.rs
+++ b/crates/ledgelead-lab/src/fleet/crashing.rs
@@ -2,7 +2,7 @@
 //! any node, and the promise that they reach few instances.
 
 use super::event::{Caller, Event};
-use super::faults::{Fault, FaultKind, Schedule};
+use super::faults::{Fault, FaultKind, Schedule, draw_time};
 use super::instance::Work;
 use super::network::LATENCY;
 use super::versions::CONTACT;
@@ -64,10 +64,9 @@
 impl CrashingRequest {
     /// One or two of them, with pauses from a tenth of a second to two seconds.
     pub(super) fn draw(rng: &mut Pcg64Mcg, from: Duration, to: Duration) -> Vec<CrashingRequest> {
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let count = rng.random_range(1..3);
         let one = |rng: &mut Pcg64Mcg| CrashingRequest {
-            from: from + Duration::from_millis(rng.random_range(0..span)),
+            from: draw_time(rng, from, to),
             pause: Duration::from_millis(rng.random_range(100..2_000)),
             service: match rng.random_range(0..3) {
                 0 => CrashedService::Keyed(rng.random()),
@@ -83,10 +82,9 @@
     /// Instances that end for other reasons: many at the same moment, or one after the
     /// other.
     pub(super) fn draw_crashes(rng: &mut Pcg64Mcg, from: Duration, to: Duration) -> Schedule {
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let count = rng.random_range(0..3);
         let one = |rng: &mut Pcg64Mcg| Fault {
-            at: from + Duration::from_millis(rng.random_range(0..span)),
+            at: draw_time(rng, from, to),
             lasts: Duration::ZERO,
             kind: match rng.random_range(0..2) {
                 0 => FaultKind::CrashMany,
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -118,10 +118,9 @@
         from: Duration,
         to: Duration,
     ) -> Schedule {
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let mut schedule = Schedule::default();
         for number in 0..rng.random_range(1..4) {
-            let at = from + Duration::from_millis(rng.random_range(0..span));
+            let at = draw_time(rng, from, to);
             let lasts = Duration::from_millis(rng.random_range(CUT_MS));
             let target = match number {
                 0 => Target::Coordinator,
@@ -144,9 +143,8 @@
         from: Duration,
         to: Duration,
     ) -> Schedule {
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let one = |number: usize, rng: &mut Pcg64Mcg| Fault {
-            at: from + Duration::from_millis(rng.random_range(0..span)),
+            at: draw_time(rng, from, to),
             lasts: Duration::from_millis(rng.random_range(SUSPENDED_MS)),
             kind: FaultKind::SuspendNode(match number {
                 0 => Target::Coordinator,
@@ -166,9 +164,8 @@
         to: Duration,
     ) -> Schedule {
         let count = rng.random_range(3..9);
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let draw = |rng: &mut Pcg64Mcg| Fault {
-            at: from + Duration::from_millis(rng.random_range(0..span)),
+            at: draw_time(rng, from, to),
             lasts: draw_length(rng),
             kind: draw_kind(rng, nodes, instances),
         };
@@ -176,6 +173,12 @@
     }
 }
 
+/// A time between two others.
+pub(super) fn draw_time(rng: &mut Pcg64Mcg, from: Duration, to: Duration) -> Duration {
+    let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
+    from + Duration::from_millis(rng.random_range(0..span))
+}
+
 /// Most faults are short; some outlast every lease and every authority.
 pub(super) fn draw_length(rng: &mut Pcg64Mcg) -> Duration {
     let longest = if rng.random_range(0..4) == 0 {
--- a/crates/ledgelead-lab/src/fleet/versions.rs
+++ b/crates/ledgelead-lab/src/fleet/versions.rs
@@ -1,7 +1,7 @@
 //! Versions of the configuration: what the operator writes, and the promise that
 //! each is in force in time at every node in touch.
 
-use super::faults::{FaultKind, Schedule, Target, draw_length};
+use super::faults::{FaultKind, Schedule, Target, draw_length, draw_time};
 use super::world::{HOST, ONCE, READ, SHARDED, World};
 use ledgelead_router::configuration::{
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
@@ -78,10 +78,9 @@
         from: Duration,
         to: Duration,
     ) -> Schedule {
-        let span = u64::try_from((to - from).as_millis()).unwrap_or(1);
         let mut schedule = Schedule::default();
         for _ in 0..rng.random_range(1..4) {
-            let at = from + Duration::from_millis(rng.random_range(0..span));
+            let at = draw_time(rng, from, to);
             let lasts = draw_length(rng);
             let refused = FaultKind::StoreRefusesNode;
             schedule = schedule.and(at, lasts, refused(Target::Coordinator));
--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -3,7 +3,7 @@
 //! each protection that is turned off.
 
 use googletest::prelude::*;
-use ledgelead_lab::fleet::command::{NODES, drawn, play};
+use ledgelead_lab::fleet::command::{NODES, drawn, drawn_for, play};
 use ledgelead_lab::fleet::{
     FaultKind, FleetReport, FleetSettings, Schedule, Target, ViolationKind, World,
 };
@@ -109,7 +109,7 @@
 
 #[gtest]
 fn drawn_faults_break_nothing() {
-    let (report, lines) = play(1..=60, NODES, Protections::default(), false);
+    let (report, lines) = play(drawn_for, 1..=60, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
     expect_that!(report.answered as f64 / report.requests as f64, gt(0.9));
 }
@@ -119,7 +119,7 @@
 
 #[gtest]
 fn drawn_faults_break_nothing_where_broadcasts_are_passed_on() {
-    let (report, lines) = play(1..=24, MANY_NODES, Protections::default(), false);
+    let (report, lines) = play(drawn_for, 1..=24, MANY_NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
     expect_that!(report.answered as f64 / report.requests as f64, gt(0.9));
 }
@@ -153,7 +153,7 @@
 fn a_write_that_is_served_again_renews_the_watch_on_instances() {
     // A coordinator that was cut off writes the record while its watch on
     // instances still waits where nobody answers; an instance left meanwhile.
-    let (_, lines) = play(129..=129, NODES, Protections::default(), false);
+    let (_, lines) = play(drawn_for, 129..=129, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
 }
 
--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -17,7 +17,7 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::ViolationKind;
-use ledgelead_lab::fleet::command::{NODES, play_crashing};
+use ledgelead_lab::fleet::command::{NODES, drawn_crashing, play};
 use ledgelead_router::protections::{Protection, Protections};
 
 /// Nodes of a run whose zones are large enough for broadcasts to be passed on.
@@ -25,20 +25,32 @@
 
 #[gtest]
 fn a_request_that_crashes_instances_reaches_few_after_the_third() {
-    let (_, lines) = play_crashing(1..=80, NODES, Protections::default(), false);
+    let (_, lines) = play(drawn_crashing, 1..=80, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
 }
 
 #[gtest]
 fn a_request_that_crashes_instances_reaches_few_of_many_nodes() {
-    let (_, lines) = play_crashing(1..=20, MANY_NODES, Protections::default(), false);
+    let (_, lines) = play(
+        drawn_crashing,
+        1..=20,
+        MANY_NODES,
+        Protections::default(),
+        false,
+    );
     expect_that!(lines, is_empty());
 }
 
 /// How often runs with a protection turned off break each of the two promises: that such a
 /// request reaches few instances, and that no harmless one is held back.
 fn broken(without: Protection, seeds: std::ops::RangeInclusive<u64>) -> (usize, usize) {
-    let (report, _) = play_crashing(seeds, NODES, Protections::without(without), false);
+    let (report, _) = play(
+        drawn_crashing,
+        seeds,
+        NODES,
+        Protections::without(without),
+        false,
+    );
     let count = |kind| {
         let of_kind = report.violations.iter().filter(|seen| seen.kind == kind);
         of_kind.count()
--- a/crates/ledgelead-lab/tests/fleet_cuts.rs
+++ b/crates/ledgelead-lab/tests/fleet_cuts.rs
@@ -11,13 +11,13 @@
 //! 18.817 s is 6.2 s, TCP's fifth repetition, after a grant of 12.6 s.
 
 use googletest::prelude::*;
-use ledgelead_lab::fleet::command::{NODES, drawn_cuts, play_cuts};
+use ledgelead_lab::fleet::command::{NODES, drawn_cuts, play};
 use ledgelead_lab::fleet::{FleetReport, FleetSettings, Transport, World};
 use ledgelead_router::protections::Protections;
 
 #[gtest]
 fn orders_that_a_cut_holds_up_give_no_keys_two_owners() {
-    let (_, lines) = play_cuts(1..=200, NODES, Protections::default(), false);
+    let (_, lines) = play(drawn_cuts, 1..=200, NODES, Protections::default(), false);
     expect_that!(lines, is_empty());
 }
 
--- a/crates/ledgelead-router/tests/node/crashing.rs
+++ b/crates/ledgelead-router/tests/node/crashing.rs
@@ -70,8 +70,8 @@
     expect_that!(last.body.as_slice(), eq(b"quarantined"));
 }
 
-#[gtest]
-fn what_is_held_back_stays_so_over_the_loss_of_all_nodes() {
+/// A coordinator that holds a request back.
+fn quarantined() -> Fixture {
     let mut fixture = Fixture::coordinating(store());
     let mut ended = BTreeSet::new();
     for _ in 0..3 {
@@ -79,6 +79,12 @@
         end_all_that_run(&mut fixture, &mut ended);
         fixture.run_until(fixture.now + ms(1_000));
     }
+    fixture
+}
+
+#[gtest]
+fn what_is_held_back_stays_so_over_the_loss_of_all_nodes() {
+    let mut fixture = quarantined();
     let kept = std::mem::take(&mut fixture.store);
     let mut fixture = Fixture::coordinating(kept);
     fixture.run_until(fixture.now + ms(1_000));
@@ -90,13 +96,7 @@
 
 #[gtest]
 fn what_an_operator_removes_from_the_store_is_sent_again() {
-    let mut fixture = Fixture::coordinating(store());
-    let mut ended = BTreeSet::new();
-    for _ in 0..3 {
-        fixture.ask(SERVICE, None);
-        end_all_that_run(&mut fixture, &mut ended);
-        fixture.run_until(fixture.now + ms(1_000));
-    }
+    let mut fixture = quarantined();
     fixture.store.remove_all(ObjectKind::Quarantine);
     fixture.change_watched(ObjectKind::Quarantine);
     fixture.ask(SERVICE, None);
