Only an answer to what was asked after an instance's end disproves that end

An answer that was on its way as the instance crashed voided the end on all nodes, so a request that crashes instances could end more of them unnoticed; and an instance that began to leave while a lost answer of it was in question counted as ended.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -81,6 +81,11 @@
         self.warm_at > now
     }
 
+    /// Whether its entry is gone.
+    pub fn is_gone(&self) -> bool {
+        matches!(self.presence, Presence::Gone { .. })
+    }
+
     /// The earliest time at which it can have begun to leave.
     pub fn leaving_since(&self) -> Option<Timestamp> {
         match self.presence {
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -21,6 +21,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two looks at whether suspected instances have ended.
 const SUSPECTS_PAUSE: Duration = Duration::from_millis(200);
+
 /// News that are sent again.
 #[derive(Debug)]
 struct Repeat {
@@ -103,11 +104,11 @@
         for (instance, asked) in signs.answered {
             self.quarantine.suspects.answered(&instance, asked);
             let hash = instance.stable_hash();
-            if self.quarantine.evidence.says_ended(hash) {
-                Event::EndDisproved {
-                    instance: &instance,
-                }
-                .emit();
+            // An answer to what was asked before may have been on its way.
+            let ended = self.quarantine.evidence.said_to_have_ended(hash);
+            if ended.is_some_and(|at| at < asked) {
+                let instance = &instance;
+                Event::EndDisproved { instance }.emit();
                 self.quarantine.evidence.disprove(hash, now);
             }
         }
@@ -194,7 +195,8 @@
         self.quarantine.suspects.expire(now);
         let has_ended = |instance: &&InstanceId| {
             let known = self.directory.get(instance);
-            known.is_some_and(|known| known.ended || known.leaving_since().is_some())
+            // One that said it leaves ends as planned.
+            known.is_some_and(|known| known.ended || known.is_gone() && !known.record.draining)
         };
         let suspects = self.quarantine.suspects.instances();
         let ended: Vec<InstanceId> = suspects.filter(has_ended).cloned().collect();
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -42,6 +42,8 @@
     pub quarantined: Vec<(RequestDigest, String)>,
     /// Requests under which some instance ended.
     pub suspected: usize,
+    /// Ends of instances under them that none has disproved.
+    pub ends_counted: usize,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
 }
@@ -66,6 +68,7 @@
             announced_and_known: self.announced_and_known(),
             quarantined: self.quarantine.held_back(),
             suspected: self.quarantine.evidence.iter().count(),
+            ends_counted: self.quarantine.evidence.ends(),
             traffic: self.traffic.clone(),
         }
     }
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -51,6 +51,14 @@
         self.entries.iter()
     }
 
+    /// How many instances ended under requests that are known.
+    pub fn ends(&self) -> usize {
+        let ends = self.entries.values().flat_map(|entry| &entry.ends);
+        ends.map(|end| end.instance)
+            .collect::<BTreeSet<u64>>()
+            .len()
+    }
+
     /// Instances that were said to have ended and live, and when that was seen.
     pub fn alive(&self) -> &BTreeMap<u64, Timestamp> {
         &self.alive
@@ -68,9 +76,10 @@
         entry.map_or(0, |entry| entry.ends_of(caller))
     }
 
-    /// Whether some node says that an instance has ended.
-    pub fn says_ended(&self, instance: u64) -> bool {
-        self.ended.contains_key(&instance) && !self.alive.contains_key(&instance)
+    /// When an instance ended, if some node says so and none has disproved it.
+    pub fn said_to_have_ended(&self, instance: u64) -> Option<Timestamp> {
+        let ended = self.ended.get(&instance).copied();
+        ended.filter(|_| !self.alive.contains_key(&instance))
     }
 
     /// An instance has ended under a request.
--- a/crates/ledgelead-router/tests/node/crashing.rs
+++ b/crates/ledgelead-router/tests/node/crashing.rs
@@ -117,3 +117,38 @@
     let reasons = fixture.answers.iter().map(|(_, answer)| answer.status);
     expect_that!(reasons.collect::<Vec<_>>(), each(eq(&502)));
 }
+
+/// Two clients of one instance: the connection of the first is lost, which is refused after
+/// that; the second is answered. Returns what is known of the end.
+fn end_beside_an_answer(asked_after_the_end: bool) -> usize {
+    let mut store = store();
+    store
+        .objects
+        .retain(|(kind, name), _| *kind != ObjectKind::Instances || name.as_str() == "i-1");
+    let mut fixture = Fixture::coordinating(store);
+    let mut ended = BTreeSet::new();
+    fixture.ask(SERVICE, None);
+    let first = fixture.attempts.pop().expect("an attempt");
+    if !asked_after_the_end {
+        fixture.ask(SERVICE, None);
+    }
+    fixture.run_until(fixture.now + ms(20));
+    ended.insert(first.address);
+    fixture.end(first.exchange, Err(ExchangeFailure::Lost));
+    end_probes(&mut fixture, &ended);
+    fixture.run_until(fixture.now + ms(5));
+    if asked_after_the_end {
+        fixture.ask(SERVICE, None);
+    }
+    let second = fixture.attempts.pop().expect("another attempt");
+    let mut busy = Response::new(503, "");
+    busy.headers.push("not-executed", "1");
+    fixture.answer(second.exchange, busy);
+    fixture.node.status().ends_counted
+}
+
+#[gtest]
+fn only_an_answer_to_what_was_asked_after_an_end_disproves_it() {
+    expect_that!(end_beside_an_answer(false), eq(1));
+    expect_that!(end_beside_an_answer(true), eq(0));
+}
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -474,3 +474,18 @@
     expect_that!(fixture.chosen(&["a", "b"]), eq("c"));
     expect_that!(fixture.select(&["a", "b", "c"]).is_none(), eq(true));
 }
+
+#[gtest]
+fn a_retry_that_reached_no_instance_is_given_back() {
+    let service = ServiceName::from("s");
+    let mut budget = RetryBudget::new(BudgetBounds {
+        ratio: 0.0,
+        slack: 2.5,
+        window: Duration::from_secs(10),
+    });
+    expect_that!(budget.draw(&service, 1, Duration::ZERO), eq(true));
+    expect_that!(budget.draw(&service, 1, Duration::ZERO), eq(true));
+    expect_that!(budget.draw(&service, 1, Duration::ZERO), eq(false));
+    budget.give_back(&service);
+    expect_that!(budget.draw(&service, 1, Duration::ZERO), eq(true));
+}
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -214,6 +214,12 @@
         "Requests under which some instance ended",
         status.suspected as u64,
     );
+    gauge(
+        registry,
+        "ended_instances",
+        "Instances that ended under them",
+        status.ends_counted as u64,
+    );
     let held_back = Family::<QuarantineLabel, Gauge>::default();
     for (digest, path) in &status.quarantined {
         let label = QuarantineLabel {
