A request that some caller is answered is not held back for all

An answer to a caller that is not suspected shows that not everybody's request crashes instances; only answers to suspected callers counted, so a path that many callers ask for could be held back for all after two crashes beside each of two of them.

--- a/crates/ledgelead-router/src/node/quarantine/keeping.rs
+++ b/crates/ledgelead-router/src/node/quarantine/keeping.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// The store has told of an object.
+    /// An object was read from the store.
     pub(in crate::node) fn evidence_read(&mut self, object: &Object, now: Timestamp) {
         let Ok(ObjectContent::Quarantine(record)) = &object.content else {
             return;
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -125,8 +125,15 @@
     fn acquit_if_answered(&mut self, request: RequestDigest, caller: CallerId, now: Timestamp) {
         let protects = self.settings.protections.has(Protection::Acquittal);
         let quarantine = &mut self.quarantine;
-        if protects && !quarantine.evidence.is_empty() && quarantine.recent.holds(request, caller) {
+        if !protects || quarantine.evidence.is_empty() {
+            return;
+        }
+        if quarantine.recent.holds(request, caller) {
             quarantine.evidence.acquit(request, caller, now);
+        } else if quarantine.recent.holds(request, CallerId::ALL) {
+            quarantine
+                .evidence
+                .acquit(request, CallerId::SOME_OTHER, now);
         }
     }
 
--- a/crates/ledgelead-router/src/node/quarantine/news.rs
+++ b/crates/ledgelead-router/src/node/quarantine/news.rs
@@ -25,6 +25,7 @@
 ];
 /// Pause between two requests for all evidence: two heartbeats.
 const SYNC_PAUSE: Duration = Duration::from_millis(400);
+
 /// What another node knows.
 #[derive(Debug)]
 pub(in crate::node) struct EvidenceMessage {
@@ -47,9 +48,9 @@
             self.quarantine.repeats.extend(REPEATS.map(repeat));
         }
         let repeats = std::mem::take(&mut self.quarantine.repeats);
-        let (due, later) = repeats.into_iter().partition(|repeat| repeat.at <= now);
+        let (due, later): (Vec<Repeat>, Vec<Repeat>) =
+            repeats.into_iter().partition(|repeat| repeat.at <= now);
         self.quarantine.repeats = later;
-        let due: Vec<Repeat> = due;
         for repeat in due {
             self.send_evidence_of(&repeat.requests, &repeat.alive, now, out);
         }
@@ -85,7 +86,7 @@
         evidence_datagrams(entries.collect(), alive, wants_reply)
     }
 
-    /// The coordinator's heartbeat tells whether it knows the same. If not, both send each
+    /// The coordinator's heartbeat shows whether it knows the same. If not, both send each
     /// other all.
     pub(in crate::node) fn heard_evidence(
         &mut self,
@@ -152,7 +153,7 @@
     let mut messages: Vec<PeerMessage> = alive.chunks(MAX_ALIVE).map(of_alive).collect();
     messages.extend(evidence_parts(entries).into_iter().map(of_requests));
     if wants_reply {
-        // Last, so that the reply tells what is left.
+        // Last, so that the reply holds what is left.
         messages.push(PeerMessage::Evidence {
             wants_reply: true,
             alive: List(Vec::new()),
--- a/crates/ledgelead-router/src/node/watch_paces.rs
+++ b/crates/ledgelead-router/src/node/watch_paces.rs
@@ -63,7 +63,7 @@
     wait: Duration::from_secs(2),
 };
 
-/// Pace of the watch on requests that crash instances. Nodes tell each other of them, so
+/// Pace of the watch on requests that crash instances. Nodes broadcast them, so
 /// it shows only what an operator lifts, and what was kept over the loss of all nodes.
 const QUARANTINE_PACE: WatcherPace = WatcherPace {
     after_events: Duration::from_secs(1),
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -20,7 +20,7 @@
     DrainBound,
     /// The word of a coordinator counts for nothing once a later epoch is known.
     NewestEpoch,
-    /// Nodes tell each other under which requests instances ended.
+    /// Nodes broadcast under which requests instances ended.
     SharedEvidence,
     /// What is known of such requests is kept in the store.
     KeptEvidence,
--- a/crates/ledgelead-router/src/quarantine/answers.rs
+++ b/crates/ledgelead-router/src/quarantine/answers.rs
@@ -9,8 +9,8 @@
 
 /// How long an answer is remembered at least, unless there are too many.
 const REMEMBERED: Duration = Duration::from_secs(30);
-/// Most answers of one generation; two of them take 0.6 MB.
-const MAX_ANSWERS: usize = 8_192;
+/// Most entries of one generation, two for an answer; two generations take 0.8 MB.
+const MAX_ENTRIES: usize = 16_384;
 
 type Answered = HashSet<(RequestDigest, CallerId)>;
 
@@ -25,14 +25,15 @@
 impl RecentAnswers {
     /// An instance has answered a request.
     pub fn note(&mut self, request: RequestDigest, caller: CallerId, now: Timestamp) {
-        if self.rotate_at <= now || self.current.len() >= MAX_ANSWERS {
+        if self.rotate_at <= now || self.current.len() >= MAX_ENTRIES {
             self.previous = std::mem::take(&mut self.current);
             self.rotate_at = now + REMEMBERED;
         }
         self.current.insert((request, caller));
+        self.current.insert((request, CallerId::ALL));
     }
 
-    /// Whether an instance has answered a request lately.
+    /// Whether an instance has answered a caller's request lately, or anybody's.
     pub fn holds(&self, request: RequestDigest, caller: CallerId) -> bool {
         let known = (request, caller);
         self.current.contains(&known) || self.previous.contains(&known)
--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -23,11 +23,13 @@
 impl CallerId {
     /// All callers.
     pub const ALL: CallerId = CallerId(0);
+    /// Some caller other than those whose requests are suspected.
+    pub const SOME_OTHER: CallerId = CallerId(1);
 
     /// The caller at this address.
     pub fn new(source: IpAddr) -> CallerId {
         let hash = xxhash_rust::xxh3::xxh3_64(source.to_string().as_bytes());
-        CallerId(hash.max(1))
+        CallerId(hash.max(2))
     }
 }
 
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -93,7 +93,8 @@
         self.news.insert(request);
     }
 
-    /// An instance has answered a caller's request. Only one that is suspected needs that.
+    /// An instance has answered a caller's request. Only one that is suspected needs that;
+    /// an answer to any other caller shows that not everybody's crashes instances.
     pub fn acquit(&mut self, request: RequestDigest, caller: CallerId, now: Timestamp) {
         let Some(entry) = self.entries.get_mut(&request) else {
             return;
@@ -102,6 +103,9 @@
         if is_suspected {
             entry.acquitted.insert(caller, now);
             self.news.insert(request);
+        } else if entry.acquitted.is_empty() && !entry.ends.is_empty() {
+            entry.acquitted.insert(CallerId::SOME_OTHER, now);
+            self.news.insert(request);
         }
     }
 
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -110,6 +110,23 @@
     expect_that!(holds_back(&judged(&alone), 3), eq(true));
 }
 
+#[gtest]
+fn an_answer_to_another_caller_keeps_a_request_from_being_held_back_for_all() {
+    let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(2, 3, 2_000)]);
+    evidence.acquit(request("/a"), caller(9), ms(2_500));
+    evidence.accuse(request("/a"), "/a", end(2, 4, 3_000));
+    review(&mut evidence);
+    expect_that!(holds_back(&evidence, 3), eq(false));
+    evidence.accuse(request("/a"), "/a", end(1, 5, 4_000));
+    review(&mut evidence);
+    expect_that!(
+        holds_back(&evidence, 1),
+        eq(true),
+        "its own three ends count"
+    );
+    expect_that!(holds_back(&evidence, 3), eq(false));
+}
+
 #[gtest]
 fn what_an_operator_lifts_is_sent_until_three_more_ends() {
     let mut evidence = judged(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
--- a/crates/ledgelead-runtime/src/explain.rs
+++ b/crates/ledgelead-runtime/src/explain.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Whether a line tells of a try of the same request.
+    /// Whether a line is about a try of the same request.
     fn is_same_request(&self, line: &Line) -> bool {
         self.digest.is_some() && line.text("digest") == self.digest.as_deref()
     }
