Contended services: keys are spread by lasting differences between owners

Cause: owners differ in speed by 0.7 to 1.7; counts of one second are so much chance that only owners a quarter above the mean are relieved, which near capacity is what waits.

Change: for contended services the coordinator also counts over five seconds (rates) and six (work), and relieves owners a twelfth above the mean.

--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -90,6 +90,9 @@
     holdings: Vec<Holding>,
     loads: BTreeMap<ServiceName, KeyLoad>,
     work: WorkTable,
+    /// The same over several seconds, for services whose owners are contended.
+    steady_loads: BTreeMap<ServiceName, KeyLoad>,
+    steady_work: WorkTable,
     writing: Option<OwnershipRecord>,
     writing_since: Option<Timestamp>,
     earlier: EarlierAuthority,
@@ -162,6 +165,8 @@
             holdings,
             loads: BTreeMap::new(),
             work: WorkTable::new(now),
+            steady_loads: BTreeMap::new(),
+            steady_work: WorkTable::steady(now),
             writing: None,
             writing_since: None,
             earlier,
@@ -222,11 +227,17 @@
         for key in keys {
             load.record(*key);
         }
+        if let Some(steady) = self.steady_loads.get_mut(service) {
+            for key in keys {
+                steady.record(*key);
+            }
+        }
     }
 
     /// An owner did this work for one node's requests.
     pub fn record_work(&mut self, instance: u64, work: Work) {
         self.work.record(instance, work);
+        self.steady_work.record(instance, work);
     }
 
     /// Decides what is due. Orders must be sent at once or not at all: the
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -10,9 +10,11 @@
 use crate::identity::{InstanceId, ServiceName};
 use crate::mechanisms::Mechanism;
 use crate::ownership::lease::Lease;
+use crate::ownership::load::KeyLoad;
 use crate::ownership::planner;
 use crate::ownership::planner::{Candidate, PlanSettings};
-use std::collections::HashMap;
+use crate::ownership::work::WorkTable;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Time without a further instance after which a service's keys get their
@@ -62,6 +64,8 @@
         }
         self.next_plan = context.now + PLAN_INTERVAL;
         self.work.decay(context.now);
+        self.steady_work.decay(context.now);
+        self.follow_contended(context);
         self.overloads.clear();
         // A range that is released while the record can't be written is
         // served by nobody until it can.
@@ -77,10 +81,42 @@
             self.overloads.extend(overloaded);
             if may_move {
                 self.plan_moves_of(context, &service, candidates);
+                self.plan_steady_moves(context, &service);
             }
         }
     }
 
+    /// Keeps steady counts for contended services: there the load comes so near to the
+    /// capacity that owners of unequal speed have to be filled evenly.
+    fn follow_contended(&mut self, context: &Context<'_>) {
+        let contended = match context.mechanisms.has(Mechanism::SteadyBalance) {
+            true => {
+                let mut contended = context.configuration.contended_services();
+                contended.retain(|service| self.loads.contains_key(service));
+                contended
+            }
+            false => BTreeSet::new(),
+        };
+        self.steady_loads
+            .retain(|service, _| contended.contains(service));
+        for service in contended {
+            let load = self.steady_loads.entry(service);
+            load.or_insert_with(|| KeyLoad::steady(context.now))
+                .decay(context.now);
+        }
+    }
+
+    fn plan_steady_moves(&mut self, context: &Context<'_>, service: &ServiceName) {
+        let Some(load) = self.steady_loads.get(service) else {
+            return;
+        };
+        let candidates = self.candidates_by(context, service, &self.steady_work, Some(load));
+        let settings = PlanSettings::steady();
+        for planned in planner::plan(candidates, load, settings) {
+            self.begin_move(service, &planned, context.now);
+        }
+    }
+
     fn plan_moves_of(
         &mut self,
         context: &Context<'_>,
@@ -92,6 +128,7 @@
         };
         let settings = PlanSettings {
             chance_margin: context.mechanisms.has(Mechanism::ChanceMargin),
+            ..PlanSettings::default()
         };
         for planned in planner::plan(candidates, load, settings) {
             self.begin_move(service, &planned, context.now);
@@ -102,6 +139,17 @@
         &self,
         context: &Context<'_>,
         service: &ServiceName,
+    ) -> Vec<Candidate> {
+        self.candidates_by(context, service, &self.work, self.loads.get(service))
+    }
+
+    /// The instances that can own keys of a service, by these counts of work and load.
+    fn candidates_by(
+        &self,
+        context: &Context<'_>,
+        service: &ServiceName,
+        work: &WorkTable,
+        load: Option<&KeyLoad>,
     ) -> Vec<Candidate> {
         let instances: Vec<&Instance> = takers(context, service).collect();
         let capacities: Vec<Option<f64>> = instances
@@ -109,13 +157,13 @@
             .map(|instance| {
                 let InstanceRecord { id, slots, .. } = &instance.record;
                 let shared = context.mechanisms.has(Mechanism::SharedCapacity);
-                let capacity = self.work.capacity(id, *slots, context.now);
+                let capacity = work.capacity(id, *slots, context.now);
                 capacity.filter(|_| shared)
             })
             .collect();
         let known: Vec<f64> = capacities.iter().copied().flatten().collect();
         let typical = mean(&known);
-        let mut shares = self.shares(service);
+        let mut shares = self.shares(service, load);
         instances
             .into_iter()
             .zip(capacities)
@@ -137,8 +185,7 @@
     }
 
     /// What each instance has of a service's keys, in one pass over all ranges.
-    fn shares(&self, service: &ServiceName) -> HashMap<InstanceId, Share> {
-        let load = self.loads.get(service);
+    fn shares(&self, service: &ServiceName, load: Option<&KeyLoad>) -> HashMap<InstanceId, Share> {
         let mut shares: HashMap<InstanceId, Share> = HashMap::new();
         let of_service = |holding: &&Holding| holding.service == *service;
         for holding in self.holdings.iter().filter(of_service) {
--- a/crates/ledgelead-router/src/ownership/load.rs
+++ b/crates/ledgelead-router/src/ownership/load.rs
@@ -11,18 +11,33 @@
 /// What is left of a count after one decay. With the interval above, a count
 /// stands for the requests of the last second.
 const DECAY: f32 = 0.8;
+/// The same for counts that stand for five seconds: with ten requests a second, chance is
+/// then a seventh of the count.
+const STEADY_DECAY: f32 = 0.96;
 
 /// Decaying counts of the requests for each key.
 pub struct KeyLoad {
     counts: Vec<f32>,
+    /// What is left of a count after one decay.
+    kept: f32,
     next_decay: Timestamp,
 }
 
 impl KeyLoad {
-    /// No requests yet.
+    /// No requests yet; counts stand for the last second.
     pub fn new(now: Timestamp) -> KeyLoad {
+        KeyLoad::keeping(DECAY, now)
+    }
+
+    /// No requests yet; counts stand for the last five seconds.
+    pub fn steady(now: Timestamp) -> KeyLoad {
+        KeyLoad::keeping(STEADY_DECAY, now)
+    }
+
+    fn keeping(kept: f32, now: Timestamp) -> KeyLoad {
         KeyLoad {
             counts: vec![0.0; KEYS],
+            kept,
             next_decay: now + DECAY_INTERVAL,
         }
     }
@@ -37,7 +52,7 @@
         while self.next_decay <= now {
             self.next_decay += DECAY_INTERVAL;
             for count in &mut self.counts {
-                *count *= DECAY;
+                *count *= self.kept;
             }
         }
     }
@@ -45,7 +60,7 @@
     /// Requests a second for a range of keys.
     pub fn rate(&self, range: KeyRange) -> f64 {
         let slice = &self.counts[usize::from(range.first)..=usize::from(range.last)];
-        f64::from(slice.iter().sum::<f32>()) * Self::rate_of_one()
+        f64::from(slice.iter().sum::<f32>()) * self.rate_of_one()
     }
 
     /// The key of a range that is asked for most, and its requests a second.
@@ -54,7 +69,7 @@
         let keys = (range.first..=range.last).zip(counts);
         let hottest = keys.max_by(|(_, left), (_, right)| left.total_cmp(right));
         let (key, count) = hottest.unwrap_or((range.first, &0.0));
-        (key, f64::from(*count) * Self::rate_of_one())
+        (key, f64::from(*count) * self.rate_of_one())
     }
 
     /// Parts of `range` at its front, or at its end, that carry about `rate`
@@ -71,7 +86,7 @@
             } else {
                 range.last - offset
             };
-            let next = carried + f64::from(self.counts[usize::from(key)]) * Self::rate_of_one();
+            let next = carried + f64::from(self.counts[usize::from(key)]) * self.rate_of_one();
             if next > rate {
                 if offset > 0 {
                     cuts.push((edge(range, offset - 1, from_front), carried));
@@ -89,8 +104,8 @@
     }
 
     /// What one counted request stands for, in requests a second.
-    fn rate_of_one() -> f64 {
-        f64::from(1.0 - DECAY) / DECAY_INTERVAL.as_secs_f64()
+    fn rate_of_one(&self) -> f64 {
+        f64::from(1.0 - self.kept) / DECAY_INTERVAL.as_secs_f64()
     }
 }
 
--- a/crates/ledgelead-router/src/ownership/planner.rs
+++ b/crates/ledgelead-router/src/ownership/planner.rs
@@ -12,9 +12,14 @@
 const BUSY_UTILISATION: f64 = 0.5;
 /// By how much the busiest has to stand above the mean.
 const IMBALANCE: f64 = 1.25;
+/// The same by counts of several seconds, which tell lasting differences from chance: near
+/// capacity, a tenth too much is what waits.
+const STEADY_IMBALANCE: f64 = 1.08;
 /// Seconds of requests that a rate rests on: few requests may be many by
 /// chance.
 const COUNTED_SECONDS: f64 = 1.8;
+/// The same for steady counts.
+const STEADY_SECONDS: f64 = 9.8;
 /// Up to which an instance is filled at once, where the mean is lower.
 const FILLED_UTILISATION: f64 = 0.7;
 /// Smallest part of an instance's capacity worth a move.
@@ -47,12 +52,29 @@
 pub struct PlanSettings {
     /// Whether an owner counts as busy only beyond the chance in its counts.
     pub chance_margin: bool,
+    /// By how much an owner has to stand above the mean.
+    pub imbalance: f64,
+    /// Seconds of requests that rates rest on.
+    pub counted_seconds: f64,
+}
+
+impl PlanSettings {
+    /// For counts that stand for several seconds.
+    pub fn steady() -> PlanSettings {
+        PlanSettings {
+            imbalance: STEADY_IMBALANCE,
+            counted_seconds: STEADY_SECONDS,
+            ..PlanSettings::default()
+        }
+    }
 }
 
 impl Default for PlanSettings {
     fn default() -> PlanSettings {
         PlanSettings {
             chance_margin: true,
+            imbalance: IMBALANCE,
+            counted_seconds: COUNTED_SECONDS,
         }
     }
 }
@@ -80,8 +102,8 @@
 
     /// The utilisation that is there even if chance has raised the rate by its
     /// standard deviation, counts being Poisson.
-    fn certain_utilisation(&self) -> f64 {
-        let deviation = (self.rate.max(0.0) / COUNTED_SECONDS).sqrt();
+    fn certain_utilisation(&self, counted_seconds: f64) -> f64 {
+        let deviation = (self.rate.max(0.0) / counted_seconds).sqrt();
         self.utilisation_with(-deviation)
     }
 
@@ -145,11 +167,11 @@
         .filter(|index| {
             let standing = &standings[*index];
             let busy = if settings.chance_margin {
-                standing.certain_utilisation()
+                standing.certain_utilisation(settings.counted_seconds)
             } else {
                 standing.utilisation()
             };
-            busy > BUSY_UTILISATION.max(mean * IMBALANCE)
+            busy > BUSY_UTILISATION.max(mean * settings.imbalance)
         })
         .collect();
     sources.sort_by(|left, right| {
--- a/crates/ledgelead-router/src/ownership/work.rs
+++ b/crates/ledgelead-router/src/ownership/work.rs
@@ -15,6 +15,9 @@
 pub const DECAY_INTERVAL: Duration = Duration::from_millis(200);
 /// What is left of a count after one decay; a count stands for two seconds.
 const DECAY: f64 = 0.9;
+/// The same for counts that stand for six seconds: machines that are slow for moments count
+/// by how often they are.
+const STEADY_DECAY: f64 = 0.97;
 /// Answers from which a capacity can be told.
 const LEAST_ANSWERS: f64 = 4.0;
 /// How long a capacity is believed without new answers; an owner that was slow
@@ -62,15 +65,27 @@
     owners: HashMap<u64, Counted>,
     /// The seconds that the counts stand for.
     seconds: f64,
+    /// What is left of a count after one decay.
+    kept: f64,
     next_decay: Timestamp,
 }
 
 impl WorkTable {
-    /// Nothing seen yet.
+    /// Nothing seen yet; counts stand for two seconds.
     pub fn new(now: Timestamp) -> WorkTable {
+        WorkTable::keeping(DECAY, now)
+    }
+
+    /// Nothing seen yet; counts stand for six seconds.
+    pub fn steady(now: Timestamp) -> WorkTable {
+        WorkTable::keeping(STEADY_DECAY, now)
+    }
+
+    fn keeping(kept: f64, now: Timestamp) -> WorkTable {
         WorkTable {
             owners: HashMap::new(),
             seconds: 0.0,
+            kept,
             next_decay: now + DECAY_INTERVAL,
         }
     }
@@ -89,10 +104,10 @@
             self.seconds += DECAY_INTERVAL.as_secs_f64();
             for counted in self.owners.values_mut() {
                 counted.note_pace(self.seconds, now);
-                counted.answered *= DECAY;
-                counted.busy_seconds *= DECAY;
+                counted.answered *= self.kept;
+                counted.busy_seconds *= self.kept;
             }
-            self.seconds *= DECAY;
+            self.seconds *= self.kept;
         }
         self.owners.retain(|_, counted| {
             let believed = counted
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -412,6 +412,7 @@
     let load = loaded((0..5).map(|key| key * 100));
     let without = PlanSettings {
         chance_margin: false,
+        ..PlanSettings::default()
     };
     let moves = plan(vec![slow("a", low), slow("b", high)], &load, without);
     expect_that!(moves, not(is_empty()));
