Splits: large requests go to owners in the own zone first

Cause: a split between a service without keys and one whose keys have owners was drawn by weight alone, so three in four of the keyed uploads crossed zones.

Ruled out: a draw corrected by the running difference alone.

Change: requests/split.rs gives each large request a probability that is linear in its cost, centred on the mean cost, and rounds them dependently. Only routes with exactly two targets of which one is sharded, and bodies of 8 KB or more; all else draws as before. Mechanism `split-locality` turns it off.

--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -42,11 +42,13 @@
     ChanceMargin,
     /// Nodes that hear a coordinator let their own watches rest.
     RestingWatches,
+    /// Large requests of a split go to owners of keys in the own zone first.
+    SplitLocality,
 }
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 19] = [
+    pub const ALL: [(&'static str, Mechanism); 20] = [
         ("zone-preference", Mechanism::ZonePreference),
         ("free-slots", Mechanism::FreeSlots),
         ("review", Mechanism::Review),
@@ -66,6 +68,7 @@
         ("shared-capacity", Mechanism::SharedCapacity),
         ("chance-margin", Mechanism::ChanceMargin),
         ("resting-watches", Mechanism::RestingWatches),
+        ("split-locality", Mechanism::SplitLocality),
     ];
 
     /// The mechanism of this name.
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod decide;
 mod endings;
+mod targets;
 
 pub use self::crashes::CrashSigns;
 
@@ -18,9 +19,10 @@
 use super::overload::Overloads;
 use super::refusal_share::{RefusalShares, return_after};
 use super::rest_limit::RestLimit;
+use super::split::Splits;
 use super::statistics::StatisticsTable;
 use crate::Timestamp;
-use crate::configuration::{Configuration, Route, RouteTable};
+use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
 use crate::events::Event;
@@ -35,7 +37,6 @@
 use crate::quarantine::{CallerId, Evidence};
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
-use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -113,6 +114,7 @@
     refusals: RefusalShares,
     cold_bound: ColdBound,
     cold_sends: ColdSends,
+    splits: Splits,
     ended: Vec<InstanceId>,
     misdirected: bool,
     crash_signs: CrashSigns,
@@ -145,6 +147,7 @@
             refusals: RefusalShares::default(),
             cold_bound: settings.cold_bound,
             cold_sends: ColdSends::default(),
+            splits: Splits::default(),
             ended: Vec::new(),
             misdirected: false,
             crash_signs: CrashSigns::default(),
@@ -186,6 +189,7 @@
     /// Forgets instances that are unknown, and what no longer counts.
     pub fn clean_up(&mut self, directory: &Directory, now: Timestamp) {
         self.cold_sends.expire(now);
+        self.splits.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
     }
 
@@ -418,11 +422,11 @@
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
             return Err((request, Refusal::NoRoute));
         };
-        let service = self.choose_target(&route);
+        let key = request.headers.number::<u16>(&context.headers.key);
+        let service = self.choose_target(&route, key, request.body.len(), context);
         let sharded = configuration
             .service(&service)
             .is_some_and(|service| service.sharded);
-        let key = request.headers.number::<u16>(&context.headers.key);
         if sharded && key.is_none() {
             return Err((request, Refusal::BadKey));
         }
@@ -468,23 +472,6 @@
         }
     }
 
-    /// One of the route's targets, by weight.
-    fn choose_target(&mut self, route: &Route) -> ServiceName {
-        let total: f64 = route.targets.iter().map(|target| target.weight).sum();
-        let mut drawn = if route.targets.len() > 1 && total > 0.0 {
-            self.rng.random_range(0.0..total)
-        } else {
-            0.0
-        };
-        for target in &route.targets {
-            if drawn < target.weight {
-                return target.service.clone();
-            }
-            drawn -= target.weight;
-        }
-        route.targets[route.targets.len() - 1].service.clone()
-    }
-
     /// Decides on a request that has no attempt out.
     fn advance(
         &mut self,
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -11,6 +11,7 @@
 mod refusal_share;
 mod rest_limit;
 mod selection;
+mod split;
 mod statistics;
 
 pub use answers::refusal;
@@ -24,4 +25,5 @@
 pub use refusal_share::{RefusalShares, return_after};
 pub use rest_limit::RestLimit;
 pub use selection::{Selected, SelectionContext};
+pub use split::{LARGE_BODY_BYTES, SplitRequest, Splits};
 pub use statistics::{ReportedLoad, Statistics, StatisticsTable};
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -368,6 +368,11 @@
 impl Fixture {
     /// The node with number 0 in its first life, before its first step.
     pub fn new(store: Store) -> Fixture {
+        Fixture::with_mechanisms(store, Mechanisms::default())
+    }
+
+    /// The same with some mechanism off.
+    pub fn with_mechanisms(store: Store, mechanisms: Mechanisms) -> Fixture {
         let record = node_record(0);
         let mailbox = Rc::<RefCell<Mailbox>>::default();
         let dialect = TypedDialect {
@@ -393,7 +398,7 @@
             stop_grace: Duration::from_secs(6),
             seed: 7,
             protections: Protections::default(),
-            mechanisms: Mechanisms::default(),
+            mechanisms,
         };
         Fixture {
             node: Node::new(settings, Box::new(dialect), Duration::ZERO),
@@ -486,9 +491,14 @@
 
     /// A client asks the service, perhaps for a key.
     pub fn ask(&mut self, service: &str, key: Option<u16>) -> ClientId {
+        self.upload(service, key, 0)
+    }
+
+    /// The same with a body.
+    pub fn upload(&mut self, service: &str, key: Option<u16>, body_bytes: usize) -> ClientId {
         self.last_client += 1;
         let client = ClientId(self.last_client);
-        let mut request = Request::new("GET", format!("/{service}/1"), Vec::new());
+        let mut request = Request::new("GET", format!("/{service}/1"), vec![0; body_bytes]);
         request.headers.push("host", "h");
         let attempt = format!("request-{}", self.last_client);
         request.headers.push("attempt", attempt);
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -12,4 +12,5 @@
 mod registration;
 mod review;
 mod snapshot;
+mod split;
 mod zone_relay;
