Tests: what ends before its last byte is written has not run

`ExchangeFailure::Incomplete` and `ExchangeOptions::write_timeout` name the proof; nothing produces it yet. Of the seven new tests three fail (measured): a reset and a close before the last byte end as `Lost`, an instance that reads nothing holds the exchange until its time-out. Four pass already: a reset after the last byte, one after an answer has begun, a request that is written in time, and a kept connection that is found closed.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -20,7 +20,13 @@
     NotConnected,
     /// The connection was refused at once: nobody listens there. Nothing was sent.
     Refused,
-    /// The connection was lost after the request, or a part of it, was sent.
+    /// The exchange ended before the last byte of the request was written, and before
+    /// any byte of an answer came. The receiver has no whole request and never will.
+    Incomplete {
+        /// The time for writing the request was over.
+        timed_out: bool,
+    },
+    /// The connection was lost after the whole request was sent, or the answer had begun.
     Lost,
     /// No whole answer came in time; the request was sent.
     TimedOut,
@@ -36,6 +42,12 @@
             ExchangeFailure::NotConnected | ExchangeFailure::Refused
         )
     }
+
+    /// Whether it is proved that the receiver never runs the request. Nobody begins a
+    /// request that is not whole.
+    pub fn proves_not_run(self) -> bool {
+        self.proves_not_sent() || matches!(self, ExchangeFailure::Incomplete { .. })
+    }
 }
 
 /// How an exchange is carried out.
@@ -50,6 +62,9 @@
     /// How long a new connection is watched before the first byte is written: an
     /// instance that takes no more connections resets them at once.
     pub settle: Duration,
+    /// Time in which the whole request must be written, if that is bounded apart from the
+    /// exchange. What is not written by then has proved that it never ran.
+    pub write_timeout: Option<Duration>,
     /// Time for the whole exchange; if `renewed`, time without any progress.
     pub timeout: Duration,
     /// Whether each part of the answer that arrives begins the time anew. A
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -422,6 +422,7 @@
                 match_header: None,
                 reuse_idle_below: ORDER_REUSE_IDLE,
                 connect_timeout: ORDER_CONNECT_TIMEOUT,
+                write_timeout: None,
                 settle: Duration::ZERO,
                 timeout,
                 renewed: false,
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -430,6 +430,7 @@
                 match_header: None,
                 reuse_idle_below: REUSE_IDLE,
                 connect_timeout: CONNECT_TIMEOUT,
+                write_timeout: None,
                 settle: Duration::ZERO,
                 timeout,
                 renewed: true,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -411,6 +411,7 @@
         match_header,
         reuse_idle_below: rest_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
         connect_timeout: CONNECT_TIMEOUT.min(left),
+        write_timeout: None,
         // Sent again, an idempotent request loses less than by waiting.
         settle: if open.is_idempotent() {
             Duration::ZERO
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -77,6 +77,7 @@
                 match_header: None,
                 reuse_idle_below: Duration::ZERO,
                 connect_timeout: timeout,
+                write_timeout: None,
                 settle: Duration::ZERO,
                 timeout,
                 renewed: false,
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -8,7 +8,7 @@
 use stakker_mio::MioPoll;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::mio::{Events, Interest, Poll};
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
@@ -25,7 +25,31 @@
     _poll: MioPoll,
 }
 
+fn options() -> ExchangeOptions {
+    ExchangeOptions {
+        match_header: None,
+        reuse_idle_below: Duration::ZERO,
+        connect_timeout: SETTLE * 2,
+        write_timeout: None,
+        settle: SETTLE,
+        timeout: SETTLE * 2,
+        renewed: false,
+    }
+}
+
+/// The request is written as soon as the connection is up.
+fn unsettled() -> ExchangeOptions {
+    ExchangeOptions {
+        settle: Duration::ZERO,
+        ..options()
+    }
+}
+
 fn fixture() -> Fixture {
+    fixture_with(Vec::new(), options())
+}
+
+fn fixture_with(body: Vec<u8>, options: ExchangeOptions) -> Fixture {
     let start = Instant::now();
     let mut stakker = Stakker::new(start);
     let poll = Poll::new().expect("a poller");
@@ -40,15 +64,8 @@
     let new = NewExchange {
         exchange: ExchangeId(1),
         address,
-        request: Some(Request::new("POST", "/once", Vec::new())),
-        options: ExchangeOptions {
-            match_header: None,
-            reuse_idle_below: Duration::ZERO,
-            connect_timeout: SETTLE * 2,
-            settle: SETTLE,
-            timeout: SETTLE * 2,
-            renewed: false,
-        },
+        request: Some(Request::new("POST", "/once", body)),
+        options,
     };
     outbound.start_on_new(source, new, start);
     let (peer, _) = listener.accept().expect("the connection");
@@ -144,3 +161,214 @@
     });
     expect_that!(timed_out, is_reset);
 }
+
+/// Far more than the kernel takes for a connection that nobody reads from.
+const LARGE_BODY: usize = 32 << 20;
+
+/// An exchange with a large body that was written as far as the kernel took it.
+fn half_written(write_timeout: Option<Duration>) -> Fixture {
+    let mut fixture = fixture_with(
+        vec![b'x'; LARGE_BODY],
+        ExchangeOptions {
+            write_timeout,
+            ..unsettled()
+        },
+    );
+    let mut inputs = Vec::new();
+    let mut buffer = [0; 1];
+    fixture.peer.set_nonblocking(true).expect("a socket");
+    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
+        fixture
+            .outbound
+            .ready(fixture.key, fixture.start, &mut inputs);
+    }
+    expect_that!(inputs, is_empty());
+    fixture
+}
+
+/// How the exchange ends by what is done to it.
+fn end_of(
+    fixture: &mut Fixture,
+    mut cause: impl FnMut(&mut Fixture, &mut Vec<Input>),
+) -> ExchangeFailure {
+    let mut inputs = Vec::new();
+    while inputs.is_empty() {
+        cause(fixture, &mut inputs);
+    }
+    match inputs.remove(0) {
+        Input::Exchanged {
+            result: Err(failure),
+            ..
+        } => failure,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn poll(fixture: &mut Fixture, inputs: &mut Vec<Input>) {
+    fixture.outbound.ready(fixture.key, fixture.start, inputs);
+}
+
+/// The other side closes with bytes unread, which resets the connection.
+fn replace_peer(fixture: &mut Fixture) -> std::net::TcpStream {
+    let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = other.local_addr().expect("an address");
+    let stand_in = std::net::TcpStream::connect(address).expect("a connection");
+    std::mem::replace(&mut fixture.peer, stand_in)
+}
+
+#[gtest]
+fn a_reset_before_the_last_byte_was_written_proves_that_the_request_never_ran() {
+    let mut fixture = half_written(None);
+    drop(replace_peer(&mut fixture));
+    let failure = end_of(&mut fixture, poll);
+    expect_that!(
+        failure,
+        eq(ExchangeFailure::Incomplete { timed_out: false })
+    );
+    expect_that!(failure.proves_not_run(), eq(true));
+    expect_that!(failure.proves_not_sent(), eq(false));
+}
+
+#[gtest]
+fn a_close_of_the_other_side_before_the_last_byte_proves_the_same() {
+    let mut fixture = half_written(None);
+    fixture
+        .peer
+        .shutdown(std::net::Shutdown::Write)
+        .expect("a connection");
+    let failure = end_of(&mut fixture, poll);
+    expect_that!(
+        failure,
+        eq(ExchangeFailure::Incomplete { timed_out: false })
+    );
+}
+
+#[gtest]
+fn a_reset_after_the_last_byte_proves_nothing() {
+    let mut fixture = fixture_with(Vec::new(), unsettled());
+    let mut inputs = Vec::new();
+    let mut buffer = [0; 1];
+    fixture.peer.set_nonblocking(true).expect("a socket");
+    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
+        poll(&mut fixture, &mut inputs);
+    }
+    drop(replace_peer(&mut fixture));
+    expect_that!(end_of(&mut fixture, poll), eq(ExchangeFailure::Lost));
+}
+
+/// An instance that answers before it has the whole request may have done something.
+#[gtest]
+fn a_reset_after_an_answer_began_proves_nothing() {
+    let mut fixture = half_written(None);
+    fixture.peer.set_nonblocking(false).expect("a socket");
+    fixture
+        .peer
+        .write_all(b"HTTP/1.1 200 OK\r\n")
+        .expect("a connection");
+    // Loopback delivers in order: the bytes are there before the end.
+    fixture
+        .peer
+        .shutdown(std::net::Shutdown::Write)
+        .expect("a connection");
+    expect_that!(end_of(&mut fixture, poll), eq(ExchangeFailure::Lost));
+}
+
+#[gtest]
+fn an_instance_that_reads_nothing_until_the_time_for_writing_is_over_never_runs_the_request() {
+    let mut fixture = half_written(Some(SETTLE));
+    let at = fixture.start + SETTLE;
+    expect_that!(fixture.outbound.next_deadline(), some(eq(at)));
+    let failure = end_of(&mut fixture, |fixture, inputs| {
+        fixture.outbound.expire(at, inputs);
+        assert!(!inputs.is_empty(), "the exchange goes on");
+    });
+    expect_that!(failure, eq(ExchangeFailure::Incomplete { timed_out: true }));
+    expect_that!(fixture.outbound.next_deadline(), none());
+    // Nothing of it is left to arrive: what comes is the reset.
+    let mut rest = Vec::new();
+    fixture.peer.set_nonblocking(false).expect("a socket");
+    let end = fixture.peer.read_to_end(&mut rest);
+    expect_that!(
+        end.map_err(|error| error.kind()),
+        err(eq(ErrorKind::ConnectionReset))
+    );
+    expect_that!(rest.len(), lt(LARGE_BODY));
+}
+
+#[gtest]
+fn a_request_that_is_written_in_time_waits_for_its_answer() {
+    let mut fixture = fixture_with(
+        Vec::new(),
+        ExchangeOptions {
+            write_timeout: Some(SETTLE),
+            ..unsettled()
+        },
+    );
+    let mut inputs = Vec::new();
+    let mut buffer = [0; 1];
+    fixture.peer.set_nonblocking(true).expect("a socket");
+    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
+        poll(&mut fixture, &mut inputs);
+    }
+    fixture.outbound.expire(fixture.start + SETTLE, &mut inputs);
+    expect_that!(inputs, is_empty());
+    fixture
+        .outbound
+        .expire(fixture.start + SETTLE * 2, &mut inputs);
+    let timed_out = matches!(
+        inputs[0],
+        Input::Exchanged {
+            result: Err(ExchangeFailure::TimedOut),
+            ..
+        }
+    );
+    expect_that!(timed_out, eq(true));
+}
+
+/// A kept connection that the other side has closed meanwhile.
+#[gtest]
+fn a_kept_connection_that_is_found_closed_proves_that_nothing_was_sent() {
+    let mut fixture = fixture_with(Vec::new(), unsettled());
+    let mut inputs = Vec::new();
+    let mut buffer = [0; 1];
+    fixture.peer.set_nonblocking(true).expect("a socket");
+    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
+        poll(&mut fixture, &mut inputs);
+    }
+    let mut request = [0; 4_096];
+    fixture.peer.read(&mut request).expect("the request");
+    fixture
+        .peer
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .expect("a connection");
+    while inputs.is_empty() {
+        poll(&mut fixture, &mut inputs);
+    }
+    inputs.clear();
+    let address = fixture.peer.local_addr().expect("an address");
+    fixture
+        .peer
+        .shutdown(std::net::Shutdown::Write)
+        .expect("a connection");
+    let again = NewExchange {
+        exchange: ExchangeId(2),
+        address,
+        request: Some(Request::new("POST", "/once", Vec::new())),
+        options: ExchangeOptions {
+            reuse_idle_below: SETTLE,
+            ..unsettled()
+        },
+    };
+    let started = fixture
+        .outbound
+        .start_on_kept(Box::new(again), fixture.start, &mut inputs);
+    expect_that!(started.is_ok(), eq(true));
+    let not_sent = matches!(
+        inputs.first(),
+        Some(Input::Exchanged {
+            result: Err(ExchangeFailure::NotConnected),
+            ..
+        })
+    );
+    expect_that!(not_sent, eq(true));
+}
