Outbound: an exchange that ends before its last byte is written has not run

Cause: a connection that ended once some byte was written counted as `Lost`, and a request whose bytes were still held at the time-out as `TimedOut`, though the instance had no whole request and, after the reset, never will.

Ruled out: counting bytes that the kernel holds; they may arrive before the reset. An exchange whose answer has begun proves nothing either.

Change: `Incomplete` from the unwritten rest of the stream; `write_timeout` is one more deadline, at which an exchange with unwritten bytes ends. Nobody sets it yet.

--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -42,6 +42,8 @@
     write_at: Option<Instant>,
     settle: Duration,
     connect_by: Instant,
+    /// When the whole request must be written, if that is bounded.
+    write_by: Option<Instant>,
     answer_by: Instant,
     /// The time that each part of the answer begins anew.
     renewed_by: Option<Duration>,
@@ -180,18 +182,14 @@
             if connection.generation != key.generation {
                 continue;
             }
-            if connection.connected && running.answer_by > now {
+            if connection.connected && running.answer_by > now && !connection.is_unsent(now) {
                 self.deadlines.insert((running.answer_by, key));
                 if running.write_at == Some(at) {
                     self.progress(key.index, now, inputs);
                 }
                 continue;
             }
-            let failure = if connection.connected {
-                ExchangeFailure::TimedOut
-            } else {
-                ExchangeFailure::NotConnected
-            };
+            let failure = connection.time_out_failure();
             self.fail(key.index, failure, inputs);
         }
     }
@@ -248,6 +246,7 @@
         let method = new.request.as_ref().map(|request| request.method.clone());
         let method = method.unwrap_or_default();
         let connect_by = now + new.options.connect_timeout;
+        let write_by = new.options.write_timeout.map(|time| now + time);
         let answer_by = now + new.options.timeout;
         let first_deadline = if connection.connected {
             answer_by
@@ -273,11 +272,15 @@
             write_at: None,
             settle: new.options.settle,
             connect_by,
+            write_by,
             answer_by,
             renewed_by: new.options.renewed.then_some(new.options.timeout),
         });
         self.by_exchange.insert(new.exchange, index);
         self.deadlines.insert((first_deadline, key));
+        if let Some(write_by) = write_by {
+            self.deadlines.insert((write_by, key));
+        }
     }
 
     /// Moves bytes, and the exchange with them.
@@ -412,16 +415,16 @@
     }
 
     /// The connection ended without an answer: proof that nothing ran only if
-    /// no byte of the request was written.
+    /// the last byte of the request was not written.
     fn fail_lost(&mut self, index: usize, inputs: &mut Vec<Input>) {
-        let wrote = self
-            .connections
-            .get(index)
-            .is_some_and(|connection| connection.stream.wrote_any());
-        let failure = if wrote {
-            ExchangeFailure::Lost
-        } else {
-            ExchangeFailure::NotConnected
+        let Some(connection) = self.connections.get(index) else {
+            return;
+        };
+        let stream = &connection.stream;
+        let failure = match (stream.wrote_any(), stream.is_incomplete()) {
+            (false, _) => ExchangeFailure::NotConnected,
+            (true, true) => ExchangeFailure::Incomplete { timed_out: false },
+            (true, false) => ExchangeFailure::Lost,
         };
         self.fail(index, failure, inputs);
     }
@@ -518,8 +521,8 @@
     }
 
     fn forget_deadlines(&mut self, key: ConnectionKey, running: &Running) {
-        let write_at = running.write_at.into_iter();
-        for at in write_at.chain([running.answer_by, running.connect_by]) {
+        let writing = running.write_at.into_iter().chain(running.write_by);
+        for at in writing.chain([running.answer_by, running.connect_by]) {
             self.deadlines.remove(&(at, key));
         }
     }
@@ -534,6 +537,26 @@
             .is_some_and(|write_at| now < write_at)
     }
 
+    /// Whether the time for writing is over and the request is not whole at the receiver.
+    fn is_unsent(&self, now: Instant) -> bool {
+        let running = self.running.as_ref();
+        let is_over = running
+            .and_then(|running| running.write_by)
+            .is_some_and(|write_by| write_by <= now);
+        is_over && self.stream.is_incomplete()
+    }
+
+    /// What it proves that the time is over.
+    fn time_out_failure(&self) -> ExchangeFailure {
+        if !self.connected {
+            ExchangeFailure::NotConnected
+        } else if self.stream.is_incomplete() {
+            ExchangeFailure::Incomplete { timed_out: true }
+        } else {
+            ExchangeFailure::TimedOut
+        }
+    }
+
     fn is_fresh(&self, below: Duration, now: Instant) -> bool {
         let kept = self.keep_until.is_none_or(|until| now < until);
         kept && now.duration_since(self.idle_since) < below
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -36,6 +36,8 @@
     written: usize,
     wrote_any: bool,
     read_any: bool,
+    /// Whether a byte was read since the current message began.
+    is_answered: bool,
     end: Option<StreamEnd>,
 }
 
@@ -48,6 +50,7 @@
             written: 0,
             wrote_any: false,
             read_any: false,
+            is_answered: false,
             end: None,
         }
     }
@@ -77,6 +80,7 @@
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
                     self.read_any = true;
+                    self.is_answered = true;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -120,9 +124,17 @@
         self.output.is_empty()
     }
 
-    /// From now on `wrote_any` tells of a new message.
+    /// From now on `wrote_any` and `is_incomplete` are about a new message.
     pub(crate) fn begin_message(&mut self) {
         self.wrote_any = false;
+        self.is_answered = false;
+    }
+
+    /// Whether the current message can't have been acted on: its last byte is still here,
+    /// and the other side has sent nothing since it began. What the kernel holds doesn't
+    /// count, since it may arrive later.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        !self.is_flushed() && !self.is_answered
     }
 
     /// Whether a byte of the current message was written.
