--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -13,7 +13,7 @@
 };
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
-use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, Input};
+use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::record::OwnershipRecord;
@@ -276,6 +276,8 @@
     /// The path of a client's request, or the mark of an order.
     pub target: String,
     pub at: Timestamp,
+    /// How it is carried out; nothing of a probe.
+    pub options: Option<ExchangeOptions>,
 }
 
 /// A node and what it has done.
@@ -567,6 +569,7 @@
                     address,
                     target: String::new(),
                     at: self.now,
+                    options: None,
                 });
                 None
             }
@@ -580,13 +583,14 @@
                 exchange,
                 address,
                 request,
-                ..
+                options,
             } => {
                 self.attempts.push(Sent {
                     exchange,
                     address,
                     target: request.target,
                     at: self.now,
+                    options: Some(options),
                 });
                 None
             }
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/incomplete.rs
@@ -0,0 +1,181 @@
+//! Requests that no instance has received whole.
+
+use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_record};
+use googletest::prelude::*;
+use ledgelead_http::Response;
+use ledgelead_router::configuration::{Repeatability, Route};
+use ledgelead_router::identity::{InstanceId, ServiceName};
+use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use std::sync::Arc;
+
+/// A node with two instances of the service without keys and an owner of all keys;
+/// requests run at most once.
+fn node() -> Fixture {
+    let mut store = Store::default();
+    let mut once = configuration(1);
+    for route in &mut once.routes {
+        *route = Arc::new(Route {
+            repeatability: Repeatability::Once,
+            ..(**route).clone()
+        });
+    }
+    store.configure(once);
+    store.add_instance(instance(1, SERVICE));
+    store.add_instance(instance(2, SERVICE));
+    store.add_instance(instance(3, KEYED));
+    for number in 0..3 {
+        store.add_node(node_record(number));
+    }
+    store.own(OwnershipRecord {
+        epoch: 4,
+        coordinator: Some(node_record(1).identity),
+        next_fence: 9,
+        assignments: vec![Assignment {
+            service: ServiceName::from(KEYED),
+            first: 0,
+            last: u16::MAX,
+            owner: InstanceId::from("i-3"),
+            fence: 3,
+        }],
+        ..OwnershipRecord::default()
+    });
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(900));
+    fixture.attempts.clear();
+    fixture
+}
+
+fn signed() -> Response {
+    let mut response = Response::new(200, "");
+    response.headers.push("signature", "s");
+    response
+}
+
+fn end_last(fixture: &mut Fixture, failure: ExchangeFailure) {
+    let exchange = fixture.attempts.last().expect("an attempt").exchange;
+    fixture.end(exchange, Err(failure));
+}
+
+/// Status and reason of the only answer.
+fn answer(fixture: &Fixture) -> (u16, String) {
+    assert_eq!(fixture.answers.len(), 1);
+    let (_, response) = &fixture.answers[0];
+    let reason = String::from_utf8(response.body.clone()).expect("a reason");
+    (response.status, reason)
+}
+
+#[gtest]
+fn an_incomplete_request_that_runs_at_most_once_goes_to_another_instance() {
+    let mut fixture = node();
+    fixture.upload(SERVICE, None, 60_000);
+    end_last(
+        &mut fixture,
+        ExchangeFailure::Incomplete { timed_out: false },
+    );
+    expect_that!(fixture.attempts.len(), eq(2));
+    expect_that!(
+        fixture.attempts[0].address,
+        not(eq(fixture.attempts[1].address))
+    );
+    fixture.answer(fixture.attempts[1].exchange, signed());
+    expect_that!(fixture.answers[0].1.status, eq(200));
+}
+
+/// Both instances have received a part of it, which are all that the route allows.
+#[gtest]
+fn an_incomplete_request_counts_as_an_attempt_and_is_refused_as_not_run() {
+    let mut fixture = node();
+    fixture.upload(SERVICE, None, 60_000);
+    end_last(
+        &mut fixture,
+        ExchangeFailure::Incomplete { timed_out: false },
+    );
+    end_last(
+        &mut fixture,
+        ExchangeFailure::Incomplete { timed_out: false },
+    );
+    expect_that!(fixture.attempts.len(), eq(2));
+    expect_that!(answer(&fixture), eq(&(503, "rejected".to_owned())));
+}
+
+#[gtest]
+fn an_owner_that_received_a_part_is_asked_again_after_a_pause() {
+    let mut fixture = node();
+    fixture.upload(KEYED, Some(7), 60_000);
+    end_last(
+        &mut fixture,
+        ExchangeFailure::Incomplete { timed_out: false },
+    );
+    expect_that!(fixture.attempts.len(), eq(1));
+    fixture.run_until(fixture.now + ms(61));
+    expect_that!(fixture.attempts.len(), eq(2));
+    fixture.answer(fixture.attempts[1].exchange, signed());
+    expect_that!(fixture.answers[0].1.status, eq(200));
+}
+
+#[gtest]
+fn a_request_that_could_not_be_written_in_time_is_refused_as_not_sent() {
+    for (service, key) in [(SERVICE, None), (KEYED, Some(7))] {
+        let mut fixture = node();
+        fixture.upload(service, key, 60_000);
+        let asked = fixture.now;
+        let options = fixture.attempts[0].options.as_ref().expect("an exchange");
+        // Before the node answers by itself at the end of the route's 2 s.
+        let write_timeout = options.write_timeout.expect("a bound");
+        expect_that!(write_timeout, all![ge(ms(1_950)), lt(ms(2_000))]);
+        fixture.run_until(asked + write_timeout);
+        expect_that!(fixture.answers, is_empty());
+        end_last(
+            &mut fixture,
+            ExchangeFailure::Incomplete { timed_out: true },
+        );
+        expect_that!(fixture.attempts.len(), eq(1));
+        expect_that!(answer(&fixture), eq(&(503, "not_sent_in_time".to_owned())));
+    }
+}
+
+/// What an earlier attempt may have done stays true.
+#[gtest]
+fn an_incomplete_attempt_does_not_hide_an_earlier_one_that_may_have_run() {
+    let mut fixture = node();
+    let idempotent = configuration(1);
+    fixture.store.configure(idempotent);
+    let mut fixture = Fixture::new(fixture.store);
+    fixture.run_until(ms(900));
+    fixture.attempts.clear();
+    fixture.upload(SERVICE, None, 60_000);
+    end_last(&mut fixture, ExchangeFailure::Lost);
+    expect_that!(fixture.attempts.len(), eq(2));
+    end_last(
+        &mut fixture,
+        ExchangeFailure::Incomplete { timed_out: true },
+    );
+    expect_that!(answer(&fixture), eq(&(502, "answer_lost".to_owned())));
+}
+
+/// Requests that are suspected once an upload has ended like this and its instance then
+/// refuses connections.
+fn suspected_after(failure: ExchangeFailure) -> usize {
+    let mut fixture = node();
+    fixture.upload(SERVICE, None, 60_000);
+    let ended = fixture.attempts[0].address;
+    end_last(&mut fixture, failure);
+    for _ in 0..20 {
+        fixture.ask(SERVICE, None);
+        let sent = fixture.attempts.pop().expect("an attempt");
+        if sent.address == ended {
+            fixture.end(sent.exchange, Err(ExchangeFailure::Refused));
+            return fixture.node.status().suspected;
+        }
+        fixture.answer(sent.exchange, signed());
+    }
+    panic!("the instance gets no more requests");
+}
+
+#[gtest]
+fn the_end_of_an_instance_under_a_part_of_a_request_accuses_nobody() {
+    expect_that!(suspected_after(ExchangeFailure::Lost), eq(1));
+    let incomplete = ExchangeFailure::Incomplete { timed_out: false };
+    expect_that!(suspected_after(incomplete), eq(0));
+}
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod fixture;
 mod former_coordinator;
+mod incomplete;
 mod open_requests;
 mod outage;
 mod overload;
