Requests that no instance has received whole end as 503 or go to another instance

Cause: an attempt that ended before its last byte was written was judged as one that may have run: 502 after a lost connection, 504 at the time-out, and a request that runs at most once was not sent again. Where connections take longer than the time that is left, the node's own timer and the connection's had the same deadline, so chance decided between 503 and 504.

Ruled out: giving the attempt back like one that was never sent; the instance has received a part, so it counts against `maxAttempts` and the retry budget. Orders to instances keep the stricter proof (`proves_not_sent`).

Change: `Verdict::Incomplete`; it accuses no request of ending an instance, and still counts as a connection that had been forgotten. Attempts end 10 ms before their time if they are not written, half of the rest if there is less: 503 `not_sent_in_time`.

One of the new tests ended an order of the node, which had become coordinator, in place of the upload, and failed for that alone; it now names the exchange and is as strict.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug)]
 pub struct ExchangeOptions {
     /// Answers that carry another value in this header are not the answer.
-    pub match_header: Option<(String, Vec<u8>)>,
+    pub match_header: Option<(Box<str>, Box<[u8]>)>,
     /// A kept connection may be used if it was idle for less than this.
     pub reuse_idle_below: Duration,
     /// Time for a new connection to come up.
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -25,6 +25,9 @@
 const REUSE_IDLE: Duration = Duration::from_secs(7);
 /// The same for requests that can't be sent again after such a close.
 const REUSE_IDLE_ONCE: Duration = Duration::from_secs(3);
+/// How long before the end of its time a request that is not written whole is given up, so
+/// that the client is still there to learn that it has not run.
+pub(super) const WRITE_MARGIN: Duration = Duration::from_millis(10);
 /// How long a new connection is watched before a request that runs at most once is
 /// written. A reset follows the connection by some tenths of a millisecond; what is
 /// written before it may have run for all that this node knows.
@@ -237,6 +240,11 @@
                 let again = Some(context.now + MISDIRECTED_PAUSE);
                 open.misdirection = Misdirection::at(&attempt.instance, assignment, again);
             }
+            Verdict::Incomplete { .. } => {
+                // The instance stays tried: it has received a part.
+                let again = Some(context.now + MISDIRECTED_PAUSE);
+                open.misdirection = Misdirection::at(&attempt.instance, assignment, again);
+            }
             Verdict::Rejected { misdirected, ended } => {
                 open.rejected = true;
                 if ended {
@@ -280,7 +288,7 @@
         let not_executed = &context.headers.not_executed;
         let ran = match result {
             Ok(response) => response.headers.get(not_executed).is_none(),
-            Err(failure) => !failure.proves_not_sent(),
+            Err(failure) => !failure.proves_not_run(),
         };
         if keyed && ran {
             let took = context.now.saturating_sub(attempt.sent);
@@ -346,7 +354,11 @@
         let prompt = now.saturating_sub(attempt.sent) <= PROMPT_LOSS;
         match result {
             Ok(_) => self.rest_limit.answered(rested, now),
-            Err(ExchangeFailure::Lost) if prompt => self.rest_limit.lost(rested, now),
+            Err(ExchangeFailure::Lost | ExchangeFailure::Incomplete { timed_out: false })
+                if prompt =>
+            {
+                self.rest_limit.lost(rested, now);
+            }
             Err(_) => {}
         }
     }
@@ -401,17 +413,18 @@
         REUSE_IDLE_ONCE
     };
     let left = open.due.saturating_sub(context.now);
+    let write_timeout = left - WRITE_MARGIN.min(left / 2);
     let header = &context.headers.attempt_id;
     let match_header = open
         .request
         .headers
         .get(header)
-        .map(|value| (header.clone(), value.to_vec()));
+        .map(|value| (header.as_str().into(), value.into()));
     ExchangeOptions {
         match_header,
         reuse_idle_below: rest_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
-        connect_timeout: CONNECT_TIMEOUT.min(left),
-        write_timeout: None,
+        connect_timeout: CONNECT_TIMEOUT.min(write_timeout),
+        write_timeout: Some(write_timeout),
         // Sent again, an idempotent request loses less than by waiting.
         settle: if open.is_idempotent() {
             Duration::ZERO
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -1,6 +1,6 @@
 //! How requests wait and end.
 
-use super::attempts::{CUT_AT_TIMEOUT, tell_ended};
+use super::attempts::{CUT_AT_TIMEOUT, WRITE_MARGIN, tell_ended};
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
@@ -9,6 +9,7 @@
 use crate::io::{Action, ClientId};
 use crate::requests::answers::{Refusal, refusal};
 use crate::requests::open_request::OpenRequest;
+use crate::requests::outcome::Verdict;
 use crate::requests::refusal_share::return_after;
 use crate::whole_millis;
 use ledgelead_http::{Request, Response};
@@ -105,6 +106,34 @@
                 exchange: attempt.exchange,
             });
         }
+        self.refuse_unsent(client, context, out);
+    }
+
+    /// Whether an attempt ended unsent because the time for sending was over: what took too
+    /// long once leaves no time for another connection.
+    pub(super) fn is_unsent_in_time(
+        &self,
+        client: ClientId,
+        verdict: &Verdict,
+        context: &RequestContext<'_>,
+    ) -> bool {
+        match verdict {
+            Verdict::Incomplete { timed_out } => *timed_out,
+            Verdict::NeverSent { refused: false } => self
+                .open
+                .get(&client)
+                .is_some_and(|open| open.due <= context.now + WRITE_MARGIN),
+            _ => false,
+        }
+    }
+
+    /// The final answer where no time is left to send the request.
+    pub(super) fn refuse_unsent(
+        &mut self,
+        client: ClientId,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
         let reason = self
             .open
             .get(&client)
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -376,6 +376,10 @@
                 self.counters.relayed += 1;
                 self.finish(client, relayed(response), out);
             }
+            unsent if self.is_unsent_in_time(client, &unsent, context) => {
+                self.attempt_failed(client, &attempt, unsent, context);
+                self.refuse_unsent(client, context, out);
+            }
             other => {
                 self.attempt_failed(client, &attempt, other, context);
                 self.advance(client, context, out);
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -3,6 +3,9 @@
 //! | end of the attempt | proves | idempotent | once only |
 //! |---|---|---|---|
 //! | no connection came up | not run | sent again | sent again |
+//! | none came up in the time for sending | not run | 503 | 503 |
+//! | last byte never written, no answer begun | not run | sent again | sent again |
+//! | last byte not written in time | not run | 503 | 503 |
 //! | answer with "not executed", or 421 | not run | sent again | sent again |
 //! | other whole answer | run | relayed | relayed |
 //! | answer with a failure of the instance (5xx, not 504) | run | sent again, else relayed | relayed |
@@ -13,6 +16,10 @@
 //! "Sent again" holds within the attempts of the route, the retry budget and
 //! the time that is left. Without them, a request that is proved not to have
 //! run is answered 503, any other 502 or 504.
+//!
+//! A request whose last byte was never written proves this by HTTP's framing: an instance
+//! begins a request once it is whole. The connection is reset, so that what the kernel
+//! holds doesn't arrive later either; the last byte never left this process.
 
 use crate::dialect::HeaderNames;
 use crate::identity::InstanceId;
@@ -32,6 +39,11 @@
         /// The connection was refused at once.
         refused: bool,
     },
+    /// An instance received a part of the request, and never receives the rest.
+    Incomplete {
+        /// The time for sending it is over.
+        timed_out: bool,
+    },
     /// An instance received the request and did not run it.
     Rejected {
         /// It is another instance, or doesn't hold the key.
@@ -54,6 +66,8 @@
             Verdict::Failed(_) => "failed",
             Verdict::NeverSent { refused: true } => "connection_refused",
             Verdict::NeverSent { refused: false } => "never_sent",
+            Verdict::Incomplete { timed_out: true } => "unsent_in_time",
+            Verdict::Incomplete { timed_out: false } => "incomplete",
             Verdict::Rejected { ended: true, .. } => "instance_ended",
             Verdict::Rejected {
                 misdirected: true, ..
@@ -76,6 +90,7 @@
         Err(failure) if failure.proves_not_sent() => Verdict::NeverSent {
             refused: failure == ExchangeFailure::Refused,
         },
+        Err(ExchangeFailure::Incomplete { timed_out }) => Verdict::Incomplete { timed_out },
         Err(failure) => Verdict::Unknown {
             timed_out: failure == ExchangeFailure::TimedOut,
         },
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -498,6 +498,17 @@
 
     /// The same with a body.
     pub fn upload(&mut self, service: &str, key: Option<u16>, body_bytes: usize) -> ClientId {
+        self.upload_within(service, key, body_bytes, None)
+    }
+
+    /// The same of a client that perhaps leaves after a time.
+    pub fn upload_within(
+        &mut self,
+        service: &str,
+        key: Option<u16>,
+        body_bytes: usize,
+        deadline: Option<Duration>,
+    ) -> ClientId {
         self.last_client += 1;
         let client = ClientId(self.last_client);
         let mut request = Request::new("GET", format!("/{service}/1"), vec![0; body_bytes]);
@@ -507,6 +518,10 @@
         if let Some(key) = key {
             request.headers.push("key", key.to_string());
         }
+        if let Some(deadline) = deadline {
+            let deadline = deadline.as_millis().to_string();
+            request.headers.push("deadline", deadline);
+        }
         self.step(Input::Request {
             client,
             source: CALLER,
--- a/crates/ledgelead-router/tests/node/incomplete.rs
+++ b/crates/ledgelead-router/tests/node/incomplete.rs
@@ -114,25 +114,50 @@
     expect_that!(fixture.answers[0].1.status, eq(200));
 }
 
+/// One that takes its whole time without being sent: its exchange ends like this, before
+/// the node answers by itself at the end of the route's 2 s.
+fn check_unsent_in_time(service: &str, key: Option<u16>, end: ExchangeFailure) {
+    let mut fixture = node();
+    fixture.upload(service, key, 60_000);
+    let asked = fixture.now;
+    let exchange = fixture.attempts[0].exchange;
+    let options = fixture.attempts[0].options.as_ref();
+    let write_timeout = options.and_then(|options| options.write_timeout);
+    let write_timeout = write_timeout.expect("a bound");
+    expect_that!(write_timeout, all![ge(ms(1_950)), lt(ms(2_000))]);
+    fixture.run_until(asked + write_timeout);
+    expect_that!(fixture.answers, is_empty());
+    fixture.end(exchange, Err(end));
+    // Orders of a coordinator go to instances as well.
+    let path = format!("/{service}/1");
+    let uploads = fixture.attempts.iter().filter(|sent| sent.target == path);
+    expect_that!(uploads.count(), eq(1));
+    expect_that!(answer(&fixture), eq(&(503, "not_sent_in_time".to_owned())));
+}
+
 #[gtest]
 fn a_request_that_could_not_be_written_in_time_is_refused_as_not_sent() {
-    for (service, key) in [(SERVICE, None), (KEYED, Some(7))] {
-        let mut fixture = node();
-        fixture.upload(service, key, 60_000);
-        let asked = fixture.now;
-        let options = fixture.attempts[0].options.as_ref().expect("an exchange");
-        // Before the node answers by itself at the end of the route's 2 s.
-        let write_timeout = options.write_timeout.expect("a bound");
-        expect_that!(write_timeout, all![ge(ms(1_950)), lt(ms(2_000))]);
-        fixture.run_until(asked + write_timeout);
-        expect_that!(fixture.answers, is_empty());
-        end_last(
-            &mut fixture,
-            ExchangeFailure::Incomplete { timed_out: true },
-        );
-        expect_that!(fixture.attempts.len(), eq(1));
-        expect_that!(answer(&fixture), eq(&(503, "not_sent_in_time".to_owned())));
-    }
+    let unsent = ExchangeFailure::Incomplete { timed_out: true };
+    check_unsent_in_time(SERVICE, None, unsent);
+    check_unsent_in_time(KEYED, Some(7), unsent);
+}
+
+#[gtest]
+fn a_connection_that_did_not_come_up_in_time_is_not_sent() {
+    check_unsent_in_time(SERVICE, None, ExchangeFailure::NotConnected);
+    check_unsent_in_time(KEYED, Some(7), ExchangeFailure::NotConnected);
+}
+
+/// The client of the last request leaves after some milliseconds: a new connection gets a
+/// part of that, and its end leaves time to say so.
+#[gtest]
+fn a_request_with_little_time_gets_half_of_it_to_be_sent() {
+    let mut fixture = node();
+    fixture.upload_within(SERVICE, None, 0, Some(ms(23)));
+    let options = fixture.attempts[0].options.as_ref().expect("an exchange");
+    // Of the 23 ms, 15 are for the answer's way to the client.
+    expect_that!(options.write_timeout, some(eq(ms(4))));
+    expect_that!(options.connect_timeout, eq(ms(4)));
 }
 
 /// What an earlier attempt may have done stays true.
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -60,6 +60,12 @@
         matches!(refused, Verdict::NeverSent { refused: true }),
         eq(true)
     );
+    for timed_out in [false, true] {
+        let incomplete = verdict(Err(ExchangeFailure::Incomplete { timed_out }));
+        let expected =
+            matches!(incomplete, Verdict::Incomplete { timed_out: judged } if judged == timed_out);
+        expect_that!(expected, eq(true));
+    }
     for failure in [
         ExchangeFailure::Lost,
         ExchangeFailure::TimedOut,
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -34,7 +34,7 @@
     is_probe: bool,
     method: String,
     reader: ResponseReader,
-    match_header: Option<(String, Vec<u8>)>,
+    match_header: Option<(Box<str>, Box<[u8]>)>,
     surplus: u32,
     /// How long its connection had rested before it; nothing on a new one.
     rested: Duration,
@@ -567,7 +567,7 @@
     fn is_answered_by(&self, response: &Response) -> bool {
         match &self.match_header {
             None => true,
-            Some((name, value)) => response.headers.get(name) == Some(value),
+            Some((name, value)) => response.headers.get(name) == Some(value.as_ref()),
         }
     }
 
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -336,7 +336,8 @@
         poll(&mut fixture, &mut inputs);
     }
     let mut request = [0; 4_096];
-    fixture.peer.read(&mut request).expect("the request");
+    let count = fixture.peer.read(&mut request).expect("the request");
+    expect_that!(request[..count].ends_with(b"\r\n\r\n"), eq(true));
     fixture
         .peer
         .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
