Figures: bytes by purpose and zone

Cause: what a node costs between zones could only be told from the platform's bill, not by what it was for.

Change: `ZoneTraffic` counts datagrams by kind, exchanges with the store, orders, and clients' requests with their answers, each by whether the other side is in this node's zone; `ledgelead_zone_bytes_total{direction,purpose,other_zone}` and `zone_bytes` in `stops`. The registry keeps the zones of its nodes by address. Lengths are summed up without encoding or allocating (`request_bytes`, `response_bytes`), checked against the writers.

Ruled out: asking the runtime for the bytes that were really written; the decisions know neither partial writes nor the answer's framing, and the figures say so.

--- a/crates/ledgelead-http/src/lib.rs
+++ b/crates/ledgelead-http/src/lib.rs
@@ -9,12 +9,14 @@
 mod message;
 mod request_reader;
 mod response_reader;
+mod size;
 mod write;
 
 pub use framing::{BodyReader, FramingError};
 pub use message::{Header, Headers, Request, Response};
 pub use request_reader::{RequestError, RequestLimits, RequestProgress, RequestReader};
 pub use response_reader::{ResponseError, ResponseProgress, ResponseReader};
+pub use size::{request_bytes, response_bytes};
 pub use write::{reason_phrase, write_request, write_response};
 
 /// Most headers of one message.
--- a/crates/ledgelead-http/tests/codec.rs
+++ b/crates/ledgelead-http/tests/codec.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use ledgelead_http::{
     Request, RequestError, RequestLimits, RequestProgress, RequestReader, Response, ResponseError,
-    ResponseProgress, ResponseReader, write_request, write_response,
+    ResponseProgress, ResponseReader, request_bytes, response_bytes, write_request, write_response,
 };
 use proptest::prelude::*;
 
@@ -131,3 +131,26 @@
         let _ = read_response(&bytes);
     }
 }
+
+#[gtest]
+fn lengths_are_known_without_encoding() {
+    for method in ["GET", "POST", "DELETE"] {
+        for body in [0, 1, 9, 10, 60_000] {
+            let mut request = Request::new(method, "/a/b?c", vec![0; body]);
+            request.headers.push("host", "h");
+            request.headers.push("attempt", "one");
+            let mut written = Vec::new();
+            write_request(&request, &mut written);
+            expect_that!(request_bytes(&request), eq(written.len()));
+        }
+    }
+    for status in [200, 204, 304, 404, 503, 599] {
+        for body in [0, 10, 60_000] {
+            let mut response = Response::new(status, vec![0; body]);
+            response.headers.push("signature", "s");
+            let mut written = Vec::new();
+            write_response(&response, false, false, &mut written);
+            expect_that!(response_bytes(&response), eq(written.len()));
+        }
+    }
+}
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -4,6 +4,7 @@
 
 use crate::identity::{InstanceId, ServiceName};
 use crate::requests::RequestDigest;
+use crate::zone_traffic::ZoneTraffic;
 use log::Level;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -239,6 +240,8 @@
     Stops {
         /// Requests that are open.
         open: usize,
+        /// Bytes exchanged since the start.
+        zone_bytes: &'a ZoneTraffic,
     },
 }
 
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod requests;
 pub mod settings;
 pub mod store;
+pub mod zone_traffic;
 
 /// A time on the process's monotonic clock, counted from its start.
 pub type Timestamp = std::time::Duration;
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -101,6 +101,12 @@
         self.coordinator.as_mut()
     }
 
+    /// The instance that an order was sent to, while it has no answer.
+    pub(super) fn ordered(&self, exchange: ExchangeId) -> Option<&InstanceId> {
+        let (instance, _) = self.orders.get(&exchange)?;
+        Some(instance)
+    }
+
     /// Whether orders may be given now.
     pub(super) fn has_authority(&self, now: Timestamp) -> bool {
         let bounded = self.protections.has(Protection::BoundedAuthority);
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -179,7 +179,7 @@
                 return;
             }
         };
-        self.traffic.received(message.kind(), bytes.len());
+        self.count_received(from, message.kind(), bytes.len());
         match message {
             PeerMessage::CoordinatorHeartbeat(heartbeat) => {
                 self.heartbeat_received(from, &heartbeat, now, out);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod store_calls;
 mod watch_paces;
 mod zone_relay;
+mod zone_traffic;
 
 pub use status::NodeStatus;
 
@@ -31,6 +32,7 @@
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
 use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
+use crate::zone_traffic::ZoneTraffic;
 use coordination::Coordination;
 use gossip::Gossip;
 use load_hub::LoadHub;
@@ -64,6 +66,7 @@
     evacuations: Evacuations,
     quarantine: Quarantine,
     traffic: PeerTraffic,
+    zone_traffic: ZoneTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
 }
@@ -91,6 +94,7 @@
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
             traffic: PeerTraffic::default(),
+            zone_traffic: ZoneTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
             settings,
@@ -149,6 +153,7 @@
                 result,
                 rested,
             } => {
+                self.count_answer(exchange, &result);
                 if self.requests.owns(exchange) {
                     let (requests, mut context) = self.requests_and_context(now);
                     requests.exchanged(exchange, result, rested, &mut context, out);
@@ -177,14 +182,6 @@
         self.count_sent(&out[before..]);
     }
 
-    fn count_sent(&mut self, actions: &[Action]) {
-        for action in actions {
-            if let Action::Datagram { datagram, .. } = action {
-                self.traffic.sent(datagram);
-            }
-        }
-    }
-
     /// When `step` wants to be called with `Input::Deadline`.
     pub fn next_deadline(&self) -> Timestamp {
         self.next_deadlines()
@@ -285,6 +282,7 @@
         self.requests.begin_stopping();
         self.coordination.begin_resigning();
         let open = self.requests.len();
-        Event::Stops { open }.emit();
+        let zone_bytes = &self.zone_traffic;
+        Event::Stops { open, zone_bytes }.emit();
     }
 }
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -4,6 +4,7 @@
 use crate::ownership::coordinator::OwnershipCounters;
 use crate::peers::PeerTraffic;
 use crate::requests::{RequestCounters, RequestDigest};
+use crate::zone_traffic::ZoneTraffic;
 use std::collections::BTreeMap;
 
 /// What a node knows and has done.
@@ -46,6 +47,8 @@
     pub ends_counted: usize,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
+    /// Bytes exchanged with this zone and others.
+    pub zone_traffic: ZoneTraffic,
 }
 
 impl Node {
@@ -70,6 +73,7 @@
             suspected: self.quarantine.evidence.iter().count(),
             ends_counted: self.quarantine.evidence.ends(),
             traffic: self.traffic.clone(),
+            zone_traffic: self.zone_traffic.clone(),
         }
     }
 }
--- /dev/null
+++ b/crates/ledgelead-router/src/node/zone_traffic.rs
@@ -0,0 +1,91 @@
+//! Counts what this node exchanges with its own zone and with others.
+
+use super::Node;
+use crate::identity::{InstanceId, ZoneName};
+use crate::io::{Action, ExchangeFailure, ExchangeId};
+use crate::peers::Datagram;
+use crate::zone_traffic::{ORDERS, Place, REQUESTS, STORE};
+use ledgelead_http::{Request, Response, request_bytes, response_bytes};
+use std::net::SocketAddr;
+
+impl Node {
+    /// Counts what the actions of one step send.
+    pub(super) fn count_sent(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Datagram { address, datagram } => {
+                    self.count_datagram(*address, datagram);
+                }
+                Action::Exchange {
+                    exchange, request, ..
+                } => self.count_request(*exchange, request),
+                _ => {}
+            }
+        }
+    }
+
+    /// Counts a datagram that came.
+    pub(super) fn count_received(&mut self, from: SocketAddr, kind: &'static str, bytes: usize) {
+        self.traffic.received(kind, bytes);
+        let place = self.place_of_node(from);
+        self.zone_traffic.received(kind, place, bytes);
+    }
+
+    /// Counts an answer, before the exchange is forgotten.
+    pub(super) fn count_answer(
+        &mut self,
+        exchange: ExchangeId,
+        result: &Result<Response, ExchangeFailure>,
+    ) {
+        let Ok(response) = result else {
+            return;
+        };
+        if let Some((purpose, place)) = self.purpose_of(exchange) {
+            let bytes = response_bytes(response);
+            self.zone_traffic.received(purpose, place, bytes);
+        }
+    }
+
+    fn count_datagram(&mut self, address: SocketAddr, datagram: &Datagram) {
+        self.traffic.sent(datagram);
+        let place = self.place_of_node(address);
+        let bytes = datagram.bytes.len();
+        self.zone_traffic.sent(datagram.kind, place, bytes);
+    }
+
+    fn count_request(&mut self, exchange: ExchangeId, request: &Request) {
+        if let Some((purpose, place)) = self.purpose_of(exchange) {
+            let bytes = request_bytes(request);
+            self.zone_traffic.sent(purpose, place, bytes);
+        }
+    }
+
+    /// What an exchange is for and where it goes; nothing if it is forgotten.
+    fn purpose_of(&self, exchange: ExchangeId) -> Option<(&'static str, Place)> {
+        if let Some(instance) = self.requests.instance_of(exchange) {
+            return Some((REQUESTS, self.place_of_instance(instance)));
+        }
+        if self.store.owns(exchange) {
+            return Some((STORE, Place::Unknown));
+        }
+        let instance = self.coordination.ordered(exchange)?;
+        Some((ORDERS, self.place_of_instance(instance)))
+    }
+
+    fn place_of_instance(&self, id: &InstanceId) -> Place {
+        let instance = self.directory.get(id);
+        self.place_of(instance.map(|instance| &instance.record.zone))
+    }
+
+    fn place_of_node(&self, address: SocketAddr) -> Place {
+        self.place_of(self.registry.zone_at(address))
+    }
+
+    fn place_of(&self, zone: Option<&ZoneName>) -> Place {
+        match zone {
+            Some(zone) if *zone == self.settings.zone => Place::Own,
+            Some(_) => Place::Other,
+            None => Place::Unknown,
+        }
+    }
+}
--- a/crates/ledgelead-router/src/peers/registry.rs
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::identity::{NodeIdentity, NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What a node registers.
@@ -34,6 +34,8 @@
     nodes: BTreeMap<NodeName, Registration>,
     /// How many zones the nodes are in; each request asks for it.
     zones: u32,
+    /// The zones of nodes by address; each datagram asks for one.
+    by_address: HashMap<SocketAddr, ZoneName>,
 }
 
 impl Registry {
@@ -41,7 +43,7 @@
     pub fn replace_all(&mut self, registrations: Vec<Registration>) {
         let by_name = |known: Registration| (known.record.identity.node.clone(), known);
         self.nodes = registrations.into_iter().map(by_name).collect();
-        self.count_zones();
+        self.index_zones();
     }
 
     /// A registration was made or changed. An older one than is known changes
@@ -51,14 +53,14 @@
         let known = self.nodes.get(&node).map(|known| known.revision);
         if known.is_none_or(|known| known < registration.revision) {
             self.nodes.insert(node, registration);
-            self.count_zones();
+            self.index_zones();
         }
     }
 
     /// A registration is gone.
     pub fn remove(&mut self, node: &NodeName) {
         self.nodes.remove(node);
-        self.count_zones();
+        self.index_zones();
     }
 
     /// One node.
@@ -86,9 +88,19 @@
         self.zones
     }
 
-    fn count_zones(&mut self) {
+    /// The zone of the node at an address.
+    pub fn zone_at(&self, address: SocketAddr) -> Option<&ZoneName> {
+        self.by_address.get(&address)
+    }
+
+    fn index_zones(&mut self) {
         let zones: BTreeSet<&ZoneName> = self.iter().map(|record| &record.zone).collect();
         self.zones = u32::try_from(zones.len()).unwrap_or(u32::MAX);
+        let by_address = self
+            .iter()
+            .map(|record| (record.address, record.zone.clone()))
+            .collect();
+        self.by_address = by_address;
     }
 
     /// Whether there are none.
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -283,6 +283,13 @@
         self.by_exchange.contains_key(&exchange)
     }
 
+    /// The instance of an attempt that is out.
+    pub fn instance_of(&self, exchange: ExchangeId) -> Option<&InstanceId> {
+        let client = self.by_exchange.get(&exchange)?;
+        let attempt = self.open.get(client)?.attempt.as_ref()?;
+        Some(&attempt.instance)
+    }
+
     /// The next time at which a request needs a decision.
     pub fn next_deadline(&self) -> Option<Timestamp> {
         self.wake.first().map(|(at, _)| *at)
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -15,3 +15,4 @@
 mod snapshot;
 mod split;
 mod zone_relay;
+mod zone_traffic;
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use ledgelead_router::node::NodeStatus;
 use ledgelead_router::peers::PeerTraffic;
+use ledgelead_router::zone_traffic::ZoneTraffic;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +37,13 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ZoneLabel {
+    direction: &'static str,
+    purpose: &'static str,
+    other_zone: &'static str,
+}
+
 /// Writes the figures.
 pub(crate) fn render(status: &NodeStatus) -> String {
     let mut registry = Registry::with_prefix("ledgelead");
@@ -173,6 +181,7 @@
     register_quarantine(&mut registry, status);
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
+    register_zone_traffic(&mut registry, &status.zone_traffic);
     let mut text = String::new();
     // Writing to a string can't fail.
     let _ = encode(&mut text, &registry);
@@ -249,6 +258,28 @@
     registry.register("peer_bytes", "Bytes of datagrams between nodes", bytes);
 }
 
+fn register_zone_traffic(registry: &mut Registry, traffic: &ZoneTraffic) {
+    let bytes = Family::<ZoneLabel, Counter>::default();
+    for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
+        for (purpose, count) in counts {
+            let places = [
+                ("false", count.own),
+                ("true", count.other),
+                ("unknown", count.unknown),
+            ];
+            for (other_zone, count) in places {
+                let label = ZoneLabel {
+                    direction,
+                    purpose,
+                    other_zone,
+                };
+                bytes.get_or_create(&label).inc_by(count);
+            }
+        }
+    }
+    registry.register("zone_bytes", "Bytes by purpose and zone", bytes);
+}
+
 fn gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let gauge = Gauge::default();
     set(&gauge, value);
