Memory held for clients is bounded: bodies are refused unread, slow readers lose answers

Cause: nothing bounded what bodies of slow uploads and answers of slow readers take, and kept connections held the largest message that each had carried.

Change: `limits.memoryMb` of the settings file (`memory_limit`). Half of it may be held, three eighths by bodies. Beyond that, a request with a body of 4 KB or more is refused before its body is read: 503 `no_memory` by way of the node, so that it is logged, counted and says when to come back; its connection ends. A body of known length counts whole once it is let in, and is not refused later; one in chunks is refused as it grows. Beyond the half, clients that take nothing of their answers lose them, the slowest first. Buffers above 16 KB are given back. `held_bytes`, `slow_clients_dropped`. Nothing changes where the file names no memory.

Found by the test with a whole process: bodies that had been let in were refused midway, since growing buffers had passed the bound; hence the flag, and memory taken at once. Ruled out: one bound for both. Slow uploads then fill it and cost every reader its answer (`slow_uploads_take_no_answers_from_others` fails with it; tried).

The process's memory was not measured. Tests of ledgelead-http, ledgelead-router, ledgelead-runtime (18 of the library) and ledgelead-platform (23) pass.

--- a/crates/ledgelead-http/src/framing.rs
+++ b/crates/ledgelead-http/src/framing.rs
@@ -62,6 +62,10 @@
     text.parse().map_err(|_| FramingError::BadLength)
 }
 
+/// Longest body, in bytes, whose memory is taken as it begins. The length is a claim of the
+/// sender, and most bodies are shorter.
+const RESERVED_BYTES: u64 = 1 << 20;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Length(u64),
@@ -128,6 +132,21 @@
         )
     }
 
+    /// Bytes of memory that the body takes by now, or will take if its length is known.
+    pub fn held_bytes(&self) -> usize {
+        let left = match self.state {
+            State::Length(left) => usize::try_from(left).unwrap_or(usize::MAX),
+            _ => 0,
+        };
+        let whole = self.body.len().saturating_add(left);
+        self.body.capacity().max(whole)
+    }
+
+    /// Whether the length of the body shows only as it comes.
+    pub fn is_open_ended(&self) -> bool {
+        !matches!(self.state, State::Length(_))
+    }
+
     /// The body read so far.
     pub fn into_body(self) -> Vec<u8> {
         self.body
@@ -139,6 +158,7 @@
         match self.state {
             State::Length(0) | State::Done => Ok(false),
             State::Length(left) => {
+                self.reserve(left);
                 let taken = self.take(rest, left, consumed)?;
                 self.state = State::Length(left - taken);
                 Ok(taken > 0)
@@ -159,6 +179,15 @@
         }
     }
 
+    /// Takes the memory of a body of known length at once: growing by doubling would take
+    /// up to twice as much.
+    fn reserve(&mut self, left: u64) {
+        if self.body.is_empty() && left <= RESERVED_BYTES {
+            let left = usize::try_from(left).unwrap_or_default();
+            self.body.reserve_exact(left);
+        }
+    }
+
     fn take(
         &mut self,
         rest: &[u8],
--- a/crates/ledgelead-http/src/response_reader.rs
+++ b/crates/ledgelead-http/src/response_reader.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Bytes of memory that the body takes by now, or will take if its length is known.
+    pub fn held_bytes(&self) -> usize {
+        self.head.as_ref().map_or(0, |head| head.body.held_bytes())
+    }
+
     fn complete(&mut self) -> ResponseProgress {
         let Some(head) = self.head.take() else {
             return ResponseProgress::Partial;
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -379,6 +379,7 @@
             evacuation_bound: Some(Duration::from_secs(5)),
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
+            memory_limit: None,
             seed: self.rng.random(),
             protections: self.settings.protections,
             mechanisms: Mechanisms::default(),
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -84,6 +84,14 @@
         /// The request.
         request: Request,
     },
+    /// A client sent a request whose body is not read, since this process has no memory
+    /// for it.
+    Unread {
+        /// Names the request until it is answered.
+        client: ClientId,
+        /// The request without its body.
+        request: Request,
+    },
     /// The client closed its connection while its request was open.
     ClientLeft {
         /// The request.
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -122,6 +122,11 @@
         self.configuration.as_ref()
     }
 
+    /// Memory that the process may use, in bytes, if that is bounded.
+    pub fn memory_limit(&self) -> Option<usize> {
+        self.settings.memory_limit
+    }
+
     /// Bounds on what clients send.
     pub fn client_limits(&self) -> ClientLimits {
         self.configuration
@@ -147,6 +152,10 @@
                 let (requests, mut context) = self.requests_and_context(now);
                 requests.arrived(client, source, request, &mut context, out);
             }
+            Input::Unread { client, request } => {
+                let (requests, mut context) = self.requests_and_context(now);
+                requests.refuse_unread(client, &request, &mut context, out);
+            }
             Input::ClientLeft { client } => self.requests.left(client, out),
             Input::Exchanged {
                 exchange,
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -33,6 +33,8 @@
     Rejected,
     /// Instances have ended under it, so it is not sent to any more.
     Quarantined,
+    /// This node has no memory for its body.
+    NoMemory,
     /// The time was over before it could be sent.
     NotSentInTime,
     /// It may have run; its answer was lost.
@@ -58,6 +60,7 @@
             | Refusal::NoInstance
             | Refusal::Rejected
             | Refusal::Quarantined
+            | Refusal::NoMemory
             | Refusal::NotSentInTime => 503,
             Refusal::AnswerLost => 502,
             Refusal::AnswerLate => 504,
@@ -85,6 +88,7 @@
             Refusal::NoInstance => "no_instance",
             Refusal::Rejected => "rejected",
             Refusal::Quarantined => "quarantined",
+            Refusal::NoMemory => "no_memory",
             Refusal::NotSentInTime => "not_sent_in_time",
             Refusal::AnswerLost => "answer_lost",
             Refusal::AnswerLate => "answer_late",
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -49,6 +49,40 @@
         self.wake_at(client, wake);
     }
 
+    /// A request whose body is not read is refused.
+    pub fn refuse_unread(
+        &mut self,
+        client: ClientId,
+        request: &Request,
+        context: &mut RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.received += 1;
+        self.refuse_unrouted(client, request, Refusal::NoMemory, context, out);
+    }
+
+    /// Refuses a request for which no service was chosen.
+    pub(super) fn refuse_unrouted(
+        &mut self,
+        client: ClientId,
+        request: &Request,
+        reason: Refusal,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let unrouted = Event::Unrouted {
+            request: attempt_name(request, context.headers),
+            host: request.headers.text("host").unwrap_or_default(),
+            path: request.path(),
+            status: reason.status(),
+            reason: reason.name(),
+            configuration: context.configuration.map_or(0, |known| known.version),
+        };
+        unrouted.emit();
+        let response = self.refusal(request, reason, return_after(0.0), context);
+        out.push(Action::Respond { client, response });
+    }
+
     pub(super) fn refuse(
         &mut self,
         client: ClientId,
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -9,7 +9,7 @@
 pub use self::crashes::CrashSigns;
 
 use self::decide::Step;
-use self::endings::{attempt_name, relayed};
+use self::endings::relayed;
 use super::answers::Refusal;
 use super::budget::RetryBudget;
 use super::cold_start::{ColdBound, ColdSends};
@@ -17,7 +17,7 @@
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
-use super::refusal_share::{RefusalShares, return_after};
+use super::refusal_share::RefusalShares;
 use super::rest_limit::RestLimit;
 use super::split::Splits;
 use super::statistics::StatisticsTable;
@@ -25,7 +25,6 @@
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
-use crate::events::Event;
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
@@ -319,17 +318,7 @@
                 self.advance(client, context, out);
             }
             Err((request, reason)) => {
-                let unrouted = Event::Unrouted {
-                    request: attempt_name(&request, context.headers),
-                    host: request.headers.text("host").unwrap_or_default(),
-                    path: request.path(),
-                    status: reason.status(),
-                    reason: reason.name(),
-                    configuration: context.configuration.map_or(0, |known| known.version),
-                };
-                unrouted.emit();
-                let response = self.refusal(&request, reason, return_after(0.0), context);
-                out.push(Action::Respond { client, response });
+                self.refuse_unrouted(client, &request, reason, context, out);
             }
         }
     }
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -33,6 +33,8 @@
     pub cold_bound: ColdBound,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
+    /// Memory that the process may use, in bytes. None where it is not bounded.
+    pub memory_limit: Option<usize>,
     /// Seed of the node's random decisions.
     pub seed: u64,
     /// All on, but in simulations that prove their checker.
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -398,6 +398,7 @@
             evacuation_bound: Some(Duration::from_secs(5)),
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
+            memory_limit: None,
             seed: 7,
             protections: Protections::default(),
             mechanisms,
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Connections of clients.
 
 use crate::endpoint::Endpoint;
+use crate::memory::{CHECKED_BYTES, Room};
 use crate::outbound::ConnectionKey;
 use crate::stream::Stream;
 use ledgelead_http::{
@@ -18,6 +19,9 @@
 /// How long a connection that this side has ended waits for the other side's
 /// end: to close it earlier could cut off the last answer.
 const LINGER: Duration = Duration::from_secs(1);
+/// Time in which a client that takes nothing of its answer loses it where memory is short.
+/// A retransmission over a lossy link takes a part of that.
+const STALLED: Duration = Duration::from_secs(1);
 
 /// What happened on a client's connection.
 #[derive(Debug)]
@@ -29,6 +33,8 @@
         source: IpAddr,
         request: Request,
     },
+    /// A request came whose body is not read, since there is no memory for it.
+    Unread { client: ClientId, request: Request },
     /// The client closed while its request was open.
     Left { client: ClientId },
 }
@@ -41,6 +47,13 @@
     stream: Stream,
     reader: RequestReader,
     open: Option<ClientId>,
+    /// Length of the body of the open request, which is kept until it is answered.
+    open_bytes: usize,
+    /// Whether a body of known length was let in: its memory is counted since, so that it
+    /// isn't refused for what came later.
+    is_admitted: bool,
+    /// When bytes of an answer were taken last, or the answer began.
+    wrote_at: Instant,
     to_head_request: bool,
     close_after_answer: bool,
     /// When this side ended the connection.
@@ -59,6 +72,7 @@
     last_client: u64,
     limits: ClientLimits,
     stopping: bool,
+    dropped: u64,
 }
 
 impl Inbound {
@@ -106,6 +120,9 @@
             stream: Stream::new(stream),
             reader: RequestReader::default(),
             open: None,
+            open_bytes: 0,
+            is_admitted: false,
+            wrote_at: now,
             to_head_request: false,
             close_after_answer: false,
             ended: None,
@@ -119,6 +136,7 @@
         &mut self,
         key: ConnectionKey,
         now: Instant,
+        room: Room<'_>,
         events: &mut Vec<ClientEvent>,
     ) {
         let current = self
@@ -126,16 +144,28 @@
             .get(key.index)
             .is_some_and(|connection| connection.generation == key.generation);
         if current {
-            self.progress(key.index, now, events);
+            self.progress(key.index, now, room, events);
         }
     }
 
+    /// Bytes of memory that requests of clients and answers to them take.
+    pub(crate) fn held(&self) -> usize {
+        let connections = self.connections.iter();
+        connections.map(|(_, connection)| connection.held()).sum()
+    }
+
+    /// Clients whose answer was given up, since they didn't read it.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
     /// Answers a request.
     pub(crate) fn respond(
         &mut self,
         client: ClientId,
         response: &Response,
         now: Instant,
+        room: Room<'_>,
         events: &mut Vec<ClientEvent>,
     ) {
         let Some(index) = self.by_client.remove(&client) else {
@@ -148,9 +178,40 @@
         let to_head = connection.to_head_request;
         write_response(response, close, to_head, connection.stream.output());
         connection.open = None;
+        connection.open_bytes = 0;
         connection.close_after_answer = close;
         connection.since = now;
-        self.progress(index, now, events);
+        connection.wrote_at = now;
+        self.progress(index, now, room, events);
+        if response.body.len() >= CHECKED_BYTES {
+            self.relieve(Duration::ZERO, now, room);
+        }
+    }
+
+    /// Closes connections of clients that have taken nothing of their answers for some
+    /// time, the slowest first, until what is held is within the bound.
+    fn relieve(&mut self, stalled: Duration, now: Instant, room: Room<'_>) {
+        let mut excess = room.excess(|| self.held());
+        if excess == 0 {
+            return;
+        }
+        let mut slow: Vec<(Instant, usize)> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.is_stalled(stalled, now))
+            .map(|(index, connection)| (connection.wrote_at, index))
+            .collect();
+        slow.sort_unstable();
+        for (_, index) in slow {
+            if excess == 0 {
+                return;
+            }
+            let connection = self.connections.remove(index);
+            connection.stream.reset_on_close();
+            excess = excess.saturating_sub(connection.held());
+            self.dropped += 1;
+            log::warn!(target: "runtime", "memory is short: {} doesn't read its answer", connection.source);
+        }
     }
 
     /// Ends the connections of clients that ask nothing now. A request that
@@ -174,7 +235,8 @@
     }
 
     /// Closes what has been idle, or incomplete, for too long.
-    pub(crate) fn sweep(&mut self, now: Instant) {
+    pub(crate) fn sweep(&mut self, now: Instant, room: Room<'_>) {
+        self.relieve(STALLED, now, room);
         let limits = self.limits;
         let over: Vec<usize> = self
             .connections
@@ -187,12 +249,18 @@
         }
     }
 
-    fn progress(&mut self, index: usize, now: Instant, events: &mut Vec<ClientEvent>) {
+    fn progress(
+        &mut self,
+        index: usize,
+        now: Instant,
+        room: Room<'_>,
+        events: &mut Vec<ClientEvent>,
+    ) {
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
         connection.stream.fill();
-        connection.stream.flush();
+        connection.flush(now);
         if connection.stream.end().is_some() {
             let connection = self.connections.remove(index);
             if let Some(client) = connection.open {
@@ -206,11 +274,17 @@
         } else if connection.open.is_none() && connection.close_after_answer {
             connection.end_once_flushed(now);
         } else if connection.open.is_none() {
-            self.read_request(index, now, events);
+            self.read_request(index, now, room, events);
         }
     }
 
-    fn read_request(&mut self, index: usize, now: Instant, events: &mut Vec<ClientEvent>) {
+    fn read_request(
+        &mut self,
+        index: usize,
+        now: Instant,
+        room: Room<'_>,
+        events: &mut Vec<ClientEvent>,
+    ) {
         let limits = RequestLimits {
             max_head_bytes: self.limits.max_head_bytes,
             max_body_bytes: self.limits.max_body_bytes,
@@ -218,40 +292,148 @@
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
-        match connection.reader.read(&mut connection.stream.input, limits) {
-            Ok(RequestProgress::Idle) => {}
-            Ok(RequestProgress::Partial) => connection.begin_receiving(now),
-            Ok(RequestProgress::ExpectsContinue) => {
+        let progress = match connection.reader.read(&mut connection.stream.input, limits) {
+            Ok(progress) => progress,
+            Err(error) => {
+                connection.reject(error, now);
+                return;
+            }
+        };
+        connection.stream.shrink_input();
+        match progress {
+            RequestProgress::Idle => {}
+            RequestProgress::Partial | RequestProgress::ExpectsContinue => {
                 connection.begin_receiving(now);
-                connection
-                    .stream
-                    .output()
-                    .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                connection.stream.flush();
+                if self.lacks_memory(index, room) {
+                    self.give_up_body(index, events);
+                    return;
+                }
+                self.admit_body(index);
+                if progress == RequestProgress::ExpectsContinue {
+                    self.invite_body(index);
+                }
             }
-            Ok(RequestProgress::Complete(request)) => {
-                self.last_client += 1;
-                let client = ClientId(self.last_client);
-                connection.receiving = false;
-                connection.open = Some(client);
-                connection.to_head_request = request.method == "HEAD";
-                connection.close_after_answer = request.headers.has_token("connection", "close");
-                let endpoint = connection.endpoint;
-                let source = connection.source;
-                self.by_client.insert(client, index);
-                events.push(ClientEvent::Request {
-                    client,
-                    endpoint,
-                    source,
-                    request,
-                });
+            RequestProgress::Complete(request) => {
+                self.take_request(index, request, room, events);
             }
-            Err(error) => connection.reject(error, now),
         }
     }
+
+    /// Whether a body that is being read, or was just read, doesn't fit.
+    fn lacks_memory(&self, index: usize, room: Room<'_>) -> bool {
+        let Some(connection) = self.connections.get(index) else {
+            return false;
+        };
+        if connection.is_admitted {
+            return false;
+        }
+        let body = connection.reader.held_bytes() + connection.open_bytes;
+        let is_client = connection.endpoint == Endpoint::Clients;
+        is_client && body >= CHECKED_BYTES && !room.admits(|| self.held())
+    }
+
+    /// From now on the body that is being read isn't refused, if all of it is counted.
+    fn admit_body(&mut self, index: usize) {
+        if let Some(connection) = self.connections.get_mut(index) {
+            let reader = &connection.reader;
+            connection.is_admitted = reader.reads_body() && !reader.is_open_ended();
+        }
+    }
+
+    /// The client is told to send the body that it holds back.
+    fn invite_body(&mut self, index: usize) {
+        if let Some(connection) = self.connections.get_mut(index) {
+            let output = connection.stream.output();
+            output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            connection.stream.flush();
+        }
+    }
+
+    /// What has come of a body is dropped, and the rest is not read.
+    fn give_up_body(&mut self, index: usize, events: &mut Vec<ClientEvent>) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        if let Some(request) = connection.reader.give_up_body() {
+            self.refuse_unread(index, request, events);
+        }
+    }
+
+    fn take_request(
+        &mut self,
+        index: usize,
+        mut request: Request,
+        room: Room<'_>,
+        events: &mut Vec<ClientEvent>,
+    ) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        connection.open_bytes = request.body.len();
+        if self.lacks_memory(index, room) {
+            request.body = Vec::new();
+            self.refuse_unread(index, request, events);
+            return;
+        }
+        let Some((client, connection)) = self.open_request(index, &request) else {
+            return;
+        };
+        connection.close_after_answer = request.headers.has_token("connection", "close");
+        events.push(ClientEvent::Request {
+            client,
+            endpoint: connection.endpoint,
+            source: connection.source,
+            request,
+        });
+    }
+
+    /// The connection ends after the answer, since bytes of the body may follow.
+    fn refuse_unread(&mut self, index: usize, request: Request, events: &mut Vec<ClientEvent>) {
+        let Some((client, connection)) = self.open_request(index, &request) else {
+            return;
+        };
+        connection.open_bytes = 0;
+        connection.close_after_answer = true;
+        connection.stream.input = Vec::new();
+        events.push(ClientEvent::Unread { client, request });
+    }
+
+    fn open_request(
+        &mut self,
+        index: usize,
+        request: &Request,
+    ) -> Option<(ClientId, &mut Connection)> {
+        let connection = self.connections.get_mut(index)?;
+        self.last_client += 1;
+        let client = ClientId(self.last_client);
+        self.by_client.insert(client, index);
+        connection.receiving = false;
+        connection.is_admitted = false;
+        connection.open = Some(client);
+        connection.to_head_request = request.method == "HEAD";
+        Some((client, connection))
+    }
 }
 
 impl Connection {
+    fn held(&self) -> usize {
+        self.stream.held() + self.reader.held_bytes() + self.open_bytes
+    }
+
+    fn flush(&mut self, now: Instant) {
+        let before = self.stream.unsent();
+        self.stream.flush();
+        if self.stream.unsent() < before {
+            self.wrote_at = now;
+        }
+    }
+
+    /// Whether an answer is not written whole, and nothing of it was taken for this time.
+    fn is_stalled(&self, time: Duration, now: Instant) -> bool {
+        let is_unsent = self.open.is_none() && !self.stream.is_flushed();
+        is_unsent && now.duration_since(self.wrote_at) >= time
+    }
+
     fn begin_receiving(&mut self, now: Instant) {
         if !self.receiving {
             self.receiving = true;
@@ -290,3 +472,7 @@
         age >= limits.idle_timeout
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/inbound.rs"]
+mod tests;
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod explain;
 mod inbound;
 pub mod logging;
+mod memory;
 mod metrics;
 mod outbound;
 mod process;
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The node's figures in the Prometheus text format.
 
+use crate::memory::HeldFigures;
 use ledgelead_router::node::NodeStatus;
 use ledgelead_router::peers::PeerTraffic;
 use ledgelead_router::zone_traffic::ZoneTraffic;
@@ -45,7 +46,7 @@
 }
 
 /// Writes the figures.
-pub(crate) fn render(status: &NodeStatus) -> String {
+pub(crate) fn render(status: &NodeStatus, held: HeldFigures) -> String {
     let mut registry = Registry::with_prefix("ledgelead");
     gauge(
         &mut registry,
@@ -182,6 +183,7 @@
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     register_zone_traffic(&mut registry, &status.zone_traffic);
+    register_held(&mut registry, held);
     let mut text = String::new();
     // Writing to a string can't fail.
     let _ = encode(&mut text, &registry);
@@ -258,6 +260,21 @@
     registry.register("peer_bytes", "Bytes of datagrams between nodes", bytes);
 }
 
+fn register_held(registry: &mut Registry, held: HeldFigures) {
+    gauge(
+        registry,
+        "held_bytes",
+        "Memory of clients' bodies and of answers that are not written",
+        held.bytes as u64,
+    );
+    counter(
+        registry,
+        "slow_clients_dropped",
+        "Clients that did not read their answer while memory was short",
+        held.dropped,
+    );
+}
+
 fn register_zone_traffic(registry: &mut Registry, traffic: &ZoneTraffic) {
     let bytes = Family::<ZoneLabel, Counter>::default();
     for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -161,6 +161,14 @@
         }
     }
 
+    /// Bytes of memory that requests to instances and their answers take.
+    pub(crate) fn held(&self) -> usize {
+        self.connections
+            .iter()
+            .map(|(_, connection)| connection.held())
+            .sum()
+    }
+
     /// The next time limit of an exchange.
     pub(crate) fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(at, _)| *at)
@@ -457,6 +465,7 @@
             return;
         };
         if reusable && clean {
+            connection.stream.shrink_input();
             connection.idle_since = now;
             connection.keep_until = keep_alive(&response).map(|keep| now + keep);
             let idle = self.idle.entry(connection.address).or_default();
@@ -529,6 +538,12 @@
 }
 
 impl Connection {
+    fn held(&self) -> usize {
+        let running = self.running.as_ref();
+        let reader = running.map_or(0, |running| running.reader.held_bytes());
+        self.stream.held() + reader
+    }
+
     /// Whether nothing may be written yet.
     fn is_watched(&self, now: Instant) -> bool {
         let running = self.running.as_ref();
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -3,6 +3,7 @@
 use crate::clock::{ProcessClock, Suspension};
 use crate::endpoint::{Endpoint, StatusPaths};
 use crate::inbound::{ClientEvent, Inbound};
+use crate::memory::{HeldFigures, Room};
 use crate::metrics;
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
 use crate::process::{Control, SettingsSource};
@@ -159,7 +160,8 @@
 
     fn client_ready(&mut self, cx: CX![], key: ConnectionKey, _ready: Ready) {
         let mut events = Vec::new();
-        self.inbound.ready(key, cx.now(), &mut events);
+        let room = Room::new(self.node.memory_limit(), &self.outbound);
+        self.inbound.ready(key, cx.now(), room, &mut events);
         self.take_events(cx.now(), events);
         self.pump(cx);
     }
@@ -198,7 +200,8 @@
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.outbound.close_idle(now);
-            self.inbound.sweep(now);
+            let room = Room::new(self.node.memory_limit(), &self.outbound);
+            self.inbound.sweep(now, room);
         }
         self.look_at_settings(now);
         self.pump(cx);
@@ -255,6 +258,9 @@
         let mut queue = VecDeque::from(events);
         while let Some(event) = queue.pop_front() {
             match event {
+                ClientEvent::Unread { client, request } => {
+                    self.inputs.push_back(Input::Unread { client, request });
+                }
                 ClientEvent::Left { client } => {
                     self.inputs.push_back(Input::ClientLeft { client });
                 }
@@ -294,11 +300,16 @@
             let status = if self.node.is_ready() { 200 } else { 503 };
             Response::new(status, Vec::new())
         } else if path == self.paths.metrics {
-            Response::new(200, metrics::render(&self.node.status()))
+            let held = HeldFigures {
+                bytes: self.inbound.held() + self.outbound.held(),
+                dropped: self.inbound.dropped(),
+            };
+            Response::new(200, metrics::render(&self.node.status(), held))
         } else {
             Response::new(404, Vec::new())
         };
-        self.inbound.respond(client, &response, now, events);
+        let room = Room::new(self.node.memory_limit(), &self.outbound);
+        self.inbound.respond(client, &response, now, room, events);
     }
 
     /// Passes inputs to the node and carries out its actions, until nothing
@@ -350,7 +361,9 @@
         match action {
             Action::Respond { client, response } => {
                 let mut events = Vec::new();
-                self.inbound.respond(client, &response, now, &mut events);
+                let room = Room::new(self.node.memory_limit(), &self.outbound);
+                self.inbound
+                    .respond(client, &response, now, room, &mut events);
                 self.take_events(now, events);
             }
             Action::Exchange {
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -1,5 +1,6 @@
 //! A connection's bytes in both directions, without waiting.
 
+use crate::memory::KEPT_BUFFER_BYTES;
 use crate::transport;
 use ledgelead_router::io::ExchangeFailure;
 use stakker_mio::MioSource;
@@ -111,9 +112,25 @@
             }
         }
         self.output.clear();
+        self.output.shrink_to(KEPT_BUFFER_BYTES);
         self.written = 0;
     }
 
+    /// Bytes of memory that the buffers take.
+    pub(crate) fn held(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Bytes that are not written yet.
+    pub(crate) fn unsent(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Gives back what a large message has taken, once its bytes are consumed.
+    pub(crate) fn shrink_input(&mut self) {
+        self.input.shrink_to(KEPT_BUFFER_BYTES);
+    }
+
     /// Where bytes to be sent are appended.
     pub(crate) fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
