Inbound: a client that sends without end ahead of its answer is cut off

Change: where memory is bounded and short, a connection that holds more than a whole request ahead of its answer is reset, and its open request ends as one whose client left.

--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -261,12 +261,15 @@
         };
         connection.stream.fill();
         connection.flush(now);
+        if self.sends_too_far_ahead(index, room) {
+            self.cut_off(index, events);
+            return;
+        }
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
         if connection.stream.end().is_some() {
-            let connection = self.connections.remove(index);
-            if let Some(client) = connection.open {
-                self.by_client.remove(&client);
-                events.push(ClientEvent::Left { client });
-            }
+            self.remove(index, events);
             return;
         }
         if connection.ended.is_some() {
@@ -278,6 +281,33 @@
         }
     }
 
+    /// Whether a client fills the memory with what is to follow its open request.
+    fn sends_too_far_ahead(&self, index: usize, room: Room<'_>) -> bool {
+        let Some(connection) = self.connections.get(index) else {
+            return false;
+        };
+        let longest = self.limits.max_head_bytes + self.limits.max_body_bytes;
+        let is_ahead = connection.open.is_some() && connection.stream.input.len() > longest;
+        is_ahead && room.excess(|| self.held()) > 0
+    }
+
+    fn cut_off(&mut self, index: usize, events: &mut Vec<ClientEvent>) {
+        if let Some(connection) = self.connections.get(index) {
+            connection.stream.reset_on_close();
+            let source = connection.source;
+            log::warn!(target: "runtime", "memory is short: {source} sends ahead of its answer");
+        }
+        self.remove(index, events);
+    }
+
+    fn remove(&mut self, index: usize, events: &mut Vec<ClientEvent>) {
+        let connection = self.connections.remove(index);
+        if let Some(client) = connection.open {
+            self.by_client.remove(&client);
+            events.push(ClientEvent::Left { client });
+        }
+    }
+
     fn read_request(
         &mut self,
         index: usize,
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -328,6 +328,33 @@
     }
 }
 
+/// What is sent ahead while a request is open waits in the node's memory.
+#[gtest]
+fn a_client_that_sends_without_end_ahead_of_its_answer_is_cut_off() {
+    let ahead = vec![b'x'; 2 * HELD];
+    for (limit, is_cut) in [(Some(MEMORY), true), (None, false)] {
+        let mut fixture = Fixture::new(limit);
+        let mut client = fixture.connect();
+        let events = fixture.send(&mut client, b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        expect_that!(
+            matches!(events[..], [ClientEvent::Request { .. }]),
+            eq(true)
+        );
+        client.stream.set_nonblocking(true).expect("a socket");
+        let mut events = Vec::new();
+        let mut sent = 0;
+        while events.is_empty() && sent < ahead.len() {
+            sent += client.stream.write(&ahead[sent..]).unwrap_or(0);
+            events = fixture.ready(&client);
+        }
+        let left = matches!(events[..], [ClientEvent::Left { .. }]);
+        expect_that!(left, eq(is_cut));
+        if is_cut {
+            expect_that!(fixture.inbound.held(), lt(SLACK));
+        }
+    }
+}
+
 /// A large message leaves no large buffer behind.
 #[gtest]
 fn an_idle_connection_gives_back_its_memory() {
