--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod requests;
 pub mod settings;
 pub mod store;
+pub mod zone_traffic;
 
 /// A time on the process's monotonic clock, counted from its start.
 pub type Timestamp = std::time::Duration;
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -101,6 +101,12 @@
         self.coordinator.as_mut()
     }
 
+    /// The instance that an order was sent to, while it has no answer.
+    pub(super) fn ordered(&self, exchange: ExchangeId) -> Option<&InstanceId> {
+        let (instance, _) = self.orders.get(&exchange)?;
+        Some(instance)
+    }
+
     /// Whether orders may be given now.
     pub(super) fn has_authority(&self, now: Timestamp) -> bool {
         let bounded = self.protections.has(Protection::BoundedAuthority);
@@ -422,6 +428,7 @@
                 match_header: None,
                 reuse_idle_below: ORDER_REUSE_IDLE,
                 connect_timeout: ORDER_CONNECT_TIMEOUT,
+                write_timeout: None,
                 settle: Duration::ZERO,
                 timeout,
                 renewed: false,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod store_calls;
 mod watch_paces;
 mod zone_relay;
+mod zone_traffic;
 
 pub use status::NodeStatus;
 
@@ -33,6 +34,7 @@
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
 use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
+use crate::zone_traffic::ZoneTraffic;
 use coordination::Coordination;
 use gossip::Gossip;
 use load_hub::LoadHub;
@@ -67,6 +69,7 @@
     evacuations: Evacuations,
     quarantine: Quarantine,
     traffic: PeerTraffic,
+    zone_traffic: ZoneTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
 }
@@ -95,6 +98,7 @@
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
             traffic: PeerTraffic::default(),
+            zone_traffic: ZoneTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
             settings,
@@ -122,6 +126,11 @@
         self.configuration.as_ref()
     }
 
+    /// Memory that the process may use, in bytes, if that is bounded.
+    pub fn memory_limit(&self) -> Option<usize> {
+        self.settings.memory_limit
+    }
+
     /// Bounds on what clients send.
     pub fn client_limits(&self) -> ClientLimits {
         self.configuration
@@ -147,12 +156,17 @@
                 let (requests, mut context) = self.requests_and_context(now);
                 requests.arrived(client, source, request, &mut context, out);
             }
+            Input::Unread { client, request } => {
+                let (requests, mut context) = self.requests_and_context(now);
+                requests.refuse_unread(client, &request, &mut context, out);
+            }
             Input::ClientLeft { client } => self.requests.left(client, out),
             Input::Exchanged {
                 exchange,
                 result,
                 rested,
             } => {
+                self.count_answer(exchange, &result);
                 if self.requests.owns(exchange) {
                     let (requests, mut context) = self.requests_and_context(now);
                     requests.exchanged(exchange, result, rested, &mut context, out);
@@ -181,14 +195,6 @@
         self.count_sent(&out[before..]);
     }
 
-    fn count_sent(&mut self, actions: &[Action]) {
-        for action in actions {
-            if let Action::Datagram { datagram, .. } = action {
-                self.traffic.sent(datagram);
-            }
-        }
-    }
-
     /// When `step` wants to be called with `Input::Deadline`.
     pub fn next_deadline(&self) -> Timestamp {
         self.next_deadlines()
@@ -292,6 +298,7 @@
         self.requests.begin_stopping();
         self.coordination.begin_resigning();
         let open = self.requests.len();
-        Event::Stops { open }.emit();
+        let zone_bytes = &self.zone_traffic;
+        Event::Stops { open, zone_bytes }.emit();
     }
 }
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -5,6 +5,7 @@
 use crate::ownership::coordinator::OwnershipCounters;
 use crate::peers::PeerTraffic;
 use crate::requests::{PermitCounters, RequestCounters, RequestDigest};
+use crate::zone_traffic::ZoneTraffic;
 use std::collections::BTreeMap;
 
 /// What a node knows and has done.
@@ -53,6 +54,8 @@
     pub dispatched: DispatcherCounters,
     /// Requests that wait in the queues that it keeps.
     pub dispatch_waiting: usize,
+    /// Bytes exchanged with this zone and others.
+    pub zone_traffic: ZoneTraffic,
 }
 
 impl Node {
@@ -80,6 +83,7 @@
             permits: self.requests.permit_counters(),
             dispatched: self.dispatcher.counters(),
             dispatch_waiting: self.dispatcher.waiting(),
+            zone_traffic: self.zone_traffic.clone(),
         }
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -5,12 +5,13 @@
 mod decide;
 mod endings;
 mod permits;
+mod targets;
 
 pub use self::crashes::CrashSigns;
 pub use self::permits::PermitDecision;
 
 use self::decide::Step;
-use self::endings::{attempt_name, relayed};
+use self::endings::relayed;
 use super::answers::Refusal;
 use super::budget::RetryBudget;
 use super::cold_start::{ColdBound, ColdSends};
@@ -19,15 +20,15 @@
 use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
 use super::permits::{PermitCounters, Permits};
-use super::refusal_share::{RefusalShares, return_after};
+use super::refusal_share::RefusalShares;
 use super::rest_limit::RestLimit;
+use super::split::Splits;
 use super::statistics::StatisticsTable;
 use crate::Timestamp;
-use crate::configuration::{Configuration, Route, RouteTable};
+use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
 use crate::dispatch::Returned;
-use crate::events::Event;
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
@@ -118,6 +119,7 @@
     permits: Permits,
     cold_bound: ColdBound,
     cold_sends: ColdSends,
+    splits: Splits,
     ended: Vec<InstanceId>,
     misdirected: bool,
     crash_signs: CrashSigns,
@@ -153,6 +155,7 @@
             permits: Permits::new(first_number),
             cold_bound: settings.cold_bound,
             cold_sends: ColdSends::default(),
+            splits: Splits::default(),
             ended: Vec::new(),
             misdirected: false,
             crash_signs: CrashSigns::default(),
@@ -200,6 +203,7 @@
     pub fn clean_up(&mut self, directory: &Directory, now: Timestamp) {
         self.cold_sends.expire(now);
         self.permits.expire(now);
+        self.splits.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
     }
 
@@ -293,6 +297,13 @@
         self.by_exchange.contains_key(&exchange)
     }
 
+    /// The instance of an attempt that is out.
+    pub fn instance_of(&self, exchange: ExchangeId) -> Option<&InstanceId> {
+        let client = self.by_exchange.get(&exchange)?;
+        let attempt = self.open.get(client)?.attempt.as_ref()?;
+        Some(&attempt.instance)
+    }
+
     /// The next time at which a request needs a decision.
     pub fn next_deadline(&self) -> Option<Timestamp> {
         self.wake.first().map(|(at, _)| *at)
@@ -322,17 +333,7 @@
                 self.advance(client, context, out);
             }
             Err((request, reason)) => {
-                let unrouted = Event::Unrouted {
-                    request: attempt_name(&request, context.headers),
-                    host: request.headers.text("host").unwrap_or_default(),
-                    path: request.path(),
-                    status: reason.status(),
-                    reason: reason.name(),
-                    configuration: context.configuration.map_or(0, |known| known.version),
-                };
-                unrouted.emit();
-                let response = self.refusal(&request, reason, return_after(0.0), context);
-                out.push(Action::Respond { client, response });
+                self.refuse_unrouted(client, &request, reason, context, out);
             }
         }
     }
@@ -387,6 +388,10 @@
                 self.counters.relayed += 1;
                 self.finish(client, relayed(response), out);
             }
+            unsent if self.is_unsent_in_time(client, &unsent, context) => {
+                self.attempt_failed(client, &attempt, unsent, context);
+                self.refuse_unsent(client, context, out);
+            }
             other => {
                 self.attempt_failed(client, &attempt, other, context);
                 self.advance(client, context, out);
@@ -433,11 +438,11 @@
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
             return Err((request, Refusal::NoRoute));
         };
-        let service = self.choose_target(&route);
+        let key = request.headers.number::<u16>(&context.headers.key);
+        let service = self.choose_target(&route, key, request.body.len(), context);
         let sharded = configuration
             .service(&service)
             .is_some_and(|service| service.sharded);
-        let key = request.headers.number::<u16>(&context.headers.key);
         if sharded && key.is_none() {
             return Err((request, Refusal::BadKey));
         }
@@ -487,23 +492,6 @@
         }
     }
 
-    /// One of the route's targets, by weight.
-    fn choose_target(&mut self, route: &Route) -> ServiceName {
-        let total: f64 = route.targets.iter().map(|target| target.weight).sum();
-        let mut drawn = if route.targets.len() > 1 && total > 0.0 {
-            self.rng.random_range(0.0..total)
-        } else {
-            0.0
-        };
-        for target in &route.targets {
-            if drawn < target.weight {
-                return target.service.clone();
-            }
-            drawn -= target.weight;
-        }
-        route.targets[route.targets.len() - 1].service.clone()
-    }
-
     /// Decides on a request that has no attempt out.
     fn advance(
         &mut self,
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -12,6 +12,7 @@
 mod refusal_share;
 mod rest_limit;
 mod selection;
+mod split;
 mod statistics;
 
 pub use answers::refusal;
@@ -26,4 +27,5 @@
 pub use refusal_share::{RefusalShare, RefusalShares, return_after};
 pub use rest_limit::RestLimit;
 pub use selection::{Selected, SelectionContext};
+pub use split::{LARGE_BODY_BYTES, SplitRequest, Splits};
 pub use statistics::{ReportedLoad, Statistics, StatisticsTable};
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -13,7 +13,7 @@
 };
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
-use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, Input};
+use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::record::OwnershipRecord;
@@ -276,6 +276,8 @@
     /// The path of a client's request, or the mark of an order.
     pub target: String,
     pub at: Timestamp,
+    /// How it is carried out; nothing of a probe.
+    pub options: Option<ExchangeOptions>,
 }
 
 /// A node and what it has done.
@@ -368,6 +370,11 @@
 impl Fixture {
     /// The node with number 0 in its first life, before its first step.
     pub fn new(store: Store) -> Fixture {
+        Fixture::with_mechanisms(store, Mechanisms::default())
+    }
+
+    /// The same with some mechanism off.
+    pub fn with_mechanisms(store: Store, mechanisms: Mechanisms) -> Fixture {
         let record = node_record(0);
         let mailbox = Rc::<RefCell<Mailbox>>::default();
         let dialect = TypedDialect {
@@ -391,9 +398,10 @@
             evacuation_bound: Some(Duration::from_secs(5)),
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
+            memory_limit: None,
             seed: 7,
             protections: Protections::default(),
-            mechanisms: Mechanisms::default(),
+            mechanisms,
         };
         Fixture {
             node: Node::new(settings, Box::new(dialect), Duration::ZERO),
@@ -486,15 +494,35 @@
 
     /// A client asks the service, perhaps for a key.
     pub fn ask(&mut self, service: &str, key: Option<u16>) -> ClientId {
+        self.upload(service, key, 0)
+    }
+
+    /// The same with a body.
+    pub fn upload(&mut self, service: &str, key: Option<u16>, body_bytes: usize) -> ClientId {
+        self.upload_within(service, key, body_bytes, None)
+    }
+
+    /// The same of a client that perhaps leaves after a time.
+    pub fn upload_within(
+        &mut self,
+        service: &str,
+        key: Option<u16>,
+        body_bytes: usize,
+        deadline: Option<Duration>,
+    ) -> ClientId {
         self.last_client += 1;
         let client = ClientId(self.last_client);
-        let mut request = Request::new("GET", format!("/{service}/1"), Vec::new());
+        let mut request = Request::new("GET", format!("/{service}/1"), vec![0; body_bytes]);
         request.headers.push("host", "h");
         let attempt = format!("request-{}", self.last_client);
         request.headers.push("attempt", attempt);
         if let Some(key) = key {
             request.headers.push("key", key.to_string());
         }
+        if let Some(deadline) = deadline {
+            let deadline = deadline.as_millis().to_string();
+            request.headers.push("deadline", deadline);
+        }
         self.step(Input::Request {
             client,
             source: CALLER,
@@ -557,6 +585,7 @@
                     address,
                     target: String::new(),
                     at: self.now,
+                    options: None,
                 });
                 None
             }
@@ -570,13 +599,14 @@
                 exchange,
                 address,
                 request,
-                ..
+                options,
             } => {
                 self.attempts.push(Sent {
                     exchange,
                     address,
                     target: request.target,
                     at: self.now,
+                    options: Some(options),
                 });
                 None
             }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The node's figures in the Prometheus text format.
 
+use crate::memory::HeldFigures;
 use ledgelead_router::node::NodeStatus;
 use ledgelead_router::peers::PeerTraffic;
+use ledgelead_router::zone_traffic::ZoneTraffic;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -41,8 +43,15 @@
     verdict: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ZoneLabel {
+    direction: &'static str,
+    purpose: &'static str,
+    other_zone: &'static str,
+}
+
 /// Writes the figures.
-pub(crate) fn render(status: &NodeStatus) -> String {
+pub(crate) fn render(status: &NodeStatus, held: HeldFigures) -> String {
     let mut registry = Registry::with_prefix("ledgelead");
     gauge(
         &mut registry,
@@ -179,6 +188,8 @@
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     register_permits(&mut registry, status);
+    register_zone_traffic(&mut registry, &status.zone_traffic);
+    register_held(&mut registry, held);
     let mut text = String::new();
     // Writing to a string can't fail.
     let _ = encode(&mut text, &registry);
@@ -293,6 +304,43 @@
     );
 }
 
+fn register_held(registry: &mut Registry, held: HeldFigures) {
+    gauge(
+        registry,
+        "held_bytes",
+        "Memory of clients' bodies and of answers that are not written",
+        held.bytes as u64,
+    );
+    counter(
+        registry,
+        "slow_clients_dropped",
+        "Clients that did not read their answer while memory was short",
+        held.dropped,
+    );
+}
+
+fn register_zone_traffic(registry: &mut Registry, traffic: &ZoneTraffic) {
+    let bytes = Family::<ZoneLabel, Counter>::default();
+    for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
+        for (purpose, count) in counts {
+            let places = [
+                ("false", count.own),
+                ("true", count.other),
+                ("unknown", count.unknown),
+            ];
+            for (other_zone, count) in places {
+                let label = ZoneLabel {
+                    direction,
+                    purpose,
+                    other_zone,
+                };
+                bytes.get_or_create(&label).inc_by(count);
+            }
+        }
+    }
+    registry.register("zone_bytes", "Bytes by purpose and zone", bytes);
+}
+
 fn gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let gauge = Gauge::default();
     set(&gauge, value);
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -34,7 +34,7 @@
     is_probe: bool,
     method: String,
     reader: ResponseReader,
-    match_header: Option<(String, Vec<u8>)>,
+    match_header: Option<(Box<str>, Box<[u8]>)>,
     surplus: u32,
     /// How long its connection had rested before it; nothing on a new one.
     rested: Duration,
@@ -42,6 +42,8 @@
     write_at: Option<Instant>,
     settle: Duration,
     connect_by: Instant,
+    /// When the whole request must be written, if that is bounded.
+    write_by: Option<Instant>,
     answer_by: Instant,
     /// The time that each part of the answer begins anew.
     renewed_by: Option<Duration>,
@@ -77,6 +79,7 @@
                 match_header: None,
                 reuse_idle_below: Duration::ZERO,
                 connect_timeout: timeout,
+                write_timeout: None,
                 settle: Duration::ZERO,
                 timeout,
                 renewed: false,
@@ -158,6 +161,14 @@
         }
     }
 
+    /// Bytes of memory that requests to instances and their answers take.
+    pub(crate) fn held(&self) -> usize {
+        self.connections
+            .iter()
+            .map(|(_, connection)| connection.held())
+            .sum()
+    }
+
     /// The next time limit of an exchange.
     pub(crate) fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(at, _)| *at)
@@ -179,18 +190,14 @@
             if connection.generation != key.generation {
                 continue;
             }
-            if connection.connected && running.answer_by > now {
+            if connection.connected && running.answer_by > now && !connection.is_unsent(now) {
                 self.deadlines.insert((running.answer_by, key));
                 if running.write_at == Some(at) {
                     self.progress(key.index, now, inputs);
                 }
                 continue;
             }
-            let failure = if connection.connected {
-                ExchangeFailure::TimedOut
-            } else {
-                ExchangeFailure::NotConnected
-            };
+            let failure = connection.time_out_failure();
             self.fail(key.index, failure, inputs);
         }
     }
@@ -247,6 +254,7 @@
         let method = new.request.as_ref().map(|request| request.method.clone());
         let method = method.unwrap_or_default();
         let connect_by = now + new.options.connect_timeout;
+        let write_by = new.options.write_timeout.map(|time| now + time);
         let answer_by = now + new.options.timeout;
         let first_deadline = if connection.connected {
             answer_by
@@ -272,11 +280,15 @@
             write_at: None,
             settle: new.options.settle,
             connect_by,
+            write_by,
             answer_by,
             renewed_by: new.options.renewed.then_some(new.options.timeout),
         });
         self.by_exchange.insert(new.exchange, index);
         self.deadlines.insert((first_deadline, key));
+        if let Some(write_by) = write_by {
+            self.deadlines.insert((write_by, key));
+        }
     }
 
     /// Moves bytes, and the exchange with them.
@@ -411,16 +423,16 @@
     }
 
     /// The connection ended without an answer: proof that nothing ran only if
-    /// no byte of the request was written.
+    /// the last byte of the request was not written.
     fn fail_lost(&mut self, index: usize, inputs: &mut Vec<Input>) {
-        let wrote = self
-            .connections
-            .get(index)
-            .is_some_and(|connection| connection.stream.wrote_any());
-        let failure = if wrote {
-            ExchangeFailure::Lost
-        } else {
-            ExchangeFailure::NotConnected
+        let Some(connection) = self.connections.get(index) else {
+            return;
+        };
+        let stream = &connection.stream;
+        let failure = match (stream.wrote_any(), stream.is_incomplete()) {
+            (false, _) => ExchangeFailure::NotConnected,
+            (true, true) => ExchangeFailure::Incomplete { timed_out: false },
+            (true, false) => ExchangeFailure::Lost,
         };
         self.fail(index, failure, inputs);
     }
@@ -453,6 +465,7 @@
             return;
         };
         if reusable && clean {
+            connection.stream.shrink_input();
             connection.idle_since = now;
             connection.keep_until = keep_alive(&response).map(|keep| now + keep);
             let idle = self.idle.entry(connection.address).or_default();
@@ -517,14 +530,20 @@
     }
 
     fn forget_deadlines(&mut self, key: ConnectionKey, running: &Running) {
-        let write_at = running.write_at.into_iter();
-        for at in write_at.chain([running.answer_by, running.connect_by]) {
+        let writing = running.write_at.into_iter().chain(running.write_by);
+        for at in writing.chain([running.answer_by, running.connect_by]) {
             self.deadlines.remove(&(at, key));
         }
     }
 }
 
 impl Connection {
+    fn held(&self) -> usize {
+        let running = self.running.as_ref();
+        let reader = running.map_or(0, |running| running.reader.held_bytes());
+        self.stream.held() + reader
+    }
+
     /// Whether nothing may be written yet.
     fn is_watched(&self, now: Instant) -> bool {
         let running = self.running.as_ref();
@@ -533,6 +552,26 @@
             .is_some_and(|write_at| now < write_at)
     }
 
+    /// Whether the time for writing is over and the request is not whole at the receiver.
+    fn is_unsent(&self, now: Instant) -> bool {
+        let running = self.running.as_ref();
+        let is_over = running
+            .and_then(|running| running.write_by)
+            .is_some_and(|write_by| write_by <= now);
+        is_over && self.stream.is_incomplete()
+    }
+
+    /// What it proves that the time is over.
+    fn time_out_failure(&self) -> ExchangeFailure {
+        if !self.connected {
+            ExchangeFailure::NotConnected
+        } else if self.stream.is_incomplete() {
+            ExchangeFailure::Incomplete { timed_out: true }
+        } else {
+            ExchangeFailure::TimedOut
+        }
+    }
+
     fn is_fresh(&self, below: Duration, now: Instant) -> bool {
         let kept = self.keep_until.is_none_or(|until| now < until);
         kept && now.duration_since(self.idle_since) < below
@@ -543,7 +582,7 @@
     fn is_answered_by(&self, response: &Response) -> bool {
         match &self.match_header {
             None => true,
-            Some((name, value)) => response.headers.get(name) == Some(value),
+            Some((name, value)) => response.headers.get(name) == Some(value.as_ref()),
         }
     }
 
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -1,5 +1,6 @@
 //! A connection's bytes in both directions, without waiting.
 
+use crate::memory::KEPT_BUFFER_BYTES;
 use crate::transport;
 use ledgelead_router::io::ExchangeFailure;
 use stakker_mio::MioSource;
@@ -36,6 +37,8 @@
     written: usize,
     wrote_any: bool,
     read_any: bool,
+    /// Whether a byte was read since the current message began.
+    is_answered: bool,
     end: Option<StreamEnd>,
 }
 
@@ -48,6 +51,7 @@
             written: 0,
             wrote_any: false,
             read_any: false,
+            is_answered: false,
             end: None,
         }
     }
@@ -77,6 +81,7 @@
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
                     self.read_any = true;
+                    self.is_answered = true;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -107,9 +112,25 @@
             }
         }
         self.output.clear();
+        self.output.shrink_to(KEPT_BUFFER_BYTES);
         self.written = 0;
     }
 
+    /// Bytes of memory that the buffers take.
+    pub(crate) fn held(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Bytes that are not written yet.
+    pub(crate) fn unsent(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Gives back what a large message has taken, once its bytes are consumed.
+    pub(crate) fn shrink_input(&mut self) {
+        self.input.shrink_to(KEPT_BUFFER_BYTES);
+    }
+
     /// Where bytes to be sent are appended.
     pub(crate) fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
@@ -120,9 +141,17 @@
         self.output.is_empty()
     }
 
-    /// From now on `wrote_any` tells of a new message.
+    /// From now on `wrote_any` and `is_incomplete` are about a new message.
     pub(crate) fn begin_message(&mut self) {
         self.wrote_any = false;
+        self.is_answered = false;
+    }
+
+    /// Whether the current message can't have been acted on: its last byte is still here,
+    /// and the other side has sent nothing since it began. What the kernel holds doesn't
+    /// count, since it may arrive later.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        !self.is_flushed() && !self.is_answered
     }
 
     /// Whether a byte of the current message was written.
