--- a/crates/ledgelead-router/src/dispatch/dispatcher.rs
+++ b/crates/ledgelead-router/src/dispatch/dispatcher.rs
@@ -56,6 +56,8 @@
     pub left: Duration,
     /// Hash of what makes the tries of a caller's request the same.
     pub caller: u64,
+    /// Whether its key was lost with its owner, so that it takes longer.
+    pub is_cold: bool,
     /// Stable hash of the instance that has failed the request.
     pub tried: Option<u64>,
 }
@@ -170,6 +172,7 @@
             urgency: ask.urgency,
             to_target: target.saturating_sub(now),
             is_early,
+            is_cold: ask.is_cold,
             tried: ask.tried,
         };
         let caller = Caller {
--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -21,10 +21,10 @@
 /// A less urgent request gets a permit after so many others that went before it, so that
 /// no kind starves: a sixth of the permits is the least.
 const PASSED_OVER: u32 = 5;
-/// How long a late request waits for a slot that nobody needs who can be in time, as a
+/// How long a late or cold request waits for a slot that nobody else needs, as a
 /// multiple of the expected work: a lull of that length is likely where load is near
 /// capacity, and beyond it a longer wait only holds the caller up.
-const LATE_PATIENCE: f64 = 2.0;
+const LEFTOVER_PATIENCE: f64 = 2.0;
 /// How long a permit is out at least before it counts as lost, with its caller's node or its
 /// return: a few times the work of a request.
 const LEAST_EXPIRY: Duration = Duration::from_millis(500);
@@ -56,6 +56,8 @@
     pub to_target: Duration,
     /// Whether its caller was refused and came back before the time that it was told.
     pub is_early: bool,
+    /// Whether its key was lost with its owner, so that it takes a few times the work.
+    pub is_cold: bool,
     /// Stable hash of the instance that has failed it, which is avoided.
     pub tried: Option<u64>,
 }
@@ -82,11 +84,12 @@
     Unknown,
 }
 
-/// Who goes first: callers that waited as they were told, then those that can be in time,
-/// then the most urgent.
+/// Who goes first: callers that waited as they were told, then requests of usual work, then
+/// those that can be in time, then the most urgent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Class {
     is_early: bool,
+    is_cold: bool,
     is_late: bool,
     urgency: u8,
 }
@@ -94,7 +97,12 @@
 impl Class {
     /// Whether requests of this class get a share of the permits while others go first.
     fn has_share(self) -> bool {
-        !self.is_early && !self.is_late
+        !self.is_early && !self.takes_leftover()
+    }
+
+    /// Whether it only gets slots that nobody else needs.
+    fn takes_leftover(self) -> bool {
+        self.is_cold || self.is_late
     }
 }
 
@@ -115,6 +123,8 @@
     expires: Timestamp,
     /// Requests for each slot of the server, this one with them, as it was handed out.
     load: f64,
+    /// Whether its work is that of other requests.
+    is_usual: bool,
 }
 
 /// A queue.
@@ -199,10 +209,10 @@
         let request = self.request(&ask, now);
         let can_wait = self.can_wait(&ask, request.class);
         if self.waiting.is_empty() {
-            // A late request takes nobody's place where a slot is free.
-            let needs_slot = request.class.is_late || !can_wait;
+            // Such a request takes nobody's place where a slot is free.
+            let needs_slot = request.class.takes_leftover() || !can_wait;
             if let Some(server) = self.servers.pick(ask.tried, needs_slot, now) {
-                return self.grant(ask.asker, server, now);
+                return self.grant(ask.asker, request.class, server, now);
             }
         }
         if !can_wait || self.waiting.len() >= MAX_WAITING {
@@ -222,6 +232,7 @@
             return false;
         };
         match how {
+            Returned::Answered(_) if !permit.is_usual => {}
             Returned::Answered(took) => {
                 let work = took.div_f64(permit.load.max(1.0));
                 self.servers.answered(permit.server, work);
@@ -237,8 +248,9 @@
         self.expire(now);
         let mut decided = self.give_up(now);
         while let Some((asker, server)) = self.next(now) {
-            self.dequeue(asker);
-            decided.push((asker, self.grant(asker, server, now)));
+            if let Some(request) = self.dequeue(asker) {
+                decided.push((asker, self.grant(asker, request.class, server, now)));
+            }
         }
         decided
     }
@@ -251,20 +263,21 @@
     }
 
     fn request(&self, ask: &PermitAsk, now: Timestamp) -> Waiting {
-        let is_late = ask.to_target.is_zero();
-        let patience = match is_late {
-            true => self.work().mul_f64(LATE_PATIENCE),
+        let class = Class {
+            is_early: ask.is_early,
+            is_cold: ask.is_cold,
+            is_late: ask.to_target.is_zero(),
+            urgency: ask.urgency,
+        };
+        let patience = match class.takes_leftover() {
+            true => self.work().mul_f64(LEFTOVER_PATIENCE),
             false => {
                 let least_work = self.work().mul_f64(STILL_IN_TIME);
                 ask.to_target.saturating_sub(least_work)
             }
         };
         Waiting {
-            class: Class {
-                is_early: ask.is_early,
-                is_late,
-                urgency: ask.urgency,
-            },
+            class,
             target: now + ask.to_target,
             until: now + patience,
             tried: ask.tried,
@@ -276,7 +289,7 @@
         if self.servers.slots() == 0 {
             return false;
         }
-        if class.is_late {
+        if class.takes_leftover() {
             return self.order.range(class..).next().is_none();
         }
         self.expected(class) <= ask.to_target.mul_f64(ADMITTED_SHARE)
@@ -305,7 +318,7 @@
     fn next(&mut self, now: Timestamp) -> Option<(Asker, u64)> {
         let (asker, is_other) = self.first_in_line()?;
         let Waiting { class, tried, .. } = self.waiting[&asker];
-        let server = self.servers.pick(tried, class.is_late, now)?;
+        let server = self.servers.pick(tried, class.takes_leftover(), now)?;
         self.passed_over = match is_other {
             Some(false) => self.passed_over + 1,
             _ => 0,
@@ -330,11 +343,12 @@
         }
     }
 
-    fn grant(&mut self, asker: Asker, server: u64, now: Timestamp) -> Verdict {
+    fn grant(&mut self, asker: Asker, class: Class, server: u64, now: Timestamp) -> Verdict {
         let permit = Permit {
             server,
             expires: now + self.expiry(),
             load: self.servers.take_place(server),
+            is_usual: !class.is_cold,
         };
         self.expiries.insert((permit.expires, asker));
         self.out.insert(asker, permit);
--- a/crates/ledgelead-router/src/node/dispatch.rs
+++ b/crates/ledgelead-router/src/node/dispatch.rs
@@ -88,6 +88,7 @@
             to_target: Duration::from_millis(u64::from(entry.to_target_ms)),
             left: Duration::from_millis(u64::from(entry.left_ms)),
             caller: entry.caller,
+            is_cold: entry.is_cold,
             tried: Some(entry.tried).filter(|tried| *tried > 0),
         };
         let decided = match self.stopping {
@@ -227,6 +228,7 @@
         to_target_ms: short_millis(ask.to_target),
         left_ms: short_millis(ask.left),
         caller: ask.caller,
+        is_cold: ask.is_cold,
         tried: ask.tried.unwrap_or(0),
     }
 }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -27,6 +27,7 @@
 use crate::evacuation::Evacuations;
 use crate::events::Event;
 use crate::io::{Action, Input};
+use crate::ownership::cold_keys::ColdKeys;
 use crate::ownership::coordinator::{Coordinator, ExchangeIds};
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
@@ -53,6 +54,7 @@
     routes: RouteTable,
     directory: Directory,
     ownership: OwnershipView,
+    cold_keys: ColdKeys,
     registry: Registry,
     shared: SharedLoad,
     requests: Requests,
@@ -81,6 +83,7 @@
             routes: RouteTable::default(),
             directory: Directory::default(),
             ownership: OwnershipView::default(),
+            cold_keys: ColdKeys::default(),
             registry: Registry::default(),
             shared: SharedLoad::default(),
             requests,
@@ -255,6 +258,7 @@
             self.expire_quarantine(now);
             self.zone_relays.expire(now);
             self.dispatcher.expire(now);
+            self.cold_keys.expire(now);
         }
     }
 
@@ -272,6 +276,7 @@
             routes: &self.routes,
             directory: &self.directory,
             ownership: &self.ownership,
+            cold_keys: &self.cold_keys,
             shared: &self.shared,
             evidence: &self.quarantine.evidence,
             suspects: self.quarantine.has_suspects(),
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -173,9 +173,11 @@
             let changes = record.changes_since(self.ownership.record());
             (self.ownership.revision(), changes)
         });
+        let before = self.ownership.record().clone();
         if !self.ownership.update(record, version) {
             return;
         }
+        self.note_cold_keys(&before, now);
         self.coordination.election.confirmed(now);
         self.reconcile_role(started, now, out);
         if let Some((Some(base), changes)) = written {
@@ -184,6 +186,15 @@
     }
 }
 
+impl Node {
+    /// The record has changed: notes which keys were lost with their owners.
+    pub(super) fn note_cold_keys(&mut self, before: &OwnershipRecord, now: Timestamp) {
+        let after = self.ownership.record();
+        self.cold_keys
+            .record_changed(before, after, &self.directory, now);
+    }
+}
+
 fn unreadable(object: &str, finding: &str) {
     Event::ObjectUnreadable { object, finding }.emit();
 }
--- a/crates/ledgelead-router/src/ownership/mod.rs
+++ b/crates/ledgelead-router/src/ownership/mod.rs
@@ -5,6 +5,7 @@
 //! under an epoch, alone gives orders to instances. See
 //! `docs/design/platform.md` for the inequality that keeps owners single.
 
+pub mod cold_keys;
 pub mod coordinator;
 pub mod election;
 pub mod lease;
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -140,6 +140,8 @@
     pub left_ms: u16,
     /// Hash of what makes the tries of a caller's request the same.
     pub caller: u64,
+    /// Whether its key was lost with its owner, so that it takes longer.
+    pub is_cold: bool,
     /// Stable hash of the instance that has failed the request; 0 if none has.
     pub tried: u64,
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -31,6 +31,7 @@
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
+use crate::ownership::cold_keys::ColdKeys;
 use crate::ownership::coordinator::ExchangeIds;
 use crate::ownership::view::OwnershipView;
 use crate::ownership::work::Work;
@@ -61,6 +62,8 @@
     pub directory: &'a Directory,
     /// The owners of keys.
     pub ownership: &'a OwnershipView,
+    /// Keys that were lost with their owners.
+    pub cold_keys: &'a ColdKeys,
     /// What other nodes of the zone have open.
     pub shared: &'a SharedLoad,
     /// What is known of requests that crash instances.
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -269,6 +269,9 @@
             to_target: open.target().saturating_sub(now),
             left: open.due.saturating_sub(now),
             caller: caller_hash(open.caller.0, open.key, &open.request),
+            is_cold: open
+                .key
+                .is_some_and(|key| context.cold_keys.contains(&open.service, key, now)),
             tried: open.tried.last().map(InstanceId::stable_hash),
         };
         let permit = self.permits.ask(client, dispatcher, ask, now);
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -126,6 +126,8 @@
     pub left: Duration,
     /// Hash of what makes the tries of a caller's request the same.
     pub caller: u64,
+    /// Whether its key was lost with its owner, so that it takes longer.
+    pub is_cold: bool,
     /// Stable hash of the instance that has failed the request.
     pub tried: Option<u64>,
 }
--- a/crates/ledgelead-router/tests/dispatch/load.rs
+++ b/crates/ledgelead-router/tests/dispatch/load.rs
@@ -230,6 +230,7 @@
             to_target: kind.target,
             left: Duration::from_millis(2_500),
             caller,
+            is_cold: false,
             tried: None,
         };
         let owner = Server {
--- a/crates/ledgelead-router/tests/dispatch/queue.rs
+++ b/crates/ledgelead-router/tests/dispatch/queue.rs
@@ -31,6 +31,7 @@
         urgency,
         to_target: ms(to_target),
         is_early: false,
+        is_cold: false,
         tried: None,
     }
 }
@@ -172,6 +173,27 @@
     expect_that!(grants(&mut queue, 2), eq(&vec![2, 1]));
 }
 
+#[gtest]
+fn requests_for_keys_that_were_lost_hold_up_nobody() {
+    let mut queue = queue();
+    let cold = |number| PermitAsk {
+        is_cold: true,
+        ..ask(number, 0, 5_000)
+    };
+    expect_that!(queue.ask(cold(1), ms(0)), eq(Verdict::Granted(OWNER)));
+    expect_that!(queue.ask(cold(2), ms(0)), eq(Verdict::Granted(OWNER)));
+    // They get slots that are free, and none ahead of them.
+    expect_that!(queue.ask(cold(3), ms(0)), eq(Verdict::Queued));
+    expect_that!(queue.ask(ask(4, 2, 900), ms(0)), eq(Verdict::Queued));
+    expect_that!(
+        queue.advance(ms(0)),
+        elements_are![eq(&(asker(4), Verdict::Granted(OWNER)))]
+    );
+    // What they take says nothing of the work of others.
+    queue.returned(asker(1), Returned::Answered(ms(390)), ms(390));
+    expect_that!(queue.work(), eq(WORK));
+}
+
 #[gtest]
 fn a_repeated_ask_takes_no_second_place() {
     let mut queue = full_queue();
@@ -252,6 +274,7 @@
         to_target: ms(150),
         left: ms(2_500),
         caller: number,
+        is_cold: false,
         tried: None,
     }
 }
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -307,6 +307,7 @@
         to_target_ms: 400,
         left_ms: 2_000,
         caller: number,
+        is_cold: false,
         tried: 0,
     })
 }
