--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -21,6 +21,10 @@
 /// uploads, which take their time in any case.
 const MAX_SPILLED_BYTES: usize = 8 * 1_024;
 
+/// How long a queued request waits at least for its dispatcher's decision, where its target
+/// has passed: such requests wait for a lull of a few times the work.
+const QUEUED_AT_LEAST: Duration = Duration::from_millis(300);
+
 /// A dispatcher's word on an ask.
 #[derive(Clone, Copy, Debug)]
 pub struct PermitDecision {
@@ -49,7 +53,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(verdict) = decision.verdict else {
-            self.permits.missed(from, context.now);
+            self.permits.lost(from, context.now);
             self.permit_missed(decision.number, context, out);
             return;
         };
@@ -74,7 +78,7 @@
             Verdict::Queued => {
                 permit.state = PermitState::Queued;
                 // The dispatcher decides before; if it is lost, nothing holds the request.
-                permit.until = target.max(permit.until);
+                permit.until = target.max(context.now + QUEUED_AT_LEAST);
             }
             Verdict::Refused => {
                 open.permit = None;
@@ -240,12 +244,19 @@
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
-        if let Some(earlier) = open.permit.take() {
-            if earlier.state == PermitState::Asked && earlier.until <= now {
-                self.permits.missed(earlier.dispatcher, now);
+        if let Some(mut earlier) = open.permit.take() {
+            let is_same = earlier.queue == need.queue && !earlier.is_granted();
+            if is_same && earlier.state == PermitState::Asked {
+                if self.permits.repeat(&mut earlier, now) {
+                    let until = earlier.until;
+                    open.permit = Some(earlier);
+                    self.await_permit(client, until, now);
+                    return;
+                }
+                open.without_permit = earlier.patience <= now;
             }
             // One that was queued for its whole time is past its target.
-            open.without_permit = earlier.state == PermitState::Queued && earlier.until <= now;
+            open.without_permit |= is_same && earlier.state == PermitState::Queued;
             self.permits.give_back(&earlier, Returned::NotRun);
         }
         let candidates = Candidates::of_queue(need.queue, &need.zone, context.registry);
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -10,11 +10,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time in which a dispatcher says at least that a request waits: some ways there and back
-/// between zones, and a pause of its machine.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
-/// How long a dispatcher that said nothing is not asked: about the time in which nodes learn
-/// of the loss of another.
+/// Time after which an ask is repeated: a large body on a narrow link holds a datagram up by
+/// 50 ms, and a machine may stand still for 100 ms. Also at most this share of the target.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+const REPLY_SHARE: f64 = 0.25;
+/// How many times as long a request waits for a dispatcher's first word.
+const REPLY_PATIENCE: u32 = 2;
+/// Time without an answer after which a dispatcher counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(150);
+/// How long a lost dispatcher is not asked: about the time in which nodes learn of the loss
+/// of another.
 const SILENT_TTL: Duration = Duration::from_secs(1);
 
 /// Where a request stands with a dispatcher.
@@ -39,8 +44,12 @@
     pub queue: u64,
     /// How far it is.
     pub state: PermitState,
-    /// When the request goes on without it.
+    /// When something is done about it without a further message.
     pub until: Timestamp,
+    /// The ask, to be repeated.
+    pub ask: Ask,
+    /// When it is given up for want of an answer.
+    pub patience: Timestamp,
 }
 
 impl HeldPermit {
@@ -141,13 +150,22 @@
     pub missed: u64,
 }
 
+/// What is known of a dispatcher.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    /// The first ask since its last word.
+    asked_at: Option<Timestamp>,
+    /// Until when it isn't asked.
+    silent_until: Timestamp,
+}
+
 /// All permits that this node has asked for, by its numbers.
 #[derive(Debug, Default)]
 pub struct Permits {
     clients: HashMap<u64, ClientId>,
     last_number: u64,
     outbox: Vec<(SocketAddr, PermitMessage)>,
-    silent_until: HashMap<SocketAddr, Timestamp>,
+    dispatchers: HashMap<SocketAddr, Heard>,
     counters: PermitCounters,
 }
 
@@ -167,8 +185,8 @@
 
     /// Whether a dispatcher has answered lately, as far as this node has asked it.
     pub fn is_heard(&self, dispatcher: SocketAddr, now: Timestamp) -> bool {
-        let silent_until = self.silent_until.get(&dispatcher);
-        silent_until.is_none_or(|until| *until <= now)
+        let known = self.dispatchers.get(&dispatcher);
+        known.is_none_or(|known| known.silent_until <= now)
     }
 
     /// Asks a dispatcher. `ask` gets its number here.
@@ -184,14 +202,42 @@
         let number = self.last_number;
         self.clients.insert(number, client);
         let ask = Ask { number, ..ask };
-        self.outbox.push((dispatcher, PermitMessage::Ask(ask)));
-        HeldPermit {
+        let timeout = REPLY_TIMEOUT.min(ask.to_target.mul_f64(REPLY_SHARE));
+        let mut permit = HeldPermit {
             number,
             dispatcher,
             queue: ask.queue,
             state: PermitState::Asked,
-            until: now + REPLY_TIMEOUT,
+            until: now,
+            ask,
+            patience: now + timeout * REPLY_PATIENCE,
+        };
+        self.send_ask(&mut permit, now);
+        permit
+    }
+
+    /// Repeats an ask that got no answer, unless its dispatcher counts as lost by now or the
+    /// request can't wait any longer. Returns whether it did.
+    pub fn repeat(&mut self, permit: &mut HeldPermit, now: Timestamp) -> bool {
+        let known = self.dispatchers.entry(permit.dispatcher).or_default();
+        let is_lost = known.asked_at.is_some_and(|at| at + LOST_AFTER <= now);
+        if is_lost {
+            self.lost(permit.dispatcher, now);
         }
+        let may_wait = permit.patience > now && self.is_heard(permit.dispatcher, now);
+        if may_wait {
+            self.send_ask(permit, now);
+        }
+        may_wait
+    }
+
+    fn send_ask(&mut self, permit: &mut HeldPermit, now: Timestamp) {
+        let known = self.dispatchers.entry(permit.dispatcher).or_default();
+        known.asked_at.get_or_insert(now);
+        let timeout = REPLY_TIMEOUT.min(permit.ask.to_target.mul_f64(REPLY_SHARE));
+        permit.until = now + timeout;
+        let message = PermitMessage::Ask(permit.ask);
+        self.outbox.push((permit.dispatcher, message));
     }
 
     /// The client whose request waits for this number.
@@ -201,12 +247,16 @@
 
     /// A dispatcher has answered.
     pub fn heard(&mut self, dispatcher: SocketAddr) {
-        self.silent_until.remove(&dispatcher);
+        self.dispatchers.remove(&dispatcher);
     }
 
-    /// A dispatcher has not answered in time, or doesn't hand out permits.
-    pub fn missed(&mut self, dispatcher: SocketAddr, now: Timestamp) {
-        self.silent_until.insert(dispatcher, now + SILENT_TTL);
+    /// A dispatcher counts as lost, or doesn't hand out permits.
+    pub fn lost(&mut self, dispatcher: SocketAddr, now: Timestamp) {
+        let lost = Heard {
+            asked_at: None,
+            silent_until: now + SILENT_TTL,
+        };
+        self.dispatchers.insert(dispatcher, lost);
     }
 
     /// A request goes on without a permit.
@@ -244,7 +294,8 @@
 
     /// Forgets dispatchers that may be asked again.
     pub fn expire(&mut self, now: Timestamp) {
-        self.silent_until.retain(|_, until| *until > now);
+        self.dispatchers
+            .retain(|_, known| known.asked_at.is_some() || known.silent_until > now);
     }
 }
 
