--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -27,9 +27,10 @@
 const LEFTOVER_PATIENCE: f64 = 2.0;
 /// How long a permit is out at least before it counts as lost, with its caller's node or its
 /// return: a few times the work of a request.
-const LEAST_EXPIRY: Duration = Duration::from_millis(500);
-/// The same as a multiple of the expected work: few requests take so long.
-const EXPIRY_FACTOR: u32 = 4;
+const LEAST_EXPIRY: Duration = Duration::from_secs(1);
+/// The same as a multiple of the expected work: machines that are slow for moments take three
+/// times as long, and work spreads by half.
+const EXPIRY_FACTOR: u32 = 6;
 /// The longest: a permit's place is lost for that time if it is not returned.
 const LONGEST_EXPIRY: Duration = Duration::from_secs(3);
 /// Most requests that wait in one queue, some 100 bytes each. Those that can be in time are
@@ -76,14 +77,28 @@
 /// How a request ended whose permit comes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Returned {
-    /// The instance answered after this time.
-    Answered(Duration),
+    /// The instance answered.
+    Answered {
+        /// Time from the request to its answer.
+        took: Duration,
+        /// What the instance said of its load, if it says so.
+        load: Option<InstanceLoad>,
+    },
     /// The instance didn't run it, or it was never sent.
     NotRun,
     /// It was broken off, or its answer was lost.
     Unknown,
 }
 
+/// What an instance says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InstanceLoad {
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
 /// Who goes first: callers that waited as they were told, then requests of usual work, then
 /// those that can be in time, then the most urgent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,13 +157,14 @@
 }
 
 impl PermitQueue {
-    /// The queue of an owner of keys. One more permit than it has slots is out: a request is
-    /// on its way while another ends, so that no slot is idle meanwhile.
+    /// The queue of an owner of keys. One more permit than it has slots is out at least: a
+    /// request is on its way while another ends, so that no slot is idle meanwhile.
     pub fn of_owner(now: Timestamp) -> PermitQueue {
         PermitQueue::new(Servers::one(), now)
     }
 
-    /// The queue of the instances of a zone. As many permits are out as they have slots.
+    /// The queue of the instances of a zone. As many permits are out as they have slots, and
+    /// more where slots are idle all the same.
     pub fn of_pool(now: Timestamp) -> PermitQueue {
         PermitQueue::new(Servers::pool(), now)
     }
@@ -232,10 +248,14 @@
             return false;
         };
         match how {
-            Returned::Answered(_) if !permit.is_usual => {}
-            Returned::Answered(took) => {
+            Returned::Answered { took, load } => {
                 let work = took.div_f64(permit.load.max(1.0));
+                let work = Some(work).filter(|_| permit.is_usual);
                 self.servers.answered(permit.server, work);
+                if let Some(load) = load {
+                    let is_wanted = !self.waiting.is_empty();
+                    self.servers.told_load(permit.server, load, is_wanted);
+                }
             }
             Returned::NotRun => {}
             Returned::Unknown => self.servers.failed(permit.server, now),
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -1,5 +1,6 @@
 //! The instances behind a queue: their free slots, speed and failures.
 
+use super::queue::InstanceLoad;
 use crate::Timestamp;
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -13,6 +14,9 @@
 /// Requests that a cold instance works on at once: it takes a few times as long, and bears
 /// few requests a second.
 const COLD_SLOTS: usize = 1;
+/// By how much the permits beyond an instance's slots change with an answer: four answers
+/// with idle slots send one request more ahead.
+const AHEAD_STEP: f64 = 0.25;
 /// Failures in a row after which an instance of a pool is ejected.
 const EJECT_AFTER: u32 = 2;
 /// The first ejection's length; it doubles.
@@ -39,6 +43,8 @@
     is_cold: bool,
     out: usize,
     work: Option<Duration>,
+    /// Permits beyond its slots.
+    ahead: f64,
     failures: u32,
     ejections: u32,
     ejected_until: Timestamp,
@@ -83,8 +89,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Servers {
     known: HashMap<u64, Known>,
-    /// Permits beyond the slots of each.
-    ahead: usize,
+    /// Least permits beyond the slots of each.
+    ahead: f64,
     /// Whether instances that fail are passed over for others.
     ejects: bool,
 }
@@ -94,7 +100,7 @@
     pub(super) fn one() -> Servers {
         Servers {
             known: HashMap::new(),
-            ahead: 1,
+            ahead: 1.0,
             ejects: false,
         }
     }
@@ -103,7 +109,7 @@
     pub(super) fn pool() -> Servers {
         Servers {
             known: HashMap::new(),
-            ahead: 0,
+            ahead: 0.0,
             ejects: true,
         }
     }
@@ -143,9 +149,12 @@
     /// fastest. One that has failed the request before only if no other can; ejected ones
     /// only where most are.
     pub(super) fn pick(&self, tried: Option<u64>, needs_slot: bool, now: Timestamp) -> Option<u64> {
-        let ahead = if needs_slot { 0 } else { self.ahead };
         let can_take = |known: &Known| {
             let slots = known.usable_slots();
+            let ahead = match needs_slot {
+                true => 0,
+                false => known.ahead.max(self.ahead) as usize,
+            };
             slots > 0 && known.out < slots + ahead
         };
         let ejects = self.ejects && self.ejected(now) * 2 <= self.known.len();
@@ -183,15 +192,34 @@
         }
     }
 
-    /// An instance has answered after so much work.
-    pub(super) fn answered(&mut self, server: u64, work: Duration) {
+    /// An instance has answered, after so much work if that says something of others.
+    pub(super) fn answered(&mut self, server: u64, work: Option<Duration>) {
         if let Some(known) = self.known.get_mut(&server) {
             known.failures = 0;
             known.ejections = 0;
-            known.sample(work);
+            if let Some(work) = work {
+                known.sample(work);
+            }
         }
     }
 
+    /// An instance has told its load; `is_wanted` if requests wait for it here. Where its
+    /// slots are idle meanwhile, requests take their time on the way, and more are sent
+    /// ahead; where requests wait there, fewer, since their order can't be changed any more.
+    pub(super) fn told_load(&mut self, server: u64, load: InstanceLoad, is_wanted: bool) {
+        let least = self.ahead;
+        let Some(known) = self.known.get_mut(&server) else {
+            return;
+        };
+        let most = known.usable_slots() as f64;
+        if load.waiting > 0 {
+            known.ahead -= AHEAD_STEP * load.waiting as f64;
+        } else if is_wanted && load.running < known.usable_slots() {
+            known.ahead += AHEAD_STEP;
+        }
+        known.ahead = known.ahead.clamp(least, most.max(least));
+    }
+
     /// A request there was broken off, or its answer was lost.
     pub(super) fn failed(&mut self, server: u64, now: Timestamp) {
         let Some(known) = self.known.get_mut(&server) else {
@@ -206,10 +234,12 @@
         }
     }
 
-    /// A permit for it did not come back. What it takes longer makes it less likely to be
-    /// in time.
+    /// A permit for it did not come back. Where that repeats without an answer between, it
+    /// takes longer, and fewer requests can be in time.
     pub(super) fn silent(&mut self, server: u64, after: Duration, now: Timestamp) {
-        if let Some(known) = self.known.get_mut(&server) {
+        if let Some(known) = self.known.get_mut(&server)
+            && known.failures >= EJECT_AFTER - 1
+        {
             known.sample(after);
         }
         self.failed(server, now);
--- a/crates/ledgelead-router/src/node/dispatch.rs
+++ b/crates/ledgelead-router/src/node/dispatch.rs
@@ -4,7 +4,9 @@
 use super::gossip::send;
 use crate::Timestamp;
 use crate::directory::Instance;
-use crate::dispatch::{Asker, Decided, QueueAsk, QueueKind, Returned, Server, Verdict};
+use crate::dispatch::{
+    Asker, Decided, InstanceLoad, QueueAsk, QueueKind, Returned, Server, Verdict,
+};
 use crate::io::Action;
 use crate::peers::{PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict, encode};
 use crate::requests::{Ask, PermitDecision, PermitMessage};
@@ -49,16 +51,21 @@
                 self.permit_returned(queue, asker, how, now, out);
             }
             PermitMessage::Return { number, queue, how } => {
-                let (ended, took_ms) = match how {
-                    Returned::Answered(took) => (PermitEnd::Answered, short_millis(took)),
-                    Returned::NotRun => (PermitEnd::NotRun, 0),
-                    Returned::Unknown => (PermitEnd::Unknown, 0),
+                let (ended, took_ms, load) = match how {
+                    Returned::Answered { took, load } => (
+                        PermitEnd::Answered,
+                        short_millis(took),
+                        load.map(short_load),
+                    ),
+                    Returned::NotRun => (PermitEnd::NotRun, 0, None),
+                    Returned::Unknown => (PermitEnd::Unknown, 0, None),
                 };
                 let message = PeerMessage::PermitReturn {
                     number,
                     queue,
                     ended,
                     took_ms,
+                    load,
                 };
                 send(to, &[encode(&message)], out);
             }
@@ -210,14 +217,25 @@
 }
 
 /// How a request ended, as another node has sent it.
-pub(super) fn returned(ended: PermitEnd, took_ms: u16) -> Returned {
+pub(super) fn returned(ended: PermitEnd, took_ms: u16, load: Option<(u8, u8)>) -> Returned {
     match ended {
-        PermitEnd::Answered => Returned::Answered(Duration::from_millis(u64::from(took_ms))),
+        PermitEnd::Answered => Returned::Answered {
+            took: Duration::from_millis(u64::from(took_ms)),
+            load: load.map(|(running, waiting)| InstanceLoad {
+                running: usize::from(running),
+                waiting: usize::from(waiting),
+            }),
+        },
         PermitEnd::NotRun => Returned::NotRun,
         PermitEnd::Unknown => Returned::Unknown,
     }
 }
 
+fn short_load(load: InstanceLoad) -> (u8, u8) {
+    let short = |count: usize| u8::try_from(count).unwrap_or(u8::MAX);
+    (short(load.running), short(load.waiting))
+}
+
 fn ask_entry(ask: &Ask) -> PermitAskEntry {
     PermitAskEntry {
         number: ask.number,
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -290,9 +290,11 @@
                 queue,
                 ended,
                 took_ms,
+                load,
             } => {
                 let asker = Asker { node: from, number };
-                self.permit_returned(queue, asker, returned(ended, took_ms), now, out);
+                let how = returned(ended, took_ms, load);
+                self.permit_returned(queue, asker, how, now, out);
             }
             PeerMessage::Evidence {
                 wants_reply,
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -430,6 +430,8 @@
         ended: PermitEnd,
         /// Time from the request to its answer in milliseconds, if there was one.
         took_ms: u16,
+        /// Requests that ran and waited at the instance then, by its own word.
+        load: Option<(u8, u8)>,
     },
     /// Facts about requests under which instances ended.
     Evidence {
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -448,7 +448,10 @@
     request
 }
 
-fn reported_load(response: &Response, context: &RequestContext<'_>) -> Option<ReportedLoad> {
+pub(super) fn reported_load(
+    response: &Response,
+    context: &RequestContext<'_>,
+) -> Option<ReportedLoad> {
     let text = response.headers.text(&context.headers.load)?;
     let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
     let running = numbers.next()?.ok()?;
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -9,6 +9,7 @@
 pub use self::crashes::CrashSigns;
 pub use self::permits::PermitDecision;
 
+use self::attempts::reported_load;
 use self::decide::Step;
 use self::endings::{attempt_name, relayed};
 use super::answers::Refusal;
@@ -26,7 +27,7 @@
 use crate::configuration::{Configuration, Route, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
-use crate::dispatch::Returned;
+use crate::dispatch::{InstanceLoad, Returned};
 use crate::events::Event;
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
@@ -562,7 +563,13 @@
             let not_executed = response.headers.get(&context.headers.not_executed);
             match not_executed.is_some() || response.status == 421 {
                 true => Returned::NotRun,
-                false => Returned::Answered(context.now.saturating_sub(attempt.sent)),
+                false => Returned::Answered {
+                    took: context.now.saturating_sub(attempt.sent),
+                    load: reported_load(response, context).map(|load| InstanceLoad {
+                        running: load.running as usize,
+                        waiting: load.waiting as usize,
+                    }),
+                },
             }
         }
         Err(failure) if failure.proves_not_sent() => Returned::NotRun,
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -364,6 +364,7 @@
         queue: instance(1, KEYED).id.stable_hash(),
         ended: PermitEnd::Answered,
         took_ms: 60,
+        load: None,
     };
     fixture.receive(asker, &message);
     expect_that!(verdicts(&fixture)[7], eq((6, PermitVerdict::Granted)));
