--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -44,6 +44,8 @@
     pub suspected: usize,
     /// Ends of instances under them that none has disproved.
     pub ends_counted: usize,
+    /// Objects of the store that could not be read, counted each time, by kind.
+    pub unreadable: BTreeMap<&'static str, u64>,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
 }
@@ -69,6 +71,7 @@
             quarantined: self.quarantine.held_back(),
             suspected: self.quarantine.evidence.iter().count(),
             ends_counted: self.quarantine.evidence.ends(),
+            unreadable: BTreeMap::new(),
             traffic: self.traffic.clone(),
         }
     }
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -69,6 +69,26 @@
         object
     }
 
+    /// Another writer replaces an object, or makes one, by what can't be read.
+    pub fn spoil(&mut self, kind: ObjectKind, name: &str) {
+        self.revision += 1;
+        let object = Object {
+            name: name.to_owned(),
+            revision: self.revision,
+            content: Err("missing field `service`".to_owned()),
+        };
+        self.objects.insert((kind, name.to_owned()), object);
+    }
+
+    /// Removes an object.
+    pub fn remove(&mut self, kind: ObjectKind, name: &str) {
+        self.revision += 1;
+        let object = self.objects.remove(&(kind, name.to_owned()));
+        let revision = self.revision;
+        let object = object.expect("it is there");
+        self.gone.push((kind, Object { revision, ..object }));
+    }
+
     /// Removes all objects of a kind.
     pub fn remove_all(&mut self, kind: ObjectKind) {
         let names = self.objects.keys().filter(|(of, _)| *of == kind);
@@ -468,6 +488,19 @@
         self.end(exchange, Ok(Response::new(200, number.to_string())));
     }
 
+    /// The store answers the newest watch of a kind that its history is lost, and
+    /// the list that follows.
+    pub fn lose_history(&mut self, kind: ObjectKind) {
+        let position = self.watches.iter().rposition(
+            |(_, _, call)| matches!(call, StoreCall::Watch { kind: watched, .. } if *watched == kind),
+        );
+        let (exchange, number, _) = self.watches.remove(position.expect("a watch waits"));
+        let lost = StoreAnswer::HistoryLost;
+        self.mailbox.borrow_mut().answers.insert(number, lost);
+        self.end(exchange, Ok(Response::new(200, number.to_string())));
+        self.run_until(self.now + ms(500));
+    }
+
     /// Answers of a slow store arrive.
     pub fn deliver(&mut self) {
         self.deliver_all_but(|_| false);
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/foreign.rs
@@ -0,0 +1,288 @@
+//! Entries of the store that another writer made.
+
+use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms};
+use crate::fixture::{node_address, node_record};
+use googletest::prelude::*;
+use ledgelead_http::Response;
+use ledgelead_router::dialect::{ObjectContent, ObjectKind};
+use ledgelead_router::directory::InstanceRecord;
+use ledgelead_router::identity::{InstanceId, ZoneName};
+use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::node::NodeStatus;
+use ledgelead_router::peers::{ChangeSpan, ChangedInstance, InstanceEntry, PeerMessage};
+use ledgelead_types::codec::{List, Text};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Instances 1 and 2 without keys, 3 and 4 with keys, two nodes.
+fn store() -> Store {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..=4 {
+        let service = if number <= 2 { SERVICE } else { KEYED };
+        store.add_instance(instance(number, service));
+    }
+    store.add_node(node_record(0));
+    store.add_node(node_record(1));
+    store.vacate();
+    store
+}
+
+/// Where requests go.
+fn used(fixture: &mut Fixture, service: &str) -> BTreeSet<SocketAddr> {
+    fixture.attempts.clear();
+    for number in 0..12u16 {
+        let key = (service == KEYED).then_some(number * 5_000);
+        fixture.ask(service, key);
+    }
+    let sent = fixture
+        .attempts
+        .iter()
+        .filter(|sent| sent.target != "order");
+    let used: BTreeSet<SocketAddr> = sent.map(|sent| sent.address).collect();
+    for sent in std::mem::take(&mut fixture.attempts) {
+        let mut response = Response::new(200, "");
+        response.headers.push("signature", "s");
+        fixture.answer(sent.exchange, response);
+    }
+    used
+}
+
+fn address(number: u8) -> SocketAddr {
+    instance(number, SERVICE).address
+}
+
+/// Answers orders for a while, so that keys get owners.
+fn settle(fixture: &mut Fixture, time: u64) {
+    let end = fixture.now + ms(time);
+    while fixture.now < end {
+        let next = fixture.now + ms(50);
+        fixture.run_until(next);
+        for sent in std::mem::take(&mut fixture.attempts) {
+            fixture.answer(sent.exchange, Response::new(200, ""));
+        }
+    }
+}
+
+fn unreadable(status: &NodeStatus, kind: &str) -> u64 {
+    status.unreadable.get(kind).copied().unwrap_or(0)
+}
+
+#[gtest]
+fn an_entry_that_becomes_foreign_names_no_instance_and_comes_back() {
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 3_000);
+    expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
+    fixture.store.spoil(ObjectKind::Instances, "i-1");
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(
+        used(&mut fixture, SERVICE),
+        eq(&BTreeSet::from([address(2)]))
+    );
+    settle(&mut fixture, 1_000);
+    fixture.store.add_instance(instance(1, SERVICE));
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
+}
+
+#[gtest]
+fn keys_of_an_owner_whose_entry_becomes_foreign_move() {
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 4_000);
+    let owner = InstanceId::from("i-3");
+    let owned = (0..=u16::MAX).find(|key| fixture.owner_of(*key).as_ref() == Some(&owner));
+    let key = owned.expect("it owns keys");
+    fixture.store.spoil(ObjectKind::Instances, "i-3");
+    fixture.change_watched(ObjectKind::Instances);
+    settle(&mut fixture, 8_000);
+    expect_that!(fixture.owner_of(key), some(eq(&InstanceId::from("i-4"))));
+}
+
+#[gtest]
+fn a_foreign_entry_ends_no_life_at_its_address_and_a_good_one_does() {
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 3_000);
+    fixture.store.spoil(ObjectKind::Instances, "i-9");
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
+    settle(&mut fixture, 1_000);
+    fixture.store.add_instance(InstanceRecord {
+        address: address(1),
+        ..instance(9, KEYED)
+    });
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(
+        used(&mut fixture, SERVICE),
+        eq(&BTreeSet::from([address(2)]))
+    );
+}
+
+#[gtest]
+fn a_list_with_foreign_entries_leaves_the_others() {
+    let mut store = store();
+    store.spoil(ObjectKind::Instances, "i-1");
+    store.spoil(ObjectKind::Instances, "");
+    store.spoil(ObjectKind::Nodes, "i-2");
+    store.spoil(ObjectKind::Quarantine, "i-2");
+    store.spoil(ObjectKind::Ownership, "other");
+    let mut fixture = Fixture::coordinating(store);
+    settle(&mut fixture, 1_000);
+    expect_that!(
+        used(&mut fixture, SERVICE),
+        eq(&BTreeSet::from([address(2)]))
+    );
+    let status = fixture.node.status();
+    expect_that!(status.nodes, eq(2));
+    expect_that!(unreadable(&status, "instances"), ge(2));
+    expect_that!(unreadable(&status, "nodes"), ge(1));
+}
+
+#[gtest]
+fn a_foreign_object_of_another_kind_that_goes_removes_no_instance() {
+    let mut store = store();
+    store.spoil(ObjectKind::Nodes, "i-2");
+    let mut fixture = Fixture::coordinating(store);
+    settle(&mut fixture, 3_000);
+    fixture.store.remove(ObjectKind::Nodes, "i-2");
+    fixture.change_watched(ObjectKind::Nodes);
+    expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
+}
+
+#[gtest]
+fn what_is_foreign_is_relayed_as_gone_whether_told_or_listed() {
+    for lists in [false, true] {
+        let mut fixture = Fixture::coordinating(store());
+        settle(&mut fixture, 3_000);
+        fixture.datagrams.clear();
+        fixture.store.spoil(ObjectKind::Instances, "i-1");
+        if lists {
+            fixture.store.forgets = true;
+            fixture.lose_history(ObjectKind::Instances);
+        } else {
+            fixture.change_watched(ObjectKind::Instances);
+        }
+        let told = fixture
+            .datagrams
+            .iter()
+            .filter_map(|(_, _, message)| match message {
+                PeerMessage::InstancesChanged { changes, .. } => Some(changes.0.clone()),
+                _ => None,
+            });
+        let told: Vec<ChangedInstance> = told.flatten().collect();
+        let gone = ChangedInstance {
+            id: Text("i-1".to_owned()),
+            entry: None,
+        };
+        expect_that!(told, eq(&[gone]), "lists: {lists}");
+    }
+}
+
+#[gtest]
+fn what_is_relayed_and_out_of_range_counts_as_gone() {
+    let entry = |slots, address: &str| InstanceEntry {
+        service: Text(SERVICE.to_owned()),
+        address: Text(address.to_owned()),
+        zone: Text("a".to_owned()),
+        slots,
+        draining: false,
+        warmup_left_ms: 0,
+    };
+    for entry in [
+        entry(0, "10.0.1.1:8000"),
+        entry(u32::MAX, "10.0.1.1:8000"),
+        entry(2, "x"),
+    ] {
+        let mut fixture = Fixture::new(store());
+        fixture.run_until(ms(900));
+        let revision = fixture.store.revision;
+        let changed = ChangedInstance {
+            id: Text("i-1".to_owned()),
+            entry: Some(entry),
+        };
+        let message = PeerMessage::InstancesChanged {
+            span: ChangeSpan {
+                base: revision,
+                revision: revision + 1,
+                part: 0,
+                parts: 1,
+            },
+            unconfirmed_ms: 0,
+            changes: List(vec![changed]),
+        };
+        fixture.receive(node_address(1), &message);
+        expect_that!(
+            used(&mut fixture, SERVICE),
+            eq(&BTreeSet::from([address(2)]))
+        );
+    }
+}
+
+#[gtest]
+fn a_long_entry_leaves_room_for_the_others_of_its_datagram() {
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 3_000);
+    fixture.datagrams.clear();
+    for number in 10..18 {
+        let id = format!("i-{number}-{}", "x".repeat(240));
+        fixture.store.add_instance(InstanceRecord {
+            id: InstanceId::from(id.as_str()),
+            ..instance(number, SERVICE)
+        });
+    }
+    // The fixture decodes each datagram as another node would.
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(fixture.sent("instances"), ge(2));
+}
+
+#[gtest]
+fn a_finding_is_counted_each_time() {
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 3_000);
+    for _ in 0..5 {
+        fixture.store.spoil(ObjectKind::Instances, "i-1");
+        fixture.change_watched(ObjectKind::Instances);
+        settle(&mut fixture, 1_000);
+    }
+    expect_that!(unreadable(&fixture.node.status(), "instances"), eq(5));
+}
+
+#[gtest]
+fn a_load_of_any_size_is_taken_for_what_can_be() {
+    let max = u32::MAX;
+    let loads = [
+        format!("{max},{max},{max},{max}"),
+        format!("{max},1,0,65535"),
+        "0,0,0,0".to_owned(),
+        "-1,2,3".to_owned(),
+        "99999999999999999999,1,1".to_owned(),
+        "NaN,inf,1e300".to_owned(),
+    ];
+    for load in loads {
+        let mut fixture = Fixture::new(store());
+        fixture.run_until(ms(900));
+        for _ in 0..6 {
+            fixture.ask(SERVICE, None);
+            let sent = fixture.attempts.pop().expect("an attempt");
+            let mut response = Response::new(200, "");
+            response.headers.push("signature", "s");
+            response.headers.push("load", load.clone());
+            fixture.answer(sent.exchange, response);
+        }
+        fixture.ask(SERVICE, None);
+        let sent = fixture.attempts.pop().expect("an attempt");
+        fixture.end(sent.exchange, Err(ExchangeFailure::NotConnected));
+    }
+}
+
+#[gtest]
+fn a_record_of_another_name_gives_nothing_away() {
+    let mut store = store();
+    store.put(
+        ObjectKind::Evacuations,
+        "",
+        ObjectContent::Evacuation(ZoneName::from("")),
+    );
+    let mut fixture = Fixture::coordinating(store);
+    settle(&mut fixture, 3_000);
+    expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
+}
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -144,3 +144,22 @@
     });
     expect_that!(timed_out, is_reset);
 }
+
+#[gtest]
+fn a_keep_alive_of_any_length_is_bounded() {
+    for seconds in [
+        "0",
+        "5",
+        "18446744073709551615",
+        "99999999999999999999",
+        "-1",
+        "x",
+    ] {
+        let mut response = ledgelead_http::Response::new(200, "");
+        response
+            .headers
+            .push("Keep-Alive", format!("timeout={seconds}"));
+        let keep = super::keep_alive(&response).unwrap_or_default();
+        expect_that!(keep, le(Duration::from_secs(86_400)), "{seconds}");
+    }
+}
