What comes from outside is bounded where it enters, each object by itself

Cause: the adapter decoded a list as one value, so one entry of another shape made the whole answer unreadable; numbers of entries, datagrams and headers went unchecked into sums and durations; an entry that can't be read was dropped at the door and left what it had named in use.

Ruled out: reading items as `Value` (1e400, a lone surrogate or 128 levels in one entry fail the whole document); a foreign entry as `remove` (an outage's doubt keeps it in use for 2.2 s, although the entry stands there); names of the objects as they come (a blank or line break in a name would break the request that continues the list).

Change: - `boundary`: the bounds of names, slots, times, weights, revisions, and of our own records (name, order, tokens). The adapter passes each object through it, relayed entries and configurations pass through it too, and `is_within_bounds` drops datagrams with numbers that would block an epoch or a revision for good. - Items and events are read one by one (`RawValue`); bytes that are no text spoil the object they stand in. A list continues from the last name that can be read; a page without a new one ends it, and takes nothing for gone. - An instance whose entry can't be read is withdrawn at once, relayed as gone, and is back with the next good entry. A foreign object of another kind removes no instance. - An unknown state is no draining; all fields that instances write must be there. - Each finding is counted (`ledgelead_objects_unreadable_total`), logged once an object. - Parts of relayed lists are split by bytes too, and a list that changes nothing is told. - `Duration::from_secs_f64` is disallowed by clippy.

`tests/objects.rs` reads configurations under their name (`main`), since others don't count; `tests/fleet.rs` of the lab uses the checked constructor. `is_consistent` sorts instead of comparing all pairs, since each read is checked now.

--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 fn seconds(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds)
+    Duration::try_from_secs_f64(seconds).expect("a time of a test")
 }
 
 fn run(schedule: Schedule, protections: Protections) -> FleetReport {
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -38,6 +38,18 @@
         ObjectKind::Quarantine,
     ];
 
+    /// The kind's name in metrics and findings.
+    pub fn label(self) -> &'static str {
+        match self {
+            ObjectKind::Configuration => "configuration",
+            ObjectKind::Instances => "instances",
+            ObjectKind::Ownership => "ownership",
+            ObjectKind::Nodes => "nodes",
+            ObjectKind::Evacuations => "evacuations",
+            ObjectKind::Quarantine => "quarantine",
+        }
+    }
+
     /// Whether there is only one object of this kind.
     pub fn is_single(self) -> bool {
         matches!(self, ObjectKind::Configuration | ObjectKind::Ownership)
@@ -64,11 +76,12 @@
 /// An object of the store.
 #[derive(Clone, Debug)]
 pub struct Object {
-    /// Its name within its kind.
+    /// Its name within its kind; empty where that can't be read.
     pub name: String,
     /// The store's revision of its last change.
     pub revision: u64,
-    /// What it holds; a finding with its place where that can't be read.
+    /// What it holds, within the bounds of [`crate::boundary`]; a finding with its place
+    /// where that can't be read.
     pub content: Result<ObjectContent, String>,
 }
 
@@ -296,7 +309,8 @@
     fn headers(&self) -> &HeaderNames;
     /// The request that carries a call to the store.
     fn store_request(&self, call: &StoreCall) -> Request;
-    /// What the store's answer to the call means.
+    /// What the store's answer to the call means. Each object is read by itself: one that
+    /// can't be read takes no other with it.
     fn store_answer(&self, call: &StoreCall, response: &Response) -> StoreAnswer;
     /// The request that carries an order to an instance.
     fn order_request(&self, instance: &InstanceId, order: &Order) -> Request;
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -315,6 +315,21 @@
         }
     }
 
+    /// An entry that stands in the store can't be read any more: it names no instance to
+    /// use. No outage has made it so, hence it is not doubted as one that is missing.
+    pub fn withdraw(&mut self, id: &InstanceId, now: Timestamp) {
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        if instance.is_gone() {
+            return;
+        }
+        self.changes += 1;
+        self.doubted.remove(id);
+        let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
+        instance.leave(since, now);
+    }
+
     /// Entries whose doubt has ended are gone; entries gone for long are
     /// forgotten.
     pub fn expire(&mut self, now: Timestamp) {
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -4,6 +4,7 @@
 //! There are no sockets, threads, clocks or global randomness. How a store,
 //! its objects and the instances are spoken to is a [`dialect::Dialect`].
 
+pub mod boundary;
 pub mod configuration;
 pub mod dialect;
 pub mod directory;
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -180,6 +180,20 @@
             }
         };
         self.traffic.received(message.kind(), bytes.len());
+        if !message.is_within_bounds() {
+            log::warn!(target: "peers", "datagram from {from}: numbers out of bounds");
+            return;
+        }
+        self.message(from, message, now, out);
+    }
+
+    fn message(
+        &mut self,
+        from: SocketAddr,
+        message: PeerMessage,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         match message {
             PeerMessage::CoordinatorHeartbeat(heartbeat) => {
                 self.heartbeat_received(from, &heartbeat, now, out);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -13,10 +13,12 @@
 mod status;
 mod store_answers;
 mod store_calls;
+mod unreadable;
 mod watch_paces;
 mod zone_relay;
 
 pub use status::NodeStatus;
+pub use store_calls::OWNERSHIP_NAME;
 
 use crate::Timestamp;
 use crate::configuration::{ClientLimits, Configuration, RouteTable};
@@ -38,6 +40,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
+use unreadable::UnreadableObjects;
 use zone_relay::ZoneRelays;
 
 /// Pause between two clean-ups of what is no longer needed.
@@ -63,6 +66,7 @@
     overloads: Overloads,
     evacuations: Evacuations,
     quarantine: Quarantine,
+    unreadable: UnreadableObjects,
     traffic: PeerTraffic,
     stopping: bool,
     next_clean_up: Timestamp,
@@ -90,6 +94,7 @@
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
+            unreadable: UnreadableObjects::default(),
             traffic: PeerTraffic::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -5,7 +5,7 @@
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
 use crate::events::Event;
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, NodeName};
 use crate::io::Action;
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
@@ -28,6 +28,7 @@
         let mut zones = Vec::new();
         let mut quarantined = BTreeSet::new();
         for object in objects {
+            self.note_readable(kind, &object);
             if kind == ObjectKind::Quarantine {
                 self.evidence_read(&object, now);
                 quarantined.extend(RequestDigest::parse(&object.name));
@@ -52,7 +53,9 @@
                 }
                 Ok(ObjectContent::Evacuation(zone)) => zones.push(zone),
                 Ok(ObjectContent::Quarantine(_)) => {}
-                Err(finding) => unreadable(&object.name, &finding),
+                // It names nothing to use: a list goes on without it.
+                Err(_) if kind == ObjectKind::Nodes => nodes.extend(self.known_node(&object.name)),
+                Err(_) => self.apply_unreadable(kind, &object.name, false, now),
             }
         }
         match kind {
@@ -88,12 +91,18 @@
     /// One change.
     pub(super) fn apply_event(
         &mut self,
+        kind: ObjectKind,
         event: ObjectEvent,
         started: Timestamp,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
         let object = event.object;
+        if event.gone {
+            self.unreadable.settled(kind, &object.name);
+        } else {
+            self.note_readable(kind, &object);
+        }
         if let (Ok(ObjectContent::Quarantine(_)), false) = (&object.content, event.gone) {
             self.evidence_read(&object, now);
             return;
@@ -129,14 +138,37 @@
                     self.lifted(request, now);
                 }
             }
-            Ok(_) => unreadable(&object.name, "was removed"),
-            Err(finding) if event.gone => {
-                // An entry that is gone may be told by its name alone.
-                log::debug!(target: "store", "{} is gone: {finding}", object.name);
-                self.directory
-                    .remove(&InstanceId::from(object.name.as_str()), now);
+            Ok(_) => self.unreadable.met(kind, &object.name, "was removed"),
+            Err(_) => self.apply_unreadable(kind, &object.name, event.gone, now),
+        }
+    }
+
+    /// An object that can't be read has been written, or is gone and told by its name alone.
+    /// As an instance's entry it names none to use, either way.
+    fn apply_unreadable(&mut self, kind: ObjectKind, name: &str, gone: bool, now: Timestamp) {
+        match kind {
+            ObjectKind::Instances if gone => self.directory.remove(&InstanceId::from(name), now),
+            ObjectKind::Instances => self.directory.withdraw(&InstanceId::from(name), now),
+            ObjectKind::Nodes if gone => self.registry.remove(&NodeName::from(name)),
+            ObjectKind::Quarantine if gone => {
+                if let Some(request) = RequestDigest::parse(name) {
+                    self.lifted(request, now);
+                }
             }
-            Err(finding) => unreadable(&object.name, &finding),
+            _ => {}
+        }
+    }
+
+    /// The registration that is known of a node whose object can't be read any more: it
+    /// is reached as before.
+    fn known_node(&self, name: &str) -> Option<Registration> {
+        self.registry.registration(&NodeName::from(name)).cloned()
+    }
+
+    fn note_readable(&mut self, kind: ObjectKind, object: &Object) {
+        match &object.content {
+            Ok(_) => self.unreadable.settled(kind, &object.name),
+            Err(finding) => self.unreadable.met(kind, &object.name, finding),
         }
     }
 
@@ -183,7 +215,3 @@
         }
     }
 }
-
-fn unreadable(object: &str, finding: &str) {
-    Event::ObjectUnreadable { object, finding }.emit();
-}
--- a/crates/ledgelead-router/src/node/quarantine/keeping.rs
+++ b/crates/ledgelead-router/src/node/quarantine/keeping.rs
@@ -107,9 +107,6 @@
             return;
         };
         let Some(request) = RequestDigest::parse(&object.name) else {
-            let finding = "the name is no digest";
-            let object = &object.name;
-            Event::ObjectUnreadable { object, finding }.emit();
             return;
         };
         self.quarantine.evidence.merge(request, &record.entry(now));
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -137,6 +137,8 @@
                 // Another life, or an earlier write of this one whose answer was
                 // lost.
                 self.store.registration.awaits_list = true;
+                // An object that can't be read may go on standing in the way.
+                self.store.registration.next_try = now + RETRY_PAUSE;
                 self.store.list_nodes(now);
             }
             _ => self.store.registration.next_try = now + RETRY_PAUSE,
--- a/crates/ledgelead-router/src/node/relay/entries.rs
+++ b/crates/ledgelead-router/src/node/relay/entries.rs
@@ -1,5 +1,6 @@
 //! Objects of the store as entries of datagrams, and back.
 
+use crate::boundary::{self, MAX_WARMUP};
 use crate::dialect::{ObjectContent, ObjectEvent};
 use crate::directory::InstanceRecord;
 use crate::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
@@ -60,18 +61,21 @@
     }
 }
 
+/// The record of an entry, if it lies within bounds.
 pub(super) fn instance_record(id: InstanceId, entry: &InstanceEntry) -> Option<InstanceRecord> {
-    Some(InstanceRecord {
+    let record = InstanceRecord {
         id,
         service: ServiceName::from(entry.service.0.as_str()),
         address: entry.address.0.parse().ok()?,
         zone: ZoneName::from(entry.zone.0.as_str()),
         slots: entry.slots,
         draining: entry.draining,
-        warmup_left: Duration::from_millis(u64::from(entry.warmup_left_ms)),
-    })
+        warmup_left: Duration::from_millis(u64::from(entry.warmup_left_ms)).min(MAX_WARMUP),
+    };
+    boundary::instance(&record).is_ok().then_some(record)
 }
 
+/// The registration of an entry, if it lies within bounds.
 pub(super) fn registration(node: NodeName, entry: &NodeEntry) -> Option<Registration> {
     let record = NodeRecord {
         identity: NodeIdentity {
@@ -82,6 +86,7 @@
         address: entry.address.0.parse().ok()?,
         millicores: entry.millicores,
     };
+    boundary::node(record.identity.node.as_str(), &record).ok()?;
     Some(Registration {
         record,
         revision: entry.revision,
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -31,7 +31,8 @@
     Assembly, ChangeLog, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
-use ledgelead_types::codec::List;
+use ledgelead_types::codec::{self, List};
+use nanoserde::SerBin;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,6 +44,9 @@
 /// The same for the record of ownership, which is written up to 20 times a
 /// second while keys move.
 const KEPT_OWNERSHIP: usize = 256;
+/// Most bytes of entries in one datagram. With its span it fits what a receiver reads,
+/// also if it is passed on; names of 255 bytes would exceed that at the usual count.
+const MAX_PART_BYTES: usize = 1_350;
 /// Pause between two requests for missed changes of one kind.
 const REQUEST_PAUSE: Duration = Duration::from_millis(60);
 
@@ -240,14 +244,14 @@
 
 /// Splits a list into parts and encodes each. A list with too many of them is
 /// left to the store.
-fn parts<T: Clone>(
+fn parts<T: Clone + SerBin>(
     base: u64,
     revision: u64,
     changed: &[T],
     a_part: usize,
     message: impl Fn(ChangeSpan, List<T>) -> PeerMessage,
 ) -> Vec<Datagram> {
-    let chunks: Vec<&[T]> = changed.chunks(a_part).collect();
+    let chunks = chunks(changed, a_part);
     let count = match u8::try_from(chunks.len()) {
         Ok(count) if count <= MAX_PARTS => count,
         _ => return Vec::new(),
@@ -261,7 +265,29 @@
                 part,
                 parts: count,
             };
-            encode(&message(span, List(chunk.to_vec())))
+            encode(&message(span, List(chunk)))
         })
         .collect()
 }
+
+/// Splits changes so that each part fits a datagram. At least one part: a list that
+/// changes nothing is told too, else the others would ask for what lies before it.
+fn chunks<T: Clone + SerBin>(changed: &[T], a_part: usize) -> Vec<Vec<T>> {
+    let mut chunks = vec![Vec::new()];
+    let mut bytes = 0;
+    for change in changed {
+        let length = codec::encode(change).len();
+        let last_is_full = chunks
+            .last()
+            .is_some_and(|last| last.len() >= a_part || bytes + length > MAX_PART_BYTES);
+        if last_is_full && bytes > 0 {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += length;
+        if let Some(last) = chunks.last_mut() {
+            last.push(change.clone());
+        }
+    }
+    chunks
+}
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -76,11 +76,10 @@
             let id = InstanceId::from(change.id.0.as_str());
             match &change.entry {
                 None => self.directory.remove(&id, now),
-                Some(entry) => {
-                    if let Some(record) = instance_record(id, entry) {
-                        self.directory.upsert(record, now);
-                    }
-                }
+                Some(entry) => match instance_record(id.clone(), entry) {
+                    Some(record) => self.directory.upsert(record, now),
+                    None => self.directory.withdraw(&id, now),
+                },
             }
         }
         self.list_applied(ObjectKind::Instances, revision);
@@ -165,8 +164,13 @@
     }
 }
 
-/// What a whole list of instances changes of what is known.
+/// What a whole list of instances changes of what is known. An entry that can't be read
+/// names no instance, as if it were gone.
 pub(in crate::node) fn differences(directory: &Directory, listed: &[Object]) -> Vec<ObjectEvent> {
+    let listed: Vec<&Object> = listed
+        .iter()
+        .filter(|object| object.content.is_ok())
+        .collect();
     let present: BTreeSet<&str> = listed.iter().map(|object| object.name.as_str()).collect();
     let is_known = |object: &Object| match &object.content {
         Ok(ObjectContent::Instance(record)) => directory.get(&record.id).is_some_and(|known| {
@@ -178,7 +182,7 @@
         .iter()
         .filter(|object| !is_known(object))
         .map(|object| ObjectEvent {
-            object: object.clone(),
+            object: (*object).clone(),
             gone: false,
         });
     let gone = directory
@@ -202,7 +206,12 @@
     changes: &Changes<ObjectEvent>,
     unconfirmed: Duration,
 ) -> Vec<Datagram> {
-    let events = last_events(&changes.items).into_iter();
+    // What can't be read is told as gone.
+    let named = changes
+        .items
+        .iter()
+        .filter(|event| !event.object.name.is_empty());
+    let events = last_events(named).into_iter();
     let changed: Vec<ChangedInstance> = events.map(changed_instance).collect();
     let message = |span, changes| PeerMessage::InstancesChanged {
         span,
@@ -243,7 +252,12 @@
 
 /// The datagrams that carry changed registrations of nodes.
 pub(super) fn node_datagrams(changes: &Changes<ObjectEvent>) -> Vec<Datagram> {
-    let events = last_events(&changes.items).into_iter();
+    // What can't be read is not told: the node is reached as before.
+    let read = changes
+        .items
+        .iter()
+        .filter(|event| event.gone || event.object.content.is_ok());
+    let events = last_events(read).into_iter();
     let changed: Vec<ChangedNode> = events.map(changed_node).collect();
     let message = |span, changes| PeerMessage::NodesChanged { span, changes };
     parts(
@@ -255,11 +269,9 @@
     )
 }
 
-/// The last event of each object, by name. What can't be read is not told.
-fn last_events(events: &[ObjectEvent]) -> Vec<&ObjectEvent> {
+/// The last event of each object, by name.
+fn last_events<'a>(events: impl Iterator<Item = &'a ObjectEvent>) -> Vec<&'a ObjectEvent> {
     let by_name: BTreeMap<&str, &ObjectEvent> = events
-        .iter()
-        .filter(|event| event.gone || event.object.content.is_ok())
         .map(|event| (event.object.name.as_str(), event))
         .collect();
     by_name.into_values().collect()
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -195,6 +195,9 @@
 
 /// The datagrams that carry changed assignments.
 pub(super) fn datagrams(changes: &Changes<Assignment>) -> Vec<Datagram> {
+    if changes.items.is_empty() {
+        return Vec::new();
+    }
     let changed: Vec<ChangedAssignment> = changes.items.iter().map(changed_assignment).collect();
     let message = |span, changes| PeerMessage::OwnershipChanged { span, changes };
     parts(
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -71,7 +71,7 @@
             quarantined: self.quarantine.held_back(),
             suspected: self.quarantine.evidence.iter().count(),
             ends_counted: self.quarantine.evidence.ends(),
-            unreadable: BTreeMap::new(),
+            unreadable: self.unreadable.counts().clone(),
             traffic: self.traffic.clone(),
         }
     }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -119,8 +119,7 @@
         let change = match answer {
             Ok(answer) => {
                 if let StoreAnswer::Unreadable(finding) = &answer {
-                    let object = &format!("{kind:?}");
-                    Event::ObjectUnreadable { object, finding }.emit();
+                    self.unreadable.met(kind, "", finding);
                 }
                 let tells_state = matches!(
                     &answer,
@@ -199,7 +198,7 @@
             }
             WatchChange::Events(events) => {
                 for event in events {
-                    self.apply_event(event, started, now, out);
+                    self.apply_event(kind, event, started, now, out);
                 }
             }
         }
--- a/crates/ledgelead-router/src/node/zone_relay.rs
+++ b/crates/ledgelead-router/src/node/zone_relay.rs
@@ -17,7 +17,7 @@
 use crate::Timestamp;
 use crate::identity::ZoneName;
 use crate::io::Action;
-use crate::peers::{Datagram, NodeRecord, PeerAddress, PeerMessage, encode};
+use crate::peers::{Datagram, NodeRecord, PeerAddress, PeerMessage, decode, encode};
 use ledgelead_types::codec::Bytes;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -139,6 +139,10 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        if matches!(decode(&message.0), Ok(PeerMessage::Forwarded { .. })) {
+            // No node wraps a message twice; each layer would be passed on again.
+            return;
+        }
         let origin = origin.socket();
         if to_zone {
             self.pass_on(origin, &message, out);
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -164,13 +164,13 @@
 
     /// Whether no two assignments overlap and all tokens are below the next.
     pub fn is_consistent(&self) -> bool {
-        let overlaps = self.assignments.iter().enumerate().any(|(index, left)| {
-            self.assignments[index + 1..].iter().any(|right| {
-                left.service == right.service
-                    && left.first <= right.last
-                    && right.first <= left.last
-            })
-        });
+        // By place, since each read of a record of thousands of ranges is checked.
+        let mut sorted: Vec<&Assignment> = self.assignments.iter().collect();
+        sorted
+            .sort_by(|left, right| (&left.service, left.first).cmp(&(&right.service, right.first)));
+        let overlaps = sorted
+            .windows(2)
+            .any(|pair| pair[0].service == pair[1].service && pair[1].first <= pair[0].last);
         let fences = self.assignments.iter().all(|assignment| {
             assignment.fence < self.next_fence && assignment.first <= assignment.last
         });
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -1,6 +1,7 @@
 //! Versions of the configuration as nodes send them to each other: what one
 //! version changes of another.
 
+use crate::boundary::{self, MAX_TIMEOUT};
 use crate::configuration::{
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
@@ -158,7 +159,7 @@
         for change in self.changes {
             apply(&mut next, change);
         }
-        Some(next)
+        boundary::configuration(&next).is_ok().then_some(next)
     }
 }
 
@@ -243,8 +244,8 @@
         } else {
             Repeatability::Once
         },
-        timeout: Duration::from_millis(entry.timeout_ms),
-        target_latency: Duration::from_micros(entry.target_latency_us),
+        timeout: Duration::from_millis(entry.timeout_ms).min(MAX_TIMEOUT),
+        target_latency: Duration::from_micros(entry.target_latency_us).min(MAX_TIMEOUT),
         max_attempts: entry.max_attempts,
         priority: entry.priority,
     }
@@ -281,7 +282,7 @@
     ClientLimits {
         max_head_bytes: usize::try_from(entry.max_head_bytes).unwrap_or(usize::MAX),
         max_body_bytes: usize::try_from(entry.max_body_bytes).unwrap_or(usize::MAX),
-        head_timeout: Duration::from_millis(entry.head_timeout_ms),
-        idle_timeout: Duration::from_millis(entry.idle_timeout_ms),
+        head_timeout: Duration::from_millis(entry.head_timeout_ms).min(MAX_TIMEOUT),
+        idle_timeout: Duration::from_millis(entry.idle_timeout_ms).min(MAX_TIMEOUT),
     }
 }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! them may be lost, late or doubled without harm.
 
 mod assembly;
+mod bounds;
 mod change_log;
 mod configuration;
 mod delay;
--- a/crates/ledgelead-router/src/peers/shared_load.rs
+++ b/crates/ledgelead-router/src/peers/shared_load.rs
@@ -6,6 +6,7 @@
 
 use super::message::{DigestEntry, OpenRequests, ZoneSum};
 use crate::Timestamp;
+use crate::boundary::{self, MAX_TIMEOUT};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 const SERVICE_TIME_TTL: Duration = Duration::from_secs(8);
 /// Weight that the earlier service time keeps for each new sample.
 const KEPT_WEIGHT: f64 = 0.9;
+/// Longest work for one request that is believed, in milliseconds: an hour. What others
+/// tell is multiplied by queues, and must stay a time.
+const MAX_SERVICE_MS: f64 = 3_600_000.0;
 
 #[derive(Clone, Copy, Debug)]
 struct Count {
@@ -75,6 +79,7 @@
     fn learn(&mut self, sample: SpeedSample, now: Timestamp) {
         if sample.answered > 0 {
             let mean = sample.busy.as_secs_f64() * 1_000.0 / f64::from(sample.answered);
+            let mean = mean.min(MAX_SERVICE_MS);
             let kept = KEPT_WEIGHT.powi(sample.answered.min(64) as i32);
             let earlier = self.service_time(now).unwrap_or(mean);
             self.service_ms = Some((earlier * kept + mean * (1.0 - kept), now));
@@ -212,7 +217,7 @@
     /// The time of work for one request at an instance that works as usual.
     pub fn service_time(&self, instance: u64, now: Timestamp) -> Option<Duration> {
         let time = self.instances.get(&instance)?.service_time(now)?;
-        Some(Duration::from_secs_f64(time / 1_000.0))
+        Some(boundary::millis(time, MAX_TIMEOUT))
     }
 
     /// How long work takes at an instance now, in percent of the usual time.
@@ -297,7 +302,7 @@
 ) -> u16 {
     let current = others.filter(|(_, count)| count.is_current(now));
     let others: u32 = current.map(|(_, count)| u32::from(count.count)).sum();
-    u16::try_from(own + others).unwrap_or(u16::MAX)
+    u16::try_from(own.saturating_add(others)).unwrap_or(u16::MAX)
 }
 
 /// Replaces the count of one sender; none if it has nothing open.
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -4,6 +4,7 @@
 use super::endings::{attempt_name, owner_fence};
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::boundary::MAX_SLOTS;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
@@ -323,7 +324,8 @@
                 // which for owners stands for all zones.
                 let mut factor = attempt.load_factor;
                 if let Some(load) = load {
-                    factor = f64::from(load.running + load.waiting) / f64::from(slots);
+                    let open = load.running.saturating_add(load.waiting);
+                    factor = f64::from(open) / f64::from(slots);
                     seen.told_load(load);
                 }
                 if response.is_success() {
@@ -445,8 +447,8 @@
     // The slots, which the instance has registered, come before.
     let slowness = numbers.nth(1).and_then(Result::ok);
     Some(ReportedLoad {
-        running,
-        waiting,
+        running: running.min(MAX_SLOTS),
+        waiting: waiting.min(MAX_SLOTS),
         slowness: slowness.and_then(|percent| u16::try_from(percent).ok()),
         at: context.now,
     })
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -200,7 +200,10 @@
             .and_then(|statistics| statistics.reported_open(self.now))
             // A digest is younger.
             .filter(|_| !self.shared.follows_digest(self.now));
-        let open = ((own + told) * senders).max(reported.unwrap_or(0));
+        let open = own
+            .saturating_add(told)
+            .saturating_mul(senders)
+            .max(reported.unwrap_or(0));
         let slots = f64::from(instance.record.slots.max(1));
         let load_factor = (f64::from(open) + 1.0) / slots;
         let expects_cold = self.mechanisms.has(Mechanism::ColdFactor);
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -335,14 +335,26 @@
         // from the revision of the oldest page.
         let start = first.map_or(revision, |first| first.min(revision));
         *first = Some(start);
-        *after = objects.last().map(|object| object.name.clone());
+        // A name that can't be read is no place to continue from.
+        let named = |object: &&Object| !object.name.is_empty();
+        let last = objects.iter().rfind(named).map(|object| &object.name);
+        let is_stuck = !objects.is_empty() && (last.is_none() || last == after.as_ref());
+        *after = last.cloned();
         pages.extend(objects);
-        if more {
+        if more && !is_stuck {
             return WatchChange::Unchanged;
         }
         let all = std::mem::take(pages);
         self.position = Position::Watching { revision: start };
-        self.as_of = (!self.lists_stale()).then_some(self.list_began);
+        if more && !self.is_first {
+            // A page without a new name ends the list. What it didn't get to is not gone.
+            let event = |object| ObjectEvent {
+                object,
+                gone: false,
+            };
+            return WatchChange::Events(all.into_iter().map(event).collect());
+        }
+        self.as_of = (!self.lists_stale() && !more).then_some(self.list_began);
         if self.is_first {
             self.next_call = now + FIRST_WATCH_PAUSE;
         }
--- a/crates/ledgelead-router/tests/node/foreign.rs
+++ b/crates/ledgelead-router/tests/node/foreign.rs
@@ -9,6 +9,7 @@
 use ledgelead_router::identity::{InstanceId, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::node::NodeStatus;
+use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{ChangeSpan, ChangedInstance, InstanceEntry, PeerMessage};
 use ledgelead_types::codec::{List, Text};
 use std::collections::BTreeSet;
@@ -145,6 +146,7 @@
     settle(&mut fixture, 3_000);
     fixture.store.remove(ObjectKind::Nodes, "i-2");
     fixture.change_watched(ObjectKind::Nodes);
+    settle(&mut fixture, 3_000);
     expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
 }
 
@@ -192,8 +194,15 @@
         entry(u32::MAX, "10.0.1.1:8000"),
         entry(2, "x"),
     ] {
-        let mut fixture = Fixture::new(store());
-        fixture.run_until(ms(900));
+        let mut store = store();
+        store.own(OwnershipRecord {
+            epoch: 4,
+            coordinator: Some(node_record(1).identity),
+            next_fence: 9,
+            ..OwnershipRecord::default()
+        });
+        let mut fixture = Fixture::new(store);
+        fixture.run_until(ms(500));
         let revision = fixture.store.revision;
         let changed = ChangedInstance {
             id: Text("i-1".to_owned()),
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -204,6 +204,65 @@
     expect_that!(watcher.revision(), some(eq(5)));
 }
 
+fn named_page(names: &[&str], more: bool) -> StoreAnswer {
+    let object = |name: &&str| Object {
+        name: (*name).to_owned(),
+        revision: 3,
+        content: Err("no entry".to_owned()),
+    };
+    StoreAnswer::Objects {
+        objects: names.iter().map(object).collect(),
+        more,
+        revision: 7,
+    }
+}
+
+fn list_after(call: Option<StoreCall>) -> Option<String> {
+    match call {
+        Some(StoreCall::List { after, .. }) => after,
+        other => panic!("no list: {other:?}"),
+    }
+}
+
+#[gtest]
+fn a_list_continues_from_the_last_name_that_can_be_read() {
+    let mut watcher = watcher();
+    watcher.take_call(ms(0));
+    watcher.answered(named_page(&["a", "b", ""], true), ms(1));
+    let call = watcher.take_call(ms(1));
+    expect_that!(list_after(call), some(eq("b")));
+    watcher.answered(named_page(&["", "c", ""], true), ms(2));
+    let call = watcher.take_call(ms(2));
+    expect_that!(list_after(call), some(eq("c")));
+    let change = watcher.answered(named_page(&["", "d"], false), ms(3));
+    let WatchChange::All(objects) = change else {
+        panic!("no list: {change:?}");
+    };
+    expect_that!(objects.len(), eq(8));
+    expect_that!(watcher.as_of(), none());
+    expect_that!(watcher.revision(), some(eq(7)));
+}
+
+#[gtest]
+fn a_page_without_a_new_name_ends_the_list_and_takes_nothing_for_gone() {
+    for stuck in [&[""][..], &["a"], &["", "a", ""]] {
+        let mut watcher = watcher();
+        watcher.take_call(ms(0));
+        watcher.answered(named_page(&["a"], true), ms(1));
+        watcher.take_call(ms(1));
+        let first = watcher.answered(named_page(stuck, true), ms(2));
+        expect_that!(matches!(first, WatchChange::All(_)), eq(true));
+
+        watcher.refresh(ms(3));
+        watcher.take_call(ms(3));
+        watcher.answered(named_page(&["a"], true), ms(4));
+        watcher.take_call(ms(4));
+        let later = watcher.answered(named_page(stuck, true), ms(5));
+        expect_that!(matches!(later, WatchChange::Events(_)), eq(true));
+        expect_that!(watcher.revision(), some(eq(7)));
+    }
+}
+
 #[gtest]
 fn only_the_first_list_of_a_node_may_be_stale() {
     let pace = watcher().pace();
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct RelayedLabel {
+struct KindLabel {
     kind: &'static str,
 }
 
@@ -171,6 +171,7 @@
     registry.register("refusals", "Own answers by reason", refused);
     register_calls(&mut registry, status);
     register_quarantine(&mut registry, status);
+    register_unreadable(&mut registry, status);
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     let mut text = String::new();
@@ -192,10 +193,10 @@
 }
 
 fn register_relayed(registry: &mut Registry, status: &NodeStatus) {
-    let announced = Family::<RelayedLabel, Gauge>::default();
-    let known = Family::<RelayedLabel, Gauge>::default();
+    let announced = Family::<KindLabel, Gauge>::default();
+    let known = Family::<KindLabel, Gauge>::default();
     for (kind, revisions) in &status.announced_and_known {
-        let label = RelayedLabel { kind };
+        let label = KindLabel { kind };
         set(&announced.get_or_create(&label), revisions.0);
         set(&known.get_or_create(&label), revisions.1);
     }
@@ -207,6 +208,18 @@
     registry.register("known_revision", "Revision that this node knows", known);
 }
 
+fn register_unreadable(registry: &mut Registry, status: &NodeStatus) {
+    let unreadable = Family::<KindLabel, Counter>::default();
+    for (kind, count) in &status.unreadable {
+        unreadable.get_or_create(&KindLabel { kind }).inc_by(*count);
+    }
+    registry.register(
+        "objects_unreadable",
+        "Objects of the store that could not be read, each time",
+        unreadable,
+    );
+}
+
 fn register_quarantine(registry: &mut Registry, status: &NodeStatus) {
     gauge(
         registry,
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -2,6 +2,7 @@
 
 use crate::stream::{Stream, StreamEnd};
 use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
+use ledgelead_router::boundary::MAX_TIMEOUT;
 use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use slab::Slab;
 use stakker_mio::MioSource;
@@ -562,7 +563,8 @@
         .split(',')
         .filter_map(|part| part.trim().strip_prefix("timeout="))
         .find_map(|seconds| seconds.trim().parse::<u64>().ok())?;
-    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
+    let keep = Duration::from_secs(seconds).min(MAX_TIMEOUT);
+    Some(keep.saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
 #[cfg(test)]
