--- a/crates/ledgelead-router/tests/node/foreign.rs
+++ b/crates/ledgelead-router/tests/node/foreign.rs
@@ -12,6 +12,7 @@
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{ChangeSpan, ChangedInstance, InstanceEntry, PeerMessage};
 use ledgelead_types::codec::{List, Text};
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -255,6 +256,57 @@
     expect_that!(unreadable(&fixture.node.status(), "instances"), eq(5));
 }
 
+thread_local! {
+    /// Findings that this test's thread has logged.
+    static FINDINGS: Cell<usize> = const { Cell::new(0) };
+}
+
+struct CountFindings;
+
+impl log::Log for CountFindings {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() == log::Level::Error
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) && record.target() == "store" {
+            FINDINGS.set(FINDINGS.get() + 1);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+#[gtest]
+fn a_finding_is_logged_once_until_its_object_reads_well_again() {
+    log::set_logger(&CountFindings).expect("the only logger");
+    log::set_max_level(log::LevelFilter::Error);
+    let mut fixture = Fixture::coordinating(store());
+    settle(&mut fixture, 3_000);
+    FINDINGS.set(0);
+    for round in 1..=3 {
+        for _ in 0..4 {
+            fixture.store.spoil(ObjectKind::Instances, "i-1");
+            fixture.store.spoil(ObjectKind::Instances, "");
+            fixture.change_watched(ObjectKind::Instances);
+            settle(&mut fixture, 1_000);
+        }
+        // Once for the one without a name, in all.
+        expect_that!(FINDINGS.get(), eq(round + 1));
+        fixture.store.add_instance(instance(1, SERVICE));
+        fixture.change_watched(ObjectKind::Instances);
+        settle(&mut fixture, 1_000);
+    }
+    for number in 0..1_000 {
+        let name = format!("x-{number}");
+        fixture.store.spoil(ObjectKind::Instances, &name);
+    }
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(FINDINGS.get(), le(260));
+    let counted = unreadable(&fixture.node.status(), "instances");
+    expect_that!(counted, ge(1_000));
+}
+
 #[gtest]
 fn a_load_of_any_size_is_taken_for_what_can_be() {
     let max = u32::MAX;
