Test: a record that can't be read confirms no coordinator

Red: an answer about the record confirms the coordinator's place although what stands there can't be read. Two former coordinators would both go on granting. The fixture's short watches tell changes where its store is to answer them.

--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -157,8 +157,15 @@
                 Some(StoreAnswer::HistoryLost)
             }
             // A watch that hardly waits only asks how things are.
-            StoreCall::Watch { wait, .. } if *wait <= ms(50) => Some(StoreAnswer::Events {
-                events: Vec::new(),
+            StoreCall::Watch {
+                kind,
+                revision,
+                wait,
+            } if *wait <= ms(50) => Some(StoreAnswer::Events {
+                events: match self.answers_changes {
+                    true => self.changes(*kind, *revision),
+                    false => Vec::new(),
+                },
                 revision: self.revision,
             }),
             StoreCall::Watch { kind, revision, .. } if self.answers_changes => {
--- a/crates/ledgelead-router/tests/node/foreign.rs
+++ b/crates/ledgelead-router/tests/node/foreign.rs
@@ -256,6 +256,38 @@
     expect_that!(unreadable(&fixture.node.status(), "instances"), eq(5));
 }
 
+/// Whether the node says in its last heartbeat that the store serves it as coordinator.
+fn has_authority(fixture: &Fixture) -> bool {
+    let heartbeats = fixture.datagrams.iter().rev();
+    let mut heartbeats = heartbeats.filter_map(|(_, _, message)| match message {
+        PeerMessage::CoordinatorHeartbeat(heartbeat) => Some(heartbeat.store_serves),
+        _ => None,
+    });
+    heartbeats.next().expect("a heartbeat")
+}
+
+#[gtest]
+fn a_record_that_cannot_be_read_confirms_no_coordinator() {
+    let mut store = store();
+    store.answers_changes = true;
+    let mut fixture = Fixture::coordinating(store);
+    settle(&mut fixture, 12_000);
+    expect_that!(has_authority(&fixture), eq(true));
+    fixture.store.spoil(ObjectKind::Ownership, "record");
+    settle(&mut fixture, 16_000);
+    expect_that!(has_authority(&fixture), eq(false));
+}
+
+#[gtest]
+fn a_foreign_object_beside_the_record_leaves_the_coordinator_its_place() {
+    let mut store = store();
+    store.answers_changes = true;
+    let mut fixture = Fixture::coordinating(store);
+    fixture.store.spoil(ObjectKind::Ownership, "other");
+    settle(&mut fixture, 16_000);
+    expect_that!(has_authority(&fixture), eq(true));
+}
+
 thread_local! {
     /// Findings that this test's thread has logged.
     static FINDINGS: Cell<usize> = const { Cell::new(0) };
