A record that can't be read confirms no coordinator

Cause: any answer about the record confirmed the place of the node that coordinates, unless a readable version in it ended that. A foreign record may stand where another coordinator's stood: both would have gone on granting. Ruled out: taking any foreign object of the kind for the record (one beside it would end the coordinator's place for good). Change: whether the record can be read is kept from the last answer that tells of it; nothing is confirmed while it can't.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -51,6 +51,9 @@
     orders: HashMap<ExchangeId, (InstanceId, Order)>,
     /// Start of the newest call in which the store confirmed this place.
     confirmed: Option<Timestamp>,
+    /// Whether the record that the store told last can't be read. It may name another
+    /// coordinator, so that no later answer without a change confirms this place.
+    record_unreadable: bool,
     /// Whether the record was read, or its absence seen.
     pub(super) listed: bool,
     pub(super) election: Election,
@@ -77,6 +80,7 @@
             coordinator: None,
             orders: HashMap::new(),
             confirmed: None,
+            record_unreadable: false,
             listed: false,
             election,
             predecessor: None,
@@ -110,11 +114,16 @@
         confirmed && self.coordinator.is_some() && !self.resigning
     }
 
+    /// The store has told of the record whether it can be read.
+    pub(super) fn record_told(&mut self, is_readable: bool) {
+        self.record_unreadable = !is_readable;
+    }
+
     /// The store answered a call about the record that began at `started`.
     /// Versions in the answer are applied afterwards, and end this node's
     /// place if another has it.
     pub(super) fn confirmed_if_unchanged(&mut self, started: Timestamp) {
-        if self.coordinator.is_some() {
+        if self.coordinator.is_some() && !self.record_unreadable {
             self.confirmed = self.confirmed.max(Some(started));
         }
     }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -2,10 +2,10 @@
 
 use super::Node;
 use super::relay::differences;
-use super::store_calls::Purpose;
+use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use super::watch_paces::{FOLLOWER_BACKOFF, backoff};
 use crate::Timestamp;
-use crate::dialect::{ObjectKind, StoreAnswer};
+use crate::dialect::{Object, ObjectKind, StoreAnswer};
 use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
 use crate::store::{Backoff, WatchChange};
@@ -125,6 +125,11 @@
                     &answer,
                     StoreAnswer::Objects { .. } | StoreAnswer::Events { .. }
                 );
+                if kind == ObjectKind::Ownership
+                    && let Some(is_readable) = tells_readable_record(&answer)
+                {
+                    self.coordination.record_told(is_readable);
+                }
                 let change = self.store.watcher(kind).answered(answer, now);
                 let confirms = tells_state && self.store.is_exact(kind);
                 if confirms && kind == ObjectKind::Ownership {
@@ -225,6 +230,20 @@
     }
 }
 
+/// Whether the record can be read, if the answer tells of it.
+fn tells_readable_record(answer: &StoreAnswer) -> Option<bool> {
+    let is_record = |object: &&Object| object.name == OWNERSHIP_NAME;
+    let record = match answer {
+        StoreAnswer::Objects { objects, .. } => objects.iter().rfind(is_record),
+        StoreAnswer::Events { events, .. } => {
+            let objects = events.iter().map(|event| &event.object);
+            objects.rev().find(is_record)
+        }
+        _ => None,
+    };
+    record.map(|object| object.content.is_ok())
+}
+
 fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
     match answer {
         Ok(StoreAnswer::Refused) => "refused".to_owned(),
