--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -106,6 +106,19 @@
     }
 }
 
+/// A run with foreign entries in the store, and drawn faults besides in half of the runs.
+pub fn drawn_foreign(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xf0e1);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let foreign = Schedule::draw_foreign(&mut rng, from, to);
+    let schedule = match seed % 2 {
+        0 => foreign,
+        _ => drawn.schedule.join(foreign),
+    };
+    FleetSettings { schedule, ..drawn }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -179,6 +192,7 @@
             Long("crashing") => draw = drawn_crashing,
             Long("suspended") => draw = drawn_suspended,
             Long("cuts") => draw = drawn_cuts,
+            Long("foreign") => draw = drawn_foreign,
             other => return Err(other.unexpected()),
         }
     }
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -53,6 +53,8 @@
     /// An instance of any service leaves without a word: its entry goes, and it
     /// serves on for long.
     LeaveUnannounced(usize),
+    /// Another writer replaces an instance's entry by what can't be read, until the end.
+    ForeignEntry(usize),
     /// The store answers nothing.
     StoreSilent,
     /// The store refuses all calls.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod dialect;
 mod event;
 mod faults;
+mod foreign;
 mod instance;
 mod network;
 mod orders;
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -314,6 +314,7 @@
             FaultKind::IsolateWithCoordinator(place) => self.isolate(self.occupant(*place)),
             FaultKind::DrainInstance(index) => self.drain(*index),
             FaultKind::LeaveUnannounced(index) => self.leave_unannounced(*index),
+            FaultKind::ForeignEntry(index) => self.spoil_entry(*index),
             FaultKind::StoreSilent => {
                 self.mood.silent += 1;
                 self.store.waiting.clear();
@@ -365,6 +366,7 @@
                 self.network.cut_from_instance.clear();
             }
             FaultKind::CutFromInstances(_) => self.network.cut_from_instance.clear(),
+            FaultKind::ForeignEntry(index) => self.restore_entry(*index),
             FaultKind::StoreSilent => {
                 self.mood.silent -= 1;
                 self.mood.returned_at = self.now;
--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Another writer makes or replaces an object, by what can't be read.
+    pub fn spoil(&mut self, kind: ObjectKind, name: &str) {
+        self.write(kind, name, Err("no such field".to_owned()));
+    }
+
     /// The history is forgotten; watches that wait get no more of it.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
@@ -112,6 +117,15 @@
     }
 
     fn put(&mut self, kind: ObjectKind, name: &str, content: ObjectContent) -> Object {
+        self.write(kind, name, Ok(content))
+    }
+
+    fn write(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        content: Result<ObjectContent, String>,
+    ) -> Object {
         if self.revision.is_multiple_of(STALE_REVISIONS) {
             self.earlier = Some(Earlier {
                 objects: self.objects.clone(),
@@ -122,7 +136,7 @@
         let object = Object {
             name: name.to_owned(),
             revision: self.revision,
-            content: Ok(content),
+            content,
         };
         self.objects.insert((kind, name.to_owned()), object.clone());
         self.history.push(Change {
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -25,7 +25,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -146,6 +146,8 @@
     pub(super) leaving: HashMap<usize, Duration>,
     /// Instances that left without a word, and since when.
     pub(super) left: HashMap<usize, Duration>,
+    /// Those among them whose entry another writer has replaced for a while.
+    pub(super) spoiled: BTreeSet<usize>,
     pub(super) network: Network,
     pub(super) tickets: Rc<RefCell<Tickets>>,
     pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
@@ -181,6 +183,7 @@
             last_beat: BTreeMap::new(),
             leaving: HashMap::new(),
             left: HashMap::new(),
+            spoiled: BTreeSet::new(),
             network: Network::default(),
             tickets: Rc::default(),
             pending: HashMap::new(),
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -10,6 +10,7 @@
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::peers::Registration;
+use crate::protections::Protection;
 use crate::requests::RequestDigest;
 use std::collections::BTreeSet;
 
@@ -148,7 +149,9 @@
     fn apply_unreadable(&mut self, kind: ObjectKind, name: &str, gone: bool, now: Timestamp) {
         match kind {
             ObjectKind::Instances if gone => self.directory.remove(&InstanceId::from(name), now),
-            ObjectKind::Instances => self.directory.withdraw(&InstanceId::from(name), now),
+            ObjectKind::Instances if self.settings.protections.has(Protection::ForeignUnused) => {
+                self.directory.withdraw(&InstanceId::from(name), now);
+            }
             ObjectKind::Nodes if gone => self.registry.remove(&NodeName::from(name)),
             ObjectKind::Quarantine if gone => {
                 if let Some(request) = RequestDigest::parse(name) {
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{Object, ObjectKind, StoreAnswer};
 use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
+use crate::protections::Protection;
 use crate::store::{Backoff, WatchChange};
 use ledgelead_http::Response;
 use std::time::Duration;
@@ -29,6 +30,13 @@
         };
         self.coordination.note_change();
         let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
+        let apart = self.settings.protections.has(Protection::ForeignApart);
+        let answer = match answer {
+            Ok(answer) if !apart && holds_foreign(&answer) => Ok(StoreAnswer::Unreadable(
+                "an object can't be read".to_owned(),
+            )),
+            answer => answer,
+        };
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
         self.note_health(served, &answer, pending.started, now, out);
         match pending.purpose {
@@ -230,6 +238,16 @@
     }
 }
 
+/// Whether an object of the answer can't be read.
+fn holds_foreign(answer: &StoreAnswer) -> bool {
+    let is_foreign = |object: &Object| object.content.is_err();
+    match answer {
+        StoreAnswer::Objects { objects, .. } => objects.iter().any(is_foreign),
+        StoreAnswer::Events { events, .. } => events.iter().any(|event| is_foreign(&event.object)),
+        _ => false,
+    }
+}
+
 /// Whether the record can be read, if the answer tells of it.
 fn tells_readable_record(answer: &StoreAnswer) -> Option<bool> {
     let is_record = |object: &&Object| object.name == OWNERSHIP_NAME;
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -26,13 +26,17 @@
     KeptEvidence,
     /// A request that an instance answers is no such request.
     Acquittal,
+    /// An object that can't be read takes no other of the store's answer with it.
+    ForeignApart,
+    /// An instance whose entry can't be read gets nothing more.
+    ForeignUnused,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 11] = [
+    pub const SABOTAGES: [(&'static str, Protection); 13] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -44,6 +48,8 @@
         ("keep-no-evidence", Protection::KeptEvidence),
         ("acquit-nobody", Protection::Acquittal),
         ("know-by-path", Protection::WholeIdentity),
+        ("drop-with-foreign", Protection::ForeignApart),
+        ("use-foreign", Protection::ForeignUnused),
     ];
 }
 
