--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -1,5 +1,6 @@
 //! The store's stand-in: objects with revisions, watches, conditional writes.
 
+use ledgelead_router::boundary;
 use ledgelead_router::configuration::Configuration;
 use ledgelead_router::dialect::{
     Object, ObjectContent, ObjectEvent, ObjectKind, StoreAnswer, StoreCall, WrittenContent,
@@ -105,6 +106,11 @@
         }
     }
 
+    /// Another writer makes or replaces an object, by what can't be read.
+    pub fn spoil(&mut self, kind: ObjectKind, name: &str) {
+        self.write(kind, name, Err("no such field".to_owned()));
+    }
+
     /// The history is forgotten; watches that wait get no more of it.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
@@ -112,6 +118,26 @@
     }
 
     fn put(&mut self, kind: ObjectKind, name: &str, content: ObjectContent) -> Object {
+        let object = self.write(kind, name, Ok(content));
+        self.assert_within_bounds(kind, &object);
+        object
+    }
+
+    /// What nodes and instances write is what an adapter would read.
+    fn assert_within_bounds(&self, kind: ObjectKind, object: &Object) {
+        let mut checked = object.clone();
+        boundary::check(kind, &mut checked);
+        if let Err(finding) = checked.content {
+            panic!("{}: {finding}", object.name);
+        }
+    }
+
+    fn write(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        content: Result<ObjectContent, String>,
+    ) -> Object {
         if self.revision.is_multiple_of(STALE_REVISIONS) {
             self.earlier = Some(Earlier {
                 objects: self.objects.clone(),
@@ -122,7 +148,7 @@
         let object = Object {
             name: name.to_owned(),
             revision: self.revision,
-            content: Ok(content),
+            content,
         };
         self.objects.insert((kind, name.to_owned()), object.clone());
         self.history.push(Change {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -14,11 +14,13 @@
 mod status;
 mod store_answers;
 mod store_calls;
+mod unreadable;
 mod watch_paces;
 mod zone_relay;
 mod zone_traffic;
 
 pub use status::NodeStatus;
+pub use store_calls::OWNERSHIP_NAME;
 
 use crate::Timestamp;
 use crate::configuration::{ClientLimits, Configuration, RouteTable};
@@ -43,6 +45,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
+use unreadable::UnreadableObjects;
 use zone_relay::ZoneRelays;
 
 /// Pause between two clean-ups of what is no longer needed.
@@ -70,6 +73,7 @@
     overloads: Overloads,
     evacuations: Evacuations,
     quarantine: Quarantine,
+    unreadable: UnreadableObjects,
     traffic: PeerTraffic,
     zone_traffic: ZoneTraffic,
     stopping: bool,
@@ -100,6 +104,7 @@
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
+            unreadable: UnreadableObjects::default(),
             traffic: PeerTraffic::default(),
             zone_traffic: ZoneTraffic::default(),
             stopping: false,
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -2,12 +2,13 @@
 
 use super::Node;
 use super::relay::differences;
-use super::store_calls::Purpose;
+use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use super::watch_paces::{FOLLOWER_BACKOFF, backoff};
 use crate::Timestamp;
-use crate::dialect::{ObjectKind, StoreAnswer};
+use crate::dialect::{Object, ObjectKind, StoreAnswer};
 use crate::events::Event;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
+use crate::protections::Protection;
 use crate::store::{Backoff, WatchChange};
 use ledgelead_http::Response;
 use std::time::Duration;
@@ -29,6 +30,13 @@
         };
         self.coordination.note_change();
         let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
+        let apart = self.settings.protections.has(Protection::ForeignApart);
+        let answer = match answer {
+            Ok(answer) if !apart && holds_foreign(&answer) => Ok(StoreAnswer::Unreadable(
+                "an object can't be read".to_owned(),
+            )),
+            answer => answer,
+        };
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
         self.note_health(served, &answer, pending.started, now, out);
         match pending.purpose {
@@ -119,13 +127,17 @@
         let change = match answer {
             Ok(answer) => {
                 if let StoreAnswer::Unreadable(finding) = &answer {
-                    let object = &format!("{kind:?}");
-                    Event::ObjectUnreadable { object, finding }.emit();
+                    self.unreadable.met(kind, "", finding);
                 }
                 let tells_state = matches!(
                     &answer,
                     StoreAnswer::Objects { .. } | StoreAnswer::Events { .. }
                 );
+                if kind == ObjectKind::Ownership
+                    && let Some(is_readable) = tells_readable_record(&answer)
+                {
+                    self.coordination.record_told(is_readable);
+                }
                 let change = self.store.watcher(kind).answered(answer, now);
                 let confirms = tells_state && self.store.is_exact(kind);
                 if confirms && kind == ObjectKind::Ownership {
@@ -199,7 +211,7 @@
             }
             WatchChange::Events(events) => {
                 for event in events {
-                    self.apply_event(event, started, now, out);
+                    self.apply_event(kind, event, started, now, out);
                 }
             }
         }
@@ -226,6 +238,30 @@
     }
 }
 
+/// Whether an object of the answer can't be read.
+fn holds_foreign(answer: &StoreAnswer) -> bool {
+    let is_foreign = |object: &Object| object.content.is_err();
+    match answer {
+        StoreAnswer::Objects { objects, .. } => objects.iter().any(is_foreign),
+        StoreAnswer::Events { events, .. } => events.iter().any(|event| is_foreign(&event.object)),
+        _ => false,
+    }
+}
+
+/// Whether the record can be read, if the answer tells of it.
+fn tells_readable_record(answer: &StoreAnswer) -> Option<bool> {
+    let is_record = |object: &&Object| object.name == OWNERSHIP_NAME;
+    let record = match answer {
+        StoreAnswer::Objects { objects, .. } => objects.iter().rfind(is_record),
+        StoreAnswer::Events { events, .. } => {
+            let objects = events.iter().map(|event| &event.object);
+            objects.rev().find(is_record)
+        }
+        _ => None,
+    };
+    record.map(|object| object.content.is_ok())
+}
+
 fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
     match answer {
         Ok(StoreAnswer::Refused) => "refused".to_owned(),
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -373,3 +373,22 @@
     );
     expect_that!(not_sent, eq(true));
 }
+
+#[gtest]
+fn a_keep_alive_of_any_length_is_bounded() {
+    for seconds in [
+        "0",
+        "5",
+        "18446744073709551615",
+        "99999999999999999999",
+        "-1",
+        "x",
+    ] {
+        let mut response = ledgelead_http::Response::new(200, "");
+        response
+            .headers
+            .push("Keep-Alive", format!("timeout={seconds}"));
+        let keep = super::keep_alive(&response).unwrap_or_default();
+        expect_that!(keep, le(Duration::from_secs(86_400)), "{seconds}");
+    }
+}
