Instances: an id names one life, by its name and its start

Cause: an instance may start again under the id that it had. The id of the wire was all that a node knew it by, so two lives were one.

Ruled out: the start beside the id in every map; what is forgotten in one place merges lives there. An order by the text (lives of one name would not stand in the order of their starts).

Change: InstanceId is made of the name and of the start, where that is known; its text holds both and is read back unambiguously. Headers and the comparison of ids in answers take the name. Without a start all is as before: same text, same hash.

Result: tests/identity.rs, 512 drawn names and starts. No instance has a start yet.

--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -106,7 +106,7 @@
         let mut request = Request::new("POST", format!("/order/{ticket}"), Vec::new());
         request
             .headers
-            .push(&self.headers.target_instance, instance.as_str());
+            .push(&self.headers.target_instance, instance.name());
         request
     }
 
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -69,7 +69,7 @@
         if !target.alive || target.dark {
             return;
         }
-        if target.id().as_str() != meant {
+        if target.id().name() != meant {
             self.respond(caller, exchange, Response::new(421, ""), Duration::ZERO);
             return;
         }
@@ -162,7 +162,7 @@
             .number::<u16>("key")
             .filter(|_| target.sharded);
         let meant = request.headers.text("target").unwrap_or_default();
-        let misdirected = meant != target.id().as_str()
+        let misdirected = meant != target.id().name()
             || key.is_some_and(|key| target.hold_of(key, now).is_none());
         let full = !target.has_slot() && !target.has_room();
         let id = target.id().to_string();
--- a/crates/ledgelead-router/src/identity.rs
+++ b/crates/ledgelead-router/src/identity.rs
@@ -1,7 +1,9 @@
 //! Names of services, instances and nodes.
 
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 macro_rules! text_identity {
@@ -41,10 +43,6 @@
     /// The name of a service.
     ServiceName
 );
-text_identity!(
-    /// The name of one life of an instance; a restart has another.
-    InstanceId
-);
 text_identity!(
     /// The name of a zone.
     ZoneName
@@ -54,6 +52,142 @@
     NodeName
 );
 
+/// Stands between the name and the start of a life in its text.
+const LIFE_MARK: char = '#';
+
+/// The name of one life of an instance; a restart has another.
+///
+/// An instance may start again under the name that it had; where it tells when it
+/// was started, that tells its lives apart. Otherwise its name alone does.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct InstanceId {
+    /// The name, then the start behind a mark where it is known.
+    text: Arc<str>,
+    /// Bytes of the text that are the name.
+    name_len: usize,
+    born: Option<u64>,
+}
+
+impl InstanceId {
+    /// The life that an instance began at `born`, in Unix milliseconds.
+    pub fn of_life(name: &str, born: u64) -> InstanceId {
+        InstanceId {
+            text: Arc::from(format!("{name}{LIFE_MARK}{born}")),
+            name_len: name.len(),
+            born: Some(born),
+        }
+    }
+
+    /// The life whose text this is.
+    pub fn parse(text: &str) -> InstanceId {
+        let Some((name, born)) = split_life(text) else {
+            return InstanceId::from(text);
+        };
+        InstanceId {
+            text: Arc::from(text),
+            name_len: name.len(),
+            born,
+        }
+    }
+
+    /// What the instance calls itself, the same over its lives.
+    pub fn name(&self) -> &str {
+        &self.text[..self.name_len]
+    }
+
+    /// When this life began, in Unix milliseconds by the clock of its machine.
+    pub fn born(&self) -> Option<u64> {
+        self.born
+    }
+
+    /// The text of the whole life, which `parse` reads.
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    /// Whether both are lives of one instance, or the same life.
+    pub fn shares_name(&self, other: &InstanceId) -> bool {
+        self.name() == other.name()
+    }
+
+    /// A hash of the life that all nodes agree on.
+    pub fn stable_hash(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.text.as_bytes())
+    }
+}
+
+/// The name and the start in a text that has the mark of a life at its end.
+fn split_life(text: &str) -> Option<(&str, Option<u64>)> {
+    let (name, start) = text.rsplit_once(LIFE_MARK)?;
+    if start.is_empty() {
+        return Some((name, None));
+    }
+    let born: u64 = start.parse().ok()?;
+    // Each life has one text only.
+    (born.to_string() == start).then_some((name, Some(born)))
+}
+
+impl From<&str> for InstanceId {
+    /// An instance that doesn't tell when it was started.
+    fn from(name: &str) -> Self {
+        // A name that reads like a life ends with a mark of its own.
+        let text = match split_life(name) {
+            None => Arc::from(name),
+            Some(_) => Arc::from(format!("{name}{LIFE_MARK}")),
+        };
+        InstanceId {
+            text,
+            name_len: name.len(),
+            born: None,
+        }
+    }
+}
+
+impl From<String> for InstanceId {
+    fn from(text: String) -> Self {
+        InstanceId::parse(&text)
+    }
+}
+
+impl From<InstanceId> for String {
+    fn from(id: InstanceId) -> Self {
+        id.as_str().to_owned()
+    }
+}
+
+impl PartialEq for InstanceId {
+    fn eq(&self, other: &Self) -> bool {
+        self.text == other.text
+    }
+}
+
+impl Eq for InstanceId {}
+
+impl PartialOrd for InstanceId {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for InstanceId {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.name(), self.born).cmp(&(other.name(), other.born))
+    }
+}
+
+impl Hash for InstanceId {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text.hash(state);
+    }
+}
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.text)
+    }
+}
+
 /// One life of a node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeIdentity {
--- a/crates/ledgelead-router/src/node/relay/entries.rs
+++ b/crates/ledgelead-router/src/node/relay/entries.rs
@@ -22,17 +22,23 @@
 }
 
 pub(super) fn changed_instance(event: &ObjectEvent) -> ChangedInstance {
-    let entry = match &event.object.content {
-        Ok(ObjectContent::Instance(record)) if !event.gone => Some(instance_entry(record)),
-        _ => None,
-    };
+    match &event.object.content {
+        Ok(ObjectContent::Instance(record)) if !event.gone => listed_instance(record),
+        _ => ChangedInstance {
+            id: Text(InstanceId::from(event.object.name.as_str()).to_string()),
+            entry: None,
+        },
+    }
+}
+
+pub(super) fn listed_instance(record: &InstanceRecord) -> ChangedInstance {
     ChangedInstance {
-        id: Text(event.object.name.clone()),
-        entry,
+        id: Text(record.id.to_string()),
+        entry: Some(instance_entry(record)),
     }
 }
 
-pub(super) fn instance_entry(record: &InstanceRecord) -> InstanceEntry {
+fn instance_entry(record: &InstanceRecord) -> InstanceEntry {
     InstanceEntry {
         service: Text(record.service.to_string()),
         address: Text(record.address.to_string()),
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -1,7 +1,7 @@
 //! Changed instances and registrations of nodes.
 
 use super::entries::{
-    changed_instance, changed_node, instance_entry, instance_record, registration,
+    changed_instance, changed_node, instance_record, listed_instance, registration,
 };
 use super::parts;
 use crate::Timestamp;
@@ -14,7 +14,7 @@
     ChangeList, ChangeSpan, ChangedInstance, ChangedNode, Changes, Datagram, PeerMessage,
     RelayedKind,
 };
-use ledgelead_types::codec::{List, Text};
+use ledgelead_types::codec::List;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -73,7 +73,7 @@
         };
         let revision = list.revision();
         for change in list.into_changes() {
-            let id = InstanceId::from(change.id.0.as_str());
+            let id = InstanceId::parse(&change.id.0);
             match &change.entry {
                 None => self.directory.remove(&id, now),
                 Some(entry) => {
@@ -101,7 +101,7 @@
         };
         let revision = list.revision();
         let record = |listed: ChangedInstance| {
-            let id = InstanceId::from(listed.id.0.as_str());
+            let id = InstanceId::parse(&listed.id.0);
             instance_record(id, &listed.entry?)
         };
         let records = list.into_changes().into_iter().filter_map(record).collect();
@@ -184,10 +184,10 @@
     let gone = directory
         .iter()
         .filter(|known| !matches!(known.presence, Presence::Gone { .. }))
-        .filter(|known| !present.contains(known.record.id.as_str()))
+        .filter(|known| !present.contains(known.record.id.name()))
         .map(|known| ObjectEvent {
             object: Object {
-                name: known.record.id.to_string(),
+                name: known.record.id.name().to_owned(),
                 revision: 0,
                 content: Ok(ObjectContent::Instance(known.record.clone())),
             },
@@ -228,10 +228,7 @@
     let present = directory
         .iter()
         .filter(|known| !matches!(known.presence, Presence::Gone { .. }))
-        .map(|known| ChangedInstance {
-            id: Text(known.record.id.to_string()),
-            entry: Some(instance_entry(&known.record)),
-        });
+        .map(|known| listed_instance(&known.record));
     let present: Vec<ChangedInstance> = present.collect();
     let message = |span, instances| PeerMessage::InstancesListed {
         span,
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -116,7 +116,7 @@
             service: service.clone(),
             first: change.first,
             last: change.last,
-            owner: InstanceId::from(change.owner.0.as_str()),
+            owner: InstanceId::parse(&change.owner.0),
             fence: change.fence,
         })
     }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -137,7 +137,7 @@
 /// An instance whose entry has changed.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub struct ChangedInstance {
-    /// This life of the instance.
+    /// This life of the instance; its name alone if its entry is gone.
     pub id: Text,
     /// What it registered; nothing if its entry is gone.
     pub entry: Option<InstanceEntry>,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -433,7 +433,7 @@
         .set(&context.headers.deadline, left.to_string());
     request
         .headers
-        .set(&context.headers.target_instance, instance.as_str());
+        .set(&context.headers.target_instance, instance.name());
     request
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -61,7 +61,7 @@
                 let is_other = response
                     .headers
                     .text(&context.headers.instance)
-                    .is_some_and(|id| id != attempt.instance.as_str());
+                    .is_some_and(|id| id != attempt.instance.name());
                 if (context.suspects || !context.evidence.is_empty()) && !is_other {
                     let answered = (attempt.instance.clone(), attempt.sent);
                     signs.answered.push(answered);
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -92,7 +92,7 @@
     let misdirected = response.status == 421;
     if misdirected || response.headers.get(&headers.not_executed).is_some() {
         let answering = response.headers.text(&headers.instance);
-        let ended = misdirected && answering.is_some_and(|id| id != meant.as_str());
+        let ended = misdirected && answering.is_some_and(|id| id != meant.name());
         return Verdict::Rejected { misdirected, ended };
     }
     if response.is_success() && response.headers.get(&headers.signature).is_none() {
--- /dev/null
+++ b/crates/ledgelead-router/tests/identity.rs
@@ -0,0 +1,56 @@
+//! The texts of lives of instances.
+
+use googletest::prelude::*;
+use ledgelead_router::identity::InstanceId;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn config() -> Config {
+    Config {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+#[gtest]
+fn a_name_alone_is_its_own_text() {
+    expect_that!(InstanceId::from("i-7f3a91c2").as_str(), eq("i-7f3a91c2"));
+    expect_that!(
+        InstanceId::parse("i-7f3a91c2"),
+        eq(&InstanceId::from("i-7f3a91c2"))
+    );
+}
+
+#[gtest]
+fn lives_of_one_name_differ() {
+    let (first, second) = (InstanceId::of_life("i", 9), InstanceId::of_life("i", 10));
+    expect_that!(first, not(eq(&second)));
+    expect_that!(first.cmp(&second), eq(std::cmp::Ordering::Less));
+    expect_that!(first.stable_hash(), not(eq(second.stable_hash())));
+    expect_that!(first.name(), eq("i"));
+    expect_that!(first.shares_name(&second), eq(true));
+    expect_that!(InstanceId::from("i").shares_name(&second), eq(true));
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn each_text_names_one_life(
+        name in "[a#0-9é]{0,6}",
+        born in proptest::option::of(prop_oneof![0u64..20, proptest::num::u64::ANY]),
+    ) {
+        let id = match born {
+            Some(born) => InstanceId::of_life(&name, born),
+            None => InstanceId::from(name.as_str()),
+        };
+        let read = InstanceId::parse(id.as_str());
+        prop_assert_eq!(read.name(), name.as_str());
+        prop_assert_eq!(read.born(), born);
+        prop_assert_eq!(&read, &id);
+        let stored = serde_json::to_string(&id).expect("a text");
+        prop_assert_eq!(serde_json::from_str::<InstanceId>(&stored).expect("a life"), id);
+    }
+}
