Fleet: instances that start again under their ids (fails)

Cause: nothing played an instance that starts again under the id that it had, while orders of its former life are under way.

Instances tell when they were started, by clocks that are set back in a quarter of the cases; what was sent to the former life reaches the later one at the same address. The checker sees a token that doesn't rise from one life or instance to the next, and orders for a former life from a node that has known of the later one for 3 s.

--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -1,7 +1,8 @@
 //! Judges what the stand-ins recorded.
 
-use super::instance::Instance;
+use super::instance::{Instance, KEYS};
 use ledgelead_router::dialect::KeyRange;
+use ledgelead_router::identity::{InstanceId, ServiceName};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -10,6 +11,10 @@
 pub enum ViolationKind {
     /// Two live instances held the same key by grants that came in time.
     SingleOwner,
+    /// Keys passed to another instance, or another life, under no higher token.
+    TokenRises,
+    /// A life got its earlier life's keys from a node that knew of it.
+    LivesApart,
     /// Two live instances held the same key and both began requests on it.
     TwoOwnersServed,
     /// A request that may run once ran twice.
@@ -35,6 +40,8 @@
     pub fn name(self) -> &'static str {
         match self {
             ViolationKind::SingleOwner => "single_owner",
+            ViolationKind::TokenRises => "token_rises",
+            ViolationKind::LivesApart => "lives_apart",
             ViolationKind::TwoOwnersServed => "two_owners_served",
             ViolationKind::OnceOnly => "once_only",
             ViolationKind::NotRunIsTrue => "not_run_is_true",
@@ -68,6 +75,8 @@
     refused: HashMap<u64, Duration>,
     versions: BTreeMap<(usize, u64), u64>,
     late: BTreeSet<((usize, u64), u64)>,
+    /// The highest token of each key so far, and the life that held the key under it.
+    tokens: BTreeMap<ServiceName, Vec<(u64, usize)>>,
 }
 
 impl Checker {
@@ -109,6 +118,50 @@
         }
     }
 
+    /// A life took a grant that came in time. Its token is above those under which other
+    /// lives have held the keys; a grant that was meant for an earlier life, and was on
+    /// its way as that ended, is the same grant as before.
+    pub fn passed(
+        &mut self,
+        holder: usize,
+        is_meant: bool,
+        (range, fence): (KeyRange, u64),
+        instances: &[Instance],
+        now: Duration,
+    ) {
+        let tokens = self.tokens.entry(instances[holder].record.service.clone());
+        let tokens = tokens.or_insert_with(|| vec![(0, holder); KEYS]);
+        let mut found = None;
+        for token in &mut tokens[usize::from(range.first)..=usize::from(range.last)] {
+            let (highest, other) = *token;
+            if highest >= fence && other != holder && is_meant {
+                found = Some(*token);
+            }
+            if fence >= highest {
+                *token = (fence, holder);
+            }
+        }
+        if let Some((highest, other)) = found {
+            let (holder, other) = (instances[holder].id(), instances[other].id());
+            let what = format!("{holder} takes {range:?} under {fence}, {other} had {highest}");
+            self.found(ViolationKind::TokenRises, now, what);
+        }
+    }
+
+    /// A life got an order for its earlier life from a node that had long known of it.
+    pub fn former_life_meant(
+        &mut self,
+        node: usize,
+        meant: &InstanceId,
+        life: &Instance,
+        (range, fence): (KeyRange, u64),
+        now: Duration,
+    ) {
+        let life = life.id();
+        let what = format!("{life} gets {range:?} under {fence} for {meant} from node {node}");
+        self.found(ViolationKind::LivesApart, now, what);
+    }
+
     /// An instance began a request.
     pub fn began(
         &mut self,
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -50,6 +50,7 @@
         trace: false,
         hot_from: None,
         crashing: Vec::new(),
+        tells_births: false,
         datagram_loss: DATAGRAM_LOSSES[(seed % 3) as usize],
         protections,
     }
@@ -106,6 +107,26 @@
     }
 }
 
+/// A run with instances that start again under their ids, orders that are carried out
+/// late, and other drawn faults in half of the runs.
+pub fn drawn_restarts(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1155);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let restarts = Schedule::draw_restarts(&mut rng, SHARDED_INSTANCES, from, to);
+    let schedule = match seed % 4 {
+        0 | 2 => restarts,
+        1 => drawn.schedule.join(restarts),
+        _ => Schedule::draw_cuts(&mut rng, nodes, from, to).join(restarts),
+    };
+    FleetSettings {
+        schedule,
+        transport: Transport::OF_RUNTIME,
+        tells_births: true,
+        ..drawn
+    }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -179,6 +200,7 @@
             Long("crashing") => draw = drawn_crashing,
             Long("suspended") => draw = drawn_suspended,
             Long("cuts") => draw = drawn_cuts,
+            Long("restarts") => draw = drawn_restarts,
             other => return Err(other.unexpected()),
         }
     }
--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -13,7 +13,7 @@
     last: u64,
     calls: HashMap<u64, StoreCall>,
     answers: HashMap<u64, StoreAnswer>,
-    orders: HashMap<u64, Order>,
+    orders: HashMap<u64, (InstanceId, Order)>,
 }
 
 impl Tickets {
@@ -27,8 +27,9 @@
         self.calls.remove(&ticket(&request.target)?)
     }
 
-    /// The order that a request carries.
-    pub fn take_order(&mut self, request: &Request) -> Option<Order> {
+    /// The order that a request carries, and the life that its sender means. Instances
+    /// know only the name by it; the checker judges by the life.
+    pub fn take_order(&mut self, request: &Request) -> Option<(InstanceId, Order)> {
         self.orders.remove(&ticket(&request.target)?)
     }
 
@@ -102,7 +103,9 @@
     fn order_request(&self, instance: &InstanceId, order: &Order) -> Request {
         let mut tickets = self.tickets.borrow_mut();
         let ticket = tickets.next();
-        tickets.orders.insert(ticket, order.clone());
+        tickets
+            .orders
+            .insert(ticket, (instance.clone(), order.clone()));
         let mut request = Request::new("POST", format!("/order/{ticket}"), Vec::new());
         request
             .headers
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -5,6 +5,7 @@
 use super::transport::HeldOrder;
 use ledgelead_http::Request;
 use ledgelead_router::dialect::{Order, StoreCall};
+use ledgelead_router::identity::InstanceId;
 use ledgelead_router::io::{ExchangeId, Input};
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -37,8 +38,10 @@
         exchange: Option<ExchangeId>,
         /// The instance.
         instance: usize,
-        /// The instance that is meant.
-        meant: String,
+        /// The life that is meant.
+        meant: InstanceId,
+        /// When it was sent.
+        sent: Duration,
         /// The order.
         order: Order,
     },
@@ -52,6 +55,8 @@
     InstanceEnds(usize),
     /// Another life of an instance that has crashed begins.
     InstanceReturns(usize),
+    /// An instance that has crashed starts again under its id.
+    InstanceRestarts(usize),
     /// An instance crashes by itself.
     InstanceCrashes(usize),
     /// A request comes that crashes instances.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -73,6 +73,8 @@
     CrashMany,
     /// All instances crash with their work, one after the other.
     CrashInTurn,
+    /// An instance of the sharded service crashes, and starts again under its id.
+    RestartInstance(usize),
     /// The store refuses all calls of a node, and serves the others.
     StoreRefusesNode(Target),
 }
--- a/crates/ledgelead-lab/src/fleet/instance.rs
+++ b/crates/ledgelead-lab/src/fleet/instance.rs
@@ -13,7 +13,7 @@
 /// Requests that may wait.
 const QUEUE: usize = 8;
 /// Number of keys.
-const KEYS: usize = 1 << 16;
+pub(super) const KEYS: usize = 1 << 16;
 
 /// Keys held under one grant.
 #[derive(Clone, Debug)]
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod network;
 mod orders;
 mod report;
+mod restarts;
 mod store;
 mod store_traffic;
 mod transport;
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -12,6 +12,7 @@
 };
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
+use ledgelead_router::identity::InstanceId;
 use ledgelead_router::io::{ExchangeFailure, ExchangeId, Input};
 use ledgelead_runtime::clock::ClockSource;
 use rand::RngExt;
@@ -37,7 +38,7 @@
         caller: Caller,
         exchange: ExchangeId,
         instance: usize,
-        meant: String,
+        meant: InstanceId,
         order: Order,
     ) {
         let late = self.orders_late > 0 && self.rng.random_range(0..3) == 0;
@@ -51,6 +52,7 @@
             exchange: (!late).then_some(exchange),
             instance,
             meant,
+            sent: self.now,
             order,
         };
         self.schedule(delay, event);
@@ -58,10 +60,10 @@
 
     pub(super) fn order_arrives(
         &mut self,
-        caller: Caller,
+        (caller, sent): (Caller, Duration),
         exchange: Option<ExchangeId>,
         instance: usize,
-        meant: &str,
+        meant: &InstanceId,
         order: Order,
     ) {
         self.trace(|| format!("node {} to {meant}: {order:?}", caller.0));
@@ -69,14 +71,19 @@
         if !target.alive || target.dark {
             return;
         }
-        if target.id().name() != meant {
+        if !target.id().shares_name(meant) {
             self.respond(caller, exchange, Response::new(421, ""), Duration::ZERO);
             return;
         }
         match order {
             Order::Grant {
                 range, fence, hold, ..
-            } => self.grant(caller, exchange, instance, range, fence, hold),
+            } => {
+                self.check_life(caller, sent, instance, meant, (range, fence));
+                let is_meant = self.instances[instance].id() == meant;
+                let token = (range, fence);
+                self.grant(caller, exchange, instance, is_meant, token, hold);
+            }
             Order::Release { range, .. } => {
                 let now = self.now;
                 let end = self.instances[instance].release(range, now);
@@ -92,8 +99,8 @@
         caller: Caller,
         exchange: Option<ExchangeId>,
         instance: usize,
-        range: KeyRange,
-        fence: u64,
+        is_meant: bool,
+        (range, fence): (KeyRange, u64),
         hold: Duration,
     ) {
         let now = self.now;
@@ -107,6 +114,9 @@
         if outcome == GrantOutcome::Held {
             if !late && !thawed {
                 self.checker.granted(instance, range, &self.instances, now);
+                let instances = &self.instances;
+                self.checker
+                    .passed(instance, is_meant, (range, fence), instances, now);
             }
             self.keys_held(range);
         }
@@ -323,6 +333,7 @@
             FaultKind::StoreForgets => self.store.compact(),
             FaultKind::OrdersLate => self.orders_late += 1,
             FaultKind::AnswersLost => self.answers_lost += 1,
+            FaultKind::RestartInstance(place) => self.crash_and_restart(*place, lasts),
             FaultKind::CrashMany => self.crash_many(),
             FaultKind::CrashInTurn => self.crash_in_turn(),
             FaultKind::Configure => self.configure_next(0),
@@ -392,7 +403,8 @@
             | FaultKind::Configure
             | FaultKind::ConfigureLarge
             | FaultKind::CrashMany
-            | FaultKind::CrashInTurn => {}
+            | FaultKind::CrashInTurn
+            | FaultKind::RestartInstance(_) => {}
         }
     }
 
@@ -420,7 +432,7 @@
     }
 
     /// The instance that has one of the first addresses now.
-    fn occupant(&self, place: usize) -> usize {
+    pub(super) fn occupant(&self, place: usize) -> usize {
         let address = instance_address(place % SHARDED_INSTANCES);
         self.instances
             .iter()
@@ -463,7 +475,7 @@
         self.losses.extend(followed.into_iter().map(loss));
     }
 
-    fn end_instance(&mut self, index: usize) {
+    pub(super) fn end_instance(&mut self, index: usize) {
         let instance = &mut self.instances[index];
         instance.alive = false;
         instance.holds.clear();
--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -77,7 +77,7 @@
 
     /// An instance writes its entry; a heartbeat alone is no change.
     pub fn register(&mut self, record: InstanceRecord) {
-        let name = record.id.to_string();
+        let name = record.id.name().to_owned();
         let known = self.objects.get(&(ObjectKind::Instances, name.clone()));
         let same = known.is_some_and(|object| {
             matches!(&object.content, Ok(ObjectContent::Instance(known)) if *known == record)
--- a/crates/ledgelead-lab/src/fleet/store_traffic.rs
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -102,6 +102,7 @@
         }
         if instance.heartbeats && !instance.dark && self.mood.silent + self.mood.refusing == 0 {
             self.last_beat.insert(index, self.now);
+            self.registered.entry(index).or_insert(self.now);
             self.store.register(instance.record.clone());
             self.answer_watches();
         }
@@ -126,7 +127,7 @@
 
     pub(super) fn remove_entry(&mut self, index: usize) {
         self.last_beat.remove(&index);
-        let name = self.instances[index].id().to_string();
-        self.store.remove_instance(&name);
+        let name = self.instances[index].id().name();
+        self.store.remove_instance(name);
     }
 }
--- a/crates/ledgelead-lab/src/fleet/transport.rs
+++ b/crates/ledgelead-lab/src/fleet/transport.rs
@@ -3,6 +3,7 @@
 use super::event::{Caller, Event};
 use super::world::World;
 use ledgelead_router::dialect::Order;
+use ledgelead_router::identity::InstanceId;
 use ledgelead_router::io::ExchangeId;
 use ledgelead_runtime::transport;
 use std::time::Duration;
@@ -51,7 +52,7 @@
     pub(super) caller: Caller,
     pub(super) exchange: ExchangeId,
     pub(super) instance: usize,
-    pub(super) meant: String,
+    pub(super) meant: InstanceId,
     pub(super) order: Order,
     /// When it was written.
     pub(super) sent: Duration,
@@ -77,15 +78,19 @@
         if was_reset || transport.user_timeout.is_some_and(is_over) {
             return;
         }
-        if !self.network.instance_connected(index, held.instance) {
+        if !self
+            .network
+            .instance_connected(index, self.living(held.instance))
+        {
             self.repeat_later(held);
             return;
         }
         let exchange = Some(held.exchange);
+        let instance = self.living(held.instance);
         self.order_arrives(
-            held.caller,
+            (held.caller, held.sent),
             exchange,
-            held.instance,
+            instance,
             &held.meant,
             held.order,
         );
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -13,7 +13,7 @@
 use super::versions::{CONFIGURATION_BOUND, VERSION_CHECK_INTERVAL, Versions};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::directory::InstanceRecord;
-use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::identity::{NodeIdentity, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
@@ -82,6 +82,8 @@
     pub datagram_loss: f64,
     /// Requests that crash the instances which run them.
     pub crashing: Vec<CrashingRequest>,
+    /// Whether instances tell when they were started.
+    pub tells_births: bool,
     /// Whether faults, orders and records are printed.
     pub trace: bool,
     /// Protections of the nodes.
@@ -136,6 +138,10 @@
     datagram_rng: Pcg64Mcg,
     /// The same for requests that crash instances.
     pub(super) crash_rng: Pcg64Mcg,
+    /// The same for the clocks of instances that start again.
+    pub(super) birth_rng: Pcg64Mcg,
+    /// When the entry of each instance was written first.
+    pub(super) registered: HashMap<usize, Duration>,
     pub(super) crashing: Vec<Crashing>,
     pub(super) crashing_tries: u64,
     pub(super) nodes: Vec<SimulatedNode>,
@@ -168,6 +174,8 @@
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             datagram_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xda7a),
             crash_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xc4a5),
+            birth_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xb04a),
+            registered: HashMap::new(),
             crashing: settings
                 .crashing
                 .iter()
@@ -244,7 +252,7 @@
         let zone = format!("zone-{}", index % 3);
         let sharded = service == SHARDED;
         let record = InstanceRecord {
-            id: InstanceId::from(format!("i-{index}").as_str()),
+            id: self.life_of(&format!("i-{index}")),
             service: ServiceName::from(service),
             address: instance_address(index),
             zone: ZoneName::from(zone.as_str()),
@@ -330,14 +338,19 @@
                 exchange,
                 instance,
                 meant,
+                sent,
                 order,
-            } => self.order_arrives(caller, exchange, instance, &meant, order),
+            } => {
+                let instance = self.living(instance);
+                self.order_arrives((caller, sent), exchange, instance, &meant, order);
+            }
             Event::HeldOrder(held) => self.repeat_order(*held),
             Event::WorkDone(instance, work) => self.work_done(instance, &work),
             Event::Heartbeat(index) => self.heartbeat(index),
             Event::InstanceEnds(index) => self.left_instance_ends(index),
             Event::ExpireEntries => self.expire_entries(),
             Event::InstanceReturns(index) => self.instance_returns(index),
+            Event::InstanceRestarts(index) => self.restart(index),
             Event::InstanceCrashes(index) => self.crash_with_work(index),
             Event::CrashingClient(number) => self.crashing_client_asks(number),
             Event::Client => {
@@ -561,13 +574,12 @@
         if !self.settings.transport.holds_bytes {
             return None;
         }
-        let order = self.tickets.borrow_mut().take_order(request)?;
-        let meant = request.headers.text("target").unwrap_or_default();
+        let (meant, order) = self.tickets.borrow_mut().take_order(request)?;
         Some(HeldOrder {
             caller,
             exchange,
             instance,
-            meant: meant.to_owned(),
+            meant,
             order,
             sent: self.now,
         })
@@ -616,14 +628,7 @@
         }
         let order = self.tickets.borrow_mut().take_order(&request);
         match order {
-            Some(order) => {
-                let meant = request
-                    .headers
-                    .text("target")
-                    .unwrap_or_default()
-                    .to_owned();
-                self.send_order(caller, exchange, instance, meant, order);
-            }
+            Some((meant, order)) => self.send_order(caller, exchange, instance, meant, order),
             None => {
                 let until = self.pending[&(caller, exchange)];
                 let event = Event::Request(caller, exchange, instance, Box::new(request), until);
