Fleet: an instance's answer names it as headers do

Cause: the stand-in named the whole life in a 421, where the wire has the id alone; nodes took each for the word of another instance, and the end of the one that they meant.

--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -175,7 +175,7 @@
         let misdirected = meant != target.id().name()
             || key.is_some_and(|key| target.hold_of(key, now).is_none());
         let full = !target.has_slot() && !target.has_room();
-        let id = target.id().to_string();
+        let id = target.id().name().to_owned();
         if misdirected || full {
             let mut response = Response::new(if misdirected { 421 } else { 503 }, "");
             response.headers.push("attempt", attempt.to_string());
