Lives of instances: a later life is another instance, under the same name

Cause: a node took an instance that had started again for the one before, with its keys, tokens, load and evidence. Its coordinator cut the lease of an owner whose address had another life short, although grants for the earlier life reach the later one: the wire has the id alone.

Ruled out: to end the lease at once where every grant was answered. The later life may have given the answer, before its entry was known.

Change: the directory holds one current life of each name; the store's revision tells which is later, the start only where no revision does. The earlier life has ended and is gone; its keys go to the later one at once under a higher token, with the old lease's end kept, or to others after that end.

The sabotage one-life is seen.

--- a/crates/ledgelead-lab/tests/fleet_restarts.rs
+++ b/crates/ledgelead-lab/tests/fleet_restarts.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::command::{NODES, drawn_restarts, play};
-use ledgelead_router::protections::Protections;
+use ledgelead_router::protections::{Protection, Protections};
 
 #[gtest]
 fn lives_of_one_id_hold_keys_under_rising_tokens() {
@@ -15,3 +15,10 @@
     );
     expect_that!(lines, is_empty());
 }
+
+#[gtest]
+fn the_checker_sees_lives_that_are_taken_for_one() {
+    let sabotaged = Protections::without(Protection::LivesApart);
+    let (_, lines) = play(drawn_restarts, 1..=4, NODES, sabotaged, false);
+    expect_that!(lines, contains(contains_substring("lives_apart")));
+}
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -3,8 +3,10 @@
 use crate::Timestamp;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
+use crate::protections::{Protection, Protections};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How long an instance is remembered after its entry is gone.
@@ -36,6 +38,53 @@
     pub warmup_left: Duration,
 }
 
+/// An entry of an instance, and how new it is.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What the instance registered.
+    pub record: InstanceRecord,
+    /// The store's revision by which it stood so, where that is known.
+    pub revision: Option<u64>,
+}
+
+impl Entry {
+    /// An entry that stood so by a revision of the store.
+    pub fn at(revision: u64, record: InstanceRecord) -> Entry {
+        Entry {
+            record,
+            revision: Some(revision),
+        }
+    }
+}
+
+impl From<InstanceRecord> for Entry {
+    fn from(record: InstanceRecord) -> Entry {
+        Entry {
+            record,
+            revision: None,
+        }
+    }
+}
+
+/// The life that has the entry of an instance, or had it last.
+#[derive(Clone, Debug)]
+struct CurrentLife {
+    id: InstanceId,
+    revision: Option<u64>,
+}
+
+impl CurrentLife {
+    /// Whether the entry of another life was written later. The store's revisions
+    /// tell; the start of a life doesn't where they do, since a machine's clock may
+    /// have been set back between two lives.
+    fn precedes(&self, id: &InstanceId, revision: Option<u64>) -> bool {
+        match (self.revision, revision) {
+            (Some(known), Some(told)) if known != told => known < told,
+            _ => self.id.born() < id.born(),
+        }
+    }
+}
+
 /// Whether an instance may get work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -107,6 +156,10 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
+    /// By the names of instances; in step with `instances`.
+    current: BTreeMap<Arc<str>, CurrentLife>,
+    /// Whether lives of one name are taken for one.
+    merges_lives: bool,
     /// Entries that went while the store was in doubt, and until when their
     /// instances are taken for present.
     doubted: BTreeMap<InstanceId, Timestamp>,
@@ -125,6 +178,14 @@
 }
 
 impl Directory {
+    /// A directory that knows nothing yet.
+    pub fn new(protections: Protections) -> Directory {
+        Directory {
+            merges_lives: !protections.has(Protection::LivesApart),
+            ..Directory::default()
+        }
+    }
+
     /// Whether the whole list was read once.
     pub fn is_complete(&self) -> bool {
         self.complete
@@ -178,19 +239,19 @@
     }
 
     /// Takes over a whole list.
-    pub fn replace_all(&mut self, records: Vec<InstanceRecord>, now: Timestamp) {
-        let listed: BTreeSet<InstanceId> = records.iter().map(|record| record.id.clone()).collect();
-        for record in records {
-            self.upsert(record, now);
+    pub fn replace_all<E: Into<Entry>>(&mut self, entries: Vec<E>, now: Timestamp) {
+        let entries: Vec<Entry> = entries.into_iter().map(Into::into).collect();
+        let names = entries
+            .iter()
+            .map(|entry| entry.record.id.name().to_owned());
+        let listed: BTreeSet<String> = names.collect();
+        for entry in entries {
+            self.upsert(entry, now);
         }
-        let missing: Vec<InstanceId> = self
-            .instances
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.remove(&id, now);
+        let is_missing = |name: &&Arc<str>| !listed.contains(name.as_ref());
+        let missing: Vec<Arc<str>> = self.current.keys().filter(is_missing).cloned().collect();
+        for name in missing {
+            self.remove(&name, now);
         }
         if !self.complete {
             self.complete = true;
@@ -198,9 +259,20 @@
         }
     }
 
-    /// An entry was made or changed. A new one at the address of another
-    /// proves that the other life has ended.
-    pub fn upsert(&mut self, record: InstanceRecord, now: Timestamp) {
+    /// An entry was made or changed. One of a later life proves that the earlier life
+    /// has ended, and a new one at the address of another that this one has; one of an
+    /// earlier life is late and tells nothing.
+    pub fn upsert(&mut self, entry: impl Into<Entry>, now: Timestamp) {
+        let Entry {
+            mut record,
+            revision,
+        } = entry.into();
+        if self.merges_lives {
+            record.id = InstanceId::from(record.id.name());
+        }
+        if !self.begin_life(&record.id, revision, now) {
+            return;
+        }
         if !self.instances.contains_key(&record.id) {
             let registered = Event::InstanceRegistered {
                 instance: &record.id,
@@ -243,6 +315,60 @@
         self.instances.insert(id, instance);
     }
 
+    /// Notes whose entry this is. Returns whether it is that of the instance's current
+    /// life.
+    fn begin_life(&mut self, id: &InstanceId, revision: Option<u64>, now: Timestamp) -> bool {
+        let former = match self.current.get_mut(id.name()) {
+            Some(current) if current.id == *id => {
+                current.revision = current.revision.max(revision);
+                return true;
+            }
+            Some(current) if !current.precedes(id, revision) => return false,
+            former => former.map(|former| former.id.clone()),
+        };
+        if let Some(former) = former {
+            self.supersede(&former, now);
+        }
+        let current = CurrentLife {
+            id: id.clone(),
+            revision,
+        };
+        self.current.insert(Arc::from(id.name()), current);
+        true
+    }
+
+    /// This life is over, since a later one has its entry.
+    fn supersede(&mut self, id: &InstanceId, now: Timestamp) {
+        self.doubted.remove(id);
+        self.changes += 1;
+        let Some(instance) = self.instances.get_mut(id) else {
+            return;
+        };
+        instance.ended = true;
+        if !instance.is_gone() {
+            let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
+            instance.leave(since, now);
+        }
+    }
+
+    /// The later life of an instance that has started again, if this life is known to
+    /// have ended by that. It listens under the same name, so that it takes what is
+    /// still on its way to this life.
+    pub fn later_life(&self, id: &InstanceId) -> Option<&Instance> {
+        let current = &self.current.get(id.name())?.id;
+        let is_known = self.instances.contains_key(id);
+        let is_later = current != id && (is_known || id.born() < current.born());
+        is_later.then(|| self.instances.get(current)).flatten()
+    }
+
+    /// The instance that orders to this life reach: none if a later one would take them.
+    pub fn addressee(&self, id: &InstanceId) -> Option<&Instance> {
+        match self.later_life(id) {
+            Some(_) => None,
+            None => self.get(id),
+        }
+    }
+
     fn evacuated_since(&self, zone: &ZoneName) -> Option<Timestamp> {
         if self.evacuated.is_empty() {
             return None;
@@ -293,8 +419,11 @@
         }
     }
 
-    /// An entry is gone.
-    pub fn remove(&mut self, id: &InstanceId, now: Timestamp) {
+    /// The entry of an instance is gone.
+    pub fn remove(&mut self, name: &str, now: Timestamp) {
+        let Some(CurrentLife { id, .. }) = self.current.get(name) else {
+            return;
+        };
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
@@ -331,8 +460,10 @@
                 instance.leave(Timestamp::ZERO, now);
             }
         }
-        self.instances
-            .retain(|_, instance| instance.forget_at.is_none_or(|at| now < at));
+        let instances = &mut self.instances;
+        instances.retain(|_, instance| instance.forget_at.is_none_or(|at| now < at));
+        self.current
+            .retain(|_, current| instances.contains_key(&current.id));
     }
 
     /// The next time at which `expire` changes something.
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -76,7 +76,7 @@
         Node {
             configuration: None,
             routes: RouteTable::default(),
-            directory: Directory::default(),
+            directory: Directory::new(settings.protections),
             ownership: OwnershipView::default(),
             registry: Registry::default(),
             shared: SharedLoad::default(),
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -4,8 +4,8 @@
 use crate::Timestamp;
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
+use crate::directory::Entry;
 use crate::events::Event;
-use crate::identity::InstanceId;
 use crate::io::Action;
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
@@ -34,7 +34,9 @@
                 continue;
             }
             match object.content {
-                Ok(ObjectContent::Instance(record)) => instances.push(record),
+                Ok(ObjectContent::Instance(record)) => {
+                    instances.push(Entry::at(object.revision, record));
+                }
                 Ok(ObjectContent::Node(record)) => nodes.push(Registration {
                     record,
                     revision: object.revision,
@@ -100,9 +102,12 @@
         }
         match object.content {
             Ok(ObjectContent::Instance(record)) if event.gone => {
-                self.directory.remove(&record.id, now);
+                self.directory.remove(record.id.name(), now);
+            }
+            Ok(ObjectContent::Instance(record)) => {
+                let entry = Entry::at(object.revision, record);
+                self.directory.upsert(entry, now);
             }
-            Ok(ObjectContent::Instance(record)) => self.directory.upsert(record, now),
             Ok(ObjectContent::Node(record)) if event.gone => {
                 self.registry.remove(&record.identity.node);
             }
@@ -133,8 +138,7 @@
             Err(finding) if event.gone => {
                 // An entry that is gone may be told by its name alone.
                 log::debug!(target: "store", "{} is gone: {finding}", object.name);
-                self.directory
-                    .remove(&InstanceId::from(object.name.as_str()), now);
+                self.directory.remove(&object.name, now);
             }
             Err(finding) => unreadable(&object.name, &finding),
         }
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -102,6 +102,10 @@
             }
         }
         for (instance, asked) in signs.answered {
+            if self.directory.later_life(&instance).is_some() {
+                // The later life may have answered in its place.
+                continue;
+            }
             self.quarantine.suspects.answered(&instance, asked);
             let hash = instance.stable_hash();
             // An answer to what was asked before may have been on its way.
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -6,7 +6,7 @@
 use super::parts;
 use crate::Timestamp;
 use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
-use crate::directory::{Directory, Presence};
+use crate::directory::{Directory, Entry, Presence};
 use crate::identity::{InstanceId, NodeName};
 use crate::io::Action;
 use crate::node::Node;
@@ -75,10 +75,10 @@
         for change in list.into_changes() {
             let id = InstanceId::parse(&change.id.0);
             match &change.entry {
-                None => self.directory.remove(&id, now),
+                None => self.directory.remove(id.name(), now),
                 Some(entry) => {
                     if let Some(record) = instance_record(id, entry) {
-                        self.directory.upsert(record, now);
+                        self.directory.upsert(Entry::at(revision, record), now);
                     }
                 }
             }
@@ -102,10 +102,11 @@
         let revision = list.revision();
         let record = |listed: ChangedInstance| {
             let id = InstanceId::parse(&listed.id.0);
-            instance_record(id, &listed.entry?)
+            let record = instance_record(id, &listed.entry?)?;
+            Some(Entry::at(revision, record))
         };
-        let records = list.into_changes().into_iter().filter_map(record).collect();
-        self.directory.replace_all(records, now);
+        let entries: Vec<Entry> = list.into_changes().into_iter().filter_map(record).collect();
+        self.directory.replace_all(entries, now);
         self.list_applied(ObjectKind::Instances, revision);
         self.reconsider_waiting(now, out);
     }
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -79,6 +79,51 @@
         })
     }
 
+    /// The owner has started again under its name. The later life may have taken any
+    /// grant that was meant for the earlier one, also one that was answered; so the
+    /// lease goes on, except towards the later life itself: it gets the keys under a
+    /// higher token at once, and refuses the others once it has that.
+    pub(super) fn pass_to_later_life(&mut self, later: Option<InstanceId>, now: Timestamp) {
+        if self.lease.order.is_some() || self.release_order().is_some() {
+            return;
+        }
+        match (&self.state, later) {
+            (State::Held | State::Releasing { .. }, Some(later)) => {
+                self.state = State::Free {
+                    target: Some(later),
+                    handover: None,
+                };
+            }
+            (State::Held, None) => {
+                self.state = State::Releasing {
+                    target: None,
+                    order: None,
+                    next_try: now,
+                };
+            }
+            _ => {}
+        }
+    }
+
+    /// The lease of the next owner, once the record names it.
+    pub(super) fn next_lease(
+        &self,
+        next: &InstanceId,
+        handover: Option<String>,
+        now: Timestamp,
+    ) -> Lease {
+        let fresh = Lease::fresh(now, handover);
+        let keeps_name = |owner: &InstanceId| owner.shares_name(next);
+        if !self.owner.as_ref().is_some_and(keeps_name) {
+            return fresh;
+        }
+        // What was sent to the earlier life may have reached this one.
+        Lease {
+            possible_until: self.lease.possible_until.max(now),
+            ..fresh
+        }
+    }
+
     /// A grant ended.
     pub(super) fn grant_ended(
         &mut self,
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -45,7 +45,7 @@
             let Some(instance) = holding
                 .owner
                 .as_ref()
-                .and_then(|id| context.directory.get(id))
+                .and_then(|id| context.directory.addressee(id))
             else {
                 *next_try = holding.lease.possible_until;
                 continue;
@@ -84,7 +84,7 @@
             let instance = holding
                 .owner
                 .as_ref()
-                .and_then(|id| context.directory.get(id));
+                .and_then(|id| context.directory.addressee(id));
             let Some(instance) = instance else {
                 holding.lease.unanswered(false, context.now);
                 continue;
@@ -131,6 +131,11 @@
             let Some(owner) = &holding.owner else {
                 continue;
             };
+            if let Some(later) = context.directory.later_life(owner) {
+                let later = later.serves().then(|| later.record.id.clone());
+                holding.pass_to_later_life(later, context.now);
+                continue;
+            }
             if context.directory.has_ended(owner) {
                 holding.lease.possible_until = holding.lease.possible_until.min(context.now);
             }
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -7,7 +7,6 @@
 use crate::dialect::KeyRange;
 use crate::events::Event;
 use crate::identity::ServiceName;
-use crate::ownership::lease::Lease;
 use crate::ownership::next_owner::{NextOwners, TakenPart};
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use std::collections::BTreeMap;
@@ -187,7 +186,7 @@
                 fence: *fence,
             };
             owned.emit();
-            holding.lease = Lease::fresh(now, handover.clone());
+            holding.lease = holding.next_lease(owner, handover.clone(), now);
             holding.fence = *fence;
             holding.owner = Some(owner.clone());
             holding.state = State::Held;
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -26,13 +26,15 @@
     KeptEvidence,
     /// A request that an instance answers is no such request.
     Acquittal,
+    /// A later life of an instance is not taken for the earlier one.
+    LivesApart,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 11] = [
+    pub const SABOTAGES: [(&'static str, Protection); 12] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -43,6 +45,7 @@
         ("share-no-evidence", Protection::SharedEvidence),
         ("keep-no-evidence", Protection::KeptEvidence),
         ("acquit-nobody", Protection::Acquittal),
+        ("one-life", Protection::LivesApart),
         ("know-by-path", Protection::WholeIdentity),
     ];
 }
--- /dev/null
+++ b/crates/ledgelead-router/tests/lives.rs
@@ -0,0 +1,313 @@
+//! Instances that start again under their names: what is known of one life says nothing
+//! of another.
+
+use googletest::prelude::*;
+use ledgelead_router::configuration::{ClientLimits, Configuration, Service};
+use ledgelead_router::dialect::{Order, OrderAnswer};
+use ledgelead_router::directory::{Directory, Entry, InstanceRecord};
+use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::mechanisms::Mechanisms;
+use ledgelead_router::ownership::coordinator::{
+    Commands, Context, Coordinator, EarlierAuthority, ExchangeIds, OutgoingOrder,
+};
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use ledgelead_router::protections::Protections;
+use ledgelead_router::settings::longest_hold;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn life(name: &str, born: u64) -> InstanceRecord {
+    InstanceRecord {
+        id: InstanceId::of_life(name, born),
+        service: ServiceName::from("s"),
+        address: ([10, 0, 0, u8::from(name == "a")], 80).into(),
+        zone: ZoneName::from("z"),
+        slots: 2,
+        draining: false,
+        warmup_left: Duration::ZERO,
+    }
+}
+
+fn known(directory: &Directory, born: u64) -> (bool, bool) {
+    let id = InstanceId::of_life("a", born);
+    let instance = directory.get(&id);
+    let serves = instance.is_some_and(|instance| instance.serves());
+    (serves, directory.has_ended(&id))
+}
+
+const SERVES: (bool, bool) = (true, false);
+const ENDED: (bool, bool) = (false, true);
+const UNKNOWN: (bool, bool) = (false, false);
+
+#[gtest]
+fn a_later_life_ends_the_earlier_one_at_any_address() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![life("a", 10)], ms(0));
+    let moved = InstanceRecord {
+        address: ([10, 0, 9, 9], 80).into(),
+        ..life("a", 20)
+    };
+    directory.upsert(moved, ms(1_000));
+    expect_that!(known(&directory, 10), eq(ENDED));
+    expect_that!(known(&directory, 20), eq(SERVES));
+    let gone = directory.get(&InstanceId::of_life("a", 10));
+    expect_that!(gone.is_some_and(|gone| gone.is_gone()), eq(true));
+}
+
+#[gtest]
+fn an_earlier_life_that_is_told_late_tells_nothing() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![life("a", 20)], ms(0));
+    directory.upsert(life("a", 10), ms(1_000));
+    expect_that!(known(&directory, 10), eq(UNKNOWN));
+    expect_that!(known(&directory, 20), eq(SERVES));
+    // A list that is late as well has an entry of that name, so none is missing.
+    directory.replace_all(vec![life("a", 10)], ms(2_000));
+    expect_that!(known(&directory, 20), eq(SERVES));
+}
+
+#[gtest]
+fn an_earlier_life_is_not_back_when_the_later_one_has_gone() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![life("a", 10)], ms(0));
+    directory.upsert(life("a", 20), ms(1_000));
+    directory.remove("a", ms(2_000));
+    directory.upsert(life("a", 10), ms(3_000));
+    expect_that!(known(&directory, 10), eq(ENDED));
+    expect_that!(known(&directory, 20), eq(UNKNOWN));
+}
+
+#[gtest]
+fn the_revision_decides_where_a_clock_was_set_back() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![Entry::at(5, life("a", 20))], ms(0));
+    directory.upsert(Entry::at(8, life("a", 10)), ms(1_000));
+    expect_that!(known(&directory, 20), eq(ENDED));
+    expect_that!(known(&directory, 10), eq(SERVES));
+    directory.upsert(Entry::at(5, life("a", 20)), ms(2_000));
+    expect_that!(known(&directory, 10), eq(SERVES));
+}
+
+#[gtest]
+fn the_same_life_under_another_revision_goes_on() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![Entry::at(5, life("a", 20))], ms(0));
+    directory.upsert(Entry::at(8, life("a", 20)), ms(1_000));
+    expect_that!(known(&directory, 20), eq(SERVES));
+}
+
+#[gtest]
+fn the_name_takes_out_the_life_that_has_it() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![life("a", 10), life("b", 1)], ms(0));
+    directory.upsert(life("a", 20), ms(1_000));
+    directory.replace_all(vec![life("b", 1)], ms(2_000));
+    expect_that!(known(&directory, 20), eq(UNKNOWN));
+}
+
+/// A coordinator of one range that `a` owns under 5, born at 10, and `b` beside.
+struct Fixture {
+    coordinator: Coordinator,
+    directory: Directory,
+    exchanges: ExchangeIds,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let identity = NodeIdentity {
+            node: NodeName::from("n"),
+            incarnation: 1,
+        };
+        let record = OwnershipRecord {
+            epoch: 1,
+            coordinator: Some(identity),
+            earlier_authority_ms: 0,
+            next_fence: 6,
+            assignments: vec![Assignment {
+                service: ServiceName::from("s"),
+                first: 0,
+                last: u16::MAX,
+                owner: InstanceId::of_life("a", 10),
+                fence: 5,
+            }],
+        };
+        let earlier = EarlierAuthority {
+            predecessor: Duration::ZERO,
+            others: Duration::ZERO,
+        };
+        let mut directory = Directory::default();
+        directory.replace_all(vec![life("a", 10), life("b", 1)], ms(0));
+        Fixture {
+            coordinator: Coordinator::new(record, earlier, Protections::default(), ms(0)),
+            directory,
+            exchanges: ExchangeIds::default(),
+        }
+    }
+
+    fn step(&mut self, now: Duration) -> Commands {
+        let configuration = Configuration {
+            version: 1,
+            routes: Vec::new(),
+            services: vec![Service {
+                name: ServiceName::from("s"),
+                sharded: true,
+                max_connections: 10,
+                cold_rate: None,
+            }],
+            limits: ClientLimits::default(),
+        };
+        self.coordinator.step(&mut Context {
+            now,
+            directory: &self.directory,
+            configuration: &configuration,
+            store_serves: true,
+            mechanisms: Mechanisms::default(),
+            exchanges: &mut self.exchanges,
+        })
+    }
+
+    /// The only order of a step.
+    fn order(&mut self, now: Duration) -> OutgoingOrder {
+        let orders = self.step(now).orders;
+        assert_eq!(orders.len(), 1, "{orders:?}");
+        orders[0].clone()
+    }
+
+    fn done(&mut self, order: &OutgoingOrder, now: Duration) {
+        let done = OrderAnswer::Done { handover: None };
+        self.coordinator.order_ended(order.exchange, Ok(done), now);
+    }
+
+    /// Steps until the record is to be written, and the time and owner then.
+    fn next_owner(&mut self, from: Duration, to: Duration) -> Option<(Duration, InstanceId, u64)> {
+        let mut now = from;
+        while now <= to {
+            if let Some(record) = self.step(now).write {
+                let given = &record.assignments[0];
+                return Some((now, given.owner.clone(), given.fence));
+            }
+            now += ms(10);
+        }
+        None
+    }
+}
+
+#[gtest]
+fn keys_pass_to_the_later_life_under_a_higher_token() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    fixture.directory.upsert(life("a", 20), ms(10_500));
+    let next = fixture.next_owner(ms(10_500), ms(11_000));
+    let later = InstanceId::of_life("a", 20);
+    expect_that!(next, some(eq(&(ms(10_500), later.clone(), 6))));
+    fixture.coordinator.written(ms(10_510));
+    let order = fixture.order(ms(10_510));
+    expect_that!(order.instance, eq(&later));
+    expect_that!(
+        matches!(order.order, Order::Grant { fence: 6, .. }),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn a_grant_on_its_way_holds_the_later_life_up() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    fixture.directory.upsert(life("a", 20), ms(10_100));
+    expect_that!(fixture.next_owner(ms(10_100), ms(10_590)), none());
+    let timed_out = Err(ExchangeFailure::TimedOut);
+    fixture
+        .coordinator
+        .order_ended(granted.exchange, timed_out, ms(10_600));
+    let next = fixture.next_owner(ms(10_600), ms(10_700));
+    expect_that!(
+        next,
+        some(eq(&(ms(10_600), InstanceId::of_life("a", 20), 6)))
+    );
+}
+
+#[gtest]
+fn another_instance_waits_out_what_the_later_life_may_have_taken() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    let leaving = InstanceRecord {
+        draining: true,
+        ..life("a", 20)
+    };
+    fixture.directory.upsert(leaving, ms(10_100));
+    let timed_out = Err(ExchangeFailure::TimedOut);
+    fixture
+        .coordinator
+        .order_ended(granted.exchange, timed_out, ms(10_600));
+    let end = ms(10_600) + longest_hold();
+    let next = fixture.next_owner(ms(10_600), end + ms(1_000));
+    let (at, owner, fence) = next.expect("another owner");
+    expect_that!(at, ge(end));
+    expect_that!(owner, eq(&InstanceId::of_life("b", 1)));
+    expect_that!(fence, eq(6));
+}
+
+#[gtest]
+fn a_later_life_that_takes_nothing_is_waited_out_too() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    fixture.directory.upsert(life("a", 20), ms(10_100));
+    expect_that!(fixture.next_owner(ms(10_100), ms(10_200)), some(anything()));
+    fixture.coordinator.written(ms(10_200));
+    // The answered grant of the earlier life may have been taken by the later one.
+    let end = ms(10_005) + longest_hold();
+    let mut now = ms(10_200);
+    let mut given = None;
+    while given.is_none() && now <= end + ms(1_000) {
+        let commands = fixture.step(now);
+        for order in commands.orders {
+            let failed = Err(ExchangeFailure::NotConnected);
+            fixture.coordinator.order_ended(order.exchange, failed, now);
+        }
+        given = commands.write.map(|record| (now, record));
+        now += ms(10);
+    }
+    let (at, record) = given.expect("another owner");
+    expect_that!(at, ge(end));
+    expect_that!(
+        record.assignments[0].owner,
+        eq(&InstanceId::of_life("b", 1))
+    );
+}
+
+#[gtest]
+fn nothing_is_sent_to_a_life_whose_name_another_has() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    let leaving = InstanceRecord {
+        draining: true,
+        ..life("a", 20)
+    };
+    fixture.directory.upsert(leaving, ms(10_100));
+    let mut now = ms(10_100);
+    while now < ms(14_000) {
+        expect_that!(fixture.step(now).orders, is_empty());
+        now += ms(50);
+    }
+}
+
+#[gtest]
+fn another_name_at_the_address_ends_the_lease_at_once() {
+    let mut fixture = Fixture::new();
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    let other = InstanceRecord {
+        id: InstanceId::of_life("c", 20),
+        ..life("a", 20)
+    };
+    fixture.directory.upsert(other, ms(10_100));
+    let next = fixture.next_owner(ms(10_100), ms(10_200));
+    expect_that!(next.map(|(at, _, _)| at), some(le(ms(10_120))));
+}
