--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -108,7 +108,7 @@
 }
 
 /// A run with instances that start again under their ids, orders that are carried out
-/// late, and other drawn faults in half of the runs.
+/// late, and other drawn faults, cuts, or requests that crash instances besides.
 pub fn drawn_restarts(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1155);
@@ -119,8 +119,14 @@
         1 => drawn.schedule.join(restarts),
         _ => Schedule::draw_cuts(&mut rng, nodes, from, to).join(restarts),
     };
+    // Faults of the other runs would hide when nodes learn of crashes.
+    let crashing = match seed % 4 {
+        2 => CrashingRequest::draw(&mut rng, from, from + LAST_FAULT / 2),
+        _ => Vec::new(),
+    };
     FleetSettings {
         schedule,
+        crashing,
         transport: Transport::OF_RUNTIME,
         tells_births: true,
         ..drawn
--- a/crates/ledgelead-lab/src/fleet/crashing.rs
+++ b/crates/ledgelead-lab/src/fleet/crashing.rs
@@ -217,7 +217,12 @@
     pub(super) fn instance_returns(&mut self, index: usize) {
         let address = self.instances[index].record.address;
         let is_alone = self.live_at(address).is_none();
-        if is_alone {
+        if !is_alone {
+            return;
+        }
+        if self.settings.tells_births {
+            self.restart(index);
+        } else {
             self.replace(index);
         }
     }
