Quarantine: an answer of a later life doesn't disprove the end of the earlier one

Cause: an instance that starts again answers under its id before its entry is known. Its answer cleared what was suspected of the earlier life, and disproved that life's end at all nodes.

Ruled out: to count no answers of instances that tell their start. A cut that refuses connections would then end instances that live.

Instances that tell no start are judged at once, as before.

--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -12,7 +12,9 @@
 use crate::identity::InstanceId;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
 use crate::protections::Protection;
-use crate::quarantine::{CallerId, End, Evidence, QuarantineRecord, RecentAnswers, Suspects};
+use crate::quarantine::{
+    CallerId, End, Evidence, LifeSigns, QuarantineRecord, RecentAnswers, Suspects,
+};
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -43,6 +45,7 @@
     pub(super) evidence: Evidence,
     suspects: Suspects,
     recent: RecentAnswers,
+    life_signs: LifeSigns,
     probes: HashMap<ExchangeId, InstanceId>,
     next_look: Timestamp,
     repeats: Vec<Repeat>,
@@ -75,10 +78,15 @@
     fn next_deadline(&self) -> Option<Timestamp> {
         let look = self.has_suspects().then_some(self.next_look);
         let repeat = self.repeats.iter().map(|repeat| repeat.at).min();
-        [look, repeat, self.evidence.next_review()]
-            .into_iter()
-            .flatten()
-            .min()
+        [
+            look,
+            repeat,
+            self.life_signs.next_due(),
+            self.evidence.next_review(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
@@ -102,18 +110,10 @@
             }
         }
         for (instance, asked) in signs.answered {
-            if self.directory.later_life(&instance).is_some() {
-                // The later life may have answered in its place.
-                continue;
-            }
-            self.quarantine.suspects.answered(&instance, asked);
-            let hash = instance.stable_hash();
-            // An answer to what was asked before may have been on its way.
-            let ended = self.quarantine.evidence.said_to_have_ended(hash);
-            if ended.is_some_and(|at| at < asked) {
-                let instance = &instance;
-                Event::EndDisproved { instance }.emit();
-                self.quarantine.evidence.disprove(hash, now);
+            if instance.born().is_none() {
+                self.instance_lives(&instance, asked, now);
+            } else if self.is_in_question(&instance, asked) {
+                self.quarantine.life_signs.answered(&instance, asked, now);
             }
         }
         for (request, caller) in signs.acquitted {
@@ -125,6 +125,38 @@
         }
     }
 
+    /// Whether an answer to what was asked at this time would show anything.
+    fn is_in_question(&self, instance: &InstanceId, asked: Timestamp) -> bool {
+        self.quarantine.suspects.contains(instance) || self.is_end_in_doubt(instance, asked)
+    }
+
+    /// Whether an answer to what was asked at this time disproves an end.
+    fn is_end_in_doubt(&self, instance: &InstanceId, asked: Timestamp) -> bool {
+        let evidence = &self.quarantine.evidence;
+        let ended = evidence.said_to_have_ended(instance.stable_hash());
+        // An answer to what was asked before may have been on its way.
+        ended.is_some_and(|at| at < asked)
+    }
+
+    /// An instance has answered what was asked at this time.
+    fn instance_lives(&mut self, instance: &InstanceId, asked: Timestamp, now: Timestamp) {
+        self.quarantine.suspects.answered(instance, asked);
+        if self.is_end_in_doubt(instance, asked) {
+            Event::EndDisproved { instance }.emit();
+            let hash = instance.stable_hash();
+            self.quarantine.evidence.disprove(hash, now);
+        }
+    }
+
+    /// Answers that a later life would be known to have given by now.
+    fn look_at_life_signs(&mut self, now: Timestamp) {
+        for (instance, asked) in self.quarantine.life_signs.take_due(now) {
+            if self.directory.later_life(&instance).is_none() {
+                self.instance_lives(&instance, asked, now);
+            }
+        }
+    }
+
     /// A request that an instance has answered lately is harmless, whatever has ended.
     fn acquit_if_answered(&mut self, request: RequestDigest, caller: CallerId, now: Timestamp) {
         let protects = self.settings.protections.has(Protection::Acquittal);
@@ -196,6 +228,7 @@
             self.quarantine.next_look = now + SUSPECTS_PAUSE;
             self.look_at_suspects(now);
         }
+        self.look_at_life_signs(now);
         self.judge(now);
         self.send_news(now, out);
         self.keep_evidence(now, out);
--- a/crates/ledgelead-router/src/quarantine/suspects.rs
+++ b/crates/ledgelead-router/src/quarantine/suspects.rs
@@ -49,6 +49,11 @@
         self.0.keys()
     }
 
+    /// Whether an instance is in question.
+    pub fn contains(&self, instance: &InstanceId) -> bool {
+        self.0.contains_key(instance)
+    }
+
     /// An attempt was lost. Returns whether the instance is to be probed now.
     pub fn lost(&mut self, instance: &InstanceId, accused: Accusation, now: Timestamp) -> bool {
         let pending = self.0.entry(instance.clone()).or_default();
