--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -460,10 +460,13 @@
                 instance.leave(Timestamp::ZERO, now);
             }
         }
+        let known = self.instances.len();
         let instances = &mut self.instances;
         instances.retain(|_, instance| instance.forget_at.is_none_or(|at| now < at));
-        self.current
-            .retain(|_, current| instances.contains_key(&current.id));
+        if instances.len() < known {
+            self.current
+                .retain(|_, current| instances.contains_key(&current.id));
+        }
     }
 
     /// The next time at which `expire` changes something.
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -89,6 +89,16 @@
     expect_that!(matches!(signed, Verdict::Relay(_)), eq(true));
 }
 
+#[gtest]
+fn a_misdirected_answer_under_the_id_of_a_life_proves_no_end() {
+    let misdirected = Ok(answer(421, &[("instance", "a")]));
+    let judged = judge(misdirected, &InstanceId::of_life("a", 10), &headers());
+    expect_that!(
+        matches!(judged, Verdict::Rejected { ended: false, .. }),
+        eq(true)
+    );
+}
+
 #[gtest]
 fn a_misdirected_answer_of_another_instance_proves_an_end() {
     let other = verdict(Ok(answer(421, &[("instance", "b")])));
