Leases: the old end stands only where another life of the name follows

Cause: next_lease kept the old end also where the same life gets its keys again after a 409, which deployments without born had otherwise.

--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -475,7 +475,7 @@
         self.losses.extend(followed.into_iter().map(loss));
     }
 
-    pub(super) fn end_instance(&mut self, index: usize) {
+    fn end_instance(&mut self, index: usize) {
         let instance = &mut self.instances[index];
         instance.alive = false;
         instance.holds.clear();
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -113,8 +113,8 @@
         now: Timestamp,
     ) -> Lease {
         let fresh = Lease::fresh(now, handover);
-        let keeps_name = |owner: &InstanceId| owner.shares_name(next);
-        if !self.owner.as_ref().is_some_and(keeps_name) {
+        let is_earlier_life = |owner: &InstanceId| owner != next && owner.shares_name(next);
+        if !self.owner.as_ref().is_some_and(is_earlier_life) {
             return fresh;
         }
         // What was sent to the earlier life may have reached this one.
