--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -88,7 +88,7 @@
         Node {
             configuration: None,
             routes: RouteTable::default(),
-            directory: Directory::default(),
+            directory: Directory::new(settings.protections),
             ownership: OwnershipView::default(),
             cold_keys: ColdKeys::default(),
             registry: Registry::default(),
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -4,8 +4,9 @@
 use crate::Timestamp;
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::{Object, ObjectContent, ObjectEvent, ObjectKind};
+use crate::directory::Entry;
 use crate::events::Event;
-use crate::identity::{InstanceId, NodeName};
+use crate::identity::NodeName;
 use crate::io::Action;
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
@@ -36,7 +37,9 @@
                 continue;
             }
             match object.content {
-                Ok(ObjectContent::Instance(record)) => instances.push(record),
+                Ok(ObjectContent::Instance(record)) => {
+                    instances.push(Entry::at(object.revision, record));
+                }
                 Ok(ObjectContent::Node(record)) => nodes.push(Registration {
                     record,
                     revision: object.revision,
@@ -110,9 +113,12 @@
         }
         match object.content {
             Ok(ObjectContent::Instance(record)) if event.gone => {
-                self.directory.remove(&record.id, now);
+                self.directory.remove(record.id.name(), now);
+            }
+            Ok(ObjectContent::Instance(record)) => {
+                let entry = Entry::at(object.revision, record);
+                self.directory.upsert(entry, now);
             }
-            Ok(ObjectContent::Instance(record)) => self.directory.upsert(record, now),
             Ok(ObjectContent::Node(record)) if event.gone => {
                 self.registry.remove(&record.identity.node);
             }
@@ -148,9 +154,9 @@
     /// As an instance's entry it names none to use, either way.
     fn apply_unreadable(&mut self, kind: ObjectKind, name: &str, gone: bool, now: Timestamp) {
         match kind {
-            ObjectKind::Instances if gone => self.directory.remove(&InstanceId::from(name), now),
+            ObjectKind::Instances if gone => self.directory.remove(name, now),
             ObjectKind::Instances if self.settings.protections.has(Protection::ForeignUnused) => {
-                self.directory.withdraw(&InstanceId::from(name), now);
+                self.directory.withdraw(name, now);
             }
             ObjectKind::Nodes if gone => self.registry.remove(&NodeName::from(name)),
             ObjectKind::Quarantine if gone => {
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -30,13 +30,15 @@
     ForeignApart,
     /// An instance whose entry can't be read gets nothing more.
     ForeignUnused,
+    /// A later life of an instance is not taken for the earlier one.
+    LivesApart,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 13] = [
+    pub const SABOTAGES: [(&'static str, Protection); 14] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -47,6 +49,7 @@
         ("share-no-evidence", Protection::SharedEvidence),
         ("keep-no-evidence", Protection::KeptEvidence),
         ("acquit-nobody", Protection::Acquittal),
+        ("one-life", Protection::LivesApart),
         ("know-by-path", Protection::WholeIdentity),
         ("drop-with-foreign", Protection::ForeignApart),
         ("use-foreign", Protection::ForeignUnused),
--- a/crates/ledgelead-router/tests/dispatch/load.rs
+++ b/crates/ledgelead-router/tests/dispatch/load.rs
@@ -198,7 +198,10 @@
         }
         let rate = (self.load.factor)(self.now) * capacity(self.load.slow_share);
         let pause = -f64::ln(self.rng.random_range(f64::EPSILON..1.0)) / rate;
-        self.schedule(self.now + Duration::from_secs_f64(pause), Event::Arrival);
+        self.schedule(
+            self.now + Duration::from_secs(1).mul_f64(pause),
+            Event::Arrival,
+        );
         let drawn: f64 = self.rng.random_range(0.0..1.0);
         let mut sum = 0.0;
         let mut kinds = self.load.kinds.iter();
