Retry budget: safe over deaths, restarts and moving clients; spent by value

Cause: each node used 0.8 of ratio x its requests of the last window + slack / nodes. Drawn histories of several nodes against the rule as it is worded show three ways past the bound: lives that start anew use their slack again, nodes that remain divide by the fewer that are registered, and clients that change nodes are paid for at both (what they left behind is spent at the old node, what they bring at the new one).

Ruled out: withholding all slack in the first window of a life (tests of the node at 3 s of its life rest on it); 0.8 for requests along with a series and 0.15 for those before (short failures can't be made good); fitting the share of the safety alone.

Change: each series of repeats within a window is paid for, one half by the node's requests of the window before the series, the other by those along with it (0.5 + 0.48). A life's slack grows from nothing in its first window; the slack is divided by the most nodes known for five minutes. No message is needed. As the budget runs short, a repeat is drawn only beside what others that win more have lately asked for, and each kind keeps a share (`repeat-value`).

--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -42,11 +42,15 @@
     ChanceMargin,
     /// Nodes that hear a coordinator let their own watches rest.
     RestingWatches,
+    /// Repeats that win most come first as the retry budget runs short.
+    RepeatValue,
+    /// Instances that reject with free slots are told from full ones.
+    RejectionCause,
 }
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 19] = [
+    pub const ALL: [(&'static str, Mechanism); 21] = [
         ("zone-preference", Mechanism::ZonePreference),
         ("free-slots", Mechanism::FreeSlots),
         ("review", Mechanism::Review),
@@ -66,6 +70,8 @@
         ("shared-capacity", Mechanism::SharedCapacity),
         ("chance-margin", Mechanism::ChanceMargin),
         ("resting-watches", Mechanism::RestingWatches),
+        ("repeat-value", Mechanism::RepeatValue),
+        ("rejection-cause", Mechanism::RejectionCause),
     ];
 
     /// The mechanism of this name.
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -72,7 +72,8 @@
     /// A node that knows nothing yet.
     pub fn new(settings: NodeSettings, dialect: Box<dyn Dialect>, now: Timestamp) -> Node {
         let rng = Pcg64Mcg::seed_from_u64(settings.seed);
-        let requests = Requests::new(&settings, rng);
+        let mut requests = Requests::new(&settings, rng);
+        requests.begin(now);
         Node {
             configuration: None,
             routes: RouteTable::default(),
--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -1,13 +1,41 @@
 //! This node's share of the retry budget that all nodes draw on together.
+//!
+//! A repeat is paid for by the node's own requests, so that this part is shared by demand:
+//! one half by those of the window before a series of repeats, the other by those that
+//! come along with it. Each series within a window has to be paid for. Were both paid
+//! for in whole, clients that change nodes would count at both.
+//!
+//! The slack is
+//! shared by heads, and so that no message is needed for the bound to hold: a life uses
+//! its whole share only once it is older than the window. Lives that did so within some
+//! window all lived when it began, thus two of one node are never among them. Each
+//! divides by the most nodes that it has known for minutes, so that those that remain
+//! don't use again what others have used before they ended, or use while they are cut off.
 
+use super::node_count::NodeCount;
+use super::repeat_value::{BudgetLevel, RepeatDemand, RepeatFacts};
 use crate::Timestamp;
 use crate::identity::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// The share of its own allowance that a node uses: what it sees and what the
+/// The share of its part of the slack that a node uses: what it sees and what the
 /// service receives differ a little in time.
-const SAFETY: f64 = 0.8;
+const SLACK_SHARE: f64 = 0.8;
+/// The share of the ratio that requests of the window before a series of repeats pay, so
+/// that a failure of a whole service is made good at once for some seconds.
+const EARLIER: f64 = 0.5;
+/// The share that requests which come along with the series pay, so that a node with new
+/// clients isn't without. With `EARLIER` it stays below the whole: clients of the window
+/// before may have changed nodes since, and pay there along with the others.
+const ALONG: f64 = 0.48;
+/// The share of its part of the slack that a node has at the end of the first window of
+/// its life. It grows from nothing with its age, since the node doesn't know what earlier
+/// lives of it have used: however often it starts, with `SLACK_SHARE` they stay below the whole.
+const YOUNG_SHARE: f64 = 0.15;
+/// How long the most nodes are remembered: a node that is cut off from the store isn't
+/// registered any more and still sends. Cuts last for minutes at most.
+const NODES_REMEMBERED: Duration = Duration::from_secs(300);
 
 /// What the budget of a deployment is.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +52,7 @@
 struct Usage {
     requests: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
+    demand: RepeatDemand,
 }
 
 /// Retries by service.
@@ -31,6 +60,9 @@
 pub struct RetryBudget {
     bounds: BudgetBounds,
     usage: BTreeMap<ServiceName, Usage>,
+    /// When this life began; long ago, if that isn't known.
+    began: Option<Timestamp>,
+    nodes: NodeCount,
 }
 
 impl RetryBudget {
@@ -39,9 +71,21 @@
         RetryBudget {
             bounds,
             usage: BTreeMap::new(),
+            began: None,
+            nodes: NodeCount::default(),
         }
     }
 
+    /// This life of the node begins, perhaps after another one.
+    pub fn begin(&mut self, now: Timestamp) {
+        self.began = Some(now);
+    }
+
+    /// So many nodes are registered now.
+    pub fn saw_nodes(&mut self, nodes: usize, now: Timestamp) {
+        self.nodes.saw(nodes, NODES_REMEMBERED, now);
+    }
+
     /// From now on the budget is this.
     pub fn set_bounds(&mut self, bounds: BudgetBounds) {
         self.bounds = bounds;
@@ -59,10 +103,11 @@
     /// A node that knows no other nodes has no share of the slack.
     pub fn draw(&mut self, service: &ServiceName, nodes: usize, now: Timestamp) -> bool {
         let window = self.bounds.window;
+        self.saw_nodes(nodes, now);
         if let Some(usage) = self.usage.get_mut(service) {
             usage.forget(now, window);
         }
-        if !self.may_draw(service, nodes) {
+        if !self.may_draw(service, nodes, now) {
             return false;
         }
         let usage = self.usage.entry(service.clone()).or_default();
@@ -70,6 +115,29 @@
         true
     }
 
+    /// The same for a repeat that also has to win enough, beside the others that are
+    /// asked for.
+    pub fn draw_for(
+        &mut self,
+        service: &ServiceName,
+        facts: &RepeatFacts,
+        nodes: usize,
+        now: Timestamp,
+    ) -> Draw {
+        let usage = self.usage.entry(service.clone()).or_default();
+        usage.forget(now, self.bounds.window);
+        usage.demand.ask(facts, now);
+        if !self.is_worth(service, facts, nodes, now) {
+            return Draw::KeptBack;
+        }
+        if !self.draw(service, nodes, now) {
+            return Draw::UsedUp;
+        }
+        let usage = self.usage.entry(service.clone()).or_default();
+        usage.demand.draw(facts.rank, self.bounds.window, now);
+        Draw::Drawn
+    }
+
     /// A retry that was drawn has not reached an instance.
     pub fn give_back(&mut self, service: &ServiceName) {
         if let Some(usage) = self.usage.get_mut(service) {
@@ -77,27 +145,104 @@
         }
     }
 
+    /// The same for a repeat of this rank.
+    pub fn give_back_for(&mut self, service: &ServiceName, rank: u32) {
+        self.give_back(service);
+        if let Some(usage) = self.usage.get_mut(service) {
+            usage.demand.give_back(rank);
+        }
+    }
+
     /// Whether a retry could be drawn.
-    pub fn may_draw(&self, service: &ServiceName, nodes: usize) -> bool {
-        let (requests, retries) = self
-            .usage
+    pub fn may_draw(&self, service: &ServiceName, nodes: usize, now: Timestamp) -> bool {
+        self.level(service, nodes, now).left >= 1.0
+    }
+
+    /// Whether a repeat wins enough to be drawn.
+    pub fn is_worth(
+        &self,
+        service: &ServiceName,
+        facts: &RepeatFacts,
+        nodes: usize,
+        now: Timestamp,
+    ) -> bool {
+        let level = self.level(service, nodes, now);
+        self.usage
             .get(service)
-            .map_or((0, 0), |usage| (usage.requests.len(), usage.retries.len()));
-        let slack = match nodes {
-            0 => 0.0,
-            nodes => self.bounds.slack / nodes as f64,
-        };
-        let allowed = (self.bounds.ratio * requests as f64 + slack) * SAFETY;
-        retries as f64 + 1.0 <= allowed
+            .is_none_or(|usage| usage.demand.is_worth(facts, level, now))
+    }
+
+    fn level(&self, service: &ServiceName, nodes: usize, now: Timestamp) -> BudgetLevel {
+        let slack = self.slack(nodes, now);
+        let ratio = self.bounds.ratio;
+        match self.usage.get(service) {
+            Some(usage) => usage.level(ratio, slack, now, self.bounds.window),
+            None => BudgetLevel {
+                capacity: slack,
+                left: slack,
+            },
+        }
+    }
+
+    fn slack(&self, nodes: usize, now: Timestamp) -> f64 {
+        if nodes == 0 {
+            return 0.0;
+        }
+        self.bounds.slack * self.usable_share(now) / self.nodes.most(nodes) as f64
+    }
+
+    fn usable_share(&self, now: Timestamp) -> f64 {
+        let window = self.bounds.window;
+        match self.began.map(|began| now.saturating_sub(began)) {
+            Some(age) if age < window => YOUNG_SHARE * age.div_duration_f64(window),
+            _ => SLACK_SHARE,
+        }
     }
 }
 
+/// What became of a repeat that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Draw {
+    /// It may be sent.
+    Drawn,
+    /// Others win more.
+    KeptBack,
+    /// Nothing is left.
+    UsedUp,
+}
+
 impl Usage {
+    /// What is left for a repeat now: the least over all series of repeats that end with
+    /// it, each of which is paid for by the requests since its first one, and by those
+    /// before.
+    fn level(&self, ratio: f64, slack: f64, now: Timestamp, window: Duration) -> BudgetLevel {
+        let before = |limit: Timestamp| self.requests.partition_point(|at| *at < limit);
+        let paid = |began: Timestamp| {
+            let from = began.checked_sub(window).map_or(0, before);
+            let until = before(began);
+            let earlier = (until - from) as f64;
+            let along = (self.requests.len() - until) as f64;
+            ratio * (earlier * EARLIER + along * ALONG) + slack
+        };
+        let capacity = paid(now);
+        let forgotten = self.retries.partition_point(|at| *at + window <= now);
+        let series = (forgotten..self.retries.len()).map(|first| {
+            let drawn = (self.retries.len() - first) as f64;
+            paid(self.retries[first]) - drawn
+        });
+        let left = series.fold(capacity, f64::min);
+        BudgetLevel { capacity, left }
+    }
+
+    /// Requests pay for series of repeats that began a window after them.
     fn forget(&mut self, now: Timestamp, window: Duration) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|time| *time + window <= now) {
-                times.pop_front();
-            }
-        }
+        forget_before(&mut self.requests, now, window * 2);
+        forget_before(&mut self.retries, now, window);
+    }
+}
+
+fn forget_before(times: &mut VecDeque<Timestamp>, now: Timestamp, kept: Duration) {
+    while times.front().is_some_and(|time| *time + kept <= now) {
+        times.pop_front();
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::ANSWER_MARGIN;
 use super::endings::{attempt_name, owner_fence};
+use super::repeats::rejection_cause;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::events::Event;
@@ -11,6 +12,7 @@
 use crate::protections::Protection;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{Verdict, tells_failure};
+use crate::requests::rejection_cause::RejectionCause;
 use crate::requests::selection::Selected;
 use crate::requests::statistics::ReportedLoad;
 use crate::whole_millis;
@@ -122,7 +124,7 @@
         };
         another
             && left > attempt.expected.min(open.route.target_latency / 2)
-            && self.budget.may_draw(&open.service, context.registry.len())
+            && self.could_repeat(open, context)
     }
 
     /// Whether another instance has a free slot for a request, so that breaking off its
@@ -147,7 +149,7 @@
                 && !self.stopping
                 && open.tried.len() < open.route.max_attempts as usize
                 && open.due > context.now
-                && self.budget.may_draw(&open.service, context.registry.len())
+                && self.could_repeat(open, context)
         })
     }
 
@@ -159,17 +161,19 @@
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
-        let nodes = context.registry.len();
-        let Some(open) = self.open.get_mut(&client) else {
+        let Some(open) = self.open.get(&client) else {
             return;
         };
         // Instances that were never reached are no arrivals.
         let repeated = !open.tried.is_empty();
-        if repeated && !self.budget.draw(&open.service, nodes, context.now) {
-            let reason = open.failure();
+        let reason = open.failure();
+        if repeated && !self.draw_repeat(client, selected.expected, context) {
             self.refuse(client, reason, context, out);
             return;
         }
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
         if let Some(since) = open.waiting_since.take() {
             self.waiting
                 .remove(&(self.mechanisms.rank(open), since, client));
@@ -213,8 +217,10 @@
         client: ClientId,
         attempt: &Attempt,
         verdict: Verdict,
+        cause: Option<RejectionCause>,
         context: &RequestContext<'_>,
     ) {
+        let tells_causes = self.mechanisms.has(Mechanism::RejectionCause);
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
@@ -227,7 +233,8 @@
                 // Only this attempt: an earlier one there may have run.
                 open.tried.pop();
                 if attempt.repeated {
-                    self.budget.give_back(&open.service);
+                    let rank = self.mechanisms.rank(open);
+                    self.budget.give_back_for(&open.service, rank);
                 }
                 if open.key.is_none() {
                     // Another instance is tried at once; this one stays out by
@@ -242,7 +249,13 @@
                 if ended {
                     self.ended.push(attempt.instance.clone());
                 }
-                let again = context.now + MISDIRECTED_PAUSE;
+                // An owner with room that rejects one of several takes another at once.
+                let declined = tells_causes && cause == Some(RejectionCause::FreeSlots);
+                let pause = match declined && open.tried.len() < 2 {
+                    true => Duration::ZERO,
+                    false => MISDIRECTED_PAUSE,
+                };
+                let again = context.now + pause;
                 let once_more = !ended && (!misdirected || open.tried.len() < 2);
                 let again = once_more.then_some(again);
                 open.misdirection = Misdirection::at(&attempt.instance, assignment, again);
@@ -294,23 +307,23 @@
         attempt: &Attempt,
         result: &Result<Response, ExchangeFailure>,
         context: &RequestContext<'_>,
-    ) {
+    ) -> Option<RejectionCause> {
         let now = context.now;
-        let seen = self.statistics.entry(&attempt.instance);
+        let mut cause = None;
         match result {
             Ok(response) => {
+                let load = reported_load(response, context);
+                let instance = context.directory.get(&attempt.instance);
+                let rejected = is_rejection(response, context);
+                cause = rejected.then(|| rejection_cause(load.as_ref(), instance));
+                let counts = self.note_rejection(attempt, cause, context);
+                let seen = self.statistics.entry(&attempt.instance);
                 seen.heard(now);
-                let shed = response
-                    .headers
-                    .get(&context.headers.not_executed)
-                    .is_some();
-                if shed && response.status != 421 {
+                if cause.is_some() && counts {
                     seen.shed(now);
-                } else if tells_failure(response) {
+                } else if cause.is_none() && tells_failure(response) {
                     seen.failed(now);
                 }
-                let load = reported_load(response, context);
-                let instance = context.directory.get(&attempt.instance);
                 let slots = instance.map_or(1, |instance| instance.record.slots.max(1));
                 if let Some(instance) = instance.filter(|_| response.is_success()) {
                     note_reporting(
@@ -330,8 +343,9 @@
                     seen.answered(now.saturating_sub(attempt.sent), factor, now);
                 }
             }
-            Err(_) => seen.failed(now),
+            Err(_) => self.statistics.entry(&attempt.instance).failed(now),
         }
+        cause
     }
 
     /// A connection that ends as soon as a request is sent on it had perhaps
@@ -359,6 +373,12 @@
     }
 }
 
+/// Whether an instance turned a request away that it could have run.
+fn is_rejection(response: &Response, context: &RequestContext<'_>) -> bool {
+    let not_executed = &context.headers.not_executed;
+    response.headers.get(not_executed).is_some() && response.status != 421
+}
+
 /// Notes whether the instances of a service report their load.
 fn note_reporting(reporting: &mut BTreeSet<ServiceName>, service: &ServiceName, reports: bool) {
     if !reports {
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -140,7 +140,7 @@
             .and_then(|key| context.overloads.admitted(service, key, context.now));
         let refused = match admitted {
             Some(admitted) => 1.0 - admitted,
-            None => self.refusals.share(service, context.now),
+            None => self.turned_away(service, context),
         };
         return_after(refused)
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod decide;
 mod endings;
+mod repeats;
 
 pub use self::crashes::CrashSigns;
 
@@ -12,6 +13,7 @@
 use super::answers::Refusal;
 use super::budget::RetryBudget;
 use super::cold_start::{ColdBound, ColdSends};
+use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
 use super::open_request::OpenRequest;
 use super::outcome::{Verdict, judge};
@@ -88,6 +90,8 @@
     pub left: u64,
     /// Own answers by reason.
     pub refused: BTreeMap<&'static str, u64>,
+    /// Repeats that were asked for, by what became of them.
+    pub repeats: BTreeMap<&'static str, u64>,
 }
 
 /// All open requests.
@@ -111,6 +115,9 @@
     reporting: BTreeSet<ServiceName>,
     rest_limit: RestLimit,
     refusals: RefusalShares,
+    /// Shares of attempts that instances with free slots rejected.
+    rejections: RefusalShares,
+    common: CommonRejections,
     cold_bound: ColdBound,
     cold_sends: ColdSends,
     ended: Vec<InstanceId>,
@@ -143,6 +150,8 @@
             reporting: BTreeSet::new(),
             rest_limit: RestLimit::default(),
             refusals: RefusalShares::default(),
+            rejections: RefusalShares::default(),
+            common: CommonRejections::default(),
             cold_bound: settings.cold_bound,
             cold_sends: ColdSends::default(),
             ended: Vec::new(),
@@ -155,6 +164,11 @@
         }
     }
 
+    /// This life of the node begins.
+    pub fn begin(&mut self, now: Timestamp) {
+        self.budget.begin(now);
+    }
+
     /// Takes over changed settings.
     pub fn set_bounds(&mut self, settings: &NodeSettings) {
         self.drain_bound = settings.drain_bound;
@@ -186,6 +200,7 @@
     /// Forgets instances that are unknown, and what no longer counts.
     pub fn clean_up(&mut self, directory: &Directory, now: Timestamp) {
         self.cold_sends.expire(now);
+        self.common.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
     }
 
@@ -296,6 +311,7 @@
         self.counters.received += 1;
         match self.classify(source, request, context) {
             Ok(open) => {
+                self.budget.saw_nodes(context.registry.len(), context.now);
                 self.budget.requested(&open.service, context.now);
                 self.refusals.received(&open.service, context.now);
                 if let Some(key) = open.key {
@@ -359,7 +375,7 @@
         };
         self.end_attempt(&attempt);
         self.note_work(client, &attempt, &result, context);
-        self.learn(&attempt, &result, context);
+        let cause = self.learn(&attempt, &result, context);
         self.learn_of_connection(&attempt, &result, rested, context.now);
         self.note_crash_signs(client, &attempt, &result, context);
         let verdict = judge(result, &attempt.instance, context.headers);
@@ -373,7 +389,7 @@
                 self.finish(client, relayed(response), out);
             }
             other => {
-                self.attempt_failed(client, &attempt, other, context);
+                self.attempt_failed(client, &attempt, other, cause, context);
                 self.advance(client, context, out);
             }
         }
--- a/crates/ledgelead-router/src/requests/refusal_share.rs
+++ b/crates/ledgelead-router/src/requests/refusal_share.rs
@@ -30,6 +30,13 @@
         self.refused *= weight;
         self.at = now;
     }
+
+    fn refused_share(&self) -> f64 {
+        if self.received <= 0.0 {
+            return 0.0;
+        }
+        (self.refused / self.received).min(1.0)
+    }
 }
 
 /// Shares of refused requests by service.
@@ -51,11 +58,16 @@
 
     /// The share of requests that are refused, 0 to 1.
     pub fn share(&mut self, service: &ServiceName, now: Timestamp) -> f64 {
-        let share = self.faded(service, now);
-        if share.received <= 0.0 {
-            return 0.0;
-        }
-        (share.refused / share.received).min(1.0)
+        self.faded(service, now).refused_share()
+    }
+
+    /// The same without noting the time.
+    pub fn share_at(&self, service: &ServiceName, now: Timestamp) -> f64 {
+        let known = self.services.get(service).copied();
+        known.map_or(0.0, |mut share| {
+            share.fade(now);
+            share.refused_share()
+        })
     }
 
     fn faded(&mut self, service: &ServiceName, now: Timestamp) -> &mut Share {
--- /dev/null
+++ b/crates/ledgelead-router/tests/repeats/replay.rs
@@ -0,0 +1,321 @@
+//! A load replayed without a network: all instances of a service reject two in five
+//! requests for 8 s, half of the clients use a fifth of the nodes, some nodes die.
+
+use crate::checker::{Arrivals, WINDOW};
+use googletest::prelude::*;
+use ledgelead_router::Timestamp;
+use ledgelead_router::identity::ServiceName;
+use ledgelead_router::requests::{
+    BudgetBounds, Draw, RefusalShares, RepeatFacts, RetryBudget, return_after,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+const SEEDS: u64 = 10;
+const NODES: usize = 20;
+/// The nodes that get half of the clients.
+const BUSY: usize = NODES / 5;
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 174.0;
+const STEP: Duration = Duration::from_millis(10);
+const STEPS: u32 = 2_600;
+/// Requests a second, of each of the kinds.
+const DEMAND: [f64; 3] = [240.0, 320.0, 240.0];
+const TARGET: Duration = Duration::from_millis(600);
+/// Clients give up after this time.
+const GIVEN_UP: Duration = Duration::from_secs(4);
+/// What an answer after its target is worth.
+const LATE_CREDIT: f64 = 0.4;
+const ANSWER: Duration = Duration::from_millis(120);
+const REJECTION: Duration = Duration::from_millis(5);
+/// Share of the attempts that are rejected, and of those whose answer is lost, while the
+/// instances fail.
+const REJECTED: f64 = 0.4;
+const LOST: f64 = 0.05;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("s")
+}
+
+fn fails(now: Timestamp) -> bool {
+    ms(12_000) <= now && now < ms(20_000)
+}
+
+/// Nodes that die while the instances reject, and one that starts anew.
+const DEATHS: [(Duration, usize); 3] = [
+    (Duration::from_millis(13_500), 1),
+    (Duration::from_millis(14_000), 9),
+    (Duration::from_millis(15_500), 12),
+];
+const START: (Duration, usize) = (Duration::from_millis(15_000), 1);
+
+struct Node {
+    budget: RetryBudget,
+    rejections: RefusalShares,
+}
+
+/// A client's request, at its next attempt.
+#[derive(Clone, Copy)]
+struct Asked {
+    at: Timestamp,
+    kind: usize,
+    began: Timestamp,
+    node: usize,
+    /// Attempts of this try, in which it may have run.
+    attempts: u32,
+    may_have_run: bool,
+    /// Client tries that are left.
+    tries: u32,
+}
+
+#[derive(Default)]
+struct Outcome {
+    asked: [f64; 3],
+    served: [f64; 3],
+    credit: f64,
+    /// The least that was left of the bound.
+    left: f64,
+    repeats: usize,
+}
+
+impl Outcome {
+    /// Several replays as one.
+    fn add(&mut self, other: &Outcome) {
+        for kind in 0..DEMAND.len() {
+            self.asked[kind] += other.asked[kind];
+            self.served[kind] += other.served[kind];
+        }
+        self.credit += other.credit;
+        self.left = self.left.min(other.left);
+        self.repeats += other.repeats;
+    }
+
+    fn served_share(&self, kind: usize) -> f64 {
+        self.served[kind] / self.asked[kind]
+    }
+}
+
+struct Replay {
+    rng: Pcg64Mcg,
+    by_value: bool,
+    nodes: Vec<Option<Node>>,
+    asked: Vec<Asked>,
+    arrivals: Arrivals,
+    outcome: Outcome,
+}
+
+impl Replay {
+    fn new(by_value: bool, seed: u64) -> Replay {
+        let mut replay = Replay {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            by_value,
+            nodes: (0..NODES).map(|_| None).collect(),
+            asked: Vec::new(),
+            arrivals: Arrivals::default(),
+            outcome: Outcome::default(),
+        };
+        for node in 0..NODES {
+            replay.start(node, Duration::ZERO);
+        }
+        replay
+    }
+
+    fn start(&mut self, node: usize, now: Timestamp) {
+        let mut budget = RetryBudget::new(BudgetBounds {
+            ratio: RATIO,
+            slack: SLACK,
+            window: WINDOW,
+        });
+        budget.begin(now);
+        self.nodes[node] = Some(Node {
+            budget,
+            rejections: RefusalShares::default(),
+        });
+    }
+
+    /// A node for a client: half of them use the busy ones.
+    fn node(&mut self) -> usize {
+        loop {
+            let node = match self.rng.random_bool(0.5) {
+                true => self.rng.random_range(0..BUSY),
+                false => self.rng.random_range(BUSY..NODES),
+            };
+            if self.nodes[node].is_some() {
+                return node;
+            }
+        }
+    }
+
+    fn come(&mut self, now: Timestamp) {
+        for (kind, demand) in DEMAND.into_iter().enumerate() {
+            let expected = demand * STEP.as_secs_f64();
+            let more = self.rng.random_bool(expected.fract());
+            for _ in 0..expected as usize + usize::from(more) {
+                self.outcome.asked[kind] += f64::from(u8::from(fails(now)));
+                let (node, tries) = (self.node(), self.rng.random_range(1..=2));
+                self.try_at(
+                    Asked {
+                        at: now,
+                        kind,
+                        began: now,
+                        node,
+                        attempts: 0,
+                        may_have_run: false,
+                        tries,
+                    },
+                    now,
+                );
+            }
+        }
+    }
+
+    /// A client tries, for the first time or again.
+    fn try_at(&mut self, asked: Asked, now: Timestamp) {
+        self.arrivals.requests.push(now);
+        if let Some(node) = self.nodes[asked.node].as_mut() {
+            node.budget.requested(&service(), now);
+        }
+        self.attempt(asked, now);
+    }
+
+    fn attempt(&mut self, mut asked: Asked, now: Timestamp) {
+        asked.attempts += 1;
+        let drawn = self.rng.random_range(0.0..1.0);
+        let rejected = fails(now) && drawn < REJECTED;
+        if let Some(node) = self.nodes[asked.node].as_mut() {
+            node.rejections.received(&service(), now);
+            if rejected {
+                node.rejections.refused(&service(), now);
+            }
+        }
+        if rejected {
+            asked.at = now + REJECTION;
+        } else if fails(now) && drawn < REJECTED + LOST {
+            asked.at = now + ANSWER;
+            asked.may_have_run = true;
+        } else {
+            self.serve(&asked, now + ANSWER);
+            return;
+        }
+        self.asked.push(asked);
+    }
+
+    fn serve(&mut self, asked: &Asked, now: Timestamp) {
+        if !fails(asked.began) || now > asked.began + GIVEN_UP {
+            return;
+        }
+        self.outcome.served[asked.kind] += 1.0;
+        let late = now > asked.began + TARGET;
+        self.outcome.credit += if late { LATE_CREDIT } else { 1.0 };
+    }
+
+    fn go_on(&mut self, now: Timestamp) {
+        let due: Vec<Asked> = self.asked.extract_if(.., |asked| asked.at <= now).collect();
+        for asked in due {
+            if asked.attempts == 0 {
+                self.try_at(asked, now);
+            } else if asked.attempts < 2 && self.draws(&asked, now) {
+                self.arrivals.repeats.push(now);
+                self.attempt(asked, now);
+            } else {
+                self.refuse(asked, now);
+            }
+        }
+    }
+
+    fn draws(&mut self, asked: &Asked, now: Timestamp) -> bool {
+        let alive = self.nodes.iter().flatten().count();
+        let Some(node) = self.nodes[asked.node].as_mut() else {
+            return false;
+        };
+        let facts = RepeatFacts {
+            rank: u32::try_from(asked.kind).unwrap_or(u32::MAX),
+            in_time: now + ANSWER <= asked.began + TARGET,
+            returns: !asked.may_have_run,
+            taken: 1.0 - node.rejections.share(&service(), now),
+        };
+        if self.by_value {
+            node.budget.draw_for(&service(), &facts, alive, now) == Draw::Drawn
+        } else {
+            node.budget.draw(&service(), alive, now)
+        }
+    }
+
+    /// The client comes back as it is told, if it has tries left.
+    fn refuse(&mut self, mut asked: Asked, now: Timestamp) {
+        if asked.tries == 0 {
+            return;
+        }
+        let share = match self.nodes[asked.node].as_mut() {
+            Some(node) => node.rejections.share(&service(), now),
+            None => 0.0,
+        };
+        let spread = self.rng.random_range(1.0..1.7);
+        asked.at = now + return_after(share).mul_f64(spread);
+        asked.node = self.node();
+        asked.tries -= 1;
+        asked.attempts = 0;
+        asked.may_have_run = false;
+        self.asked.push(asked);
+    }
+
+    fn play(mut self) -> Outcome {
+        for step in 0..STEPS {
+            let now = STEP * step;
+            for (at, node) in DEATHS {
+                if at == now {
+                    self.nodes[node] = None;
+                }
+            }
+            if START.0 == now {
+                self.start(START.1, now);
+            }
+            let alive = self.nodes.iter().flatten().count();
+            for node in self.nodes.iter_mut().flatten() {
+                node.budget.saw_nodes(alive, now);
+            }
+            self.come(now);
+            self.go_on(now);
+        }
+        self.outcome.repeats = self.arrivals.repeats.len();
+        self.outcome.left = -self.arrivals.excess(RATIO, SLACK);
+        self.outcome
+    }
+}
+
+/// Several replays, one way or the other.
+fn replays(by_value: bool) -> Outcome {
+    let mut all = Outcome {
+        left: f64::INFINITY,
+        ..Outcome::default()
+    };
+    for seed in 0..SEEDS {
+        all.add(&Replay::new(by_value, seed).play());
+    }
+    all
+}
+
+#[gtest]
+fn the_urgent_are_served_first_and_none_is_starved() {
+    let first_come = replays(false);
+    let by_value = replays(true);
+    for outcome in [&first_come, &by_value] {
+        let shares = [0, 1, 2].map(|kind| outcome.served_share(kind));
+        println!(
+            "credit {:.0}, served {shares:.3?}, repeats {}, left of the bound {:.0}",
+            outcome.credit, outcome.repeats, outcome.left
+        );
+        expect_that!(outcome.left, ge(0.0));
+    }
+    let shares = [0, 1, 2].map(|kind| by_value.served_share(kind));
+    expect_that!(shares[0], ge(shares[1]));
+    expect_that!(shares[1], ge(shares[2]));
+    expect_that!(shares[2], ge(0.25));
+    expect_that!(shares[0], gt(first_come.served_share(0)));
+    expect_that!(by_value.credit, ge(first_come.credit * 0.99));
+}
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -169,6 +169,7 @@
             .inc_by(*count);
     }
     registry.register("refusals", "Own answers by reason", refused);
+    register_repeats(&mut registry, status);
     register_calls(&mut registry, status);
     register_quarantine(&mut registry, status);
     register_relayed(&mut registry, status);
@@ -179,6 +180,19 @@
     text
 }
 
+fn register_repeats(registry: &mut Registry, status: &NodeStatus) {
+    let repeats = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in &status.requests.repeats {
+        let label = ReasonLabel { reason };
+        repeats.get_or_create(&label).inc_by(*count);
+    }
+    registry.register(
+        "repeats",
+        "Repeats asked for, by what became of them",
+        repeats,
+    );
+}
+
 fn register_calls(registry: &mut Registry, status: &NodeStatus) {
     let calls = Family::<CallLabel, Counter>::default();
     for (call, count) in &status.store_calls_by {
