Rejections: full told from rejecting with free slots; design page of repeats

Cause: an instance that rejects was taken for one that fails, whatever its load header said: all instances of a service that reject some requests were avoided by chance, the owner of a key was asked again after 60 ms only, and callers came back at once, since Retry-After knew of refusals alone.

A load header near u32::MAX overflowed where its parts are added; they saturate now.

Ruled out: a full instance without a share of failures where a digest tells the load, since its own word isn't looked at there.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -336,7 +336,8 @@
                 // which for owners stands for all zones.
                 let mut factor = attempt.load_factor;
                 if let Some(load) = load {
-                    factor = f64::from(load.running + load.waiting) / f64::from(slots);
+                    factor =
+                        f64::from(load.running.saturating_add(load.waiting)) / f64::from(slots);
                     seen.told_load(load);
                 }
                 if response.is_success() {
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -10,9 +10,11 @@
 //! | connection lost, no whole answer, no answer | nothing | sent again | 502 |
 //! | no answer in time | nothing | sent again | 504 at its time-out |
 //!
-//! "Sent again" holds within the attempts of the route, the retry budget and
-//! the time that is left. Without them, a request that is proved not to have
-//! run is answered 503, any other 502 or 504.
+//! "Sent again" holds within the attempts of the route, the retry budget, what
+//! the repeat wins beside others while that runs short, and the time that is
+//! left. Without them, a request that is proved not to have run is answered 503,
+//! any other 502 or 504. The owner of a key that rejects with free slots is asked
+//! once more at once, any other one after a pause.
 
 use crate::dialect::HeaderNames;
 use crate::identity::InstanceId;
--- a/crates/ledgelead-router/src/requests/rejection_cause.rs
+++ b/crates/ledgelead-router/src/requests/rejection_cause.rs
@@ -18,7 +18,9 @@
     pub fn of(load: Option<&ReportedLoad>, slots: u32) -> RejectionCause {
         match load {
             None => RejectionCause::Untold,
-            Some(load) if load.running + load.waiting >= slots => RejectionCause::Full,
+            Some(load) if load.running.saturating_add(load.waiting) >= slots => {
+                RejectionCause::Full
+            }
             Some(_) => RejectionCause::FreeSlots,
         }
     }
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -160,7 +160,7 @@
     pub fn reported_open(&self, now: Timestamp) -> Option<u32> {
         self.reported
             .filter(|load| load.at + LOAD_BELIEVED_FOR > now)
-            .map(|load| load.running + load.waiting)
+            .map(|load| load.running.saturating_add(load.waiting))
     }
 }
 
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod placement;
 mod registration;
+mod rejections;
 mod review;
 mod snapshot;
 mod zone_relay;
