Retry budget: next to no slack only after an earlier life of the node

Cause: a share that grew from nothing at each start left a lone new node without a repeat: end_to_end::a_failure_of_an_instance_is_asked_again_elsewhere_only_where_that_is_safe failed (500 instead of 200).

Change: a life has 0.15 of its part in its first window; where the registry holds another life of the node, the share grows from nothing.

--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -63,7 +63,10 @@
                 }
             }
             ObjectKind::Instances => self.directory.replace_all(instances, now),
-            ObjectKind::Nodes => self.registry.replace_all(nodes),
+            ObjectKind::Nodes => {
+                self.registry.replace_all(nodes);
+                self.note_earlier_life();
+            }
             ObjectKind::Ownership => self.coordination.listed = true,
             ObjectKind::Configuration => {}
             ObjectKind::Evacuations => {
@@ -106,10 +109,13 @@
             Ok(ObjectContent::Node(record)) if event.gone => {
                 self.registry.remove(&record.identity.node);
             }
-            Ok(ObjectContent::Node(record)) => self.registry.upsert(Registration {
-                record,
-                revision: object.revision,
-            }),
+            Ok(ObjectContent::Node(record)) => {
+                self.registry.upsert(Registration {
+                    record,
+                    revision: object.revision,
+                });
+                self.note_earlier_life();
+            }
             Ok(ObjectContent::Configuration(configuration)) if !event.gone => {
                 self.configure(configuration, now, out);
             }
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -91,6 +91,16 @@
         coordinator.is_some_and(|named| named.node == own.node && named != own)
     }
 
+    /// Notes whether another life of this node is registered, which has drawn on the
+    /// retry budget.
+    pub(super) fn note_earlier_life(&mut self) {
+        let own = &self.settings.identity;
+        let registered = self.registry.get(&own.node);
+        if registered.is_some_and(|known| known.identity != *own) {
+            self.requests.succeed_earlier();
+        }
+    }
+
     fn own_record(&self) -> NodeRecord {
         NodeRecord {
             identity: self.settings.identity.clone(),
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -130,6 +130,7 @@
                 Some(entry) => {
                     if let Some(registration) = registration(name, entry) {
                         self.registry.upsert(registration);
+                        self.note_earlier_life();
                     }
                 }
             }
--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -29,9 +29,10 @@
 /// clients isn't without. With `EARLIER` it stays below the whole: clients of the window
 /// before may have changed nodes since, and pay there along with the others.
 const ALONG: f64 = 0.48;
-/// The share of its part of the slack that a node has at the end of the first window of
-/// its life. It grows from nothing with its age, since the node doesn't know what earlier
-/// lives of it have used: however often it starts, with `SLACK_SHARE` they stay below the whole.
+/// The share of its part of the slack that a node uses in the first window of its life:
+/// the others still use theirs as if it weren't there. Where an earlier life of it is
+/// known, it grows from nothing with the age, since nobody knows what that has used:
+/// however often the node starts, with `SLACK_SHARE` its lives stay below the whole.
 const YOUNG_SHARE: f64 = 0.15;
 /// How long the most nodes are remembered: a node that is cut off from the store isn't
 /// registered any more and still sends. Cuts last for minutes at most.
@@ -62,6 +63,8 @@
     usage: BTreeMap<ServiceName, Usage>,
     /// When this life began; long ago, if that isn't known.
     began: Option<Timestamp>,
+    /// Whether an earlier life of the node is known.
+    succeeds: bool,
     nodes: NodeCount,
 }
 
@@ -72,15 +75,21 @@
             bounds,
             usage: BTreeMap::new(),
             began: None,
+            succeeds: false,
             nodes: NodeCount::default(),
         }
     }
 
-    /// This life of the node begins, perhaps after another one.
+    /// This life of the node begins.
     pub fn begin(&mut self, now: Timestamp) {
         self.began = Some(now);
     }
 
+    /// There was another life of the node before.
+    pub fn succeed_earlier(&mut self) {
+        self.succeeds = true;
+    }
+
     /// So many nodes are registered now.
     pub fn saw_nodes(&mut self, nodes: usize, now: Timestamp) {
         self.nodes.saw(nodes, NODES_REMEMBERED, now);
@@ -194,7 +203,10 @@
     fn usable_share(&self, now: Timestamp) -> f64 {
         let window = self.bounds.window;
         match self.began.map(|began| now.saturating_sub(began)) {
-            Some(age) if age < window => YOUNG_SHARE * age.div_duration_f64(window),
+            Some(age) if age < window && self.succeeds => {
+                YOUNG_SHARE * age.div_duration_f64(window)
+            }
+            Some(age) if age < window => YOUNG_SHARE,
             _ => SLACK_SHARE,
         }
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -169,6 +169,11 @@
         self.budget.begin(now);
     }
 
+    /// There was another life of the node before.
+    pub fn succeed_earlier(&mut self) {
+        self.budget.succeed_earlier();
+    }
+
     /// Takes over changed settings.
     pub fn set_bounds(&mut self, settings: &NodeSettings) {
         self.drain_bound = settings.drain_bound;
--- a/crates/ledgelead-router/tests/node/registration.rs
+++ b/crates/ledgelead-router/tests/node/registration.rs
@@ -1,9 +1,10 @@
 //! What a node registers, and what its registration proves.
 
-use crate::fixture::{Fixture, KEYED, Store, configuration, instance, ms, node_record};
+use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_record};
 use googletest::prelude::*;
 use ledgelead_router::dialect::{ObjectKind, StoreCall, WrittenContent};
 use ledgelead_router::identity::NodeIdentity;
+use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::NodeRecord;
 
@@ -153,3 +154,28 @@
     fixture.run_until(ms(900));
     expect_that!(fixture.node.coordinator().is_some(), eq(false));
 }
+
+/// How often a request is sent whose first answer is lost, at a node in its first window.
+fn sent_in_the_first_window(earlier_life: bool) -> usize {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..=4 {
+        store.add_instance(instance(number, SERVICE));
+    }
+    let mut own = node_record(0);
+    own.identity.incarnation -= u64::from(earlier_life);
+    store.add_node(own);
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(1_000));
+    fixture.ask(SERVICE, None);
+    let first = fixture.attempts.pop().expect("an attempt");
+    fixture.end(first.exchange, Err(ExchangeFailure::Lost));
+    fixture.run_until(fixture.now + ms(10));
+    1 + fixture.attempts.len()
+}
+
+#[gtest]
+fn a_life_that_follows_another_has_no_slack_at_first() {
+    expect_that!(sent_in_the_first_window(false), eq(2));
+    expect_that!(sent_in_the_first_window(true), eq(1));
+}
--- a/crates/ledgelead-router/tests/repeats/bound.rs
+++ b/crates/ledgelead-router/tests/repeats/bound.rs
@@ -122,6 +122,10 @@
         }
         let mut budget = RetryBudget::new(self.bounds);
         budget.begin(now);
+        // All nodes start at first; whoever starts later has had another life.
+        if now > Duration::ZERO {
+            budget.succeed_earlier();
+        }
         self.lives += 1;
         self.places[node] = Place {
             life: Some(Life {
--- a/crates/ledgelead-router/tests/repeats/replay.rs
+++ b/crates/ledgelead-router/tests/repeats/replay.rs
@@ -132,6 +132,9 @@
             window: WINDOW,
         });
         budget.begin(now);
+        if now > Duration::ZERO {
+            budget.succeed_earlier();
+        }
         self.nodes[node] = Some(Node {
             budget,
             rejections: RefusalShares::default(),
