Retry budget: each request pays 0.48 of the ratio since a window before a series

Cause: with 0.5 and 0.48, lives whose series begin at different times in a window may be paid 0.5 for requests of both windows: all of the ratio, with nothing for arrivals that come later than the draw.

Change: one share for both, so that at most 0.96 of the ratio is used.

--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -1,9 +1,9 @@
 //! This node's share of the retry budget that all nodes draw on together.
 //!
-//! A repeat is paid for by the node's own requests, so that this part is shared by demand:
-//! one half by those of the window before a series of repeats, the other by those that
-//! come along with it. Each series within a window has to be paid for. Were both paid
-//! for in whole, clients that change nodes would count at both.
+//! A repeat is paid for by the node's own requests, so that this part is shared by demand.
+//! Each series of repeats within a window has to be paid for, by the requests since a
+//! window before it began. Were they to pay in whole, clients that change nodes would
+//! count at both.
 //!
 //! The slack is
 //! shared by heads, and so that no message is needed for the bound to hold: a life uses
@@ -22,13 +22,9 @@
 /// The share of its part of the slack that a node uses: what it sees and what the
 /// service receives differ a little in time.
 const SLACK_SHARE: f64 = 0.8;
-/// The share of the ratio that requests of the window before a series of repeats pay, so
-/// that a failure of a whole service is made good at once for some seconds.
-const EARLIER: f64 = 0.5;
-/// The share that requests which come along with the series pay, so that a node with new
-/// clients isn't without. With `EARLIER` it stays below the whole: clients of the window
-/// before may have changed nodes since, and pay there along with the others.
-const ALONG: f64 = 0.48;
+/// The share of the ratio that a request pays for repeats. Below one half: a request pays
+/// in its own window and in the next, where its client may be another node's.
+const PAID_SHARE: f64 = 0.48;
 /// The share of its part of the slack that a node uses in the first window of its life:
 /// the others still use theirs as if it weren't there. Where an earlier life of it is
 /// known, it grows from nothing with the age, since nobody knows what that has used:
@@ -225,16 +221,13 @@
 
 impl Usage {
     /// What is left for a repeat now: the least over all series of repeats that end with
-    /// it, each of which is paid for by the requests since its first one, and by those
-    /// before.
+    /// it.
     fn level(&self, ratio: f64, slack: f64, now: Timestamp, window: Duration) -> BudgetLevel {
         let before = |limit: Timestamp| self.requests.partition_point(|at| *at < limit);
         let paid = |began: Timestamp| {
             let from = began.checked_sub(window).map_or(0, before);
-            let until = before(began);
-            let earlier = (until - from) as f64;
-            let along = (self.requests.len() - until) as f64;
-            ratio * (earlier * EARLIER + along * ALONG) + slack
+            let requests = (self.requests.len() - from) as f64;
+            ratio * requests * PAID_SHARE + slack
         };
         let capacity = paid(now);
         let forgotten = self.retries.partition_point(|at| *at + window <= now);
