--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -48,11 +48,15 @@
     RestingWatches,
     /// Large requests of a split go to owners of keys in the own zone first.
     SplitLocality,
+    /// Repeats that win most come first as the retry budget runs short.
+    RepeatValue,
+    /// Instances that reject with free slots are told from full ones.
+    RejectionCause,
 }
 
 impl Mechanism {
     /// Every mechanism, under the name by which it is switched off.
-    pub const ALL: [(&'static str, Mechanism); 22] = [
+    pub const ALL: [(&'static str, Mechanism); 24] = [
         ("zone-preference", Mechanism::ZonePreference),
         ("free-slots", Mechanism::FreeSlots),
         ("review", Mechanism::Review),
@@ -75,6 +79,8 @@
         ("chance-margin", Mechanism::ChanceMargin),
         ("resting-watches", Mechanism::RestingWatches),
         ("split-locality", Mechanism::SplitLocality),
+        ("repeat-value", Mechanism::RepeatValue),
+        ("rejection-cause", Mechanism::RejectionCause),
     ];
 
     /// The mechanism of this name.
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -21,6 +21,11 @@
 /// that they don't come back together.
 const RETURN_SPREAD: f64 = 0.7;
 
+/// When a caller may come back whose request was rejected by instances that have room: the
+/// next try is as likely to be taken at once as later, and a target is a few hundred
+/// milliseconds. Only as long as a caller needs to hear of it and to connect anew.
+const REJECTED_RETURN: Duration = Duration::from_millis(30);
+
 /// When the caller of a request that crashes instances may come back. Nothing changes by
 /// itself meanwhile, but an operator may lift the quarantine.
 const QUARANTINE_RETURN: Duration = Duration::from_secs(60);
@@ -199,6 +204,9 @@
         if reason == Refusal::Quarantined {
             return QUARANTINE_RETURN;
         }
+        if reason == Refusal::Rejected && self.rejects_with_room(service, context) {
+            return REJECTED_RETURN;
+        }
         if reason.lacks_room() {
             self.refusals.refused(service, context.now);
         }
@@ -207,7 +215,7 @@
             .and_then(|key| context.overloads.admitted(service, key, context.now));
         let refused = match admitted {
             Some(admitted) => 1.0 - admitted,
-            None => self.refusals.share(service, context.now),
+            None => self.turned_away(service, context),
         };
         return_after(refused)
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -5,6 +5,7 @@
 mod decide;
 mod endings;
 mod permits;
+mod repeats;
 mod targets;
 
 pub use self::crashes::CrashSigns;
@@ -16,6 +17,7 @@
 use super::answers::Refusal;
 use super::budget::RetryBudget;
 use super::cold_start::{ColdBound, ColdSends};
+use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
 use super::open_request::{Attempt, OpenRequest};
 use super::outcome::{Verdict, judge};
@@ -97,6 +99,8 @@
     pub left: u64,
     /// Own answers by reason.
     pub refused: BTreeMap<&'static str, u64>,
+    /// Repeats that were asked for, by what became of them.
+    pub repeats: BTreeMap<&'static str, u64>,
 }
 
 /// All open requests.
@@ -121,6 +125,9 @@
     rest_limit: RestLimit,
     refusals: RefusalShares,
     permits: Permits,
+    /// Shares of attempts that instances with free slots rejected.
+    rejections: RefusalShares,
+    common: CommonRejections,
     cold_bound: ColdBound,
     cold_sends: ColdSends,
     splits: Splits,
@@ -157,6 +164,8 @@
             rest_limit: RestLimit::default(),
             refusals: RefusalShares::default(),
             permits: Permits::new(first_number),
+            rejections: RefusalShares::default(),
+            common: CommonRejections::default(),
             cold_bound: settings.cold_bound,
             cold_sends: ColdSends::default(),
             splits: Splits::default(),
@@ -170,6 +179,16 @@
         }
     }
 
+    /// This life of the node begins.
+    pub fn begin(&mut self, now: Timestamp) {
+        self.budget.begin(now);
+    }
+
+    /// There was another life of the node before.
+    pub fn succeed_earlier(&mut self) {
+        self.budget.succeed_earlier();
+    }
+
     /// Takes over changed settings.
     pub fn set_bounds(&mut self, settings: &NodeSettings) {
         self.drain_bound = settings.drain_bound;
@@ -208,6 +227,7 @@
         self.cold_sends.expire(now);
         self.permits.expire(now);
         self.splits.expire(now);
+        self.common.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
     }
 
@@ -325,6 +345,7 @@
         self.counters.received += 1;
         match self.classify(source, request, context) {
             Ok(open) => {
+                self.budget.saw_nodes(context.registry.len(), context.now);
                 self.budget.requested(&open.service, context.now);
                 self.refusals.received(&open.service, context.now);
                 if let Some(key) = open.key {
@@ -380,7 +401,7 @@
         };
         self.end_attempt(&attempt, returned(&attempt, &result, context));
         self.note_work(client, &attempt, &result, context);
-        self.learn(&attempt, &result, context);
+        let cause = self.learn(&attempt, &result, context);
         self.learn_of_connection(&attempt, &result, rested, context.now);
         self.note_crash_signs(client, &attempt, &result, context);
         let verdict = judge(result, &attempt.instance, context.headers);
@@ -394,11 +415,11 @@
                 self.finish(client, relayed(response), out);
             }
             unsent if self.is_unsent_in_time(client, &unsent, context) => {
-                self.attempt_failed(client, &attempt, unsent, context);
+                self.attempt_failed(client, &attempt, unsent, cause, context);
                 self.refuse_unsent(client, context, out);
             }
             other => {
-                self.attempt_failed(client, &attempt, other, context);
+                self.attempt_failed(client, &attempt, other, cause, context);
                 self.advance(client, context, out);
             }
         }
--- a/crates/ledgelead-router/src/requests/refusal_share.rs
+++ b/crates/ledgelead-router/src/requests/refusal_share.rs
@@ -76,6 +76,12 @@
         self.of(service).share(now)
     }
 
+    /// The same without noting the time.
+    pub fn share_at(&self, service: &ServiceName, now: Timestamp) -> f64 {
+        let known = self.services.get(service).copied();
+        known.map_or(0.0, |mut share| share.share(now))
+    }
+
     fn of(&mut self, service: &ServiceName) -> &mut RefusalShare {
         self.services.entry(service.clone()).or_default()
     }
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod permits;
 mod placement;
 mod registration;
+mod rejections;
 mod review;
 mod snapshot;
 mod split;
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -183,6 +183,7 @@
             .inc_by(*count);
     }
     registry.register("refusals", "Own answers by reason", refused);
+    register_repeats(&mut registry, status);
     register_calls(&mut registry, status);
     register_quarantine(&mut registry, status);
     register_unreadable(&mut registry, status);
@@ -197,6 +198,19 @@
     text
 }
 
+fn register_repeats(registry: &mut Registry, status: &NodeStatus) {
+    let repeats = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in &status.requests.repeats {
+        let label = ReasonLabel { reason };
+        repeats.get_or_create(&label).inc_by(*count);
+    }
+    registry.register(
+        "repeats",
+        "Repeats asked for, by what became of them",
+        repeats,
+    );
+}
+
 fn register_calls(registry: &mut Registry, status: &NodeStatus) {
     let calls = Family::<CallLabel, Counter>::default();
     for (call, count) in &status.store_calls_by {
