--- a/crates/ledgelead-router/src/configuration.rs
+++ b/crates/ledgelead-router/src/configuration.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Whether they compete for those of any service.
+    pub fn has_contended(&self) -> bool {
+        !self.contended.is_empty()
+    }
+
     /// Whether requests of different urgency or target latency compete for the instances of
     /// the service.
     pub fn is_contended(&self, service: &ServiceName) -> bool {
--- a/crates/ledgelead-router/src/dispatch/dispatcher.rs
+++ b/crates/ledgelead-router/src/dispatch/dispatcher.rs
@@ -19,6 +19,8 @@
 /// How much later a caller may come back for each rank that it is less urgent, as a share
 /// of the time that the most urgent one is told.
 const LATER_BY_RANK: f64 = 0.25;
+/// Rank from which on callers are told the same.
+const MAX_RANK: u8 = 4;
 /// Share of the time that a caller was told after which it counts as having waited: clocks
 /// and the way of its answer differ a little.
 const WAITED_SHARE: f64 = 0.8;
@@ -129,40 +131,26 @@
             .sum()
     }
 
-    /// Decides on an ask; none if there are too many queues or the owner isn't known yet, so
-    /// that another has to.
-    /// `servers` are the instances behind the queue, as the directory knows them.
+    /// Decides on an ask, and on others that it makes way for; none if there are too many
+    /// queues or the owner isn't known yet, so that another has to. `servers` are the
+    /// instances behind the queue, as the directory knows them.
     pub fn ask<S>(
         &mut self,
         ask: &QueueAsk,
         servers: impl FnOnce() -> S,
         now: Timestamp,
-    ) -> Option<Decided>
+    ) -> Option<Vec<Decided>>
     where
         S: IntoIterator<Item = Server>,
     {
-        if !self.queues.contains_key(&ask.queue) && self.queues.len() >= MAX_QUEUES {
-            return None;
-        }
-        let queue = self.queues.entry(ask.queue).or_insert_with(|| Queue {
-            permits: match ask.kind {
-                QueueKind::Owner => PermitQueue::of_owner(now),
-                QueueKind::Pool => PermitQueue::of_pool(now),
-            },
-            read_at: Timestamp::ZERO,
-            refusals: RefusalShare::default(),
-            due_at: None,
-            waiting: HashMap::new(),
-        });
-        if queue.read_at + POOL_TTL <= now || queue.permits.is_empty() {
-            queue.read_at = now;
-            queue.permits.replace_servers(servers());
-        }
-        if ask.kind == QueueKind::Owner && queue.permits.is_empty() {
-            return None;
+        let known = self.queues.get(&ask.queue);
+        let is_current = known.is_some_and(|queue| queue.read_at + POOL_TTL > now);
+        if !is_current {
+            self.read_servers(ask, servers(), now)?;
         }
+        let queue = self.queues.get_mut(&ask.queue)?;
         queue.refusals.received(now);
-        let known = self.callers.get(ask.caller, now);
+        let known = self.callers.take(ask.caller, now);
         let is_early = known.is_some_and(|known| now < known.not_before);
         self.counters.early += u64::from(is_early);
         let target = now + ask.to_target;
@@ -185,11 +173,39 @@
         if verdict == Verdict::Queued {
             queue.waiting.insert(ask.asker, caller);
         }
-        let decided = self.decided(ask.queue, ask.asker, verdict, caller, now);
-        self.reschedule(ask.queue);
+        let mut decided = vec![self.decided(ask.queue, ask.asker, verdict, caller, now)];
+        decided.extend(self.advance(ask.queue, now));
         Some(decided)
     }
 
+    /// Takes over which instances are behind a queue, and makes it if it is new.
+    fn read_servers(
+        &mut self,
+        ask: &QueueAsk,
+        servers: impl IntoIterator<Item = Server>,
+        now: Timestamp,
+    ) -> Option<()> {
+        let mut servers = servers.into_iter().peekable();
+        let is_unknown = ask.kind == QueueKind::Owner && servers.peek().is_none();
+        let is_new = !self.queues.contains_key(&ask.queue);
+        if is_unknown || is_new && self.queues.len() >= MAX_QUEUES {
+            return None;
+        }
+        let queue = self.queues.entry(ask.queue).or_insert_with(|| Queue {
+            permits: match ask.kind {
+                QueueKind::Owner => PermitQueue::of_owner(now),
+                QueueKind::Pool => PermitQueue::of_pool(now),
+            },
+            read_at: now,
+            refusals: RefusalShare::default(),
+            due_at: None,
+            waiting: HashMap::new(),
+        });
+        queue.read_at = now;
+        queue.permits.replace_servers(servers);
+        Some(())
+    }
+
     /// A permit comes back, or a request waits no longer. Returns what follows for others.
     pub fn returned(
         &mut self,
@@ -264,10 +280,7 @@
     ) -> Decided {
         let mut return_after = Duration::ZERO;
         match verdict {
-            Verdict::Granted(_) => {
-                self.counters.granted += 1;
-                self.callers.forget(caller.hash);
-            }
+            Verdict::Granted(_) => self.counters.granted += 1,
             Verdict::Queued => self.counters.queued += 1,
             Verdict::Refused => {
                 self.counters.refused += 1;
@@ -289,7 +302,7 @@
             known.refusals.refused(now);
             known.refusals.share(now)
         });
-        let rank = f64::from(caller.urgency.min(4));
+        let rank = f64::from(caller.urgency.min(MAX_RANK));
         let return_after = return_after(share).mul_f64(1.0 + LATER_BY_RANK * rank);
         let patience = caller.left_until.saturating_sub(now);
         let can_wait = return_after.min(patience.mul_f64(PATIENCE_SHARE));
--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -85,7 +85,7 @@
         /// What the instance said of its load, if it says so.
         load: Option<InstanceLoad>,
     },
-    /// The instance didn't run it, or it was never sent.
+    /// The instance didn't run it, it was never sent, or its caller left.
     NotRun,
     /// It was broken off, or its answer was lost.
     Unknown,
@@ -188,11 +188,6 @@
         self.servers.replace(servers);
     }
 
-    /// Whether there is no instance behind it.
-    pub fn is_empty(&self) -> bool {
-        self.servers.slots() == 0
-    }
-
     /// Permits that are out.
     pub fn out(&self) -> usize {
         self.out.len()
@@ -388,15 +383,15 @@
         expected.clamp(LEAST_EXPIRY, LONGEST_EXPIRY)
     }
 
-    /// Takes permits for lost that did not come back: the instance may be silent.
+    /// Frees the places of permits that did not come back. That says nothing of the instance:
+    /// the node that holds one may be lost, or the work takes long. A request that gets no
+    /// answer comes back as such.
     fn expire(&mut self, now: Timestamp) {
         while let Some((at, asker)) = self.expiries.first().copied() {
             if at > now {
                 return;
             }
-            if let Some(permit) = self.take_permit(asker) {
-                self.servers.silent(permit.server, self.expiry(), now);
-            }
+            self.take_permit(asker);
         }
     }
 
--- a/crates/ledgelead-router/src/dispatch/refused.rs
+++ b/crates/ledgelead-router/src/dispatch/refused.rs
@@ -4,7 +4,8 @@
 //! the time that it was told goes behind those that waited, else it pays to ask again and
 //! again, and the others are late. Whose first try is past its target is late already and
 //! goes behind those that can still be in time. All requests for a key reach the same
-//! dispatcher, so that it recognises a caller whichever node it comes back to.
+//! dispatcher while that lives, so that it recognises a caller whichever node it comes back
+//! to.
 
 use crate::Timestamp;
 use std::collections::HashMap;
@@ -31,28 +32,20 @@
 }
 
 impl RefusedCallers {
-    /// A caller was refused. What counts from its first try stays.
+    /// A caller was refused.
     pub fn note(&mut self, caller: u64, refused: Refused) {
-        if let Some(known) = self.callers.get_mut(&caller) {
-            known.not_before = refused.not_before;
-            return;
-        }
         if self.callers.len() < MAX_CALLERS {
             self.callers.insert(caller, refused);
         }
     }
 
-    /// What is known of a caller that comes back.
-    pub fn get(&self, caller: u64, now: Timestamp) -> Option<Refused> {
-        let known = self.callers.get(&caller).copied()?;
+    /// What is known of a caller that comes back. A refusal explains one later try alone:
+    /// others by the same hash are other requests of the same address.
+    pub fn take(&mut self, caller: u64, now: Timestamp) -> Option<Refused> {
+        let known = self.callers.remove(&caller)?;
         (now < known.until).then_some(known)
     }
 
-    /// A caller's request is being served.
-    pub fn forget(&mut self, caller: u64) {
-        self.callers.remove(&caller);
-    }
-
     /// Forgets callers that have given up.
     pub fn expire(&mut self, now: Timestamp) {
         self.callers.retain(|_, refused| refused.until > now);
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -8,8 +8,8 @@
 
 /// Weight of a new sample of an instance's work: eight samples make two thirds of it.
 const SAMPLE_WEIGHT: f64 = 0.125;
-/// The work that is expected before there is a sample; an instance that is not known is given
-/// the benefit of the doubt, since a rejection costs a caller more than a short wait.
+/// The work that is expected before there is a sample. Low, so that requests to an instance
+/// that is not known are admitted: a refusal costs a caller more than a short wait.
 const UNKNOWN_WORK: Duration = Duration::from_millis(50);
 /// Requests that a cold instance works on at once: it takes a few times as long, and bears
 /// few requests a second.
@@ -21,6 +21,8 @@
 const EJECT_AFTER: u32 = 2;
 /// The first ejection's length; it doubles.
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
+/// How often it doubles at most: beyond, the longest holds.
+const MAX_DOUBLINGS: u32 = 3;
 /// The longest ejection.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
@@ -90,7 +92,7 @@
 pub(super) struct Servers {
     known: HashMap<u64, Known>,
     /// Least permits beyond the slots of each.
-    ahead: f64,
+    least_ahead: f64,
     /// Whether instances that fail are passed over for others.
     ejects: bool,
 }
@@ -100,7 +102,7 @@
     pub(super) fn one() -> Servers {
         Servers {
             known: HashMap::new(),
-            ahead: 1.0,
+            least_ahead: 1.0,
             ejects: false,
         }
     }
@@ -109,7 +111,7 @@
     pub(super) fn pool() -> Servers {
         Servers {
             known: HashMap::new(),
-            ahead: 0.0,
+            least_ahead: 0.0,
             ejects: true,
         }
     }
@@ -153,7 +155,7 @@
             let slots = known.usable_slots();
             let ahead = match needs_slot {
                 true => 0,
-                false => known.ahead.max(self.ahead) as usize,
+                false => known.ahead.max(self.least_ahead) as usize,
             };
             slots > 0 && known.out < slots + ahead
         };
@@ -207,7 +209,7 @@
     /// slots are idle meanwhile, requests take their time on the way, and more are sent
     /// ahead; where requests wait there, fewer, since their order can't be changed any more.
     pub(super) fn told_load(&mut self, server: u64, load: InstanceLoad, is_wanted: bool) {
-        let least = self.ahead;
+        let least = self.least_ahead;
         let Some(known) = self.known.get_mut(&server) else {
             return;
         };
@@ -227,23 +229,12 @@
         };
         known.failures += 1;
         if known.failures >= EJECT_AFTER {
-            let length = FIRST_EJECTION.saturating_mul(1 << known.ejections.min(4));
+            let length = FIRST_EJECTION.saturating_mul(1 << known.ejections.min(MAX_DOUBLINGS));
             known.ejected_until = now + length.min(LONGEST_EJECTION);
             known.ejections += 1;
             known.failures = EJECT_AFTER - 1;
         }
     }
-
-    /// A permit for it did not come back. Where that repeats without an answer between, it
-    /// takes longer, and fewer requests can be in time.
-    pub(super) fn silent(&mut self, server: u64, after: Duration, now: Timestamp) {
-        if let Some(known) = self.known.get_mut(&server)
-            && known.failures >= EJECT_AFTER - 1
-        {
-            known.sample(after);
-        }
-        self.failed(server, now);
-    }
 }
 
 impl Known {
--- a/crates/ledgelead-router/src/node/dispatch.rs
+++ b/crates/ledgelead-router/src/node/dispatch.rs
@@ -9,7 +9,7 @@
 };
 use crate::io::Action;
 use crate::peers::{PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict, encode};
-use crate::requests::{Ask, PermitDecision, PermitMessage};
+use crate::requests::{Ask, Declined, PermitDecision, PermitMessage, pool_hash};
 use crate::short_millis;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -99,31 +99,52 @@
             tried: Some(entry.tried).filter(|tried| *tried > 0),
         };
         let decided = match self.stopping {
-            true => None,
-            false => self.ask_dispatcher(&ask, entry.service, now),
+            true => Err(Declined::Stops),
+            false => self
+                .ask_dispatcher(&ask, entry.service, now)
+                .ok_or(Declined::UnknownQueue),
         };
-        let decision = PermitDecision {
-            number: entry.number,
-            queue: entry.queue,
-            verdict: decided.map(|decided| decided.verdict),
-            return_after: decided.map_or(Duration::ZERO, |decided| decided.return_after),
-        };
-        self.announce_decision(from, &decision, now, out);
+        match decided {
+            Ok(decided) => self.announce_decisions(decided, now, out),
+            Err(declined) => {
+                let decision = PermitDecision {
+                    number: entry.number,
+                    queue: entry.queue,
+                    verdict: Err(declined),
+                    return_after: Duration::ZERO,
+                };
+                self.announce_decision(from, &decision, now, out);
+            }
+        }
     }
 
-    /// Decides as dispatcher; none where this node knows no such service.
-    fn ask_dispatcher(&mut self, ask: &QueueAsk, service: u64, now: Timestamp) -> Option<Decided> {
+    /// Decides as dispatcher; none where this node doesn't know the queue, or has too many.
+    fn ask_dispatcher(
+        &mut self,
+        ask: &QueueAsk,
+        service: u64,
+        now: Timestamp,
+    ) -> Option<Vec<Decided>> {
         let services = &self.configuration.as_ref()?.services;
-        let service = services
+        let known = services
             .iter()
-            .map(|known| &known.name)
-            .find(|name| name.stable_hash() == service)?;
+            .find(|known| known.name.stable_hash() == service)?;
+        let service = &known.name;
+        let own_pool = pool_hash(service, &self.settings.zone);
+        if ask.kind == QueueKind::Pool && ask.queue != own_pool {
+            return None;
+        }
+        // Few nodes may send to a cold instance whose rate is bounded.
+        let is_bounded = known.cold_rate.is_some();
         let directory = &self.directory;
         let shared = &self.shared;
         let zone = &self.settings.zone;
         let is_behind = |instance: &&Instance| match ask.kind {
             QueueKind::Owner => instance.record.id.stable_hash() == ask.queue,
-            QueueKind::Pool => instance.serves() && instance.record.zone == *zone,
+            QueueKind::Pool => {
+                let is_usable = instance.serves() && !(is_bounded && instance.is_cold(now));
+                is_usable && instance.record.zone == *zone
+            }
         };
         let server = |instance: &Instance| {
             let id = instance.record.id.stable_hash();
@@ -171,7 +192,7 @@
             let decision = PermitDecision {
                 number: decided.asker.number,
                 queue: decided.queue,
-                verdict: Some(decided.verdict),
+                verdict: Ok(decided.verdict),
                 return_after: decided.return_after,
             };
             self.announce_decision(decided.asker.node, &decision, now, out);
@@ -190,10 +211,11 @@
             return;
         }
         let (verdict, server) = match decision.verdict {
-            Some(Verdict::Granted(server)) => (PermitVerdict::Granted, server),
-            Some(Verdict::Queued) => (PermitVerdict::Queued, 0),
-            Some(Verdict::Refused) => (PermitVerdict::Refused, 0),
-            None => (PermitVerdict::Declined, 0),
+            Ok(Verdict::Granted(server)) => (PermitVerdict::Granted, server),
+            Ok(Verdict::Queued) => (PermitVerdict::Queued, 0),
+            Ok(Verdict::Refused) => (PermitVerdict::Refused, 0),
+            Err(Declined::Stops) => (PermitVerdict::Stops, 0),
+            Err(Declined::UnknownQueue) => (PermitVerdict::UnknownQueue, 0),
         };
         let message = PeerMessage::PermitDecision {
             number: decision.number,
@@ -206,13 +228,14 @@
     }
 }
 
-/// A dispatcher's verdict, as another node has sent it; none if it declines.
-pub(super) fn verdict_of(verdict: PermitVerdict, server: u64) -> Option<Verdict> {
+/// A dispatcher's verdict, as another node has sent it.
+pub(super) fn verdict_of(verdict: PermitVerdict, server: u64) -> Result<Verdict, Declined> {
     match verdict {
-        PermitVerdict::Granted => Some(Verdict::Granted(server)),
-        PermitVerdict::Queued => Some(Verdict::Queued),
-        PermitVerdict::Refused => Some(Verdict::Refused),
-        PermitVerdict::Declined => None,
+        PermitVerdict::Granted => Ok(Verdict::Granted(server)),
+        PermitVerdict::Queued => Ok(Verdict::Queued),
+        PermitVerdict::Refused => Ok(Verdict::Refused),
+        PermitVerdict::Stops => Err(Declined::Stops),
+        PermitVerdict::UnknownQueue => Err(Declined::UnknownQueue),
     }
 }
 
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -220,11 +220,11 @@
             let changes = record.changes_since(self.ownership.record());
             (self.ownership.revision(), changes)
         });
-        let before = self.ownership.record().clone();
+        let before = self.record_before();
         if !self.ownership.update(record, version) {
             return;
         }
-        self.note_cold_keys(&before, now);
+        self.note_cold_keys(before, now);
         self.coordination.election.confirmed(now);
         self.reconcile_role(started, now, out);
         if let Some((Some(base), changes)) = written {
@@ -234,10 +234,18 @@
 }
 
 impl Node {
+    /// The record before a change, where it matters which keys are lost with their owners.
+    pub(super) fn record_before(&self) -> Option<OwnershipRecord> {
+        let matters = self.routes.has_contended();
+        matters.then(|| self.ownership.record().clone())
+    }
+
     /// The record has changed: notes which keys were lost with their owners.
-    pub(super) fn note_cold_keys(&mut self, before: &OwnershipRecord, now: Timestamp) {
-        let after = self.ownership.record();
-        self.cold_keys
-            .record_changed(before, after, &self.directory, now);
+    pub(super) fn note_cold_keys(&mut self, before: Option<OwnershipRecord>, now: Timestamp) {
+        if let Some(before) = before {
+            let after = self.ownership.record();
+            self.cold_keys
+                .record_changed(&before, after, &self.directory, now);
+        }
     }
 }
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -105,9 +105,9 @@
             self.request_changes(RelayedKind::Ownership, now, out);
         }
         let follows = self.coordination.coordinator().is_none();
-        let before = self.ownership.record().clone();
+        let before = self.record_before();
         if follows && self.ownership.overlay(base, revision, assignments) {
-            self.note_cold_keys(&before, now);
+            self.note_cold_keys(before, now);
             self.reconsider_waiting(now, out);
         }
     }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -155,8 +155,10 @@
     Queued,
     /// It can't be in time.
     Refused,
-    /// The node hands out no permits now.
-    Declined,
+    /// The node stops, and hands out no permits any more.
+    Stops,
+    /// The node doesn't know the queue.
+    UnknownQueue,
 }
 
 /// How a request ended whose permit comes back.
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -39,6 +39,17 @@
         context: &RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
+        if std::mem::take(&mut open.awaits_permit) {
+            let permit = open.permit.take();
+            if let Some(since) = open.waiting_since.take() {
+                let rank = self.mechanisms.rank(open);
+                self.waiting.remove(&(rank, since, client));
+            }
+            self.drop_permit(permit, Returned::NotRun);
+        }
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
@@ -122,6 +133,7 @@
         let service = open.service.clone();
         let key = open.key;
         let told = open.return_after;
+        let told = told.filter(|_| reason == Refusal::QueueTooLong);
         let own = self.return_after(&service, key, reason, context);
         let again = told.unwrap_or(own);
         let response = self.refusal(&request, reason, again, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -9,7 +9,7 @@
 mod targets;
 
 pub use self::crashes::CrashSigns;
-pub use self::permits::PermitDecision;
+pub use self::permits::{Declined, PermitDecision};
 
 use self::attempts::reported_load;
 use self::decide::Step;
@@ -502,6 +502,7 @@
             misdirection: None,
             permit: None,
             without_permit: false,
+            awaits_permit: false,
             spilled: false,
             return_after: None,
         })
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -13,18 +13,24 @@
 use crate::requests::permits::{
     Ask, HeldPermit, PermitMessage, PermitNeed, PermitState, caller_hash,
 };
+use crate::requests::split::LARGE_BODY_BYTES;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest body of a request that goes to another zone for want of room. Longer ones are
-/// uploads, which take their time in any case.
-const MAX_SPILLED_BYTES: usize = 8 * 1_024;
-
 /// How long a queued request waits at least for its dispatcher's decision, where its target
 /// has passed: such requests wait for a lull of a few times the work.
 const QUEUED_AT_LEAST: Duration = Duration::from_millis(300);
 
+/// Why a dispatcher doesn't decide on an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Declined {
+    /// It is asked to stop, so that another takes its queues over.
+    Stops,
+    /// It doesn't know the owner or the service yet, or has no room for another queue.
+    UnknownQueue,
+}
+
 /// A dispatcher's word on an ask.
 #[derive(Clone, Copy, Debug)]
 pub struct PermitDecision {
@@ -32,8 +38,8 @@
     pub number: u64,
     /// Names the queue.
     pub queue: u64,
-    /// What becomes of it; none if this node doesn't hand out permits.
-    pub verdict: Option<Verdict>,
+    /// What becomes of it, or why this node doesn't decide.
+    pub verdict: Result<Verdict, Declined>,
     /// When the caller may come back, if it is refused.
     pub return_after: Duration,
 }
@@ -52,59 +58,49 @@
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
-        let Some(verdict) = decision.verdict else {
-            self.permits.lost(from, context.now);
-            self.permit_missed(decision.number, context, out);
-            return;
-        };
-        self.permits.heard(from);
-        let Some(client) = self.permits.client(decision.number) else {
-            if let Verdict::Granted(_) = verdict {
-                let PermitDecision { number, queue, .. } = *decision;
+        let PermitDecision { number, queue, .. } = *decision;
+        let client = self.permits.client(number);
+        let open = client.and_then(|client| self.open.get_mut(&client));
+        let (Some(client), Some(open)) = (client, open) else {
+            if let Ok(Verdict::Granted(_)) = decision.verdict {
                 let how = Returned::NotRun;
                 self.permits.give_back_number(from, number, queue, how);
             }
             return;
         };
-        let Some(open) = self.open.get_mut(&client) else {
-            return;
-        };
         let target = open.target();
-        let Some(permit) = open.permit.as_mut() else {
+        let asked = |permit: &&mut HeldPermit| permit.dispatcher == from && permit.queue == queue;
+        let Some(permit) = open.permit.as_mut().filter(asked) else {
             return;
         };
-        match verdict {
-            Verdict::Granted(server) => permit.state = PermitState::Granted(server),
-            Verdict::Queued => {
+        if decision.verdict != Err(Declined::Stops) {
+            self.permits.heard(from);
+        }
+        match decision.verdict {
+            Ok(Verdict::Granted(server)) => permit.state = PermitState::Granted(server),
+            // What overtook the grant on its way was said before it.
+            _ if permit.is_granted() => return,
+            Ok(Verdict::Queued) => {
                 permit.state = PermitState::Queued;
                 // The dispatcher decides before; if it is lost, nothing holds the request.
                 permit.until = target.max(context.now + QUEUED_AT_LEAST);
             }
-            Verdict::Refused => {
+            Ok(Verdict::Refused) => {
                 open.permit = None;
-                open.return_after = Some(decision.return_after);
-                self.permits.forget(decision.number);
+                self.permits.forget(number);
                 if !self.spills(client, context) {
-                    self.refuse_queued(client, context, out);
+                    self.refuse_queued(client, decision.return_after, context, out);
                     return;
                 }
             }
-        }
-        self.advance(client, context, out);
-    }
-
-    fn permit_missed(
-        &mut self,
-        number: u64,
-        context: &mut RequestContext<'_>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(client) = self.permits.client(number) else {
-            return;
-        };
-        self.permits.forget(number);
-        if let Some(open) = self.open.get_mut(&client) {
-            open.permit = None;
+            Err(declined) => {
+                open.permit = None;
+                self.permits.forget(number);
+                match declined {
+                    Declined::Stops => self.permits.lost(from, context.now),
+                    Declined::UnknownQueue => open.without_permit = true,
+                }
+            }
         }
         self.advance(client, context, out);
     }
@@ -112,34 +108,41 @@
     fn refuse_queued(
         &mut self,
         client: ClientId,
+        return_after: Duration,
         context: &RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
-        if let Some(open) = self.open.get(&client) {
+        if let Some(open) = self.open.get_mut(&client) {
+            open.return_after = Some(return_after);
             let reason = open.failure_or(Refusal::QueueTooLong);
             self.refuse(client, reason, context, out);
         }
     }
 
-    /// Whether a request that its zone has no room for asks another zone. Large bodies stay:
-    /// they cost more between zones than the wait of their caller.
+    /// Whether a request that its zone has no room for asks another zone.
     fn spills(&mut self, client: ClientId, context: &RequestContext<'_>) -> bool {
-        let Some(open) = self.open.get_mut(&client) else {
+        let Some(open) = self.open.get(&client) else {
             return false;
         };
-        let may = open.key.is_none() && open.request.body.len() <= MAX_SPILLED_BYTES;
-        may && !std::mem::replace(&mut open.spilled, true) && context.registry.zones() > 1
+        let may = open.key.is_none() && !open.spilled;
+        let spills = may && self.freest_other_zone(&open.service, context).is_some();
+        if let Some(open) = self.open.get_mut(&client).filter(|_| spills) {
+            open.spilled = true;
+        }
+        spills
     }
 
     /// What a request without a key does where the instances of a zone have one queue; none
-    /// if it goes by what this node knows.
+    /// if it goes by what this node knows. Large bodies do: on their way they would hold a
+    /// slot for longer than the work takes.
     pub(super) fn pool_step(
         &mut self,
         client: ClientId,
         context: &RequestContext<'_>,
     ) -> Option<Step> {
         let open = self.open.get(&client)?;
-        if open.without_permit || !self.needs_permit(open, context) {
+        let is_large = open.request.body.len() >= LARGE_BODY_BYTES;
+        if open.without_permit || is_large || !self.needs_permit(open, context) {
             return None;
         }
         if let Some(step) = self.granted_step(open, context) {
@@ -162,7 +165,7 @@
 
     /// Sends a request to the instance that it has a permit for, if that still serves.
     fn granted_step(&self, open: &OpenRequest, context: &RequestContext<'_>) -> Option<Step> {
-        let permit = open.permit.as_ref()?;
+        let permit = open.permit.as_ref().filter(|permit| permit.is_granted())?;
         let mut instances = context.directory.of_service(&open.service);
         let covered = |instance: &&Instance| permit.covers(&instance.record.id);
         let granted = instances.find(covered).filter(|known| known.serves())?;
@@ -229,6 +232,8 @@
         self.mechanisms.has(Mechanism::OwnerQueues)
             && context.routes.is_contended(&open.service)
             && context.shared.follows_digest(context.now)
+            // A late second attempt has no place in the order.
+            && open.target() > context.now
     }
 
     /// Asks for a permit; of the second candidate where the first is silent. Where both are,
@@ -255,8 +260,10 @@
                 }
                 open.without_permit = earlier.patience <= now;
             }
-            // One that was queued for its whole time is past its target.
+            // One that was queued for its whole time is past its target; one whose instance
+            // has left meanwhile would get the same again.
             open.without_permit |= is_same && earlier.state == PermitState::Queued;
+            open.without_permit |= earlier.queue == need.queue && earlier.is_granted();
             self.permits.give_back(&earlier, Returned::NotRun);
         }
         let candidates = Candidates::of_queue(need.queue, &need.zone, context.registry);
@@ -297,6 +304,7 @@
             return;
         };
         let since = *open.waiting_since.get_or_insert(now);
+        open.awaits_permit = true;
         let wake = until.min(open.due);
         self.waiting
             .insert((self.mechanisms.rank(open), since, client));
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -24,11 +24,13 @@
 pub use cold_start::{ColdBound, ColdGate, ColdSends};
 pub use common_rejection::CommonRejections;
 pub use digest::{DIGEST_BYTES, RequestDigest};
-pub use lifecycle::{CrashSigns, PermitDecision, RequestContext, RequestCounters, Requests};
+pub use lifecycle::{
+    CrashSigns, Declined, PermitDecision, RequestContext, RequestCounters, Requests,
+};
 pub use open_request::Misdirection;
 pub use outcome::{Verdict, judge};
 pub use overload::{OverloadedKey, Overloads};
-pub use permits::{Ask, PermitCounters, PermitMessage, Permits};
+pub use permits::{Ask, PermitCounters, PermitMessage, Permits, pool_hash};
 pub use refusal_share::{RefusalShare, RefusalShares, return_after};
 pub use rejection_cause::RejectionCause;
 pub use repeat_value::{BudgetLevel, RepeatDemand, RepeatFacts};
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -112,6 +112,8 @@
     pub permit: Option<HeldPermit>,
     /// Whether it goes on without, since no dispatcher answers.
     pub without_permit: bool,
+    /// Whether it has waited for one; the wait for an owner is another.
+    pub awaits_permit: bool,
     /// Whether the queue of another zone than the nearest was asked.
     pub spilled: bool,
     /// When its caller may come back, by the word of a dispatcher.
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -11,10 +11,11 @@
 use std::time::Duration;
 
 /// Time after which an ask is repeated: a large body on a narrow link holds a datagram up by
-/// 50 ms, and a machine may stand still for 100 ms. Also at most this share of the target.
+/// 50 ms, and a machine may stand still for 100 ms.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Most of the time to the target that it waits for before that.
 const REPLY_SHARE: f64 = 0.25;
-/// How many times as long a request waits for a dispatcher's first word.
+/// How many times as long a request waits for a dispatcher's first answer.
 const REPLY_PATIENCE: u32 = 2;
 /// Time without an answer after which a dispatcher counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(150);
@@ -96,7 +97,7 @@
 }
 
 /// Names the queue of the instances of a zone that serve a service.
-fn pool_hash(service: &ServiceName, zone: &ZoneName) -> u64 {
+pub fn pool_hash(service: &ServiceName, zone: &ZoneName) -> u64 {
     service.stable_hash() ^ zone.stable_hash().rotate_left(1)
 }
 
@@ -294,8 +295,10 @@
 
     /// Forgets dispatchers that may be asked again.
     pub fn expire(&mut self, now: Timestamp) {
+        // An ask that was given up before says nothing after that time.
+        let is_recent = |at: Timestamp| at + SILENT_TTL > now;
         self.dispatchers
-            .retain(|_, known| known.asked_at.is_some() || known.silent_until > now);
+            .retain(|_, known| known.asked_at.is_some_and(is_recent) || known.silent_until > now);
     }
 }
 
