--- a/crates/ledgelead-router/src/mechanisms.rs
+++ b/crates/ledgelead-router/src/mechanisms.rs
@@ -30,7 +30,7 @@
     EarlyRefusal,
     /// What a key is asked for beyond its owner's capacity is refused at once.
     OverloadedKeys,
-    /// Requests for keys that compete for owners wait in one queue an owner.
+    /// Requests that compete for instances wait in one queue an owner, or a zone.
     OwnerQueues,
     /// Requests that wait are looked at in the order of their priority.
     Priority,
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -38,7 +38,7 @@
         reason: Refusal,
     },
     Refuse(Refusal),
-    /// Ask the dispatcher of the key's owner for a permit.
+    /// Ask the queue's dispatcher for a permit.
     AskPermit(PermitNeed),
     /// Wait until it has decided, or until this time.
     AwaitPermit(Timestamp),
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -35,7 +35,7 @@
     pub review: Timestamp,
     /// How long the answer was expected to take.
     pub expected: Duration,
-    /// The permit under which it was sent, where the owner has a queue.
+    /// The permit under which it was sent, where there is a queue.
     pub permit: Option<HeldPermit>,
 }
 
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -28,7 +28,7 @@
 pub enum PermitState {
     /// It has asked, and knows nothing.
     Asked,
-    /// It waits in the owner's queue.
+    /// It waits in the queue.
     Queued,
     /// It may be sent to the instance with this stable hash.
     Granted(u64),
