Requests go without permits while dispatchers answer slowly

Change: a node whose asks are answered in 20 ms or more on average sends by the load digest, and asks each 200 ms to find out.

--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -76,6 +76,9 @@
         if decision.verdict != Err(Declined::Stops) {
             self.permits.heard(from);
         }
+        if permit.state == PermitState::Asked {
+            self.permits.replied(permit, context.now);
+        }
         match decision.verdict {
             Ok(Verdict::Granted(server)) => permit.state = PermitState::Granted(server),
             // What overtook the grant on its way was said before it.
@@ -142,7 +145,7 @@
     ) -> Option<Step> {
         let open = self.open.get(&client)?;
         let is_large = open.request.body.len() >= LARGE_BODY_BYTES;
-        if open.without_permit || is_large || !self.needs_permit(open, context) {
+        if is_large || !self.needs_permit(open, context) {
             return None;
         }
         if let Some(step) = self.granted_step(open, context) {
@@ -215,7 +218,7 @@
         need: PermitNeed,
         context: &RequestContext<'_>,
     ) -> Option<Step> {
-        if open.without_permit || !self.needs_permit(open, context) {
+        if !self.needs_permit(open, context) {
             return None;
         }
         match &open.permit {
@@ -229,7 +232,9 @@
     }
 
     fn needs_permit(&self, open: &OpenRequest, context: &RequestContext<'_>) -> bool {
-        self.mechanisms.has(Mechanism::OwnerQueues)
+        let asks = open.permit.is_some() || self.permits.are_quick(context.now);
+        asks && !open.without_permit
+            && self.mechanisms.has(Mechanism::OwnerQueues)
             && context.routes.is_contended(&open.service)
             && context.shared.follows_digest(context.now)
             // A late second attempt has no place in the order.
@@ -258,6 +263,7 @@
                     self.await_permit(client, until, now);
                     return;
                 }
+                self.permits.replied(&earlier, now);
                 open.without_permit = earlier.patience <= now;
             }
             // One that was queued for its whole time is past its target; one whose instance
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -19,6 +19,14 @@
 const REPLY_PATIENCE: u32 = 2;
 /// Time without an answer after which a dispatcher counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(150);
+/// Mean time to a dispatcher's first answer beyond which requests go without: a slot that is
+/// idle for that long at both ends of a request costs more than the order gains, beside work
+/// of 50 to 200 ms. A narrow link full of large bodies does that.
+const SLOW_REPLY: Duration = Duration::from_millis(20);
+/// Weight of a new sample of that time.
+const REPLY_WEIGHT: f64 = 0.2;
+/// Pause between two asks that find out whether answers are quick again.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a lost dispatcher is not asked: about the time in which nodes learn of the loss
 /// of another.
 const SILENT_TTL: Duration = Duration::from_secs(1);
@@ -51,6 +59,8 @@
     pub ask: Ask,
     /// When it is given up for want of an answer.
     pub patience: Timestamp,
+    /// When it was asked for.
+    pub asked_at: Timestamp,
 }
 
 impl HeldPermit {
@@ -167,6 +177,9 @@
     last_number: u64,
     outbox: Vec<(SocketAddr, PermitMessage)>,
     dispatchers: HashMap<SocketAddr, Heard>,
+    /// Mean time to the first answer of a dispatcher.
+    reply_time: Duration,
+    next_probe: Timestamp,
     counters: PermitCounters,
 }
 
@@ -199,6 +212,7 @@
         now: Timestamp,
     ) -> HeldPermit {
         self.counters.asked += 1;
+        self.next_probe = now + PROBE_INTERVAL;
         self.last_number = self.last_number.wrapping_add(1);
         let number = self.last_number;
         self.clients.insert(number, client);
@@ -212,6 +226,7 @@
             until: now,
             ask,
             patience: now + timeout * REPLY_PATIENCE,
+            asked_at: now,
         };
         self.send_ask(&mut permit, now);
         permit
@@ -246,6 +261,19 @@
         self.clients.get(&number).copied()
     }
 
+    /// Whether permits are worth their way now; where answers are slow, some asks go on to
+    /// find out when they are quick again.
+    pub fn are_quick(&self, now: Timestamp) -> bool {
+        self.reply_time <= SLOW_REPLY || self.next_probe <= now
+    }
+
+    /// The first answer to an ask has come, or it was given up for want of one.
+    pub fn replied(&mut self, permit: &HeldPermit, now: Timestamp) {
+        let took = now.saturating_sub(permit.asked_at);
+        let kept = self.reply_time.mul_f64(1.0 - REPLY_WEIGHT);
+        self.reply_time = kept + took.mul_f64(REPLY_WEIGHT);
+    }
+
     /// A dispatcher has answered.
     pub fn heard(&mut self, dispatcher: SocketAddr) {
         self.dispatchers.remove(&dispatcher);
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -229,6 +229,32 @@
     expect_that!(fixture.attempts.len(), eq(1));
 }
 
+#[gtest]
+fn requests_go_without_while_answers_are_slow() {
+    let mut fixture = node(contended());
+    for number in 0..8 {
+        fixture.ask(KEYED, Some(KEY + number));
+        fixture.now += ms(60);
+        decide(&mut fixture, PermitVerdict::Granted, 1);
+    }
+    fixture.attempts.clear();
+    let asked = fixture.sent("permit_ask");
+    fixture.ask(KEYED, Some(KEY));
+    expect_that!(fixture.attempts.len(), eq(1));
+    expect_that!(fixture.sent("permit_ask"), eq(asked));
+    // Now and then one finds out.
+    for number in 0..12 {
+        fixture.run_until(fixture.now + ms(201));
+        follow_digest(&mut fixture);
+        fixture.ask(KEYED, Some(KEY + number));
+        decide(&mut fixture, PermitVerdict::Granted, 1);
+    }
+    expect_that!(fixture.sent("permit_ask"), gt(asked));
+    fixture.attempts.clear();
+    fixture.ask(KEYED, Some(KEY));
+    expect_that!(fixture.attempts, is_empty());
+}
+
 #[gtest]
 fn a_permit_that_comes_too_late_goes_back() {
     let mut fixture = node(contended());
