Queues: an instance that fails is not the fastest one

Ruled out: selection and statistics (unchanged), lives (one registration an instance and node). Change: failures free the place without a sample, and an instance of a pool with a quarter of failures is avoided while another has a slot.

--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -87,7 +87,7 @@
     },
     /// The instance didn't run it, it was never sent, or its caller left.
     NotRun,
-    /// It was broken off, or its answer was lost.
+    /// It was broken off, its answer was lost, or the instance failed.
     Unknown,
 }
 
@@ -247,7 +247,7 @@
             Returned::Answered { took, load } => {
                 let work = took.div_f64(permit.load.max(1.0));
                 let work = Some(work).filter(|_| permit.is_usual);
-                self.servers.answered(permit.server, work);
+                self.servers.answered(permit.server, work, now);
                 if let Some(load) = load {
                     let is_wanted = !self.waiting.is_empty();
                     self.servers.told_load(permit.server, load, is_wanted);
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -23,6 +23,14 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
 /// How often it doubles at most: beyond, the longest holds.
 const MAX_DOUBLINGS: u32 = 3;
+/// Weight of a new outcome in the share of failures of an instance of a pool.
+const OUTCOME_WEIGHT: f64 = 0.15;
+/// Share of failures from which others are preferred: two failures in a row, or one in four
+/// for long.
+const FAILING_SHARE: f64 = 0.25;
+/// Time in which a share of failures without new outcomes halves, so that the instance gets
+/// another chance.
+const FAILURES_HALVE_IN: Duration = Duration::from_secs(3);
 /// The longest ejection.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
@@ -48,11 +56,25 @@
     /// Permits beyond its slots.
     ahead: f64,
     failures: u32,
+    failure_share: f64,
+    outcome_at: Timestamp,
     ejections: u32,
     ejected_until: Timestamp,
 }
 
 impl Known {
+    fn failure_share(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.outcome_at);
+        let halvings = age.as_secs_f64() / FAILURES_HALVE_IN.as_secs_f64();
+        self.failure_share * 0.5f64.powf(halvings)
+    }
+
+    fn note_outcome(&mut self, failed: f64, now: Timestamp) {
+        let earlier = self.failure_share(now);
+        self.failure_share = earlier + (failed - earlier) * OUTCOME_WEIGHT;
+        self.outcome_at = now;
+    }
+
     fn usable_slots(&self) -> usize {
         match self.is_cold {
             true => self.slots.min(COLD_SLOTS),
@@ -69,6 +91,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Rank {
     was_tried: bool,
+    is_failing: bool,
     load: f64,
     work: Duration,
     id: u64,
@@ -77,10 +100,12 @@
 impl Rank {
     fn order(&self, other: &Rank) -> Ordering {
         let by_trial = self.was_tried.cmp(&other.was_tried);
+        let by_failures = || self.is_failing.cmp(&other.is_failing);
         let by_load = || self.load.total_cmp(&other.load);
         let by_work = || self.work.cmp(&other.work);
         let by_id = || self.id.cmp(&other.id);
         by_trial
+            .then_with(by_failures)
             .then_with(by_load)
             .then_with(by_work)
             .then_with(by_id)
@@ -166,6 +191,7 @@
         });
         let rank = |id: u64, known: &Known| Rank {
             was_tried: tried == Some(id),
+            is_failing: known.failure_share(now) > FAILING_SHARE,
             load: known.load_with_one_more(),
             work: known.work.unwrap_or(UNKNOWN_WORK),
             id,
@@ -195,8 +221,9 @@
     }
 
     /// An instance has answered, after so much work if that says something of others.
-    pub(super) fn answered(&mut self, server: u64, work: Option<Duration>) {
+    pub(super) fn answered(&mut self, server: u64, work: Option<Duration>, now: Timestamp) {
         if let Some(known) = self.known.get_mut(&server) {
+            known.note_outcome(0.0, now);
             known.failures = 0;
             known.ejections = 0;
             if let Some(work) = work {
@@ -227,6 +254,7 @@
         let Some(known) = self.known.get_mut(&server) else {
             return;
         };
+        known.note_outcome(1.0, now);
         known.failures += 1;
         if known.failures >= EJECT_AFTER {
             let length = FIRST_EJECTION.saturating_mul(1 << known.ejections.min(MAX_DOUBLINGS));
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -20,7 +20,7 @@
 use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
 use super::open_request::{Attempt, OpenRequest};
-use super::outcome::{Verdict, judge};
+use super::outcome::{Verdict, judge, tells_failure};
 use super::overload::Overloads;
 use super::permits::{PermitCounters, Permits};
 use super::refusal_share::RefusalShares;
@@ -574,6 +574,8 @@
             let not_executed = response.headers.get(&context.headers.not_executed);
             match not_executed.is_some() || response.status == 421 {
                 true => Returned::NotRun,
+                // It answers sooner than work takes, and would seem the fastest of all.
+                false if tells_failure(response) => Returned::Unknown,
                 false => Returned::Answered {
                     took: context.now.saturating_sub(attempt.sent),
                     load: reported_load(response, context).map(|load| InstanceLoad {
--- a/crates/ledgelead-router/tests/dispatch/queue.rs
+++ b/crates/ledgelead-router/tests/dispatch/queue.rs
@@ -298,6 +298,27 @@
     expect_that!(fails(20, 600), eq(1));
 }
 
+#[gtest]
+fn an_instance_of_a_pool_that_fails_a_part_is_avoided_though_it_is_the_fastest() {
+    let mut queue = PermitQueue::of_pool(ms(0));
+    queue.replace_servers([server(1), server(2), server(3)]);
+    let mut sent = 0;
+    for number in 0..200 {
+        let at = ms(number * 5);
+        let Verdict::Granted(to) = queue.ask(ask(number, 1, 400), at) else {
+            panic!("no permit");
+        };
+        sent += u64::from(to == 1);
+        let how = match (to == 1, sent % 2) {
+            (true, 0) => Returned::Unknown,
+            (true, _) => answered(ms(5)),
+            _ => answered(WORK),
+        };
+        queue.returned(asker(number), how, at);
+    }
+    expect_that!(sent, le(20));
+}
+
 #[gtest]
 fn a_refusal_explains_one_later_try_until_the_caller_gives_up() {
     let mut callers = RefusedCallers::default();
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -297,6 +297,19 @@
     expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NotRun)]);
 }
 
+#[gtest]
+fn an_instance_that_fails_has_not_shown_how_fast_it_works() {
+    let mut fixture = node(contended());
+    fixture.ask(SERVICE, None);
+    decide(&mut fixture, PermitVerdict::Granted, 2);
+    let exchange = fixture.attempts[0].exchange;
+    fixture.now += ms(3);
+    let mut response = Response::new(500, "");
+    response.headers.push("signature", "s");
+    fixture.answer(exchange, response);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::Unknown)]);
+}
+
 #[gtest]
 fn a_permit_of_a_pool_names_the_instance() {
     let mut fixture = node(contended());
