--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -113,6 +113,8 @@
     pub warm_at: Timestamp,
     /// Whether this life of it is proved to be over.
     pub ended: bool,
+    /// Whether that rests on the entry of another life alone.
+    is_superseded: bool,
     /// Since when this node knows that its zone is evacuated.
     pub evacuated_since: Option<Timestamp>,
     /// When it is forgotten, once its entry is gone.
@@ -270,6 +272,10 @@
         if self.merges_lives {
             record.id = InstanceId::from(record.id.name());
         }
+        if self.lacks_start(&record.id) {
+            self.withdraw(record.id.name(), now);
+            return;
+        }
         if !self.begin_life(&record.id, revision, now) {
             return;
         }
@@ -307,6 +313,7 @@
         let instance = Instance {
             evacuated_since,
             ended: earlier.is_some_and(|instance| instance.ended),
+            is_superseded: false,
             record,
             presence,
             warm_at,
@@ -329,6 +336,10 @@
         if let Some(former) = former {
             self.supersede(&former, now);
         }
+        // Its own entry, written later than the other, shows that it lives.
+        if let Some(again) = self.instances.get_mut(id).filter(|life| life.is_superseded) {
+            again.ended = false;
+        }
         let current = CurrentLife {
             id: id.clone(),
             revision,
@@ -344,6 +355,7 @@
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
+        instance.is_superseded = !instance.ended;
         instance.ended = true;
         if !instance.is_gone() {
             let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
@@ -351,6 +363,13 @@
         }
     }
 
+    /// Whether an entry leaves out the start of an instance that has told it: another writer
+    /// made it.
+    fn lacks_start(&self, id: &InstanceId) -> bool {
+        let current = self.current.get(id.name());
+        id.born().is_none() && current.is_some_and(|current| current.id.born().is_some())
+    }
+
     /// The later life of an instance that has started again, if this life is known to
     /// have ended by that. It listens under the same name, so that it takes what is
     /// still on its way to this life.
--- a/crates/ledgelead-router/tests/lives.rs
+++ b/crates/ledgelead-router/tests/lives.rs
@@ -44,6 +44,32 @@
 const ENDED: (bool, bool) = (false, true);
 const UNKNOWN: (bool, bool) = (false, false);
 
+#[gtest]
+fn a_life_whose_entry_another_writer_replaced_serves_again_with_its_next_entry() {
+    let mut directory = Directory::default();
+    directory.replace_all(vec![Entry::at(1, life("a", 10))], ms(0));
+    // Of another start, or without one.
+    directory.upsert(Entry::at(2, life("a", 99)), ms(100));
+    expect_that!(known(&directory, 10), eq(ENDED));
+    directory.upsert(Entry::at(3, life("a", 10)), ms(200));
+    expect_that!(known(&directory, 10), eq(SERVES));
+    let without_start = InstanceRecord {
+        id: InstanceId::from("a"),
+        ..life("a", 10)
+    };
+    directory.upsert(Entry::at(4, without_start), ms(300));
+    // Nothing new is sent there, but no life is proved to be over.
+    expect_that!(known(&directory, 10), eq(UNKNOWN));
+    expect_that!(
+        directory
+            .later_life(&InstanceId::of_life("a", 10))
+            .is_none(),
+        eq(true)
+    );
+    directory.upsert(Entry::at(5, life("a", 10)), ms(400));
+    expect_that!(known(&directory, 10), eq(SERVES));
+}
+
 #[gtest]
 fn a_later_life_ends_the_earlier_one_at_any_address() {
     let mut directory = Directory::default();
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -184,20 +184,33 @@
         connection.wrote_at = now;
         self.progress(index, now, room, events);
         if response.body.len() >= CHECKED_BYTES {
-            self.relieve(Duration::ZERO, now, room);
+            self.relieve(Duration::ZERO, Some(index), now, room);
         }
     }
 
     /// Closes connections of clients that have taken nothing of their answers for some
-    /// time, the slowest first, until what is held is within the bound.
-    fn relieve(&mut self, stalled: Duration, now: Instant, room: Room<'_>) {
+    /// time, the slowest first, until what is held is within the bound; but for one that was
+    /// just answered. Answers that fit their own share are never given up for bodies.
+    fn relieve(
+        &mut self,
+        stalled: Duration,
+        answered: Option<usize>,
+        now: Instant,
+        room: Room<'_>,
+    ) {
         let mut excess = room.excess(|| self.held());
         if excess == 0 {
             return;
         }
+        let unsent = self.connections.iter();
+        let unsent: usize = unsent
+            .map(|(_, connection)| connection.stream.unsent())
+            .sum();
+        excess = excess.min(unsent.saturating_sub(room.answers_share()));
         let mut slow: Vec<(Instant, usize)> = self
             .connections
             .iter()
+            .filter(|(index, _)| Some(*index) != answered)
             .filter(|(_, connection)| connection.is_stalled(stalled, now))
             .map(|(index, connection)| (connection.wrote_at, index))
             .collect();
@@ -236,7 +249,7 @@
 
     /// Closes what has been idle, or incomplete, for too long.
     pub(crate) fn sweep(&mut self, now: Instant, room: Room<'_>) {
-        self.relieve(STALLED, now, room);
+        self.relieve(STALLED, None, now, room);
         let limits = self.limits;
         let over: Vec<usize> = self
             .connections
@@ -286,7 +299,8 @@
         let Some(connection) = self.connections.get(index) else {
             return false;
         };
-        let longest = self.limits.max_head_bytes + self.limits.max_body_bytes;
+        let limits = self.limits;
+        let longest = limits.max_head_bytes.saturating_add(limits.max_body_bytes);
         let is_ahead = connection.open.is_some() && connection.stream.input.len() > longest;
         is_ahead && room.excess(|| self.held()) > 0
     }
@@ -359,7 +373,8 @@
         }
         let body = connection.reader.held_bytes() + connection.open_bytes;
         let is_client = connection.endpoint == Endpoint::Clients;
-        is_client && body >= CHECKED_BYTES && !room.admits(|| self.held())
+        let is_checked = is_client && body >= CHECKED_BYTES;
+        is_checked && !room.admits(|| self.held()) && !room.is_empty(|| self.held() - body)
     }
 
     /// From now on the body that is being read isn't refused, if all of it is counted.
--- a/crates/ledgelead-runtime/src/memory.rs
+++ b/crates/ledgelead-runtime/src/memory.rs
@@ -12,6 +12,9 @@
 /// Shortest body, in bytes, that is refused for lack of memory: below it, the refusal itself
 /// takes as much.
 pub(crate) const CHECKED_BYTES: usize = 4_096;
+/// What is held at most, in bytes, where a body is let in that takes more than its share: a
+/// machine with little memory would refuse the largest ones for ever.
+const EMPTY_BYTES: usize = 1 << 20;
 /// Largest buffer, in bytes, that a connection keeps while it is idle. Above it, many kept
 /// connections would hold the largest message of each.
 pub(crate) const KEPT_BUFFER_BYTES: usize = 16_384;
@@ -48,6 +51,18 @@
         self.excess_over(ADMITTED_SHARE, inbound) == 0
     }
 
+    /// What is left to answers beside bodies, in bytes.
+    pub(crate) fn answers_share(self) -> usize {
+        let limit = self.limit.unwrap_or(0);
+        (limit as f64 * (HELD_SHARE - ADMITTED_SHARE)) as usize
+    }
+
+    /// Whether so little else is held, `inbound` bytes of it for clients, that a body is let
+    /// in whatever its length.
+    pub(crate) fn is_empty(self, inbound: impl FnOnce() -> usize) -> bool {
+        inbound() + self.outbound.held() <= EMPTY_BYTES
+    }
+
     fn excess_over(self, share: f64, inbound: impl FnOnce() -> usize) -> usize {
         let Some(limit) = self.limit else {
             return 0;
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -116,9 +116,9 @@
         self.written = 0;
     }
 
-    /// Bytes of memory that the buffers take.
+    /// Bytes in the buffers. Idle connections, which keep small empty ones, hold nothing.
     pub(crate) fn held(&self) -> usize {
-        self.input.capacity() + self.output.capacity()
+        self.input.len() + self.output.len()
     }
 
     /// Bytes that are not written yet.
