--- /dev/null
+++ b/crates/ledgelead-router/examples/dispatch_bench.rs
@@ -0,0 +1,91 @@
+//! Time of a dispatcher's decision with many requests in its queue.
+//!
+//! `cargo run --release -p ledgelead-router --example dispatch_bench`: nanoseconds for an ask
+//! that is queued, and for the return of a permit that hands it to the next. Each is the
+//! median of the rounds; compare them within one run, not between machines.
+
+use ledgelead_router::dispatch::{
+    Asker, Dispatcher, QueueAsk, QueueKind, Returned, Server, Verdict,
+};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Rounds of which the median is printed.
+const ROUNDS: usize = 20_000;
+/// Work of a request.
+const WORK: Duration = Duration::from_millis(100);
+
+fn ask(number: u64) -> QueueAsk {
+    QueueAsk {
+        queue: 1,
+        kind: QueueKind::Owner,
+        asker: Asker {
+            node: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+            number,
+        },
+        urgency: (number % 3) as u8,
+        // Far away, so that so many wait at all.
+        to_target: Duration::from_secs(3_600),
+        left: Duration::from_secs(3_600),
+        caller: number,
+        is_cold: false,
+        tried: None,
+    }
+}
+
+fn server() -> [Server; 1] {
+    [Server {
+        id: 1,
+        slots: 2,
+        is_cold: false,
+        work: Some(WORK),
+    }]
+}
+
+fn median(mut samples: Vec<u128>) -> u128 {
+    samples.sort_unstable();
+    samples[samples.len() / 2]
+}
+
+fn measure(waiting: u64) -> (u128, u128) {
+    let now = Duration::from_secs(1);
+    let mut dispatcher = Dispatcher::default();
+    let mut out = VecDeque::new();
+    let mut number = 0;
+    while number < waiting + 3 {
+        number += 1;
+        let decided = dispatcher.ask(&ask(number), server, now);
+        let granted = decided.into_iter().flatten();
+        let granted = granted.filter(|one| matches!(one.verdict, Verdict::Granted(_)));
+        out.extend(granted.map(|one| one.asker));
+    }
+    let mut asks = Vec::with_capacity(ROUNDS);
+    let mut returns = Vec::with_capacity(ROUNDS);
+    for _ in 0..ROUNDS {
+        let Some(ended) = out.pop_front() else {
+            break;
+        };
+        let how = Returned::Answered {
+            took: WORK,
+            load: None,
+        };
+        let began = Instant::now();
+        let decided = dispatcher.returned(1, ended, how, now);
+        returns.push(began.elapsed().as_nanos());
+        out.extend(decided.iter().map(|one| one.asker));
+        number += 1;
+        let next = ask(number);
+        let began = Instant::now();
+        dispatcher.ask(&next, server, now);
+        asks.push(began.elapsed().as_nanos());
+    }
+    (median(asks), median(returns))
+}
+
+fn main() {
+    for waiting in [10, 100, 900] {
+        let (ask, returned) = measure(waiting);
+        println!("{waiting} waiting: ask {ask} ns, return and next permit {returned} ns");
+    }
+}
