--- a/crates/ledgelead-router/examples/dispatch_bench.rs
+++ b/crates/ledgelead-router/examples/dispatch_bench.rs
@@ -5,7 +5,7 @@
 //! median of the rounds; compare them within one run, not between machines.
 
 use ledgelead_router::dispatch::{
-    Asker, Dispatcher, QueueAsk, QueueKind, Returned, Server, Verdict,
+    Admission, Dispatcher, PermitId, PermitOutcome, QueueAsk, QueueKind, Server,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
     QueueAsk {
         queue: 1,
         kind: QueueKind::Owner,
-        asker: Asker {
+        asker: PermitId {
             node: SocketAddr::from(([10, 0, 0, 1], 7_000)),
             number,
         },
@@ -57,7 +57,7 @@
         number += 1;
         let decided = dispatcher.ask(&ask(number), server, now);
         let granted = decided.into_iter().flatten();
-        let granted = granted.filter(|one| matches!(one.verdict, Verdict::Granted(_)));
+        let granted = granted.filter(|one| matches!(one.verdict, Admission::Granted(_)));
         out.extend(granted.map(|one| one.asker));
     }
     let mut asks = Vec::with_capacity(ROUNDS);
@@ -66,7 +66,7 @@
         let Some(ended) = out.pop_front() else {
             break;
         };
-        let how = Returned::Answered {
+        let how = PermitOutcome::Answered {
             took: WORK,
             load: None,
         };
--- a/crates/ledgelead-router/src/dispatch/dispatcher.rs
+++ b/crates/ledgelead-router/src/dispatch/dispatcher.rs
@@ -1,6 +1,6 @@
 //! A node as dispatcher: the queues that it hands out permits for.
 
-use super::queue::{Asker, PermitAsk, PermitQueue, Returned, Verdict};
+use super::queue::{Admission, PermitAsk, PermitId, PermitOutcome, PermitQueue};
 use super::refused::{Refused, RefusedCallers};
 use super::servers::Server;
 use crate::Timestamp;
@@ -34,9 +34,9 @@
     /// Names the queue.
     pub queue: u64,
     /// Whose ask.
-    pub asker: Asker,
+    pub asker: PermitId,
     /// What becomes of it.
-    pub verdict: Verdict,
+    pub verdict: Admission,
     /// When its caller may come back, if it is refused.
     pub return_after: Duration,
 }
@@ -49,7 +49,7 @@
     /// What the queue is for.
     pub kind: QueueKind,
     /// Who asks.
-    pub asker: Asker,
+    pub asker: PermitId,
     /// Rank of the request; 0 is the most urgent.
     pub urgency: u8,
     /// Time until an answer is late.
@@ -105,7 +105,7 @@
     /// Its entry in `Dispatcher::due`.
     due_at: Option<Timestamp>,
     /// What callers of the requests that wait were, for when they are refused.
-    waiting: HashMap<Asker, Caller>,
+    waiting: HashMap<PermitId, Caller>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -170,7 +170,7 @@
             left_until: now + ask.left,
         };
         let verdict = queue.permits.ask(permit, now);
-        if verdict == Verdict::Queued {
+        if verdict == Admission::Queued {
             queue.waiting.insert(ask.asker, caller);
         }
         let mut decided = vec![self.decided(ask.queue, ask.asker, verdict, caller, now)];
@@ -210,8 +210,8 @@
     pub fn returned(
         &mut self,
         queue: u64,
-        asker: Asker,
-        how: Returned,
+        asker: PermitId,
+        how: PermitOutcome,
         now: Timestamp,
     ) -> Vec<Decided> {
         let Some(known) = self.queues.get_mut(&queue) else {
@@ -273,16 +273,16 @@
     fn decided(
         &mut self,
         queue: u64,
-        asker: Asker,
-        verdict: Verdict,
+        asker: PermitId,
+        verdict: Admission,
         caller: Caller,
         now: Timestamp,
     ) -> Decided {
         let mut return_after = Duration::ZERO;
         match verdict {
-            Verdict::Granted(_) => self.counters.granted += 1,
-            Verdict::Queued => self.counters.queued += 1,
-            Verdict::Refused => {
+            Admission::Granted(_) => self.counters.granted += 1,
+            Admission::Queued => self.counters.queued += 1,
+            Admission::Refused => {
                 self.counters.refused += 1;
                 return_after = self.refuse(queue, caller, now);
             }
--- a/crates/ledgelead-router/src/dispatch/mod.rs
+++ b/crates/ledgelead-router/src/dispatch/mod.rs
@@ -17,6 +17,6 @@
 
 pub use candidates::Candidates;
 pub use dispatcher::{Decided, Dispatcher, DispatcherCounters, QueueAsk, QueueKind};
-pub use queue::{Asker, InstanceLoad, PermitAsk, PermitQueue, Returned, Verdict};
+pub use queue::{Admission, InstanceLoad, PermitAsk, PermitId, PermitOutcome, PermitQueue};
 pub use refused::{Refused, RefusedCallers};
 pub use servers::Server;
--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -13,15 +13,14 @@
 /// Share of the time to the target that waiting and work may be expected to take. Work
 /// spreads by a third to a half of its mean, and machines are slow for moments. Nearer to the
 /// target more is late at 1.5 times the capacity; further from it more is refused that would
-/// have been in time (of 15,900 callers at a wave 12,286 in time with 0.5, 13,341 with 0.8,
-/// 13,266 with 1.0; the replay of `tests/dispatch`).
+/// have been in time (the replay of `tests/dispatch`).
 const ADMITTED_SHARE: f64 = 0.8;
 /// Share of the expected work that must still fit before the target when a permit is handed
 /// out. Work that is a third shorter than expected is as common as work a third longer.
 const STILL_IN_TIME: f64 = 0.6;
-/// A less urgent request gets a permit after so many others that went before it, so that
-/// no kind starves: a sixth of the permits is the least.
-const PASSED_OVER: u32 = 5;
+/// After so many permits for the first class in line, one goes to the others, so that the
+/// less urgent together get a sixth at least. Among them the nearest target goes first.
+const MAX_PASSED_OVER: u32 = 5;
 /// How long a late or cold request waits for a slot that nobody else needs, as a
 /// multiple of the expected work: a lull of that length is likely where load is near
 /// capacity, and beyond it a longer wait only holds the caller up.
@@ -40,7 +39,7 @@
 
 /// Who asks for a permit: a node, and its number for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Asker {
+pub struct PermitId {
     /// Where the node is reached.
     pub node: SocketAddr,
     /// The node's number for its request.
@@ -51,7 +50,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PermitAsk {
     /// Who asks.
-    pub asker: Asker,
+    pub asker: PermitId,
     /// Rank of the request; 0 is the most urgent.
     pub urgency: u8,
     /// Time until an answer is late.
@@ -66,7 +65,7 @@
 
 /// What becomes of an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Admission {
     /// The request may be sent to the instance with this stable hash.
     Granted(u64),
     /// It waits here for a permit.
@@ -77,7 +76,7 @@
 
 /// How a request ended whose permit comes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Returned {
+pub enum PermitOutcome {
     /// The instance answered.
     Answered {
         /// Time from the request to its answer.
@@ -85,10 +84,10 @@
         /// What the instance said of its load, if it says so.
         load: Option<InstanceLoad>,
     },
-    /// The instance didn't run it, it was never sent, or its caller left.
-    NotRun,
-    /// It was broken off, its answer was lost, or the instance failed.
-    Unknown,
+    /// It says nothing of the instance: not run, never sent, or its caller left.
+    NoSample,
+    /// It counts as a failure of the instance: broken off, its answer lost, or one that says so.
+    Failed,
 }
 
 /// What an instance says of its load.
@@ -147,11 +146,11 @@
 #[derive(Clone, Debug)]
 pub struct PermitQueue {
     servers: Servers,
-    out: HashMap<Asker, Permit>,
-    expiries: BTreeSet<(Timestamp, Asker)>,
-    waiting: HashMap<Asker, Waiting>,
-    order: BTreeMap<Class, BTreeSet<(Timestamp, Asker)>>,
-    limits: BTreeSet<(Timestamp, Asker)>,
+    out: HashMap<PermitId, Permit>,
+    expiries: BTreeSet<(Timestamp, PermitId)>,
+    waiting: HashMap<PermitId, Waiting>,
+    order: BTreeMap<Class, BTreeSet<(Timestamp, PermitId)>>,
+    limits: BTreeSet<(Timestamp, PermitId)>,
     /// Permits in a row that went to the first class while others waited.
     passed_over: u32,
     used_at: Timestamp,
@@ -210,13 +209,13 @@
 
     /// Decides on an ask. One that is known is a repeated message and gets the verdict of
     /// the first.
-    pub fn ask(&mut self, ask: PermitAsk, now: Timestamp) -> Verdict {
+    pub fn ask(&mut self, ask: PermitAsk, now: Timestamp) -> Admission {
         self.used_at = now;
         if let Some(permit) = self.out.get(&ask.asker) {
-            return Verdict::Granted(permit.server);
+            return Admission::Granted(permit.server);
         }
         if self.waiting.contains_key(&ask.asker) {
-            return Verdict::Queued;
+            return Admission::Queued;
         }
         let request = self.request(&ask, now);
         let can_wait = self.can_wait(&ask, request.class);
@@ -228,14 +227,14 @@
             }
         }
         if !can_wait || self.waiting.len() >= MAX_WAITING {
-            return Verdict::Refused;
+            return Admission::Refused;
         }
         self.enqueue(ask.asker, request);
-        Verdict::Queued
+        Admission::Queued
     }
 
     /// A permit comes back, or a request waits no longer. Returns whether it was known.
-    pub fn returned(&mut self, asker: Asker, how: Returned, now: Timestamp) -> bool {
+    pub fn returned(&mut self, asker: PermitId, how: PermitOutcome, now: Timestamp) -> bool {
         self.used_at = now;
         if self.dequeue(asker).is_some() {
             return true;
@@ -244,7 +243,7 @@
             return false;
         };
         match how {
-            Returned::Answered { took, load } => {
+            PermitOutcome::Answered { took, load } => {
                 let work = took.div_f64(permit.load.max(1.0));
                 let work = Some(work).filter(|_| permit.is_usual);
                 self.servers.answered(permit.server, work, now);
@@ -253,14 +252,14 @@
                     self.servers.told_load(permit.server, load, is_wanted);
                 }
             }
-            Returned::NotRun => {}
-            Returned::Unknown => self.servers.failed(permit.server, now),
+            PermitOutcome::NoSample => {}
+            PermitOutcome::Failed => self.servers.failed(permit.server, now),
         }
         true
     }
 
     /// Hands out the permits that are free. Returns who gets one, and who waited in vain.
-    pub fn advance(&mut self, now: Timestamp) -> Vec<(Asker, Verdict)> {
+    pub fn advance(&mut self, now: Timestamp) -> Vec<(PermitId, Admission)> {
         self.expire(now);
         let mut decided = self.give_up(now);
         while let Some((asker, server)) = self.next(now) {
@@ -306,6 +305,7 @@
             return false;
         }
         if class.takes_leftover() {
+            // Only one at a time: a slot that nobody needs is rare where several wait.
             return self.order.range(class..).next().is_none();
         }
         self.expected(class) <= ask.to_target.mul_f64(ADMITTED_SHARE)
@@ -314,11 +314,11 @@
     /// Expected time until a request that comes now is answered. Those before it share the
     /// slots with it; a less urgent one has its least share of the permits.
     fn expected(&self, class: Class) -> Duration {
-        let size = |waiting: &BTreeSet<(Timestamp, Asker)>| waiting.len();
+        let size = |waiting: &BTreeSet<(Timestamp, PermitId)>| waiting.len();
         let up_to = self.order.range(..=class);
         let before: usize = up_to.map(|(_, waiting)| size(waiting)).sum();
         let own = self.order.get(&class).map_or(0, size);
-        let by_share = (own + 1) * (PASSED_OVER as usize + 1);
+        let by_share = (own + 1) * (MAX_PASSED_OVER as usize + 1);
         let before = match class.has_share() {
             true => before.min(by_share),
             false => before,
@@ -331,7 +331,7 @@
 
     /// Who gets the next permit, and where: the first of the first class, and now and then
     /// the most pressing one of the others.
-    fn next(&mut self, now: Timestamp) -> Option<(Asker, u64)> {
+    fn next(&mut self, now: Timestamp) -> Option<(PermitId, u64)> {
         let (asker, is_other) = self.first_in_line()?;
         let Waiting { class, tried, .. } = self.waiting[&asker];
         let server = self.servers.pick(tried, class.takes_leftover(), now)?;
@@ -344,7 +344,7 @@
 
     /// The next request, and whether it is of another class than the first; none of that
     /// where only one class waits.
-    fn first_in_line(&self) -> Option<(Asker, Option<bool>)> {
+    fn first_in_line(&self) -> Option<(PermitId, Option<bool>)> {
         let mut classes = self.order.iter();
         let (first, waiting) = classes.next()?;
         let (_, asker) = *waiting.first()?;
@@ -353,13 +353,13 @@
         let Some((_, other)) = other.copied() else {
             return Some((asker, None));
         };
-        match self.passed_over >= PASSED_OVER {
+        match self.passed_over >= MAX_PASSED_OVER {
             true => Some((other, Some(true))),
             false => Some((asker, Some(false))),
         }
     }
 
-    fn grant(&mut self, asker: Asker, class: Class, server: u64, now: Timestamp) -> Verdict {
+    fn grant(&mut self, asker: PermitId, class: Class, server: u64, now: Timestamp) -> Admission {
         let permit = Permit {
             server,
             expires: now + self.expiry(),
@@ -368,10 +368,10 @@
         };
         self.expiries.insert((permit.expires, asker));
         self.out.insert(asker, permit);
-        Verdict::Granted(server)
+        Admission::Granted(server)
     }
 
-    fn take_permit(&mut self, asker: Asker) -> Option<Permit> {
+    fn take_permit(&mut self, asker: PermitId) -> Option<Permit> {
         let permit = self.out.remove(&asker)?;
         self.expiries.remove(&(permit.expires, asker));
         self.servers.give_back_place(permit.server);
@@ -395,26 +395,26 @@
         }
     }
 
-    fn give_up(&mut self, now: Timestamp) -> Vec<(Asker, Verdict)> {
+    fn give_up(&mut self, now: Timestamp) -> Vec<(PermitId, Admission)> {
         let mut refused = Vec::new();
         while let Some((at, asker)) = self.limits.first().copied() {
             if at > now {
                 break;
             }
             self.dequeue(asker);
-            refused.push((asker, Verdict::Refused));
+            refused.push((asker, Admission::Refused));
         }
         refused
     }
 
-    fn enqueue(&mut self, asker: Asker, request: Waiting) {
+    fn enqueue(&mut self, asker: PermitId, request: Waiting) {
         let place = (request.target, asker);
         self.order.entry(request.class).or_default().insert(place);
         self.limits.insert((request.until, asker));
         self.waiting.insert(asker, request);
     }
 
-    fn dequeue(&mut self, asker: Asker) -> Option<Waiting> {
+    fn dequeue(&mut self, asker: PermitId) -> Option<Waiting> {
         let request = self.waiting.remove(&asker)?;
         self.limits.remove(&(request.until, asker));
         if let Some(waiting) = self.order.get_mut(&request.class) {
--- a/crates/ledgelead-router/src/identity.rs
+++ b/crates/ledgelead-router/src/identity.rs
@@ -117,19 +117,25 @@
     }
 }
 
-/// The name and the start in a text that has the mark of a life at its end.
+/// The name and the start in the text of an id that has more than the name.
 fn split_life(text: &str) -> Option<(&str, Option<u64>)> {
-    let (name, start) = text.rsplit_once(LIFE_MARK)?;
-    if start.is_empty() {
-        return Some((name, None));
-    }
+    let unmarked = text.trim_end_matches(LIFE_MARK);
+    let (name, start) = unmarked.rsplit_once(LIFE_MARK)?;
     let born: u64 = start.parse().ok()?;
-    // Each life has one text only.
-    (born.to_string() == start).then_some((name, Some(born)))
+    // One text for each id: no leading zeros, and a second mark only behind a name that
+    // reads like a life.
+    if born.to_string() != start {
+        return None;
+    }
+    match text.strip_suffix(LIFE_MARK) {
+        Some(name) => Some((name, None)),
+        None => Some((name, Some(born))),
+    }
 }
 
 impl From<&str> for InstanceId {
-    /// An instance that doesn't tell when it was started.
+    /// An instance that doesn't tell when it was started. Takes a name, not a text of an id:
+    /// those are read by `parse`.
     fn from(name: &str) -> Self {
         // A name that reads like a life ends with a mark of its own.
         let text = match split_life(name) {
@@ -145,6 +151,7 @@
 }
 
 impl From<String> for InstanceId {
+    /// For serde: takes a text, as `parse` does.
     fn from(text: String) -> Self {
         InstanceId::parse(&text)
     }
--- a/crates/ledgelead-router/src/node/dispatch.rs
+++ b/crates/ledgelead-router/src/node/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::Timestamp;
 use crate::directory::Instance;
 use crate::dispatch::{
-    Asker, Decided, InstanceLoad, QueueAsk, QueueKind, Returned, Server, Verdict,
+    Admission, Decided, InstanceLoad, PermitId, PermitOutcome, QueueAsk, QueueKind, Server,
 };
 use crate::io::Action;
 use crate::peers::{PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict, encode};
@@ -47,18 +47,18 @@
                 send(to, &[encode(&message)], out);
             }
             PermitMessage::Return { number, queue, how } if is_own => {
-                let asker = Asker { node: to, number };
+                let asker = PermitId { node: to, number };
                 self.permit_returned(queue, asker, how, now, out);
             }
             PermitMessage::Return { number, queue, how } => {
                 let (ended, took_ms, load) = match how {
-                    Returned::Answered { took, load } => (
+                    PermitOutcome::Answered { took, load } => (
                         PermitEnd::Answered,
                         short_millis(took),
                         load.map(short_load),
                     ),
-                    Returned::NotRun => (PermitEnd::NotRun, 0, None),
-                    Returned::Unknown => (PermitEnd::Unknown, 0, None),
+                    PermitOutcome::NoSample => (PermitEnd::NoSample, 0, None),
+                    PermitOutcome::Failed => (PermitEnd::Failed, 0, None),
                 };
                 let message = PeerMessage::PermitReturn {
                     number,
@@ -80,7 +80,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let asker = Asker {
+        let asker = PermitId {
             node: from,
             number: entry.number,
         };
@@ -166,8 +166,8 @@
     pub(super) fn permit_returned(
         &mut self,
         queue: u64,
-        asker: Asker,
-        how: Returned,
+        asker: PermitId,
+        how: PermitOutcome,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
@@ -211,9 +211,9 @@
             return;
         }
         let (verdict, server) = match decision.verdict {
-            Ok(Verdict::Granted(server)) => (PermitVerdict::Granted, server),
-            Ok(Verdict::Queued) => (PermitVerdict::Queued, 0),
-            Ok(Verdict::Refused) => (PermitVerdict::Refused, 0),
+            Ok(Admission::Granted(server)) => (PermitVerdict::Granted, server),
+            Ok(Admission::Queued) => (PermitVerdict::Queued, 0),
+            Ok(Admission::Refused) => (PermitVerdict::Refused, 0),
             Err(Declined::Stops) => (PermitVerdict::Stops, 0),
             Err(Declined::UnknownQueue) => (PermitVerdict::UnknownQueue, 0),
         };
@@ -229,28 +229,28 @@
 }
 
 /// A dispatcher's verdict, as another node has sent it.
-pub(super) fn verdict_of(verdict: PermitVerdict, server: u64) -> Result<Verdict, Declined> {
+pub(super) fn verdict_of(verdict: PermitVerdict, server: u64) -> Result<Admission, Declined> {
     match verdict {
-        PermitVerdict::Granted => Ok(Verdict::Granted(server)),
-        PermitVerdict::Queued => Ok(Verdict::Queued),
-        PermitVerdict::Refused => Ok(Verdict::Refused),
+        PermitVerdict::Granted => Ok(Admission::Granted(server)),
+        PermitVerdict::Queued => Ok(Admission::Queued),
+        PermitVerdict::Refused => Ok(Admission::Refused),
         PermitVerdict::Stops => Err(Declined::Stops),
         PermitVerdict::UnknownQueue => Err(Declined::UnknownQueue),
     }
 }
 
 /// How a request ended, as another node has sent it.
-pub(super) fn returned(ended: PermitEnd, took_ms: u16, load: Option<(u8, u8)>) -> Returned {
+pub(super) fn returned(ended: PermitEnd, took_ms: u16, load: Option<(u8, u8)>) -> PermitOutcome {
     match ended {
-        PermitEnd::Answered => Returned::Answered {
+        PermitEnd::Answered => PermitOutcome::Answered {
             took: Duration::from_millis(u64::from(took_ms)),
             load: load.map(|(running, waiting)| InstanceLoad {
                 running: usize::from(running),
                 waiting: usize::from(waiting),
             }),
         },
-        PermitEnd::NotRun => Returned::NotRun,
-        PermitEnd::Unknown => Returned::Unknown,
+        PermitEnd::NoSample => PermitOutcome::NoSample,
+        PermitEnd::Failed => PermitOutcome::Failed,
     }
 }
 
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -7,7 +7,7 @@
 use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
-use crate::dispatch::Asker;
+use crate::dispatch::PermitId;
 use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity, NodeName};
 use crate::io::Action;
@@ -306,7 +306,7 @@
                 took_ms,
                 load,
             } => {
-                let asker = Asker { node: from, number };
+                let asker = PermitId { node: from, number };
                 let how = returned(ended, took_ms, load);
                 self.permit_returned(queue, asker, how, now, out);
             }
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -13,7 +13,7 @@
 use crate::io::{Action, ExchangeFailure, ExchangeId};
 use crate::protections::Protection;
 use crate::quarantine::{
-    CallerId, End, Evidence, LifeSigns, QuarantineRecord, RecentAnswers, Suspects,
+    CallerId, End, Evidence, QuarantineRecord, RecentAnswers, Suspects, UnconfirmedAnswers,
 };
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -45,7 +45,7 @@
     pub(super) evidence: Evidence,
     suspects: Suspects,
     recent: RecentAnswers,
-    life_signs: LifeSigns,
+    unconfirmed_answers: UnconfirmedAnswers,
     probes: HashMap<ExchangeId, InstanceId>,
     next_look: Timestamp,
     repeats: Vec<Repeat>,
@@ -81,7 +81,7 @@
         [
             look,
             repeat,
-            self.life_signs.next_due(),
+            self.unconfirmed_answers.next_due(),
             self.evidence.next_review(),
         ]
         .into_iter()
@@ -113,7 +113,9 @@
             if instance.born().is_none() {
                 self.instance_lives(&instance, asked, now);
             } else if self.is_in_question(&instance, asked) {
-                self.quarantine.life_signs.answered(&instance, asked, now);
+                self.quarantine
+                    .unconfirmed_answers
+                    .answered(&instance, asked, now);
             }
         }
         for (request, caller) in signs.acquitted {
@@ -150,7 +152,7 @@
 
     /// Answers that a later life would be known to have given by now.
     fn look_at_life_signs(&mut self, now: Timestamp) {
-        for (instance, asked) in self.quarantine.life_signs.take_due(now) {
+        for (instance, asked) in self.quarantine.unconfirmed_answers.take_due(now) {
             if self.directory.later_life(&instance).is_none() {
                 self.instance_lives(&instance, asked, now);
             }
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -97,7 +97,7 @@
         let own = &self.settings.identity;
         let registered = self.registry.get(&own.node);
         if registered.is_some_and(|known| known.identity != *own) {
-            self.requests.succeed_earlier();
+            self.requests.note_earlier_life();
         }
     }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -166,10 +166,10 @@
 pub enum PermitEnd {
     /// The instance answered.
     Answered,
-    /// The instance didn't run it.
-    NotRun,
-    /// Nothing is known.
-    Unknown,
+    /// It says nothing of the instance: not run, never sent, or its caller left.
+    NoSample,
+    /// It counts as a failure of the instance: broken off, its answer lost, or one that says so.
+    Failed,
 }
 
 /// What a coordinator passes on from the store.
--- a/crates/ledgelead-router/src/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/quarantine/mod.rs
@@ -9,13 +9,13 @@
 mod answers;
 mod entry;
 mod evidence;
-mod life_signs;
 mod record;
 mod suspects;
+mod unconfirmed_answers;
 
 pub use answers::RecentAnswers;
 pub use entry::{CallerId, End, Entry};
 pub use evidence::{Evidence, Verdicts};
-pub use life_signs::LifeSigns;
 pub use record::QuarantineRecord;
 pub use suspects::{Accusation, Suspects};
+pub use unconfirmed_answers::UnconfirmedAnswers;
--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -60,7 +60,7 @@
     /// When this life began; long ago, if that isn't known.
     began: Option<Timestamp>,
     /// Whether an earlier life of the node is known.
-    succeeds: bool,
+    has_earlier_life: bool,
     nodes: NodeCount,
 }
 
@@ -71,7 +71,7 @@
             bounds,
             usage: BTreeMap::new(),
             began: None,
-            succeeds: false,
+            has_earlier_life: false,
             nodes: NodeCount::default(),
         }
     }
@@ -82,8 +82,8 @@
     }
 
     /// There was another life of the node before.
-    pub fn succeed_earlier(&mut self) {
-        self.succeeds = true;
+    pub fn note_earlier_life(&mut self) {
+        self.has_earlier_life = true;
     }
 
     /// So many nodes are registered now.
@@ -199,7 +199,7 @@
     fn usable_share(&self, now: Timestamp) -> f64 {
         let window = self.bounds.window;
         match self.began.map(|began| now.saturating_sub(began)) {
-            Some(age) if age < window && self.succeeds => {
+            Some(age) if age < window && self.has_earlier_life => {
                 YOUNG_SHARE * age.div_duration_f64(window)
             }
             Some(age) if age < window => YOUNG_SHARE,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -6,7 +6,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::boundary::MAX_SLOTS;
-use crate::dispatch::Returned;
+use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
@@ -91,7 +91,7 @@
             open.timed_out = true;
             tell_ended(open, &attempt, ABANDONED, context);
         }
-        self.end_attempt(&attempt, Returned::Unknown);
+        self.end_attempt(&attempt, PermitOutcome::Failed);
         self.statistics.entry(&attempt.instance).failed(context.now);
         out.push(Action::Cancel {
             exchange: attempt.exchange,
@@ -215,7 +215,7 @@
         self.statistics.entry(&selected.id).open += 1;
         self.changed.insert(selected.id);
         self.wake_at(client, due);
-        self.drop_permit(unused, Returned::NotRun);
+        self.drop_permit(unused, PermitOutcome::NoSample);
         out.push(Action::Exchange {
             exchange,
             address,
@@ -387,7 +387,7 @@
         }
     }
 
-    pub(super) fn end_attempt(&mut self, attempt: &Attempt, how: Returned) {
+    pub(super) fn end_attempt(&mut self, attempt: &Attempt, how: PermitOutcome) {
         self.by_exchange.remove(&attempt.exchange);
         if let Some(permit) = &attempt.permit {
             self.permits.give_back(permit, how);
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -4,7 +4,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
-use crate::dispatch::Returned;
+use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::ServiceName;
 use crate::io::{Action, ClientId};
@@ -48,7 +48,7 @@
                 let rank = self.mechanisms.rank(open);
                 self.waiting.remove(&(rank, since, client));
             }
-            self.drop_permit(permit, Returned::NotRun);
+            self.drop_permit(permit, PermitOutcome::NoSample);
         }
         let Some(open) = self.open.get_mut(&client) else {
             return;
@@ -154,7 +154,7 @@
             tell_ended(open, &attempt, CUT_AT_TIMEOUT, context);
             open.may_have_run = true;
             open.timed_out = true;
-            self.end_attempt(&attempt, Returned::Unknown);
+            self.end_attempt(&attempt, PermitOutcome::Failed);
             self.statistics.entry(&attempt.instance).failed(context.now);
             out.push(Action::Cancel {
                 exchange: attempt.exchange,
@@ -200,7 +200,7 @@
     pub(super) fn finish(&mut self, client: ClientId, response: Response, out: &mut Vec<Action>) {
         if let Some(mut open) = self.open.remove(&client) {
             self.forget_timers(client, &open);
-            self.drop_permit(open.permit.take(), Returned::NotRun);
+            self.drop_permit(open.permit.take(), PermitOutcome::NoSample);
         }
         out.push(Action::Respond { client, response });
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -31,7 +31,7 @@
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
-use crate::dispatch::{InstanceLoad, Returned};
+use crate::dispatch::{InstanceLoad, PermitOutcome};
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
@@ -185,8 +185,8 @@
     }
 
     /// There was another life of the node before.
-    pub fn succeed_earlier(&mut self) {
-        self.budget.succeed_earlier();
+    pub fn note_earlier_life(&mut self) {
+        self.budget.note_earlier_life();
     }
 
     /// Takes over changed settings.
@@ -370,10 +370,10 @@
         };
         self.counters.left += 1;
         self.forget_timers(client, &open);
-        self.drop_permit(open.permit.take(), Returned::NotRun);
+        self.drop_permit(open.permit.take(), PermitOutcome::NoSample);
         if let Some(attempt) = open.attempt.take() {
             // Says nothing of the instance.
-            self.end_attempt(&attempt, Returned::NotRun);
+            self.end_attempt(&attempt, PermitOutcome::NoSample);
             out.push(Action::Cancel {
                 exchange: attempt.exchange,
             });
@@ -568,15 +568,15 @@
     attempt: &Attempt,
     result: &Result<Response, ExchangeFailure>,
     context: &RequestContext<'_>,
-) -> Returned {
+) -> PermitOutcome {
     match result {
         Ok(response) => {
             let not_executed = response.headers.get(&context.headers.not_executed);
             match not_executed.is_some() || response.status == 421 {
-                true => Returned::NotRun,
+                true => PermitOutcome::NoSample,
                 // It answers sooner than work takes, and would seem the fastest of all.
-                false if tells_failure(response) => Returned::Unknown,
-                false => Returned::Answered {
+                false if tells_failure(response) => PermitOutcome::Failed,
+                false => PermitOutcome::Answered {
                     took: context.now.saturating_sub(attempt.sent),
                     load: reported_load(response, context).map(|load| InstanceLoad {
                         running: load.running as usize,
@@ -585,7 +585,7 @@
                 },
             }
         }
-        Err(failure) if failure.proves_not_run() => Returned::NotRun,
-        Err(_) => Returned::Unknown,
+        Err(failure) if failure.proves_not_run() => PermitOutcome::NoSample,
+        Err(_) => PermitOutcome::Failed,
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -4,7 +4,7 @@
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::directory::Instance;
-use crate::dispatch::{Candidates, Returned, Verdict};
+use crate::dispatch::{Admission, Candidates, PermitOutcome};
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::io::{Action, ClientId};
 use crate::mechanisms::Mechanism;
@@ -39,7 +39,7 @@
     /// Names the queue.
     pub queue: u64,
     /// What becomes of it, or why this node doesn't decide.
-    pub verdict: Result<Verdict, Declined>,
+    pub verdict: Result<Admission, Declined>,
     /// When the caller may come back, if it is refused.
     pub return_after: Duration,
 }
@@ -62,8 +62,8 @@
         let client = self.permits.client(number);
         let open = client.and_then(|client| self.open.get_mut(&client));
         let (Some(client), Some(open)) = (client, open) else {
-            if let Ok(Verdict::Granted(_)) = decision.verdict {
-                let how = Returned::NotRun;
+            if let Ok(Admission::Granted(_)) = decision.verdict {
+                let how = PermitOutcome::NoSample;
                 self.permits.give_back_number(from, number, queue, how);
             }
             return;
@@ -80,15 +80,15 @@
             self.permits.replied(permit, context.now);
         }
         match decision.verdict {
-            Ok(Verdict::Granted(server)) => permit.state = PermitState::Granted(server),
+            Ok(Admission::Granted(server)) => permit.state = PermitState::Granted(server),
             // What overtook the grant on its way was said before it.
             _ if permit.is_granted() => return,
-            Ok(Verdict::Queued) => {
+            Ok(Admission::Queued) => {
                 permit.state = PermitState::Queued;
                 // The dispatcher decides before; if it is lost, nothing holds the request.
-                permit.until = target.max(context.now + QUEUED_AT_LEAST);
+                permit.check_at = target.max(context.now + QUEUED_AT_LEAST);
             }
-            Ok(Verdict::Refused) => {
+            Ok(Admission::Refused) => {
                 open.permit = None;
                 self.permits.forget(number);
                 if !self.spills(client, context) {
@@ -154,9 +154,9 @@
         let waits = open
             .permit
             .as_ref()
-            .filter(|permit| permit.until > context.now);
+            .filter(|permit| permit.check_at > context.now);
         if let Some(permit) = waits.filter(|permit| !permit.is_granted()) {
-            return Some(Step::AwaitPermit(permit.until));
+            return Some(Step::AwaitPermit(permit.check_at));
         }
         let zone = match open.spilled {
             true => self.freest_other_zone(&open.service, context)?,
@@ -224,7 +224,7 @@
         match &open.permit {
             Some(permit) if permit.queue == need.queue => match permit.state {
                 PermitState::Granted(_) => None,
-                _ if permit.until > context.now => Some(Step::AwaitPermit(permit.until)),
+                _ if permit.check_at > context.now => Some(Step::AwaitPermit(permit.check_at)),
                 _ => Some(Step::AskPermit(need)),
             },
             _ => Some(Step::AskPermit(need)),
@@ -258,24 +258,24 @@
             let is_same = earlier.queue == need.queue && !earlier.is_granted();
             if is_same && earlier.state == PermitState::Asked {
                 if self.permits.repeat(&mut earlier, now) {
-                    let until = earlier.until;
+                    let until = earlier.check_at;
                     open.permit = Some(earlier);
                     self.await_permit(client, until, now);
                     return;
                 }
                 self.permits.replied(&earlier, now);
-                open.without_permit = earlier.patience <= now;
+                open.without_permit = earlier.give_up_at <= now;
             }
             // One that was queued for its whole time is past its target; one whose instance
             // has left meanwhile would get the same again.
             open.without_permit |= is_same && earlier.state == PermitState::Queued;
             open.without_permit |= earlier.queue == need.queue && earlier.is_granted();
-            self.permits.give_back(&earlier, Returned::NotRun);
+            self.permits.give_back(&earlier, PermitOutcome::NoSample);
         }
         let candidates = Candidates::of_queue(need.queue, &need.zone, context.registry);
         let dispatcher = candidates.and_then(|candidates| {
             let candidates = [Some(candidates.first), candidates.second];
-            let heard = |candidate: &SocketAddr| self.permits.is_heard(*candidate, now);
+            let heard = |candidate: &SocketAddr| self.permits.may_ask(*candidate, now);
             candidates.into_iter().flatten().find(heard)
         });
         let Some(dispatcher) = dispatcher.filter(|_| !open.without_permit) else {
@@ -299,7 +299,7 @@
             tried: open.tried.last().map(InstanceId::stable_hash),
         };
         let permit = self.permits.ask(client, dispatcher, ask, now);
-        let until = permit.until;
+        let until = permit.check_at;
         open.permit = Some(permit);
         self.await_permit(client, until, now);
     }
@@ -318,7 +318,7 @@
     }
 
     /// A request that ends or is sent gives up the wait for a permit.
-    pub(super) fn drop_permit(&mut self, permit: Option<HeldPermit>, how: Returned) {
+    pub(super) fn drop_permit(&mut self, permit: Option<HeldPermit>, how: PermitOutcome) {
         if let Some(permit) = permit {
             self.permits.give_back(&permit, how);
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/repeats.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/repeats.rs
@@ -109,7 +109,7 @@
             Some(RejectionCause::FreeSlots) => !self.common.is_common(service, now),
             // Where a digest tells the load, the instance's own word isn't looked at.
             Some(RejectionCause::Full) => context.shared.follows_digest(now),
-            Some(RejectionCause::Untold) | None => true,
+            Some(RejectionCause::NoLoadReported) | None => true,
         }
     }
 
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -2,7 +2,7 @@
 
 use crate::Timestamp;
 use crate::directory::Instance;
-use crate::dispatch::{QueueKind, Returned};
+use crate::dispatch::{PermitOutcome, QueueKind};
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::io::ClientId;
 use ledgelead_http::Request;
@@ -54,11 +54,11 @@
     /// How far it is.
     pub state: PermitState,
     /// When something is done about it without a further message.
-    pub until: Timestamp,
+    pub check_at: Timestamp,
     /// The ask, to be repeated.
     pub ask: Ask,
     /// When it is given up for want of an answer.
-    pub patience: Timestamp,
+    pub give_up_at: Timestamp,
     /// When it was asked for.
     pub asked_at: Timestamp,
 }
@@ -123,7 +123,7 @@
         /// Names the queue.
         queue: u64,
         /// How the request ended.
-        how: Returned,
+        how: PermitOutcome,
     },
 }
 
@@ -157,13 +157,14 @@
 pub struct PermitCounters {
     /// Asked for.
     pub asked: u64,
-    /// Requests that went on without one, since no dispatcher answered.
+    /// Requests that had to ask and went on without: no candidate answered or is known, the
+    /// wait ended, or the granted instance left. Slow or declining dispatchers don't count.
     pub missed: u64,
 }
 
-/// What is known of a dispatcher.
+/// How long a dispatcher has been silent.
 #[derive(Clone, Copy, Debug, Default)]
-struct Heard {
+struct Silence {
     /// The first ask since its last word.
     asked_at: Option<Timestamp>,
     /// Until when it isn't asked.
@@ -176,7 +177,7 @@
     clients: HashMap<u64, ClientId>,
     last_number: u64,
     outbox: Vec<(SocketAddr, PermitMessage)>,
-    dispatchers: HashMap<SocketAddr, Heard>,
+    dispatchers: HashMap<SocketAddr, Silence>,
     /// Mean time to the first answer of a dispatcher.
     reply_time: Duration,
     next_probe: Timestamp,
@@ -197,8 +198,8 @@
         self.counters
     }
 
-    /// Whether a dispatcher has answered lately, as far as this node has asked it.
-    pub fn is_heard(&self, dispatcher: SocketAddr, now: Timestamp) -> bool {
+    /// Whether a dispatcher may be asked: it isn't taken for lost. One never asked may.
+    pub fn may_ask(&self, dispatcher: SocketAddr, now: Timestamp) -> bool {
         let known = self.dispatchers.get(&dispatcher);
         known.is_none_or(|known| known.silent_until <= now)
     }
@@ -223,9 +224,9 @@
             dispatcher,
             queue: ask.queue,
             state: PermitState::Asked,
-            until: now,
+            check_at: now,
             ask,
-            patience: now + timeout * REPLY_PATIENCE,
+            give_up_at: now + timeout * REPLY_PATIENCE,
             asked_at: now,
         };
         self.send_ask(&mut permit, now);
@@ -240,7 +241,7 @@
         if is_lost {
             self.lost(permit.dispatcher, now);
         }
-        let may_wait = permit.patience > now && self.is_heard(permit.dispatcher, now);
+        let may_wait = permit.give_up_at > now && self.may_ask(permit.dispatcher, now);
         if may_wait {
             self.send_ask(permit, now);
         }
@@ -251,7 +252,7 @@
         let known = self.dispatchers.entry(permit.dispatcher).or_default();
         known.asked_at.get_or_insert(now);
         let timeout = REPLY_TIMEOUT.min(permit.ask.to_target.mul_f64(REPLY_SHARE));
-        permit.until = now + timeout;
+        permit.check_at = now + timeout;
         let message = PermitMessage::Ask(permit.ask);
         self.outbox.push((permit.dispatcher, message));
     }
@@ -281,7 +282,7 @@
 
     /// A dispatcher counts as lost, or doesn't hand out permits.
     pub fn lost(&mut self, dispatcher: SocketAddr, now: Timestamp) {
-        let lost = Heard {
+        let lost = Silence {
             asked_at: None,
             silent_until: now + SILENT_TTL,
         };
@@ -294,7 +295,7 @@
     }
 
     /// Gives a permit back, or the wait for it up.
-    pub fn give_back(&mut self, permit: &HeldPermit, how: Returned) {
+    pub fn give_back(&mut self, permit: &HeldPermit, how: PermitOutcome) {
         self.clients.remove(&permit.number);
         self.give_back_number(permit.dispatcher, permit.number, permit.queue, how);
     }
@@ -305,7 +306,7 @@
         dispatcher: SocketAddr,
         number: u64,
         queue: u64,
-        how: Returned,
+        how: PermitOutcome,
     ) {
         let message = PermitMessage::Return { number, queue, how };
         self.outbox.push((dispatcher, message));
--- a/crates/ledgelead-router/src/requests/rejection_cause.rs
+++ b/crates/ledgelead-router/src/requests/rejection_cause.rs
@@ -10,14 +10,14 @@
     /// It has free slots, and rejects for another reason.
     FreeSlots,
     /// It told no load.
-    Untold,
+    NoLoadReported,
 }
 
 impl RejectionCause {
     /// The cause at an instance with so many slots.
     pub fn of(load: Option<&ReportedLoad>, slots: u32) -> RejectionCause {
         match load {
-            None => RejectionCause::Untold,
+            None => RejectionCause::NoLoadReported,
             Some(load) if load.running.saturating_add(load.waiting) >= slots => {
                 RejectionCause::Full
             }
--- a/crates/ledgelead-router/tests/dispatch/load.rs
+++ b/crates/ledgelead-router/tests/dispatch/load.rs
@@ -4,7 +4,7 @@
 //! some of them repeat at once. No network: a message takes no time.
 
 use ledgelead_router::dispatch::{
-    Asker, Dispatcher, QueueAsk, QueueKind, Returned, Server, Verdict,
+    Admission, Dispatcher, PermitId, PermitOutcome, QueueAsk, QueueKind, Server,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -238,7 +238,7 @@
         let ask = QueueAsk {
             queue: 1,
             kind: QueueKind::Owner,
-            asker: Asker {
+            asker: PermitId {
                 node: SocketAddr::from(([10, 0, 0, 1], 7_000)),
                 number: caller * 10 + u64::from(tries),
             },
@@ -267,13 +267,13 @@
         );
     }
 
-    fn take(&mut self, decided: Vec<(u64, Verdict, Duration)>) {
+    fn take(&mut self, decided: Vec<(u64, Admission, Duration)>) {
         for (number, verdict, return_after) in decided {
             let caller = number / 10;
             match verdict {
-                Verdict::Granted(_) => self.reach(caller),
-                Verdict::Queued => {}
-                Verdict::Refused => self.refused(caller, return_after),
+                Admission::Granted(_) => self.reach(caller),
+                Admission::Queued => {}
+                Admission::Refused => self.refused(caller, return_after),
             }
         }
     }
@@ -327,7 +327,7 @@
         outcome.in_time += u32::from(in_time);
         outcome.late += u32::from(!in_time);
         if self.load.permits {
-            let asker = Asker {
+            let asker = PermitId {
                 node: SocketAddr::from(([10, 0, 0, 1], 7_000)),
                 number: caller * 10 + u64::from(tries),
             };
@@ -335,7 +335,7 @@
             let decided = self.dispatcher.returned(
                 1,
                 asker,
-                Returned::Answered { took, load: None },
+                PermitOutcome::Answered { took, load: None },
                 self.now,
             );
             self.take(
--- a/crates/ledgelead-router/tests/dispatch/queue.rs
+++ b/crates/ledgelead-router/tests/dispatch/queue.rs
@@ -2,8 +2,8 @@
 
 use googletest::prelude::*;
 use ledgelead_router::dispatch::{
-    Asker, Dispatcher, InstanceLoad, PermitAsk, PermitQueue, QueueAsk, QueueKind, Refused,
-    RefusedCallers, Returned, Server, Verdict,
+    Admission, Dispatcher, InstanceLoad, PermitAsk, PermitId, PermitOutcome, PermitQueue, QueueAsk,
+    QueueKind, Refused, RefusedCallers, Server,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -18,12 +18,12 @@
     Duration::from_millis(ms)
 }
 
-fn answered(took: Duration) -> Returned {
-    Returned::Answered { took, load: None }
+fn answered(took: Duration) -> PermitOutcome {
+    PermitOutcome::Answered { took, load: None }
 }
 
-fn asker(number: u64) -> Asker {
-    Asker {
+fn asker(number: u64) -> PermitId {
+    PermitId {
         node: SocketAddr::from(([10, 0, 0, 1], 7_000)),
         number,
     }
@@ -63,7 +63,7 @@
     let mut queue = queue();
     for number in 0..3 {
         let verdict = queue.ask(ask(1_000 + number, 0, 5_000), Duration::ZERO);
-        assert_eq!(verdict, Verdict::Granted(OWNER));
+        assert_eq!(verdict, Admission::Granted(OWNER));
     }
     queue
 }
@@ -76,7 +76,7 @@
         let ended = asker(out.remove(0));
         queue.returned(ended, answered(WORK), ms(1));
         for (next, verdict) in queue.advance(ms(1)) {
-            assert_eq!(verdict, Verdict::Granted(OWNER));
+            assert_eq!(verdict, Admission::Granted(OWNER));
             granted.push(next.number);
             out.push(next.number);
         }
@@ -90,15 +90,15 @@
     for number in 0..3 {
         expect_that!(
             queue.ask(ask(number, 1, 400), ms(0)),
-            eq(Verdict::Granted(OWNER))
+            eq(Admission::Granted(OWNER))
         );
     }
-    expect_that!(queue.ask(ask(3, 1, 400), ms(0)), eq(Verdict::Queued));
+    expect_that!(queue.ask(ask(3, 1, 400), ms(0)), eq(Admission::Queued));
     expect_that!(queue.out(), eq(3));
     queue.returned(asker(0), answered(WORK), ms(90));
     expect_that!(
         queue.advance(ms(90)),
-        elements_are![eq(&(asker(3), Verdict::Granted(OWNER)))]
+        elements_are![eq(&(asker(3), Admission::Granted(OWNER)))]
     );
 }
 
@@ -129,27 +129,33 @@
 fn who_can_not_be_in_time_is_refused_at_once() {
     let mut queue = full_queue();
     // Three are out at two slots: this one would take 1.5 + 0.5 times the work.
-    expect_that!(queue.ask(ask(1, 1, 200), ms(0)), eq(Verdict::Refused));
-    expect_that!(queue.ask(ask(2, 1, 300), ms(0)), eq(Verdict::Queued));
+    expect_that!(queue.ask(ask(1, 1, 200), ms(0)), eq(Admission::Refused));
+    expect_that!(queue.ask(ask(2, 1, 300), ms(0)), eq(Admission::Queued));
 }
 
 #[gtest]
-fn a_late_request_takes_a_slot_that_is_free_and_nobody_else_s() {
+fn a_late_request_only_takes_an_idle_slot() {
     let mut queue = queue();
-    expect_that!(queue.ask(ask(1, 1, 0), ms(0)), eq(Verdict::Granted(OWNER)));
-    expect_that!(queue.ask(ask(2, 1, 10), ms(0)), eq(Verdict::Granted(OWNER)));
-    expect_that!(queue.ask(ask(3, 1, 10), ms(0)), eq(Verdict::Refused));
-    expect_that!(queue.ask(ask(4, 1, 0), ms(0)), eq(Verdict::Queued));
-    expect_that!(queue.ask(ask(5, 1, 900), ms(0)), eq(Verdict::Queued));
+    expect_that!(
+        queue.ask(ask(1, 1, 0), ms(0)),
+        eq(Admission::Granted(OWNER))
+    );
+    expect_that!(
+        queue.ask(ask(2, 1, 10), ms(0)),
+        eq(Admission::Granted(OWNER))
+    );
+    expect_that!(queue.ask(ask(3, 1, 10), ms(0)), eq(Admission::Refused));
+    expect_that!(queue.ask(ask(4, 1, 0), ms(0)), eq(Admission::Queued));
+    expect_that!(queue.ask(ask(5, 1, 900), ms(0)), eq(Admission::Queued));
     queue.returned(asker(1), answered(WORK), ms(50));
     let granted = queue.advance(ms(50));
     expect_that!(
         granted,
-        elements_are![eq(&(asker(5), Verdict::Granted(OWNER)))]
+        elements_are![eq(&(asker(5), Admission::Granted(OWNER)))]
     );
     // It waits for a lull, not until its caller gives up.
     let refused = queue.advance(ms(210));
-    expect_that!(refused, elements_are![eq(&(asker(4), Verdict::Refused))]);
+    expect_that!(refused, elements_are![eq(&(asker(4), Admission::Refused))]);
 }
 
 #[gtest]
@@ -160,7 +166,7 @@
     expect_that!(at, eq(ms(240)));
     expect_that!(
         queue.advance(at),
-        elements_are![eq(&(asker(1), Verdict::Refused))]
+        elements_are![eq(&(asker(1), Admission::Refused))]
     );
     expect_that!(queue.waiting(), eq(0));
 }
@@ -186,7 +192,7 @@
     let mut out: Vec<u64> = (1_000..1_003).collect();
     let mut end_one = |queue: &mut PermitQueue, running, waiting| {
         let load = Some(InstanceLoad { running, waiting });
-        let how = Returned::Answered { took: WORK, load };
+        let how = PermitOutcome::Answered { took: WORK, load };
         queue.returned(asker(out.remove(0)), how, ms(1));
         out.extend(queue.advance(ms(1)).iter().map(|(next, _)| next.number));
         out.len()
@@ -204,14 +210,14 @@
         is_cold: true,
         ..ask(number, 0, 5_000)
     };
-    expect_that!(queue.ask(cold(1), ms(0)), eq(Verdict::Granted(OWNER)));
-    expect_that!(queue.ask(cold(2), ms(0)), eq(Verdict::Granted(OWNER)));
+    expect_that!(queue.ask(cold(1), ms(0)), eq(Admission::Granted(OWNER)));
+    expect_that!(queue.ask(cold(2), ms(0)), eq(Admission::Granted(OWNER)));
     // They get slots that are free, and none ahead of them.
-    expect_that!(queue.ask(cold(3), ms(0)), eq(Verdict::Queued));
-    expect_that!(queue.ask(ask(4, 2, 900), ms(0)), eq(Verdict::Queued));
+    expect_that!(queue.ask(cold(3), ms(0)), eq(Admission::Queued));
+    expect_that!(queue.ask(ask(4, 2, 900), ms(0)), eq(Admission::Queued));
     expect_that!(
         queue.advance(ms(0)),
-        elements_are![eq(&(asker(4), Verdict::Granted(OWNER)))]
+        elements_are![eq(&(asker(4), Admission::Granted(OWNER)))]
     );
     // What they take says nothing of the work of others.
     queue.returned(asker(1), answered(ms(390)), ms(390));
@@ -221,12 +227,12 @@
 #[gtest]
 fn a_repeated_ask_takes_no_second_place() {
     let mut queue = full_queue();
-    expect_that!(queue.ask(ask(1, 1, 900), ms(0)), eq(Verdict::Queued));
-    expect_that!(queue.ask(ask(1, 1, 900), ms(1)), eq(Verdict::Queued));
+    expect_that!(queue.ask(ask(1, 1, 900), ms(0)), eq(Admission::Queued));
+    expect_that!(queue.ask(ask(1, 1, 900), ms(1)), eq(Admission::Queued));
     expect_that!(queue.waiting(), eq(1));
     expect_that!(
         queue.ask(ask(1_000, 1, 900), ms(1)),
-        eq(Verdict::Granted(OWNER))
+        eq(Admission::Granted(OWNER))
     );
     expect_that!(queue.out(), eq(3));
 }
@@ -239,11 +245,11 @@
     expect_that!(queue.advance(ms(999)), is_empty());
     expect_that!(
         queue.advance(ms(1_000)),
-        elements_are![eq(&(asker(1), Verdict::Granted(OWNER)))]
+        elements_are![eq(&(asker(1), Admission::Granted(OWNER)))]
     );
     // Its late return takes nothing away.
     expect_that!(
-        queue.returned(asker(1_000), Returned::NotRun, ms(1_001)),
+        queue.returned(asker(1_000), PermitOutcome::NoSample, ms(1_001)),
         eq(false)
     );
     expect_that!(queue.out(), eq(1));
@@ -274,7 +280,7 @@
     let decided = dispatcher.ask(&urgent, owner, ms(0)).expect("decisions");
     let last = decided.last().expect("a decision");
     expect_that!(last.asker, eq(asker(4)));
-    expect_that!(last.verdict, eq(Verdict::Granted(OWNER)));
+    expect_that!(last.verdict, eq(Admission::Granted(OWNER)));
 }
 
 #[gtest]
@@ -282,11 +288,11 @@
     let mut queue = PermitQueue::of_pool(ms(0));
     queue.replace_servers([server(1), server(2), server(3)]);
     let mut fails = |number: u64, at: u64| {
-        let Verdict::Granted(to) = queue.ask(ask(number, 1, 400), ms(at)) else {
+        let Admission::Granted(to) = queue.ask(ask(number, 1, 400), ms(at)) else {
             panic!("no permit");
         };
         let how = if to == 1 {
-            Returned::Unknown
+            PermitOutcome::Failed
         } else {
             answered(WORK)
         };
@@ -305,12 +311,12 @@
     let mut sent = 0;
     for number in 0..200 {
         let at = ms(number * 5);
-        let Verdict::Granted(to) = queue.ask(ask(number, 1, 400), at) else {
+        let Admission::Granted(to) = queue.ask(ask(number, 1, 400), at) else {
             panic!("no permit");
         };
         sent += u64::from(to == 1);
         let how = match (to == 1, sent % 2) {
-            (true, 0) => Returned::Unknown,
+            (true, 0) => PermitOutcome::Failed,
             (true, _) => answered(ms(5)),
             _ => answered(WORK),
         };
@@ -365,7 +371,7 @@
     let mut refused = |number, urgency| {
         let decided = dispatcher.ask(&owner_ask(number, urgency), owner, ms(1));
         let decided = decided.expect("a decision")[0];
-        assert_eq!(decided.verdict, Verdict::Refused);
+        assert_eq!(decided.verdict, Admission::Refused);
         decided.return_after
     };
     let less_urgent = refused(10, 2);
@@ -388,7 +394,7 @@
     expect_that!(dispatcher.next_deadline(), none());
     dispatcher.expire(ms(11_000));
     expect_that!(
-        dispatcher.returned(OWNER, asker(1), Returned::NotRun, ms(11_000)),
+        dispatcher.returned(OWNER, asker(1), PermitOutcome::NoSample, ms(11_000)),
         is_empty()
     );
 }
@@ -453,16 +459,16 @@
                     };
                     let permit = PermitAsk { is_early, ..ask(number, urgency, to_target) };
                     match queue.ask(permit, now) {
-                        Verdict::Granted(_) => out.push(number),
-                        Verdict::Queued => {
+                        Admission::Granted(_) => out.push(number),
+                        Admission::Queued => {
                             waiting.insert((now + limit, number));
                         }
-                        Verdict::Refused => {}
+                        Admission::Refused => {}
                     }
                 }
                 Message::Return { position, ran } if !out.is_empty() => {
                     let ended = out.remove(position % out.len());
-                    let how = if ran { answered(WORK) } else { Returned::NotRun };
+                    let how = if ran { answered(WORK) } else { PermitOutcome::NoSample };
                     queue.returned(asker(ended), how, now);
                 }
                 Message::Lost { position } if !out.is_empty() => {
@@ -481,7 +487,7 @@
                 let known = waiting.iter().find(|(_, known)| *known == decided.number).copied();
                 prop_assert!(known.is_some(), "decided twice");
                 waiting.remove(&known.expect("known"));
-                if verdict == Verdict::Granted(OWNER) {
+                if verdict == Admission::Granted(OWNER) {
                     out.push(decided.number);
                 }
             }
--- a/crates/ledgelead-router/tests/identity.rs
+++ b/crates/ledgelead-router/tests/identity.rs
@@ -53,4 +53,23 @@
         let stored = serde_json::to_string(&id).expect("a text");
         prop_assert_eq!(serde_json::from_str::<InstanceId>(&stored).expect("a life"), id);
     }
+
+    /// Texts of other nodes are read before they are compared.
+    #[test]
+    fn any_two_texts_are_equal_as_they_are_ordered(
+        first in "[a#01]{0,5}",
+        second in "[a#01]{0,5}",
+    ) {
+        let (first, second) = (InstanceId::parse(&first), InstanceId::parse(&second));
+        prop_assert_eq!(first.cmp(&second).is_eq(), first == second);
+    }
+}
+
+/// Marks in plenty are read without going deep.
+#[gtest]
+fn a_text_of_marks_alone_is_a_name() {
+    let marks = "#".repeat(60_000);
+    expect_that!(InstanceId::parse(&marks).name(), eq(marks.as_str()));
+    expect_that!(InstanceId::parse("a#").name(), eq("a#"));
+    expect_that!(InstanceId::parse("a#").born(), none());
 }
--- a/crates/ledgelead-router/tests/lives.rs
+++ b/crates/ledgelead-router/tests/lives.rs
@@ -13,7 +13,7 @@
 };
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::protections::Protections;
-use ledgelead_router::quarantine::LifeSigns;
+use ledgelead_router::quarantine::UnconfirmedAnswers;
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
 
@@ -342,7 +342,7 @@
 #[gtest]
 fn an_answer_under_an_id_shows_a_life_only_after_a_later_one_would_be_known() {
     let id = InstanceId::of_life("a", 10);
-    let mut signs = LifeSigns::default();
+    let mut signs = UnconfirmedAnswers::default();
     signs.answered(&id, ms(1_000), ms(1_100));
     // Answers that go on don't put it off.
     signs.answered(&id, ms(2_000), ms(2_100));
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -9,7 +9,9 @@
 use ledgelead_router::identity::{InstanceId, ServiceName};
 use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
-use ledgelead_router::peers::{NodeRecord, PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict};
+use ledgelead_router::peers::{
+    NodeRecord, PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict, encode,
+};
 use ledgelead_types::codec::List;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -270,21 +272,21 @@
         return_ms: 0,
     };
     fixture.receive(dispatcher, &message);
-    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NotRun)]);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NoSample)]);
     expect_that!(fixture.attempts.len(), eq(1));
 }
 
 #[gtest]
-fn whoever_leaves_gives_its_place_up() {
+fn a_client_that_leaves_returns_its_permit() {
     let mut fixture = node(contended());
     let client = fixture.ask(KEYED, Some(KEY));
     decide(&mut fixture, PermitVerdict::Queued, 1);
     fixture.step(Input::ClientLeft { client });
-    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NotRun)]);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NoSample)]);
     let client = fixture.ask(KEYED, Some(KEY));
     decide(&mut fixture, PermitVerdict::Granted, 1);
     fixture.step(Input::ClientLeft { client });
-    expect_that!(returns(&fixture)[1], eq(PermitEnd::NotRun));
+    expect_that!(returns(&fixture)[1], eq(PermitEnd::NoSample));
 }
 
 #[gtest]
@@ -294,7 +296,7 @@
     decide(&mut fixture, PermitVerdict::Granted, 1);
     let exchange = fixture.attempts[0].exchange;
     fixture.end(exchange, Err(ExchangeFailure::NotConnected));
-    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NotRun)]);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NoSample)]);
 }
 
 #[gtest]
@@ -307,7 +309,7 @@
     let mut response = Response::new(500, "");
     response.headers.push("signature", "s");
     fixture.answer(exchange, response);
-    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::Unknown)]);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::Failed)]);
 }
 
 #[gtest]
@@ -330,7 +332,7 @@
     fixture.ask(SERVICE, None);
     decide(&mut fixture, PermitVerdict::Granted, 7);
     expect_that!(fixture.attempts.len(), eq(1));
-    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NotRun)]);
+    expect_that!(returns(&fixture), elements_are![eq(&PermitEnd::NoSample)]);
     expect_that!(fixture.sent("permit_ask"), eq(1));
 }
 
@@ -425,7 +427,7 @@
 }
 
 #[gtest]
-fn a_late_word_undoes_no_grant() {
+fn a_decision_after_the_grant_is_ignored() {
     let mut fixture = node(contended());
     // The owner is not there for the moment, so that the permit is kept.
     fixture.ask(KEYED, Some(KEY));
@@ -437,7 +439,7 @@
 }
 
 #[gtest]
-fn a_word_of_another_node_is_none() {
+fn a_decision_of_a_node_that_was_not_asked_is_ignored() {
     let mut fixture = node(contended());
     fixture.ask(KEYED, Some(KEY));
     let (_, ask) = last_ask(&fixture);
@@ -466,3 +468,27 @@
         elements_are![eq(&(1, PermitVerdict::UnknownQueue))]
     );
 }
+
+/// What `docs/design/dispatch.md` says of the messages' sizes.
+#[gtest]
+fn messages_of_permits_keep_their_sizes() {
+    const HEADERS_OF_UDP_AND_IP: usize = 28;
+    let size = |message: &PeerMessage| encode(message).bytes.len() + HEADERS_OF_UDP_AND_IP;
+    let decision = PeerMessage::PermitDecision {
+        number: 1,
+        queue: 2,
+        verdict: PermitVerdict::Granted,
+        server: 3,
+        return_ms: 0,
+    };
+    let returned = PeerMessage::PermitReturn {
+        number: 1,
+        queue: 2,
+        ended: PermitEnd::Answered,
+        took_ms: 70,
+        load: Some((1, 0)),
+    };
+    expect_that!(size(&ask_of(1, 1)), eq(77));
+    expect_that!(size(&decision), eq(58));
+    expect_that!(size(&returned), eq(53));
+}
--- a/crates/ledgelead-router/tests/rejections.rs
+++ b/crates/ledgelead-router/tests/rejections.rs
@@ -25,7 +25,7 @@
     expect_that!(cause(Some(load(3, 1))), eq(RejectionCause::Full));
     expect_that!(cause(Some(load(u32::MAX, 1))), eq(RejectionCause::Full));
     expect_that!(cause(Some(load(3, 0))), eq(RejectionCause::FreeSlots));
-    expect_that!(cause(None), eq(RejectionCause::Untold));
+    expect_that!(cause(None), eq(RejectionCause::NoLoadReported));
 }
 
 /// Whether rejections are common where the first ones of ten instances reject.
--- a/crates/ledgelead-router/tests/repeats/bound.rs
+++ b/crates/ledgelead-router/tests/repeats/bound.rs
@@ -124,7 +124,7 @@
         budget.begin(now);
         // All nodes start at first; whoever starts later has had another life.
         if now > Duration::ZERO {
-            budget.succeed_earlier();
+            budget.note_earlier_life();
         }
         self.lives += 1;
         self.places[node] = Place {
--- a/crates/ledgelead-router/tests/repeats/replay.rs
+++ b/crates/ledgelead-router/tests/repeats/replay.rs
@@ -133,7 +133,7 @@
         });
         budget.begin(now);
         if now > Duration::ZERO {
-            budget.succeed_earlier();
+            budget.note_earlier_life();
         }
         self.nodes[node] = Some(Node {
             budget,
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -303,7 +303,7 @@
     counter(
         registry,
         "permits_missed",
-        "Requests that went on without a permit, since no dispatcher answered",
+        "Requests that had to ask for a permit and went on without one",
         status.permits.missed,
     );
     let decided = Family::<VerdictLabel, Counter>::default();
@@ -320,7 +320,7 @@
     }
     registry.register(
         "dispatched",
-        "What this node has decided as dispatcher",
+        "Decisions as dispatcher; a queued ask counts again as it is granted or refused, an early one as well by what it got",
         decided,
     );
     gauge(
@@ -335,7 +335,7 @@
     gauge(
         registry,
         "held_bytes",
-        "Memory of clients' bodies and of answers that are not written",
+        "Memory of requests and answers in buffers, to and from clients and instances",
         held.bytes as u64,
     );
     counter(
