--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -16,7 +16,7 @@
 use ledgelead_router::io::{Action, ClientId, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
-use ledgelead_router::ownership::record::OwnershipRecord;
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{Datagram, NodeRecord, PeerMessage, decode, encode};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::requests::{BudgetBounds, ColdBound};
@@ -362,6 +362,23 @@
     }
 }
 
+/// A record by which an instance owns all keys of the service that has some.
+pub fn all_keys_of(owner: &str, coordinator: u8) -> OwnershipRecord {
+    OwnershipRecord {
+        epoch: 4,
+        coordinator: Some(node_record(coordinator).identity),
+        next_fence: 9,
+        assignments: vec![Assignment {
+            service: ServiceName::from(KEYED),
+            first: 0,
+            last: u16::MAX,
+            owner: InstanceId::from(owner),
+            fence: 3,
+        }],
+        ..OwnershipRecord::default()
+    }
+}
+
 /// A configuration with a route to each service.
 pub fn configuration(version: u64) -> Configuration {
     let route = |name: &str| {
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -1,14 +1,14 @@
 //! Keys that are asked for more often than their owner can work.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_address, node_record,
+    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
+    node_record,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::{InstanceId, ServiceName};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{DigestEntry, Heartbeat, KeyReport, PeerMessage, WorkReport};
 use ledgelead_router::requests::OverloadedKey;
 use ledgelead_types::codec::List;
@@ -25,19 +25,7 @@
     for number in 0..3 {
         store.add_node(node_record(number));
     }
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: Some(node_record(COORDINATOR).identity),
-        next_fence: 9,
-        assignments: vec![Assignment {
-            service: ServiceName::from(KEYED),
-            first: 0,
-            last: u16::MAX,
-            owner: InstanceId::from("i-1"),
-            fence: 3,
-        }],
-        ..OwnershipRecord::default()
-    });
+    store.own(all_keys_of("i-1", COORDINATOR));
     let mut fixture = Fixture::new(store);
     fixture.run_until(ms(100));
     announce(&mut fixture, Some(100));
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -1,14 +1,14 @@
 //! Requests that wait for permits, and a node as dispatcher.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_address, node_record,
+    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
+    node_record,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::configuration::{Configuration, Route};
-use ledgelead_router::identity::{InstanceId, ServiceName};
+use ledgelead_router::identity::ServiceName;
 use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{
     NodeRecord, PeerMessage, PermitAskEntry, PermitEnd, PermitVerdict, encode,
 };
@@ -43,19 +43,7 @@
     for number in 0..nodes {
         store.add_node(node_record(number));
     }
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: Some(node_record(1).identity),
-        next_fence: 9,
-        assignments: vec![Assignment {
-            service: ServiceName::from(KEYED),
-            first: 0,
-            last: u16::MAX,
-            owner: InstanceId::from("i-1"),
-            fence: 3,
-        }],
-        ..OwnershipRecord::default()
-    });
+    store.own(all_keys_of("i-1", 1));
     store
 }
 
--- a/crates/ledgelead-router/tests/node/rejections.rs
+++ b/crates/ledgelead-router/tests/node/rejections.rs
@@ -1,12 +1,10 @@
 //! Instances that reject requests: full ones, and others although they have free slots.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Sent, Store, configuration, instance, ms, node_record,
+    Fixture, KEYED, SERVICE, Sent, Store, all_keys_of, configuration, instance, ms, node_record,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
-use ledgelead_router::identity::{InstanceId, ServiceName};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use std::net::SocketAddr;
 
 const FREE: &str = "1,0,4";
@@ -128,19 +126,7 @@
 /// How many attempts the owner of a key gets within this time, if it rejects them.
 fn owner_asked(load: &str, millis: u64) -> usize {
     let mut store = store(1, KEYED);
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: Some(node_record(1).identity),
-        next_fence: 9,
-        assignments: vec![Assignment {
-            service: ServiceName::from(KEYED),
-            first: 0,
-            last: u16::MAX,
-            owner: InstanceId::from("i-1"),
-            fence: 3,
-        }],
-        ..OwnershipRecord::default()
-    });
+    store.own(all_keys_of("i-1", 1));
     let mut fixture = Fixture::new(store);
     // Others' requests pay for repeats.
     fixture.run_until(ms(2_000));
--- a/crates/ledgelead-router/tests/node/review.rs
+++ b/crates/ledgelead-router/tests/node/review.rs
@@ -1,10 +1,10 @@
 //! Which attempts that take long are broken off for another.
 
-use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_record};
+use crate::fixture::{
+    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_record,
+};
 use googletest::prelude::*;
 use ledgelead_http::Response;
-use ledgelead_router::identity::{InstanceId, ServiceName};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 
 /// A node that knows two instances of the service without keys, and one owner of
 /// all keys.
@@ -17,19 +17,7 @@
     for number in 0..3 {
         store.add_node(node_record(number));
     }
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: Some(node_record(1).identity),
-        next_fence: 9,
-        assignments: vec![Assignment {
-            service: ServiceName::from(KEYED),
-            first: 0,
-            last: u16::MAX,
-            owner: InstanceId::from("i-3"),
-            fence: 3,
-        }],
-        ..OwnershipRecord::default()
-    });
+    store.own(all_keys_of("i-3", 1));
     let mut fixture = Fixture::new(store);
     fixture.run_until(ms(900));
     fixture
--- a/crates/ledgelead-router/tests/node/zone_traffic.rs
+++ b/crates/ledgelead-router/tests/node/zone_traffic.rs
@@ -1,15 +1,15 @@
 //! What a node counts as exchanged with its own zone and with others.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, configuration, instance, ms, node_address, node_record,
+    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
+    node_record,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::events::Event;
-use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
+use ledgelead_router::identity::ZoneName;
 use ledgelead_router::io::ExchangeFailure;
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{NodeRecord, PeerMessage, encode};
 use ledgelead_router::zone_traffic::{ORDERS, REQUESTS, STORE, ZoneBytes, ZoneTraffic};
 
@@ -31,19 +31,7 @@
         zone: ZoneName::from("b"),
         ..node_record(2)
     });
-    store.own(OwnershipRecord {
-        epoch: 4,
-        coordinator: Some(node_record(1).identity),
-        next_fence: 9,
-        assignments: vec![Assignment {
-            service: ServiceName::from(KEYED),
-            first: 0,
-            last: u16::MAX,
-            owner: InstanceId::from("i-2"),
-            fence: 3,
-        }],
-        ..OwnershipRecord::default()
-    });
+    store.own(all_keys_of("i-2", 1));
     let mut fixture = Fixture::new(store);
     fixture.run_until(ms(900));
     fixture.attempts.clear();
