Failures of instances are counted in one place; what a permit's ask holds isn't held twice

Cause: the dispatcher of a pool counted failures, their share and ejections by a copy of the node's statistics with other numbers; a held permit kept its ask's number and queue beside the ask; the time to repeat an ask and the moment since which a gone instance leaves were computed in two and three places.

Ruled out: one set of numbers for both (behaviour would differ); one level of the budget for a draw by value (the count of nodes is brought up to date between the two).

Change: `failures::Failures` with rules that the two state; `reply_timeout`; `Instance::leave_from`. Behaviour stays as it is.

--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// Its entry is gone. It has been leaving since it began to drain, or else since the view
+    /// was current.
+    fn leave_from(&mut self, current_at: Timestamp, now: Timestamp) {
+        let since = self.leaving_since().unwrap_or(current_at.min(now));
+        self.leave(since, now);
+    }
+
     /// Its entry is gone, and it has been leaving since `since` at the earliest.
     fn leave(&mut self, since: Timestamp, now: Timestamp) {
         let instance = &self.record.id;
@@ -358,8 +365,7 @@
         instance.is_superseded = !instance.ended;
         instance.ended = true;
         if !instance.is_gone() {
-            let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
-            instance.leave(since, now);
+            instance.leave_from(self.current_at, now);
         }
     }
 
@@ -446,7 +452,7 @@
         let Some(instance) = self.instances.get_mut(id) else {
             return;
         };
-        if matches!(instance.presence, Presence::Gone { .. }) {
+        if instance.is_gone() {
             return;
         }
         let outage = now < self.doubt_until && instance.presence == Presence::Serving;
@@ -458,8 +464,7 @@
         if outage {
             self.doubted.insert(id.clone(), self.doubt_until);
         } else {
-            let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
-            instance.leave(since, now);
+            instance.leave_from(self.current_at, now);
         }
     }
 
@@ -477,8 +482,7 @@
         }
         self.changes += 1;
         self.doubted.remove(id);
-        let since = instance.leaving_since().unwrap_or(self.current_at.min(now));
-        instance.leave(since, now);
+        instance.leave_from(self.current_at, now);
     }
 
     /// Entries whose doubt has ended are gone; entries gone for long are
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -2,6 +2,7 @@
 
 use super::queue::InstanceLoad;
 use crate::Timestamp;
+use crate::failures::{FailureRules, Failures};
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -17,22 +18,17 @@
 /// By how much the permits beyond an instance's slots change with an answer: four answers
 /// with idle slots send one request more ahead.
 const AHEAD_STEP: f64 = 0.25;
-/// Failures in a row after which an instance of a pool is ejected.
-const EJECT_AFTER: u32 = 2;
-/// The first ejection's length; it doubles.
-const FIRST_EJECTION: Duration = Duration::from_millis(500);
-/// How often it doubles at most: beyond, the longest holds.
-const MAX_DOUBLINGS: u32 = 3;
-/// Weight of a new outcome in the share of failures of an instance of a pool.
-const OUTCOME_WEIGHT: f64 = 0.15;
+/// What failures of an instance of a pool lead to. A dispatcher sees all requests of its zone
+/// there, so that two failures in a row tell more than at a node that sends a few.
+const FAILURE_RULES: FailureRules = FailureRules {
+    outcome_weight: 0.15,
+    eject_after: 2,
+    first_ejection: Duration::from_millis(500),
+    longest_ejection: Duration::from_secs(4),
+};
 /// Share of failures from which others are preferred: two failures in a row, or one in four
 /// for long.
 const FAILING_SHARE: f64 = 0.25;
-/// Time in which a share of failures without new outcomes halves, so that the instance gets
-/// another chance.
-const FAILURES_HALVE_IN: Duration = Duration::from_secs(3);
-/// The longest ejection.
-const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
 /// An instance as the directory knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,26 +51,10 @@
     work: Option<Duration>,
     /// Permits beyond its slots.
     ahead: f64,
-    failures: u32,
-    failure_share: f64,
-    outcome_at: Timestamp,
-    ejections: u32,
-    ejected_until: Timestamp,
+    failures: Failures,
 }
 
 impl Known {
-    fn failure_share(&self, now: Timestamp) -> f64 {
-        let age = now.saturating_sub(self.outcome_at);
-        let halvings = age.as_secs_f64() / FAILURES_HALVE_IN.as_secs_f64();
-        self.failure_share * 0.5f64.powf(halvings)
-    }
-
-    fn note_outcome(&mut self, failed: f64, now: Timestamp) {
-        let earlier = self.failure_share(now);
-        self.failure_share = earlier + (failed - earlier) * OUTCOME_WEIGHT;
-        self.outcome_at = now;
-    }
-
     fn usable_slots(&self) -> usize {
         match self.is_cold {
             true => self.slots.min(COLD_SLOTS),
@@ -85,6 +65,14 @@
     fn load_with_one_more(&self) -> f64 {
         (self.out + 1) as f64 / self.usable_slots().max(1) as f64
     }
+
+    fn sample(&mut self, work: Duration) {
+        let smoothed = match self.work {
+            Some(earlier) => earlier.mul_f64(1.0 - SAMPLE_WEIGHT) + work.mul_f64(SAMPLE_WEIGHT),
+            None => work,
+        };
+        self.work = Some(smoothed);
+    }
 }
 
 /// What decides between two instances that can both take a request.
@@ -186,12 +174,12 @@
         };
         let ejects = self.ejects && self.ejected(now) * 2 <= self.known.len();
         let candidates = self.known.iter().filter(|(_, known)| {
-            let is_ejected = ejects && known.ejected_until > now;
+            let is_ejected = ejects && known.failures.is_ejected(now);
             can_take(known) && !is_ejected
         });
         let rank = |id: u64, known: &Known| Rank {
             was_tried: tried == Some(id),
-            is_failing: known.failure_share(now) > FAILING_SHARE,
+            is_failing: known.failures.share(now) > FAILING_SHARE,
             load: known.load_with_one_more(),
             work: known.work.unwrap_or(UNKNOWN_WORK),
             id,
@@ -202,7 +190,7 @@
     }
 
     fn ejected(&self, now: Timestamp) -> usize {
-        let is_ejected = |known: &&Known| known.ejected_until > now;
+        let is_ejected = |known: &&Known| known.failures.is_ejected(now);
         self.known.values().filter(is_ejected).count()
     }
 
@@ -223,9 +211,7 @@
     /// An instance has answered, after so much work if that says something of others.
     pub(super) fn answered(&mut self, server: u64, work: Option<Duration>, now: Timestamp) {
         if let Some(known) = self.known.get_mut(&server) {
-            known.note_outcome(0.0, now);
-            known.failures = 0;
-            known.ejections = 0;
+            known.failures.answered(&FAILURE_RULES, now);
             if let Some(work) = work {
                 known.sample(work);
             }
@@ -251,26 +237,8 @@
 
     /// A request there was broken off, or its answer was lost.
     pub(super) fn failed(&mut self, server: u64, now: Timestamp) {
-        let Some(known) = self.known.get_mut(&server) else {
-            return;
-        };
-        known.note_outcome(1.0, now);
-        known.failures += 1;
-        if known.failures >= EJECT_AFTER {
-            let length = FIRST_EJECTION.saturating_mul(1 << known.ejections.min(MAX_DOUBLINGS));
-            known.ejected_until = now + length.min(LONGEST_EJECTION);
-            known.ejections += 1;
-            known.failures = EJECT_AFTER - 1;
+        if let Some(known) = self.known.get_mut(&server) {
+            known.failures.failed(&FAILURE_RULES, now);
         }
     }
 }
-
-impl Known {
-    fn sample(&mut self, work: Duration) {
-        let smoothed = match self.work {
-            Some(earlier) => earlier.mul_f64(1.0 - SAMPLE_WEIGHT) + work.mul_f64(SAMPLE_WEIGHT),
-            None => work,
-        };
-        self.work = Some(smoothed);
-    }
-}
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod evacuation;
 pub mod events;
+mod failures;
 pub mod identity;
 pub mod io;
 pub mod mechanisms;
--- a/crates/ledgelead-router/src/requests/budget.rs
+++ b/crates/ledgelead-router/src/requests/budget.rs
@@ -5,8 +5,7 @@
 //! window before it began. Were they to pay in whole, clients that change nodes would
 //! count at both.
 //!
-//! The slack is
-//! shared by heads, and so that no message is needed for the bound to hold: a life uses
+//! The slack is shared by heads, and no message is needed for the bound to hold: a life uses
 //! its whole share only once it is older than the window. Lives that did so within some
 //! window all lived when it began, thus two of one node are never among them. Each
 //! divides by the most nodes that it has known for minutes, so that those that remain
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -69,7 +69,8 @@
             return;
         };
         let target = open.target();
-        let asked = |permit: &&mut HeldPermit| permit.dispatcher == from && permit.queue == queue;
+        let asked =
+            |permit: &&mut HeldPermit| permit.dispatcher == from && permit.ask.queue == queue;
         let Some(permit) = open.permit.as_mut().filter(asked) else {
             return;
         };
@@ -222,7 +223,7 @@
             return None;
         }
         match &open.permit {
-            Some(permit) if permit.queue == need.queue => match permit.state {
+            Some(permit) if permit.ask.queue == need.queue => match permit.state {
                 PermitState::Granted(_) => None,
                 _ if permit.check_at > context.now => Some(Step::AwaitPermit(permit.check_at)),
                 _ => Some(Step::AskPermit(need)),
@@ -255,7 +256,7 @@
             return;
         };
         if let Some(mut earlier) = open.permit.take() {
-            let is_same = earlier.queue == need.queue && !earlier.is_granted();
+            let is_same = earlier.ask.queue == need.queue && !earlier.is_granted();
             if is_same && earlier.state == PermitState::Asked {
                 if self.permits.repeat(&mut earlier, now) {
                     let until = earlier.check_at;
@@ -269,7 +270,7 @@
             // One that was queued for its whole time is past its target; one whose instance
             // has left meanwhile would get the same again.
             open.without_permit |= is_same && earlier.state == PermitState::Queued;
-            open.without_permit |= earlier.queue == need.queue && earlier.is_granted();
+            open.without_permit |= earlier.ask.queue == need.queue && earlier.is_granted();
             self.permits.give_back(&earlier, PermitOutcome::NoSample);
         }
         let candidates = Candidates::of_queue(need.queue, &need.zone, context.registry);
--- a/crates/ledgelead-router/src/requests/permits.rs
+++ b/crates/ledgelead-router/src/requests/permits.rs
@@ -45,17 +45,13 @@
 /// A permit for a request, or the wait for one.
 #[derive(Clone, Debug)]
 pub struct HeldPermit {
-    /// This node's number for the ask.
-    pub number: u64,
     /// Who hands it out.
     pub dispatcher: SocketAddr,
-    /// Names the queue.
-    pub queue: u64,
     /// How far it is.
     pub state: PermitState,
     /// When something is done about it without a further message.
     pub check_at: Timestamp,
-    /// The ask, to be repeated.
+    /// The ask, with its number and queue; it may be repeated.
     pub ask: Ask,
     /// When it is given up for want of an answer.
     pub give_up_at: Timestamp,
@@ -218,15 +214,12 @@
         let number = self.last_number;
         self.clients.insert(number, client);
         let ask = Ask { number, ..ask };
-        let timeout = REPLY_TIMEOUT.min(ask.to_target.mul_f64(REPLY_SHARE));
         let mut permit = HeldPermit {
-            number,
             dispatcher,
-            queue: ask.queue,
             state: PermitState::Asked,
             check_at: now,
             ask,
-            give_up_at: now + timeout * REPLY_PATIENCE,
+            give_up_at: now + reply_timeout(&ask) * REPLY_PATIENCE,
             asked_at: now,
         };
         self.send_ask(&mut permit, now);
@@ -251,8 +244,7 @@
     fn send_ask(&mut self, permit: &mut HeldPermit, now: Timestamp) {
         let known = self.dispatchers.entry(permit.dispatcher).or_default();
         known.asked_at.get_or_insert(now);
-        let timeout = REPLY_TIMEOUT.min(permit.ask.to_target.mul_f64(REPLY_SHARE));
-        permit.check_at = now + timeout;
+        permit.check_at = now + reply_timeout(&permit.ask);
         let message = PermitMessage::Ask(permit.ask);
         self.outbox.push((permit.dispatcher, message));
     }
@@ -296,8 +288,9 @@
 
     /// Gives a permit back, or the wait for it up.
     pub fn give_back(&mut self, permit: &HeldPermit, how: PermitOutcome) {
-        self.clients.remove(&permit.number);
-        self.give_back_number(permit.dispatcher, permit.number, permit.queue, how);
+        let Ask { number, queue, .. } = permit.ask;
+        self.clients.remove(&number);
+        self.give_back_number(permit.dispatcher, number, queue, how);
     }
 
     /// Gives a permit back that no request waits for any more.
@@ -331,6 +324,11 @@
     }
 }
 
+/// How long an ask waits for an answer before it is repeated.
+fn reply_timeout(ask: &Ask) -> Duration {
+    REPLY_TIMEOUT.min(ask.to_target.mul_f64(REPLY_SHARE))
+}
+
 /// Hash of what makes the tries of a caller's request the same: where it comes from, its
 /// key, and what it asks for. Of the body only the length counts, since it may be large and
 /// callers that send another one under the same path and key are few.
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -1,6 +1,7 @@
 //! What this node has seen of each instance.
 
 use crate::Timestamp;
+use crate::failures::{FailureRules, Failures};
 use crate::identity::InstanceId;
 use crate::peers::SpeedSample;
 use std::collections::HashMap;
@@ -8,17 +9,13 @@
 
 /// Weight of a new sample of the service time.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// Weight of a new outcome in the share of failures.
-const OUTCOME_WEIGHT: f64 = 0.3;
-/// Time in which a share of failures without new outcomes halves, so that the
-/// instance gets another chance.
-const FAILURES_HALVE_IN: Duration = Duration::from_secs(3);
-/// Failures in a row after which an instance is ejected.
-const EJECT_AFTER: u32 = 3;
-/// The first ejection's length; it doubles.
-const FIRST_EJECTION: Duration = Duration::from_millis(700);
-/// The longest ejection.
-const MAX_EJECTION: Duration = Duration::from_secs(5);
+/// What failures of an instance lead to at a node, which sends it a part of its requests.
+const FAILURE_RULES: FailureRules = FailureRules {
+    outcome_weight: 0.3,
+    eject_after: 3,
+    first_ejection: Duration::from_millis(700),
+    longest_ejection: Duration::from_secs(5),
+};
 /// How long an instance's own figure of its load is used.
 const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(400);
 /// How long its own word of its slowness is used; that changes every 400 ms or so.
@@ -46,11 +43,7 @@
     /// This node's open requests there.
     pub open: u32,
     service_time: Option<(Duration, Timestamp)>,
-    failures: u32,
-    failure_share: f64,
-    failure_share_at: Timestamp,
-    ejections: u32,
-    ejected_until: Timestamp,
+    failures: Failures,
     reported: Option<ReportedLoad>,
     /// What answers have shown of its speed since other nodes were told.
     unshared: SpeedSample,
@@ -71,9 +64,7 @@
     /// An answer came after `latency`; `load_factor` is the number of requests
     /// for each slot, this one with them, as it was sent.
     pub fn answered(&mut self, latency: Duration, load_factor: f64, now: Timestamp) {
-        self.failures = 0;
-        self.ejections = 0;
-        self.note_outcome(0.0, now);
+        self.failures.answered(&FAILURE_RULES, now);
         let slowness = self.reported.and_then(|load| load.slowness);
         let slowness = slowness.map_or(1.0, |percent| f64::from(percent.max(1)) / 100.0);
         let sample = latency.div_f64(load_factor.max(1.0) * slowness);
@@ -90,34 +81,17 @@
 
     /// An attempt failed there.
     pub fn failed(&mut self, now: Timestamp) {
-        self.note_outcome(1.0, now);
-        self.failures += 1;
-        if self.failures >= EJECT_AFTER {
-            let length = FIRST_EJECTION
-                .saturating_mul(1 << self.ejections.min(6))
-                .min(MAX_EJECTION);
-            self.ejected_until = now + length;
-            self.ejections += 1;
-            self.failures = EJECT_AFTER - 1;
-        }
+        self.failures.failed(&FAILURE_RULES, now);
     }
 
     /// It turned a request away without running it.
     pub fn shed(&mut self, now: Timestamp) {
-        self.note_outcome(1.0, now);
-    }
-
-    fn note_outcome(&mut self, failed: f64, now: Timestamp) {
-        let earlier = self.failure_share(now);
-        self.failure_share = earlier + (failed - earlier) * OUTCOME_WEIGHT;
-        self.failure_share_at = now;
+        self.failures.rejected(&FAILURE_RULES, now);
     }
 
     /// The share of lately sent requests that failed there, 0 to 1.
     pub fn failure_share(&self, now: Timestamp) -> f64 {
-        let age = now.saturating_sub(self.failure_share_at);
-        let halvings = age.as_secs_f64() / FAILURES_HALVE_IN.as_secs_f64();
-        self.failure_share * 0.5f64.powf(halvings)
+        self.failures.share(now)
     }
 
     /// The instance told its load.
@@ -141,12 +115,12 @@
 
     /// Whether it is passed over for now.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
-        self.ejected_until > now
+        self.failures.is_ejected(now)
     }
 
     /// Until when it is passed over.
     pub fn ejected_until(&self) -> Timestamp {
-        self.ejected_until
+        self.failures.ejected_until()
     }
 
     /// The smoothed time of work for one request.
