--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -379,6 +379,34 @@
     }
 }
 
+/// Instances 1 and 2 without keys, 3 and 4 with keys, two nodes; nobody owns a key.
+pub fn vacant_store() -> Store {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in 1..=4 {
+        let service = if number <= 2 { SERVICE } else { KEYED };
+        store.add_instance(instance(number, service));
+    }
+    store.add_node(node_record(0));
+    store.add_node(node_record(1));
+    store.vacate();
+    store
+}
+
+/// Instances 1 and 2 without keys, instance 3 as the owner of all keys, three nodes.
+pub fn owned_store(configuration: Configuration) -> Store {
+    let mut store = Store::default();
+    store.configure(configuration);
+    store.add_instance(instance(1, SERVICE));
+    store.add_instance(instance(2, SERVICE));
+    store.add_instance(instance(3, KEYED));
+    for number in 0..3 {
+        store.add_node(node_record(number));
+    }
+    store.own(all_keys_of("i-3", 1));
+    store
+}
+
 /// A configuration with a route to each service.
 pub fn configuration(version: u64) -> Configuration {
     let route = |name: &str| {
--- a/crates/ledgelead-router/tests/node/foreign.rs
+++ b/crates/ledgelead-router/tests/node/foreign.rs
@@ -1,7 +1,8 @@
 //! Entries of the store that another writer made.
 
-use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms};
-use crate::fixture::{node_address, node_record};
+use crate::fixture::{
+    Fixture, KEYED, SERVICE, instance, ms, node_address, node_record, vacant_store,
+};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::dialect::{ObjectContent, ObjectKind};
@@ -16,20 +17,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// Instances 1 and 2 without keys, 3 and 4 with keys, two nodes.
-fn store() -> Store {
-    let mut store = Store::default();
-    store.configure(configuration(1));
-    for number in 1..=4 {
-        let service = if number <= 2 { SERVICE } else { KEYED };
-        store.add_instance(instance(number, service));
-    }
-    store.add_node(node_record(0));
-    store.add_node(node_record(1));
-    store.vacate();
-    store
-}
-
 /// Where requests go.
 fn used(fixture: &mut Fixture, service: &str) -> BTreeSet<SocketAddr> {
     fixture.attempts.clear();
@@ -72,7 +59,7 @@
 
 #[gtest]
 fn an_entry_that_becomes_foreign_names_no_instance_and_comes_back() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     expect_that!(used(&mut fixture, SERVICE).len(), eq(2));
     fixture.store.spoil(ObjectKind::Instances, "i-1");
@@ -89,7 +76,7 @@
 
 #[gtest]
 fn keys_of_an_owner_whose_entry_becomes_foreign_move() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 4_000);
     let owner = InstanceId::from("i-3");
     let owned = (0..=u16::MAX).find(|key| fixture.owner_of(*key).as_ref() == Some(&owner));
@@ -102,7 +89,7 @@
 
 #[gtest]
 fn a_foreign_entry_ends_no_life_at_its_address_and_a_good_one_does() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     fixture.store.spoil(ObjectKind::Instances, "i-9");
     fixture.change_watched(ObjectKind::Instances);
@@ -121,7 +108,7 @@
 
 #[gtest]
 fn a_list_with_foreign_entries_leaves_the_others() {
-    let mut store = store();
+    let mut store = vacant_store();
     store.spoil(ObjectKind::Instances, "i-1");
     store.spoil(ObjectKind::Instances, "");
     store.spoil(ObjectKind::Nodes, "i-2");
@@ -141,7 +128,7 @@
 
 #[gtest]
 fn a_foreign_object_of_another_kind_that_goes_removes_no_instance() {
-    let mut store = store();
+    let mut store = vacant_store();
     store.spoil(ObjectKind::Nodes, "i-2");
     let mut fixture = Fixture::coordinating(store);
     settle(&mut fixture, 3_000);
@@ -154,7 +141,7 @@
 #[gtest]
 fn what_is_foreign_is_relayed_as_gone_whether_told_or_listed() {
     for lists in [false, true] {
-        let mut fixture = Fixture::coordinating(store());
+        let mut fixture = Fixture::coordinating(vacant_store());
         settle(&mut fixture, 3_000);
         fixture.datagrams.clear();
         fixture.store.spoil(ObjectKind::Instances, "i-1");
@@ -182,7 +169,7 @@
 
 #[gtest]
 fn a_change_that_names_nothing_is_told_as_an_empty_list() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     fixture.datagrams.clear();
     fixture.store.spoil(ObjectKind::Instances, "");
@@ -214,7 +201,7 @@
         entry(u32::MAX, "10.0.1.1:8000"),
         entry(2, "x"),
     ] {
-        let mut store = store();
+        let mut store = vacant_store();
         store.own(OwnershipRecord {
             epoch: 4,
             coordinator: Some(node_record(1).identity),
@@ -248,7 +235,7 @@
 
 #[gtest]
 fn a_long_entry_leaves_room_for_the_others_of_its_datagram() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     fixture.datagrams.clear();
     for number in 10..18 {
@@ -265,7 +252,7 @@
 
 #[gtest]
 fn a_finding_is_counted_each_time() {
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     for _ in 0..5 {
         fixture.store.spoil(ObjectKind::Instances, "i-1");
@@ -287,7 +274,7 @@
 
 #[gtest]
 fn a_record_that_cannot_be_read_confirms_no_coordinator() {
-    let mut store = store();
+    let mut store = vacant_store();
     store.answers_changes = true;
     let mut fixture = Fixture::coordinating(store);
     settle(&mut fixture, 12_000);
@@ -299,7 +286,7 @@
 
 #[gtest]
 fn a_foreign_object_beside_the_record_leaves_the_coordinator_its_place() {
-    let mut store = store();
+    let mut store = vacant_store();
     store.answers_changes = true;
     let mut fixture = Fixture::coordinating(store);
     fixture.store.spoil(ObjectKind::Ownership, "other");
@@ -332,7 +319,7 @@
 fn a_finding_is_logged_once_until_its_object_reads_well_again() {
     log::set_logger(&CountFindings).expect("the only logger");
     log::set_max_level(log::LevelFilter::Error);
-    let mut fixture = Fixture::coordinating(store());
+    let mut fixture = Fixture::coordinating(vacant_store());
     settle(&mut fixture, 3_000);
     FINDINGS.set(0);
     for round in 1..=3 {
@@ -370,7 +357,7 @@
         "NaN,inf,1e300".to_owned(),
     ];
     for load in loads {
-        let mut fixture = Fixture::new(store());
+        let mut fixture = Fixture::new(vacant_store());
         fixture.run_until(ms(900));
         for _ in 0..6 {
             fixture.ask(SERVICE, None);
@@ -388,7 +375,7 @@
 
 #[gtest]
 fn a_record_of_another_name_gives_nothing_away() {
-    let mut store = store();
+    let mut store = vacant_store();
     store.put(
         ObjectKind::Evacuations,
         "",
--- a/crates/ledgelead-router/tests/node/hostile.rs
+++ b/crates/ledgelead-router/tests/node/hostile.rs
@@ -1,7 +1,6 @@
 //! Datagrams and answers of any content: a node goes on.
 
-use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms};
-use crate::fixture::{node_address, node_record};
+use crate::fixture::{Fixture, KEYED, SERVICE, ms, node_address, vacant_store};
 use ledgelead_http::Response;
 use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::ServiceName;
@@ -17,20 +16,6 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-/// Instances 1 and 2 without keys, 3 and 4 with keys, two nodes.
-fn store() -> Store {
-    let mut store = Store::default();
-    store.configure(configuration(1));
-    for number in 1..=4 {
-        let service = if number <= 2 { SERVICE } else { KEYED };
-        store.add_instance(instance(number, service));
-    }
-    store.add_node(node_record(0));
-    store.add_node(node_record(1));
-    store.vacate();
-    store
-}
-
 /// Small numbers, which fit what the node knows, and the ends of the range.
 fn number() -> impl Strategy<Value = u64> {
     prop_oneof![
@@ -513,7 +498,7 @@
         coordinates in any::<bool>(),
         happenings in prop::collection::vec(happening(), 1..10),
     ) {
-        let mut fixture = Fixture::new(store());
+        let mut fixture = Fixture::new(vacant_store());
         fixture.run_until(ms(if coordinates { 3_000 } else { 600 }));
         for happening in happenings {
             happen(&mut fixture, happening);
--- a/crates/ledgelead-router/tests/node/incomplete.rs
+++ b/crates/ledgelead-router/tests/node/incomplete.rs
@@ -1,8 +1,6 @@
 //! Requests that no instance has received whole.
 
-use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_record,
-};
+use crate::fixture::{Fixture, KEYED, SERVICE, configuration, ms, owned_store};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::configuration::{Repeatability, Route};
@@ -12,7 +10,6 @@
 /// A node with two instances of the service without keys and an owner of all keys;
 /// requests run at most once.
 fn node() -> Fixture {
-    let mut store = Store::default();
     let mut once = configuration(1);
     for route in &mut once.routes {
         *route = Arc::new(Route {
@@ -20,15 +17,7 @@
             ..(**route).clone()
         });
     }
-    store.configure(once);
-    store.add_instance(instance(1, SERVICE));
-    store.add_instance(instance(2, SERVICE));
-    store.add_instance(instance(3, KEYED));
-    for number in 0..3 {
-        store.add_node(node_record(number));
-    }
-    store.own(all_keys_of("i-3", 1));
-    let mut fixture = Fixture::new(store);
+    let mut fixture = Fixture::new(owned_store(once));
     fixture.run_until(ms(900));
     fixture.attempts.clear();
     fixture
--- a/crates/ledgelead-router/tests/node/review.rs
+++ b/crates/ledgelead-router/tests/node/review.rs
@@ -1,24 +1,13 @@
 //! Which attempts that take long are broken off for another.
 
-use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_record,
-};
+use crate::fixture::{Fixture, KEYED, SERVICE, configuration, ms, owned_store};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 
 /// A node that knows two instances of the service without keys, and one owner of
 /// all keys.
 fn node() -> Fixture {
-    let mut store = Store::default();
-    store.configure(configuration(1));
-    store.add_instance(instance(1, SERVICE));
-    store.add_instance(instance(2, SERVICE));
-    store.add_instance(instance(3, KEYED));
-    for number in 0..3 {
-        store.add_node(node_record(number));
-    }
-    store.own(all_keys_of("i-3", 1));
-    let mut fixture = Fixture::new(store);
+    let mut fixture = Fixture::new(owned_store(configuration(1)));
     fixture.run_until(ms(900));
     fixture
 }
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -194,15 +194,20 @@
     expect_that!(fixture.send(&mut next, &head(UPLOAD)).len(), eq(0));
 }
 
+/// More clients than fit begin to upload a body of this length each.
+fn begin_uploads(fixture: &mut Fixture, length: usize) -> Vec<Client> {
+    let begin = |_| {
+        let mut client = fixture.connect();
+        fixture.send(&mut client, &head(length));
+        client
+    };
+    (0..70).map(begin).collect()
+}
+
 #[gtest]
 fn a_request_without_a_body_is_taken_while_uploads_are_refused() {
     let mut fixture = Fixture::new(Some(MEMORY));
-    let mut clients = Vec::new();
-    for _ in 0..70 {
-        let mut client = fixture.connect();
-        fixture.send(&mut client, &head(UPLOAD));
-        clients.push(client);
-    }
+    let _clients = begin_uploads(&mut fixture, UPLOAD);
     let mut other = fixture.connect();
     let events = fixture.send(&mut other, b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     expect_that!(
@@ -230,15 +235,8 @@
     chunk.resize(chunk.len() + 0x2000, b'x');
     chunk.extend_from_slice(b"\r\n");
     expect_that!(fixture.send(&mut chunked, &chunk).len(), eq(0));
-    let mut clients = Vec::new();
     // Smaller ones fill what large ones leave.
-    for length in [UPLOAD, UPLOAD / 10] {
-        for _ in 0..70 {
-            let mut client = fixture.connect();
-            fixture.send(&mut client, &head(length));
-            clients.push(client);
-        }
-    }
+    let _clients = [UPLOAD, UPLOAD / 10].map(|length| begin_uploads(&mut fixture, length));
     let mut events = Vec::new();
     let mut chunks = 0;
     while events.is_empty() && chunks < 20 {
@@ -251,12 +249,7 @@
 #[gtest]
 fn a_client_is_not_told_to_send_what_does_not_fit() {
     let mut fixture = Fixture::new(Some(MEMORY));
-    let mut clients = Vec::new();
-    for _ in 0..70 {
-        let mut client = fixture.connect();
-        fixture.send(&mut client, &head(UPLOAD));
-        clients.push(client);
-    }
+    let _clients = begin_uploads(&mut fixture, UPLOAD);
     let mut polite = fixture.connect();
     let request =
         b"POST /upload HTTP/1.1\r\nContent-Length: 1000000\r\nExpect: 100-continue\r\n\r\n";
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -208,6 +208,17 @@
     fixture.outbound.ready(fixture.key, fixture.start, inputs);
 }
 
+/// Polls until the instance has received the first bytes of the request. Returns what came.
+fn poll_until_request_arrives(fixture: &mut Fixture) -> Vec<Input> {
+    let mut inputs = Vec::new();
+    let mut buffer = [0; 1];
+    fixture.peer.set_nonblocking(true).expect("a socket");
+    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
+        poll(fixture, &mut inputs);
+    }
+    inputs
+}
+
 /// The other side closes with bytes unread, which resets the connection.
 fn replace_peer(fixture: &mut Fixture) -> std::net::TcpStream {
     let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -246,12 +257,7 @@
 #[gtest]
 fn a_reset_after_the_last_byte_proves_nothing() {
     let mut fixture = fixture_with(Vec::new(), unsettled());
-    let mut inputs = Vec::new();
-    let mut buffer = [0; 1];
-    fixture.peer.set_nonblocking(true).expect("a socket");
-    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
-        poll(&mut fixture, &mut inputs);
-    }
+    poll_until_request_arrives(&mut fixture);
     drop(replace_peer(&mut fixture));
     expect_that!(end_of(&mut fixture, poll), eq(ExchangeFailure::Lost));
 }
@@ -304,12 +310,7 @@
             ..unsettled()
         },
     );
-    let mut inputs = Vec::new();
-    let mut buffer = [0; 1];
-    fixture.peer.set_nonblocking(true).expect("a socket");
-    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
-        poll(&mut fixture, &mut inputs);
-    }
+    let mut inputs = poll_until_request_arrives(&mut fixture);
     fixture.outbound.expire(fixture.start + SETTLE, &mut inputs);
     expect_that!(inputs, is_empty());
     fixture
@@ -329,12 +330,7 @@
 #[gtest]
 fn a_kept_connection_that_is_found_closed_proves_that_nothing_was_sent() {
     let mut fixture = fixture_with(Vec::new(), unsettled());
-    let mut inputs = Vec::new();
-    let mut buffer = [0; 1];
-    fixture.peer.set_nonblocking(true).expect("a socket");
-    while !matches!(fixture.peer.peek(&mut buffer), Ok(1)) {
-        poll(&mut fixture, &mut inputs);
-    }
+    let mut inputs = poll_until_request_arrives(&mut fixture);
     let mut request = [0; 4_096];
     let count = fixture.peer.read(&mut request).expect("the request");
     expect_that!(request[..count].ends_with(b"\r\n\r\n"), eq(true));
