Logs and metrics show what instances say of themselves in answers

Whether an answer said that its instance leaves, or asked for a pause, could not be seen: the log of an attempt has neither. So an answer that was not read could not be told from one whose statement was lost or overridden.

Answers to requests are read for both; what is new is logged once (instance_notice), all are counted (instance_notices_total). Nothing decides by it yet.

--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -77,6 +77,7 @@
         instance: name("instance"),
         key: name("key"),
         retry_after: name("retry-after"),
+        leaving: name("leaving"),
     }
 }
 
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -299,8 +299,10 @@
     pub instance: String,
     /// The key of a request.
     pub key: String,
-    /// When a client may come back, in seconds.
+    /// When a client, or a node, may come back, in seconds.
     pub retry_after: String,
+    /// The instance that answers is about to leave.
+    pub leaving: String,
 }
 
 /// Translates between a platform and the router.
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -96,6 +96,18 @@
         /// The instance.
         instance: &'a InstanceId,
     },
+    /// An instance says in an answer that it leaves, or asks for a pause, and has not done
+    /// so before.
+    InstanceNotice {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Whether it is about to leave.
+        leaving: bool,
+        /// Milliseconds in which it wants no requests of this node.
+        backoff_ms: Option<u64>,
+        /// What it answered to: a request or an order.
+        answered: &'static str,
+    },
     /// An instance's entry is gone.
     InstanceGone {
         /// The instance.
@@ -259,6 +271,7 @@
             Event::ConfigurationInForce { .. } => "configuration",
             Event::InstanceRegistered { .. }
             | Event::InstanceDrains { .. }
+            | Event::InstanceNotice { .. }
             | Event::Evacuated { .. }
             | Event::InstanceGone { .. } => "instances",
             Event::StoreFails { .. }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -12,6 +12,7 @@
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
+use crate::requests::notice::Notice;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{Verdict, tells_failure};
 use crate::requests::rejection_cause::RejectionCause;
@@ -334,6 +335,7 @@
                 let rejected = is_rejection(response, context);
                 cause = rejected.then(|| rejection_cause(load.as_ref(), instance));
                 let counts = self.note_rejection(attempt, cause, context);
+                self.note_notice(&attempt.instance, response, context);
                 let seen = self.statistics.entry(&attempt.instance);
                 seen.heard(now);
                 if cause.is_some() && counts {
@@ -366,6 +368,31 @@
         cause
     }
 
+    /// Notes what an instance says of itself in an answer to a request.
+    fn note_notice(
+        &mut self,
+        instance: &InstanceId,
+        response: &Response,
+        context: &RequestContext<'_>,
+    ) {
+        let notice = Notice::read(response, context.headers);
+        if notice == Notice::default() {
+            return;
+        }
+        let counts = &mut self.counters.notices;
+        *counts.entry("leaving").or_default() += u64::from(notice.leaving);
+        *counts.entry("backoff").or_default() += u64::from(notice.backoff.is_some());
+        if self.statistics.entry(instance).noticed(notice, context.now) {
+            let noticed = Event::InstanceNotice {
+                instance,
+                leaving: notice.leaving,
+                backoff_ms: notice.backoff.map(whole_millis),
+                answered: "request",
+            };
+            noticed.emit();
+        }
+    }
+
     /// A connection that ends as soon as a request is sent on it had perhaps
     /// been forgotten by the instance.
     pub(super) fn learn_of_connection(
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -101,6 +101,8 @@
     pub refused: BTreeMap<&'static str, u64>,
     /// Repeats that were asked for, by what became of them.
     pub repeats: BTreeMap<&'static str, u64>,
+    /// Answers in which instances said that they leave, or asked for a pause.
+    pub notices: BTreeMap<&'static str, u64>,
 }
 
 /// All open requests.
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod lifecycle;
 mod node_count;
+mod notice;
 mod open_request;
 mod outcome;
 mod overload;
@@ -27,6 +28,7 @@
 pub use lifecycle::{
     CrashSigns, Declined, PermitDecision, RequestContext, RequestCounters, Requests,
 };
+pub use notice::Notice;
 pub use open_request::Misdirection;
 pub use outcome::{Verdict, judge};
 pub use overload::{OverloadedKey, Overloads};
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -4,6 +4,7 @@
 use crate::failures::{FailureRules, Failures};
 use crate::identity::InstanceId;
 use crate::peers::SpeedSample;
+use crate::requests::notice::Notice;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -48,6 +49,10 @@
     /// What answers have shown of its speed since other nodes were told.
     unshared: SpeedSample,
     last_answer: Option<Timestamp>,
+    /// Whether it has said that it leaves.
+    leaving: bool,
+    /// Until when it wants no requests of this node.
+    backoff_until: Timestamp,
 }
 
 impl Statistics {
@@ -100,6 +105,17 @@
         self.reported = Some(load);
     }
 
+    /// An answer said this of the instance. Returns whether that is new.
+    pub fn noticed(&mut self, notice: Notice, now: Timestamp) -> bool {
+        let leaves = notice.leaving && !self.leaving;
+        let pauses = notice.backoff.is_some() && self.backoff_until <= now;
+        self.leaving |= notice.leaving;
+        if let Some(backoff) = notice.backoff {
+            self.backoff_until = self.backoff_until.max(now + backoff);
+        }
+        leaves || pauses
+    }
+
     /// What answers have shown of its speed since the last call.
     pub fn take_unshared(&mut self) -> SpeedSample {
         std::mem::take(&mut self.unshared)
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -292,6 +292,7 @@
         instance: name("instance"),
         key: name("key"),
         retry_after: name("retry-after"),
+        leaving: name("leaving"),
     }
 }
 
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -184,6 +184,7 @@
     }
     registry.register("refusals", "Own answers by reason", refused);
     register_repeats(&mut registry, status);
+    register_notices(&mut registry, status);
     register_calls(&mut registry, status);
     register_quarantine(&mut registry, status);
     register_unreadable(&mut registry, status);
@@ -211,6 +212,18 @@
     );
 }
 
+fn register_notices(registry: &mut Registry, status: &NodeStatus) {
+    let notices = Family::<KindLabel, Counter>::default();
+    for (kind, count) in &status.requests.notices {
+        notices.get_or_create(&KindLabel { kind }).inc_by(*count);
+    }
+    registry.register(
+        "instance_notices",
+        "Answers in which instances said that they leave, or asked for a pause",
+        notices,
+    );
+}
+
 fn register_calls(registry: &mut Registry, status: &NodeStatus) {
     let calls = Family::<CallLabel, Counter>::default();
     for (call, count) in &status.store_calls_by {
