Nodes that start without a coordinator confirm their first list before they go by it

What was seen: all nodes were killed, an instance began to drain meanwhile, and for 1.2 s the nodes that started sent it work, 0.68 s after its bound of 2 s.

Cause: a first list may be some seconds old, which a coordinator's heartbeat corrects within 200 ms. Where nobody coordinates, the first watch did so, after its pause of 1.2 s, and nothing said how old the list was until then. Ruled out: foreign entries (the same without them), and the order of lists.

Now a request that comes before the list is confirmed makes the node ask the store for the changes since, without a wait, and waits for that, 40 ms at most; a list that nothing confirms within that is used, since a slow store is no reason to refuse. A node that hears a coordinator asks nothing more.

Why it holds: work begins by a view that is confirmed, by the store or a coordinator, unless the store answers more slowly than 40 ms.

--- a/crates/ledgelead-lab/tests/fleet_foreign.rs
+++ b/crates/ledgelead-lab/tests/fleet_foreign.rs
@@ -95,3 +95,11 @@
     let found = kinds(Protection::ForeignUnused);
     expect_that!(found, contains(eq(&ViolationKind::NoNewWorkAfterLeave)));
 }
+
+#[gtest]
+fn the_checker_sees_work_by_a_first_list_that_nothing_confirms() {
+    let protections = Protections::without(Protection::ConfirmedView);
+    let (report, _) = play(drawn_foreign, 279..=279, NODES, protections, false);
+    let found: Vec<ViolationKind> = report.violations.iter().map(|found| found.kind).collect();
+    expect_that!(found, contains(eq(&ViolationKind::NoNewWorkAfterLeave)));
+}
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory.rs
@@ -241,6 +241,12 @@
         }
     }
 
+    /// Whether it is known of some time that all acknowledged before is known here. A first
+    /// list that may be stale shows none.
+    pub fn is_confirmed(&self) -> bool {
+        self.current_at > Timestamp::ZERO
+    }
+
     /// All that the store acknowledged before `at` is known here. What is
     /// learned later has happened since.
     pub fn note_current(&mut self, at: Timestamp) {
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod coordination;
 mod dispatch;
+mod first_view;
 mod gossip;
 mod heartbeat;
 mod load_hub;
@@ -74,6 +75,8 @@
     evacuations: Evacuations,
     quarantine: Quarantine,
     unreadable: UnreadableObjects,
+    /// By when the first list of instances has to be confirmed, if requests wait for that.
+    confirmed_by: Option<Timestamp>,
     traffic: PeerTraffic,
     zone_traffic: ZoneTraffic,
     stopping: bool,
@@ -106,6 +109,7 @@
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
             unreadable: UnreadableObjects::default(),
+            confirmed_by: None,
             traffic: PeerTraffic::default(),
             zone_traffic: ZoneTraffic::default(),
             stopping: false,
@@ -162,6 +166,7 @@
                 source,
                 request,
             } => {
+                self.confirm_first_view(now);
                 let (requests, mut context) = self.requests_and_context(now);
                 requests.arrived(client, source, request, &mut context, out);
             }
@@ -276,6 +281,7 @@
 
     fn reconsider_waiting(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         if self.requests.has_waiting() {
+            self.confirm_first_view(now);
             let (requests, mut context) = self.requests_and_context(now);
             requests.reconsider(&mut context, out);
         }
@@ -284,6 +290,7 @@
     fn requests_and_context(&mut self, now: Timestamp) -> (&mut Requests, RequestContext<'_>) {
         let context = RequestContext {
             now,
+            unconfirmed_until: self.unconfirmed_until(now),
             configuration: self.configuration.as_ref(),
             routes: &self.routes,
             directory: &self.directory,
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -155,7 +155,11 @@
         if kind == ObjectKind::Instances
             && let Some(as_of) = self.store.watcher(kind).as_of()
         {
+            let was_confirmed = self.directory.is_confirmed();
             self.directory.note_current(as_of);
+            if !was_confirmed {
+                self.reconsider_waiting(now, out);
+            }
         }
     }
 
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -32,13 +32,15 @@
     ForeignUnused,
     /// A later life of an instance is not taken for the earlier one.
     LivesApart,
+    /// Work goes by a first list that may be stale only once it is confirmed.
+    ConfirmedView,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 14] = [
+    pub const SABOTAGES: [(&'static str, Protection); 15] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -50,6 +52,7 @@
         ("keep-no-evidence", Protection::KeptEvidence),
         ("acquit-nobody", Protection::Acquittal),
         ("one-life", Protection::LivesApart),
+        ("trust-first-list", Protection::ConfirmedView),
         ("know-by-path", Protection::WholeIdentity),
         ("drop-with-foreign", Protection::ForeignApart),
         ("use-foreign", Protection::ForeignUnused),
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -61,6 +61,13 @@
                 return Step::Refuse(open.failure());
             }
         }
+        // By a list from before an instance began to leave it would still get work.
+        if let Some(until) = context.unconfirmed_until {
+            return Step::Wait {
+                again: Some(until),
+                reason: Refusal::NotConfigured,
+            };
+        }
         let Some(key) = open.key else {
             return self.next_step_any(client, context);
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -58,6 +58,8 @@
 pub struct RequestContext<'a> {
     /// The time.
     pub now: Timestamp,
+    /// Until when requests wait for the first view of the instances to be confirmed.
+    pub unconfirmed_until: Option<Timestamp>,
     /// The configuration, once one is known.
     pub configuration: Option<&'a Configuration>,
     /// Its routes.
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -14,6 +14,9 @@
 /// already, and after a failed call, whose successor only has to show that the
 /// store serves.
 const PROMPT_WAIT: Duration = Duration::from_millis(50);
+/// How long the store may wait for a change in a call that has to confirm a first list:
+/// requests wait for its answer.
+const CONFIRMING_WAIT: Duration = Duration::from_millis(1);
 /// Pause between an answer and a call for what another node has seen; many
 /// changes in a row are told by few calls.
 const POKE_PAUSE: Duration = Duration::from_millis(400);
@@ -92,6 +95,10 @@
     poked: bool,
     /// Whether the next call is to tell at once how things are.
     prompt: bool,
+    /// Whether requests wait for the next answer, since the first list may be stale.
+    confirming: bool,
+    /// When the first watch is due that no request waits for.
+    first_watch: Timestamp,
     /// Whether no list is complete yet.
     is_first: bool,
     /// Whether the first list may be some seconds old.
@@ -116,6 +123,8 @@
             paused: false,
             poked: false,
             prompt: false,
+            confirming: false,
+            first_watch: Timestamp::ZERO,
             is_first: true,
             first_may_be_stale: true,
         }
@@ -163,6 +172,20 @@
         self.hasten(now);
     }
 
+    /// Asks the store at once for what has changed since a first list that may be stale.
+    /// Returns when that was asked: a watch that is out is answered as soon as there is a
+    /// change.
+    pub fn confirm(&mut self, now: Timestamp) -> Timestamp {
+        match self.call {
+            Some((began, _)) if self.in_flight => began,
+            _ => {
+                self.confirming = true;
+                self.hasten(now);
+                now
+            }
+        }
+    }
+
     /// The next call is not due before this time, if none is out.
     pub fn defer(&mut self, until: Timestamp) {
         self.next_call = self.next_call.max(until);
@@ -246,7 +269,9 @@
             // this node's last call are forgotten.
             self.position = Position::start();
         }
-        let wait = if self.paused || self.failures > 0 || self.prompt {
+        let wait = if self.confirming {
+            CONFIRMING_WAIT
+        } else if self.paused || self.failures > 0 || self.prompt {
             PROMPT_WAIT
         } else {
             self.pace.wait
@@ -356,33 +381,42 @@
         }
         self.as_of = (!self.lists_stale() && !more).then_some(self.list_began);
         if self.is_first {
-            self.next_call = now + FIRST_WATCH_PAUSE;
+            self.first_watch = now + FIRST_WATCH_PAUSE;
+            self.next_call = self.first_watch;
         }
         self.is_first = false;
         WatchChange::All(all)
     }
 
     fn changed(&mut self, events: Vec<ObjectEvent>, revision: u64, now: Timestamp) -> WatchChange {
+        let confirms = self.confirming;
         self.succeeded(now);
         let Position::Watching { revision: known } = &mut self.position else {
             return WatchChange::Unchanged;
         };
-        if revision < *known {
-            // Another node has told later changes meanwhile.
-            return WatchChange::Unchanged;
-        }
-        *known = revision;
         self.as_of = self.call.map(|(began, wait)| {
             // Without a change the store has waited to the end.
             let waited = events.is_empty() && began + wait <= now;
             if waited { began + wait } else { began }
         });
-        if events.is_empty() {
-            self.next_call = now + self.pace.after_nothing;
+        if revision < *known {
+            // Another node has told later changes meanwhile, and all before them.
             return WatchChange::Unchanged;
         }
-        self.next_call = now + self.pace.after_events;
-        WatchChange::Events(events)
+        *known = revision;
+        let pause = match events.is_empty() {
+            true => self.pace.after_nothing,
+            false => self.pace.after_events,
+        };
+        self.next_call = now + pause;
+        if confirms {
+            // A coordinator may be heard by then, as after any first list.
+            self.next_call = self.next_call.max(self.first_watch);
+        }
+        match events.is_empty() {
+            true => WatchChange::Unchanged,
+            false => WatchChange::Events(events),
+        }
     }
 
     fn succeeded(&mut self, now: Timestamp) {
@@ -390,6 +424,7 @@
         self.failures = 0;
         self.poked = false;
         self.prompt = false;
+        self.confirming = false;
         self.last_answer = Some(now);
         self.next_call = now;
     }
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -40,11 +40,14 @@
     Duration::from_millis(ms)
 }
 
+/// Objects by their kinds and names.
+type Objects = BTreeMap<(ObjectKind, String), Object>;
+
 /// What the store holds, with one revision for each object.
 #[derive(Default)]
 pub struct Store {
     pub revision: u64,
-    pub objects: BTreeMap<(ObjectKind, String), Object>,
+    pub objects: Objects,
     /// Objects that were removed, at the revisions at which they went.
     gone: Vec<(ObjectKind, Object)>,
     /// Whether all calls are refused.
@@ -56,7 +59,7 @@
     /// Whether a watch is answered at once if there are changes.
     pub answers_changes: bool,
     /// What lists hold that may be stale, with its revision, if they lag.
-    stale: Option<(u64, BTreeMap<(ObjectKind, String), Object>)>,
+    stale: Option<(u64, Objects)>,
 }
 
 impl Store {
