An instance that asks a node for a pause gets nothing from it until its end

What callers saw: four owners of keys of 14 answered 503 with Retry-After: 3 for nine seconds, and 405 requests were rejected in that time, most of them after three or four attempts at the same owner; nodes were told 3 s and asked again after 0, 60 and 120 ms (12 requests from one node within 3 s).

Cause: no module read the time that an instance asks for. A rejection was a fact about one request, so it ended the attempt, counted in the share of failures, which passes an owner over never and others by chance, and was forgotten. Ruled out: a time that is read but passed by for owners (none was read); requests under way when the answer came (0.9 s and 2.7 s later, at a round trip of 2 ms).

Now the pause is kept with the life of the instance, by its latest end. Requests go to others; those that no other instance can serve are refused at once, with what is left of the pause, or wait if it ends within 0.22 of their target. That spends neither a repeat nor an attempt, and the rejection counts neither as a failure nor as a sign for other requests. Orders go on, so that an owner keeps its keys. Dispatchers of a zone prefer instances that have asked nobody for a pause; the node that was asked sends nothing there whatever they hand out. A time that can't be read is counted and not followed.

Why it holds: every request passes next_step_keyed, the selection or a permit before each attempt, and all three look at the pause.

tests/node/notices.rs failed before (32 requests in a pause of 3 s, now none).

--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -86,6 +86,8 @@
     },
     /// It says nothing of the instance: not run, never sent, or its caller left.
     NoSample,
+    /// The instance turned it away, and wants no requests of that node for so long.
+    BackedOff(Duration),
     /// It counts as a failure of the instance: broken off, its answer lost, or one that says so.
     Failed,
 }
@@ -253,6 +255,9 @@
                 }
             }
             PermitOutcome::NoSample => {}
+            PermitOutcome::BackedOff(backoff) => {
+                self.servers.backed_off(permit.server, now + backoff);
+            }
             PermitOutcome::Failed => self.servers.failed(permit.server, now),
         }
         true
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -52,6 +52,8 @@
     /// Permits beyond its slots.
     ahead: f64,
     failures: Failures,
+    /// Until when it wants no requests of some node.
+    backoff_until: Timestamp,
 }
 
 impl Known {
@@ -79,6 +81,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Rank {
     was_tried: bool,
+    is_backed_off: bool,
     is_failing: bool,
     load: f64,
     work: Duration,
@@ -88,11 +91,13 @@
 impl Rank {
     fn order(&self, other: &Rank) -> Ordering {
         let by_trial = self.was_tried.cmp(&other.was_tried);
+        let by_backoff = || self.is_backed_off.cmp(&other.is_backed_off);
         let by_failures = || self.is_failing.cmp(&other.is_failing);
         let by_load = || self.load.total_cmp(&other.load);
         let by_work = || self.work.cmp(&other.work);
         let by_id = || self.id.cmp(&other.id);
         by_trial
+            .then_with(by_backoff)
             .then_with(by_failures)
             .then_with(by_load)
             .then_with(by_work)
@@ -179,6 +184,7 @@
         });
         let rank = |id: u64, known: &Known| Rank {
             was_tried: tried == Some(id),
+            is_backed_off: known.backoff_until > now,
             is_failing: known.failures.share(now) > FAILING_SHARE,
             load: known.load_with_one_more(),
             work: known.work.unwrap_or(UNKNOWN_WORK),
@@ -235,6 +241,14 @@
         known.ahead = known.ahead.clamp(least, most.max(least));
     }
 
+    /// An instance wants no requests of some node until then. Others are preferred for all
+    /// nodes; the one that was told sends nothing there whatever is handed out.
+    pub(super) fn backed_off(&mut self, server: u64, until: Timestamp) {
+        if let Some(known) = self.known.get_mut(&server) {
+            known.backoff_until = known.backoff_until.max(until);
+        }
+    }
+
     /// A request there was broken off, or its answer was lost.
     pub(super) fn failed(&mut self, server: u64, now: Timestamp) {
         if let Some(known) = self.known.get_mut(&server) {
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -105,8 +105,6 @@
         leaving: bool,
         /// Milliseconds in which it wants no requests of this node.
         backoff_ms: Option<u64>,
-        /// What it answered to: a request or an order.
-        answered: &'static str,
     },
     /// An instance's entry is gone.
     InstanceGone {
--- a/crates/ledgelead-router/src/node/dispatch.rs
+++ b/crates/ledgelead-router/src/node/dispatch.rs
@@ -59,6 +59,9 @@
                     ),
                     PermitOutcome::NoSample => (PermitEnd::NoSample, 0, None),
                     PermitOutcome::Failed => (PermitEnd::Failed, 0, None),
+                    PermitOutcome::BackedOff(backoff) => {
+                        (PermitEnd::BackedOff, short_millis(backoff), None)
+                    }
                 };
                 let message = PeerMessage::PermitReturn {
                     number,
@@ -251,6 +254,7 @@
         },
         PermitEnd::NoSample => PermitOutcome::NoSample,
         PermitEnd::Failed => PermitOutcome::Failed,
+        PermitEnd::BackedOff => PermitOutcome::BackedOff(Duration::from_millis(u64::from(took_ms))),
     }
 }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -170,6 +170,8 @@
     NoSample,
     /// It counts as a failure of the instance: broken off, its answer lost, or one that says so.
     Failed,
+    /// The instance turned it away, and wants no requests of this node for a time.
+    BackedOff,
 }
 
 /// What a coordinator passes on from the store.
@@ -430,7 +432,8 @@
         queue: u64,
         /// How the request ended.
         ended: PermitEnd,
-        /// Time from the request to its answer in milliseconds, if there was one.
+        /// Time from the request to its answer in milliseconds, if there was one; for which
+        /// the instance wants no requests, if it says so.
         took_ms: u16,
         /// Requests that ran and waited at the instance then, by its own word.
         load: Option<(u8, u8)>,
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -36,13 +36,15 @@
     ConfirmedView,
     /// An instance leaves as soon as some answer of it says so.
     HeededLeaving,
+    /// An instance that has asked a node for a pause gets nothing from it until its end.
+    HeededBackoff,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 16] = [
+    pub const SABOTAGES: [(&'static str, Protection); 17] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -56,6 +58,7 @@
         ("one-life", Protection::LivesApart),
         ("trust-first-list", Protection::ConfirmedView),
         ("forget-leaving", Protection::HeededLeaving),
+        ("ignore-backoff", Protection::HeededBackoff),
         ("know-by-path", Protection::WholeIdentity),
         ("drop-with-foreign", Protection::ForeignApart),
         ("use-foreign", Protection::ForeignUnused),
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -33,6 +33,8 @@
     NoInstance,
     /// Rejected by instances; it was not run.
     Rejected,
+    /// Every instance that could run it has asked this node for a pause.
+    BackedOff,
     /// Instances have ended under it, so it is not sent to any more.
     Quarantined,
     /// This node has no memory for its body.
@@ -62,6 +64,7 @@
             | Refusal::OwnerCold
             | Refusal::NoInstance
             | Refusal::Rejected
+            | Refusal::BackedOff
             | Refusal::Quarantined
             | Refusal::NoMemory
             | Refusal::NotSentInTime => 503,
@@ -94,6 +97,7 @@
             Refusal::OwnerCold => "owner_cold",
             Refusal::NoInstance => "no_instance",
             Refusal::Rejected => "rejected",
+            Refusal::BackedOff => "backed_off",
             Refusal::Quarantined => "quarantined",
             Refusal::NoMemory => "no_memory",
             Refusal::NotSentInTime => "not_sent_in_time",
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -330,12 +330,13 @@
         let mut cause = None;
         match result {
             Ok(response) => {
+                let notice = Notice::of(&attempt.instance, response, context.headers);
+                self.note_notice(&attempt.instance, notice, context);
                 let load = reported_load(response, context);
                 let instance = context.directory.get(&attempt.instance);
                 let rejected = is_rejection(response, context);
-                cause = rejected.then(|| rejection_cause(load.as_ref(), instance));
+                cause = rejected.then(|| rejection_cause(notice, load.as_ref(), instance));
                 let counts = self.note_rejection(attempt, cause, context);
-                self.note_notice(&attempt.instance, response, context);
                 let seen = self.statistics.entry(&attempt.instance);
                 seen.heard(now);
                 if cause.is_some() && counts {
@@ -368,34 +369,6 @@
         cause
     }
 
-    /// Notes what an instance says of itself in an answer to a request.
-    fn note_notice(
-        &mut self,
-        instance: &InstanceId,
-        response: &Response,
-        context: &RequestContext<'_>,
-    ) {
-        let notice = Notice::of(instance, response, context.headers);
-        if notice == Notice::default() {
-            return;
-        }
-        if notice.leaving {
-            self.said_leaving.push(instance.clone());
-        }
-        let counts = &mut self.counters.notices;
-        *counts.entry("leaving").or_default() += u64::from(notice.leaving);
-        *counts.entry("backoff").or_default() += u64::from(notice.backoff.is_some());
-        if self.statistics.entry(instance).noticed(notice, context.now) {
-            let noticed = Event::InstanceNotice {
-                instance,
-                leaving: notice.leaving,
-                backoff_ms: notice.backoff.map(whole_millis),
-                answered: "request",
-            };
-            noticed.emit();
-        }
-    }
-
     /// A connection that ends as soon as a request is sent on it had perhaps
     /// been forgotten by the instance.
     pub(super) fn learn_of_connection(
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -140,6 +140,10 @@
         {
             return wait_for_owner(Refusal::OwnerLeft);
         }
+        let seen = self.statistics.get(&assignment.owner);
+        if let Some(left) = seen.and_then(|seen| seen.backoff_left(context.now)) {
+            return self.step_in_backoff(open, left, context);
+        }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
             if same && misdirection.again.is_none_or(|again| again > context.now) {
@@ -149,7 +153,6 @@
                 };
             }
         }
-        let seen = self.statistics.get(&assignment.owner);
         let ejects = self.mechanisms.has(Mechanism::Ejection);
         if let Some(seen) = seen.filter(|seen| ejects && seen.is_ejected(context.now)) {
             return Step::Wait {
@@ -226,6 +229,9 @@
             return Step::Refuse(Refusal::NoInstance);
         };
         let Some(selected) = selected else {
+            if let Some(left) = self.backoff_of(&open.service, None, context) {
+                return self.step_in_backoff(open, left, context);
+            }
             return Step::Wait {
                 again: None,
                 reason: open.failure_or(Refusal::NoInstance),
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -216,6 +216,11 @@
         if reason == Refusal::Quarantined {
             return QUARANTINE_RETURN;
         }
+        if let Refusal::BackedOff | Refusal::Rejected = reason
+            && let Some(left) = self.backoff_of(service, key, context)
+        {
+            return left;
+        }
         if reason == Refusal::Rejected && self.rejects_with_room(service, context) {
             return REJECTED_RETURN;
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod decide;
 mod endings;
+mod notices;
 mod permits;
 mod repeats;
 mod targets;
@@ -19,6 +20,7 @@
 use super::cold_start::{ColdBound, ColdSends};
 use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
+use super::notice::Notice;
 use super::open_request::{Attempt, OpenRequest};
 use super::outcome::{Verdict, judge, tells_failure};
 use super::overload::Overloads;
@@ -586,8 +588,9 @@
     match result {
         Ok(response) => {
             let not_executed = response.headers.get(&context.headers.not_executed);
+            let backoff = Notice::of(&attempt.instance, response, context.headers).backoff;
             match not_executed.is_some() || response.status == 421 {
-                true => PermitOutcome::NoSample,
+                true => backoff.map_or(PermitOutcome::NoSample, PermitOutcome::BackedOff),
                 // It answers sooner than work takes, and would seem the fastest of all.
                 false if tells_failure(response) => PermitOutcome::Failed,
                 false => PermitOutcome::Answered {
--- /dev/null
+++ b/crates/ledgelead-router/src/requests/lifecycle/notices.rs
@@ -0,0 +1,92 @@
+//! What instances say of themselves in answers to requests, and what follows for requests.
+
+use super::decide::Step;
+use super::{RequestContext, Requests};
+use crate::directory::Instance;
+use crate::events::Event;
+use crate::identity::{InstanceId, ServiceName};
+use crate::protections::Protection;
+use crate::requests::answers::Refusal;
+use crate::requests::notice::Notice;
+use crate::requests::open_request::OpenRequest;
+use crate::whole_millis;
+use std::time::Duration;
+
+impl Requests {
+    /// Takes over what an instance says of itself in an answer.
+    pub(super) fn note_notice(
+        &mut self,
+        instance: &InstanceId,
+        notice: Notice,
+        context: &RequestContext<'_>,
+    ) {
+        if notice == Notice::default() {
+            return;
+        }
+        let known = context.directory.get(instance);
+        let leaves = notice.leaving && known.is_some_and(|known| known.leaving_since().is_none());
+        let heeds = self.protections.has(Protection::HeededBackoff);
+        let seen = self.statistics.entry(instance);
+        let pauses = notice.backoff.is_some() && seen.backoff_left(context.now).is_none();
+        if let Some(backoff) = notice.backoff.filter(|_| heeds) {
+            seen.asked_for_backoff(backoff, context.now);
+        }
+        if notice.leaving {
+            self.said_leaving.push(instance.clone());
+        }
+        let counts = &mut self.counters.notices;
+        *counts.entry("leaving").or_default() += u64::from(notice.leaving);
+        *counts.entry("backoff").or_default() += u64::from(notice.backoff.is_some());
+        *counts.entry("unreadable").or_default() += u64::from(notice.is_unreadable);
+        if leaves || pauses {
+            let noticed = Event::InstanceNotice {
+                instance,
+                leaving: notice.leaving,
+                backoff_ms: notice.backoff.map(whole_millis),
+            };
+            noticed.emit();
+        }
+    }
+
+    /// What is done with a request for which every instance has asked for a pause, of which
+    /// this much is left. It waits if that ends soon; a longer wait would cost its caller
+    /// the time in which it can come back.
+    pub(super) fn step_in_backoff(
+        &self,
+        open: &OpenRequest,
+        left: Duration,
+        context: &RequestContext<'_>,
+    ) -> Step {
+        let again = context.now + left;
+        let reason = open.failure_or(Refusal::BackedOff);
+        match again <= open.wait_limit_from(context.now) {
+            true => Step::Wait {
+                again: Some(again),
+                reason,
+            },
+            false => Step::Refuse(reason),
+        }
+    }
+
+    /// How long a request's service takes nothing from this node: until the owner of its
+    /// key does again, or else the first of its instances. None if some would take it now.
+    pub(super) fn backoff_of(
+        &self,
+        service: &ServiceName,
+        key: Option<u16>,
+        context: &RequestContext<'_>,
+    ) -> Option<Duration> {
+        let left_at = |id: &InstanceId| self.statistics.get(id)?.backoff_left(context.now);
+        if let Some(key) = key {
+            return left_at(&context.ownership.find(service, key)?.owner);
+        }
+        let serving = |instance: &&Instance| instance.serves();
+        let instances = context.directory.of_service(service).filter(serving);
+        let mut shortest = None;
+        for instance in instances {
+            let left = left_at(&instance.record.id)?;
+            shortest = Some(shortest.map_or(left, |known: Duration| known.min(left)));
+        }
+        shortest
+    }
+}
--- a/crates/ledgelead-router/src/requests/lifecycle/repeats.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/repeats.rs
@@ -6,6 +6,7 @@
 use crate::io::ClientId;
 use crate::mechanisms::Mechanism;
 use crate::requests::budget::Draw;
+use crate::requests::notice::Notice;
 use crate::requests::open_request::{Attempt, OpenRequest};
 use crate::requests::rejection_cause::RejectionCause;
 use crate::requests::repeat_value::RepeatFacts;
@@ -94,6 +95,11 @@
         let Some(instance) = context.directory.get(&attempt.instance) else {
             return true;
         };
+        if cause == Some(RejectionCause::AskedForBackoff) {
+            // It is asked for nothing until then, so that this says nothing of what would
+            // become of another request, and is no failure.
+            return false;
+        }
         let service = &instance.record.service;
         let declined = cause == Some(RejectionCause::FreeSlots);
         let now = context.now;
@@ -109,7 +115,7 @@
             Some(RejectionCause::FreeSlots) => !self.common.is_common(service, now),
             // Where a digest tells the load, the instance's own word isn't looked at.
             Some(RejectionCause::Full) => context.shared.follows_digest(now),
-            Some(RejectionCause::NoLoadReported) | None => true,
+            Some(RejectionCause::NoLoadReported | RejectionCause::AskedForBackoff) | None => true,
         }
     }
 
@@ -138,11 +144,15 @@
     }
 }
 
-/// Why an instance rejected a request, by its load and slots.
+/// Why an instance rejected a request, by what it says with that, its load and slots.
 pub(super) fn rejection_cause(
+    notice: Notice,
     load: Option<&ReportedLoad>,
     instance: Option<&Instance>,
 ) -> RejectionCause {
+    if notice.backoff.is_some() {
+        return RejectionCause::AskedForBackoff;
+    }
     let slots = instance.map_or(1, |instance| instance.record.slots.max(1));
     RejectionCause::of(load, slots)
 }
--- a/crates/ledgelead-router/src/requests/notice.rs
+++ b/crates/ledgelead-router/src/requests/notice.rs
@@ -16,6 +16,8 @@
     pub leaving: bool,
     /// Time from the answer on in which it wants no requests of the node that asked.
     pub backoff: Option<Duration>,
+    /// Whether it has asked for a pause in a way that can't be read.
+    pub is_unreadable: bool,
 }
 
 impl Notice {
@@ -27,20 +29,45 @@
             return Notice::default();
         }
         let backoff = match response.status {
-            503 => response.headers.text(&headers.retry_after),
-            _ => None,
+            503 => Backoff::read(response, headers),
+            _ => Backoff::default(),
         };
         Notice {
             leaving: response.headers.text(&headers.leaving) == Some(LEAVING),
-            backoff: backoff.and_then(seconds),
+            backoff: backoff.longest,
+            is_unreadable: backoff.is_unreadable,
         }
     }
 }
 
-/// A time in seconds, fractions included. A date or a number that is none counts as
-/// missing.
-fn seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    let time = Duration::try_from_secs_f64(seconds).ok()?;
-    (!time.is_zero()).then(|| time.min(MAX_TIMEOUT))
+/// The pauses that an answer asks for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Backoff {
+    longest: Option<Duration>,
+    is_unreadable: bool,
+}
+
+impl Backoff {
+    /// Of several headers the longest time counts.
+    fn read(response: &Response, headers: &HeaderNames) -> Backoff {
+        let mut read = Backoff::default();
+        for value in response.headers.all(&headers.retry_after) {
+            match seconds(value) {
+                Some(time) => read.longest = read.longest.max(Some(time)),
+                None => read.is_unreadable = true,
+            }
+        }
+        read.longest = read.longest.filter(|time| !time.is_zero());
+        read
+    }
+}
+
+/// A time in seconds, fractions included. A date, which needs the clock of the instance, a
+/// negative number and other texts are none.
+fn seconds(value: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_plain = |c: char| c.is_ascii_digit() || c == '.';
+    let seconds: f64 = text.parse().ok().filter(|_| text.chars().all(is_plain))?;
+    let time = Duration::try_from_secs_f64(seconds);
+    Some(time.map_or(MAX_TIMEOUT, |time| time.min(MAX_TIMEOUT)))
 }
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -168,8 +168,13 @@
 
     /// Until when it may wait for an owner or for room.
     pub fn wait_limit(&self) -> Timestamp {
+        self.wait_limit_from(self.received)
+    }
+
+    /// The same for a request that begins to wait at `begins`, unless it waits already.
+    pub fn wait_limit_from(&self, begins: Timestamp) -> Timestamp {
         let early = self.received + self.route.target_latency.mul_f64(EARLY_REFUSAL_SHARE);
-        let since = self.waiting_since.unwrap_or(self.received);
+        let since = self.waiting_since.unwrap_or(begins);
         // A request that comes back from a failed attempt gets the same time
         // again, since its early refusal is past.
         let again = since + self.route.target_latency.mul_f64(EARLY_REFUSAL_SHARE);
--- a/crates/ledgelead-router/src/requests/rejection_cause.rs
+++ b/crates/ledgelead-router/src/requests/rejection_cause.rs
@@ -11,6 +11,8 @@
     FreeSlots,
     /// It told no load.
     NoLoadReported,
+    /// It wants no requests of this node for a while, and says so.
+    AskedForBackoff,
 }
 
 impl RejectionCause {
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -104,7 +104,7 @@
         let serving: Vec<&Instance> = self
             .directory
             .of_service(service)
-            .filter(|instance| instance.serves())
+            .filter(|instance| instance.serves() && !self.backs_off(instance))
             .collect();
         let usable = self.without_ejected(&serving);
         let typical = self.typical_service_time(&serving, left);
@@ -272,6 +272,12 @@
         }
     }
 
+    /// Whether an instance wants no requests of this node now.
+    fn backs_off(&self, instance: &Instance) -> bool {
+        let seen = self.statistics.get(&instance.record.id);
+        seen.is_some_and(|seen| seen.backoff_left(self.now).is_some())
+    }
+
     fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
         let is_ejected = |instance: &&&Instance| {
             self.statistics
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -4,7 +4,6 @@
 use crate::failures::{FailureRules, Failures};
 use crate::identity::InstanceId;
 use crate::peers::SpeedSample;
-use crate::requests::notice::Notice;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -49,8 +48,6 @@
     /// What answers have shown of its speed since other nodes were told.
     unshared: SpeedSample,
     last_answer: Option<Timestamp>,
-    /// Whether it has said that it leaves.
-    leaving: bool,
     /// Until when it wants no requests of this node.
     backoff_until: Timestamp,
 }
@@ -105,15 +102,16 @@
         self.reported = Some(load);
     }
 
-    /// An answer said this of the instance. Returns whether that is new.
-    pub fn noticed(&mut self, notice: Notice, now: Timestamp) -> bool {
-        let leaves = notice.leaving && !self.leaving;
-        let pauses = notice.backoff.is_some() && self.backoff_until <= now;
-        self.leaving |= notice.leaving;
-        if let Some(backoff) = notice.backoff {
-            self.backoff_until = self.backoff_until.max(now + backoff);
-        }
-        leaves || pauses
+    /// It wants no requests of this node for so long. What it has asked for before holds
+    /// on, if that ends later.
+    pub fn asked_for_backoff(&mut self, backoff: Duration, now: Timestamp) {
+        self.backoff_until = self.backoff_until.max(now + backoff);
+    }
+
+    /// For how much longer it wants no requests of this node, if it does.
+    pub fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
+        let left = self.backoff_until.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
     }
 
     /// What answers have shown of its speed since the last call.
--- a/crates/ledgelead-router/tests/dispatch/queue.rs
+++ b/crates/ledgelead-router/tests/dispatch/queue.rs
@@ -500,3 +500,25 @@
         }
     }
 }
+
+#[gtest]
+fn an_instance_of_a_pool_that_has_asked_for_a_pause_comes_last_until_its_end() {
+    let mut queue = PermitQueue::of_pool(Duration::ZERO);
+    queue.replace_servers([server(1), server(2)]);
+    let first = queue.ask(ask(0, 0, 5_000), ms(0));
+    let Admission::Granted(paused) = first else {
+        panic!("{first:?}");
+    };
+    queue.returned(asker(0), PermitOutcome::BackedOff(ms(500)), ms(1));
+    let granted = |queue: &mut PermitQueue, number: u64, at: u64| {
+        let verdict = queue.ask(ask(number, 0, 5_000), ms(at));
+        queue.returned(asker(number), PermitOutcome::NoSample, ms(at));
+        verdict
+    };
+    for number in 1..5 {
+        let other = 3 - paused;
+        let verdict = granted(&mut queue, number, 10 * number);
+        expect_that!(verdict, eq(Admission::Granted(other)));
+    }
+    expect_that!(granted(&mut queue, 9, 502), eq(first));
+}
--- a/crates/ledgelead-router/tests/node/notices.rs
+++ b/crates/ledgelead-router/tests/node/notices.rs
@@ -167,3 +167,49 @@
     let reached = ask_for(&mut fixture, unkeyed(), 1_500, pause);
     expect_that!(reached, is_empty());
 }
+
+#[gtest]
+fn a_pause_holds_on_beside_a_shorter_one_that_is_asked_for_later() {
+    let mut fixture = without_store();
+    for _ in 0..2 {
+        fixture.ask(KEYED, Some(7));
+    }
+    let sent: Vec<_> = std::mem::take(&mut fixture.attempts);
+    let requests = sent.into_iter().filter(|sent| sent.target != ORDER);
+    for (sent, seconds) in requests.zip(["3", "0.5"]) {
+        fixture.answer(sent.exchange, asks_for_pause(seconds));
+    }
+    let reached = ask_for(&mut fixture, keyed(), 2_800, |_| served());
+    expect_that!(reached, is_empty());
+}
+
+#[gtest]
+fn a_pause_costs_no_repeat_and_is_no_failure() {
+    let mut fixture = without_store();
+    // Three failures in a row eject an instance, for longer than the pauses here.
+    for _ in 0..4 {
+        fixture.ask(KEYED, Some(7));
+        expect_that!(
+            answer_all(&mut fixture, |_| asks_for_pause("0.3")),
+            len(eq(1))
+        );
+        fixture.run_until(fixture.now + ms(301));
+    }
+    expect_that!(fixture.node.status().requests.repeats, is_empty());
+    fixture.ask(KEYED, Some(7));
+    expect_that!(answer_all(&mut fixture, |_| served()), len(eq(1)));
+}
+
+#[gtest]
+fn a_request_that_comes_shortly_before_the_end_of_a_pause_waits_for_it() {
+    let mut fixture = without_store();
+    fixture.ask(KEYED, Some(7));
+    answer_all(&mut fixture, |_| asks_for_pause("1"));
+    fixture.answers.clear();
+    // Within 0.22 of its target of 400 ms.
+    fixture.run_until(fixture.now + ms(940));
+    fixture.ask(KEYED, Some(7));
+    expect_that!(fixture.answers, is_empty());
+    fixture.run_until(fixture.now + ms(60));
+    expect_that!(answer_all(&mut fixture, |_| served()), len(eq(1)));
+}
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -10,8 +10,8 @@
 use ledgelead_router::ownership::record::Assignment;
 use ledgelead_router::peers::{DigestEntry, OpenRequests, Registry, SharedLoad};
 use ledgelead_router::requests::{
-    BudgetBounds, ColdBound, ColdGate, ColdSends, Misdirection, RestLimit, RetryBudget, Selected,
-    SelectionContext, StatisticsTable, Verdict, judge,
+    BudgetBounds, ColdBound, ColdGate, ColdSends, Misdirection, Notice, RestLimit, RetryBudget,
+    Selected, SelectionContext, StatisticsTable, Verdict, judge,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -506,3 +506,67 @@
     budget.give_back(&service);
     expect_that!(budget.draw(&service, 1, Duration::ZERO), eq(true));
 }
+
+/// What an answer with this status and these headers says of the instance `a`.
+fn notice(status: u16, fields: &[(&str, &str)]) -> Notice {
+    Notice::of(&InstanceId::from("a"), &answer(status, fields), &headers())
+}
+
+#[gtest]
+fn a_pause_is_asked_for_in_seconds_and_the_longest_counts() {
+    let asked = |values: &[&str]| {
+        let fields: Vec<(&str, &str)> =
+            values.iter().map(|value| ("retry-after", *value)).collect();
+        notice(503, &fields)
+    };
+    let pause = |time| Notice {
+        backoff: Some(time),
+        ..Notice::default()
+    };
+    expect_that!(asked(&["3"]), eq(pause(ms(3_000))));
+    expect_that!(asked(&["0.25"]), eq(pause(ms(250))));
+    expect_that!(asked(&[" 2 "]), eq(pause(ms(2_000))));
+    expect_that!(asked(&["1", "4", "2"]), eq(pause(ms(4_000))));
+    let day = Duration::from_secs(86_400);
+    expect_that!(asked(&["99999999999999999999"]), eq(pause(day)));
+    expect_that!(asked(&["0"]), eq(Notice::default()));
+    expect_that!(asked(&[]), eq(Notice::default()));
+    let unreadable = Notice {
+        is_unreadable: true,
+        ..Notice::default()
+    };
+    for text in [
+        "-1",
+        "",
+        "soon",
+        "inf",
+        "NaN",
+        "1e3",
+        "+3",
+        "Thu, 03 Dec 2026 05:00:00 GMT",
+    ] {
+        expect_that!(asked(&[text]), eq(unreadable), "{text}");
+    }
+    let beside = Notice {
+        is_unreadable: true,
+        ..pause(ms(2_000))
+    };
+    expect_that!(asked(&["soon", "2"]), eq(beside));
+}
+
+#[gtest]
+fn only_a_503_asks_for_a_pause_and_only_the_instance_that_was_meant() {
+    for status in [200, 429, 500, 502] {
+        expect_that!(
+            notice(status, &[("retry-after", "3")]),
+            eq(Notice::default())
+        );
+    }
+    let other = notice(
+        503,
+        &[("retry-after", "3"), ("leaving", "1"), ("instance", "b")],
+    );
+    expect_that!(other, eq(Notice::default()));
+    expect_that!(notice(200, &[("leaving", "1")]).leaving, eq(true));
+    expect_that!(notice(200, &[("leaving", "0")]).leaving, eq(false));
+}
