--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -23,6 +23,10 @@
     NotRunIsTrue,
     /// A leaving instance got a request long after it said so.
     NoNewWorkAfterLeave,
+    /// A leaving instance got a request long after an answer had told the node so.
+    LeavingHeeded,
+    /// An instance got several requests of a node in a pause that it had asked it for.
+    PauseKept,
     /// A node went back to an older configuration.
     ConfigurationMonotonic,
     /// A node in touch lacked a configuration long after it was acknowledged.
@@ -46,6 +50,8 @@
             ViolationKind::OnceOnly => "once_only",
             ViolationKind::NotRunIsTrue => "not_run_is_true",
             ViolationKind::NoNewWorkAfterLeave => "no_new_work_after_leave",
+            ViolationKind::LeavingHeeded => "leaving_heeded",
+            ViolationKind::PauseKept => "pause_kept",
             ViolationKind::ConfigurationMonotonic => "configuration_monotonic",
             ViolationKind::ConfigurationInTime => "configuration_in_time",
             ViolationKind::AnswerMatchesRequest => "answer_matches_request",
@@ -251,6 +257,34 @@
         self.found(ViolationKind::NoNewWorkAfterLeave, now, what);
     }
 
+    /// An instance got a request of a node that it had told that it leaves.
+    pub fn sent_though_told(
+        &mut self,
+        caller: (usize, u64),
+        instance: &Instance,
+        told: Duration,
+        now: Duration,
+    ) {
+        let what = format!("{} from node {}, told at {told:?}", instance.id(), caller.0);
+        self.found(ViolationKind::LeavingHeeded, now, what);
+    }
+
+    /// An instance got so many requests in a pause that it had asked a node for.
+    pub fn sent_in_pause(
+        &mut self,
+        caller: (usize, u64),
+        instance: &Instance,
+        reached: u32,
+        now: Duration,
+    ) {
+        let what = format!(
+            "{reached} requests to {} from node {}",
+            instance.id(),
+            caller.0
+        );
+        self.found(ViolationKind::PauseKept, now, what);
+    }
+
     /// A node in touch has to have this configuration in force by now.
     pub fn due_in_force(&mut self, caller: (usize, u64), due: u64, now: Duration) {
         let known = self.versions.get(&caller).copied().unwrap_or(0);
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -146,6 +146,20 @@
     }
 }
 
+/// A run with instances that say in their answers that they leave or want a pause, and
+/// drawn faults besides in half of the runs.
+pub fn drawn_notices(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5a1d);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let notices = Schedule::draw_notices(&mut rng, nodes, from, to);
+    let schedule = match seed % 2 {
+        0 => notices,
+        _ => drawn.schedule.join(notices),
+    };
+    FleetSettings { schedule, ..drawn }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -221,6 +235,7 @@
             Long("cuts") => draw = drawn_cuts,
             Long("foreign") => draw = drawn_foreign,
             Long("restarts") => draw = drawn_restarts,
+            Long("notices") => draw = drawn_notices,
             other => return Err(other.unexpected()),
         }
     }
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -53,6 +53,11 @@
     /// An instance of any service leaves without a word: its entry goes, and it
     /// serves on for long.
     LeaveUnannounced(usize),
+    /// An instance of any service says that it leaves, in its answers and, once the store
+    /// takes that, in its entry; it ends later.
+    Leave(usize),
+    /// An instance of any service turns everything away, and asks for pauses.
+    AskForPause(usize),
     /// Another writer replaces an instance's entry by what can't be read, until the end.
     ForeignEntry(usize),
     /// The store answers nothing.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod foreign;
 mod instance;
 mod network;
+mod notices;
 mod orders;
 mod report;
 mod restarts;
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -89,6 +89,7 @@
                 let end = self.instances[instance].release(range, now);
                 let mut response = Response::new(200, "");
                 response.headers.push(HANDOVER, "state");
+                let response = self.with_notice(caller, exchange, instance, response);
                 self.respond(caller, exchange, response, end - now);
             }
         }
@@ -120,7 +121,8 @@
             }
             self.keys_held(range);
         }
-        self.respond(caller, exchange, Response::new(status, ""), Duration::ZERO);
+        let response = self.with_notice(caller, exchange, instance, Response::new(status, ""));
+        self.respond(caller, exchange, response, Duration::ZERO);
     }
 
     fn keys_held(&mut self, range: KeyRange) {
@@ -165,6 +167,7 @@
         if let Some(number) = crashes {
             self.crashing_arrives(number, caller);
         }
+        self.check_pauses(caller, instance);
         let target = &self.instances[instance];
         let attempt: u64 = request.headers.number("attempt").unwrap_or_default();
         let key = request
@@ -176,11 +179,22 @@
             || key.is_some_and(|key| target.hold_of(key, now).is_none());
         let full = !target.has_slot() && !target.has_room();
         let id = target.id().name().to_owned();
-        if misdirected || full {
+        if !misdirected {
+            self.check_told(caller, instance);
+        }
+        let pause = match misdirected {
+            true => None,
+            false => self.pause_of(caller, instance),
+        };
+        if misdirected || full || pause.is_some() {
             let mut response = Response::new(if misdirected { 421 } else { 503 }, "");
+            if let Some(seconds) = pause {
+                response.headers.push("retry-after", seconds);
+            }
             response.headers.push("attempt", attempt.to_string());
             response.headers.push("not-executed", "1");
             response.headers.push("instance", id);
+            let response = self.with_notice(caller, Some(exchange), instance, response);
             self.respond(caller, Some(exchange), response, Duration::ZERO);
             return;
         }
@@ -269,6 +283,7 @@
         let mut response = Response::new(200, "done");
         response.headers.push("attempt", work.attempt.to_string());
         response.headers.push("signature", "s");
+        let response = self.with_notice(work.caller, Some(work.exchange), instance, response);
         self.respond(work.caller, Some(work.exchange), response, Duration::ZERO);
     }
 
@@ -324,6 +339,8 @@
             FaultKind::IsolateWithCoordinator(place) => self.isolate(self.occupant(*place)),
             FaultKind::DrainInstance(index) => self.drain(*index),
             FaultKind::LeaveUnannounced(index) => self.leave_unannounced(*index),
+            FaultKind::Leave(place) => self.leave(*place),
+            FaultKind::AskForPause(place) => self.ask_for_pause(*place, lasts),
             FaultKind::ForeignEntry(index) => self.spoil_entry(*index),
             FaultKind::StoreSilent => {
                 self.mood.silent += 1;
@@ -399,6 +416,8 @@
             FaultKind::AnswersLost => self.answers_lost -= 1,
             FaultKind::DrainInstance(_)
             | FaultKind::LeaveUnannounced(_)
+            | FaultKind::Leave(_)
+            | FaultKind::AskForPause(_)
             | FaultKind::FreezeNode(_)
             | FaultKind::SuspendNode(_)
             | FaultKind::StoreForgets
--- a/crates/ledgelead-lab/src/fleet/store_traffic.rs
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -96,17 +96,23 @@
 
     /// An instance writes its entry.
     pub(super) fn heartbeat(&mut self, index: usize) {
-        let instance = &self.instances[index];
-        if !instance.alive {
+        if !self.instances[index].alive {
             return;
         }
+        self.write_entry(index);
+        self.schedule(HEARTBEAT, Event::Heartbeat(index));
+    }
+
+    /// An instance's entry reaches the store, if that serves it.
+    pub(super) fn write_entry(&mut self, index: usize) {
+        let instance = &self.instances[index];
         if instance.heartbeats && !instance.dark && self.mood.silent + self.mood.refusing == 0 {
             self.last_beat.insert(index, self.now);
             self.registered.entry(index).or_insert(self.now);
             self.store.register(instance.record.clone());
+            self.entry_taken(index);
             self.answer_watches();
         }
-        self.schedule(HEARTBEAT, Event::Heartbeat(index));
     }
 
     /// Entries that were not written for long go.
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -7,6 +7,7 @@
 use super::faults::{Fault, Schedule, Target};
 use super::instance::Instance;
 use super::network::{LATENCY, Network};
+use super::notices::Notices;
 use super::report::FleetReport;
 use super::store::Store;
 use super::transport::{HeldOrder, Transport};
@@ -140,6 +141,9 @@
     pub(super) crash_rng: Pcg64Mcg,
     /// The same for the clocks of instances that start again.
     pub(super) birth_rng: Pcg64Mcg,
+    /// The same for the pauses that instances ask for.
+    pub(super) notice_rng: Pcg64Mcg,
+    pub(super) notices: Notices,
     /// When the entry of each instance was written first.
     pub(super) registered: HashMap<usize, Duration>,
     pub(super) crashing: Vec<Crashing>,
@@ -177,6 +181,8 @@
             datagram_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xda7a),
             crash_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xc4a5),
             birth_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xb04a),
+            notice_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x5a1d),
+            notices: Notices::default(),
             registered: HashMap::new(),
             crashing: settings
                 .crashing
@@ -324,6 +330,7 @@
             Event::Input(caller, input) => self.input(caller, input),
             Event::Exchanged(caller, exchange, input) => {
                 if self.pending.remove(&(caller, exchange)).is_some() {
+                    self.notice_arrives(caller, exchange);
                     self.input(caller, *input);
                 }
             }
