A starting node's first list is confirmed whatever comes in between

Cause: the call that confirms the first list was asked for by a request that came before the configuration was read; calls of that kind wait for it. By then the node followed a coordinator and suspended its watches, the call with them, and the 40 ms for which requests wait were over. Traced with the calls of the node: the call went out at 25.653 s, 0.55 s after it was wanted.

Now the call is wanted only once requests can be routed, it goes out while watches are suspended, and its failure ends the wait at once.

--- a/crates/ledgelead-router/src/node/first_view.rs
+++ b/crates/ledgelead-router/src/node/first_view.rs
@@ -1,9 +1,9 @@
 //! The first view of the instances, which may be older than the time that a leaving one has.
 //!
 //! A node's first list may be some seconds old, since that costs the store little. A
-//! coordinator's heartbeat confirms it within 200 ms, or says what it lacks. Where requests
-//! come before, as after the loss of all nodes, the store is asked for the changes since,
-//! and they wait for that.
+//! coordinator's heartbeat confirms it within 200 ms, unless changes are missing that the
+//! coordinator has to relay first. Where requests come before, as after the loss of all
+//! nodes, the store is asked for the changes since, and they wait for that.
 
 use super::Node;
 use crate::Timestamp;
@@ -18,7 +18,7 @@
 
 impl Node {
     /// Requests are there: asks the store once to confirm the first list of instances,
-    /// unless it is confirmed or a coordinator is heard.
+    /// unless it is confirmed.
     pub(super) fn confirm_first_view(&mut self, now: Timestamp) {
         let is_protected = self.settings.protections.has(Protection::ConfirmedView);
         if !is_protected || self.confirmed_by.is_some() || !self.first_view_is_open() {
@@ -37,6 +37,6 @@
     /// Whether the store alone can confirm the first list, and has not yet.
     fn first_view_is_open(&self) -> bool {
         let is_unconfirmed = self.directory.is_complete() && !self.directory.is_confirmed();
-        is_unconfirmed && self.gossip.informed_until.is_none() && self.store.health.serves()
+        is_unconfirmed && self.configuration.is_some() && self.store.health.serves()
     }
 }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -87,6 +87,10 @@
             self.store.health.failed(started);
             // The one call that goes on while others fail, also where it rests.
             self.store.watcher(ObjectKind::Instances).poke(now);
+            if !self.directory.is_confirmed() {
+                // Those that wait for the first view to be confirmed wait in vain.
+                self.reconsider_waiting(now, out);
+            }
             return;
         }
         let was_failing = self.store.health.has_failed();
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -239,7 +239,8 @@
     }
 
     fn rests(&self) -> bool {
-        self.paused && !self.poked && matches!(self.position, Position::Watching { .. })
+        let is_asked = self.poked || self.confirming;
+        self.paused && !is_asked && matches!(self.position, Position::Watching { .. })
     }
 
     /// When the store last told the state of this kind.
