Selections look at pauses of instances only while some has asked for one

Each selection asked the statistics of every serving instance for a pause, one more hashed lookup for each of hundreds. Behaviour is the same; tests/node/notices.rs and the fleet's promises hold.

--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -140,8 +140,8 @@
         {
             return wait_for_owner(Refusal::OwnerLeft);
         }
-        let seen = self.statistics.get(&assignment.owner);
-        if let Some(left) = seen.and_then(|seen| seen.backoff_left(context.now)) {
+        let paused = self.statistics.backoff_left(&assignment.owner, context.now);
+        if let Some(left) = paused {
             return self.step_in_backoff(open, left, context);
         }
         if let Some(misdirection) = &open.misdirection {
@@ -153,6 +153,7 @@
                 };
             }
         }
+        let seen = self.statistics.get(&assignment.owner);
         let ejects = self.mechanisms.has(Mechanism::Ejection);
         if let Some(seen) = seen.filter(|seen| ejects && seen.is_ejected(context.now)) {
             return Step::Wait {
--- a/crates/ledgelead-router/src/requests/lifecycle/notices.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/notices.rs
@@ -26,10 +26,11 @@
         let known = context.directory.get(instance);
         let leaves = notice.leaving && known.is_some_and(|known| known.leaving_since().is_none());
         let heeds = self.protections.has(Protection::HeededBackoff);
-        let seen = self.statistics.entry(instance);
-        let pauses = notice.backoff.is_some() && seen.backoff_left(context.now).is_none();
+        let earlier = self.statistics.backoff_left(instance, context.now);
+        let pauses = notice.backoff.is_some() && earlier.is_none();
         if let Some(backoff) = notice.backoff.filter(|_| heeds) {
-            seen.asked_for_backoff(backoff, context.now);
+            self.statistics
+                .asked_for_backoff(instance, backoff, context.now);
         }
         if notice.leaving {
             self.said_leaving.push(instance.clone());
@@ -76,7 +77,7 @@
         key: Option<u16>,
         context: &RequestContext<'_>,
     ) -> Option<Duration> {
-        let left_at = |id: &InstanceId| self.statistics.get(id)?.backoff_left(context.now);
+        let left_at = |id: &InstanceId| self.statistics.backoff_left(id, context.now);
         if let Some(key) = key {
             return left_at(&context.ownership.find(service, key)?.owner);
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -174,8 +174,8 @@
         let covered = |instance: &&Instance| permit.covers(&instance.record.id);
         let granted = instances.find(covered).filter(|known| known.serves())?;
         // The dispatcher goes by what instances say to all nodes, this one by what it is told.
-        let seen = self.statistics.get(&granted.record.id);
-        if seen.is_some_and(|seen| seen.backoff_left(context.now).is_some()) {
+        let id = &granted.record.id;
+        if self.statistics.backoff_left(id, context.now).is_some() {
             return None;
         }
         let selected = self
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -274,8 +274,8 @@
 
     /// Whether an instance wants no requests of this node now.
     fn backs_off(&self, instance: &Instance) -> bool {
-        let seen = self.statistics.get(&instance.record.id);
-        seen.is_some_and(|seen| seen.backoff_left(self.now).is_some())
+        let id = &instance.record.id;
+        self.statistics.backoff_left(id, self.now).is_some()
     }
 
     fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -104,12 +104,12 @@
 
     /// It wants no requests of this node for so long. What it has asked for before holds
     /// on, if that ends later.
-    pub fn asked_for_backoff(&mut self, backoff: Duration, now: Timestamp) {
+    fn asked_for_backoff(&mut self, backoff: Duration, now: Timestamp) {
         self.backoff_until = self.backoff_until.max(now + backoff);
     }
 
     /// For how much longer it wants no requests of this node, if it does.
-    pub fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
+    fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
         let left = self.backoff_until.saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
@@ -156,6 +156,8 @@
 #[derive(Debug, Default)]
 pub struct StatisticsTable {
     instances: HashMap<InstanceId, Statistics>,
+    /// The latest end of a pause that some instance has asked for.
+    last_backoff: Timestamp,
 }
 
 impl StatisticsTable {
@@ -169,6 +171,21 @@
         self.instances.entry(id.clone()).or_default()
     }
 
+    /// An instance wants no requests of this node for so long.
+    pub fn asked_for_backoff(&mut self, id: &InstanceId, backoff: Duration, now: Timestamp) {
+        self.entry(id).asked_for_backoff(backoff, now);
+        self.last_backoff = self.last_backoff.max(now + backoff);
+    }
+
+    /// For how much longer an instance wants no requests of this node, if it does. Mostly
+    /// none does, which takes no look at the instance: selections ask for each of hundreds.
+    pub fn backoff_left(&self, id: &InstanceId, now: Timestamp) -> Option<Duration> {
+        match self.last_backoff > now {
+            true => self.get(id)?.backoff_left(now),
+            false => None,
+        }
+    }
+
     /// Forgets instances that are unknown to `known` and have nothing open.
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool) {
         self.instances
