Instances and their entries stand apart from the directory; names of reported load

What the end of an attempt says of a permit moves to the permits. told and believed give way to reported and TTL in the statistics.

--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -257,15 +257,19 @@
         self.found(ViolationKind::NoNewWorkAfterLeave, now, what);
     }
 
-    /// An instance got a request of a node that it had told that it leaves.
-    pub fn sent_though_told(
+    /// An instance got a request of a node that had an answer of it saying that it leaves.
+    pub fn sent_to_leaving(
         &mut self,
         caller: (usize, u64),
         instance: &Instance,
-        told: Duration,
+        notified: Duration,
         now: Duration,
     ) {
-        let what = format!("{} from node {}, told at {told:?}", instance.id(), caller.0);
+        let what = format!(
+            "{} from node {}, notified at {notified:?}",
+            instance.id(),
+            caller.0
+        );
         self.found(ViolationKind::LeavingHeeded, now, what);
     }
 
--- a/crates/ledgelead-lab/src/fleet/notices.rs
+++ b/crates/ledgelead-lab/src/fleet/notices.rs
@@ -43,8 +43,8 @@
     paused: HashMap<usize, Duration>,
     /// Answers on their way that say that their instance leaves.
     on_the_way: HashMap<(Caller, ExchangeId), usize>,
-    /// When a life of a node was first told so.
-    told: HashMap<(Caller, usize), Duration>,
+    /// When the first of them reached a life of a node.
+    notified: HashMap<(Caller, usize), Duration>,
     pauses: HashMap<(Caller, usize), Vec<Pause>>,
 }
 
@@ -157,20 +157,20 @@
     pub(super) fn notice_arrives(&mut self, caller: Caller, exchange: ExchangeId) {
         if let Some(index) = self.notices.on_the_way.remove(&(caller, exchange)) {
             let now = self.now;
-            self.notices.told.entry((caller, index)).or_insert(now);
+            self.notices.notified.entry((caller, index)).or_insert(now);
         }
     }
 
-    /// A request has reached an instance that the node was told leaves.
-    pub(super) fn check_told(&mut self, caller: Caller, index: usize) {
-        let Some(told) = self.notices.told.get(&(caller, index)) else {
+    /// A request has reached an instance of which the node may know that it leaves.
+    pub(super) fn check_leaving(&mut self, caller: Caller, index: usize) {
+        let Some(notified) = self.notices.notified.get(&(caller, index)) else {
             return;
         };
-        let since = self.nodes[caller.0].thawed_at.max(*told);
+        let since = self.nodes[caller.0].thawed_at.max(*notified);
         if self.now > since + DRAIN_BOUND + LEAVE_SLACK {
             let leaving = &self.instances[index];
             self.checker
-                .sent_though_told(caller, leaving, since, self.now);
+                .sent_to_leaving(caller, leaving, since, self.now);
         }
     }
 
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -180,7 +180,7 @@
         let full = !target.has_slot() && !target.has_room();
         let id = target.id().name().to_owned();
         if !misdirected {
-            self.check_told(caller, instance);
+            self.check_leaving(caller, instance);
         }
         let pause = match misdirected {
             true => None,
--- a/crates/ledgelead-router/src/directory.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -1,165 +1,26 @@
 //! The instances that registered themselves, as far as this node knows.
 
+mod instance;
+
+pub use instance::{Entry, Instance, InstanceRecord, Presence};
+
 use crate::Timestamp;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::protections::{Protection, Protections};
+use instance::CurrentLife;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long an instance is remembered after its entry is gone.
-const REMEMBER_GONE: Duration = Duration::from_secs(30);
 /// Time after the return of the store within which every instance that lives
 /// and reaches it has written its entry again.
 const ENTRIES_RETURN_WITHIN: Duration = Duration::from_millis(2_200);
 
 /// Time within which an instance that has become cold has written so: a heartbeat
 /// (0.9 to 1.3 s), and the way to this node.
-const COLDNESS_TOLD_WITHIN: Duration = Duration::from_millis(1_500);
-
-/// What an instance registered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InstanceRecord {
-    /// This life of the instance.
-    pub id: InstanceId,
-    /// Its service.
-    pub service: ServiceName,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub draining: bool,
-    /// How much longer it stays slow after its start.
-    pub warmup_left: Duration,
-}
-
-/// An entry of an instance, and how new it is.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// What the instance registered.
-    pub record: InstanceRecord,
-    /// The store's revision by which it stood so, where that is known.
-    pub revision: Option<u64>,
-}
-
-impl Entry {
-    /// An entry that stood so by a revision of the store.
-    pub fn at(revision: u64, record: InstanceRecord) -> Entry {
-        Entry {
-            record,
-            revision: Some(revision),
-        }
-    }
-}
-
-impl From<InstanceRecord> for Entry {
-    fn from(record: InstanceRecord) -> Entry {
-        Entry {
-            record,
-            revision: None,
-        }
-    }
-}
-
-/// The life that has the entry of an instance, or had it last.
-#[derive(Clone, Debug)]
-struct CurrentLife {
-    id: InstanceId,
-    revision: Option<u64>,
-}
-
-impl CurrentLife {
-    /// Whether the entry of another life was written later. The store's revisions
-    /// tell; the start of a life doesn't where they do, since a machine's clock may
-    /// have been set back between two lives.
-    fn precedes(&self, id: &InstanceId, revision: Option<u64>) -> bool {
-        match (self.revision, revision) {
-            (Some(known), Some(told)) if known != told => known < told,
-            _ => self.id.born() < id.born(),
-        }
-    }
-}
-
-/// Whether an instance may get work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
-    /// It serves.
-    Serving,
-    /// It said that it is leaving.
-    Draining {
-        /// The earliest time at which it can have said so.
-        since: Timestamp,
-    },
-    /// Its entry is gone.
-    Gone {
-        /// The earliest time at which it can have left.
-        since: Timestamp,
-    },
-}
-
-/// An instance as this node knows it.
-#[derive(Clone, Debug)]
-pub struct Instance {
-    /// What it registered last.
-    pub record: InstanceRecord,
-    /// Whether it may get work.
-    pub presence: Presence,
-    /// Until when it is slow after its start.
-    pub warm_at: Timestamp,
-    /// Whether this life of it is proved to be over.
-    pub ended: bool,
-    /// Whether that rests on the entry of another life alone.
-    is_superseded: bool,
-    /// Since when this node knows that its zone is evacuated.
-    pub evacuated_since: Option<Timestamp>,
-    /// When it is forgotten, once its entry is gone.
-    forget_at: Option<Timestamp>,
-}
-
-impl Instance {
-    /// Whether it may get new work.
-    pub fn serves(&self) -> bool {
-        self.presence == Presence::Serving && !self.ended && self.evacuated_since.is_none()
-    }
-
-    /// Whether it is slow after its start, as far as it has said.
-    pub fn is_cold(&self, now: Timestamp) -> bool {
-        self.warm_at > now
-    }
-
-    /// Whether its entry is gone.
-    pub fn is_gone(&self) -> bool {
-        matches!(self.presence, Presence::Gone { .. })
-    }
-
-    /// The earliest time at which it can have begun to leave.
-    pub fn leaving_since(&self) -> Option<Timestamp> {
-        match self.presence {
-            Presence::Serving => None,
-            Presence::Draining { since } | Presence::Gone { since } => Some(since),
-        }
-    }
-
-    /// Its entry is gone. It has been leaving since it began to drain, or else since the view
-    /// was current.
-    fn leave_from(&mut self, current_at: Timestamp, now: Timestamp) {
-        let since = self.leaving_since().unwrap_or(current_at.min(now));
-        self.leave(since, now);
-    }
-
-    /// Its entry is gone, and it has been leaving since `since` at the earliest.
-    fn leave(&mut self, since: Timestamp, now: Timestamp) {
-        let instance = &self.record.id;
-        Event::InstanceGone { instance }.emit();
-        self.presence = Presence::Gone { since };
-        self.forget_at = Some(now + REMEMBER_GONE);
-    }
-}
+const COLDNESS_KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
 
 /// All instances.
 #[derive(Debug, Default)]
@@ -311,10 +172,9 @@
         let id = record.id.clone();
         let warm_at = now + record.warmup_left;
         let earlier = self.instances.get(&id);
-        let leaving = earlier.and_then(Instance::leaving_since);
-        let leaving = leaving.or_else(|| self.said_leaving.get(&id).copied());
-        let leaves = record.draining || self.said_leaving.contains_key(&id);
-        let presence = match (leaves, leaving) {
+        let said_leaving = self.said_leaving.get(&id).copied();
+        let leaving = earlier.and_then(Instance::leaving_since).or(said_leaving);
+        let presence = match (record.draining || said_leaving.is_some(), leaving) {
             (false, _) => Presence::Serving,
             (true, Some(since)) => Presence::Draining { since },
             (true, None) => {
@@ -429,7 +289,7 @@
             let zone = instance.record.zone.stable_hash();
             instance.evacuated_since = self.evacuated.get(&zone).copied();
             if taken_back.contains(&zone) {
-                instance.warm_at = instance.warm_at.max(now + COLDNESS_TOLD_WITHIN);
+                instance.warm_at = instance.warm_at.max(now + COLDNESS_KNOWN_WITHIN);
             }
         }
     }
--- a/crates/ledgelead-router/src/dispatch/queue.rs
+++ b/crates/ledgelead-router/src/dispatch/queue.rs
@@ -251,7 +251,7 @@
                 self.servers.answered(permit.server, work, now);
                 if let Some(load) = load {
                     let is_wanted = !self.waiting.is_empty();
-                    self.servers.told_load(permit.server, load, is_wanted);
+                    self.servers.load_reported(permit.server, load, is_wanted);
                 }
             }
             PermitOutcome::NoSample => {}
--- a/crates/ledgelead-router/src/dispatch/servers.rs
+++ b/crates/ledgelead-router/src/dispatch/servers.rs
@@ -227,7 +227,7 @@
     /// An instance has told its load; `is_wanted` if requests wait for it here. Where its
     /// slots are idle meanwhile, requests take their time on the way, and more are sent
     /// ahead; where requests wait there, fewer, since their order can't be changed any more.
-    pub(super) fn told_load(&mut self, server: u64, load: InstanceLoad, is_wanted: bool) {
+    pub(super) fn load_reported(&mut self, server: u64, load: InstanceLoad, is_wanted: bool) {
         let least = self.least_ahead;
         let Some(known) = self.known.get_mut(&server) else {
             return;
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -358,7 +358,7 @@
                 if let Some(load) = load {
                     let open = load.running.saturating_add(load.waiting);
                     factor = f64::from(open) / f64::from(slots);
-                    seen.told_load(load);
+                    seen.load_reported(load);
                 }
                 if response.is_success() {
                     seen.answered(now.saturating_sub(attempt.sent), factor, now);
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -12,17 +12,16 @@
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
 
-use self::attempts::reported_load;
 use self::decide::Step;
 use self::endings::relayed;
+use self::permits::returned;
 use super::answers::Refusal;
 use super::budget::RetryBudget;
 use super::cold_start::{ColdBound, ColdSends};
 use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
-use super::notice::Notice;
-use super::open_request::{Attempt, OpenRequest};
-use super::outcome::{Verdict, judge, tells_failure};
+use super::open_request::OpenRequest;
+use super::outcome::{Verdict, judge};
 use super::overload::Overloads;
 use super::permits::{PermitCounters, Permits};
 use super::refusal_share::RefusalShares;
@@ -33,7 +32,7 @@
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
-use crate::dispatch::{InstanceLoad, PermitOutcome};
+use crate::dispatch::PermitOutcome;
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
@@ -578,31 +577,3 @@
         self.wake.insert((at, client));
     }
 }
-
-/// What the end of an attempt says of the permit that it was sent under.
-fn returned(
-    attempt: &Attempt,
-    result: &Result<Response, ExchangeFailure>,
-    context: &RequestContext<'_>,
-) -> PermitOutcome {
-    match result {
-        Ok(response) => {
-            let not_executed = response.headers.get(&context.headers.not_executed);
-            let backoff = Notice::of(&attempt.instance, response, context.headers).backoff;
-            match not_executed.is_some() || response.status == 421 {
-                true => backoff.map_or(PermitOutcome::NoSample, PermitOutcome::BackedOff),
-                // It answers sooner than work takes, and would seem the fastest of all.
-                false if tells_failure(response) => PermitOutcome::Failed,
-                false => PermitOutcome::Answered {
-                    took: context.now.saturating_sub(attempt.sent),
-                    load: reported_load(response, context).map(|load| InstanceLoad {
-                        running: load.running as usize,
-                        waiting: load.waiting as usize,
-                    }),
-                },
-            }
-        }
-        Err(failure) if failure.proves_not_run() => PermitOutcome::NoSample,
-        Err(_) => PermitOutcome::Failed,
-    }
-}
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -1,19 +1,23 @@
 //! Requests that wait for a permit of a dispatcher.
 
+use super::attempts::reported_load;
 use super::decide::Step;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::directory::Instance;
-use crate::dispatch::{Admission, Candidates, PermitOutcome};
+use crate::dispatch::{Admission, Candidates, InstanceLoad, PermitOutcome};
 use crate::identity::{InstanceId, ServiceName, ZoneName};
-use crate::io::{Action, ClientId};
+use crate::io::{Action, ClientId, ExchangeFailure};
 use crate::mechanisms::Mechanism;
 use crate::requests::answers::Refusal;
-use crate::requests::open_request::OpenRequest;
+use crate::requests::notice::Notice;
+use crate::requests::open_request::{Attempt, OpenRequest};
+use crate::requests::outcome::tells_failure;
 use crate::requests::permits::{
     Ask, HeldPermit, PermitMessage, PermitNeed, PermitState, caller_hash,
 };
 use crate::requests::split::LARGE_BODY_BYTES;
+use ledgelead_http::Response;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -330,3 +334,31 @@
         }
     }
 }
+
+/// What the end of an attempt says of the permit that it was sent under.
+pub(super) fn returned(
+    attempt: &Attempt,
+    result: &Result<Response, ExchangeFailure>,
+    context: &RequestContext<'_>,
+) -> PermitOutcome {
+    match result {
+        Ok(response) => {
+            let not_executed = response.headers.get(&context.headers.not_executed);
+            let backoff = Notice::of(&attempt.instance, response, context.headers).backoff;
+            match not_executed.is_some() || response.status == 421 {
+                true => backoff.map_or(PermitOutcome::NoSample, PermitOutcome::BackedOff),
+                // It answers sooner than work takes, and would seem the fastest of all.
+                false if tells_failure(response) => PermitOutcome::Failed,
+                false => PermitOutcome::Answered {
+                    took: context.now.saturating_sub(attempt.sent),
+                    load: reported_load(response, context).map(|load| InstanceLoad {
+                        running: load.running as usize,
+                        waiting: load.waiting as usize,
+                    }),
+                },
+            }
+        }
+        Err(failure) if failure.proves_not_run() => PermitOutcome::NoSample,
+        Err(_) => PermitOutcome::Failed,
+    }
+}
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -17,14 +17,14 @@
     longest_ejection: Duration::from_secs(5),
 };
 /// How long an instance's own figure of its load is used.
-const LOAD_BELIEVED_FOR: Duration = Duration::from_millis(400);
+const LOAD_TTL: Duration = Duration::from_millis(400);
 /// How long its own word of its slowness is used; that changes every 400 ms or so.
 const SLOWNESS_TTL: Duration = Duration::from_millis(300);
-/// How long a service time is believed without a new sample; an instance that
+/// How long a service time is used without a new sample; an instance that
 /// was slow gets another chance then.
-const SERVICE_TIME_BELIEVED_FOR: Duration = Duration::from_secs(8);
+const SERVICE_TIME_TTL: Duration = Duration::from_secs(8);
 
-/// What an instance told of its load.
+/// What an instance reported of its load.
 #[derive(Clone, Copy, Debug)]
 pub struct ReportedLoad {
     /// Requests that run.
@@ -33,7 +33,7 @@
     pub waiting: u32,
     /// How long work takes there now, in percent of the usual time, if it says so.
     pub slowness: Option<u16>,
-    /// When it was told.
+    /// When it was reported.
     pub at: Timestamp,
 }
 
@@ -45,7 +45,7 @@
     service_time: Option<(Duration, Timestamp)>,
     failures: Failures,
     reported: Option<ReportedLoad>,
-    /// What answers have shown of its speed since other nodes were told.
+    /// What answers have shown of its speed since it was last announced to other nodes.
     unshared: SpeedSample,
     last_answer: Option<Timestamp>,
     /// Until when it wants no requests of this node.
@@ -96,8 +96,8 @@
         self.failures.share(now)
     }
 
-    /// The instance told its load.
-    pub fn told_load(&mut self, load: ReportedLoad) {
+    /// The instance has reported its load.
+    pub fn load_reported(&mut self, load: ReportedLoad) {
         self.unshared.slowness = load.slowness.or(self.unshared.slowness);
         self.reported = Some(load);
     }
@@ -140,14 +140,14 @@
     /// The smoothed time of work for one request.
     pub fn service_time(&self, now: Timestamp) -> Option<Duration> {
         self.service_time
-            .filter(|(_, at)| *at + SERVICE_TIME_BELIEVED_FOR > now)
+            .filter(|(_, at)| *at + SERVICE_TIME_TTL > now)
             .map(|(time, _)| time)
     }
 
     /// Requests that run or wait there, by its own word, if that is recent.
     pub fn reported_open(&self, now: Timestamp) -> Option<u32> {
         self.reported
-            .filter(|load| load.at + LOAD_BELIEVED_FOR > now)
+            .filter(|load| load.at + LOAD_TTL > now)
             .map(|load| load.running.saturating_add(load.waiting))
     }
 }
