Only runs of notices have instances that say in answers that they leave

Two proofs of the checker (sabotages keep-fences and send-while-draining) found nothing any more: the leaving instances of their runs said so in their answers, and that protection hid what the other one lacked. Instances that never say so exist as well; the other runs go by those, as before, so that each protection is judged alone. Both tests are as they were.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -51,6 +51,7 @@
         hot_from: None,
         crashing: Vec::new(),
         tells_births: false,
+        tells_leaving: false,
         datagram_loss: DATAGRAM_LOSSES[(seed % 3) as usize],
         protections,
     }
@@ -157,7 +158,11 @@
         0 => notices,
         _ => drawn.schedule.join(notices),
     };
-    FleetSettings { schedule, ..drawn }
+    FleetSettings {
+        schedule,
+        tells_leaving: true,
+        ..drawn
+    }
 }
 
 /// A run with suspended machines, and drawn faults besides in half of the runs.
--- a/crates/ledgelead-lab/src/fleet/notices.rs
+++ b/crates/ledgelead-lab/src/fleet/notices.rs
@@ -144,7 +144,7 @@
         index: usize,
         mut response: Response,
     ) -> Response {
-        if self.instances[index].record.draining {
+        if self.settings.tells_leaving && self.instances[index].record.draining {
             response.headers.push("leaving", "1");
             if let Some(exchange) = exchange {
                 self.notices.on_the_way.insert((caller, exchange), index);
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -85,6 +85,9 @@
     pub crashing: Vec<CrashingRequest>,
     /// Whether instances tell when they were started.
     pub tells_births: bool,
+    /// Whether instances that leave say so in their answers as well. Without that the other
+    /// protections are judged alone.
+    pub tells_leaving: bool,
     /// Whether faults, orders and records are printed.
     pub trace: bool,
     /// Protections of the nodes.
