--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -147,19 +147,21 @@
     }
 }
 
-/// A run with instances that say in their answers that they leave or want a pause, and
-/// drawn faults besides in half of the runs.
+/// A run with instances that say in their answers that they leave or want a pause; in half
+/// of the runs with drawn faults besides, or with instances that start again under their ids.
 pub fn drawn_notices(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5a1d);
     let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
     let notices = Schedule::draw_notices(&mut rng, nodes, from, to);
-    let schedule = match seed % 2 {
-        0 => notices,
-        _ => drawn.schedule.join(notices),
+    let schedule = match seed % 4 {
+        0 | 2 => notices,
+        1 => drawn.schedule.join(notices),
+        _ => Schedule::draw_restarts(&mut rng, SHARDED_INSTANCES, from, to).join(notices),
     };
     FleetSettings {
         schedule,
+        tells_births: true,
         tells_leaving: true,
         ..drawn
     }
