--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -140,6 +140,8 @@
         {
             return wait_for_owner(Refusal::OwnerLeft);
         }
+        // The owner said so with another request's rejection. It means all requests of this
+        // node, and sent all the same each would be rejected, up to four times.
         let paused = self.statistics.backoff_left(&assignment.owner, context.now);
         if let Some(left) = paused {
             return self.step_in_backoff(open, left, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -344,9 +344,12 @@
     match result {
         Ok(response) => {
             let not_executed = response.headers.get(&context.headers.not_executed);
-            let backoff = Notice::of(&attempt.instance, response, context.headers).backoff;
             match not_executed.is_some() || response.status == 421 {
-                true => backoff.map_or(PermitOutcome::NoSample, PermitOutcome::BackedOff),
+                true => {
+                    let notice = Notice::of(&attempt.instance, response, context.headers);
+                    let backoff = notice.backoff;
+                    backoff.map_or(PermitOutcome::NoSample, PermitOutcome::BackedOff)
+                }
                 // It answers sooner than work takes, and would seem the fastest of all.
                 false if tells_failure(response) => PermitOutcome::Failed,
                 false => PermitOutcome::Answered {
