--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -353,6 +353,13 @@
     last_client: u64,
 }
 
+/// An instance's whole answer to a request that went well.
+pub fn success() -> Response {
+    let mut response = Response::new(200, "done");
+    response.headers.push("signature", "s");
+    response
+}
+
 /// The address of the node with this number.
 pub fn node_address(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_000))
--- a/crates/ledgelead-router/tests/node/leaving.rs
+++ b/crates/ledgelead-router/tests/node/leaving.rs
@@ -1,7 +1,8 @@
 //! What nodes tell each other of instances that have said in answers that they leave.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, configuration, instance, ms, node_address, owned_store, vacant_store,
+    Fixture, KEYED, SERVICE, configuration, instance, ms, node_address, owned_store, success,
+    vacant_store,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -10,8 +11,8 @@
 use ledgelead_types::codec::List;
 
 fn leaving(status: u16) -> Response {
-    let mut response = Response::new(status, "done");
-    response.headers.push("signature", "s");
+    let mut response = success();
+    response.status = status;
     response.headers.push("leaving", "1");
     response
 }
@@ -86,12 +87,7 @@
     fixture.receive(node_address(1), &announced);
     for _ in 0..10 {
         fixture.ask(SERVICE, None);
-        let served = {
-            let mut response = Response::new(200, "done");
-            response.headers.push("signature", "s");
-            response
-        };
-        expect_that!(answer_next(&mut fixture, served), eq(2));
+        expect_that!(answer_next(&mut fixture, success()), eq(2));
     }
 }
 
--- a/crates/ledgelead-router/tests/node/notices.rs
+++ b/crates/ledgelead-router/tests/node/notices.rs
@@ -15,7 +15,7 @@
 //!     6.9941 attempt_ended shed i-18fca4a701 sent_after_ms 0
 //!     7.0553 attempt_ended shed i-18fca4a701 sent_after_ms 62
 
-use crate::fixture::{Fixture, KEYED, SERVICE, configuration, instance, ms, owned_store};
+use crate::fixture::{Fixture, KEYED, SERVICE, configuration, instance, ms, owned_store, success};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use std::net::SocketAddr;
@@ -31,14 +31,8 @@
     instance(number, SERVICE).address
 }
 
-fn served() -> Response {
-    let mut response = Response::new(200, "done");
-    response.headers.push("signature", "s");
-    response
-}
-
 fn leaving() -> Response {
-    let mut response = served();
+    let mut response = success();
     response.headers.push("leaving", "1");
     response
 }
@@ -111,7 +105,7 @@
     fixture.ask(KEYED, Some(7));
     expect_that!(answer_all(&mut fixture, |_| leaving()), len(eq(1)));
     fixture.run_until(fixture.now + ms(DRAIN_MS));
-    let reached = ask_for(&mut fixture, keyed(), 1_000, |_| served());
+    let reached = ask_for(&mut fixture, keyed(), 1_000, |_| success());
     expect_that!(reached, not(contains(eq(&address(OWNER)))));
 }
 
@@ -120,7 +114,7 @@
     let mut fixture = without_store();
     let says_so = |to: SocketAddr| match to == address(1) {
         true => leaving(),
-        false => served(),
+        false => success(),
     };
     ask_for(&mut fixture, unkeyed(), 1_000, says_so);
     fixture.run_until(fixture.now + ms(DRAIN_MS));
@@ -138,7 +132,7 @@
     let reached = ask_for(&mut fixture, keyed(), 2_500, |_| asks_for_pause("3"));
     expect_that!(reached, is_empty());
     fixture.run_until(fixture.now + ms(500));
-    let after = ask_for(&mut fixture, keyed(), 500, |_| served());
+    let after = ask_for(&mut fixture, keyed(), 500, |_| success());
     expect_that!(after, len(ge(4)));
 }
 
@@ -179,7 +173,7 @@
     for (sent, seconds) in requests.zip(["3", "0.5"]) {
         fixture.answer(sent.exchange, asks_for_pause(seconds));
     }
-    let reached = ask_for(&mut fixture, keyed(), 2_800, |_| served());
+    let reached = ask_for(&mut fixture, keyed(), 2_800, |_| success());
     expect_that!(reached, is_empty());
 }
 
@@ -197,7 +191,7 @@
     }
     expect_that!(fixture.node.status().requests.repeats, is_empty());
     fixture.ask(KEYED, Some(7));
-    expect_that!(answer_all(&mut fixture, |_| served()), len(eq(1)));
+    expect_that!(answer_all(&mut fixture, |_| success()), len(eq(1)));
 }
 
 #[gtest]
@@ -211,5 +205,5 @@
     fixture.ask(KEYED, Some(7));
     expect_that!(fixture.answers, is_empty());
     fixture.run_until(fixture.now + ms(60));
-    expect_that!(answer_all(&mut fixture, |_| served()), len(eq(1)));
+    expect_that!(answer_all(&mut fixture, |_| success()), len(eq(1)));
 }
--- a/crates/ledgelead-router/tests/node/open_requests.rs
+++ b/crates/ledgelead-router/tests/node/open_requests.rs
@@ -1,7 +1,7 @@
 //! In-flight counts among the nodes of a zone.
 
-use crate::fixture::node_record;
 use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_address};
+use crate::fixture::{node_record, success};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::identity::{InstanceId, ZoneName};
@@ -38,8 +38,7 @@
             return;
         }
         let sent = fixture.attempts.remove(0);
-        let mut response = Response::new(200, "done");
-        response.headers.push("signature", "s");
+        let mut response = success();
         if let Some(load) = load {
             response.headers.push("load", load);
         }
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::{
     Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
-    node_record,
+    node_record, success,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -66,8 +66,7 @@
         let client = fixture.ask(KEYED, Some(key));
         if let Some(sent) = fixture.attempts.last() {
             // The owner has answered before the next one comes.
-            let mut response = ledgelead_http::Response::new(200, "done");
-            response.headers.push("signature", "s");
+            let mut response = success();
             response.headers.push("load", "1,0,4");
             let exchange = sent.exchange;
             fixture.answer(exchange, response);
--- a/crates/ledgelead-router/tests/node/permits.rs
+++ b/crates/ledgelead-router/tests/node/permits.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::{
     Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
-    node_record,
+    node_record, success,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -109,12 +109,6 @@
     of_client.next().map(|(_, response)| response)
 }
 
-fn success() -> Response {
-    let mut response = Response::new(200, "done");
-    response.headers.push("signature", "s");
-    response
-}
-
 #[gtest]
 fn a_request_is_sent_by_its_permit_which_comes_back_with_the_time_that_it_took() {
     let mut fixture = node(contended());
--- a/crates/ledgelead-router/tests/node/rejections.rs
+++ b/crates/ledgelead-router/tests/node/rejections.rs
@@ -2,6 +2,7 @@
 
 use crate::fixture::{
     Fixture, KEYED, SERVICE, Sent, Store, all_keys_of, configuration, instance, ms, node_record,
+    success,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -36,8 +37,7 @@
 }
 
 fn serve(fixture: &mut Fixture, sent: &Sent) {
-    let mut response = Response::new(200, "done");
-    response.headers.push("signature", "s");
+    let mut response = success();
     response.headers.push("load", FREE);
     fixture.answer(sent.exchange, response);
 }
--- a/crates/ledgelead-router/tests/node/starting.rs
+++ b/crates/ledgelead-router/tests/node/starting.rs
@@ -7,9 +7,8 @@
 //!
 //!     31.14195s no_new_work_after_leave: i-0 since 28.463s, from node 5
 
-use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
+use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record, success};
 use googletest::prelude::*;
-use ledgelead_http::Response;
 use std::net::SocketAddr;
 
 fn address(number: u8) -> SocketAddr {
@@ -25,9 +24,7 @@
         fixture.run_until(fixture.now + ms(100));
         while let Some(sent) = fixture.attempts.pop() {
             reached.push(sent.address);
-            let mut response = Response::new(200, "done");
-            response.headers.push("signature", "s");
-            fixture.answer(sent.exchange, response);
+            fixture.answer(sent.exchange, success());
         }
     }
     reached
