A list for another node holds no instance whose entry is in doubt

A node that sent all instances to another one counted them as listed, so the receiver took them for present without a doubt, and used an instance that had left for good.

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -439,6 +439,15 @@
             .filter(move |instance| instance.record.service == *service)
     }
 
+    /// Instances whose entries stand. One whose entry went while the store was in doubt is in
+    /// use for a while, but another node that took it for listed would never drop it.
+    pub fn listed(&self) -> impl Iterator<Item = &Instance> {
+        let is_listed = |instance: &&Instance| {
+            !instance.is_gone() && !self.doubted.contains_key(&instance.record.id)
+        };
+        self.instances.values().filter(is_listed)
+    }
+
     /// All instances.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
         self.instances.values()
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -236,11 +236,10 @@
     now: Timestamp,
 ) -> Vec<Datagram> {
     let unconfirmed = directory.doubt_left(now);
-    let present = directory
-        .iter()
-        .filter(|known| !matches!(known.presence, Presence::Gone { .. }))
-        .map(|known| listed_instance(&known.record));
-    let present: Vec<ChangedInstance> = present.collect();
+    let present: Vec<ChangedInstance> = directory
+        .listed()
+        .map(|known| listed_instance(&known.record))
+        .collect();
     let message = |span, instances| PeerMessage::InstancesListed {
         span,
         unconfirmed_ms: u16::try_from(unconfirmed.as_millis()).unwrap_or(u16::MAX),
--- a/crates/ledgelead-router/tests/picture.rs
+++ b/crates/ledgelead-router/tests/picture.rs
@@ -667,3 +667,16 @@
         let _ = decode(&noise);
     }
 }
+
+#[gtest]
+fn an_instance_whose_entry_is_in_doubt_is_used_but_not_listed() {
+    let mut directory = directory(vec![record("a", 1), record("b", 2)]);
+    directory.store_was_lost(ms(1_000));
+    directory.remove("a", ms(1_100));
+    expect_that!(serves(&directory, "a"), eq(true));
+    let listed: Vec<&str> = directory
+        .listed()
+        .map(|instance| instance.record.id.name())
+        .collect();
+    expect_that!(listed, elements_are![eq(&"b")]);
+}
