--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -3,6 +3,7 @@
 use super::crashing::CrashingRequest;
 use super::faults::Schedule;
 use super::report::FleetReport;
+use super::store::PAGE;
 use super::transport::Transport;
 use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
 use ledgelead_router::protections::{Protection, Protections};
@@ -22,6 +23,8 @@
 const TRAFFIC: Duration = Duration::from_secs(40);
 /// When the last fault may begin, counted from the first request.
 const LAST_FAULT: Duration = Duration::from_secs(25);
+/// Objects of a page where lists are to take several.
+const SMALL_PAGE: usize = 4;
 /// Violations that are printed.
 const SHOWN: usize = 20;
 
@@ -47,6 +50,7 @@
         schedule,
         transport: Transport::WITHOUT_MEMORY,
         clock: ProcessClock::SOURCE,
+        page: PAGE,
         trace: false,
         hot_from: None,
         crashing: Vec::new(),
@@ -180,6 +184,15 @@
     FleetSettings { schedule, ..drawn }
 }
 
+/// A run whose lists of instances and nodes take several pages of the store, so that nodes
+/// get them from each other.
+pub fn drawn_paged(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    FleetSettings {
+        page: SMALL_PAGE,
+        ..drawn_for(seed, nodes, protections)
+    }
+}
+
 /// Share of the datagrams that are lost, by seed.
 const DATAGRAM_LOSSES: [f64; 3] = [0.02, 0.1, 0.4];
 
@@ -243,6 +256,7 @@
             Long("foreign") => draw = drawn_foreign,
             Long("restarts") => draw = drawn_restarts,
             Long("notices") => draw = drawn_notices,
+            Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
         }
     }
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod restarts;
 mod store;
 mod store_traffic;
+mod transfers;
 mod transport;
 mod versions;
 mod world;
--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -10,8 +10,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Most objects of one page of a list.
-const PAGE: usize = 500;
+/// Most objects of one page of a list, unless a run says otherwise.
+pub const PAGE: usize = 500;
 
 /// How many revisions a stale list may be behind.
 const STALE_REVISIONS: u64 = 12;
@@ -65,11 +65,20 @@
     history: Vec<Change>,
     forgotten: u64,
     earlier: Option<Earlier>,
+    page: usize,
     /// Watches that wait.
     pub waiting: Vec<Waiting>,
 }
 
 impl Store {
+    /// An empty store whose lists come in pages of so many objects.
+    pub fn with_page(page: usize) -> Store {
+        Store {
+            page,
+            ..Store::default()
+        }
+    }
+
     /// The operator writes a configuration.
     pub fn configure(&mut self, configuration: Configuration) {
         let content = ObjectContent::Configuration(configuration);
@@ -223,8 +232,8 @@
             .filter(|((of, name), _)| *of == kind && name.as_str() > after)
             .map(|(_, object)| object.clone())
             .collect();
-        let more = objects.len() > PAGE;
-        objects.truncate(PAGE);
+        let more = objects.len() > self.page;
+        objects.truncate(self.page);
         StoreAnswer::Objects {
             objects,
             more,
--- /dev/null
+++ b/crates/ledgelead-lab/src/fleet/transfers.rs
@@ -0,0 +1,66 @@
+//! Whole lists that nodes send each other.
+
+use super::event::{Caller, Event};
+use super::network::LATENCY;
+use super::world::{World, exchanged};
+use ledgelead_http::{Request, Response};
+use ledgelead_router::io::{ClientId, ExchangeFailure, ExchangeId, Input};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time that a list takes beyond the latency.
+const TRANSFER_TIME: Duration = Duration::from_millis(20);
+/// Numbers of such requests begin here, apart from those of clients.
+const FIRST_NUMBER: u64 = 1 << 48;
+
+/// Requests of nodes at other nodes.
+#[derive(Default)]
+pub struct Transfers {
+    last: u64,
+    open: HashMap<(Caller, ClientId), (Caller, ExchangeId)>,
+}
+
+impl World {
+    /// A node asks another one.
+    pub(super) fn ask_node(
+        &mut self,
+        caller: Caller,
+        exchange: ExchangeId,
+        receiver: usize,
+        request: Request,
+    ) {
+        if !self.network.nodes_connected(caller.0, receiver) {
+            // The exchange ends with its time.
+            return;
+        }
+        if self.nodes[receiver].node.is_none() {
+            let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
+            self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+            return;
+        }
+        self.transfers.last += 1;
+        let client = ClientId(FIRST_NUMBER + self.transfers.last);
+        let to = (receiver, self.nodes[receiver].life);
+        self.transfers.open.insert((to, client), (caller, exchange));
+        let input = Input::PeerRequest { client, request };
+        self.schedule(LATENCY, Event::Input(to, input));
+    }
+
+    /// Passes on the answer to a node's request. Returns whether it is one.
+    pub(super) fn node_answered(
+        &mut self,
+        answering: Caller,
+        client: ClientId,
+        response: &Response,
+    ) -> bool {
+        let Some((asking, exchange)) = self.transfers.open.remove(&(answering, client)) else {
+            return client.0 >= FIRST_NUMBER;
+        };
+        if self.network.nodes_connected(answering.0, asking.0) {
+            let input = exchanged(exchange, Ok(response.clone()));
+            let after = LATENCY + TRANSFER_TIME;
+            self.schedule(after, Event::Exchanged(asking, exchange, input));
+        }
+        true
+    }
+}
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -21,7 +21,7 @@
 use ledgelead_router::ownership::coordinator::Coordinator;
 use ledgelead_router::protections::Protections;
 use ledgelead_router::requests::{BudgetBounds, ColdBound};
-use ledgelead_router::settings::NodeSettings;
+use ledgelead_router::settings::{DEFAULT_LINK_BYTES_PER_S, NodeSettings};
 use ledgelead_runtime::clock::ClockSource;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -88,6 +88,8 @@
     /// Whether instances that leave say so in their answers as well. Without that the other
     /// protections are judged alone.
     pub tells_leaving: bool,
+    /// Most objects of one page of the store's lists.
+    pub page: usize,
     /// Whether faults, orders and records are printed.
     pub trace: bool,
     /// Protections of the nodes.
@@ -171,6 +173,7 @@
     pub(super) report: FleetReport,
     pub(super) losses: Vec<Loss>,
     pub(super) clients: super::clients::Clients,
+    pub(super) transfers: super::transfers::Transfers,
 }
 
 impl World {
@@ -194,7 +197,7 @@
                 .collect(),
             crashing_tries: 0,
             nodes: Vec::new(),
-            store: Store::default(),
+            store: Store::with_page(settings.page),
             mood: StoreMood::default(),
             instances: Vec::new(),
             last_beat: BTreeMap::new(),
@@ -211,6 +214,7 @@
             report: FleetReport::default(),
             losses: Vec::new(),
             clients: super::clients::Clients::default(),
+            transfers: super::transfers::Transfers::default(),
             settings,
         };
         world.populate();
@@ -406,6 +410,7 @@
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
+            link_bytes_per_s: DEFAULT_LINK_BYTES_PER_S,
             seed: self.rng.random(),
             protections: self.settings.protections,
             mechanisms: Mechanisms::default(),
@@ -488,7 +493,11 @@
 
     fn perform(&mut self, caller: Caller, action: Action) {
         match action {
-            Action::Respond { client, response } => self.client_answered(caller, client, &response),
+            Action::Respond { client, response } => {
+                if !self.node_answered(caller, client, &response) {
+                    self.client_answered(caller, client, &response);
+                }
+            }
             Action::Exchange {
                 exchange,
                 address,
@@ -508,8 +517,7 @@
     }
 
     fn datagram(&mut self, caller: Caller, address: SocketAddr, bytes: Vec<u8>) {
-        let receiver = (0..self.nodes.len()).find(|index| node_address(*index) == address);
-        let Some(receiver) = receiver else {
+        let Some(receiver) = self.node_at(address) else {
             return;
         };
         if !self.network.nodes_connected(caller.0, receiver) {
@@ -527,6 +535,10 @@
         self.schedule(LATENCY + delay, Event::Input(to, input));
     }
 
+    fn node_at(&self, address: SocketAddr) -> Option<usize> {
+        (0..self.nodes.len()).find(|index| node_address(*index) == address)
+    }
+
     fn cancel(&mut self, caller: Caller, exchange: ExchangeId) {
         self.pending.remove(&(caller, exchange));
         self.store
@@ -557,6 +569,10 @@
             }
             return;
         }
+        if let Some(receiver) = self.node_at(address) {
+            self.ask_node(caller, exchange, receiver, request);
+            return;
+        }
         let instance = self.live_at(address);
         match instance {
             Some(instance) if self.network.instance_connected(caller.0, instance) => {
--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -112,6 +112,11 @@
         self.current_at > Timestamp::ZERO
     }
 
+    /// Before when all that the store acknowledged is known here, if that is known.
+    pub fn current_at(&self) -> Option<Timestamp> {
+        self.is_confirmed().then_some(self.current_at)
+    }
+
     /// All that the store acknowledged before `at` is known here. What is
     /// learned later has happened since.
     pub fn note_current(&mut self, at: Timestamp) {
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -176,6 +176,15 @@
         /// For how long it has lacked them, in milliseconds.
         missing_ms: u64,
     },
+    /// Another node has sent all objects of a kind.
+    StateReceived {
+        /// The kind.
+        kind: &'static str,
+        /// The revision, or version, up to which they are known.
+        revision: u64,
+        /// The node that sent them.
+        from: SocketAddr,
+    },
     /// The coordinator begins to move keys.
     MoveBegins {
         /// The service.
@@ -275,6 +284,7 @@
             Event::StoreFails { .. }
             | Event::StoreServes
             | Event::ChangesMissing { .. }
+            | Event::StateReceived { .. }
             | Event::ObjectUnreadable { .. } => "store",
             Event::Campaigns { .. }
             | Event::Coordinates { .. }
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -92,6 +92,13 @@
         /// The request without its body.
         request: Request,
     },
+    /// Another node asks for objects that this node knows.
+    PeerRequest {
+        /// Names the request until it is answered.
+        client: ClientId,
+        /// The request.
+        request: Request,
+    },
     /// The client closed its connection while its request was open.
     ClientLeft {
         /// The request.
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -41,6 +41,8 @@
     pub(super) open_requests: OpenRequestPace,
     /// Where the last heartbeat of the coordinator came from.
     pub(super) coordinator_address: Option<SocketAddr>,
+    /// Which node passed it on, or sent it.
+    pub(super) heartbeat_sender: Option<SocketAddr>,
     /// When this node is on its own again, unless it hears of instances.
     pub(super) informed_until: Option<Timestamp>,
     /// The epoch of the coordinator whose view is followed until then.
@@ -66,6 +68,7 @@
             next_report: now + REPORT_INTERVAL,
             open_requests: OpenRequestPace::new(now),
             coordinator_address: None,
+            heartbeat_sender: None,
             relay: RelayState::default(),
             informed_until: None,
             followed: None,
@@ -211,7 +214,7 @@
                 origin,
                 to_zone,
                 message,
-            } => self.forwarded(origin, to_zone, message, now, out),
+            } => self.forwarded(from, origin, to_zone, message, now, out),
             PeerMessage::InstancesChanged {
                 span,
                 unconfirmed_ms,
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -74,6 +74,7 @@
         let delay = self.gossip.delay.arrived(epoch, heartbeat.sent_ms, now);
         let age = delay + Duration::from_millis(u64::from(heartbeat.age_ms));
         self.gossip.coordinator_address = Some(from);
+        self.gossip.heartbeat_sender = Some(from);
         self.overloads.replace(&heartbeat.overloads, now);
         self.heard_of_store(store_serves, now, out);
         self.heard_of_evacuations(&heartbeat.evacuations, now, out);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod status;
 mod store_answers;
 mod store_calls;
+mod transfer;
 mod unreadable;
 mod watch_paces;
 mod zone_relay;
@@ -23,6 +24,7 @@
 
 pub use status::NodeStatus;
 pub use store_calls::OWNERSHIP_NAME;
+pub use transfer::TRANSFER_PATH;
 
 use crate::Timestamp;
 use crate::configuration::{ClientLimits, Configuration, RouteTable};
@@ -47,6 +49,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
+use transfer::{TransferServer, Transfers};
 use unreadable::UnreadableObjects;
 use zone_relay::ZoneRelays;
 
@@ -70,6 +73,8 @@
     coordination: Coordination,
     gossip: Gossip,
     zone_relays: ZoneRelays,
+    transfers: Transfers,
+    transfer_server: TransferServer,
     load_hub: LoadHub,
     dispatcher: Dispatcher,
     overloads: Overloads,
@@ -104,6 +109,8 @@
             coordination: Coordination::new(Election::default(), settings.protections),
             gossip: Gossip::new(now),
             zone_relays: ZoneRelays::default(),
+            transfers: Transfers::new(settings.seed),
+            transfer_server: TransferServer::default(),
             load_hub: LoadHub::new(now),
             dispatcher: Dispatcher::default(),
             overloads: Overloads::default(),
@@ -175,6 +182,9 @@
                 let (requests, mut context) = self.requests_and_context(now);
                 requests.refuse_unread(client, &request, &mut context, out);
             }
+            Input::PeerRequest { client, request } => {
+                self.transfer_requested(client, &request, now, out);
+            }
             Input::ClientLeft { client } => self.requests.left(client, out),
             Input::Exchanged {
                 exchange,
@@ -197,6 +207,8 @@
                     self.reconsider_waiting(now, out);
                 } else if self.store.owns(exchange) {
                     self.store_answered(exchange, result, now, out);
+                } else if self.transfers.owns(exchange) {
+                    self.transfer_ended(exchange, result, now, out);
                 } else if self.quarantine.owns(exchange) {
                     self.probed(exchange, result.err(), now);
                 } else {
@@ -276,6 +288,7 @@
             self.shared.expire(now);
             self.expire_quarantine(now);
             self.zone_relays.expire(now);
+            self.transfer_server.expire(now);
             self.dispatcher.expire(now);
             self.cold_keys.expire(now);
         }
--- a/crates/ledgelead-router/src/node/relay/entries.rs
+++ b/crates/ledgelead-router/src/node/relay/entries.rs
@@ -12,7 +12,7 @@
 use ledgelead_types::codec::Text;
 use std::time::Duration;
 
-pub(super) fn changed_assignment(assignment: &Assignment) -> ChangedAssignment {
+pub(in crate::node) fn changed_assignment(assignment: &Assignment) -> ChangedAssignment {
     ChangedAssignment {
         service: assignment.service.stable_hash(),
         first: assignment.first,
@@ -32,7 +32,7 @@
     }
 }
 
-pub(super) fn listed_instance(record: &InstanceRecord) -> ChangedInstance {
+pub(in crate::node) fn listed_instance(record: &InstanceRecord) -> ChangedInstance {
     ChangedInstance {
         id: Text(record.id.to_string()),
         entry: Some(instance_entry(record)),
@@ -52,13 +52,9 @@
 
 pub(super) fn changed_node(event: &ObjectEvent) -> ChangedNode {
     let entry = match &event.object.content {
-        Ok(ObjectContent::Node(record)) if !event.gone => Some(NodeEntry {
-            incarnation: record.identity.incarnation,
-            zone: Text(record.zone.to_string()),
-            address: Text(record.address.to_string()),
-            millicores: record.millicores,
-            revision: event.object.revision,
-        }),
+        Ok(ObjectContent::Node(record)) if !event.gone => {
+            Some(node_entry(record, event.object.revision))
+        }
         _ => None,
     };
     ChangedNode {
@@ -67,8 +63,29 @@
     }
 }
 
+pub(in crate::node) fn listed_node(registration: &Registration) -> ChangedNode {
+    let Registration { record, revision } = registration;
+    ChangedNode {
+        node: Text(record.identity.node.to_string()),
+        entry: Some(node_entry(record, *revision)),
+    }
+}
+
+fn node_entry(record: &NodeRecord, revision: u64) -> NodeEntry {
+    NodeEntry {
+        incarnation: record.identity.incarnation,
+        zone: Text(record.zone.to_string()),
+        address: Text(record.address.to_string()),
+        millicores: record.millicores,
+        revision,
+    }
+}
+
 /// The record of an entry, if it lies within bounds.
-pub(super) fn instance_record(id: InstanceId, entry: &InstanceEntry) -> Option<InstanceRecord> {
+pub(in crate::node) fn instance_record(
+    id: InstanceId,
+    entry: &InstanceEntry,
+) -> Option<InstanceRecord> {
     let record = InstanceRecord {
         id,
         service: ServiceName::from(entry.service.0.as_str()),
@@ -82,7 +99,7 @@
 }
 
 /// The registration of an entry, if it lies within bounds.
-pub(super) fn registration(node: NodeName, entry: &NodeEntry) -> Option<Registration> {
+pub(in crate::node) fn registration(node: NodeName, entry: &NodeEntry) -> Option<Registration> {
     let record = NodeRecord {
         identity: NodeIdentity {
             node,
--- a/crates/ledgelead-router/src/node/relay/gaps.rs
+++ b/crates/ledgelead-router/src/node/relay/gaps.rs
@@ -49,6 +49,11 @@
         &mut self.gaps[kind as usize]
     }
 
+    /// What is missing of a kind is looked at again at this time.
+    pub(in crate::node) fn review_gap_at(&mut self, kind: RelayedKind, at: Timestamp) {
+        self.gap(kind).unasked_since = at.saturating_sub(MISSING_FOR);
+    }
+
     /// When the store is to be asked next for what is missing.
     pub(in crate::node) fn next_ask(&self) -> Option<Timestamp> {
         self.gaps.iter().filter_map(Gap::next_ask).min()
@@ -138,8 +143,8 @@
         }
     }
 
-    /// Asks the store for what the coordinator has not told in time. A watch
-    /// that has been out since before `since` is made anew.
+    /// Asks other nodes of a large fleet, or the store, for what the coordinator has not
+    /// told in time. A watch that has been out since before `since` is made anew.
     fn ask_store(
         &mut self,
         kind: RelayedKind,
@@ -147,6 +152,9 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        if self.fill_gap_from_nodes(kind, now, out) {
+            return;
+        }
         if self.store.health.has_failed() {
             self.store.probe_for_gap(now, out);
         }
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -13,6 +13,9 @@
 mod objects;
 mod ownership;
 
+pub(super) use entries::{
+    changed_assignment, instance_record, listed_instance, listed_node, registration,
+};
 pub(super) use objects::differences;
 pub(super) use ownership::TakeOver;
 
@@ -123,7 +126,7 @@
 
 impl RelayedKind {
     /// Every kind, in the order of its declaration.
-    const ALL: [RelayedKind; 4] = [
+    pub(super) const ALL: [RelayedKind; 4] = [
         RelayedKind::Instances,
         RelayedKind::Nodes,
         RelayedKind::Ownership,
@@ -131,7 +134,7 @@
     ];
 
     /// Its name in logs and metrics.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             RelayedKind::Instances => "instances",
             RelayedKind::Nodes => "nodes",
@@ -140,7 +143,8 @@
         }
     }
 
-    fn object_kind(self) -> ObjectKind {
+    /// The kind of the store's objects.
+    pub(super) fn object_kind(self) -> ObjectKind {
         match self {
             RelayedKind::Instances => ObjectKind::Instances,
             RelayedKind::Nodes => ObjectKind::Nodes,
@@ -150,10 +154,18 @@
     }
 }
 
+impl RelayedKind {
+    /// The kind that the store's objects of another kind are relayed as, if they are.
+    pub(super) fn of(kind: ObjectKind) -> Option<RelayedKind> {
+        let is_same = |relayed: &RelayedKind| relayed.object_kind() == kind;
+        RelayedKind::ALL.into_iter().find(is_same)
+    }
+}
+
 impl Node {
     /// Up to which revision this node knows all changes of a kind; none before
     /// its first list.
-    fn known_revision(&self, kind: RelayedKind) -> Option<u64> {
+    pub(super) fn known_revision(&self, kind: RelayedKind) -> Option<u64> {
         match kind {
             RelayedKind::Instances | RelayedKind::Nodes => {
                 self.store.revision_of(kind.object_kind())
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -112,7 +112,10 @@
         }
     }
 
-    fn known_assignment(&self, change: &ChangedAssignment) -> Option<Assignment> {
+    pub(in crate::node) fn known_assignment(
+        &self,
+        change: &ChangedAssignment,
+    ) -> Option<Assignment> {
         let service = self.service_by_hash(change.service)?;
         Some(Assignment {
             service: service.clone(),
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -50,6 +50,8 @@
     pub unreadable: BTreeMap<&'static str, u64>,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
+    /// Whole lists that other nodes have sent to this one, and this one to others.
+    pub transfers: (u64, u64),
     /// Permits that its requests have asked for.
     pub permits: PermitCounters,
     /// What it has decided as dispatcher.
@@ -83,6 +85,7 @@
             ends_counted: self.quarantine.evidence.ends(),
             unreadable: self.unreadable.counts().clone(),
             traffic: self.traffic.clone(),
+            transfers: (self.transfers.received(), self.transfer_server.sent),
             permits: self.requests.permit_counters(),
             dispatched: self.dispatcher.counters(),
             dispatch_waiting: self.dispatcher.waiting(),
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use super::registration::RegistrationState;
-use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, pace};
+use super::watch_paces::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreCall};
 use crate::io::{Action, ExchangeId, ExchangeOptions};
@@ -131,12 +131,16 @@
         let mut watchers = ObjectKind::ALL.map(watcher);
         watchers[ObjectKind::Evacuations as usize].defer(now + FIRST_EVACUATIONS_PAUSE);
         watchers[ObjectKind::Quarantine as usize].defer(now + FIRST_QUARANTINE_PAUSE);
+        let cold_start = ColdStart::new(settings.millicores, settings.seed);
+        watchers[ObjectKind::Nodes as usize].set_page_pause(cold_start.election);
+        let list_pause = large_list_pause(settings.seed);
+        watchers[ObjectKind::Instances as usize].set_page_pause(list_pause);
         StoreCalls {
             health: StoreHealth::default(),
             watchers,
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
-            cold_start: ColdStart::new(settings.millicores, settings.seed),
+            cold_start,
             reads_evacuations: settings.evacuation_bound.is_some(),
             starts_cold: false,
             next_doubt: now,
@@ -180,6 +184,14 @@
         self.watchers[kind as usize].has_listed()
     }
 
+    /// Whether instances or nodes are too many for one page of a list.
+    pub(super) fn has_paged_list(&self) -> bool {
+        let kinds = [ObjectKind::Instances, ObjectKind::Nodes];
+        kinds
+            .iter()
+            .any(|kind| self.watchers[*kind as usize].is_paged())
+    }
+
     /// Whether the store's last answer about a kind told the newest state.
     pub(super) fn is_exact(&self, kind: ObjectKind) -> bool {
         self.watchers[kind as usize].as_of().is_some()
@@ -207,6 +219,12 @@
         if self.health.has_failed() {
             return kind != ObjectKind::Instances;
         }
+        // The first page of instances tells whether the record may be as large.
+        let instances = &self.watchers[ObjectKind::Instances as usize];
+        let is_first = !self.has_listed(ObjectKind::Ownership) && !self.starts_cold;
+        if kind == ObjectKind::Ownership && is_first && !instances.has_answered() {
+            return true;
+        }
         // The configuration tells whether the whole deployment starts.
         let waits = matches!(kind, ObjectKind::Instances | ObjectKind::Nodes);
         waits && !self.has_listed(ObjectKind::Configuration)
@@ -236,6 +254,20 @@
         }
     }
 
+    /// A coordinator is heard: other nodes send what this one has put off.
+    fn hasten_large_lists(&mut self, now: Timestamp) {
+        for kind in [
+            ObjectKind::Instances,
+            ObjectKind::Nodes,
+            ObjectKind::Ownership,
+        ] {
+            let watcher = self.watcher(kind);
+            if watcher.is_paged() && !watcher.has_listed() {
+                watcher.hasten(now);
+            }
+        }
+    }
+
     /// Another node says that the store serves again: the call that notices so
     /// is made anew.
     pub(super) fn probe_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -284,6 +316,7 @@
         let resumes = !paused && was_paused;
         if paused && !was_paused {
             self.spare_list_of_nodes(now);
+            self.hasten_large_lists(now);
         }
         for watcher in &mut self.watchers {
             watcher.set_paused(paused);
@@ -405,7 +438,7 @@
             }
             if let Some(call) = self.store.watchers[index].take_call(now) {
                 let kind = self.store.watchers[index].kind();
-                self.start_call(Purpose::Watch(kind), call, now, out);
+                self.call_watched(kind, call, now, out);
             }
         }
     }
--- a/crates/ledgelead-router/src/node/watch_paces.rs
+++ b/crates/ledgelead-router/src/node/watch_paces.rs
@@ -110,6 +110,10 @@
 /// A list that may be some seconds old then holds most of them, and the
 /// coordinator has the rest.
 const COLD_START_PAUSE: Duration = Duration::from_secs(3);
+/// Time for which a node that has seen one page of a long list of instances leaves the rest
+/// to other nodes. A coordinator is elected within 3 s of the loss of all nodes, has its own
+/// list 1 s later, and is heard 0.2 s after that.
+const LARGE_LIST_PAUSE: Duration = Duration::from_secs(6);
 /// Share by which a pause is lengthened at random, so that nodes that start
 /// together don't call together.
 const SPREAD: f64 = 0.5;
@@ -160,6 +164,12 @@
     }
 }
 
+/// How long a node waits for other nodes to send what doesn't fit one page.
+pub(super) fn large_list_pause(seed: u64) -> Duration {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    LARGE_LIST_PAUSE.mul_f64(rng.random_range(1.0..2.0))
+}
+
 /// Pauses of a node that finds no configuration: the whole deployment starts.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ColdStart {
--- a/crates/ledgelead-router/src/node/zone_relay.rs
+++ b/crates/ledgelead-router/src/node/zone_relay.rs
@@ -133,13 +133,15 @@
     /// A message of the coordinator that came by way of another node.
     pub(super) fn forwarded(
         &mut self,
+        from: SocketAddr,
         origin: PeerAddress,
         to_zone: bool,
         message: Bytes,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        if matches!(decode(&message.0), Ok(PeerMessage::Forwarded { .. })) {
+        let inner = decode(&message.0);
+        if matches!(inner, Ok(PeerMessage::Forwarded { .. })) {
             // No node wraps a message twice; each layer would be passed on again.
             return;
         }
@@ -148,6 +150,10 @@
             self.pass_on(origin, &message, out);
         }
         self.datagram(origin, &message.0, now, out);
+        let is_heartbeat = matches!(inner, Ok(PeerMessage::CoordinatorHeartbeat(_)));
+        if is_heartbeat && self.gossip.coordinator_address == Some(origin) {
+            self.gossip.heartbeat_sender = Some(from);
+        }
     }
 
     /// Passes a message of the coordinator on to the other nodes of this zone.
--- a/crates/ledgelead-router/src/node/zone_traffic.rs
+++ b/crates/ledgelead-router/src/node/zone_traffic.rs
@@ -4,7 +4,7 @@
 use crate::identity::{InstanceId, ZoneName};
 use crate::io::{Action, ExchangeFailure, ExchangeId};
 use crate::peers::Datagram;
-use crate::zone_traffic::{ORDERS, Place, REQUESTS, STORE};
+use crate::zone_traffic::{ORDERS, Place, REQUESTS, STORE, TRANSFERS};
 use ledgelead_http::{Request, Response, request_bytes, response_bytes};
 use std::net::SocketAddr;
 
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Counts a list that is sent to another node.
+    pub(super) fn count_transfer(&mut self, to: SocketAddr, bytes: usize) {
+        let place = self.place_of_node(to);
+        self.zone_traffic.sent(TRANSFERS, place, bytes);
+    }
+
     fn count_datagram(&mut self, address: SocketAddr, datagram: &Datagram) {
         self.traffic.sent(datagram);
         let place = self.place_of_node(address);
@@ -68,6 +74,9 @@
         if self.store.owns(exchange) {
             return Some((STORE, Place::Unknown));
         }
+        if let Some(source) = self.transfers.source(exchange) {
+            return Some((TRANSFERS, self.place_of_node(source)));
+        }
         let instance = self.coordination.ordered(exchange)?;
         Some((ORDERS, self.place_of_instance(instance)))
     }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -175,7 +175,7 @@
 }
 
 /// What a coordinator passes on from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
 pub enum RelayedKind {
     /// Instances.
     Instances,
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod registry;
 mod shared_load;
 mod traffic;
+mod transfer;
 
 pub use assembly::{Assembly, ChangeList, MAX_PARTS};
 pub use change_log::{ChangeLog, Changes};
@@ -29,3 +30,8 @@
 pub use registry::{NodeRecord, Registration, Registry};
 pub use shared_load::{SharedLoad, SpeedSample};
 pub use traffic::{PeerTraffic, TrafficCount};
+pub use transfer::{
+    CoordinatorEntry, RecordEntry, TransferAnswer, TransferRequest, TransferredObjects,
+    TransferredState, WholeConfiguration, decode_answer, decode_request, encode_answer,
+    encode_request,
+};
--- a/crates/ledgelead-router/src/peers/registry.rs
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -78,6 +78,11 @@
         self.nodes.values().map(|known| &known.record)
     }
 
+    /// All registrations in the order of the nodes' names.
+    pub fn registrations(&self) -> impl Iterator<Item = &Registration> {
+        self.nodes.values()
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- /dev/null
+++ b/crates/ledgelead-router/src/peers/transfer.rs
@@ -0,0 +1,131 @@
+//! Whole lists of objects that one node sends another over a connection.
+//!
+//! Datagrams carry changes; what has no bound on its length comes this way.
+
+use super::configuration::{ConfigurationChange, ConfigurationDelta, LimitsEntry};
+use super::message::{ChangedAssignment, ChangedInstance, ChangedNode, PeerAddress, RelayedKind};
+use ledgelead_types::codec::{self, DecodeError, List, Text};
+use nanoserde::{DeBin, SerBin};
+
+/// Asks another node for all objects of a kind.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct TransferRequest {
+    /// The kind.
+    pub kind: RelayedKind,
+    /// The revision up to which the sender knows the objects; it wants later ones.
+    pub known: u64,
+    /// The sender's zone.
+    pub zone: Text,
+    /// Where others can ask the sender, once it has the objects.
+    pub address: PeerAddress,
+}
+
+/// The answer to a request for objects.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub enum TransferAnswer {
+    /// The objects.
+    State(TransferredState),
+    /// The receiver has none that are newer, or no room on its link.
+    Elsewhere {
+        /// Nodes that were sent the objects lately.
+        nodes: List<PeerAddress>,
+    },
+}
+
+/// All objects of a kind as a node knows them.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct TransferredState {
+    /// The revision up to which they are known.
+    pub revision: u64,
+    /// How long ago the sender knew all that the store had acknowledged, in milliseconds;
+    /// nothing if it can't tell.
+    pub age_ms: Option<u32>,
+    /// How much longer entries that are missing may come back, in milliseconds.
+    pub unconfirmed_ms: u16,
+    /// The objects.
+    pub objects: TransferredObjects,
+}
+
+/// The objects of one kind.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub enum TransferredObjects {
+    /// Instances.
+    Instances(List<ChangedInstance>),
+    /// Registrations of nodes.
+    Nodes(List<ChangedNode>),
+    /// The record of ownership.
+    Ownership(RecordEntry),
+    /// The configuration.
+    Configuration(WholeConfiguration),
+}
+
+/// The record of ownership.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct RecordEntry {
+    /// Its epoch.
+    pub epoch: u64,
+    /// The coordinator and its life; none after it resigned.
+    pub coordinator: Option<CoordinatorEntry>,
+    /// How long earlier coordinators may go on to give orders, in milliseconds.
+    pub earlier_authority_ms: u64,
+    /// The next fencing token.
+    pub next_fence: u64,
+    /// All assignments.
+    pub assignments: List<ChangedAssignment>,
+}
+
+/// Who coordinates.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct CoordinatorEntry {
+    /// The node.
+    pub node: Text,
+    /// Its life.
+    pub incarnation: u64,
+}
+
+/// A version of the configuration.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct WholeConfiguration {
+    /// Its limits.
+    pub limits: LimitsEntry,
+    /// Its routes and services.
+    pub entries: List<ConfigurationChange>,
+}
+
+impl WholeConfiguration {
+    /// This configuration as what it changes of none.
+    pub fn into_delta(self, version: u64) -> ConfigurationDelta {
+        ConfigurationDelta {
+            base: 0,
+            version,
+            limits: self.limits,
+            changes: self.entries.0,
+        }
+    }
+}
+
+/// Encodes a request.
+pub fn encode_request(request: &TransferRequest) -> Vec<u8> {
+    codec::encode(request)
+}
+
+/// Decodes a request.
+///
+/// # Errors
+/// When the bytes are no request.
+pub fn decode_request(bytes: &[u8]) -> Result<TransferRequest, DecodeError> {
+    codec::decode(bytes)
+}
+
+/// Encodes an answer.
+pub fn encode_answer(answer: &TransferAnswer) -> Vec<u8> {
+    codec::encode(answer)
+}
+
+/// Decodes an answer.
+///
+/// # Errors
+/// When the bytes are no answer.
+pub fn decode_answer(bytes: &[u8]) -> Result<TransferAnswer, DecodeError> {
+    codec::decode(bytes)
+}
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -35,6 +35,8 @@
     pub stop_grace: Duration,
     /// Memory that the process may use, in bytes. None where it is not bounded.
     pub memory_limit: Option<usize>,
+    /// What this node's link carries in each direction, in bytes a second.
+    pub link_bytes_per_s: u64,
     /// Seed of the node's random decisions.
     pub seed: u64,
     /// All on, but in simulations that prove their checker.
@@ -43,6 +45,9 @@
     pub mechanisms: Mechanisms,
 }
 
+/// What a link is taken to carry where nothing says so, in bytes a second: a gigabit.
+pub const DEFAULT_LINK_BYTES_PER_S: u64 = 125_000_000;
+
 /// How long an instance holds keys after a grant arrived.
 pub const HOLD: Duration = Duration::from_millis(4_000);
 /// Time between renewals of a grant.
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -103,6 +103,15 @@
     is_first: bool,
     /// Whether the first list may be some seconds old.
     first_may_be_stale: bool,
+    /// Whether the list that is being read may be some seconds old.
+    reads_stale: bool,
+    /// Whether the call that is out was made of another node.
+    is_elsewhere: bool,
+    /// Whether a list took more than one page.
+    is_paged: bool,
+    /// Pause after the first page of a first list that goes on: another node may send it
+    /// meanwhile.
+    page_pause: Option<Duration>,
 }
 
 impl Watcher {
@@ -127,12 +136,36 @@
             first_watch: Timestamp::ZERO,
             is_first: true,
             first_may_be_stale: true,
+            reads_stale: false,
+            is_elsewhere: false,
+            is_paged: false,
+            page_pause: None,
         }
     }
 
-    /// Whether the first list, if it isn't complete, may be some seconds old.
+    /// Whether the first list, if it isn't complete, may be some seconds old. One that is
+    /// being read and may be, though it must not, begins again.
     pub fn set_first_may_be_stale(&mut self, may_be: bool) {
         self.first_may_be_stale = may_be;
+        let is_read = matches!(self.position, Position::Listing { .. });
+        if !may_be && self.reads_stale && is_read && !self.in_flight {
+            self.position = Position::start();
+        }
+    }
+
+    /// Sets the pause after the first page of a first list that goes on.
+    pub fn set_page_pause(&mut self, pause: Duration) {
+        self.page_pause = Some(pause);
+    }
+
+    /// Whether a list took more than one page.
+    pub fn is_paged(&self) -> bool {
+        self.is_paged
+    }
+
+    /// Whether the store has answered at all, if only with the first page of a list.
+    pub fn has_answered(&self) -> bool {
+        self.last_answer.is_some()
     }
 
     /// Whether a list is complete.
@@ -238,6 +271,38 @@
         self.next_call = now;
     }
 
+    /// The call that is due is made of another node.
+    pub fn asks_elsewhere(&mut self) {
+        self.is_elsewhere = true;
+    }
+
+    /// Another node has sent the whole list, with all changes up to a revision.
+    pub fn listed_elsewhere(&mut self, revision: u64, now: Timestamp) {
+        let was_asked = std::mem::take(&mut self.is_elsewhere);
+        if self.in_flight && !was_asked && matches!(self.position, Position::Listing { .. }) {
+            // The store's own list is on its way.
+            return;
+        }
+        self.position = Position::Watching { revision };
+        if self.is_first {
+            self.is_first = false;
+            self.first_watch = now + FIRST_WATCH_PAUSE;
+        }
+        if was_asked {
+            self.in_flight = false;
+            self.next_call = self.first_watch.max(now);
+        }
+    }
+
+    /// The list that another node was asked for has not come; the next call begins anew.
+    pub fn list_again(&mut self, at: Timestamp) {
+        if std::mem::take(&mut self.is_elsewhere) {
+            self.in_flight = false;
+            self.position = Position::start();
+            self.next_call = at;
+        }
+    }
+
     fn rests(&self) -> bool {
         let is_asked = self.poked || self.confirming;
         self.paused && !is_asked && matches!(self.position, Position::Watching { .. })
@@ -282,11 +347,12 @@
             Position::Listing { after, .. } => {
                 if after.is_none() {
                     self.list_began = now;
+                    self.reads_stale = self.lists_stale();
                 }
                 StoreCall::List {
                     kind: self.kind,
                     after: after.clone(),
-                    stale: self.lists_stale(),
+                    stale: self.reads_stale,
                 }
             }
             Position::Watching { revision } => StoreCall::Watch {
@@ -365,9 +431,14 @@
         let named = |object: &&Object| !object.name.is_empty();
         let last = objects.iter().rfind(named).map(|object| &object.name);
         let is_stuck = !objects.is_empty() && (last.is_none() || last == after.as_ref());
+        let is_first_page = after.is_none();
         *after = last.cloned();
         pages.extend(objects);
         if more && !is_stuck {
+            self.is_paged = true;
+            if self.is_first && self.reads_stale && is_first_page {
+                self.next_call = now + self.page_pause.take().unwrap_or_default();
+            }
             return WatchChange::Unchanged;
         }
         let all = std::mem::take(pages);
@@ -380,7 +451,7 @@
             };
             return WatchChange::Events(all.into_iter().map(event).collect());
         }
-        self.as_of = (!self.lists_stale() && !more).then_some(self.list_began);
+        self.as_of = (!self.reads_stale && !more).then_some(self.list_began);
         if self.is_first {
             self.first_watch = now + FIRST_WATCH_PAUSE;
             self.next_call = self.first_watch;
--- a/crates/ledgelead-router/src/zone_traffic.rs
+++ b/crates/ledgelead-router/src/zone_traffic.rs
@@ -11,6 +11,8 @@
 pub const STORE: &str = "store";
 /// Orders of a coordinator to instances.
 pub const ORDERS: &str = "orders";
+/// Whole lists between nodes.
+pub const TRANSFERS: &str = "transfers";
 /// Clients' requests at instances, and their answers.
 pub const REQUESTS: &str = "requests";
 
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -20,7 +20,7 @@
 use ledgelead_router::peers::{Datagram, NodeRecord, PeerMessage, decode, encode};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::requests::{BudgetBounds, ColdBound};
-use ledgelead_router::settings::NodeSettings;
+use ledgelead_router::settings::{DEFAULT_LINK_BYTES_PER_S, NodeSettings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -58,6 +58,8 @@
     pub forgets: bool,
     /// Whether a watch is answered at once if there are changes.
     pub answers_changes: bool,
+    /// Most objects of one page of a list, if there is a bound.
+    pub page: Option<usize>,
     /// What lists hold that may be stale, with its revision, if they lag.
     stale: Option<(u64, Objects)>,
 }
@@ -169,11 +171,7 @@
             _ => {}
         }
         match call {
-            StoreCall::List { kind, .. } => Some(StoreAnswer::Objects {
-                objects: self.of_kind(*kind),
-                more: false,
-                revision: self.revision,
-            }),
+            StoreCall::List { kind, after, .. } => Some(self.listed(*kind, after.as_deref())),
             StoreCall::Watch { revision, .. } if self.forgets && *revision < self.revision => {
                 Some(StoreAnswer::HistoryLost)
             }
@@ -222,6 +220,20 @@
         }
     }
 
+    /// A page of a list, after a name.
+    fn listed(&self, kind: ObjectKind, after: Option<&str>) -> StoreAnswer {
+        let mut objects = self.of_kind(kind);
+        objects.retain(|object| after.is_none_or(|after| object.name.as_str() > after));
+        let page = self.page.unwrap_or(usize::MAX);
+        let more = objects.len() > page;
+        objects.truncate(page);
+        StoreAnswer::Objects {
+            objects,
+            more,
+            revision: self.revision,
+        }
+    }
+
     /// The version of the configuration; 0 without one.
     pub fn version(&self) -> u64 {
         match self.of_kind(ObjectKind::Configuration).pop() {
@@ -324,6 +336,7 @@
     pub address: SocketAddr,
     /// The path of a client's request, or the mark of an order.
     pub target: String,
+    pub body: Vec<u8>,
     pub at: Timestamp,
     /// How it is carried out; nothing of a probe.
     pub options: Option<ExchangeOptions>,
@@ -500,6 +513,7 @@
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
+            link_bytes_per_s: DEFAULT_LINK_BYTES_PER_S,
             seed: 7,
             protections: Protections::default(),
             mechanisms,
@@ -698,6 +712,7 @@
                     exchange,
                     address,
                     target: String::new(),
+                    body: Vec::new(),
                     at: self.now,
                     options: None,
                 });
@@ -719,6 +734,7 @@
                     exchange,
                     address,
                     target: request.target,
+                    body: request.body,
                     at: self.now,
                     options: Some(options),
                 });
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -21,5 +21,6 @@
 mod snapshot;
 mod split;
 mod starting;
+mod transfer;
 mod zone_relay;
 mod zone_traffic;
--- /dev/null
+++ b/crates/ledgelead-router/tests/node/transfer.rs
@@ -0,0 +1,250 @@
+//! Lists that don't fit one page of the store come from other nodes.
+//!
+//! A fleet of 984 nodes and 9,998 instances started with a list of 50 pages for each node:
+//! 3 GB over the store's link, whose connections then timed out for 20 s, also those of the
+//! coordinator and of the instances. No key got an owner.
+
+use crate::fixture::{
+    Fixture, SERVICE, Sent, Store, configuration, instance, ms, node_address, node_record,
+};
+use googletest::prelude::*;
+use ledgelead_http::{Request, Response};
+use ledgelead_router::dialect::{ObjectKind, StoreCall};
+use ledgelead_router::evacuation::EvacuationsEntry;
+use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
+use ledgelead_router::node::TRANSFER_PATH;
+use ledgelead_router::ownership::record::OwnershipRecord;
+use ledgelead_router::peers::{
+    Heartbeat, PeerAddress, PeerMessage, RelayedKind, TransferAnswer, TransferRequest,
+    decode_answer, decode_request, encode, encode_answer, encode_request,
+};
+use ledgelead_types::codec::{Bytes, List, Text};
+use std::net::SocketAddr;
+
+/// Instances, of which two fit a page.
+const INSTANCES: std::ops::RangeInclusive<u8> = 1..=9;
+/// The node that coordinates.
+const COORDINATOR: u8 = 1;
+/// The node that passes its heartbeats on.
+const RELAY: u8 = 2;
+
+/// A store whose lists take several pages, and that names a coordinator.
+fn paged_store() -> Store {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    for number in INSTANCES {
+        store.add_instance(instance(number, SERVICE));
+    }
+    for number in 0..4 {
+        store.add_node(node_record(number));
+    }
+    store.own(OwnershipRecord {
+        epoch: 5,
+        coordinator: Some(node_record(COORDINATOR).identity),
+        next_fence: 9,
+        ..OwnershipRecord::default()
+    });
+    store.page = Some(2);
+    store
+}
+
+/// A heartbeat of the coordinator, which knows all that is in the store.
+fn heartbeat(fixture: &Fixture) -> PeerMessage {
+    PeerMessage::CoordinatorHeartbeat(Heartbeat {
+        epoch: 5,
+        sent_ms: 1,
+        store_serves: true,
+        revision: fixture
+            .store
+            .revision_of(ObjectKind::Ownership, "record")
+            .unwrap_or(0),
+        configuration: 1,
+        instances: fixture.store.revision,
+        nodes: 0,
+        age_ms: 0,
+        instances_age_ms: 0,
+        served_for_ms: 60_000,
+        overloads: List(Vec::new()),
+        evacuations: EvacuationsEntry {
+            revision: 0,
+            zones: List(Vec::new()),
+        },
+        evidence: 0,
+    })
+}
+
+/// The relay passes a heartbeat on.
+fn hear_coordinator(fixture: &mut Fixture) {
+    let message = heartbeat(fixture);
+    let passed_on = PeerMessage::Forwarded {
+        origin: PeerAddress::new(node_address(COORDINATOR)).expect("IPv4"),
+        to_zone: false,
+        message: Bytes(encode(&message).bytes.to_vec()),
+    };
+    fixture.receive(node_address(RELAY), &passed_on);
+}
+
+/// Passes heartbeats on for so long.
+fn follow_for(fixture: &mut Fixture, lasts_ms: u64) {
+    let end = fixture.now + ms(lasts_ms);
+    while fixture.now < end {
+        hear_coordinator(fixture);
+        fixture.run_until(fixture.now + ms(100));
+    }
+}
+
+/// Pages of instances that the store was asked for.
+fn pages(fixture: &Fixture) -> usize {
+    let is_page = |call: &&StoreCall| {
+        matches!(
+            call,
+            StoreCall::List {
+                kind: ObjectKind::Instances,
+                ..
+            }
+        )
+    };
+    fixture
+        .calls
+        .iter()
+        .map(|(_, call)| call)
+        .filter(is_page)
+        .count()
+}
+
+/// The requests for instances that went to other nodes and have no answer yet.
+fn take_requests(fixture: &mut Fixture) -> Vec<Sent> {
+    let sent = std::mem::take(&mut fixture.attempts);
+    let asks_instances = |sent: &Sent| {
+        let request = decode_request(&sent.body);
+        sent.target == TRANSFER_PATH
+            && request.is_ok_and(|request| request.kind == RelayedKind::Instances)
+    };
+    sent.into_iter().filter(asks_instances).collect()
+}
+
+/// What a coordinator of the same store answers to the node with this number in a zone.
+fn asked_by(fixture: &mut Fixture, number: u8, zone: &str) -> TransferAnswer {
+    let request = TransferRequest {
+        kind: RelayedKind::Instances,
+        known: 0,
+        zone: Text(zone.to_owned()),
+        address: PeerAddress::new(node_address(number)).expect("IPv4"),
+    };
+    let client = ClientId(1 << 40);
+    fixture.step(Input::PeerRequest {
+        client,
+        request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
+    });
+    let (_, response) = fixture.answers.pop().expect("an answer");
+    decode_answer(&response.body).expect("it can be read")
+}
+
+fn coordinator() -> Fixture {
+    let mut store = paged_store();
+    store.vacate();
+    Fixture::coordinating(store)
+}
+
+/// All instances, as a coordinator sends them.
+fn all_instances() -> Response {
+    let answer = asked_by(&mut coordinator(), 3, "a");
+    Response::new(200, encode_answer(&answer))
+}
+
+fn elsewhere(nodes: &[SocketAddr]) -> Response {
+    let nodes = nodes
+        .iter()
+        .filter_map(|node| PeerAddress::new(*node))
+        .collect();
+    Response::new(200, encode_answer(&TransferAnswer::Elsewhere { nodes }))
+}
+
+/// A node that has seen one page and hears a coordinator.
+fn following() -> Fixture {
+    let mut fixture = Fixture::new(paged_store());
+    fixture.run_until(ms(50));
+    follow_for(&mut fixture, 100);
+    fixture
+}
+
+#[gtest]
+fn a_starting_node_reads_one_page_and_asks_the_node_that_passes_heartbeats_on() {
+    let mut fixture = following();
+    expect_that!(pages(&fixture), eq(1));
+    let requests = take_requests(&mut fixture);
+    expect_that!(requests, len(eq(1)));
+    expect_that!(requests[0].address, eq(node_address(RELAY)));
+    expect_that!(fixture.node.is_ready(), eq(false));
+    fixture.answer(requests[0].exchange, all_instances());
+    expect_that!(fixture.node.is_ready(), eq(true));
+    expect_that!(fixture.node.status().instances, eq(INSTANCES.count()));
+    follow_for(&mut fixture, 2_000);
+    expect_that!(pages(&fixture), eq(1));
+}
+
+#[gtest]
+fn a_node_is_referred_to_those_that_have_the_list() {
+    let mut fixture = following();
+    let first = take_requests(&mut fixture).pop().expect("a request");
+    fixture.answer(first.exchange, elsewhere(&[node_address(3)]));
+    follow_for(&mut fixture, 100);
+    let second = take_requests(&mut fixture).pop().expect("a request");
+    expect_that!(second.address, eq(node_address(3)));
+    fixture.end(second.exchange, Err(ExchangeFailure::Refused));
+    follow_for(&mut fixture, 500);
+    let third = take_requests(&mut fixture).pop().expect("a request");
+    expect_that!(third.address, not(eq(node_address(3))));
+}
+
+#[gtest]
+fn a_node_that_finds_no_source_reads_the_store() {
+    let mut fixture = following();
+    let end = fixture.now + ms(13_000);
+    while fixture.now < end && !fixture.node.is_ready() {
+        for request in take_requests(&mut fixture) {
+            fixture.answer(request.exchange, elsewhere(&[]));
+        }
+        follow_for(&mut fixture, 100);
+    }
+    expect_that!(fixture.node.is_ready(), eq(true));
+    expect_that!(pages(&fixture), ge(INSTANCES.count() / 2));
+}
+
+#[gtest]
+fn a_node_that_hears_nobody_reads_the_store() {
+    let mut fixture = Fixture::new(paged_store());
+    fixture.run_until(ms(20_000));
+    expect_that!(fixture.node.is_ready(), eq(true));
+}
+
+#[gtest]
+fn another_zone_gets_a_list_once_and_passes_it_on() {
+    let mut fixture = coordinator();
+    let first = asked_by(&mut fixture, 10, "b");
+    expect_that!(first, matches_pattern!(TransferAnswer::State(_)));
+    let referred = TransferAnswer::Elsewhere {
+        nodes: List(vec![PeerAddress::new(node_address(10)).expect("IPv4")]),
+    };
+    expect_that!(asked_by(&mut fixture, 11, "b"), eq(&referred));
+    // Nodes of its own zone get it as long as there is room on the link.
+    for number in 3..6 {
+        let answer = asked_by(&mut fixture, number, "a");
+        expect_that!(answer, matches_pattern!(TransferAnswer::State(_)));
+    }
+    // The first may be lost.
+    fixture.run_until(fixture.now + ms(2_000));
+    let later = asked_by(&mut fixture, 11, "b");
+    expect_that!(later, matches_pattern!(TransferAnswer::State(_)));
+}
+
+#[gtest]
+fn a_node_that_knows_nothing_newer_sends_nothing() {
+    let mut fixture = Fixture::new(paged_store());
+    fixture.run_until(ms(50));
+    let answer = asked_by(&mut fixture, 3, "a");
+    let nothing = TransferAnswer::Elsewhere {
+        nodes: List(Vec::new()),
+    };
+    expect_that!(answer, eq(&nothing));
+}
--- a/crates/ledgelead-runtime/src/endpoint.rs
+++ b/crates/ledgelead-runtime/src/endpoint.rs
@@ -9,6 +9,8 @@
     Clients,
     /// Whoever asks whether the node is ready, or for its figures.
     Status,
+    /// Other nodes that ask for whole lists.
+    Peers,
 }
 
 /// Paths of the status endpoint.
@@ -27,7 +29,7 @@
     pub clients: SocketAddr,
     /// For questions about the node.
     pub status: Vec<SocketAddr>,
-    /// For datagrams of other nodes.
+    /// For datagrams and connections of other nodes.
     pub peers: SocketAddr,
     /// Paths of the status endpoint.
     pub paths: StatusPaths,
--- a/crates/ledgelead-runtime/src/process.rs
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -155,6 +155,7 @@
     Ok(Sockets {
         clients: listener(listen.clients)?,
         status: status?,
+        transfers: listener(listen.peers)?,
         peers,
     })
 }
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -40,6 +40,7 @@
 pub(crate) struct Sockets {
     pub(crate) clients: std::net::TcpListener,
     pub(crate) status: Vec<std::net::TcpListener>,
+    pub(crate) transfers: std::net::TcpListener,
     pub(crate) peers: std::net::UdpSocket,
 }
 
@@ -100,7 +101,9 @@
             .status
             .into_iter()
             .map(|listener| (Endpoint::Status, listener));
-        for (index, (endpoint, listener)) in clients.into_iter().chain(status).enumerate() {
+        let transfers = [(Endpoint::Peers, setup.sockets.transfers)];
+        let all = clients.into_iter().chain(status).chain(transfers);
+        for (index, (endpoint, listener)) in all.enumerate() {
             listener.set_nonblocking(true)?;
             let listener = TcpListener::from_std(listener);
             let accept = fwd_to!([cx], accept(index) as (Ready));
@@ -274,6 +277,14 @@
                     source,
                     request,
                 }),
+                ClientEvent::Request {
+                    client,
+                    endpoint: Endpoint::Peers,
+                    request,
+                    ..
+                } => self
+                    .inputs
+                    .push_back(Input::PeerRequest { client, request }),
                 ClientEvent::Request {
                     client,
                     endpoint: Endpoint::Status,
