Registrations, addresses and assignments are found by index

Cause: each registration of a node rebuilt the index of all (nodes x nodes at each node as a fleet starts), each new instance was compared with the address of all others (new x instances), and each changed assignment was laid over all others (changes x ranges, at each node). Change: the registry counts nodes by zone, the directory keeps instances by address, and an assignment is laid over those that it overlaps.

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -9,7 +9,7 @@
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::protections::{Protection, Protections};
 use instance::CurrentLife;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     instances: BTreeMap<InstanceId, Instance>,
+    /// By address; in step with `instances`.
+    by_address: HashMap<SocketAddr, BTreeSet<InstanceId>>,
     /// By the names of instances; in step with `instances`.
     current: BTreeMap<Arc<str>, CurrentLife>,
     /// Whether lives of one name are taken for one.
@@ -203,7 +205,7 @@
             warm_at,
             forget_at: None,
         };
-        self.instances.insert(id, instance);
+        self.insert(instance);
     }
 
     /// Notes whose entry this is. Returns whether it is that of the instance's current
@@ -349,14 +351,40 @@
             .is_some_and(|instance| instance.ended)
     }
 
+    /// Another instance has registered at an address: those that had it are over.
     fn end_others_at(&mut self, address: SocketAddr) {
-        for instance in self.instances.values_mut() {
-            if instance.record.address == address {
+        for id in self.by_address.get(&address).into_iter().flatten() {
+            if let Some(instance) = self.instances.get_mut(id) {
+                self.changes += u64::from(!instance.ended);
                 instance.ended = true;
             }
         }
     }
 
+    /// Takes an instance in, under its address.
+    fn insert(&mut self, instance: Instance) {
+        let id = instance.record.id.clone();
+        let address = instance.record.address;
+        let before = self.instances.insert(id.clone(), instance);
+        let former = before.map(|before| before.record.address);
+        if former == Some(address) {
+            return;
+        }
+        if let Some(former) = former {
+            self.leave_address(former, &id);
+        }
+        self.by_address.entry(address).or_default().insert(id);
+    }
+
+    fn leave_address(&mut self, address: SocketAddr, id: &InstanceId) {
+        if let Some(ids) = self.by_address.get_mut(&address) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+    }
+
     /// The entry of an instance is gone.
     pub fn remove(&mut self, name: &str, now: Timestamp) {
         let Some(CurrentLife { id, .. }) = self.current.get(name) else {
@@ -414,10 +442,19 @@
                 instance.leave(Timestamp::ZERO, now);
             }
         }
-        let known = self.instances.len();
-        let instances = &mut self.instances;
-        instances.retain(|_, instance| instance.forget_at.is_none_or(|at| now < at));
-        if instances.len() < known {
+        let is_forgotten = |instance: &&Instance| instance.forget_at.is_some_and(|at| at <= now);
+        let forgotten: Vec<(InstanceId, SocketAddr)> = self
+            .instances
+            .values()
+            .filter(is_forgotten)
+            .map(|instance| (instance.record.id.clone(), instance.record.address))
+            .collect();
+        for (id, address) in &forgotten {
+            self.instances.remove(id);
+            self.leave_address(*address, id);
+        }
+        if !forgotten.is_empty() {
+            let instances = &self.instances;
             self.current
                 .retain(|_, current| instances.contains_key(&current.id));
             self.said_leaving.retain(|id, _| instances.contains_key(id));
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -136,17 +136,23 @@
         place.ok().map(|place| &self.assignments[place])
     }
 
-    /// Lays assignments over this record: what they overlap gives way.
+    /// Lays assignments over this record, one after the other: what they overlap gives way.
+    /// The assignments of the record are in their order.
     pub fn overlay(&mut self, changes: Vec<Assignment>) {
         for change in changes {
-            let mut kept = Vec::with_capacity(self.assignments.len() + 2);
-            for old in self.assignments.drain(..) {
-                kept.extend(old.without(&change));
-            }
-            kept.push(change);
-            self.assignments = kept;
+            let before =
+                |old: &Assignment| (&old.service, old.last) < (&change.service, change.first);
+            let up_to =
+                |old: &Assignment| (&old.service, old.first) <= (&change.service, change.last);
+            let begin = self.assignments.partition_point(before);
+            let end = begin.max(self.assignments.partition_point(up_to));
+            let overlapped = self.assignments[begin..end].iter().cloned();
+            let mut pieces: Vec<Assignment> =
+                overlapped.flat_map(|old| old.without(&change)).collect();
+            let place = pieces.partition_point(|piece| piece.first < change.first);
+            pieces.insert(place, change);
+            self.assignments.splice(begin..end, pieces);
         }
-        self.sort();
     }
 
     /// Puts the assignments into their order.
--- a/crates/ledgelead-router/src/peers/registry.rs
+++ b/crates/ledgelead-router/src/peers/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::identity::{NodeIdentity, NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// What a node registers.
@@ -32,8 +32,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     nodes: BTreeMap<NodeName, Registration>,
-    /// How many zones the nodes are in; each request asks for it.
-    zones: u32,
+    /// How many nodes are in each zone; each request asks how many zones there are.
+    zones: BTreeMap<ZoneName, usize>,
     /// The zones of nodes by address; each datagram asks for one.
     by_address: HashMap<SocketAddr, ZoneName>,
 }
@@ -41,9 +41,10 @@
 impl Registry {
     /// Takes over a whole list.
     pub fn replace_all(&mut self, registrations: Vec<Registration>) {
-        let by_name = |known: Registration| (known.record.identity.node.clone(), known);
-        self.nodes = registrations.into_iter().map(by_name).collect();
-        self.index_zones();
+        *self = Registry::default();
+        for registration in registrations {
+            self.insert(registration);
+        }
     }
 
     /// A registration was made or changed. An older one than is known changes
@@ -52,15 +53,36 @@
         let node = registration.record.identity.node.clone();
         let known = self.nodes.get(&node).map(|known| known.revision);
         if known.is_none_or(|known| known < registration.revision) {
-            self.nodes.insert(node, registration);
-            self.index_zones();
+            self.insert(registration);
         }
     }
 
     /// A registration is gone.
     pub fn remove(&mut self, node: &NodeName) {
-        self.nodes.remove(node);
-        self.index_zones();
+        if let Some(known) = self.nodes.remove(node) {
+            self.forget(&known.record);
+        }
+    }
+
+    fn insert(&mut self, registration: Registration) {
+        let record = registration.record.clone();
+        let node = record.identity.node.clone();
+        if let Some(known) = self.nodes.insert(node, registration) {
+            self.forget(&known.record);
+        }
+        *self.zones.entry(record.zone.clone()).or_default() += 1;
+        self.by_address.insert(record.address, record.zone);
+    }
+
+    /// A registration doesn't count any more.
+    fn forget(&mut self, record: &NodeRecord) {
+        self.by_address.remove(&record.address);
+        if let Some(nodes) = self.zones.get_mut(&record.zone) {
+            *nodes -= 1;
+            if *nodes == 0 {
+                self.zones.remove(&record.zone);
+            }
+        }
     }
 
     /// One node.
@@ -90,7 +112,7 @@
 
     /// How many zones they are in.
     pub fn zones(&self) -> u32 {
-        self.zones
+        u32::try_from(self.zones.len()).unwrap_or(u32::MAX)
     }
 
     /// The zone of the node at an address.
@@ -98,16 +120,6 @@
         self.by_address.get(&address)
     }
 
-    fn index_zones(&mut self) {
-        let zones: BTreeSet<&ZoneName> = self.iter().map(|record| &record.zone).collect();
-        self.zones = u32::try_from(zones.len()).unwrap_or(u32::MAX);
-        let by_address = self
-            .iter()
-            .map(|record| (record.address, record.zone.clone()))
-            .collect();
-        self.by_address = by_address;
-    }
-
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.nodes.is_empty()
