A coordinator's work on orders is bounded a second, not by its ranges

Cause: the end of each order was looked up in all ranges (orders x ranges), each free range's wished owner among all instances (ranges x instances, at a first assignment 4,272 x 9,998), all owners were looked up three times in the directory every 10 ms, each range was renewed each second, and all grants of a take-over went out at once: thousands wait for half a core beyond the 0.6 s that one has for its answer. Change: a range keeps its place, and an order names it; owners are looked at when something has changed, and each 0.2 s; at most 256 grants are out, those due longest first; above 1,000 ranges each is renewed less often, at least each 2 s, which the hold of 4 s bears with two renewals lost.

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -292,6 +292,7 @@
             .collect();
         let since = |zone: &u64| (*zone, self.evacuated.get(zone).copied().unwrap_or(now));
         self.evacuated = zones.iter().map(since).collect();
+        self.changes += 1;
         for instance in self.instances.values_mut() {
             let zone = instance.record.zone.stable_hash();
             instance.evacuated_since = self.evacuated.get(&zone).copied();
@@ -340,6 +341,7 @@
     /// This life of an instance is proved to be over.
     pub fn end(&mut self, id: &InstanceId) {
         if let Some(instance) = self.instances.get_mut(id) {
+            self.changes += u64::from(!instance.ended);
             instance.ended = true;
         }
     }
@@ -437,6 +439,7 @@
             .collect();
         for id in ended {
             self.doubted.remove(&id);
+            self.changes += 1;
             if let Some(instance) = self.instances.get_mut(&id) {
                 // It may have left at any time of the outage.
                 instance.leave(Timestamp::ZERO, now);
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Whether an order to the owner has no answer yet.
+    pub(super) fn has_order_out(&self) -> bool {
+        self.lease.order.is_some() || self.release_order().is_some()
+    }
+
     /// The owner that a move leads to, if that is decided.
     pub(super) fn next_owner(&self) -> Option<&InstanceId> {
         match &self.state {
@@ -84,7 +89,7 @@
     /// lease goes on, except towards the later life itself: it gets the keys under a
     /// higher token at once, and refuses the others once it has that.
     pub(super) fn pass_to_later_life(&mut self, later: Option<InstanceId>, now: Timestamp) {
-        if self.lease.order.is_some() || self.release_order().is_some() {
+        if self.has_order_out() {
             return;
         }
         match (&self.state, later) {
@@ -124,17 +129,18 @@
         }
     }
 
-    /// A grant ended.
+    /// A grant ended. One that was answered is renewed after a while.
     pub(super) fn grant_ended(
         &mut self,
         result: Result<OrderAnswer, ExchangeFailure>,
+        renewed_after: Duration,
         now: Timestamp,
         counters: &mut OwnershipCounters,
     ) {
         match result {
             Ok(OrderAnswer::Done { .. }) => {
                 counters.grants += 1;
-                self.lease.granted(now);
+                self.lease.granted(renewed_after, now);
             }
             Ok(OrderAnswer::Fenced) => {
                 // Never repeated under this token: the range gets a higher
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -23,7 +23,7 @@
 use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
 use crate::requests::OverloadedKey;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -87,7 +87,14 @@
 pub struct Coordinator {
     record: OwnershipRecord,
     next_fence: u64,
+    /// A range keeps its place; what is split off it is added at the end.
     holdings: Vec<Holding>,
+    /// Places of the ranges whose orders are out.
+    orders_out: HashMap<ExchangeId, usize>,
+    /// Changes of the directory by which owners were looked at last, and when they are next
+    /// in any case.
+    owners_reviewed: Option<u64>,
+    next_owner_review: Timestamp,
     loads: BTreeMap<ServiceName, KeyLoad>,
     work: WorkTable,
     /// The same over several seconds, for services whose owners are contended.
@@ -163,6 +170,9 @@
             next_fence: record.next_fence,
             record,
             holdings,
+            orders_out: HashMap::new(),
+            owners_reviewed: None,
+            next_owner_review: now,
             loads: BTreeMap::new(),
             work: WorkTable::new(now),
             steady_loads: BTreeMap::new(),
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -1,13 +1,26 @@
 //! Orders to instances, and their ends.
 
 use super::holding::RELEASE_RETRY;
-use super::holding::State;
+use super::holding::{Holding, State};
 use super::placement::takers;
 use super::{Commands, Context, Coordinator, OutgoingOrder};
 use crate::Timestamp;
 use crate::dialect::{Order, OrderAnswer};
 use crate::directory::Instance;
 use crate::io::{ExchangeFailure, ExchangeId};
+use crate::settings::{MAX_RENEWAL_INTERVAL, RENEWAL_INTERVAL};
+use std::time::Duration;
+
+/// Most orders that are out at once. A coordinator that takes over grants all ranges anew;
+/// sent together, thousands of grants would wait for the processor beyond the time that one
+/// has for its answer.
+const MAX_ORDERS_OUT: usize = 256;
+/// Pause between two looks at all owners where nothing has changed: what depends on the time
+/// alone, as the end of a start-up, may be seen so late.
+const OWNER_REVIEW_INTERVAL: Duration = Duration::from_millis(200);
+/// Renewals a second up to which each range is renewed at the shortest interval. Each is an
+/// exchange, and takes some 50 to 100 µs of a coordinator that may have half a core.
+const RENEWALS_PER_S: u32 = 1_000;
 
 impl Coordinator {
     /// Releases what has to move, or waits out its lease.
@@ -16,7 +29,7 @@
     /// after the owner has answered a grant of this epoch: otherwise a grant
     /// of this or of an earlier coordinator could take the keys once more.
     pub(super) fn release(&mut self, context: &mut Context<'_>, commands: &mut Commands) {
-        for holding in &mut self.holdings {
+        for (place, holding) in self.holdings.iter_mut().enumerate() {
             let State::Releasing {
                 target,
                 order,
@@ -52,6 +65,7 @@
             };
             let exchange = context.exchanges.next_id();
             *order = Some(exchange);
+            self.orders_out.insert(exchange, place);
             // The token of the next owner, or a lower one: grants of this
             // range that are still on their way are refused from now on.
             let fence = self.next_fence;
@@ -67,20 +81,11 @@
         }
     }
 
-    /// Grants and renews what is due. A range that is to be released is
-    /// granted on only until its owner has answered this coordinator once.
+    /// Grants and renews what is due, what has been due longest first. A range that is to be
+    /// released is granted on only until its owner has answered this coordinator once.
     pub(super) fn grant(&mut self, context: &mut Context<'_>, commands: &mut Commands) {
-        for holding in &mut self.holdings {
-            let wanted = match &holding.state {
-                _ if holding.lease.is_given_up() => false,
-                State::Held => true,
-                State::Releasing { order, .. } => order.is_none() && !holding.lease.fenced,
-                State::Free { .. } | State::Writing { .. } => false,
-            };
-            let due = holding.lease.order.is_none() && holding.lease.next_grant <= context.now;
-            if !wanted || !due {
-                continue;
-            }
+        for place in self.due_grants(context.now) {
+            let holding = &mut self.holdings[place];
             let instance = holding
                 .owner
                 .as_ref()
@@ -91,6 +96,7 @@
             };
             let exchange = context.exchanges.next_id();
             holding.lease.granting(exchange);
+            self.orders_out.insert(exchange, place);
             commands.orders.push(OutgoingOrder {
                 exchange,
                 instance: instance.record.id.clone(),
@@ -105,6 +111,36 @@
         }
     }
 
+    /// Places of the ranges whose grants are due, as many as may be out.
+    fn due_grants(&self, now: Timestamp) -> Vec<usize> {
+        let is_due = |holding: &Holding| {
+            let wanted = match &holding.state {
+                _ if holding.lease.is_given_up() => false,
+                State::Held => true,
+                State::Releasing { order, .. } => order.is_none() && !holding.lease.fenced,
+                State::Free { .. } | State::Writing { .. } => false,
+            };
+            wanted && holding.lease.order.is_none() && holding.lease.next_grant <= now
+        };
+        let places = 0..self.holdings.len();
+        let mut due: Vec<usize> = places
+            .filter(|place| is_due(&self.holdings[*place]))
+            .collect();
+        let room = MAX_ORDERS_OUT.saturating_sub(self.orders_out.len());
+        if due.len() > room {
+            due.sort_by_key(|place| self.holdings[*place].lease.next_grant);
+            due.truncate(room);
+        }
+        due
+    }
+
+    /// Time between two grants of a range: longer where there are many.
+    fn renewal_interval(&self) -> Duration {
+        let ranges = u32::try_from(self.holdings.len()).unwrap_or(u32::MAX);
+        let interval = Duration::from_secs(1).saturating_mul(ranges) / RENEWALS_PER_S;
+        interval.clamp(RENEWAL_INTERVAL, MAX_RENEWAL_INTERVAL)
+    }
+
     /// An order ended.
     pub fn order_ended(
         &mut self,
@@ -112,26 +148,41 @@
         result: Result<OrderAnswer, ExchangeFailure>,
         now: Timestamp,
     ) {
-        let holding = self.holdings.iter_mut().find(|holding| {
-            holding.lease.order == Some(exchange) || holding.release_order() == Some(exchange)
-        });
-        let Some(holding) = holding else {
+        let interval = self.renewal_interval();
+        let place = self.orders_out.remove(&exchange);
+        let Some(holding) = place.and_then(|place| self.holdings.get_mut(place)) else {
             return;
         };
         if holding.lease.order == Some(exchange) {
-            holding.grant_ended(result, now, &mut self.counters);
+            holding.grant_ended(result, interval, now, &mut self.counters);
         } else {
             holding.release_ended(result, now, &mut self.counters);
         }
     }
 
-    /// Keys of owners that leave, are gone, or fell silent have to move.
+    /// Keys of owners that leave, are gone, or fell silent have to move. All owners are looked
+    /// at when something has changed in the directory, and now and then; with thousands of
+    /// them that takes milliseconds.
     pub(super) fn replace_lost_owners(&mut self, context: &Context<'_>) {
+        let changes = context.directory.changes();
+        let is_due = self.next_owner_review <= context.now;
+        let reviews_all = is_due || self.owners_reviewed != Some(changes);
+        if reviews_all {
+            self.owners_reviewed = Some(changes);
+            self.next_owner_review = context.now + OWNER_REVIEW_INTERVAL;
+        }
         for holding in &mut self.holdings {
             let Some(owner) = &holding.owner else {
                 continue;
             };
+            if !reviews_all && !holding.lease.is_silent() {
+                continue;
+            }
             if let Some(later) = context.directory.later_life(owner) {
+                if holding.has_order_out() {
+                    // To be looked at again as soon as that has ended.
+                    self.owners_reviewed = None;
+                }
                 let later = later.serves().then(|| later.record.id.clone());
                 holding.pass_to_later_life(later, context.now);
                 continue;
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -232,14 +232,13 @@
             to: &planned.to,
         };
         begins.emit();
-        let whole = self.holdings.remove(position);
-        for range in whole.range.without(planned.range) {
-            self.holdings.push(Holding {
-                range,
-                ..whole.clone()
-            });
-        }
-        self.holdings.push(Holding {
+        let whole = self.holdings[position].clone();
+        let rest = whole.range.without(planned.range).into_iter();
+        self.holdings.extend(rest.map(|range| Holding {
+            range,
+            ..whole.clone()
+        }));
+        self.holdings[position] = Holding {
             range: planned.range,
             state: State::Releasing {
                 target: Some(planned.to.clone()),
@@ -247,7 +246,7 @@
                 next_try: now,
             },
             ..whole
-        });
+        };
     }
 
     /// Ranges without an owner for the services of the configuration.
@@ -304,6 +303,12 @@
         .filter(|instance| instance.serves())
 }
 
+/// Whether keys of a service can be given to this instance.
+pub(super) fn takes(context: &Context<'_>, service: &ServiceName, id: &InstanceId) -> bool {
+    let instance = context.directory.get(id);
+    instance.is_some_and(|instance| instance.serves() && instance.record.service == *service)
+}
+
 /// All keys in ranges of about equal length.
 pub(super) fn equal_ranges(count: usize) -> Vec<KeyRange> {
     let all = KeyRange::ALL.len() as usize;
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -1,7 +1,7 @@
 //! Versions of the record.
 
 use super::holding::{Holding, State};
-use super::placement::takers;
+use super::placement::takes;
 use super::{Context, Coordinator, PLAN_INTERVAL};
 use crate::Timestamp;
 use crate::dialect::KeyRange;
@@ -12,6 +12,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Pause between two writes of the record for each of its ranges. The record is written
+/// whole, at some 110 bytes a range, and encoding, sending and storing it takes this share of
+/// the coordinator, its link and the store: 4 MB a second whatever its size.
+const WRITE_PAUSE_A_RANGE: Duration = Duration::from_micros(25);
 /// A write that takes longer tells that the store is slow or lost.
 const SLOW_WRITE: Duration = Duration::from_millis(150);
 
@@ -40,9 +44,7 @@
             };
             let handover = handover.clone();
             let service = self.holdings[index].service.clone();
-            let wished = target
-                .clone()
-                .filter(|id| takers(context, &service).any(|instance| instance.record.id == *id));
+            let wished = target.clone().filter(|id| takes(context, &service, id));
             let over = self.holdings[index]
                 .lease
                 .is_over(self.protections, context.now);
@@ -167,6 +169,8 @@
             return;
         };
         self.writing_since = None;
+        // A next owner may have begun to leave meanwhile.
+        self.owners_reviewed = None;
         self.record = record;
         for holding in &mut self.holdings {
             let State::Writing {
--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -3,7 +3,7 @@
 use crate::Timestamp;
 use crate::io::ExchangeId;
 use crate::protections::{Protection, Protections};
-use crate::settings::{ORDER_TRANSIT, RENEWAL_INTERVAL, longest_hold};
+use crate::settings::{ORDER_TRANSIT, longest_hold};
 use std::time::Duration;
 
 /// Pause before a grant without an answer is repeated. The same grant again
@@ -67,13 +67,14 @@
         self.order = Some(order);
     }
 
-    /// A grant was answered: the earlier coordinator can't renew any more.
-    pub fn granted(&mut self, now: Timestamp) {
+    /// A grant was answered, which is renewed after a while: the earlier coordinator can't
+    /// renew any more.
+    pub fn granted(&mut self, renewed_after: Duration, now: Timestamp) {
         self.order = None;
         self.fenced = true;
         self.failures = 0;
         self.handover = None;
-        self.next_grant = now + RENEWAL_INTERVAL;
+        self.next_grant = now + renewed_after;
         self.possible_until = now + longest_hold();
     }
 
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -52,6 +52,9 @@
 pub const HOLD: Duration = Duration::from_millis(4_000);
 /// Time between renewals of a grant.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same where there are so many grants that each is renewed less often. A lost renewal is
+/// given up after 0.6 s and repeated after 0.25 s: the hold still bears two in a row.
+pub const MAX_RENEWAL_INTERVAL: Duration = Duration::from_millis(2_000);
 /// How long a coordinator may give orders after the start of the last call in
 /// which the store confirmed it.
 pub const COORDINATOR_AUTHORITY: Duration = Duration::from_secs(10);
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -14,7 +14,7 @@
 use ledgelead_router::ownership::work::{Work, WorkTable};
 use ledgelead_router::peers::{NodeRecord, Registration, Registry};
 use ledgelead_router::protections::Protections;
-use ledgelead_router::settings::{ORDER_TRANSIT, longest_hold};
+use ledgelead_router::settings::{ORDER_TRANSIT, RENEWAL_INTERVAL, longest_hold};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -282,7 +282,7 @@
     let mut lease = Lease::fresh(ms(0), None);
     lease.granting(ExchangeId(1));
     expect_that!(lease.is_over(ALL_ON(), ms(1)), eq(false));
-    lease.granted(ms(10));
+    lease.granted(RENEWAL_INTERVAL, ms(10));
     expect_that!(
         lease.is_over(ALL_ON(), ms(10) + longest_hold() - ms(1)),
         eq(false)
@@ -302,7 +302,7 @@
 fn a_grant_that_never_left_moves_no_end() {
     let mut lease = Lease::fresh(ms(0), None);
     lease.granting(ExchangeId(1));
-    lease.granted(ms(0));
+    lease.granted(RENEWAL_INTERVAL, ms(0));
     for attempt in 1..20 {
         lease.granting(ExchangeId(attempt));
         lease.unanswered(false, ms(250 * attempt));
