The record of ownership is written the less often the larger it is

Cause: the record is one object that is written whole at each move, up to 30 times a second: at 4,272 ranges 0.47 MB each, 14 MB/s of a link of 25 MB/s, and the encoding of each takes milliseconds of half a core. Each write is also a priced call. Change: a pause after each write of 25 us a range, 4 MB/s at any size: 0.1 s at 4,272 ranges, 2.5 ms at 100. What becomes free meanwhile goes with the next.

--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -102,6 +102,8 @@
     steady_work: WorkTable,
     writing: Option<OwnershipRecord>,
     writing_since: Option<Timestamp>,
+    /// When the record may be written again.
+    next_write: Timestamp,
     earlier: EarlierAuthority,
     next_plan: Timestamp,
     /// When ranges for which no instance had room are looked at again.
@@ -179,6 +181,7 @@
             steady_work: WorkTable::steady(now),
             writing: None,
             writing_since: None,
+            next_write: now,
             earlier,
             next_plan: now + PLAN_INTERVAL * 2,
             next_placement: now,
@@ -286,6 +289,7 @@
             .iter()
             .filter_map(of_holding)
             .chain([self.next_plan])
+            .chain(self.next_possible_write())
             .min()
             .unwrap_or(self.next_plan)
     }
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -22,6 +22,9 @@
 const FIRST_OWNERS_SETTLED: Duration = Duration::from_millis(1_500);
 /// The most that first owners are waited for.
 const FIRST_OWNERS_MAX_WAIT: Duration = Duration::from_secs(5);
+/// How much longer they are waited for with each that has registered: the store takes some
+/// thousands of registrations a second, those of other services among them.
+const WAIT_A_FIRST_OWNER: Duration = Duration::from_millis(1);
 /// The least that they are waited for once clients ask for keys.
 const FIRST_OWNERS_MIN_WAIT: Duration = Duration::from_millis(500);
 /// Service time assumed of an instance before one was seen.
@@ -53,7 +56,9 @@
         let waited = now.saturating_sub(self.began);
         let settled = now >= self.grew + FIRST_OWNERS_SETTLED;
         let wanted = demand && waited >= FIRST_OWNERS_MIN_WAIT;
-        self.count > 0 && (settled || wanted || waited >= FIRST_OWNERS_MAX_WAIT)
+        let count = u32::try_from(self.count).unwrap_or(u32::MAX);
+        let longest = FIRST_OWNERS_MAX_WAIT + WAIT_A_FIRST_OWNER.saturating_mul(count);
+        self.count > 0 && (settled || wanted || waited >= longest)
     }
 }
 
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -32,7 +32,7 @@
 impl Coordinator {
     /// Puts all free ranges under their next owners, in one write.
     pub(super) fn begin_write(&mut self, context: &Context<'_>) -> Option<OwnershipRecord> {
-        if self.writing.is_some() {
+        if self.writing.is_some() || context.now < self.next_write {
             return None;
         }
         let places = self.next_placement <= context.now;
@@ -93,11 +93,21 @@
         if !changed {
             return None;
         }
-        self.writing = Some(self.projected_record(context.now));
+        let record = self.projected_record(context.now);
+        let ranges = u32::try_from(record.assignments.len()).unwrap_or(u32::MAX);
+        self.next_write = context.now + WRITE_PAUSE_A_RANGE.saturating_mul(ranges);
+        self.writing = Some(record);
         self.writing_since = Some(context.now);
         self.writing.clone()
     }
 
+    /// When free ranges may be written under their next owners, if there are some.
+    pub(super) fn next_possible_write(&self) -> Option<Timestamp> {
+        let is_free = |holding: &Holding| matches!(holding.state, State::Free { .. });
+        let waits = self.writing.is_none() && self.holdings.iter().any(is_free);
+        waits.then_some(self.next_write.max(self.next_placement))
+    }
+
     /// Puts the parts of a free range under their next owners; the rest stays free.
     fn divide(&mut self, given: GivenRange) {
         let GivenRange {
