Reports of keys and log lines don't grow with the fleet

Cause: each node reports the keys it was asked for 5 times a second, 4,900 datagrams a second at the coordinator of 984 nodes; and logs a line for each instance of its first list, 9.8 million lines in the fleet. Change: nodes that may not be chosen as relays report each 1 ms a node, from 0.2 s to 1 s; instances of a first list aren't logged.

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -165,13 +165,14 @@
             return;
         }
         if !self.instances.contains_key(&record.id) {
-            let registered = Event::InstanceRegistered {
-                instance: &record.id,
-                service: &record.service,
-                address: record.address,
-            };
-            registered.emit();
+            // A first list has thousands, at each node.
             if self.complete {
+                let registered = Event::InstanceRegistered {
+                    instance: &record.id,
+                    service: &record.service,
+                    address: record.address,
+                };
+                registered.emit();
                 self.end_others_at(record.address);
             }
         }
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -24,8 +24,14 @@
 
 /// Pause between the coordinator's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-/// Pause between reports of the keys asked for.
+/// Pause between reports of the keys asked for, of a node that may be chosen to pass
+/// broadcasts on: its reports show that it lives.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// The same of any other node, for each node there is: the coordinator gets as many reports a
+/// second whatever the size of the fleet.
+const REPORT_PAUSE_A_NODE: Duration = Duration::from_millis(1);
+/// The longest such pause; counts of keys stand for the last second.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// How many nodes prepare at once to follow a coordinator that has resigned.
 const PROMPT_SUCCESSORS: usize = 3;
 /// Most keys in one report.
@@ -102,7 +108,7 @@
             self.announce_leaving(now, out);
         }
         if self.gossip.next_report <= now {
-            self.gossip.next_report = now + REPORT_INTERVAL;
+            self.gossip.next_report = now + self.report_interval();
             self.report_load(now, out);
             self.report_leaving(now, out);
         }
@@ -115,6 +121,16 @@
         self.review_gaps(now, out);
     }
 
+    fn report_interval(&self) -> Duration {
+        let nodes = u32::try_from(self.registry.len()).unwrap_or(u32::MAX);
+        match self.may_forward() {
+            true => REPORT_INTERVAL,
+            false => REPORT_PAUSE_A_NODE
+                .saturating_mul(nodes)
+                .clamp(REPORT_INTERVAL, MAX_REPORT_INTERVAL),
+        }
+    }
+
     /// Sends datagrams to all other nodes, each by itself.
     pub(super) fn send_to_all(&self, datagrams: &[Datagram], out: &mut Vec<Action>) {
         for record in self.others() {
