Requests for whole lists wait for them, and the widest links are served first

Each request encoded it anew, since its revision rose with each registration. Change: a request waits up to 0.7 s for something to send; those with the widest links are sent the list, and the others referred to these by the width of their links. Pauses after vain requests double. Gaps are filled by whole lists each 1.2 s at most.

--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -185,7 +185,10 @@
             Input::PeerRequest { client, request } => {
                 self.transfer_requested(client, &request, now, out);
             }
-            Input::ClientLeft { client } => self.requests.left(client, out),
+            Input::ClientLeft { client } => {
+                self.transfer_server.left(client);
+                self.requests.left(client, out);
+            }
             Input::Exchanged {
                 exchange,
                 result,
@@ -246,7 +249,12 @@
                 self.gossip
                     .next_deadline()
                     .min(self.open_requests_deadline())
-                    .min(self.load_hub.next_deadline().unwrap_or(Timestamp::MAX)),
+                    .min(self.load_hub.next_deadline().unwrap_or(Timestamp::MAX))
+                    .min(
+                        self.transfer_server
+                            .next_deadline()
+                            .unwrap_or(Timestamp::MAX),
+                    ),
             ),
             self.directory.next_expiry(),
             self.quarantine_deadline(),
@@ -281,6 +289,7 @@
         self.dispatch(now, out);
         self.announce_open_requests(now, out);
         self.announce_load(now, out);
+        self.answer_transfers(now, out);
         if self.next_clean_up <= now {
             self.next_clean_up = now + CLEAN_UP_INTERVAL;
             self.directory.expire(now);
--- a/crates/ledgelead-router/src/node/relay/entries.rs
+++ b/crates/ledgelead-router/src/node/relay/entries.rs
@@ -32,7 +32,7 @@
     }
 }
 
-pub(in crate::node) fn listed_instance(record: &InstanceRecord) -> ChangedInstance {
+pub(super) fn listed_instance(record: &InstanceRecord) -> ChangedInstance {
     ChangedInstance {
         id: Text(record.id.to_string()),
         entry: Some(instance_entry(record)),
@@ -82,10 +82,7 @@
 }
 
 /// The record of an entry, if it lies within bounds.
-pub(in crate::node) fn instance_record(
-    id: InstanceId,
-    entry: &InstanceEntry,
-) -> Option<InstanceRecord> {
+pub(super) fn instance_record(id: InstanceId, entry: &InstanceEntry) -> Option<InstanceRecord> {
     let record = InstanceRecord {
         id,
         service: ServiceName::from(entry.service.0.as_str()),
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -13,9 +13,7 @@
 mod objects;
 mod ownership;
 
-pub(super) use entries::{
-    changed_assignment, instance_record, listed_instance, listed_node, registration,
-};
+pub(super) use entries::{changed_assignment, listed_node, registration};
 pub(super) use objects::differences;
 pub(super) use ownership::TakeOver;
 
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -4,8 +4,7 @@
 //! starts, nor a new record of ownership or configuration for each node at once. So few nodes
 //! read the store, and the others ask the node from which they hear the coordinator: the
 //! relay of their zone, or the coordinator itself. Who has no room on its link refers to
-//! nodes that it has served; these serve in turn, so that the number of sources doubles with
-//! each round. The store stays the way for whoever finds no source.
+//! nodes that it has served; these serve in turn, so that sources multiply with each round. The store stays the way for whoever finds no source.
 //!
 //! What is transferred may be some seconds old, as a stale list of the store is: the
 //! coordinator's heartbeats tell what is missing since.
@@ -15,19 +14,19 @@
 pub(super) use serving::TransferServer;
 
 use super::Node;
-use super::relay::{instance_record, registration};
+use super::relay::registration;
 use super::store_calls::Purpose;
 use crate::Timestamp;
 use crate::boundary;
 use crate::dialect::{ObjectKind, StoreCall};
 use crate::directory::Entry;
 use crate::events::Event;
-use crate::identity::{InstanceId, NodeIdentity, NodeName};
+use crate::identity::{NodeIdentity, NodeName};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::peers::{
-    ChangedInstance, ChangedNode, PeerAddress, RecordEntry, Registration, RelayedKind,
+    ChangedNode, InstanceTable, PeerAddress, RecordEntry, Registration, RelayedKind,
     TransferAnswer, TransferRequest, TransferredObjects, TransferredState, decode_answer,
     encode_request,
 };
@@ -47,17 +46,23 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time without any progress after which another source is asked.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Pause after an answer that names no other source, lengthened at random by up to as much.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after an answer that names no other source, or none. Each is twice the one before,
+/// and lengthened at random by up to as much.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// The longest such pause.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 /// Pause before a source that was named is asked.
 const REFERRAL_PAUSE: Duration = Duration::from_millis(10);
 /// How long a first list is asked of other nodes before the store is, lengthened at random
 /// by up to as much so that nodes without a source don't ask the store together.
 const LIST_PATIENCE: Duration = Duration::from_secs(6);
-/// How long a missing change is asked of other nodes before the store is. With the time for
-/// which it was missing before (0.4 s) and a call it stays below the shortest bound of a
-/// configuration (2 s).
-const GAP_PATIENCE: Duration = Duration::from_millis(700);
+/// Share of the shorter one of the bounds of drains and configurations for which a missing
+/// change is asked of other nodes before the store is, lengthened at random like the above.
+/// With the time for which it was missing before (0.4 s) and a call it stays below the bound.
+const GAP_PATIENCE_SHARE: f64 = 0.2;
+/// Pause between two lists of a kind that fill gaps. While thousands of instances register,
+/// there is a new gap as soon as one is filled.
+const FILLED_PAUSE: Duration = Duration::from_millis(1_200);
 /// Of so many requests for one list, one goes to the coordinator itself: the relay of this
 /// node's zone may be the one that lacks it.
 const COORDINATOR_EVERY: u32 = 4;
@@ -77,6 +82,10 @@
     /// Until when other nodes are asked, from the first request on.
     until: Option<Timestamp>,
     requests: u32,
+    /// Requests in a row that led nowhere.
+    in_vain: u32,
+    /// Before when no gap is filled again.
+    filled_until: Timestamp,
     /// Nodes that may have them, by the last answer.
     referred: Vec<SocketAddr>,
     is_asked: bool,
@@ -160,7 +169,13 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) -> bool {
-        if !self.asks_nodes() || !self.transfers.is_patient(kind, GAP_PATIENCE, now) {
+        if self.asks_nodes() && now < self.transfers.wanted(kind).filled_until {
+            return true;
+        }
+        let bound = self.settings.drain_bound;
+        let bound = bound.min(self.settings.configuration_bound);
+        let patience = bound.mul_f64(GAP_PATIENCE_SHARE);
+        if !self.asks_nodes() || !self.transfers.is_patient(kind, patience, now) {
             self.transfers.wanted(kind).until = None;
             return false;
         }
@@ -215,6 +230,7 @@
             known,
             zone: Text(self.settings.zone.to_string()),
             address,
+            link_bytes_per_s: self.settings.link_bytes_per_s,
         };
         if is_list {
             self.store.watcher(kind.object_kind()).asks_elsewhere();
@@ -263,7 +279,10 @@
         match answer {
             Some(TransferAnswer::State(state)) => {
                 if self.take_state(&asked, state, now, out) {
-                    *self.transfers.wanted(asked.kind) = Wanted::default();
+                    *self.transfers.wanted(asked.kind) = Wanted {
+                        filled_until: now + FILLED_PAUSE,
+                        ..Wanted::default()
+                    };
                     return;
                 }
                 self.ask_again(&asked, Vec::new(), now);
@@ -282,11 +301,13 @@
     fn ask_again(&mut self, asked: &Asked, referred: Vec<SocketAddr>, now: Timestamp) {
         let spread = self.transfers.rng.random_range(1.0..2.0);
         let wanted = self.transfers.wanted(asked.kind);
-        let is_referred = !referred.is_empty() || !wanted.referred.is_empty();
         wanted.referred.extend(referred);
-        let pause = match is_referred {
-            true => REFERRAL_PAUSE,
-            false => RETRY_PAUSE.mul_f64(spread),
+        let pause = if wanted.referred.is_empty() {
+            let doubled = RETRY_PAUSE.saturating_mul(1 << wanted.in_vain.min(4));
+            wanted.in_vain += 1;
+            doubled.min(MAX_RETRY_PAUSE).mul_f64(spread)
+        } else {
+            REFERRAL_PAUSE
         };
         if asked.is_list {
             let watcher = self.store.watcher(asked.kind.object_kind());
@@ -323,7 +344,7 @@
             (RelayedKind::Instances, TransferredObjects::Instances(instances)) => {
                 let unconfirmed = Duration::from_millis(u64::from(unconfirmed_ms));
                 self.directory.doubt_removals_until(now + unconfirmed);
-                self.take_instances(instances.0, revision, as_of, now)
+                self.take_instances(instances, revision, as_of, now)
             }
             (RelayedKind::Nodes, TransferredObjects::Nodes(nodes)) => {
                 self.take_nodes(nodes.0, revision, now)
@@ -357,17 +378,13 @@
 
     fn take_instances(
         &mut self,
-        instances: Vec<ChangedInstance>,
+        instances: InstanceTable,
         revision: u64,
         as_of: Option<Timestamp>,
         now: Timestamp,
     ) -> bool {
-        let record = |listed: ChangedInstance| {
-            let id = InstanceId::parse(&listed.id.0);
-            let record = instance_record(id, &listed.entry?)?;
-            Some(Entry::at(revision, record))
-        };
-        let entries: Vec<Entry> = instances.into_iter().filter_map(record).collect();
+        let records = instances.into_records().into_iter();
+        let entries: Vec<Entry> = records.map(|record| Entry::at(revision, record)).collect();
         self.directory.replace_all(entries, now);
         if let Some(as_of) = as_of {
             self.directory.note_current(as_of);
--- a/crates/ledgelead-router/src/node/transfer/serving.rs
+++ b/crates/ledgelead-router/src/node/transfer/serving.rs
@@ -1,25 +1,28 @@
 //! Objects for other nodes that ask for a whole list.
 //!
 //! Load: all nodes of a fleet start at once, or lack the same large change, and each asks for
-//! hundreds of kilobytes. A node sends no more at a time than half of its link carries in
-//! `MAX_BACKLOG`, so that heartbeats and requests pass beside it, and refers the rest to
-//! nodes that it has served. Another zone gets a list once in `OTHER_ZONE_PAUSE`, since bytes
-//! between zones are dear; its nodes pass it on among themselves.
+//! hundreds of kilobytes. Requests wait until there is something to send, so that nobody has
+//! to ask again and again. A node sends no more at a time than half of its link carries in
+//! `MAX_BACKLOG`, so that heartbeats and requests pass beside it, to the nodes with the widest
+//! links first, and refers the others to these, to each the more the wider its link is. Another
+//! zone gets a list once in `OTHER_ZONE_PAUSE`, since bytes between zones are dear; its nodes
+//! pass it on among themselves.
 
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
 use crate::identity::ZoneName;
 use crate::io::{Action, ClientId};
 use crate::node::Node;
-use crate::node::relay::{changed_assignment, listed_instance, listed_node};
+use crate::node::relay::{changed_assignment, listed_node};
 use crate::peers::{
-    ConfigurationDelta, CoordinatorEntry, PeerAddress, RecordEntry, RelayedKind, TransferAnswer,
-    TransferRequest, TransferredObjects, TransferredState, WholeConfiguration, decode_request,
-    encode_answer,
+    ConfigurationDelta, CoordinatorEntry, InstanceTable, PeerAddress, RecordEntry, RelayedKind,
+    TransferAnswer, TransferRequest, TransferredObjects, TransferredState, WholeConfiguration,
+    decode_request, encode_answer,
 };
 use crate::{short_millis, whole_millis};
 use ledgelead_http::{Request, Response};
 use ledgelead_types::codec::{List, Text};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -33,8 +36,18 @@
 const OTHER_ZONE_PAUSE: Duration = Duration::from_secs(2);
 /// How many nodes that were served are remembered in each zone.
 const REMEMBERED: usize = 32;
-/// Most nodes that one answer refers to.
-const MAX_REFERRED: usize = 3;
+/// Most requests that wait here.
+const MAX_WAITING: usize = 2_000;
+/// How long requests are gathered before the first is answered: nodes that start together
+/// ask within some 100 ms.
+const GATHER_FOR: Duration = Duration::from_millis(40);
+/// Pause between two looks at what waits.
+const REVIEW_PAUSE: Duration = Duration::from_millis(40);
+/// How long a request waits for room on the link before it is referred to another node.
+const ROOM_WITHIN: Duration = Duration::from_millis(120);
+/// How long a request waits for anything to send. Less than the time without progress after
+/// which its sender asks another node.
+const MAX_WAIT: Duration = Duration::from_millis(700);
 /// How long an encoded list serves all who ask: it is some seconds old at most.
 const ENCODED_TTL: Duration = Duration::from_secs(1);
 
@@ -45,6 +58,8 @@
     link_free_at: Timestamp,
     served: BTreeMap<(RelayedKind, ZoneName), Served>,
     encoded: [Option<Encoded>; RelayedKind::ALL.len()],
+    waiting: Vec<Waiting>,
+    next_review: Timestamp,
     /// Lists that were sent.
     pub(in crate::node) sent: u64,
 }
@@ -53,7 +68,29 @@
 #[derive(Default)]
 struct Served {
     last: Timestamp,
-    nodes: VecDeque<PeerAddress>,
+    nodes: VecDeque<Receiver>,
+}
+
+/// A node that was sent a list.
+struct Receiver {
+    address: PeerAddress,
+    link_bytes_per_s: u64,
+    /// How many others were referred to it.
+    referred: u64,
+}
+
+/// A request without an answer.
+struct Waiting {
+    client: ClientId,
+    asked: TransferRequest,
+    since: Timestamp,
+}
+
+/// What becomes of a request.
+enum Decision {
+    Send(Vec<u8>),
+    Refer,
+    Wait,
 }
 
 /// An answer with all objects of a kind.
@@ -71,22 +108,46 @@
         }
     }
 
-    /// Nodes that may have what another asks for, the next ones in turn each time.
-    fn referrals(&mut self, kind: RelayedKind, zone: &ZoneName) -> List<PeerAddress> {
-        let Some(served) = self.served.get_mut(&(kind, zone.clone())) else {
-            return List::default();
+    /// When a request that waits is looked at.
+    pub(in crate::node) fn next_deadline(&self) -> Option<Timestamp> {
+        (!self.waiting.is_empty()).then_some(self.next_review)
+    }
+
+    /// Who asked has closed its connection.
+    pub(in crate::node) fn left(&mut self, client: ClientId) {
+        self.waiting.retain(|waiting| waiting.client != client);
+    }
+
+    /// The node that has the fewest referred to it for the width of its link.
+    fn referral(&mut self, asked: &TransferRequest) -> List<PeerAddress> {
+        let key = (asked.kind, ZoneName::from(asked.zone.0.as_str()));
+        let served = self.served.get_mut(&key);
+        let receivers = served.into_iter().flat_map(|served| &mut served.nodes);
+        let others = receivers.filter(|receiver| receiver.address != asked.address);
+        let burden = |receiver: &&mut Receiver| {
+            let link = receiver.link_bytes_per_s.max(1);
+            // In parts of a million, since most are far below one.
+            (receiver.referred + 1).saturating_mul(1_000_000_000_000) / link
         };
-        let count = served.nodes.len().min(MAX_REFERRED);
-        served.nodes.rotate_left(count);
-        List(served.nodes.iter().rev().take(count).copied().collect())
+        let chosen = others.min_by_key(burden);
+        let address = chosen.map(|receiver| {
+            receiver.referred += 1;
+            receiver.address
+        });
+        address.into_iter().collect()
     }
 
-    fn note_served(&mut self, request: &TransferRequest, zone: ZoneName, now: Timestamp) {
+    fn note_served(&mut self, asked: &TransferRequest, now: Timestamp) {
         self.sent += 1;
-        let served = self.served.entry((request.kind, zone)).or_default();
+        let zone = ZoneName::from(asked.zone.0.as_str());
+        let served = self.served.entry((asked.kind, zone)).or_default();
         served.last = now;
-        served.nodes.retain(|node| *node != request.address);
-        served.nodes.push_back(request.address);
+        served.nodes.retain(|node| node.address != asked.address);
+        served.nodes.push_back(Receiver {
+            address: asked.address,
+            link_bytes_per_s: asked.link_bytes_per_s,
+            referred: 0,
+        });
         if served.nodes.len() > REMEMBERED {
             served.nodes.pop_front();
         }
@@ -106,44 +167,87 @@
             TRANSFER_PATH => decode_request(&request.body).ok(),
             _ => None,
         };
-        let response = match asked {
-            Some(asked) => Response::new(200, self.answer_transfer(&asked, now)),
-            None => Response::new(400, Vec::new()),
-        };
-        out.push(Action::Respond { client, response });
+        let server = &mut self.transfer_server;
+        match asked {
+            Some(asked) if server.waiting.len() < MAX_WAITING => {
+                if server.waiting.is_empty() {
+                    server.next_review = now + GATHER_FOR;
+                }
+                server.waiting.push(Waiting {
+                    client,
+                    asked,
+                    since: now,
+                });
+            }
+            Some(asked) => {
+                let nodes = server.referral(&asked);
+                respond(
+                    client,
+                    encode_answer(&TransferAnswer::Elsewhere { nodes }),
+                    out,
+                );
+            }
+            None => {
+                let response = Response::new(400, Vec::new());
+                out.push(Action::Respond { client, response });
+            }
+        }
     }
 
-    fn answer_transfer(&mut self, asked: &TransferRequest, now: Timestamp) -> Vec<u8> {
+    /// Answers the requests that wait, if they are due to be looked at.
+    pub(in crate::node) fn answer_transfers(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let server = &mut self.transfer_server;
+        if server.waiting.is_empty() || now < server.next_review {
+            return;
+        }
+        server.next_review = now + REVIEW_PAUSE;
+        let mut waiting = std::mem::take(&mut server.waiting);
+        waiting.sort_by_key(|waiting| (Reverse(waiting.asked.link_bytes_per_s), waiting.since));
+        for request in waiting {
+            match self.decide(&request, now) {
+                Decision::Send(body) => {
+                    self.transfer_server.note_served(&request.asked, now);
+                    self.count_transfer(request.asked.address.socket(), body.len());
+                    respond(request.client, body, out);
+                }
+                Decision::Refer => {
+                    let nodes = self.transfer_server.referral(&request.asked);
+                    let answer = TransferAnswer::Elsewhere { nodes };
+                    respond(request.client, encode_answer(&answer), out);
+                }
+                Decision::Wait => self.transfer_server.waiting.push(request),
+            }
+        }
+    }
+
+    fn decide(&mut self, request: &Waiting, now: Timestamp) -> Decision {
+        let Waiting { asked, since, .. } = request;
+        let is_over = *since + MAX_WAIT <= now;
         let zone = ZoneName::from(asked.zone.0.as_str());
-        if let Some(body) = self.state_for(asked, &zone, now) {
-            self.transfer_server.note_served(asked, zone, now);
-            self.count_transfer(asked.address.socket(), body.len());
-            return body;
+        let is_other = zone != self.settings.zone;
+        let served = self.transfer_server.served.get(&(asked.kind, zone));
+        let is_served = served.is_some_and(|served| !served.nodes.is_empty());
+        let is_recent = served.is_some_and(|served| now < served.last + OTHER_ZONE_PAUSE);
+        if is_other && is_recent {
+            return Decision::Refer;
+        }
+        if let Some(body) = self.state_for(asked, now) {
+            return Decision::Send(body);
+        }
+        let has_waited = *since + ROOM_WITHIN <= now;
+        match is_over || is_served && has_waited && self.has_newer(asked.kind, asked.known) {
+            true => Decision::Refer,
+            false => Decision::Wait,
         }
-        let nodes = self.transfer_server.referrals(asked.kind, &zone);
-        encode_answer(&TransferAnswer::Elsewhere { nodes })
     }
 
     /// The encoded objects, if they are newer and there is room for them on the link.
-    fn state_for(
-        &mut self,
-        asked: &TransferRequest,
-        zone: &ZoneName,
-        now: Timestamp,
-    ) -> Option<Vec<u8>> {
-        let kind = asked.kind;
-        if !self.has_newer(kind, asked.known) {
+    fn state_for(&mut self, asked: &TransferRequest, now: Timestamp) -> Option<Vec<u8>> {
+        let has_room = self.transfer_server.link_free_at <= now + MAX_BACKLOG;
+        if !has_room || !self.has_newer(asked.kind, asked.known) {
             return None;
         }
-        let server = &self.transfer_server;
-        let is_other = *zone != self.settings.zone;
-        let served = server.served.get(&(kind, zone.clone()));
-        let waits = served.is_some_and(|served| now < served.last + OTHER_ZONE_PAUSE);
-        let has_room = server.link_free_at <= now + MAX_BACKLOG;
-        if !has_room || is_other && waits {
-            return None;
-        }
-        let body = self.encoded_state(kind, now)?;
+        let body = self.encoded_state(asked.kind, asked.known, now)?;
         let share = self.settings.link_bytes_per_s as f64 * LINK_SHARE;
         let takes = Duration::try_from_secs_f64(body.len() as f64 / share.max(1.0));
         let server = &mut self.transfer_server;
@@ -165,15 +269,16 @@
         is_listed && is_current && revision.is_some_and(|revision| revision > known)
     }
 
-    /// The newest objects of a kind, encoded once for all who ask within a while.
-    fn encoded_state(&mut self, kind: RelayedKind, now: Timestamp) -> Option<Vec<u8>> {
-        let revision = self.known_revision(kind)?;
-        let known = self.transfer_server.encoded[kind as usize].as_ref();
-        let fresh =
-            known.filter(|known| known.revision == revision && now < known.at + ENCODED_TTL);
-        if let Some(fresh) = fresh {
+    /// The objects of a kind with changes after a revision, encoded once for all who ask
+    /// within a while.
+    fn encoded_state(&mut self, kind: RelayedKind, known: u64, now: Timestamp) -> Option<Vec<u8>> {
+        let encoded = self.transfer_server.encoded[kind as usize].as_ref();
+        let is_fresh =
+            |encoded: &&Encoded| encoded.revision > known && now < encoded.at + ENCODED_TTL;
+        if let Some(fresh) = encoded.filter(is_fresh) {
             return Some(fresh.body.clone());
         }
+        let revision = self.known_revision(kind)?;
         let state = self.transferred_state(kind, revision, now)?;
         let body = encode_answer(&TransferAnswer::State(state));
         self.transfer_server.encoded[kind as usize] = Some(Encoded {
@@ -191,7 +296,10 @@
         now: Timestamp,
     ) -> Option<TransferredState> {
         let objects = match kind {
-            RelayedKind::Instances => self.transferred_instances(),
+            RelayedKind::Instances => {
+                let records = self.directory.listed().map(|known| &known.record);
+                TransferredObjects::Instances(InstanceTable::new(records))
+            }
             RelayedKind::Nodes => {
                 let nodes = self.registry.registrations().map(listed_node).collect();
                 TransferredObjects::Nodes(nodes)
@@ -216,12 +324,6 @@
         })
     }
 
-    fn transferred_instances(&self) -> TransferredObjects {
-        let listed = self.directory.listed();
-        let entries = listed.map(|known| listed_instance(&known.record));
-        TransferredObjects::Instances(entries.collect())
-    }
-
     fn record_entry(&self) -> RecordEntry {
         let record = self.ownership.record();
         let coordinator = record
@@ -240,3 +342,8 @@
         }
     }
 }
+
+fn respond(client: ClientId, body: Vec<u8>, out: &mut Vec<Action>) {
+    let response = Response::new(200, body);
+    out.push(Action::Respond { client, response });
+}
--- a/crates/ledgelead-router/src/node/watch_paces.rs
+++ b/crates/ledgelead-router/src/node/watch_paces.rs
@@ -187,9 +187,12 @@
         let mut spread = |pause: Duration| pause.mul_f64(rng.random_range(1.0..1.0 + SPREAD));
         let election = (ELECTION_PAUSE * 1_000 / millicores.max(1))
             .clamp(MIN_ELECTION_PAUSE, MAX_ELECTION_PAUSE);
+        let election = spread(election);
         ColdStart {
-            election: spread(election),
-            list: spread(COLD_START_PAUSE),
+            election,
+            // Nodes with more of a core, and mostly a wider link, first: the others are sent
+            // what these have.
+            list: COLD_START_PAUSE + election,
         }
     }
 }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod delay;
 mod evidence;
+mod instance_table;
 mod message;
 mod registry;
 mod shared_load;
@@ -22,6 +23,7 @@
 };
 pub use delay::DelayEstimate;
 pub use evidence::{AgedEntry, EndEntry, RequestEntry, aged_instances, evidence_parts, time_of};
+pub use instance_table::InstanceTable;
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
     InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage, PermitAskEntry,
--- a/crates/ledgelead-router/src/peers/transfer.rs
+++ b/crates/ledgelead-router/src/peers/transfer.rs
@@ -3,7 +3,8 @@
 //! Datagrams carry changes; what has no bound on its length comes this way.
 
 use super::configuration::{ConfigurationChange, ConfigurationDelta, LimitsEntry};
-use super::message::{ChangedAssignment, ChangedInstance, ChangedNode, PeerAddress, RelayedKind};
+use super::instance_table::InstanceTable;
+use super::message::{ChangedAssignment, ChangedNode, PeerAddress, RelayedKind};
 use ledgelead_types::codec::{self, DecodeError, List, Text};
 use nanoserde::{DeBin, SerBin};
 
@@ -18,6 +19,8 @@
     pub zone: Text,
     /// Where others can ask the sender, once it has the objects.
     pub address: PeerAddress,
+    /// What the sender's link carries, in bytes a second.
+    pub link_bytes_per_s: u64,
 }
 
 /// The answer to a request for objects.
@@ -50,7 +53,7 @@
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum TransferredObjects {
     /// Instances.
-    Instances(List<ChangedInstance>),
+    Instances(InstanceTable),
     /// Registrations of nodes.
     Nodes(List<ChangedNode>),
     /// The record of ownership.
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -489,18 +489,21 @@
 
     /// The same with some mechanism off.
     pub fn with_mechanisms(store: Store, mechanisms: Mechanisms) -> Fixture {
-        let record = node_record(0);
-        let mailbox = Rc::<RefCell<Mailbox>>::default();
-        let dialect = TypedDialect {
-            headers: headers(),
-            mailbox: mailbox.clone(),
-        };
-        let store_address = SocketAddr::from(([10, 0, 2, 0], 9_000));
         let settings = NodeSettings {
+            mechanisms,
+            ..Fixture::settings()
+        };
+        Fixture::with_settings(store, settings)
+    }
+
+    /// The settings of a fixture's node.
+    pub fn settings() -> NodeSettings {
+        let record = node_record(0);
+        NodeSettings {
             identity: record.identity,
             zone: record.zone,
             peer_address: record.address,
-            store_address,
+            store_address: SocketAddr::from(([10, 0, 2, 0], 9_000)),
             millicores: record.millicores,
             retry_budget: BudgetBounds {
                 ratio: 0.2,
@@ -516,8 +519,18 @@
             link_bytes_per_s: DEFAULT_LINK_BYTES_PER_S,
             seed: 7,
             protections: Protections::default(),
-            mechanisms,
+            mechanisms: Mechanisms::default(),
+        }
+    }
+
+    /// A node with other settings.
+    pub fn with_settings(store: Store, settings: NodeSettings) -> Fixture {
+        let mailbox = Rc::<RefCell<Mailbox>>::default();
+        let dialect = TypedDialect {
+            headers: headers(),
+            mailbox: mailbox.clone(),
         };
+        let store_address = settings.store_address;
         Fixture {
             node: Node::new(settings, Box::new(dialect), Duration::ZERO),
             store,
--- a/crates/ledgelead-router/tests/node/transfer.rs
+++ b/crates/ledgelead-router/tests/node/transfer.rs
@@ -10,19 +10,24 @@
 use googletest::prelude::*;
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{ObjectKind, StoreCall};
+use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::evacuation::EvacuationsEntry;
+use ledgelead_router::identity::ZoneName;
 use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
 use ledgelead_router::node::TRANSFER_PATH;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{
-    Heartbeat, PeerAddress, PeerMessage, RelayedKind, TransferAnswer, TransferRequest,
-    decode_answer, decode_request, encode, encode_answer, encode_request,
+    Heartbeat, InstanceTable, PeerAddress, PeerMessage, RelayedKind, TransferAnswer,
+    TransferRequest, decode_answer, decode_request, encode, encode_answer, encode_request,
 };
 use ledgelead_types::codec::{Bytes, List, Text};
 use std::net::SocketAddr;
 
 /// Instances, of which two fit a page.
 const INSTANCES: std::ops::RangeInclusive<u8> = 1..=9;
+/// Time in which a request has an answer, be it that there is nothing to send: less than
+/// the time after which its sender asks another node.
+const ANSWERED_WITHIN_MS: u64 = 1_000;
 /// The node that coordinates.
 const COORDINATOR: u8 = 1;
 /// The node that passes its heartbeats on.
@@ -130,12 +135,14 @@
         known: 0,
         zone: Text(zone.to_owned()),
         address: PeerAddress::new(node_address(number)).expect("IPv4"),
+        link_bytes_per_s: 2_500_000,
     };
     let client = ClientId(1 << 40);
     fixture.step(Input::PeerRequest {
         client,
         request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
     });
+    fixture.run_until(fixture.now + ms(ANSWERED_WITHIN_MS));
     let (_, response) = fixture.answers.pop().expect("an answer");
     decode_answer(&response.body).expect("it can be read")
 }
@@ -238,6 +245,96 @@
     expect_that!(later, matches_pattern!(TransferAnswer::State(_)));
 }
 
+/// Requests of a node with a link of so many bytes a second, sent without an answer yet.
+fn request(fixture: &mut Fixture, number: u8, link_bytes_per_s: u64) -> ClientId {
+    let request = TransferRequest {
+        kind: RelayedKind::Instances,
+        known: 0,
+        zone: Text("a".to_owned()),
+        address: PeerAddress::new(node_address(number)).expect("IPv4"),
+        link_bytes_per_s,
+    };
+    let client = ClientId((1 << 41) + u64::from(number));
+    fixture.step(Input::PeerRequest {
+        client,
+        request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
+    });
+    client
+}
+
+/// Requests that were answered with the list, and those that were referred, by whom to.
+fn outcomes(fixture: &Fixture) -> (Vec<ClientId>, Vec<SocketAddr>) {
+    let mut sent = Vec::new();
+    let mut referred = Vec::new();
+    for (client, response) in &fixture.answers {
+        match decode_answer(&response.body).expect("it can be read") {
+            TransferAnswer::State(_) => sent.push(*client),
+            TransferAnswer::Elsewhere { nodes } => {
+                referred.extend(nodes.iter().map(|node| node.socket()));
+            }
+        }
+    }
+    (sent, referred)
+}
+
+#[gtest]
+fn what_the_link_bears_goes_to_the_widest_links_which_serve_the_others() {
+    let mut settings = Fixture::settings();
+    // Half of it carries nine entries of some 40 bytes in a quarter of a second.
+    settings.link_bytes_per_s = 3_000;
+    let mut store = paged_store();
+    store.vacate();
+    let mut fixture = Fixture::with_settings(store, settings);
+    fixture.run_until(ms(3_000));
+    for number in 10..40 {
+        request(&mut fixture, number, 1_000);
+    }
+    let widest = [
+        request(&mut fixture, 50, 20_000),
+        request(&mut fixture, 51, 20_000),
+    ];
+    fixture.run_until(fixture.now + ms(500));
+    let (sent, referred) = outcomes(&fixture);
+    expect_that!(sent.len() + referred.len(), eq(32));
+    expect_that!(sent.len(), le(8));
+    expect_that!(sent[..2], eq(&widest));
+    // Each of the wide links gets many times as many as a narrow one.
+    let to = |number: u8| {
+        let to_it = |node: &&SocketAddr| **node == node_address(number);
+        referred.iter().filter(to_it).count()
+    };
+    expect_that!(to(50) + to(51), ge(referred.len() * 3 / 4));
+}
+
+#[gtest]
+fn a_request_waits_for_the_list_and_is_forgotten_with_its_sender() {
+    let mut fixture = Fixture::new(paged_store());
+    fixture.run_until(ms(50));
+    follow_for(&mut fixture, 100);
+    let asks = request(&mut fixture, 3, 1_000);
+    let leaves = request(&mut fixture, 2, 1_000);
+    fixture.step(Input::ClientLeft { client: leaves });
+    follow_for(&mut fixture, 200);
+    expect_that!(fixture.answers, is_empty());
+    let own = take_requests(&mut fixture).pop().expect("a request");
+    fixture.answer(own.exchange, all_instances());
+    follow_for(&mut fixture, 100);
+    let (sent, _) = outcomes(&fixture);
+    expect_that!(sent, elements_are![eq(&asks)]);
+}
+
+#[gtest]
+fn a_table_of_instances_holds_what_they_registered() {
+    let mut records: Vec<InstanceRecord> =
+        INSTANCES.map(|number| instance(number, SERVICE)).collect();
+    records[1].address = "[2001:db8::7]:8000".parse().expect("an address");
+    records[2].draining = true;
+    records[3].warmup_left = ms(2_500);
+    records[4].zone = ZoneName::from("b");
+    let table = InstanceTable::new(records.iter());
+    expect_that!(table.into_records(), eq(&records));
+}
+
 #[gtest]
 fn a_node_that_knows_nothing_newer_sends_nothing() {
     let mut fixture = Fixture::new(paged_store());
