A coordinator builds no lists that datagrams can't carry

Cause: each heartbeat (0.2 s) a node that lacks changes asks the coordinator for them. It cloned all kept lists, up to 64 of 500 instances, encoded them and dropped them as more than 48 datagrams; a node that asked for longer got all instances encoded once a second, dropped as well. Change: what is too much is counted first, and answered by nothing; the lists come over connections. A list that is too long for datagrams is logged. Test: a_log_gives_no_more_than_datagrams_carry.

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -494,6 +494,16 @@
         self.instances.values().filter(is_listed)
     }
 
+    /// How many instances are known, present or not.
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.instances.is_empty()
+    }
+
     /// All instances.
     pub fn iter(&self) -> impl Iterator<Item = &Instance> {
         self.instances.values()
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -218,11 +218,11 @@
         let relay = &mut self.gossip.relay;
         let datagrams = match kind {
             RelayedKind::Instances => {
-                let changes = relay.instances.since(since);
+                let changes = relay.instances.since(since, objects::MAX_INSTANCES);
                 changes.map(|changes| objects::instance_datagrams(&changes, unconfirmed))
             }
             RelayedKind::Nodes => {
-                let changes = relay.nodes.since(since);
+                let changes = relay.nodes.since(since, objects::MAX_NODES);
                 changes.map(|changes| objects::node_datagrams(&changes))
             }
             RelayedKind::Ownership => relay.ownership_datagrams(since),
@@ -235,7 +235,8 @@
     }
 
     /// All instances, for a node that goes on lacking changes of them: the store, which
-    /// every other node asks for them, refuses it.
+    /// every other node asks for them, refuses it. Where they are too many for datagrams,
+    /// nodes get them from each other.
     fn snapshot_for(
         &mut self,
         from: SocketAddr,
@@ -244,6 +245,7 @@
     ) -> Option<Vec<Datagram>> {
         let is_due = kind == RelayedKind::Instances
             && self.directory.is_complete()
+            && self.directory.len() <= objects::MAX_INSTANCES
             && self.gossip.relay.lacking.is_snapshot_due(from, now);
         is_due.then(|| {
             let revision = self.gossip.relay.instances_revision;
@@ -252,8 +254,8 @@
     }
 }
 
-/// Splits a list into parts and encodes each. A list with too many of them is
-/// left to the store.
+/// Splits a list into parts and encodes each. A list with too many of them reaches the
+/// others as a whole, over connections, or by the store.
 fn parts<T: Clone + SerBin>(
     base: u64,
     revision: u64,
@@ -261,6 +263,10 @@
     a_part: usize,
     message: impl Fn(ChangeSpan, List<T>) -> PeerMessage,
 ) -> Vec<Datagram> {
+    if changed.len() > a_part * usize::from(MAX_PARTS) {
+        log::info!(target: "peers", "{} changes are too many for datagrams", changed.len());
+        return Vec::new();
+    }
     let chunks = chunks(changed, a_part);
     let count = match u8::try_from(chunks.len()) {
         Ok(count) if count <= MAX_PARTS => count,
--- a/crates/ledgelead-router/src/node/relay/objects.rs
+++ b/crates/ledgelead-router/src/node/relay/objects.rs
@@ -11,8 +11,8 @@
 use crate::io::Action;
 use crate::node::Node;
 use crate::peers::{
-    ChangeList, ChangeSpan, ChangedInstance, ChangedNode, Changes, Datagram, PeerMessage,
-    RelayedKind,
+    ChangeList, ChangeSpan, ChangedInstance, ChangedNode, Changes, Datagram, MAX_PARTS,
+    PeerMessage, RelayedKind,
 };
 use ledgelead_types::codec::List;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +22,10 @@
 const INSTANCES_A_PART: usize = 8;
 /// Most nodes in one datagram.
 const NODES_A_PART: usize = 12;
+/// Most instances of one list.
+pub(super) const MAX_INSTANCES: usize = INSTANCES_A_PART * MAX_PARTS as usize;
+/// Most nodes of one list.
+pub(super) const MAX_NODES: usize = NODES_A_PART * MAX_PARTS as usize;
 
 impl Node {
     /// Announces what the store has told this coordinator up to a revision. The
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -9,12 +9,14 @@
 use crate::node::Node;
 use crate::ownership::record::{Assignment, OwnershipRecord};
 use crate::peers::{
-    ChangeSpan, ChangedAssignment, Changes, Datagram, PeerMessage, RelayedKind, encode,
+    ChangeSpan, ChangedAssignment, Changes, Datagram, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
 use ledgelead_types::codec::{List, Text};
 
 /// Most assignments in one datagram.
 const ASSIGNMENTS_A_PART: usize = 20;
+/// Most assignments of one list.
+const MAX_ASSIGNMENTS: usize = ASSIGNMENTS_A_PART * MAX_PARTS as usize;
 
 /// What a node says that has taken the coordinator's place.
 #[derive(Debug)]
@@ -45,7 +47,7 @@
     /// to the newest one.
     pub(super) fn ownership_datagrams(&self, since: u64) -> Option<Vec<Datagram>> {
         let later = |since| {
-            let changes = self.ownership.since(since);
+            let changes = self.ownership.since(since, MAX_ASSIGNMENTS);
             changes.map(|changes| datagrams(&changes))
         };
         match &self.take_over {
--- a/crates/ledgelead-router/src/peers/change_log.rs
+++ b/crates/ledgelead-router/src/peers/change_log.rs
@@ -45,15 +45,19 @@
         }
     }
 
-    /// All changes after a revision, if the log reaches back to it and holds
-    /// some.
-    pub fn since(&self, revision: u64) -> Option<Changes<T>> {
+    /// All changes after a revision, if the log reaches back to it and holds some, but no
+    /// more than `most`: hundreds of nodes may ask for what no datagrams could carry.
+    pub fn since(&self, revision: u64, most: usize) -> Option<Changes<T>> {
         let first = self.kept.front()?;
         let last = self.kept.back()?;
         if revision < first.base || last.revision <= revision {
             return None;
         }
         let later = self.kept.iter().filter(|list| list.revision > revision);
+        let count: usize = later.clone().map(|list| list.items.len()).sum();
+        if count > most {
+            return None;
+        }
         Some(Changes {
             base: revision,
             revision: last.revision,
--- a/crates/ledgelead-router/tests/scale.rs
+++ b/crates/ledgelead-router/tests/scale.rs
@@ -15,6 +15,7 @@
     Context, Coordinator, EarlierAuthority, ExchangeIds, OutgoingOrder,
 };
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use ledgelead_router::peers::{ChangeLog, Changes};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::settings::{HOLD, MAX_RENEWAL_INTERVAL};
 use proptest::prelude::*;
@@ -224,6 +225,22 @@
     expect_that!(run.coordinator.counters().moves, ge(1_000));
 }
 
+#[gtest]
+fn a_log_gives_no_more_than_datagrams_carry() {
+    let mut log = ChangeLog::new(64);
+    for base in 0..4 {
+        log.push(Changes {
+            base,
+            revision: base + 1,
+            items: vec![7; 3],
+        });
+    }
+    let items = |since, most| log.since(since, most).map(|changes| changes.items.len());
+    expect_that!(items(0, 12), some(eq(12)));
+    expect_that!(items(0, 11), none());
+    expect_that!(items(2, 11), some(eq(6)));
+}
+
 /// Lays assignments over others one by one, each over all.
 fn overlaid(before: &[Assignment], changes: &[Assignment]) -> Vec<Assignment> {
     let mut all = before.to_vec();
