A list of changes that would fill a link is not broadcast

Cause: each list of changes went to each node of the own zone, and by each relay to each of its zone, in up to 48 datagrams: nodes x changes. With 200 nodes a zone that is 9,400 datagrams, 13 MB, half a second of 200 Mbit/s; with 984 registrations to all nodes, before relays are known, 40,000. Heartbeats wait behind them. Change: above 2,500 datagrams from one node a list is left to connections, which many nodes serve at once; logged with its length. Test: a_long_list_is_not_sent_to_each_of_many_nodes.

--- a/crates/ledgelead-router/src/node/zone_relay.rs
+++ b/crates/ledgelead-router/src/node/zone_relay.rs
@@ -30,6 +30,10 @@
 /// Nodes of a zone from which one of them passes messages on. Below, the detour
 /// saves little.
 const LEAST_NODES: usize = 6;
+/// Most datagrams that one node sends for a list of changes: some 3.5 MB, 0.14 s of a link of
+/// 200 Mbit/s. A list that takes more reaches the others as a whole, over connections, by
+/// many nodes at once.
+const MAX_LIST_DATAGRAMS: usize = 2_500;
 /// How many nodes of a zone report also when they have nothing to report, so
 /// that one can be chosen.
 const CANDIDATES: usize = 3;
@@ -115,19 +119,32 @@
             zones.entry(&node.zone).or_default().push(node);
         }
         let nodes = self.gossip.relay.nodes_revision();
+        let mut by_relay = Vec::new();
+        let mut by_itself = Vec::new();
+        let mut most_by_relay = 0;
         for (zone, members) in zones {
             let is_other = *zone != self.settings.zone;
             let relays = &mut self.zone_relays;
             let relay = is_other.then(|| relays.choose(zone, &members, nodes, now));
             match relay.flatten() {
-                Some(relay) => send(relay, &wrapped(origin, true, datagrams), out),
-                None => {
-                    for member in members {
-                        send(member.address, datagrams, out);
-                    }
+                Some(relay) => {
+                    by_relay.push(relay);
+                    most_by_relay = most_by_relay.max(members.len());
                 }
+                None => by_itself.extend(members),
             }
         }
+        let sent_by_one = datagrams.len() * by_itself.len().max(most_by_relay);
+        if datagrams.len() > 1 && sent_by_one > MAX_LIST_DATAGRAMS {
+            log::info!(target: "peers", "a list of {} datagrams is not broadcast", datagrams.len());
+            return;
+        }
+        for relay in by_relay {
+            send(relay, &wrapped(origin, true, datagrams), out);
+        }
+        for member in by_itself {
+            send(member.address, datagrams, out);
+        }
     }
 
     /// A message of the coordinator that came by way of another node.
--- a/crates/ledgelead-router/tests/node/zone_relay.rs
+++ b/crates/ledgelead-router/tests/node/zone_relay.rs
@@ -1,7 +1,10 @@
 //! Broadcasts by way of one node a zone.
 
-use crate::fixture::{Fixture, Store, configuration, ms, node_address, node_record};
+use crate::fixture::{
+    Fixture, SERVICE, Store, configuration, instance, ms, node_address, node_record,
+};
 use googletest::prelude::*;
+use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::ZoneName;
 use ledgelead_router::peers::{
@@ -93,6 +96,35 @@
     expect_that!(receivers(&mut fixture), eq(&all));
 }
 
+/// Datagrams of a list of changes to each of many nodes that take a link of 200 Mbit/s for
+/// longer than a heartbeat waits (0.2 s).
+const TOO_MANY_DATAGRAMS: usize = 3_600;
+
+#[gtest]
+fn a_long_list_is_not_sent_to_each_of_many_nodes() {
+    let mut store = Store::default();
+    store.configure(configuration(1));
+    store.add_instance(instance(1, SERVICE));
+    for number in 0..130 {
+        store.add_node(record(number, "a"));
+    }
+    let mut fixture = Fixture::new(store);
+    fixture.run_until(ms(5_000));
+    assert!(fixture.node.coordinator().is_some());
+    fixture.datagrams.clear();
+    for number in 2..=250 {
+        fixture.store.add_instance(instance(number, SERVICE));
+    }
+    fixture.change_watched(ObjectKind::Instances);
+    fixture.run_until(fixture.now + ms(300));
+    expect_that!(fixture.sent("instances"), lt(TOO_MANY_DATAGRAMS));
+    // The others learn of the changes by heartbeats, and of short lists as before.
+    expect_that!(fixture.sent("heartbeat"), ge(129));
+    fixture.store.remove(ObjectKind::Instances, "i-7");
+    fixture.change_watched(ObjectKind::Instances);
+    expect_that!(fixture.sent("instances"), eq(129));
+}
+
 #[gtest]
 fn a_node_that_does_not_know_its_zone_passes_nothing_on() {
     let mut fixture = coordinator();
