A node that hears a coordinator waits for no further page of a long list

Cause: a starting node may follow a coordinator before its first page of instances shows that the list is long; it then paused for 6 to 12 s although other nodes could send it.

--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -154,6 +154,9 @@
                 return;
             }
         };
+        if is_first {
+            self.spare_further_pages(kind, now);
+        }
         self.relay_change(kind, &change, now, out);
         self.apply(kind, change, is_first, started, now, out);
         if kind == ObjectKind::Instances
