Referrals go on to the widest links that were served

Cause: of the nodes that were served, the last 32 were remembered, so the few with wide links were forgotten within a second, and lists were passed on by nodes with a tenth of the link. Test: narrow_links_that_were_served_later_do_not_take_the_place_of_wide_ones.

--- a/crates/ledgelead-router/src/node/transfer/serving.rs
+++ b/crates/ledgelead-router/src/node/transfer/serving.rs
@@ -149,7 +149,18 @@
             referred: 0,
         });
         if served.nodes.len() > REMEMBERED {
-            served.nodes.pop_front();
+            served.forget_narrowest();
+        }
+    }
+}
+
+impl Served {
+    /// Forgets the node with the narrowest link, the oldest of several.
+    fn forget_narrowest(&mut self) {
+        let links = self.nodes.iter().map(|node| node.link_bytes_per_s);
+        let narrowest = links.enumerate().min_by_key(|(_, link)| *link);
+        if let Some((place, _)) = narrowest {
+            self.nodes.remove(place);
         }
     }
 }
--- a/crates/ledgelead-router/tests/node/transfer.rs
+++ b/crates/ledgelead-router/tests/node/transfer.rs
@@ -190,6 +190,20 @@
     expect_that!(pages(&fixture), eq(1));
 }
 
+#[gtest]
+fn a_node_that_hears_a_coordinator_before_the_first_page_waits_for_no_other() {
+    let mut fixture = Fixture::new(paged_store());
+    fixture.store.is_slow = true;
+    fixture.run_until(ms(20));
+    // The configuration, with which the node follows; then the first page.
+    fixture.deliver();
+    hear_coordinator(&mut fixture);
+    fixture.deliver();
+    follow_for(&mut fixture, 200);
+    expect_that!(pages(&fixture), eq(1));
+    expect_that!(take_requests(&mut fixture), len(eq(1)));
+}
+
 #[gtest]
 fn a_node_is_referred_to_those_that_have_the_list() {
     let mut fixture = following();
@@ -306,6 +320,30 @@
     expect_that!(to(50) + to(51), ge(referred.len() * 3 / 4));
 }
 
+#[gtest]
+fn narrow_links_that_were_served_later_do_not_take_the_place_of_wide_ones() {
+    let mut store = paged_store();
+    store.vacate();
+    let mut settings = Fixture::settings();
+    settings.link_bytes_per_s = 20_000;
+    let mut fixture = Fixture::with_settings(store, settings);
+    fixture.run_until(ms(3_000));
+    request(&mut fixture, 200, 2_000_000);
+    fixture.run_until(fixture.now + ms(200));
+    for number in 10..60 {
+        request(&mut fixture, number, 1_000);
+        fixture.run_until(fixture.now + ms(200));
+    }
+    fixture.answers.clear();
+    for number in 60..90 {
+        request(&mut fixture, number, 1_000);
+    }
+    fixture.run_until(fixture.now + ms(400));
+    let (_, referred) = outcomes(&fixture);
+    expect_that!(referred, len(ge(10)));
+    expect_that!(referred, each(eq(&node_address(200))));
+}
+
 #[gtest]
 fn a_request_waits_for_the_list_and_is_forgotten_with_its_sender() {
     let mut fixture = Fixture::new(paged_store());
