--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -198,6 +198,13 @@
         /// The next owner.
         to: &'a InstanceId,
     },
+    /// A version of the record was not written; it is tried again.
+    RecordNotWritten {
+        /// How many ranges it has: the store may refuse one that is too large.
+        ranges: usize,
+        /// What became of the call.
+        cause: &'a str,
+    },
     /// A write of the record has given keys to an owner.
     KeysOwned {
         /// The service.
@@ -294,6 +301,7 @@
             | Event::TakeOverNotFollowed { .. }
             | Event::MoveBegins { .. }
             | Event::KeysOwned { .. }
+            | Event::RecordNotWritten { .. }
             | Event::OrderFailed { .. } => "ownership",
             Event::InstanceEnded { .. }
             | Event::EndDisproved { .. }
@@ -307,7 +315,9 @@
         match self {
             Event::ObjectUnreadable { .. } => Level::Error,
             Event::Quarantined { .. } => Level::Warn,
-            Event::StoreFails { .. } | Event::OrderFailed { .. } => Level::Warn,
+            Event::StoreFails { .. }
+            | Event::OrderFailed { .. }
+            | Event::RecordNotWritten { .. } => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -1,6 +1,7 @@
 //! The coordinator's place: taking it, keeping it, leaving it.
 
 use super::Node;
+use super::store_answers::describe;
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, Order, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
@@ -535,7 +536,14 @@
                 // answer was lost: the record tells.
                 self.store.refresh_ownership(now, out);
             }
-            _ => {}
+            (answer, Some(record)) => {
+                let not_written = Event::RecordNotWritten {
+                    ranges: record.assignments.len(),
+                    cause: &describe(&answer),
+                };
+                not_written.emit();
+            }
+            (_, None) => {}
         }
         self.reconsider_waiting(now, out);
     }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -273,7 +273,8 @@
     record.map(|object| object.content.is_ok())
 }
 
-fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
+/// What became of a call, for the log.
+pub(super) fn describe(answer: &Result<StoreAnswer, ExchangeFailure>) -> String {
     match answer {
         Ok(StoreAnswer::Refused) => "refused".to_owned(),
         Ok(StoreAnswer::Unreadable(finding)) => finding.clone(),
