A starting node confirms its list though its configuration came from a coordinator

Cause: a node that the store refuses from its start may get the configuration from a coordinator. Its call that confirms a stale list of instances was then held back until it had listed the configuration itself, 0.25 s after the store served it again, and requests went by the list after 40 ms: one reached an instance that had left 3.02 s before (bound 2 s plus checks). Change: the hold is for first lists alone. Test: a_starting_node_confirms_its_first_list_though_it_hears_a_coordinator_meanwhile failed, passes. No change to any test.

--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -225,9 +225,10 @@
         if kind == ObjectKind::Ownership && is_first && !instances.has_answered() {
             return true;
         }
-        // The configuration tells whether the whole deployment starts.
+        // The configuration tells whether the whole deployment starts. A coordinator may have
+        // sent it before it is listed; changes since a list are asked for in any case.
         let waits = matches!(kind, ObjectKind::Instances | ObjectKind::Nodes);
-        waits && !self.has_listed(ObjectKind::Configuration)
+        waits && !self.has_listed(kind) && !self.has_listed(ObjectKind::Configuration)
     }
 
     /// The first list of the configuration is complete.
