--- a/crates/ledgelead-lab/tests/fleet_suspended.rs
+++ b/crates/ledgelead-lab/tests/fleet_suspended.rs
@@ -3,7 +3,8 @@
 //! A coordinator that was suspended took its authority for as young as before, since it
 //! counted that by a clock which stands still meanwhile. Its successor had waited the
 //! authority out and given a silent owner's keys away; the former one, awake again, went on
-//! to renew them at the earlier owner. In the simulation, seed 125 of 1 to 200:
+//! to renew them at the earlier owner. In the simulation, at a seed of 1 to 200 then, and at
+//! 1,807 since starting nodes read the record later:
 //!
 //!     45.9867 single_owner: i-2 takes 32768 to 43689 while i-3 holds them until 49.967
 //!     46.8890 single_owner: i-3 takes 32768 to 43689 while i-2 holds them until 50.067
@@ -30,7 +31,7 @@
 fn the_checker_sees_two_owners_by_a_clock_that_stands_still() {
     let report = World::new(FleetSettings {
         clock: ClockSource::Steady,
-        ..drawn_suspended(125, NODES, Protections::default())
+        ..drawn_suspended(1_807, NODES, Protections::default())
     })
     .run();
     expect_that!(report.violations, not(is_empty()));
