Names and reasons of transfers; their counters have a type

No behaviour changes, but that the referral with the fewest for its width is found without rounding.

--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -22,7 +22,7 @@
 mod zone_relay;
 mod zone_traffic;
 
-pub use status::NodeStatus;
+pub use status::{NodeStatus, TransferCounters};
 pub use store_calls::OWNERSHIP_NAME;
 pub use transfer::TRANSFER_PATH;
 
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -8,6 +8,15 @@
 use crate::zone_traffic::ZoneTraffic;
 use std::collections::BTreeMap;
 
+/// Whole lists between nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TransferCounters {
+    /// Those that other nodes have sent to this one.
+    pub received: u64,
+    /// Those that this one has sent to others.
+    pub sent: u64,
+}
+
 /// What a node knows and has done.
 #[derive(Clone, Debug)]
 pub struct NodeStatus {
@@ -50,8 +59,8 @@
     pub unreadable: BTreeMap<&'static str, u64>,
     /// Datagrams to and from other nodes.
     pub traffic: PeerTraffic,
-    /// Whole lists that other nodes have sent to this one, and this one to others.
-    pub transfers: (u64, u64),
+    /// Whole lists between nodes.
+    pub transfers: TransferCounters,
     /// Permits that its requests have asked for.
     pub permits: PermitCounters,
     /// What it has decided as dispatcher.
@@ -85,7 +94,10 @@
             ends_counted: self.quarantine.evidence.ends(),
             unreadable: self.unreadable.counts().clone(),
             traffic: self.traffic.clone(),
-            transfers: (self.transfers.received(), self.transfer_server.sent),
+            transfers: TransferCounters {
+                received: self.transfers.received(),
+                sent: self.transfer_server.sent(),
+            },
             permits: self.requests.permit_counters(),
             dispatched: self.dispatcher.counters(),
             dispatch_waiting: self.dispatcher.waiting(),
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -53,18 +53,18 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 /// Pause before a source that was named is asked.
 const REFERRAL_PAUSE: Duration = Duration::from_millis(10);
-/// How long a first list is asked of other nodes before the store is, lengthened at random
-/// by up to as much so that nodes without a source don't ask the store together.
+/// How long other nodes are asked for a first list before the store is. Lengthened at random
+/// by up to as much, so that nodes without a source don't ask the store together.
 const LIST_PATIENCE: Duration = Duration::from_secs(6);
-/// Share of the shorter one of the bounds of drains and configurations for which a missing
-/// change is asked of other nodes before the store is, lengthened at random like the above.
-/// With the time for which it was missing before (0.4 s) and a call it stays below the bound.
+/// How long other nodes are asked for a missing change before the store is, as a share of
+/// the bound of drains or of configurations, whichever is shorter. Lengthened at random like
+/// the above. With the 0.4 s before that and a call it stays below the bound.
 const GAP_PATIENCE_SHARE: f64 = 0.2;
 /// Pause between two lists of a kind that fill gaps. While thousands of instances register,
 /// there is a new gap as soon as one is filled.
 const FILLED_PAUSE: Duration = Duration::from_millis(1_200);
-/// Of so many requests for one list, one goes to the coordinator itself: the relay of this
-/// node's zone may be the one that lacks it.
+/// One of so many requests for a list goes to the coordinator itself: the relay of this
+/// node's zone may lack it.
 const COORDINATOR_EVERY: u32 = 4;
 
 /// What this node wants of other nodes, by kind.
@@ -129,8 +129,7 @@
         &mut self.wanted[kind as usize]
     }
 
-    /// Whether other nodes are still asked for a kind, for which that began now at the
-    /// latest.
+    /// Whether other nodes are still asked for a kind. The first call begins that time.
     fn is_patient(&mut self, kind: RelayedKind, patience: Duration, now: Timestamp) -> bool {
         let until = now + patience.mul_f64(self.rng.random_range(1.0..2.0));
         now < *self.wanted(kind).until.get_or_insert(until)
@@ -306,8 +305,8 @@
         }
     }
 
-    /// The next request is due after a pause: of the watch whose list this is, else with the
-    /// next look at what is missing.
+    /// Schedules the next request: by the watch whose list this is, else by the next review
+    /// of the gap.
     fn ask_again(&mut self, asked: &Asked, referred: Vec<SocketAddr>, now: Timestamp) {
         let spread = self.transfers.rng.random_range(1.0..2.0);
         let wanted = self.transfers.wanted(asked.kind);
--- a/crates/ledgelead-router/src/node/transfer/serving.rs
+++ b/crates/ledgelead-router/src/node/transfer/serving.rs
@@ -8,6 +8,7 @@
 //! zone gets a list once in `OTHER_ZONE_PAUSE`, since bytes between zones are dear; its nodes
 //! pass it on among themselves.
 
+use super::TRANSFER_PATH;
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
 use crate::identity::ZoneName;
@@ -26,8 +27,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::TRANSFER_PATH;
-
 /// Share of a node's link that lists may take.
 const LINK_SHARE: f64 = 0.5;
 /// Time for which lists that are being sent may fill that share.
@@ -41,7 +40,7 @@
 /// How long requests are gathered before the first is answered: nodes that start together
 /// ask within some 100 ms.
 const GATHER_FOR: Duration = Duration::from_millis(40);
-/// Pause between two looks at what waits.
+/// Pause between two reviews of the requests that wait.
 const REVIEW_PAUSE: Duration = Duration::from_millis(40);
 /// How long a request waits for room on the link before it is referred to another node.
 const ROOM_WITHIN: Duration = Duration::from_millis(120);
@@ -60,8 +59,7 @@
     encoded: [Option<Encoded>; RelayedKind::ALL.len()],
     waiting: Vec<Waiting>,
     next_review: Timestamp,
-    /// Lists that were sent.
-    pub(in crate::node) sent: u64,
+    sent: u64,
 }
 
 /// Nodes of one zone that were sent one kind.
@@ -108,6 +106,11 @@
         }
     }
 
+    /// Lists that were sent.
+    pub(in crate::node) fn sent(&self) -> u64 {
+        self.sent
+    }
+
     /// When a request that waits is looked at.
     pub(in crate::node) fn next_deadline(&self) -> Option<Timestamp> {
         (!self.waiting.is_empty()).then_some(self.next_review)
@@ -124,12 +127,10 @@
         let served = self.served.get_mut(&key);
         let receivers = served.into_iter().flat_map(|served| &mut served.nodes);
         let others = receivers.filter(|receiver| receiver.address != asked.address);
-        let burden = |receiver: &&mut Receiver| {
-            let link = receiver.link_bytes_per_s.max(1);
-            // In parts of a million, since most are far below one.
-            (receiver.referred + 1).saturating_mul(1_000_000_000_000) / link
+        let burden = |receiver: &Receiver| {
+            (receiver.referred + 1) as f64 / receiver.link_bytes_per_s.max(1) as f64
         };
-        let chosen = others.min_by_key(burden);
+        let chosen = others.min_by(|left, right| burden(left).total_cmp(&burden(right)));
         let address = chosen.map(|receiver| {
             receiver.referred += 1;
             receiver.address
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -15,11 +15,11 @@
 /// sent together, thousands of grants would wait for the processor beyond the time that one
 /// has for its answer.
 const MAX_ORDERS_OUT: usize = 256;
-/// Pause between two looks at all owners where nothing has changed: what depends on the time
-/// alone, as the end of a start-up, may be seen so late.
+/// Pause between two reviews of all owners where nothing has changed: what depends on the
+/// time alone, such as the end of a start-up, may be seen so late.
 const OWNER_REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// Renewals a second up to which each range is renewed at the shortest interval. Each is an
-/// exchange, and takes some 50 to 100 µs of a coordinator that may have half a core.
+/// exchange with an instance, and a coordinator may have a part of a core.
 const RENEWALS_PER_S: u32 = 1_000;
 
 impl Coordinator {
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -149,18 +149,17 @@
         "Heartbeats of coordinators before the newest one",
         status.former_heartbeats,
     );
-    let (received, sent) = status.transfers;
     counter(
         &mut registry,
         "transfers_received",
         "Whole lists that other nodes have sent",
-        received,
+        status.transfers.received,
     );
     counter(
         &mut registry,
         "transfers_sent",
         "Whole lists that were sent to other nodes",
-        sent,
+        status.transfers.sent,
     );
     if let Some(done) = status.coordinator {
         counter(&mut registry, "grants", "Grants answered", done.grants);
