The record of ownership is read at a node's start as before

A hold put its first read behind the first page of instances, which was to tell whether the record is large; nothing went by that, so each node of a fleet that starts anew over a record reads it all the same, some 10 ms later.

--- a/crates/ledgelead-lab/tests/fleet_suspended.rs
+++ b/crates/ledgelead-lab/tests/fleet_suspended.rs
@@ -3,8 +3,7 @@
 //! A coordinator that was suspended took its authority for as young as before, since it
 //! counted that by a clock which stands still meanwhile. Its successor had waited the
 //! authority out and given a silent owner's keys away; the former one, awake again, went on
-//! to renew them at the earlier owner. In the simulation, at a seed of 1 to 200 then, and at
-//! 1,807 since starting nodes read the record later:
+//! to renew them at the earlier owner. In the simulation:
 //!
 //!     45.9867 single_owner: i-2 takes 32768 to 43689 while i-3 holds them until 49.967
 //!     46.8890 single_owner: i-3 takes 32768 to 43689 while i-2 holds them until 50.067
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -219,12 +219,6 @@
         if self.health.has_failed() {
             return kind != ObjectKind::Instances;
         }
-        // The first page of instances tells whether the record may be as large.
-        let instances = &self.watchers[ObjectKind::Instances as usize];
-        let is_first = !self.has_listed(ObjectKind::Ownership) && !self.starts_cold;
-        if kind == ObjectKind::Ownership && is_first && !instances.has_answered() {
-            return true;
-        }
         // The configuration tells whether the whole deployment starts. A coordinator may have
         // sent it before it is listed; changes since a list are asked for in any case.
         let waits = matches!(kind, ObjectKind::Instances | ObjectKind::Nodes);
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -163,11 +163,6 @@
         self.is_paged
     }
 
-    /// Whether the store has answered at all, if only with the first page of a list.
-    pub fn has_answered(&self) -> bool {
-        self.last_answer.is_some()
-    }
-
     /// Whether a list is complete.
     pub fn has_listed(&self) -> bool {
         !self.is_first
