One place decides on the pause after the first page of a long list

The watcher held a pause that was set at its start and taken once, and two more places undid it where a coordinator was heard. Now the answer with the first page puts the rest off unless other nodes are asked already. A single object is never paged, so the record no longer stands among the lists that are hastened.

--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -142,7 +142,12 @@
                 {
                     self.coordination.record_told(is_readable);
                 }
+                let was_paged = self.store.watcher(kind).is_paged();
                 let change = self.store.watcher(kind).answered(answer, now);
+                let shows_length = !was_paged && self.store.watcher(kind).is_paging_stale();
+                if shows_length && !self.asks_nodes() {
+                    self.store.put_off_further_pages(kind, now);
+                }
                 let confirms = tells_state && self.store.is_exact(kind);
                 if confirms && kind == ObjectKind::Ownership {
                     self.coordination.confirmed_if_unchanged(started);
@@ -154,9 +159,6 @@
                 return;
             }
         };
-        if is_first {
-            self.spare_further_pages(kind, now);
-        }
         self.relay_change(kind, &change, now, out);
         self.apply(kind, change, is_first, started, now, out);
         if kind == ObjectKind::Instances
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -110,6 +110,8 @@
     pub(super) registration: RegistrationState,
     /// Pauses of the first calls, if no configuration is found.
     cold_start: ColdStart,
+    /// Pause after the first page of a long list of instances.
+    list_pause: Duration,
     /// Whether zones can be evacuated at all.
     reads_evacuations: bool,
     /// Whether the first list of the configuration was empty.
@@ -131,16 +133,13 @@
         let mut watchers = ObjectKind::ALL.map(watcher);
         watchers[ObjectKind::Evacuations as usize].defer(now + FIRST_EVACUATIONS_PAUSE);
         watchers[ObjectKind::Quarantine as usize].defer(now + FIRST_QUARANTINE_PAUSE);
-        let cold_start = ColdStart::new(settings.millicores, settings.seed);
-        watchers[ObjectKind::Nodes as usize].set_page_pause(cold_start.election);
-        let list_pause = large_list_pause(settings.seed);
-        watchers[ObjectKind::Instances as usize].set_page_pause(list_pause);
         StoreCalls {
             health: StoreHealth::default(),
             watchers,
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
-            cold_start,
+            cold_start: ColdStart::new(settings.millicores, settings.seed),
+            list_pause: large_list_pause(settings.seed),
             reads_evacuations: settings.evacuation_bound.is_some(),
             starts_cold: false,
             next_doubt: now,
@@ -249,13 +248,19 @@
         }
     }
 
+    /// The first page of a first list has shown that it is long: another node may send the
+    /// rest meanwhile.
+    pub(super) fn put_off_further_pages(&mut self, kind: ObjectKind, now: Timestamp) {
+        let pause = match kind {
+            ObjectKind::Nodes => self.cold_start.election,
+            _ => self.list_pause,
+        };
+        self.watcher(kind).defer(now + pause);
+    }
+
     /// A coordinator is heard: other nodes send what this one has put off.
     fn hasten_large_lists(&mut self, now: Timestamp) {
-        for kind in [
-            ObjectKind::Instances,
-            ObjectKind::Nodes,
-            ObjectKind::Ownership,
-        ] {
+        for kind in [ObjectKind::Instances, ObjectKind::Nodes] {
             let watcher = self.watcher(kind);
             if watcher.is_paged() && !watcher.has_listed() {
                 watcher.hasten(now);
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -189,21 +189,11 @@
     }
 
     /// Whether lists come from other nodes: a coordinator is heard whom the store serves.
-    fn asks_nodes(&self) -> bool {
+    pub(super) fn asks_nodes(&self) -> bool {
         let follows = self.coordination.coordinator().is_none();
         follows && self.gossip.informed_until.is_some() && self.is_large_fleet()
     }
 
-    /// The first page of a list may have shown that it is long: other nodes send it at once,
-    /// if a coordinator is heard.
-    pub(super) fn spare_further_pages(&mut self, kind: ObjectKind, now: Timestamp) {
-        let asks_nodes = self.asks_nodes();
-        let watcher = self.store.watcher(kind);
-        if asks_nodes && watcher.is_paged() && !watcher.has_listed() {
-            watcher.hasten(now);
-        }
-    }
-
     fn next_source(&mut self, kind: RelayedKind) -> Option<SocketAddr> {
         let wanted = self.transfers.wanted(kind);
         wanted.requests += 1;
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -109,9 +109,6 @@
     is_elsewhere: bool,
     /// Whether a list took more than one page.
     is_paged: bool,
-    /// Pause after the first page of a first list that goes on: another node may send it
-    /// meanwhile.
-    page_pause: Option<Duration>,
 }
 
 impl Watcher {
@@ -139,7 +136,6 @@
             reads_stale: false,
             is_elsewhere: false,
             is_paged: false,
-            page_pause: None,
         }
     }
 
@@ -153,16 +149,16 @@
         }
     }
 
-    /// Sets the pause after the first page of a first list that goes on.
-    pub fn set_page_pause(&mut self, pause: Duration) {
-        self.page_pause = Some(pause);
-    }
-
     /// Whether a list took more than one page.
     pub fn is_paged(&self) -> bool {
         self.is_paged
     }
 
+    /// Whether the first list goes on after some pages, and may be some seconds old.
+    pub fn is_paging_stale(&self) -> bool {
+        self.is_paged && self.is_first && self.reads_stale
+    }
+
     /// Whether a list is complete.
     pub fn has_listed(&self) -> bool {
         !self.is_first
@@ -426,14 +422,10 @@
         let named = |object: &&Object| !object.name.is_empty();
         let last = objects.iter().rfind(named).map(|object| &object.name);
         let is_stuck = !objects.is_empty() && (last.is_none() || last == after.as_ref());
-        let is_first_page = after.is_none();
         *after = last.cloned();
         pages.extend(objects);
         if more && !is_stuck {
             self.is_paged = true;
-            if self.is_first && self.reads_stale && is_first_page {
-                self.next_call = now + self.page_pause.take().unwrap_or_default();
-            }
             return WatchChange::Unchanged;
         }
         let all = std::mem::take(pages);
