--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -390,15 +390,9 @@
 
     /// The entry of an instance is gone.
     pub fn remove(&mut self, name: &str, now: Timestamp) {
-        let Some(CurrentLife { id, .. }) = self.current.get(name) else {
+        let Some((id, instance)) = standing(&self.current, &mut self.instances, name) else {
             return;
         };
-        let Some(instance) = self.instances.get_mut(id) else {
-            return;
-        };
-        if instance.is_gone() {
-            return;
-        }
         let outage = now < self.doubt_until && instance.presence == Presence::Serving;
         if outage && self.doubted.contains_key(id) {
             return;
@@ -415,15 +409,9 @@
     /// An entry that stands in the store can't be read any more: it names no instance to
     /// use. No outage has made it so, hence it is not doubted as one that is missing.
     pub fn withdraw(&mut self, name: &str, now: Timestamp) {
-        let Some(CurrentLife { id, .. }) = self.current.get(name) else {
-            return;
-        };
-        let Some(instance) = self.instances.get_mut(id) else {
+        let Some((id, instance)) = standing(&self.current, &mut self.instances, name) else {
             return;
         };
-        if instance.is_gone() {
-            return;
-        }
         self.changes += 1;
         self.doubted.remove(id);
         instance.leave_from(self.current_at, now);
@@ -509,3 +497,14 @@
         self.instances.values()
     }
 }
+
+/// The current life of this name, unless its entry is gone.
+fn standing<'a>(
+    current: &'a BTreeMap<Arc<str>, CurrentLife>,
+    instances: &'a mut BTreeMap<InstanceId, Instance>,
+    name: &str,
+) -> Option<(&'a InstanceId, &'a mut Instance)> {
+    let CurrentLife { id, .. } = current.get(name)?;
+    let instance = instances.get_mut(id)?;
+    (!instance.is_gone()).then_some((id, instance))
+}
