Transfers: less state, and listed nodes are taken over in one place

Whether a request is out follows from the requests that are out; a request that waits knows its zone, which was made anew at each review; referring stands once; functions that always succeed say nothing; encoding goes by the codec itself. Nodes that were listed, by the store or by another node, are taken over by the same functions.

--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -70,10 +70,7 @@
                 }
             }
             ObjectKind::Instances => self.directory.replace_all(instances, now),
-            ObjectKind::Nodes => {
-                self.registry.replace_all(nodes);
-                self.note_earlier_life();
-            }
+            ObjectKind::Nodes => self.replace_nodes(nodes),
             ObjectKind::Ownership => self.coordination.listed = true,
             ObjectKind::Configuration => {}
             ObjectKind::Evacuations => {
@@ -85,6 +82,20 @@
         }
     }
 
+    /// These nodes are registered, and no others.
+    pub(super) fn replace_nodes(&mut self, registrations: Vec<Registration>) {
+        self.registry.replace_all(registrations);
+        self.note_earlier_life();
+    }
+
+    /// The nodes were listed whole, perhaps for the first time.
+    pub(super) fn nodes_listed(&mut self, is_first: bool, now: Timestamp) {
+        self.store.registration.listed();
+        if is_first {
+            self.coordination.election.nodes_listed(now);
+        }
+    }
+
     /// Takes changed evacuations into force, and passes them on at once.
     pub(super) fn evacuations_changed(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let zones = self.evacuations.zones();
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -216,10 +216,7 @@
                 }
                 self.apply_all(kind, objects, started, now, out);
                 if kind == ObjectKind::Nodes {
-                    self.store.registration.listed();
-                    if is_first {
-                        self.coordination.election.nodes_listed(now);
-                    }
+                    self.nodes_listed(is_first, now);
                 }
             }
             WatchChange::Events(events) => {
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -4,7 +4,8 @@
 //! starts, nor a new record of ownership or configuration for each node at once. So few nodes
 //! read the store, and the others ask the node from which they hear the coordinator: the
 //! relay of their zone, or the coordinator itself. Who has no room on its link refers to
-//! nodes that it has served; these serve in turn, so that sources multiply with each round. The store stays the way for whoever finds no source.
+//! nodes that it has served; these serve in turn, so that sources multiply with each round.
+//! The store stays the way for whoever finds no source.
 //!
 //! What is transferred may be some seconds old, as a stale list of the store is: the
 //! coordinator's heartbeats tell what is missing since.
@@ -27,11 +28,10 @@
 use crate::ownership::view::RecordVersion;
 use crate::peers::{
     ChangedNode, InstanceTable, PeerAddress, RecordEntry, Registration, RelayedKind,
-    TransferAnswer, TransferRequest, TransferredObjects, TransferredState, decode_answer,
-    encode_request,
+    TransferAnswer, TransferRequest, TransferredObjects, TransferredState,
 };
 use ledgelead_http::{Request, Response};
-use ledgelead_types::codec::Text;
+use ledgelead_types::codec::{self, Text};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -88,7 +88,6 @@
     filled_until: Timestamp,
     /// Nodes that may have them, by the last answer.
     referred: Vec<SocketAddr>,
-    is_asked: bool,
 }
 
 /// A request that is out.
@@ -125,6 +124,11 @@
         self.received
     }
 
+    /// Whether a request for a kind is out.
+    fn is_asked(&self, kind: RelayedKind) -> bool {
+        self.exchanges.values().any(|asked| asked.kind == kind)
+    }
+
     fn wanted(&mut self, kind: RelayedKind) -> &mut Wanted {
         &mut self.wanted[kind as usize]
     }
@@ -143,7 +147,7 @@
     }
 
     /// The node that is asked for a list in the store's place, if one is.
-    pub(super) fn list_source(
+    fn list_source(
         &mut self,
         kind: ObjectKind,
         call: &StoreCall,
@@ -168,17 +172,18 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) -> bool {
-        if self.asks_nodes() && now < self.transfers.wanted(kind).filled_until {
+        let asks_nodes = self.asks_nodes();
+        if asks_nodes && now < self.transfers.wanted(kind).filled_until {
             return true;
         }
         let bound = self.settings.drain_bound;
         let bound = bound.min(self.settings.configuration_bound);
         let patience = bound.mul_f64(GAP_PATIENCE_SHARE);
-        if !self.asks_nodes() || !self.transfers.is_patient(kind, patience, now) {
+        if !asks_nodes || !self.transfers.is_patient(kind, patience, now) {
             self.transfers.wanted(kind).until = None;
             return false;
         }
-        if self.transfers.wanted(kind).is_asked {
+        if self.transfers.is_asked(kind) {
             return true;
         }
         let Some(source) = self.next_source(kind) else {
@@ -209,7 +214,7 @@
     }
 
     /// Asks a node for all objects of a kind that are newer than what is known.
-    pub(super) fn ask_node(
+    fn ask_node(
         &mut self,
         kind: RelayedKind,
         source: SocketAddr,
@@ -235,7 +240,6 @@
             self.store.watcher(kind.object_kind()).asks_elsewhere();
         }
         let exchange = self.exchanges.next_id();
-        self.transfers.wanted(kind).is_asked = true;
         let asked = Asked {
             kind,
             source,
@@ -246,7 +250,7 @@
         out.push(Action::Exchange {
             exchange,
             address: source,
-            request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
+            request: Request::new("POST", TRANSFER_PATH, codec::encode(&request)),
             options: ExchangeOptions {
                 match_header: None,
                 reuse_idle_below: Duration::ZERO,
@@ -270,10 +274,9 @@
         let Some(asked) = self.transfers.exchanges.remove(&exchange) else {
             return;
         };
-        self.transfers.wanted(asked.kind).is_asked = false;
         let answer = result.ok().and_then(|response| {
             let body = response.is_success().then_some(response.body)?;
-            decode_answer(&body).ok()
+            codec::decode::<TransferAnswer>(&body).ok()
         });
         match answer {
             Some(TransferAnswer::State(state)) => {
@@ -343,10 +346,12 @@
             (RelayedKind::Instances, TransferredObjects::Instances(instances)) => {
                 let unconfirmed = Duration::from_millis(u64::from(unconfirmed_ms));
                 self.directory.doubt_removals_until(now + unconfirmed);
-                self.take_instances(instances, revision, as_of, now)
+                self.take_instances(instances, revision, as_of, now);
+                true
             }
             (RelayedKind::Nodes, TransferredObjects::Nodes(nodes)) => {
-                self.take_nodes(nodes.0, revision, now)
+                self.take_nodes(nodes.0, revision, now);
+                true
             }
             (RelayedKind::Ownership, TransferredObjects::Ownership(entry)) => {
                 self.take_record(entry, revision, asked.started, now, out)
@@ -381,7 +386,7 @@
         revision: u64,
         as_of: Option<Timestamp>,
         now: Timestamp,
-    ) -> bool {
+    ) {
         let records = instances.into_records().into_iter();
         let entries: Vec<Entry> = records.map(|record| Entry::at(revision, record)).collect();
         self.directory.replace_all(entries, now);
@@ -389,24 +394,18 @@
             self.directory.note_current(as_of);
         }
         self.list_received(ObjectKind::Instances, revision, now);
-        true
     }
 
-    fn take_nodes(&mut self, nodes: Vec<ChangedNode>, revision: u64, now: Timestamp) -> bool {
+    fn take_nodes(&mut self, nodes: Vec<ChangedNode>, revision: u64, now: Timestamp) {
         let is_first = !self.store.has_listed(ObjectKind::Nodes);
         let known = |changed: ChangedNode| {
             let name = NodeName::from(changed.node.0.as_str());
             registration(name, &changed.entry?)
         };
         let registrations: Vec<Registration> = nodes.into_iter().filter_map(known).collect();
-        self.registry.replace_all(registrations);
-        self.note_earlier_life();
+        self.replace_nodes(registrations);
         self.list_received(ObjectKind::Nodes, revision, now);
-        self.store.registration.listed();
-        if is_first {
-            self.coordination.election.nodes_listed(now);
-        }
-        true
+        self.nodes_listed(is_first, now);
     }
 
     fn take_record(
--- a/crates/ledgelead-router/src/node/transfer/serving.rs
+++ b/crates/ledgelead-router/src/node/transfer/serving.rs
@@ -18,11 +18,10 @@
 use crate::peers::{
     ConfigurationDelta, CoordinatorEntry, InstanceTable, PeerAddress, RecordEntry, RelayedKind,
     TransferAnswer, TransferRequest, TransferredObjects, TransferredState, WholeConfiguration,
-    decode_request, encode_answer,
 };
 use crate::{short_millis, whole_millis};
 use ledgelead_http::{Request, Response};
-use ledgelead_types::codec::{List, Text};
+use ledgelead_types::codec::{self, List, Text};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -81,9 +80,17 @@
 struct Waiting {
     client: ClientId,
     asked: TransferRequest,
+    zone: ZoneName,
     since: Timestamp,
 }
 
+impl Waiting {
+    /// Names the nodes of the same zone that were sent the same kind.
+    fn key(&self) -> (RelayedKind, ZoneName) {
+        (self.asked.kind, self.zone.clone())
+    }
+}
+
 /// What becomes of a request.
 enum Decision {
     Send(Vec<u8>),
@@ -122,11 +129,10 @@
     }
 
     /// The node that has the fewest referred to it for the width of its link.
-    fn referral(&mut self, asked: &TransferRequest) -> List<PeerAddress> {
-        let key = (asked.kind, ZoneName::from(asked.zone.0.as_str()));
-        let served = self.served.get_mut(&key);
+    fn referral(&mut self, request: &Waiting) -> List<PeerAddress> {
+        let served = self.served.get_mut(&request.key());
         let receivers = served.into_iter().flat_map(|served| &mut served.nodes);
-        let others = receivers.filter(|receiver| receiver.address != asked.address);
+        let others = receivers.filter(|receiver| receiver.address != request.asked.address);
         let burden = |receiver: &Receiver| {
             (receiver.referred + 1) as f64 / receiver.link_bytes_per_s.max(1) as f64
         };
@@ -138,10 +144,10 @@
         address.into_iter().collect()
     }
 
-    fn note_served(&mut self, asked: &TransferRequest, now: Timestamp) {
+    fn note_served(&mut self, request: &Waiting, now: Timestamp) {
         self.sent += 1;
-        let zone = ZoneName::from(asked.zone.0.as_str());
-        let served = self.served.entry((asked.kind, zone)).or_default();
+        let asked = &request.asked;
+        let served = self.served.entry(request.key()).or_default();
         served.last = now;
         served.nodes.retain(|node| node.address != asked.address);
         served.nodes.push_back(Receiver {
@@ -176,34 +182,29 @@
         out: &mut Vec<Action>,
     ) {
         let asked = match request.path() {
-            TRANSFER_PATH => decode_request(&request.body).ok(),
+            TRANSFER_PATH => codec::decode::<TransferRequest>(&request.body).ok(),
             _ => None,
         };
+        let Some(asked) = asked else {
+            let response = Response::new(400, Vec::new());
+            out.push(Action::Respond { client, response });
+            return;
+        };
+        let request = Waiting {
+            client,
+            zone: ZoneName::from(asked.zone.0.as_str()),
+            asked,
+            since: now,
+        };
         let server = &mut self.transfer_server;
-        match asked {
-            Some(asked) if server.waiting.len() < MAX_WAITING => {
-                if server.waiting.is_empty() {
-                    server.next_review = now + GATHER_FOR;
-                }
-                server.waiting.push(Waiting {
-                    client,
-                    asked,
-                    since: now,
-                });
-            }
-            Some(asked) => {
-                let nodes = server.referral(&asked);
-                respond(
-                    client,
-                    encode_answer(&TransferAnswer::Elsewhere { nodes }),
-                    out,
-                );
-            }
-            None => {
-                let response = Response::new(400, Vec::new());
-                out.push(Action::Respond { client, response });
-            }
+        if server.waiting.len() >= MAX_WAITING {
+            self.refer(&request, out);
+            return;
+        }
+        if server.waiting.is_empty() {
+            server.next_review = now + GATHER_FOR;
         }
+        server.waiting.push(request);
     }
 
     /// Answers the requests that wait, if they are due to be looked at.
@@ -218,26 +219,27 @@
         for request in waiting {
             match self.decide(&request, now) {
                 Decision::Send(body) => {
-                    self.transfer_server.note_served(&request.asked, now);
+                    self.transfer_server.note_served(&request, now);
                     self.count_transfer(request.asked.address.socket(), body.len());
                     respond(request.client, body, out);
                 }
-                Decision::Refer => {
-                    let nodes = self.transfer_server.referral(&request.asked);
-                    let answer = TransferAnswer::Elsewhere { nodes };
-                    respond(request.client, encode_answer(&answer), out);
-                }
+                Decision::Refer => self.refer(&request, out),
                 Decision::Wait => self.transfer_server.waiting.push(request),
             }
         }
     }
 
+    fn refer(&mut self, request: &Waiting, out: &mut Vec<Action>) {
+        let nodes = self.transfer_server.referral(request);
+        let answer = TransferAnswer::Elsewhere { nodes };
+        respond(request.client, codec::encode(&answer), out);
+    }
+
     fn decide(&mut self, request: &Waiting, now: Timestamp) -> Decision {
         let Waiting { asked, since, .. } = request;
         let is_over = *since + MAX_WAIT <= now;
-        let zone = ZoneName::from(asked.zone.0.as_str());
-        let is_other = zone != self.settings.zone;
-        let served = self.transfer_server.served.get(&(asked.kind, zone));
+        let is_other = request.zone != self.settings.zone;
+        let served = self.transfer_server.served.get(&request.key());
         let is_served = served.is_some_and(|served| !served.nodes.is_empty());
         let is_recent = served.is_some_and(|served| now < served.last + OTHER_ZONE_PAUSE);
         if is_other && is_recent {
@@ -292,7 +294,7 @@
         }
         let revision = self.known_revision(kind)?;
         let state = self.transferred_state(kind, revision, now)?;
-        let body = encode_answer(&TransferAnswer::State(state));
+        let body = codec::encode(&TransferAnswer::State(state));
         self.transfer_server.encoded[kind as usize] = Some(Encoded {
             revision,
             at: now,
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -34,6 +34,5 @@
 pub use traffic::{PeerTraffic, TrafficCount};
 pub use transfer::{
     CoordinatorEntry, RecordEntry, TransferAnswer, TransferRequest, TransferredObjects,
-    TransferredState, WholeConfiguration, decode_answer, decode_request, encode_answer,
-    encode_request,
+    TransferredState, WholeConfiguration,
 };
--- a/crates/ledgelead-router/src/peers/transfer.rs
+++ b/crates/ledgelead-router/src/peers/transfer.rs
@@ -5,7 +5,7 @@
 use super::configuration::{ConfigurationChange, ConfigurationDelta, LimitsEntry};
 use super::instance_table::InstanceTable;
 use super::message::{ChangedAssignment, ChangedNode, PeerAddress, RelayedKind};
-use ledgelead_types::codec::{self, DecodeError, List, Text};
+use ledgelead_types::codec::{List, Text};
 use nanoserde::{DeBin, SerBin};
 
 /// Asks another node for all objects of a kind.
@@ -106,29 +106,3 @@
         }
     }
 }
-
-/// Encodes a request.
-pub fn encode_request(request: &TransferRequest) -> Vec<u8> {
-    codec::encode(request)
-}
-
-/// Decodes a request.
-///
-/// # Errors
-/// When the bytes are no request.
-pub fn decode_request(bytes: &[u8]) -> Result<TransferRequest, DecodeError> {
-    codec::decode(bytes)
-}
-
-/// Encodes an answer.
-pub fn encode_answer(answer: &TransferAnswer) -> Vec<u8> {
-    codec::encode(answer)
-}
-
-/// Decodes an answer.
-///
-/// # Errors
-/// When the bytes are no answer.
-pub fn decode_answer(bytes: &[u8]) -> Result<TransferAnswer, DecodeError> {
-    codec::decode(bytes)
-}
--- a/crates/ledgelead-router/tests/node/transfer.rs
+++ b/crates/ledgelead-router/tests/node/transfer.rs
@@ -18,9 +18,9 @@
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{
     Heartbeat, InstanceTable, PeerAddress, PeerMessage, RelayedKind, TransferAnswer,
-    TransferRequest, decode_answer, decode_request, encode, encode_answer, encode_request,
+    TransferRequest, encode,
 };
-use ledgelead_types::codec::{Bytes, List, Text};
+use ledgelead_types::codec::{self, Bytes, List, Text};
 use std::net::SocketAddr;
 
 /// Instances, of which two fit a page.
@@ -121,7 +121,7 @@
 fn take_requests(fixture: &mut Fixture) -> Vec<Sent> {
     let sent = std::mem::take(&mut fixture.attempts);
     let asks_instances = |sent: &Sent| {
-        let request = decode_request(&sent.body);
+        let request = codec::decode::<TransferRequest>(&sent.body);
         sent.target == TRANSFER_PATH
             && request.is_ok_and(|request| request.kind == RelayedKind::Instances)
     };
@@ -140,11 +140,11 @@
     let client = ClientId(1 << 40);
     fixture.step(Input::PeerRequest {
         client,
-        request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
+        request: Request::new("POST", TRANSFER_PATH, codec::encode(&request)),
     });
     fixture.run_until(fixture.now + ms(ANSWERED_WITHIN_MS));
     let (_, response) = fixture.answers.pop().expect("an answer");
-    decode_answer(&response.body).expect("it can be read")
+    codec::decode::<TransferAnswer>(&response.body).expect("it can be read")
 }
 
 fn coordinator() -> Fixture {
@@ -156,7 +156,7 @@
 /// All instances, as a coordinator sends them.
 fn all_instances() -> Response {
     let answer = asked_by(&mut coordinator(), 3, "a");
-    Response::new(200, encode_answer(&answer))
+    Response::new(200, codec::encode(&answer))
 }
 
 fn elsewhere(nodes: &[SocketAddr]) -> Response {
@@ -164,7 +164,7 @@
         .iter()
         .filter_map(|node| PeerAddress::new(*node))
         .collect();
-    Response::new(200, encode_answer(&TransferAnswer::Elsewhere { nodes }))
+    Response::new(200, codec::encode(&TransferAnswer::Elsewhere { nodes }))
 }
 
 /// A node that has seen one page and hears a coordinator.
@@ -271,7 +271,7 @@
     let client = ClientId((1 << 41) + u64::from(number));
     fixture.step(Input::PeerRequest {
         client,
-        request: Request::new("POST", TRANSFER_PATH, encode_request(&request)),
+        request: Request::new("POST", TRANSFER_PATH, codec::encode(&request)),
     });
     client
 }
@@ -281,7 +281,7 @@
     let mut sent = Vec::new();
     let mut referred = Vec::new();
     for (client, response) in &fixture.answers {
-        match decode_answer(&response.body).expect("it can be read") {
+        match codec::decode::<TransferAnswer>(&response.body).expect("it can be read") {
             TransferAnswer::State(_) => sent.push(*client),
             TransferAnswer::Elsewhere { nodes } => {
                 referred.extend(nodes.iter().map(|node| node.socket()));
