Answers are read for rate limits of their instances, and what they say is logged

The logs of the incident could not tell whether a limit that an instance names reaches a node, or what becomes of it. Now each node logs each change of it (rate_limit_notice) and counts answers that name one (instance_notices_total). No decision goes by it yet.

--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -78,6 +78,7 @@
         key: name("key"),
         retry_after: name("retry-after"),
         leaving: name("leaving"),
+        rate_limit: name("rate-limit"),
     }
 }
 
--- a/crates/ledgelead-router/src/boundary.rs
+++ b/crates/ledgelead-router/src/boundary.rs
@@ -209,3 +209,10 @@
         false => Ok(()),
     }
 }
+
+/// A number in plain decimal digits, without sign or exponent.
+pub fn decimal(value: &[u8]) -> Option<f64> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_plain = |c: char| c.is_ascii_digit() || c == '.';
+    text.parse().ok().filter(|_| text.chars().all(is_plain))
+}
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -303,6 +303,8 @@
     pub retry_after: String,
     /// The instance that answers is about to leave.
     pub leaving: String,
+    /// Requests a second that the instance that answers takes from all nodes together.
+    pub rate_limit: String,
 }
 
 /// Translates between a platform and the router.
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -106,6 +106,13 @@
         /// Milliseconds in which it wants no requests of this node.
         backoff_ms: Option<u64>,
     },
+    /// An instance names another rate limit than before, or none any more.
+    RateLimitNotice {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Requests a second that it takes from all nodes together.
+        rate_limit: Option<f64>,
+    },
     /// An instance's entry is gone.
     InstanceGone {
         /// The instance.
@@ -286,6 +293,7 @@
             Event::InstanceRegistered { .. }
             | Event::InstanceDrains { .. }
             | Event::InstanceNotice { .. }
+            | Event::RateLimitNotice { .. }
             | Event::Evacuated { .. }
             | Event::InstanceGone { .. } => "instances",
             Event::StoreFails { .. }
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod protections;
 pub mod quarantine;
+pub mod rate_limit;
 mod rendezvous;
 pub mod requests;
 pub mod settings;
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -12,6 +12,7 @@
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
+use crate::rate_limit::RateNotice;
 use crate::requests::notice::Notice;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{Verdict, tells_failure};
@@ -332,6 +333,8 @@
             Ok(response) => {
                 let notice = Notice::of(&attempt.instance, response, context.headers);
                 self.note_notice(&attempt.instance, notice, context);
+                let rate = RateNotice::of(&attempt.instance, response, context.headers);
+                self.note_rate(&attempt.instance, rate);
                 let load = reported_load(response, context);
                 let instance = context.directory.get(&attempt.instance);
                 let rejected = is_rejection(response, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/notices.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/notices.rs
@@ -6,6 +6,7 @@
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
 use crate::protections::Protection;
+use crate::rate_limit::{RateLimit, RateNotice};
 use crate::requests::answers::Refusal;
 use crate::requests::notice::Notice;
 use crate::requests::open_request::OpenRequest;
@@ -49,6 +50,27 @@
         }
     }
 
+    /// Takes over what an answer says of its instance's rate limit.
+    pub(super) fn note_rate(&mut self, instance: &InstanceId, notice: RateNotice) {
+        let limit = notice.limit();
+        let kind = match notice {
+            RateNotice::Limited(_) => Some("rate_limit"),
+            RateNotice::Unreadable => Some("unreadable"),
+            RateNotice::Unlimited | RateNotice::Silent => None,
+        };
+        if let Some(kind) = kind {
+            *self.counters.notices.entry(kind).or_default() += 1;
+        }
+        if self.statistics.entry(instance).rate_noticed(notice) {
+            let rate_limit = limit.map(RateLimit::per_s);
+            let noticed = Event::RateLimitNotice {
+                instance,
+                rate_limit,
+            };
+            noticed.emit();
+        }
+    }
+
     /// What is done with a request for which every instance has asked for a pause, of which
     /// this much is left. It waits if that ends soon; a longer wait would cost its caller
     /// the time in which it can come back.
--- a/crates/ledgelead-router/src/requests/notice.rs
+++ b/crates/ledgelead-router/src/requests/notice.rs
@@ -1,6 +1,6 @@
 //! What an instance says of itself in its answers.
 
-use crate::boundary::MAX_TIMEOUT;
+use crate::boundary::{MAX_TIMEOUT, decimal};
 use crate::dialect::HeaderNames;
 use crate::identity::InstanceId;
 use ledgelead_http::Response;
@@ -65,9 +65,6 @@
 /// A time in seconds, fractions included. A date, which needs the clock of the instance, a
 /// negative number and other texts are none.
 fn seconds(value: &[u8]) -> Option<Duration> {
-    let text = std::str::from_utf8(value).ok()?.trim();
-    let is_plain = |c: char| c.is_ascii_digit() || c == '.';
-    let seconds: f64 = text.parse().ok().filter(|_| text.chars().all(is_plain))?;
-    let time = Duration::try_from_secs_f64(seconds);
+    let time = Duration::try_from_secs_f64(decimal(value)?);
     Some(time.map_or(MAX_TIMEOUT, |time| time.min(MAX_TIMEOUT)))
 }
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -4,6 +4,7 @@
 use crate::failures::{FailureRules, Failures};
 use crate::identity::InstanceId;
 use crate::peers::SpeedSample;
+use crate::rate_limit::{RateLimit, RateNotice};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     last_answer: Option<Timestamp>,
     /// Until when it wants no requests of this node.
     backoff_until: Timestamp,
+    /// The rate limit that it has named last.
+    rate_limit: Option<RateLimit>,
 }
 
 impl Statistics {
@@ -114,6 +117,16 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// What an answer says of its rate limit. Returns whether that is new.
+    pub fn rate_noticed(&mut self, notice: RateNotice) -> bool {
+        let known = self.rate_limit;
+        match notice {
+            RateNotice::Silent | RateNotice::Unreadable => {}
+            RateNotice::Unlimited | RateNotice::Limited(_) => self.rate_limit = notice.limit(),
+        }
+        self.rate_limit != known
+    }
+
     /// What answers have shown of its speed since the last call.
     pub fn take_unshared(&mut self) -> SpeedSample {
         std::mem::take(&mut self.unshared)
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -326,6 +326,7 @@
         key: name("key"),
         retry_after: name("retry-after"),
         leaving: name("leaving"),
+        rate_limit: name("rate-limit"),
     }
 }
 
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -231,7 +231,7 @@
     }
     registry.register(
         "instance_notices",
-        "Answers in which instances said that they leave, or asked for a pause",
+        "Answers in which instances said that they leave, asked for a pause, or named a rate limit",
         notices,
     );
 }
