--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -27,6 +27,8 @@
     LeavingHeeded,
     /// An instance got several requests of a node in a pause that it had asked it for.
     PauseKept,
+    /// An instance got more requests than the rate limit that it names allows.
+    LimitKept,
     /// A node went back to an older configuration.
     ConfigurationMonotonic,
     /// A node in touch lacked a configuration long after it was acknowledged.
@@ -52,6 +54,7 @@
             ViolationKind::NoNewWorkAfterLeave => "no_new_work_after_leave",
             ViolationKind::LeavingHeeded => "leaving_heeded",
             ViolationKind::PauseKept => "pause_kept",
+            ViolationKind::LimitKept => "limit_kept",
             ViolationKind::ConfigurationMonotonic => "configuration_monotonic",
             ViolationKind::ConfigurationInTime => "configuration_in_time",
             ViolationKind::AnswerMatchesRequest => "answer_matches_request",
@@ -289,6 +292,18 @@
         self.found(ViolationKind::PauseKept, now, what);
     }
 
+    /// An instance got more than it allows of the nodes that know of its limit.
+    pub fn sent_beyond_limit(
+        &mut self,
+        instance: &Instance,
+        arrived: usize,
+        allowed: f64,
+        now: Duration,
+    ) {
+        let what = format!("{arrived} requests to {}, {allowed} allowed", instance.id());
+        self.found(ViolationKind::LimitKept, now, what);
+    }
+
     /// A node in touch has to have this configuration in force by now.
     pub fn due_in_force(&mut self, caller: (usize, u64), due: u64, now: Duration) {
         let known = self.versions.get(&caller).copied().unwrap_or(0);
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -171,6 +171,25 @@
     }
 }
 
+/// A run with instances that name rate limits; in half of the runs with drawn faults besides,
+/// or with instances that start again under their ids.
+pub fn drawn_limits(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x71a7);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let limits = Schedule::draw_limits(&mut rng, from, to);
+    let schedule = match seed % 4 {
+        0 | 2 => limits,
+        1 => drawn.schedule.join(limits),
+        _ => Schedule::draw_restarts(&mut rng, SHARDED_INSTANCES, from, to).join(limits),
+    };
+    FleetSettings {
+        schedule,
+        tells_births: true,
+        ..drawn
+    }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -256,6 +275,7 @@
             Long("foreign") => draw = drawn_foreign,
             Long("restarts") => draw = drawn_restarts,
             Long("notices") => draw = drawn_notices,
+            Long("limits") => draw = drawn_limits,
             Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
         }
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -58,6 +58,9 @@
     Leave(usize),
     /// An instance of any service turns everything away, and asks for pauses.
     AskForPause(usize),
+    /// An instance of any service names this rate limit in its answers, in thousandths of a
+    /// request a second, until the end.
+    NameLimit(usize, u32),
     /// Another writer replaces an instance's entry by what can't be read, until the end.
     ForeignEntry(usize),
     /// The store answers nothing.
--- a/crates/ledgelead-lab/src/fleet/notices.rs
+++ b/crates/ledgelead-lab/src/fleet/notices.rs
@@ -85,7 +85,7 @@
 
 impl World {
     /// The instance that has one of the first addresses now, of whichever service.
-    fn present(&self, place: usize) -> usize {
+    pub(super) fn present(&self, place: usize) -> usize {
         match place < SHARDED_INSTANCES {
             true => self.occupant(place),
             false => place,
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -168,6 +168,7 @@
             self.crashing_arrives(number, caller);
         }
         self.check_pauses(caller, instance);
+        self.check_limit(caller, instance);
         let target = &self.instances[instance];
         let attempt: u64 = request.headers.number("attempt").unwrap_or_default();
         let key = request
@@ -195,6 +196,7 @@
             response.headers.push("not-executed", "1");
             response.headers.push("instance", id);
             let response = self.with_notice(caller, Some(exchange), instance, response);
+            let response = self.with_limit(caller, exchange, instance, response);
             self.respond(caller, Some(exchange), response, Duration::ZERO);
             return;
         }
@@ -284,6 +286,7 @@
         response.headers.push("attempt", work.attempt.to_string());
         response.headers.push("signature", "s");
         let response = self.with_notice(work.caller, Some(work.exchange), instance, response);
+        let response = self.with_limit(work.caller, work.exchange, instance, response);
         self.respond(work.caller, Some(work.exchange), response, Duration::ZERO);
     }
 
@@ -341,6 +344,7 @@
             FaultKind::LeaveUnannounced(index) => self.leave_unannounced(*index),
             FaultKind::Leave(place) => self.leave(*place),
             FaultKind::AskForPause(place) => self.ask_for_pause(*place, lasts),
+            FaultKind::NameLimit(place, millis_per_s) => self.name_limit(*place, *millis_per_s),
             FaultKind::ForeignEntry(index) => self.spoil_entry(*index),
             FaultKind::StoreSilent => {
                 self.mood.silent += 1;
@@ -395,6 +399,7 @@
             }
             FaultKind::CutFromInstances(_) => self.network.cut_from_instance.clear(),
             FaultKind::ForeignEntry(index) => self.restore_entry(*index),
+            FaultKind::NameLimit(place, _) => self.end_limit(*place),
             FaultKind::StoreSilent => {
                 self.mood.silent -= 1;
                 self.mood.returned_at = self.now;
--- a/crates/ledgelead-lab/src/fleet/report.rs
+++ b/crates/ledgelead-lab/src/fleet/report.rs
@@ -41,6 +41,8 @@
     pub ended_by_requests: u64,
     /// Tries that were refused as such.
     pub held_back: u64,
+    /// Requests that reached instances while they named a rate limit.
+    pub arrived_under_limit: u64,
     /// Calls to the store.
     pub store_calls: u64,
     /// Coordinators that there were.
@@ -80,6 +82,7 @@
         self.crashing_tries += other.crashing_tries;
         self.ended_by_requests += other.ended_by_requests;
         self.held_back += other.held_back;
+        self.arrived_under_limit += other.arrived_under_limit;
         self.store_calls += other.store_calls;
         self.epochs += other.epochs;
         self.unserved.0.extend(other.unserved.0);
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -6,6 +6,7 @@
 use super::event::{Caller, Event, Scheduled};
 use super::faults::{Fault, Schedule, Target};
 use super::instance::Instance;
+use super::limits::Limits;
 use super::network::{LATENCY, Network};
 use super::notices::Notices;
 use super::report::FleetReport;
@@ -149,6 +150,7 @@
     /// The same for the pauses that instances ask for.
     pub(super) notice_rng: Pcg64Mcg,
     pub(super) notices: Notices,
+    pub(super) limits: Limits,
     /// When the entry of each instance was written first.
     pub(super) registered: HashMap<usize, Duration>,
     pub(super) crashing: Vec<Crashing>,
@@ -189,6 +191,7 @@
             birth_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xb04a),
             notice_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x5a1d),
             notices: Notices::default(),
+            limits: Limits::default(),
             registered: HashMap::new(),
             crashing: settings
                 .crashing
@@ -338,6 +341,7 @@
             Event::Exchanged(caller, exchange, input) => {
                 if self.pending.remove(&(caller, exchange)).is_some() {
                     self.notice_arrives(caller, exchange);
+                    self.limit_arrives(caller, exchange);
                     self.input(caller, *input);
                 }
             }
--- /dev/null
+++ b/crates/ledgelead-lab/tests/fleet_limits.rs
@@ -0,0 +1,56 @@
+//! Instances that name a rate limit: all nodes together keep to it, also where nodes, lives
+//! of instances and the store fail meanwhile.
+
+use googletest::prelude::*;
+use ledgelead_lab::fleet::command::{NODES, drawn_for, drawn_limits, play};
+use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, TRAFFIC_FROM, World};
+use ledgelead_router::protections::Protections;
+use std::time::Duration;
+
+/// Nodes of a run whose zones are large enough for broadcasts to be passed on.
+const MANY_NODES: usize = 21;
+/// How long an instance names its limit in runs without other faults.
+const NAMED: Duration = Duration::from_secs(33);
+/// Time from the first answer that names it until it binds.
+const BINDS_AFTER: Duration = Duration::from_secs(3);
+
+#[gtest]
+fn instances_get_no_more_of_all_nodes_than_the_limits_that_they_name() {
+    let (_, lines) = play(drawn_limits, 1..=40, NODES, Protections::default(), false);
+    expect_that!(lines, is_empty());
+}
+
+#[gtest]
+fn limits_are_kept_by_many_nodes() {
+    let (_, lines) = play(
+        drawn_limits,
+        1..=12,
+        MANY_NODES,
+        Protections::default(),
+        false,
+    );
+    expect_that!(lines, is_empty());
+}
+
+/// An owner names a third of what is asked of it. Returns the share of it that was used.
+fn used_share(seed: u64, millis_per_s: u32) -> f64 {
+    let drawn = drawn_for(seed, NODES, Protections::default());
+    let named = FaultKind::NameLimit(0, millis_per_s);
+    let settings = FleetSettings {
+        schedule: Schedule::one(TRAFFIC_FROM + Duration::from_secs(4), NAMED, named),
+        ..drawn
+    };
+    let report = World::new(settings).run();
+    expect_that!(report.violations, is_empty());
+    let allowed = f64::from(millis_per_s) / 1_000.0 * (NAMED - BINDS_AFTER).as_secs_f64();
+    report.arrived_under_limit as f64 / allowed
+}
+
+#[gtest]
+fn most_of_a_limit_is_used_while_more_is_asked_for() {
+    for seed in 1..=4 {
+        for millis_per_s in [1_500, 4_000] {
+            expect_that!(used_share(seed, millis_per_s), all!(ge(0.7), le(1.1)));
+        }
+    }
+}
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod permits;
 mod placement;
+mod rate_limits;
 mod registration;
 mod rejections;
 mod review;
