Rate limits that instances name bind all nodes together

Callers were served as before; the cost fell on the instances in need: 82 requests in 4 s at a limit of 6.5 a second (44 allowed). Cause: no module read the limit.

Now each request to such an instance, repeats included, asks one node for a token right before it is sent: the first of the nodes of the instance's zone by rendezvous hashing, as for queues. Where that one is silent, the second hands out 0.3 of the rate, so that both together stay within 1.5 times the limit and 5 requests however long they don't hear each other. A new limiter waits 2 s: what was sent before it counts. Nodes report limits to the coordinator, which announces them, so that a node is bound before it was told itself. Who gets no token uses other instances, or is refused at once (rate_limited) with the time at which there is one.

Ruled out: equal parts for each node (mostly unused), a few nodes that may send (callers of the others are refused), the coordinator as the only limiter (its load grows with the fleet).

--- a/crates/ledgelead-lab/tests/fleet_limits.rs
+++ b/crates/ledgelead-lab/tests/fleet_limits.rs
@@ -3,8 +3,10 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::command::{NODES, drawn_for, drawn_limits, play};
-use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, TRAFFIC_FROM, World};
-use ledgelead_router::protections::Protections;
+use ledgelead_lab::fleet::{
+    FaultKind, FleetSettings, Schedule, TRAFFIC_FROM, ViolationKind, World,
+};
+use ledgelead_router::protections::{Protection, Protections};
 use std::time::Duration;
 
 /// Nodes of a run whose zones are large enough for broadcasts to be passed on.
@@ -54,3 +56,21 @@
         }
     }
 }
+
+fn kinds(protection: Protection) -> Vec<ViolationKind> {
+    let protections = Protections::without(protection);
+    let (report, _) = play(drawn_limits, 1..=10, NODES, protections, false);
+    report.violations.iter().map(|found| found.kind).collect()
+}
+
+#[gtest]
+fn the_checker_sees_a_limit_that_is_ignored() {
+    let found = kinds(Protection::HeededRateLimit);
+    expect_that!(found, contains(eq(&ViolationKind::LimitKept)));
+}
+
+#[gtest]
+fn the_checker_sees_a_limit_that_each_node_keeps_alone() {
+    let found = kinds(Protection::SharedRateLimit);
+    expect_that!(found, contains(eq(&ViolationKind::LimitKept)));
+}
--- a/crates/ledgelead-router/src/dispatch/candidates.rs
+++ b/crates/ledgelead-router/src/dispatch/candidates.rs
@@ -25,8 +25,21 @@
     /// a node that comes or goes changes the dispatcher of few queues. None where the zone
     /// has no node.
     pub fn of_queue(queue: u64, zone: &ZoneName, registry: &Registry) -> Option<Candidates> {
-        let in_zone = || registry.iter().filter(|node| node.zone == *zone);
-        let strongest = in_zone().map(|node| node.millicores).max()?;
+        Candidates::among(queue, || registry.iter().filter(|node| node.zone == *zone))
+    }
+
+    /// The limiters of an instance: as for a queue in its zone, or of all strong nodes where
+    /// that has none.
+    pub fn of_limit(instance: u64, zone: &ZoneName, registry: &Registry) -> Option<Candidates> {
+        Candidates::of_queue(instance, zone, registry)
+            .or_else(|| Candidates::among(instance, || registry.iter()))
+    }
+
+    fn among<'a, I>(queue: u64, nodes: impl Fn() -> I) -> Option<Candidates>
+    where
+        I: Iterator<Item = &'a NodeRecord>,
+    {
+        let strongest = nodes().map(|node| node.millicores).max()?;
         let least = f64::from(strongest) * STRONG_SHARE;
         let is_strong = |node: &&NodeRecord| f64::from(node.millicores) >= least;
         let weighed = |node: &NodeRecord| {
@@ -35,7 +48,7 @@
         };
         let mut first = None;
         let mut second = None;
-        for candidate in in_zone().filter(is_strong).map(weighed) {
+        for candidate in nodes().filter(is_strong).map(weighed) {
             if first.is_none_or(|known| candidate > known) {
                 second = first;
                 first = Some(candidate);
--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -5,6 +5,7 @@
 use super::leaving::AnnouncedLeaving;
 use super::open_requests::OpenRequestPace;
 use super::quarantine::EvidenceMessage;
+use super::rate_limits::{token_ask, token_verdict};
 use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
@@ -16,7 +17,7 @@
 use crate::peers::{
     Datagram, DelayEstimate, KeyReport, NodeRecord, PeerMessage, WorkReport, decode, encode,
 };
-use crate::requests::PermitDecision;
+use crate::requests::{PermitDecision, TokenDecision};
 use ledgelead_types::codec::List;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -106,11 +107,13 @@
             self.gossip.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.announce_heartbeat(now, out);
             self.announce_leaving(now, out);
+            self.announce_limits(now, out);
         }
         if self.gossip.next_report <= now {
             self.gossip.next_report = now + self.report_interval();
             self.report_load(now, out);
             self.report_leaving(now, out);
+            self.report_limits(now, out);
         }
         if self.gossip.informed_until.is_some_and(|until| until <= now) {
             self.gossip.informed_until = None;
@@ -348,6 +351,28 @@
                 self.evidence_received(from, message, now, out);
             }
             PeerMessage::Leaving { instances } => self.leaving_received(from, &instances, now, out),
+            PeerMessage::RateLimits { limits } => self.limits_received(from, &limits, now, out),
+            PeerMessage::TokenAsk {
+                number,
+                zone,
+                limit,
+            } => {
+                let ask = token_ask(number, &zone, &limit, now);
+                self.token_asked(from, &ask, now, out);
+            }
+            PeerMessage::TokenDecision {
+                number,
+                instance,
+                verdict,
+                wait_ms,
+            } => {
+                let decision = TokenDecision {
+                    number,
+                    instance,
+                    verdict: token_verdict(verdict, wait_ms),
+                };
+                self.token_decided(from, &decision, now, out);
+            }
             PeerMessage::InstancesListed {
                 span,
                 unconfirmed_ms,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod open_requests;
 mod picture;
 mod quarantine;
+mod rate_limits;
 mod registration;
 mod relay;
 mod status;
@@ -39,6 +40,7 @@
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
+use crate::rate_limit::Limiter;
 use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use crate::zone_traffic::ZoneTraffic;
@@ -77,6 +79,7 @@
     transfer_server: TransferServer,
     load_hub: LoadHub,
     dispatcher: Dispatcher,
+    limiter: Limiter,
     overloads: Overloads,
     evacuations: Evacuations,
     quarantine: Quarantine,
@@ -113,6 +116,7 @@
             transfer_server: TransferServer::default(),
             load_hub: LoadHub::new(now),
             dispatcher: Dispatcher::default(),
+            limiter: Limiter::default(),
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
@@ -287,6 +291,10 @@
         let (requests, mut context) = self.requests_and_context(now);
         requests.deadline(&mut context, out);
         self.dispatch(now, out);
+        // A request with a permit may need a token, and one without a token another permit.
+        while self.ask_for_tokens(now, out) {
+            self.dispatch(now, out);
+        }
         self.announce_open_requests(now, out);
         self.announce_load(now, out);
         self.answer_transfers(now, out);
@@ -299,6 +307,7 @@
             self.zone_relays.expire(now);
             self.transfer_server.expire(now);
             self.dispatcher.expire(now);
+            self.limiter.expire(now);
             self.cold_keys.expire(now);
         }
     }
--- /dev/null
+++ b/crates/ledgelead-router/src/node/rate_limits.rs
@@ -0,0 +1,221 @@
+//! Rate limits of instances between nodes: who names one, and asks for tokens.
+//!
+//! A limit binds all nodes, but an instance names it to one at a time. So a node reports what
+//! an answer tells it to the coordinator, which announces it to all. Each request then asks
+//! one of the instance's limiters for a token.
+
+use super::Node;
+use super::gossip::send;
+use crate::Timestamp;
+use crate::dispatch::Candidates;
+use crate::identity::ZoneName;
+use crate::io::Action;
+use crate::peers::{Datagram, PeerMessage, RateLimitEntry, TokenVerdictEntry, encode, time_of};
+use crate::protections::Protection;
+use crate::rate_limit::{LimitStatement, LimiterRole, RateLimit, TokenVerdict};
+use crate::requests::{TokenAsk, TokenDecision};
+use crate::{short_millis, whole_millis};
+use ledgelead_types::codec::{List, Text};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most limits in one message, 17 bytes each.
+const MAX_LIMITS: usize = 64;
+/// Time after which a node asks again that has asked one that is none of the limiters.
+const OTHER_LIMITER_WAIT: Duration = Duration::from_millis(300);
+
+impl Node {
+    /// Sends what requests ask limiters for. Returns whether this node has decided on some.
+    pub(super) fn ask_for_tokens(&mut self, now: Timestamp, out: &mut Vec<Action>) -> bool {
+        let mut has_decided = false;
+        loop {
+            let asks = self.requests.take_token_asks();
+            if asks.is_empty() {
+                return has_decided;
+            }
+            for (to, ask) in asks {
+                if to == self.settings.peer_address {
+                    has_decided = true;
+                    let decision = self.decide_on_token(to, &ask, now);
+                    self.token_decided(to, &decision, now, out);
+                } else {
+                    let message = PeerMessage::TokenAsk {
+                        number: ask.number,
+                        zone: Text(ask.zone.to_string()),
+                        limit: limit_entry(ask.instance, ask.statement, now),
+                    };
+                    send(to, &[encode(&message)], out);
+                }
+            }
+        }
+    }
+
+    /// Another node asks for a token.
+    pub(super) fn token_asked(
+        &mut self,
+        from: SocketAddr,
+        ask: &TokenAsk,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let decision = self.decide_on_token(from, ask, now);
+        let (verdict, wait) = match decision.verdict {
+            TokenVerdict::Granted => (TokenVerdictEntry::Granted, Duration::ZERO),
+            TokenVerdict::Refused(wait) => (TokenVerdictEntry::Refused, wait),
+            TokenVerdict::Unlimited => (TokenVerdictEntry::Unlimited, Duration::ZERO),
+        };
+        let message = PeerMessage::TokenDecision {
+            number: ask.number,
+            instance: ask.instance,
+            verdict,
+            wait_ms: short_millis(wait),
+        };
+        send(from, &[encode(&message)], out);
+    }
+
+    /// A limiter has decided on an ask of this node.
+    pub(super) fn token_decided(
+        &mut self,
+        from: SocketAddr,
+        decision: &TokenDecision,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let (requests, mut context) = self.requests_and_context(now);
+        requests.token_decided(from, decision, &mut context, out);
+    }
+
+    fn decide_on_token(
+        &mut self,
+        asker: SocketAddr,
+        ask: &TokenAsk,
+        now: Timestamp,
+    ) -> TokenDecision {
+        let limits = self.requests.limits_mut();
+        limits.announced(ask.instance, ask.statement);
+        let verdict = match limits.limit(ask.instance) {
+            None => TokenVerdict::Unlimited,
+            Some(limit) => match self.limiter_role(ask) {
+                Some(role) => self.limiter.ask(asker, ask.instance, limit, role, now),
+                None => TokenVerdict::Refused(OTHER_LIMITER_WAIT),
+            },
+        };
+        TokenDecision {
+            number: ask.number,
+            instance: ask.instance,
+            verdict,
+        }
+    }
+
+    /// Which of an instance's limiters this node is, by its own view of the nodes. Two nodes
+    /// whose views differ are not both the first for longer than their views differ.
+    fn limiter_role(&self, ask: &TokenAsk) -> Option<LimiterRole> {
+        if !self.settings.protections.has(Protection::SharedRateLimit) {
+            return Some(LimiterRole::First);
+        }
+        let own = self.settings.peer_address;
+        let candidates = Candidates::of_limit(ask.instance, &ask.zone, &self.registry)?;
+        if candidates.first == own {
+            return Some(LimiterRole::First);
+        }
+        (candidates.second == Some(own)).then_some(LimiterRole::Second)
+    }
+
+    /// Reports to the coordinator which limits it lacks.
+    pub(super) fn report_limits(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.coordination.coordinator().is_some() || self.requests.limits().is_empty() {
+            return;
+        }
+        let lacking = self.requests.limits().unreported();
+        let message = limits_message(lacking, now);
+        if let (Some(message), Some(address)) = (message, self.coordinator_address()) {
+            send(address, &[message], out);
+        }
+    }
+
+    /// As coordinator, announces all limits; with each heartbeat, since datagrams are lost and
+    /// nodes start.
+    pub(super) fn announce_limits(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        if self.coordination.coordinator().is_none() || self.requests.limits().is_empty() {
+            return;
+        }
+        let message = limits_message(self.requests.limits().current(now), now);
+        if let Some(message) = message {
+            self.broadcast(&[message], now, out);
+        }
+    }
+
+    /// Another node says which instances name limits.
+    pub(super) fn limits_received(
+        &mut self,
+        from: SocketAddr,
+        entries: &List<RateLimitEntry>,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let is_coordinator = self.coordinator_address() == Some(from);
+        let limits = self.requests.limits_mut();
+        for entry in entries.iter() {
+            let statement = statement_of(entry, now);
+            limits.announced(entry.instance, statement);
+            if is_coordinator {
+                limits.reported(entry.instance, statement.limit);
+            }
+        }
+        self.reconsider_waiting(now, out);
+    }
+}
+
+fn limits_message(
+    limits: impl Iterator<Item = (u64, LimitStatement)>,
+    now: Timestamp,
+) -> Option<Datagram> {
+    let entry = |(instance, statement)| limit_entry(instance, statement, now);
+    let limits: Vec<RateLimitEntry> = limits.take(MAX_LIMITS).map(entry).collect();
+    let limits = List(limits);
+    (!limits.is_empty()).then(|| encode(&PeerMessage::RateLimits { limits }))
+}
+
+fn limit_entry(instance: u64, statement: LimitStatement, now: Timestamp) -> RateLimitEntry {
+    let age = whole_millis(now.saturating_sub(statement.at));
+    RateLimitEntry {
+        instance,
+        millis_per_s: statement.limit.map(|limit| limit.millis_per_s),
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+    }
+}
+
+fn statement_of(entry: &RateLimitEntry, now: Timestamp) -> LimitStatement {
+    LimitStatement {
+        limit: entry
+            .millis_per_s
+            .map(|millis_per_s| RateLimit { millis_per_s }),
+        at: time_of(entry.age_ms, now),
+    }
+}
+
+/// A limiter's verdict, as another node has sent it.
+pub(super) fn token_verdict(verdict: TokenVerdictEntry, wait_ms: u16) -> TokenVerdict {
+    match verdict {
+        TokenVerdictEntry::Granted => TokenVerdict::Granted,
+        TokenVerdictEntry::Refused => {
+            TokenVerdict::Refused(Duration::from_millis(u64::from(wait_ms)))
+        }
+        TokenVerdictEntry::Unlimited => TokenVerdict::Unlimited,
+    }
+}
+
+/// An ask, as another node has sent it.
+pub(super) fn token_ask(
+    number: u64,
+    zone: &Text,
+    limit: &RateLimitEntry,
+    now: Timestamp,
+) -> TokenAsk {
+    TokenAsk {
+        number,
+        instance: limit.instance,
+        zone: ZoneName::from(zone.0.as_str()),
+        statement: statement_of(limit, now),
+    }
+}
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::DispatcherCounters;
 use crate::ownership::coordinator::OwnershipCounters;
 use crate::peers::PeerTraffic;
+use crate::rate_limit::LimiterCounters;
 use crate::requests::{PermitCounters, RequestCounters, RequestDigest};
 use crate::zone_traffic::ZoneTraffic;
 use std::collections::BTreeMap;
@@ -67,6 +68,10 @@
     pub dispatched: DispatcherCounters,
     /// Requests that wait in the queues that it keeps.
     pub dispatch_waiting: usize,
+    /// Tokens that it has handed out as limiter, and asks that it has refused.
+    pub limiter: LimiterCounters,
+    /// Instances that name a rate limit, or have lately ceased to.
+    pub rate_limits: usize,
     /// Bytes exchanged with this zone and others.
     pub zone_traffic: ZoneTraffic,
 }
@@ -101,6 +106,8 @@
             permits: self.requests.permit_counters(),
             dispatched: self.dispatcher.counters(),
             dispatch_waiting: self.dispatcher.waiting(),
+            limiter: self.limiter.counters(),
+            rate_limits: self.requests.limits().len(),
             zone_traffic: self.zone_traffic.clone(),
         }
     }
--- a/crates/ledgelead-router/src/peers/bounds.rs
+++ b/crates/ledgelead-router/src/peers/bounds.rs
@@ -46,6 +46,9 @@
             | PeerMessage::PermitDecision { .. }
             | PeerMessage::PermitReturn { .. }
             | PeerMessage::Leaving { .. }
+            | PeerMessage::RateLimits { .. }
+            | PeerMessage::TokenAsk { .. }
+            | PeerMessage::TokenDecision { .. }
             | PeerMessage::Evidence { .. } => true,
         }
     }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -161,6 +161,28 @@
     UnknownQueue,
 }
 
+/// A rate limit that an instance names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct RateLimitEntry {
+    /// Stable hash of the instance's id.
+    pub instance: u64,
+    /// The limit in thousandths of a request a second; none if it names none any more.
+    pub millis_per_s: Option<u32>,
+    /// How long ago the instance said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a limiter decides on an ask for a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum TokenVerdictEntry {
+    /// One request may be sent.
+    Granted,
+    /// There is none now.
+    Refused,
+    /// The instance names no limit any more.
+    Unlimited,
+}
+
 /// How a request ended whose permit comes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum PermitEnd {
@@ -453,6 +475,32 @@
         /// The instances, and how long ago each said so first.
         instances: List<AgedEntry>,
     },
+    /// Rate limits that instances name, or have ceased to; sent to the coordinator, and by it
+    /// to all nodes.
+    RateLimits {
+        /// The limits.
+        limits: List<RateLimitEntry>,
+    },
+    /// Asks a limiter of an instance for a token.
+    TokenAsk {
+        /// The sender's number for it.
+        number: u64,
+        /// The zone of the instance.
+        zone: Text,
+        /// What the sender knows of the limit.
+        limit: RateLimitEntry,
+    },
+    /// A limiter's answer to such an ask.
+    TokenDecision {
+        /// The number of the ask.
+        number: u64,
+        /// Stable hash of the instance's id.
+        instance: u64,
+        /// What becomes of it.
+        verdict: TokenVerdictEntry,
+        /// Time for which there is no token for the sender, in milliseconds, if it is refused.
+        wait_ms: u16,
+    },
     /// All instances; sent to a node that lacks changes which no log reaches back to.
     InstancesListed {
         /// From revision 0 to that of the last change.
@@ -485,6 +533,9 @@
             PeerMessage::PermitDecision { .. } => "permit_decision",
             PeerMessage::PermitReturn { .. } => "permit_return",
             PeerMessage::Leaving { .. } => "leaving",
+            PeerMessage::RateLimits { .. } => "rate_limits",
+            PeerMessage::TokenAsk { .. } => "token_ask",
+            PeerMessage::TokenDecision { .. } => "token_decision",
             PeerMessage::Evidence { .. } => "evidence",
             PeerMessage::InstancesListed { .. } => "instances_list",
         }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -27,7 +27,8 @@
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
     InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage, PermitAskEntry,
-    PermitEnd, PermitVerdict, RelayedKind, WorkReport, ZoneSum, decode, encode,
+    PermitEnd, PermitVerdict, RateLimitEntry, RelayedKind, TokenVerdictEntry, WorkReport, ZoneSum,
+    decode, encode,
 };
 pub use registry::{NodeRecord, Registration, Registry};
 pub use shared_load::{SharedLoad, SpeedSample};
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -38,13 +38,17 @@
     HeededLeaving,
     /// An instance that has asked a node for a pause gets nothing from it until its end.
     HeededBackoff,
+    /// An instance gets no more requests than the rate limit that it names allows.
+    HeededRateLimit,
+    /// Such a limit binds all nodes together, not each of them.
+    SharedRateLimit,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 17] = [
+    pub const SABOTAGES: [(&'static str, Protection); 19] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -59,6 +63,8 @@
         ("trust-first-list", Protection::ConfirmedView),
         ("forget-leaving", Protection::HeededLeaving),
         ("ignore-backoff", Protection::HeededBackoff),
+        ("ignore-limit", Protection::HeededRateLimit),
+        ("keep-limit-alone", Protection::SharedRateLimit),
         ("know-by-path", Protection::WholeIdentity),
         ("drop-with-foreign", Protection::ForeignApart),
         ("use-foreign", Protection::ForeignUnused),
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -35,6 +35,9 @@
     Rejected,
     /// Every instance that could run it has asked this node for a pause.
     BackedOff,
+    /// Every instance that could run it gets as many requests as the rate limits allow that
+    /// they name.
+    RateLimited,
     /// Instances have ended under it, so it is not sent to any more.
     Quarantined,
     /// This node has no memory for its body.
@@ -65,6 +68,7 @@
             | Refusal::NoInstance
             | Refusal::Rejected
             | Refusal::BackedOff
+            | Refusal::RateLimited
             | Refusal::Quarantined
             | Refusal::NoMemory
             | Refusal::NotSentInTime => 503,
@@ -98,6 +102,7 @@
             Refusal::NoInstance => "no_instance",
             Refusal::Rejected => "rejected",
             Refusal::BackedOff => "backed_off",
+            Refusal::RateLimited => "rate_limited",
             Refusal::Quarantined => "quarantined",
             Refusal::NoMemory => "no_memory",
             Refusal::NotSentInTime => "not_sent_in_time",
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -185,6 +185,7 @@
             self.waiting
                 .remove(&(self.mechanisms.rank(open), since, client));
         }
+        open.token = None;
         let permit = open.permit.take();
         let (permit, unused) = match permit {
             Some(permit) if permit.covers(&selected.id) => (Some(permit), None),
@@ -334,7 +335,7 @@
                 let notice = Notice::of(&attempt.instance, response, context.headers);
                 self.note_notice(&attempt.instance, notice, context);
                 let rate = RateNotice::of(&attempt.instance, response, context.headers);
-                self.note_rate(&attempt.instance, rate);
+                self.note_rate(&attempt.instance, rate, now);
                 let load = reported_load(response, context);
                 let instance = context.directory.get(&attempt.instance);
                 let rejected = is_rejection(response, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -2,6 +2,7 @@
 
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::identity::InstanceId;
 use crate::io::ClientId;
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
@@ -42,6 +43,10 @@
     AskPermit(PermitNeed),
     /// Wait until it has decided, or until this time.
     AwaitPermit(Timestamp),
+    /// Ask a limiter of the instance for a token.
+    AskToken(InstanceId),
+    /// Wait until it has decided, or until this time.
+    AwaitToken(Timestamp),
 }
 
 impl Requests {
@@ -68,6 +73,9 @@
                 reason: Refusal::NotConfigured,
             };
         }
+        if let Some(step) = Requests::awaited_token(open, context.now) {
+            return step;
+        }
         let Some(key) = open.key else {
             return self.next_step_any(client, context);
         };
@@ -142,7 +150,9 @@
         }
         // The owner said so with another request's rejection. It means all requests of this
         // node, and sent all the same each would be rejected, up to four times.
-        let paused = self.statistics.backoff_left(&assignment.owner, context.now);
+        let paused = self
+            .statistics
+            .unavailable_for(&assignment.owner, context.now);
         if let Some(left) = paused {
             return self.step_in_backoff(open, left, context);
         }
@@ -224,6 +234,10 @@
     }
 
     pub(super) fn next_step_any(&mut self, client: ClientId, context: &RequestContext<'_>) -> Step {
+        let open = self.open.get(&client);
+        if let Some(step) = open.and_then(|open| self.held_token_step(open, context)) {
+            return step;
+        }
         if let Some(step) = self.pool_step(client, context) {
             return step;
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -216,7 +216,7 @@
         if reason == Refusal::Quarantined {
             return QUARANTINE_RETURN;
         }
-        if let Refusal::BackedOff | Refusal::Rejected = reason
+        if let Refusal::BackedOff | Refusal::RateLimited | Refusal::Rejected = reason
             && let Some(left) = self.backoff_of(service, key, context)
         {
             return left;
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -8,6 +8,7 @@
 mod permits;
 mod repeats;
 mod targets;
+mod tokens;
 
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
@@ -28,6 +29,7 @@
 use super::rest_limit::RestLimit;
 use super::split::Splits;
 use super::statistics::StatisticsTable;
+use super::tokens::TokenAsks;
 use crate::Timestamp;
 use crate::configuration::{Configuration, RouteTable};
 use crate::dialect::HeaderNames;
@@ -132,6 +134,7 @@
     rest_limit: RestLimit,
     refusals: RefusalShares,
     permits: Permits,
+    tokens: TokenAsks,
     /// Shares of attempts that instances with free slots rejected.
     rejections: RefusalShares,
     common: CommonRejections,
@@ -173,6 +176,7 @@
             rest_limit: RestLimit::default(),
             refusals: RefusalShares::default(),
             permits: Permits::new(first_number),
+            tokens: TokenAsks::new(first_number),
             rejections: RefusalShares::default(),
             common: CommonRejections::default(),
             cold_bound: settings.cold_bound,
@@ -236,9 +240,12 @@
     pub fn clean_up(&mut self, directory: &Directory, now: Timestamp) {
         self.cold_sends.expire(now);
         self.permits.expire(now);
+        let open = &self.open;
+        self.tokens.expire(|client| open.contains_key(client), now);
         self.splits.expire(now);
         self.common.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
+        self.expire_limits(directory, now);
     }
 
     /// Keys asked for since the last call, by service.
@@ -520,6 +527,7 @@
             awaits_permit: false,
             spilled: false,
             return_after: None,
+            token: None,
         })
     }
 
@@ -551,12 +559,20 @@
         if open.attempt.is_some() && !self.abandon_attempt(client, context, out) {
             return;
         }
-        match self.next_step(client, context) {
+        let step = match self.next_step(client, context) {
+            Step::Send(selected, address) => self
+                .token_step(client, &selected.id, context.now)
+                .unwrap_or(Step::Send(selected, address)),
+            step => step,
+        };
+        match step {
             Step::Send(selected, address) => self.send(client, selected, address, context, out),
             Step::Wait { again, reason } => self.wait(client, again, reason, context, out),
             Step::Refuse(reason) => self.refuse(client, reason, context, out),
             Step::AskPermit(need) => self.ask_permit(client, &need, context, out),
             Step::AwaitPermit(until) => self.await_permit(client, until, context.now),
+            Step::AskToken(instance) => self.ask_token(client, &instance, context, out),
+            Step::AwaitToken(until) => self.await_token(client, until),
         }
     }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/notices.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/notices.rs
@@ -2,15 +2,17 @@
 
 use super::decide::Step;
 use super::{RequestContext, Requests};
-use crate::directory::Instance;
+use crate::Timestamp;
+use crate::directory::{Directory, Instance};
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
 use crate::protections::Protection;
-use crate::rate_limit::{RateLimit, RateNotice};
+use crate::rate_limit::{KnownLimits, RateLimit, RateNotice};
 use crate::requests::answers::Refusal;
 use crate::requests::notice::Notice;
 use crate::requests::open_request::OpenRequest;
 use crate::whole_millis;
+use std::collections::HashSet;
 use std::time::Duration;
 
 impl Requests {
@@ -51,7 +53,7 @@
     }
 
     /// Takes over what an answer says of its instance's rate limit.
-    pub(super) fn note_rate(&mut self, instance: &InstanceId, notice: RateNotice) {
+    pub(super) fn note_rate(&mut self, instance: &InstanceId, notice: RateNotice, now: Timestamp) {
         let limit = notice.limit();
         let kind = match notice {
             RateNotice::Limited(_) => Some("rate_limit"),
@@ -61,7 +63,16 @@
         if let Some(kind) = kind {
             *self.counters.notices.entry(kind).or_default() += 1;
         }
-        if self.statistics.entry(instance).rate_noticed(notice) {
+        let is_new = match notice {
+            RateNotice::Silent | RateNotice::Unreadable => false,
+            // Nearly all answers: nothing has to be looked up.
+            RateNotice::Unlimited if self.statistics.limits.is_empty() => false,
+            RateNotice::Unlimited | RateNotice::Limited(_) => {
+                let limits = &mut self.statistics.limits;
+                limits.answered(instance.stable_hash(), limit, now)
+            }
+        };
+        if is_new {
             let rate_limit = limit.map(RateLimit::per_s);
             let noticed = Event::RateLimitNotice {
                 instance,
@@ -71,9 +82,30 @@
         }
     }
 
-    /// What is done with a request for which every instance has asked for a pause, of which
-    /// this much is left. It waits if that ends soon; a longer wait would cost its caller
-    /// the time in which it can come back.
+    /// What is known of the rate limits that instances name.
+    pub fn limits(&self) -> &KnownLimits {
+        &self.statistics.limits
+    }
+
+    /// The same, for what other nodes say.
+    pub fn limits_mut(&mut self) -> &mut KnownLimits {
+        &mut self.statistics.limits
+    }
+
+    /// Forgets the limits of instances that are unknown.
+    pub(super) fn expire_limits(&mut self, directory: &Directory, now: Timestamp) {
+        let limits = &mut self.statistics.limits;
+        if limits.is_empty() {
+            return;
+        }
+        let hash = |instance: &Instance| instance.record.id.stable_hash();
+        let known: HashSet<u64> = directory.iter().map(hash).collect();
+        limits.expire(|instance| known.contains(&instance), now);
+    }
+
+    /// What is done with a request for which every instance has asked for a pause or has no
+    /// token, of which this much is left. It waits if that ends soon; a longer wait would
+    /// cost its caller the time in which it can come back.
     pub(super) fn step_in_backoff(
         &self,
         open: &OpenRequest,
@@ -81,7 +113,11 @@
         context: &RequestContext<'_>,
     ) -> Step {
         let again = context.now + left;
-        let reason = open.failure_or(Refusal::BackedOff);
+        let not_run = match self.lacks_tokens(open, context) {
+            true => Refusal::RateLimited,
+            false => Refusal::BackedOff,
+        };
+        let reason = open.failure_or(not_run);
         match again <= open.wait_limit_from(context.now) {
             true => Step::Wait {
                 again: Some(again),
@@ -91,6 +127,25 @@
         }
     }
 
+    /// Whether some instance that could run a request has no token for it.
+    fn lacks_tokens(&self, open: &OpenRequest, context: &RequestContext<'_>) -> bool {
+        let limits = &self.statistics.limits;
+        if limits.is_empty() {
+            return false;
+        }
+        let lacks = |id: &InstanceId| limits.empty_for(id.stable_hash(), context.now).is_some();
+        match open.key {
+            Some(key) => context
+                .ownership
+                .find(&open.service, key)
+                .is_some_and(|assignment| lacks(&assignment.owner)),
+            None => context
+                .directory
+                .of_service(&open.service)
+                .any(|instance| lacks(&instance.record.id)),
+        }
+    }
+
     /// How long a request's service takes nothing from this node: until the owner of its
     /// key does again, or else the first of its instances. None if some would take it now.
     pub(super) fn backoff_of(
@@ -99,7 +154,7 @@
         key: Option<u16>,
         context: &RequestContext<'_>,
     ) -> Option<Duration> {
-        let left_at = |id: &InstanceId| self.statistics.backoff_left(id, context.now);
+        let left_at = |id: &InstanceId| self.statistics.unavailable_for(id, context.now);
         if let Some(key) = key {
             return left_at(&context.ownership.find(service, key)?.owner);
         }
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -179,7 +179,7 @@
         let granted = instances.find(covered).filter(|known| known.serves())?;
         // The dispatcher goes by what instances say to all nodes, this one by what it is told.
         let id = &granted.record.id;
-        if self.statistics.backoff_left(id, context.now).is_some() {
+        if self.statistics.unavailable_for(id, context.now).is_some() {
             return None;
         }
         let selected = self
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -19,6 +19,7 @@
 mod selection;
 mod split;
 mod statistics;
+mod tokens;
 
 pub use answers::refusal;
 pub use budget::{BudgetBounds, Draw, RetryBudget};
@@ -40,3 +41,4 @@
 pub use selection::{Selected, SelectionContext};
 pub use split::{LARGE_BODY_BYTES, SplitRequest, Splits};
 pub use statistics::{ReportedLoad, Statistics, StatisticsTable};
+pub use tokens::{TokenAsk, TokenDecision};
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -9,6 +9,7 @@
 use crate::quarantine::CallerId;
 use crate::requests::digest::RequestDigest;
 use crate::requests::permits::HeldPermit;
+use crate::requests::tokens::Token;
 use ledgelead_http::{Request, Response};
 use std::cell::OnceCell;
 use std::sync::Arc;
@@ -118,6 +119,8 @@
     pub spilled: bool,
     /// When its caller may come back, by the word of a dispatcher.
     pub return_after: Option<Duration>,
+    /// The token that it has or waits for.
+    pub token: Option<Token>,
 }
 
 impl Mechanisms {
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -104,7 +104,7 @@
         let serving: Vec<&Instance> = self
             .directory
             .of_service(service)
-            .filter(|instance| instance.serves() && !self.backs_off(instance))
+            .filter(|instance| instance.serves() && !self.is_unavailable(instance))
             .collect();
         let usable = self.without_ejected(&serving);
         let typical = self.typical_service_time(&serving, left);
@@ -272,10 +272,10 @@
         }
     }
 
-    /// Whether an instance wants no requests of this node now.
-    fn backs_off(&self, instance: &Instance) -> bool {
+    /// Whether an instance takes no requests of this node now.
+    fn is_unavailable(&self, instance: &Instance) -> bool {
         let id = &instance.record.id;
-        self.statistics.backoff_left(id, self.now).is_some()
+        self.statistics.unavailable_for(id, self.now).is_some()
     }
 
     fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
--- a/crates/ledgelead-router/src/requests/statistics.rs
+++ b/crates/ledgelead-router/src/requests/statistics.rs
@@ -4,7 +4,7 @@
 use crate::failures::{FailureRules, Failures};
 use crate::identity::InstanceId;
 use crate::peers::SpeedSample;
-use crate::rate_limit::{RateLimit, RateNotice};
+use crate::rate_limit::KnownLimits;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -51,8 +51,6 @@
     last_answer: Option<Timestamp>,
     /// Until when it wants no requests of this node.
     backoff_until: Timestamp,
-    /// The rate limit that it has named last.
-    rate_limit: Option<RateLimit>,
 }
 
 impl Statistics {
@@ -117,16 +115,6 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// What an answer says of its rate limit. Returns whether that is new.
-    pub fn rate_noticed(&mut self, notice: RateNotice) -> bool {
-        let known = self.rate_limit;
-        match notice {
-            RateNotice::Silent | RateNotice::Unreadable => {}
-            RateNotice::Unlimited | RateNotice::Limited(_) => self.rate_limit = notice.limit(),
-        }
-        self.rate_limit != known
-    }
-
     /// What answers have shown of its speed since the last call.
     pub fn take_unshared(&mut self) -> SpeedSample {
         std::mem::take(&mut self.unshared)
@@ -171,6 +159,8 @@
     instances: HashMap<InstanceId, Statistics>,
     /// The latest end of a pause that some instance has asked for.
     last_backoff: Timestamp,
+    /// Rate limits that instances name.
+    pub limits: KnownLimits,
 }
 
 impl StatisticsTable {
@@ -199,6 +189,16 @@
         }
     }
 
+    /// For how much longer an instance takes no requests of this node: it wants none, or its
+    /// limiter has no token.
+    pub fn unavailable_for(&self, id: &InstanceId, now: Timestamp) -> Option<Duration> {
+        let backoff = self.backoff_left(id, now);
+        if self.limits.is_empty() {
+            return backoff;
+        }
+        backoff.max(self.limits.empty_for(id.stable_hash(), now))
+    }
+
     /// Forgets instances that are unknown to `known` and have nothing open.
     pub fn retain(&mut self, known: impl Fn(&InstanceId) -> bool) {
         self.instances
--- a/crates/ledgelead-router/tests/rate_limit.rs
+++ b/crates/ledgelead-router/tests/rate_limit.rs
@@ -4,7 +4,49 @@
 use ledgelead_http::Response;
 use ledgelead_router::dialect::HeaderNames;
 use ledgelead_router::identity::InstanceId;
-use ledgelead_router::rate_limit::{RateLimit, RateNotice};
+use ledgelead_router::rate_limit::{
+    KnownLimits, LimitStatement, Limiter, LimiterRole, RateLimit, RateNotice, TokenVerdict,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const INSTANCE: u64 = 17;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn asker(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn limit(millis_per_s: u32) -> RateLimit {
+    RateLimit { millis_per_s }
+}
+
+/// When tokens are granted to asks each 5 ms in this span.
+fn granted(
+    limiter: &mut Limiter,
+    limit: RateLimit,
+    role: LimiterRole,
+    span: std::ops::Range<u64>,
+) -> Vec<u64> {
+    let asks = span.step_by(5);
+    let is_granted = |at: &u64| {
+        let verdict = limiter.ask(asker(1), INSTANCE, limit, role, ms(*at));
+        verdict == TokenVerdict::Granted
+    };
+    asks.filter(is_granted).collect()
+}
+
+/// Most of these times in some 4 s.
+fn most_in_a_window(times: &[u64]) -> usize {
+    let in_window = |from: u64| {
+        let window = from..from + 4_000;
+        times.iter().filter(|at| window.contains(at)).count()
+    };
+    times.iter().map(|from| in_window(*from)).max().unwrap_or(0)
+}
 
 fn headers() -> HeaderNames {
     let name = |name: &str| name.to_owned();
@@ -68,3 +110,132 @@
     expect_that!(notice(421, &[]), eq(RateNotice::Silent));
     expect_that!(notice(421, &[("rate-limit", "3")]), eq(RateNotice::Silent));
 }
+
+#[gtest]
+fn a_limiter_hands_out_the_named_rate() {
+    let mut limiter = Limiter::default();
+    granted(&mut limiter, limit(6_500), LimiterRole::First, 0..5_000);
+    let steady = granted(
+        &mut limiter,
+        limit(6_500),
+        LimiterRole::First,
+        5_000..15_000,
+    );
+    expect_that!(steady.len(), all!(ge(64), le(66)));
+}
+
+#[gtest]
+fn a_limiter_that_begins_counts_what_was_sent_before_it() {
+    let mut limiter = Limiter::default();
+    let first = granted(&mut limiter, limit(6_500), LimiterRole::First, 0..4_000);
+    expect_that!(first[0], all!(ge(2_000), le(2_300)));
+}
+
+#[gtest]
+fn unused_tokens_let_few_requests_through_at_once() {
+    let mut limiter = Limiter::default();
+    granted(&mut limiter, limit(6_000), LimiterRole::First, 0..5_000);
+    let after_silence = granted(
+        &mut limiter,
+        limit(6_000),
+        LimiterRole::First,
+        60_000..60_005,
+    );
+    expect_that!(after_silence, len(eq(1)));
+    let all = granted(
+        &mut limiter,
+        limit(6_000),
+        LimiterRole::First,
+        60_005..64_000,
+    );
+    expect_that!(all.len(), all!(ge(24), le(28)));
+}
+
+#[gtest]
+fn two_limiters_that_do_not_hear_each_other_stay_within_what_may_arrive() {
+    for millis_per_s in [0, 200, 1_800, 6_500, 40_000] {
+        let mut first = Limiter::default();
+        let mut second = Limiter::default();
+        let named = limit(millis_per_s);
+        let mut times = granted(&mut first, named, LimiterRole::First, 0..30_000);
+        // Unused for long, so that its burst falls into the same window.
+        granted(&mut second, named, LimiterRole::Second, 0..10_000);
+        times.extend(granted(
+            &mut second,
+            named,
+            LimiterRole::Second,
+            20_000..30_000,
+        ));
+        let allowed = (f64::from(millis_per_s) / 1_000.0 * 4.0).mul_add(1.5, 5.0);
+        expect_that!(
+            most_in_a_window(&times) as f64,
+            le(allowed),
+            "{millis_per_s}"
+        );
+    }
+}
+
+#[gtest]
+fn an_instance_that_takes_nothing_gets_a_request_now_and_then() {
+    // Only an answer can say that it takes requests again.
+    let mut limiter = Limiter::default();
+    let times = granted(&mut limiter, limit(0), LimiterRole::First, 0..30_000);
+    expect_that!(times.len(), all!(ge(5), le(8)));
+}
+
+#[gtest]
+fn refused_nodes_are_told_the_times_of_different_tokens() {
+    let mut limiter = Limiter::default();
+    granted(&mut limiter, limit(5_000), LimiterRole::First, 0..4_005);
+    let mut wait_of = |number| {
+        let role = LimiterRole::First;
+        match limiter.ask(asker(number), INSTANCE, limit(5_000), role, ms(4_010)) {
+            TokenVerdict::Refused(wait) => wait,
+            verdict => panic!("{verdict:?}"),
+        }
+    };
+    let first = wait_of(1);
+    expect_that!(wait_of(2) - first, all!(ge(ms(199)), le(ms(201))));
+    // Several requests of a node wait for one token.
+    expect_that!(wait_of(1), eq(first));
+}
+
+#[gtest]
+fn of_two_statements_the_later_one_counts_whichever_arrives_first() {
+    let mut limits = KnownLimits::default();
+    let said = |millis_per_s, at| LimitStatement {
+        limit: Some(limit(millis_per_s)),
+        at: ms(at),
+    };
+    limits.announced(INSTANCE, said(2_000, 500));
+    limits.announced(INSTANCE, said(8_000, 400));
+    expect_that!(limits.limit(INSTANCE), some(eq(limit(2_000))));
+    limits.announced(INSTANCE, said(8_000, 600));
+    expect_that!(limits.limit(INSTANCE), some(eq(limit(8_000))));
+    limits.answered(INSTANCE, None, ms(700));
+    limits.announced(INSTANCE, said(8_000, 650));
+    expect_that!(limits.limit(INSTANCE), none());
+}
+
+#[gtest]
+fn what_an_answer_says_is_reported_until_the_coordinator_knows_it() {
+    let mut limits = KnownLimits::default();
+    limits.answered(INSTANCE, Some(limit(2_000)), ms(100));
+    expect_that!(limits.unreported().count(), eq(1));
+    limits.reported(INSTANCE, Some(limit(9_000)));
+    expect_that!(limits.unreported().count(), eq(1));
+    limits.reported(INSTANCE, Some(limit(2_000)));
+    expect_that!(limits.unreported().count(), eq(0));
+    limits.answered(INSTANCE, None, ms(300));
+    expect_that!(limits.unreported().count(), eq(1));
+}
+
+#[gtest]
+fn limits_of_instances_that_are_gone_are_forgotten() {
+    let mut limits = KnownLimits::default();
+    limits.answered(INSTANCE, Some(limit(2_000)), ms(100));
+    limits.expire(|_| true, ms(100_000));
+    expect_that!(limits.is_empty(), eq(false));
+    limits.expire(|_| false, ms(100_000));
+    expect_that!(limits.is_empty(), eq(true));
+}
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -203,6 +203,7 @@
     register_relayed(&mut registry, status);
     register_traffic(&mut registry, &status.traffic);
     register_permits(&mut registry, status);
+    register_rate_limits(&mut registry, status);
     register_zone_traffic(&mut registry, &status.zone_traffic);
     register_held(&mut registry, held);
     let mut text = String::new();
@@ -371,6 +372,30 @@
     );
 }
 
+fn register_rate_limits(registry: &mut Registry, status: &NodeStatus) {
+    let decided = Family::<VerdictLabel, Counter>::default();
+    let counts = [
+        ("granted", status.limiter.granted),
+        ("refused", status.limiter.refused),
+    ];
+    for (verdict, count) in counts {
+        let label = VerdictLabel { verdict };
+        decided.get_or_create(&label).inc_by(count);
+    }
+    registry.register(
+        "rate_limit_tokens",
+        "Requests to instances with rate limits that this node was asked to allow",
+        decided,
+    );
+    let limits = Gauge::<i64>::default();
+    limits.set(i64::try_from(status.rate_limits).unwrap_or(i64::MAX));
+    registry.register(
+        "rate_limited_instances",
+        "Instances that name a rate limit, or have lately ceased to",
+        limits,
+    );
+}
+
 fn register_zone_traffic(registry: &mut Registry, traffic: &ZoneTraffic) {
     let bytes = Family::<ZoneLabel, Counter>::default();
     for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
