Keys of an owner that names a rate limit move to owners with room

Callers were refused (rate_limited) as long as an owner in need kept its keys: the plan of moves went by the work that it can do. Now its limit is the most that it counts for, in the plan and where free keys are given away. Overloaded keys are judged as before: with the limit as capacity, nodes would refuse by chance what a token decides exactly.

--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -32,4 +32,4 @@
 pub use faults::{Fault, FaultKind, Schedule, Target};
 pub use report::{FleetReport, Unserved};
 pub use transport::Transport;
-pub use world::{FleetSettings, TRAFFIC_FROM, World};
+pub use world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World};
--- a/crates/ledgelead-router/examples/coordinator_bench.rs
+++ b/crates/ledgelead-router/examples/coordinator_bench.rs
@@ -12,6 +12,7 @@
 };
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::protections::Protections;
+use ledgelead_router::rate_limit::KnownLimits;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -97,6 +98,7 @@
                 now,
                 directory: &directory,
                 configuration: &configuration,
+                limits: &KnownLimits::default(),
                 store_serves: true,
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut exchanges,
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -405,6 +405,7 @@
             now,
             directory: &self.directory,
             configuration,
+            limits: self.requests.limits(),
             store_serves: self.store.health.serves(),
             mechanisms: self.settings.mechanisms,
             exchanges: &mut self.exchanges,
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -22,6 +22,7 @@
 use crate::io::ExchangeId;
 use crate::mechanisms::Mechanisms;
 use crate::protections::Protections;
+use crate::rate_limit::KnownLimits;
 use crate::requests::OverloadedKey;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -74,6 +75,8 @@
     pub directory: &'a Directory,
     /// The configuration.
     pub configuration: &'a Configuration,
+    /// Rate limits that instances name.
+    pub limits: &'a KnownLimits,
     /// Whether the store serves this node, so that a next owner can be written
     /// down soon.
     pub store_serves: bool,
--- a/crates/ledgelead-router/src/ownership/coordinator/placement.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/placement.rs
@@ -30,6 +30,9 @@
 /// Service time assumed of an instance before one was seen.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(100);
 
+/// Requests a second that are reckoned with at least, where an instance takes none.
+const LEAST_CAPACITY: f64 = 0.25;
+
 /// What an instance has of a service's keys.
 #[derive(Clone, Debug, Default)]
 struct Share {
@@ -85,7 +88,7 @@
             let overloaded = self.overloaded(&service, &candidates);
             self.overloads.extend(overloaded);
             if may_move {
-                self.plan_moves_of(context, &service, candidates);
+                self.plan_moves_of(context, &service, within_limits(context, candidates));
                 self.plan_steady_moves(context, &service);
             }
         }
@@ -117,6 +120,7 @@
         };
         let candidates = self.candidates_by(context, service, &self.steady_work, Some(load));
         let settings = PlanSettings::steady();
+        let candidates = within_limits(context, candidates);
         for planned in planner::plan(candidates, load, settings) {
             self.begin_move(service, &planned, context.now);
         }
@@ -297,6 +301,24 @@
     }
 }
 
+/// The same with no more capacity than the rate limits that they name. What is refused for
+/// one is none of the work that they can do, so other decisions go without.
+pub(super) fn within_limits(
+    context: &Context<'_>,
+    mut candidates: Vec<Candidate>,
+) -> Vec<Candidate> {
+    if context.limits.is_empty() {
+        return candidates;
+    }
+    for candidate in &mut candidates {
+        if let Some(limit) = context.limits.limit(candidate.id.stable_hash()) {
+            let most = limit.per_s().max(LEAST_CAPACITY);
+            candidate.capacity = candidate.capacity.min(most);
+        }
+    }
+    candidates
+}
+
 /// The instances of a service that keys can be given to.
 pub(super) fn takers<'a>(
     context: &'a Context<'_>,
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -1,7 +1,7 @@
 //! Versions of the record.
 
 use super::holding::{Holding, State};
-use super::placement::takes;
+use super::placement::{takes, within_limits};
 use super::{Context, Coordinator, PLAN_INTERVAL};
 use crate::Timestamp;
 use crate::dialect::KeyRange;
@@ -64,7 +64,8 @@
                 None => {
                     let load = self.loads.get(&service);
                     let next_owners = placements.entry(service.clone()).or_insert_with(|| {
-                        NextOwners::new(self.candidates(context, &service), load)
+                        let candidates = self.candidates(context, &service);
+                        NextOwners::new(within_limits(context, candidates), load)
                     });
                     next_owners.take(range)
                 }
--- a/crates/ledgelead-router/tests/lives.rs
+++ b/crates/ledgelead-router/tests/lives.rs
@@ -14,6 +14,7 @@
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::quarantine::UnconfirmedAnswers;
+use ledgelead_router::rate_limit::KnownLimits;
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
 
@@ -191,6 +192,7 @@
             now,
             directory: &self.directory,
             configuration: &configuration,
+            limits: &KnownLimits::default(),
             store_serves: true,
             mechanisms: Mechanisms::default(),
             exchanges: &mut self.exchanges,
--- a/crates/ledgelead-router/tests/scale.rs
+++ b/crates/ledgelead-router/tests/scale.rs
@@ -17,6 +17,7 @@
 use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
 use ledgelead_router::peers::{ChangeLog, Changes};
 use ledgelead_router::protections::Protections;
+use ledgelead_router::rate_limit::KnownLimits;
 use ledgelead_router::settings::{HOLD, MAX_RENEWAL_INTERVAL};
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -128,6 +129,7 @@
                 now: self.now,
                 directory: &self.directory,
                 configuration: &self.configuration,
+                limits: &KnownLimits::default(),
                 store_serves: true,
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut self.exchanges,
