--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -79,6 +79,7 @@
         retry_after: name("retry-after"),
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
+        store_era: name("store-era"),
     }
 }
 
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -305,6 +305,8 @@
     pub leaving: String,
     /// Requests a second that the instance that answers takes from all nodes together.
     pub rate_limit: String,
+    /// The era of the store: it rises each time the store comes back from a copy.
+    pub store_era: String,
 }
 
 /// Translates between a platform and the router.
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -130,6 +130,11 @@
     },
     /// A call of the store was served again.
     StoreServes,
+    /// The store has another era than before, or this node has read the first one.
+    StoreEra {
+        /// The era; none if an answer doesn't say.
+        era: Option<u64>,
+    },
     /// An object of the store can't be read.
     ObjectUnreadable {
         /// Its name, or its kind.
@@ -212,6 +217,12 @@
         /// What became of the call.
         cause: &'a str,
     },
+    /// A version of the record was not written, since the store holds another one than the
+    /// one that it follows on.
+    RecordConflict {
+        /// The revision that it follows on.
+        revision: Option<u64>,
+    },
     /// A write of the record has given keys to an owner.
     KeysOwned {
         /// The service.
@@ -298,6 +309,7 @@
             | Event::InstanceGone { .. } => "instances",
             Event::StoreFails { .. }
             | Event::StoreServes
+            | Event::StoreEra { .. }
             | Event::ChangesMissing { .. }
             | Event::StateReceived { .. }
             | Event::ObjectUnreadable { .. } => "store",
@@ -310,6 +322,7 @@
             | Event::MoveBegins { .. }
             | Event::KeysOwned { .. }
             | Event::RecordNotWritten { .. }
+            | Event::RecordConflict { .. }
             | Event::OrderFailed { .. } => "ownership",
             Event::InstanceEnded { .. }
             | Event::EndDisproved { .. }
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -533,6 +533,10 @@
                 self.ownership_changed(record, version, started, now, out);
             }
             (Ok(StoreAnswer::Conflict), _) => {
+                let conflict = Event::RecordConflict {
+                    revision: self.ownership.revision(),
+                };
+                conflict.emit();
                 // Another coordinator, or an earlier write of this one whose
                 // answer was lost: the record tells.
                 self.store.refresh_ownership(now, out);
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -29,6 +29,9 @@
             return;
         };
         self.coordination.note_change();
+        if let Ok(response) = &result {
+            self.note_era(response);
+        }
         let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
         let apart = self.settings.protections.has(Protection::ForeignApart);
         let answer = match answer {
@@ -57,6 +60,15 @@
         }
     }
 
+    /// Logs the era of an answer, if it is another than before.
+    fn note_era(&mut self, response: &Response) {
+        let era = response.headers.number(&self.dialect.headers().store_era);
+        if self.store.era != Some(era) {
+            self.store.era = Some(era);
+            Event::StoreEra { era }.emit();
+        }
+    }
+
     /// Pauses between this node's calls while the store fails it.
     fn probe_pauses(&self) -> Backoff {
         if self.gossip.informed_until.is_some() {
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -125,6 +125,8 @@
     /// Calls by what they are for.
     calls_by: BTreeMap<&'static str, u64>,
     pub(super) failures: u64,
+    /// The era that the store's last answer named, once there was one.
+    pub(super) era: Option<Option<u64>>,
 }
 
 impl StoreCalls {
@@ -148,6 +150,7 @@
             calls: 0,
             calls_by: BTreeMap::new(),
             failures: 0,
+            era: None,
         }
     }
 
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -327,6 +327,7 @@
         retry_after: name("retry-after"),
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
+        store_era: name("store-era"),
     }
 }
 
