--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -190,6 +190,26 @@
     }
 }
 
+/// A run with a store that comes back from copies, and drawn faults besides in half of the
+/// runs, or cuts.
+pub fn drawn_eras(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xe4a5);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let eras = Schedule::draw_eras(&mut rng, nodes, from, to);
+    let schedule = match seed % 4 {
+        0 | 2 => eras,
+        1 => drawn.schedule.join(eras),
+        _ => Schedule::draw_cuts(&mut rng, nodes, from, to).join(eras),
+    };
+    FleetSettings {
+        schedule,
+        // Moves go on during a run, so that a copy knows other owners.
+        hot_from: Some(from),
+        ..drawn
+    }
+}
+
 /// A run with suspended machines, and drawn faults besides in half of the runs.
 pub fn drawn_suspended(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_for(seed, nodes, protections);
@@ -275,6 +295,7 @@
             Long("foreign") => draw = drawn_foreign,
             Long("restarts") => draw = drawn_restarts,
             Long("notices") => draw = drawn_notices,
+            Long("eras") => draw = drawn_eras,
             Long("limits") => draw = drawn_limits,
             Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -65,6 +65,10 @@
     ExpireEntries,
     /// A client asks.
     Client,
+    /// The store's state is kept, to come back to.
+    CopyStore,
+    /// The operator writes again what it has written.
+    OperatorWritesAgain,
     /// Every node's version of the configuration is looked at.
     CheckVersions,
     /// A fault begins, which lasts for so long.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -69,6 +69,8 @@
     StoreRefuses,
     /// The store does writes and answers some of them not, or late.
     StoreLosesAnswers,
+    /// The store is silent, and comes back in the end from a copy that was so old as it went.
+    StoreRestored(Duration),
     /// The store forgets its history.
     StoreForgets,
     /// Some orders get no answer and are carried out seconds later.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod command;
 mod crashing;
 mod dialect;
+mod eras;
 mod event;
 mod faults;
 mod foreign;
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -350,6 +350,11 @@
                 self.mood.silent += 1;
                 self.store.waiting.clear();
             }
+            FaultKind::StoreRestored(_) => {
+                self.mood.silent += 1;
+                self.store.waiting.clear();
+                self.went_away_at = self.now;
+            }
             FaultKind::StoreRefuses => self.mood.refusing += 1,
             FaultKind::StoreLosesAnswers => self.mood.losing += 1,
             FaultKind::StoreForgets => self.store.compact(),
@@ -404,6 +409,10 @@
                 self.mood.silent -= 1;
                 self.mood.returned_at = self.now;
             }
+            FaultKind::StoreRestored(age) => {
+                self.mood.silent -= 1;
+                self.restore_store(self.went_away_at, *age);
+            }
             FaultKind::StoreRefuses => {
                 self.mood.refusing -= 1;
                 self.mood.returned_at = self.now;
--- a/crates/ledgelead-lab/src/fleet/store.rs
+++ b/crates/ledgelead-lab/src/fleet/store.rs
@@ -7,7 +7,7 @@
 };
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::io::ExchangeId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Most objects of one page of a list, unless a run says otherwise.
@@ -46,11 +46,23 @@
 }
 
 /// Objects as they were at an earlier revision, for lists that may be stale.
+#[derive(Clone)]
 struct Earlier {
     objects: BTreeMap<(ObjectKind, String), Object>,
     revision: u64,
 }
 
+/// The store's state at a time.
+#[derive(Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(ObjectKind, String), Object>,
+    history: Vec<Change>,
+    forgotten: u64,
+    earlier: Option<Earlier>,
+}
+
+#[derive(Clone)]
 struct Change {
     revision: u64,
     kind: ObjectKind,
@@ -66,6 +78,8 @@
     forgotten: u64,
     earlier: Option<Earlier>,
     page: usize,
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     /// Watches that wait.
     pub waiting: Vec<Waiting>,
 }
@@ -79,6 +93,39 @@
         }
     }
 
+    /// The era.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// The state as it is now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            objects: self.objects.clone(),
+            history: self.history.clone(),
+            forgotten: self.forgotten,
+            earlier: self.earlier.clone(),
+        }
+    }
+
+    /// The state is that of a copy again.
+    pub fn restore(&mut self, copy: StoreCopy) {
+        self.revision = copy.revision;
+        self.objects = copy.objects;
+        self.history = copy.history;
+        self.forgotten = copy.forgotten;
+        self.earlier = copy.earlier;
+        self.waiting.clear();
+        self.era += 1;
+    }
+
+    /// The names of all objects of a kind.
+    pub fn names(&self, kind: ObjectKind) -> BTreeSet<String> {
+        let of_kind = self.objects.keys().filter(|(of, _)| *of == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// The operator writes a configuration.
     pub fn configure(&mut self, configuration: Configuration) {
         let content = ObjectContent::Configuration(configuration);
@@ -243,7 +290,7 @@
 
     /// The changes of a kind after a revision, if there are some.
     pub fn changes(&self, kind: ObjectKind, revision: u64) -> Option<StoreAnswer> {
-        if revision < self.forgotten {
+        if revision < self.forgotten || revision > self.revision {
             return Some(StoreAnswer::HistoryLost);
         }
         let events: Vec<ObjectEvent> = self
--- a/crates/ledgelead-lab/src/fleet/store_traffic.rs
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -59,7 +59,11 @@
         if self.network.cut_from_store.contains(&caller.0) {
             return;
         }
-        let response = self.tickets.borrow_mut().answer(answer);
+        let mut response = self.tickets.borrow_mut().answer(answer);
+        let era = self.store.era();
+        if era > 0 {
+            response.headers.push("store-era", era.to_string());
+        }
         let input = exchanged(exchange, Ok(response));
         self.schedule(LATENCY * 3, Event::Exchanged(caller, exchange, input));
     }
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -3,6 +3,7 @@
 use super::checker::{Checker, Violation};
 use super::crashing::{Crashing, CrashingRequest};
 use super::dialect::{TicketDialect, Tickets};
+use super::eras::Copies;
 use super::event::{Caller, Event, Scheduled};
 use super::faults::{Fault, Schedule, Target};
 use super::instance::Instance;
@@ -151,6 +152,9 @@
     pub(super) notice_rng: Pcg64Mcg,
     pub(super) notices: Notices,
     pub(super) limits: Limits,
+    pub(super) copies: Copies,
+    /// When the store last went away to come back from a copy.
+    pub(super) went_away_at: Duration,
     /// When the entry of each instance was written first.
     pub(super) registered: HashMap<usize, Duration>,
     pub(super) crashing: Vec<Crashing>,
@@ -192,6 +196,8 @@
             notice_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x5a1d),
             notices: Notices::default(),
             limits: Limits::default(),
+            copies: Copies::default(),
+            went_away_at: Duration::ZERO,
             registered: HashMap::new(),
             crashing: settings
                 .crashing
@@ -259,6 +265,7 @@
         self.schedule(HEARTBEAT, Event::ExpireEntries);
         self.schedule(TRAFFIC_FROM, Event::Client);
         self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
+        self.schedule_copies();
         for Fault { at, lasts, kind } in self.settings.schedule.0.clone() {
             self.schedule_at(at, Event::Fault(kind.clone(), lasts));
             self.schedule_at(at + lasts, Event::FaultEnds(kind));
@@ -379,6 +386,8 @@
                 let jitter = Duration::from_micros(self.rng.random_range(0..4_000));
                 self.schedule(CLIENT_INTERVAL + jitter, Event::Client);
             }
+            Event::CopyStore => self.copy_store(),
+            Event::OperatorWritesAgain => self.operator_writes_again(),
             Event::CheckVersions => {
                 self.check_versions();
                 self.schedule(VERSION_CHECK_INTERVAL, Event::CheckVersions);
