Nothing taken from the store outlives its era unproved

Two instances held the same keys for 1.6 s after all nodes were killed, and a tenth of the searches and more weren't served for a minute before. The store had come back from a copy: it gave revisions out again, and its record lacked the latest moves.

Now all that comes from the store is numbered by its era and its own revision, so that an order of both holds wherever revisions are compared. A node that meets a new era reads its lists anew and registers again; its coordinator leaves, gives no orders, and campaigns with the record that it knows, which another node may do as well once the coordinator has said that its last version is the one known there. The record names the era in which it was written. Who follows on a copy without such proof grants no key before every hold of the era before has ended (16 s); epochs and tokens of an era are above all of earlier ones.

Ruled out: the copy's owners by higher tokens (others may hold the keys), releases at the owners that it names (they prove only what the copy knows), leases of the kill (tokens too were given out twice).

--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -78,6 +78,17 @@
         self.doubt_removals_until(now + ENTRIES_RETURN_WITHIN);
     }
 
+    /// The store came back from a copy, whose entries may be from before an instance began to
+    /// leave. Such an entry takes nothing back.
+    pub fn begin_era(&mut self, now: Timestamp) {
+        self.store_was_lost(now);
+        for (id, instance) in &self.instances {
+            if let Presence::Draining { since } = instance.presence {
+                self.said_leaving.entry(id.clone()).or_insert(since);
+            }
+        }
+    }
+
     /// Entries that go before this time may come back: whoever tells of them
     /// says so.
     pub fn doubt_removals_until(&mut self, until: Timestamp) {
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -13,7 +13,8 @@
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::protections::{Protection, Protections};
-use crate::settings::COORDINATOR_AUTHORITY;
+use crate::settings::{COORDINATOR_AUTHORITY, longest_unknown_hold};
+use crate::store::era_of;
 use ledgelead_http::Response;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -72,6 +73,13 @@
     resigning: bool,
     resign_out: bool,
     resign_done: bool,
+    /// The epoch in which this node coordinated, with authority, as an era of the store ended.
+    coordinated_until_era: Option<u64>,
+    /// When this node learned of the era.
+    era_began: Timestamp,
+    /// The epoch of the coordinator of the era before, and the revision of its last version of
+    /// the record, by what it has said since.
+    vouched_record: Option<(u64, u64)>,
     protections: Protections,
 }
 
@@ -94,6 +102,9 @@
             resigning: false,
             resign_out: false,
             resign_done: false,
+            coordinated_until_era: None,
+            era_began: Timestamp::ZERO,
+            vouched_record: None,
             protections,
         }
     }
@@ -121,6 +132,33 @@
         confirmed && self.coordinator.is_some() && !self.resigning
     }
 
+    /// The store came back from a copy: what it has confirmed of this place counts no more.
+    pub(super) fn begin_era(&mut self, now: Timestamp) {
+        let epoch = self.coordinator.as_ref().map(Coordinator::epoch);
+        self.coordinated_until_era = epoch.filter(|_| self.has_authority(now));
+        self.taking_over = false;
+        self.era_began = now;
+        self.vouched_record = None;
+    }
+
+    /// A coordinator said at a time which version of the record is its last one. After the
+    /// end of an era it can write no later one there.
+    pub(super) fn record_vouched(&mut self, epoch: u64, revision: u64, at: Timestamp) {
+        if at >= self.era_began {
+            self.vouched_record = Some((epoch, revision));
+        }
+    }
+
+    /// What the coordinator of the era before has said since of its last version.
+    pub(super) fn vouched_record(&self) -> Option<(u64, u64)> {
+        self.vouched_record
+    }
+
+    /// The epoch in which this node coordinated as an era of the store ended.
+    pub(super) fn coordinated_until_era(&self) -> Option<u64> {
+        self.coordinated_until_era
+    }
+
     /// The store has told of the record whether it can be read.
     pub(super) fn record_told(&mut self, is_readable: bool) {
         self.record_unreadable = !is_readable;
@@ -213,7 +251,7 @@
     }
 
     pub(super) fn campaign_due(&self) -> Timestamp {
-        if self.succeeds_own_life() {
+        if self.succeeds_own_life() || self.continues_own_epoch() {
             return self.coordination.election.due_after_own_life();
         }
         let record = self.ownership.record();
@@ -233,8 +271,10 @@
     }
 
     fn campaign(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        if self.ownership.revision().is_some() && !self.ownership.is_confirmed() {
-            // Known by a datagram alone: a take-over rests on the store.
+        let revision = self.ownership.revision();
+        let is_former = revision.is_some_and(|known| era_of(known) < self.store.era);
+        if is_former || revision.is_some() && !self.ownership.is_confirmed() {
+            // Known by a datagram alone, or of an earlier era: a take-over rests on the store.
             self.coordination.election.tried_unconfirmed(now);
             self.store.refresh_ownership(now, out);
             return;
@@ -244,10 +284,17 @@
         let predecessor = |identity| Predecessor { identity, named_at };
         self.coordination.predecessor = record.coordinator.clone().map(predecessor);
         self.coordination.earlier_authority = record.earlier_authority();
-        let mut next = record.taken_over_by(&self.settings.identity, self.settings.protections);
+        let mut next = record.taken_over_by(
+            &self.settings.identity,
+            self.store.era,
+            self.settings.protections,
+        );
         if !self.predecessor_has_ended() {
             next.set_earlier_authority(COORDINATOR_AUTHORITY);
         }
+        if !self.knows_all_owners() {
+            next.set_unknown_holds(longest_unknown_hold());
+        }
         let content = WrittenContent::Ownership(next.clone());
         let name = OWNERSHIP_NAME.to_owned();
         let call = match self.ownership.revision() {
@@ -345,12 +392,13 @@
         coordinates.emit();
         self.coordination.orders.clear();
         self.coordination.write_out = false;
-        self.coordination.coordinator = Some(Coordinator::new(
-            record,
-            earlier,
-            self.settings.protections,
-            now,
-        ));
+        self.coordination.coordinated_until_era = None;
+        let unknown_holds = record.unknown_holds();
+        let coordinator = Coordinator::new(record, earlier, self.settings.protections, now);
+        self.coordination.coordinator = Some(match unknown_holds.is_zero() {
+            true => coordinator,
+            false => coordinator.with_unknown_holds(now + unknown_holds),
+        });
         self.store.set_coordinating(true, now);
         for kind in [ObjectKind::Configuration, ObjectKind::Instances] {
             // A watch from before may wait longer than a coordinator's word
@@ -384,7 +432,9 @@
         let Predecessor { identity, named_at } = predecessor;
         let earlier_life_of_this = identity.node == self.settings.identity.node
             && identity.incarnation != self.settings.identity.incarnation;
-        earlier_life_of_this || self.registry.has_ended(identity, *named_at)
+        // Its place ended with the era in which it had it.
+        let is_this = *identity == self.settings.identity;
+        is_this || earlier_life_of_this || self.registry.has_ended(identity, *named_at)
     }
 
     fn step_coordinator(&mut self, now: Timestamp, out: &mut Vec<Action>) {
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -72,6 +72,9 @@
         }
         // What it says was true when it was sent.
         let delay = self.gossip.delay.arrived(epoch, heartbeat.sent_ms, now);
+        let sent_at = now.saturating_sub(delay);
+        self.coordination
+            .record_vouched(epoch, heartbeat.revision, sent_at);
         let age = delay + Duration::from_millis(u64::from(heartbeat.age_ms));
         self.gossip.coordinator_address = Some(from);
         self.gossip.heartbeat_sender = Some(from);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod status;
 mod store_answers;
 mod store_calls;
+mod store_era;
 mod transfer;
 mod unreadable;
 mod watch_paces;
--- a/crates/ledgelead-router/src/node/picture.rs
+++ b/crates/ledgelead-router/src/node/picture.rs
@@ -13,6 +13,7 @@
 use crate::peers::Registration;
 use crate::protections::Protection;
 use crate::requests::RequestDigest;
+use crate::store::era_of;
 use std::collections::BTreeSet;
 
 impl Node {
@@ -25,6 +26,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let is_empty = objects.is_empty();
         let mut instances = Vec::new();
         let mut nodes = Vec::new();
         let mut zones = Vec::new();
@@ -71,7 +73,12 @@
             }
             ObjectKind::Instances => self.directory.replace_all(instances, now),
             ObjectKind::Nodes => self.replace_nodes(nodes),
-            ObjectKind::Ownership => self.coordination.listed = true,
+            ObjectKind::Ownership => {
+                self.coordination.listed = true;
+                if is_empty && self.store.is_exact(kind) {
+                    self.record_is_missing(now);
+                }
+            }
             ObjectKind::Configuration => {}
             ObjectKind::Evacuations => {
                 let revision = self.store.revision_of(kind).unwrap_or(0);
@@ -225,6 +232,10 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        if record.era < era_of(version.revision) {
+            self.former_record_read(record, version, now);
+            return;
+        }
         // A write of this node may be told by its answer, or by a list if the
         // answer was lost: the others hear of it either way.
         let written = self.writes(&record).then(|| {
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -56,6 +56,13 @@
 }
 
 impl Quarantine {
+    /// The store came back from a copy, which lacks what was kept since: that is written again,
+    /// and its absence is no word of an operator.
+    pub(super) fn begin_era(&mut self) {
+        self.kept.clear();
+        self.is_writing = false;
+    }
+
     pub(super) fn owns(&self, exchange: ExchangeId) -> bool {
         self.probes.contains_key(&exchange)
     }
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -44,6 +44,12 @@
         self.is_done
     }
 
+    /// The store came back from a copy, which may hold another registration, or none.
+    pub(super) fn begin_era(&mut self) {
+        self.is_done = false;
+        self.awaits_list = true;
+    }
+
     /// The nodes were listed.
     pub(super) fn listed(&mut self) {
         self.awaits_list = false;
--- a/crates/ledgelead-router/src/node/relay/ownership.rs
+++ b/crates/ledgelead-router/src/node/relay/ownership.rs
@@ -11,6 +11,7 @@
 use crate::peers::{
     ChangeSpan, ChangedAssignment, Changes, Datagram, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
+use crate::store::era_of;
 use ledgelead_types::codec::{List, Text};
 
 /// Most assignments in one datagram.
@@ -177,7 +178,11 @@
         }
         let mut before = self.ownership.record().clone();
         before.next_fence = take_over.first_fence;
-        let record = before.taken_over_by(&take_over.coordinator, self.settings.protections);
+        let record = before.taken_over_by(
+            &take_over.coordinator,
+            era_of(take_over.revision),
+            self.settings.protections,
+        );
         let same_digest = record.digest() == take_over.digest;
         let known = self.ownership.revision().unwrap_or(0);
         if same_digest
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -29,10 +29,7 @@
             return;
         };
         self.coordination.note_change();
-        if let Ok(response) = &result {
-            self.note_era(response);
-        }
-        let answer = result.map(|response| self.dialect.store_answer(&pending.call, &response));
+        let answer = self.read_store_answer(&pending.call, pending.era, result, now, out);
         let apart = self.settings.protections.has(Protection::ForeignApart);
         let answer = match answer {
             Ok(answer) if !apart && holds_foreign(&answer) => Ok(StoreAnswer::Unreadable(
@@ -42,9 +39,12 @@
         };
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
         self.note_health(served, &answer, pending.started, now, out);
+        let is_former = self.is_write_of_former_era(&pending.purpose, pending.era);
         match pending.purpose {
             Purpose::Watch(kind) => self.watch_answered(kind, answer, pending.started, now, out),
+            Purpose::Register if is_former => self.store.registration.begin_era(),
             Purpose::Register => self.registration_answered(answer, now),
+            Purpose::KeepEvidence(_) if is_former => self.quarantine.begin_era(),
             Purpose::KeepEvidence(kept) => {
                 let (request, record) = *kept;
                 self.evidence_kept(request, record, answer, now);
@@ -60,15 +60,6 @@
         }
     }
 
-    /// Logs the era of an answer, if it is another than before.
-    fn note_era(&mut self, response: &Response) {
-        let era = response.headers.number(&self.dialect.headers().store_era);
-        if self.store.era != Some(era) {
-            self.store.era = Some(era);
-            Event::StoreEra { era }.emit();
-        }
-    }
-
     /// Pauses between this node's calls while the store fails it.
     fn probe_pauses(&self) -> Backoff {
         if self.gossip.informed_until.is_some() {
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -10,7 +10,7 @@
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
 use crate::settings::NodeSettings;
-use crate::store::{StoreHealth, Watcher};
+use crate::store::{StoreHealth, Watcher, call_of_store};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -99,6 +99,8 @@
     pub(super) purpose: Purpose,
     pub(super) call: StoreCall,
     pub(super) started: Timestamp,
+    /// The era that was known then.
+    pub(super) era: u64,
 }
 
 /// State of the calls.
@@ -125,8 +127,8 @@
     /// Calls by what they are for.
     calls_by: BTreeMap<&'static str, u64>,
     pub(super) failures: u64,
-    /// The era that the store's last answer named, once there was one.
-    pub(super) era: Option<Option<u64>>,
+    /// The latest era that the store has named.
+    pub(super) era: u64,
 }
 
 impl StoreCalls {
@@ -150,7 +152,7 @@
             calls: 0,
             calls_by: BTreeMap::new(),
             failures: 0,
-            era: None,
+            era: 0,
         }
     }
 
@@ -434,6 +436,7 @@
 impl Node {
     /// Makes the calls that are due.
     pub(super) fn call_store(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.restart_former_watches(now);
         self.register_if_due(now, out);
         for index in 0..self.store.watchers.len() {
             if self.store.is_held_back(index) {
@@ -461,7 +464,7 @@
         out.push(Action::Exchange {
             exchange,
             address: self.settings.store_address,
-            request: self.dialect.store_request(&call),
+            request: self.dialect.store_request(&call_of_store(&call)),
             options: ExchangeOptions {
                 match_header: None,
                 reuse_idle_below: REUSE_IDLE,
@@ -480,6 +483,7 @@
                 purpose,
                 call,
                 started: now,
+                era: self.store.era,
             },
         );
     }
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -30,6 +30,7 @@
     ChangedNode, InstanceTable, PeerAddress, RecordEntry, Registration, RelayedKind,
     TransferAnswer, TransferRequest, TransferredObjects, TransferredState,
 };
+use crate::store::era_of;
 use ledgelead_http::{Request, Response};
 use ledgelead_types::codec::{self, Text};
 use rand::{RngExt, SeedableRng};
@@ -335,7 +336,9 @@
         } = state;
         let known = self.known_revision(asked.kind).unwrap_or(0);
         let is_news = asked.is_list || known < revision;
-        if !is_news || boundary::revision("revision", revision).is_err() {
+        let is_former =
+            asked.kind != RelayedKind::Configuration && era_of(revision) < self.store.era;
+        if !is_news || is_former || boundary::revision("revision", revision).is_err() {
             return false;
         }
         let as_of = age_ms.map(|age| {
@@ -431,6 +434,8 @@
             epoch: entry.epoch,
             coordinator,
             earlier_authority_ms: entry.earlier_authority_ms,
+            era: entry.era,
+            unknown_holds_ms: entry.unknown_holds_ms,
             next_fence: entry.next_fence,
             assignments,
         };
--- a/crates/ledgelead-router/src/node/transfer/serving.rs
+++ b/crates/ledgelead-router/src/node/transfer/serving.rs
@@ -351,6 +351,8 @@
             epoch: record.epoch,
             coordinator,
             earlier_authority_ms: record.earlier_authority_ms,
+            era: record.era,
+            unknown_holds_ms: record.unknown_holds_ms,
             next_fence: record.next_fence,
             assignments: record.assignments.iter().map(changed_assignment).collect(),
         }
--- a/crates/ledgelead-router/src/ownership/coordinator/holding.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/holding.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Nobody is granted the keys before this time, whoever holds them.
+    pub(super) fn wait_out(&mut self, until: Timestamp) {
+        self.lease = Lease::given_up(until);
+        self.state = State::Releasing {
+            target: self.owner.clone(),
+            order: None,
+            next_try: until,
+        };
+    }
+
     /// The lease of the next owner, once the record names it.
     pub(super) fn next_lease(
         &self,
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -108,6 +108,8 @@
     /// When the record may be written again.
     next_write: Timestamp,
     earlier: EarlierAuthority,
+    /// Until when keys may be held by instances that the record doesn't name.
+    unknown_holds_until: Timestamp,
     next_plan: Timestamp,
     /// When ranges for which no instance had room are looked at again.
     next_placement: Timestamp,
@@ -186,6 +188,7 @@
             writing_since: None,
             next_write: now,
             earlier,
+            unknown_holds_until: now,
             next_plan: now + PLAN_INTERVAL * 2,
             next_placement: now,
             unreachable: UnreachableOwners::default(),
@@ -196,6 +199,22 @@
         }
     }
 
+    /// Until this time any key may be held by an instance that the record doesn't name, since
+    /// versions that followed on it were lost: nobody is granted any. Then they go to the
+    /// owners that it names, or to others where those are gone.
+    pub fn with_unknown_holds(mut self, until: Timestamp) -> Coordinator {
+        self.unknown_holds_until = until;
+        for holding in &mut self.holdings {
+            holding.wait_out(until);
+        }
+        self
+    }
+
+    /// Whether keys may be held by instances that the record doesn't name.
+    fn has_unknown_holds(&self, now: Timestamp) -> bool {
+        now < self.unknown_holds_until
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> u64 {
         self.record.epoch
@@ -219,7 +238,7 @@
 
     /// The predecessor has ended for certain.
     pub fn predecessor_ended(&mut self, now: Timestamp) {
-        if self.earlier.predecessor <= now {
+        if self.earlier.predecessor <= now || self.has_unknown_holds(now) {
             return;
         }
         self.earlier.predecessor = now;
@@ -260,9 +279,11 @@
     /// caller has checked the coordinator's authority for this very moment.
     pub fn step(&mut self, context: &mut Context<'_>) -> Commands {
         let mut commands = Commands::default();
-        self.cover_services(context);
-        self.replace_lost_owners(context);
-        self.plan_moves(context);
+        if !self.has_unknown_holds(context.now) {
+            self.cover_services(context);
+            self.replace_lost_owners(context);
+            self.plan_moves(context);
+        }
         self.release(context, &mut commands);
         self.grant(context, &mut commands);
         commands.write = self.begin_write(context);
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -155,10 +155,13 @@
             epoch: self.record.epoch,
             coordinator: self.record.coordinator.clone(),
             earlier_authority_ms: 0,
+            era: self.record.era,
+            unknown_holds_ms: 0,
             next_fence: self.next_fence,
             assignments: Vec::with_capacity(assignments.len()),
         };
         record.set_earlier_authority(self.earlier_authority(now));
+        record.set_unknown_holds(self.unknown_holds_until.saturating_sub(now));
         for assignment in assignments {
             match record.assignments.last_mut() {
                 Some(last) if continues(last, &assignment) => last.last = assignment.last,
--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// A lease that is waited out: its owner is granted nothing more.
+    pub fn given_up(possible_until: Timestamp) -> Lease {
+        Lease {
+            possible_until,
+            failures: GIVEN_UP_AFTER,
+            ..Lease::fresh(possible_until, None)
+        }
+    }
+
     /// A grant is sent. Until its end is known the lease is not over; whether
     /// it moves the end is told by `granted` or `unanswered`.
     pub fn granting(&mut self, order: ExchangeId) {
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -3,6 +3,7 @@
 use crate::dialect::KeyRange;
 use crate::identity::{InstanceId, NodeIdentity, ServiceName};
 use crate::protections::{Protection, Protections};
+use crate::store::first_of;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
@@ -65,6 +66,14 @@
     /// before this one may go on to give orders.
     #[serde(default)]
     pub earlier_authority_ms: u64,
+    /// The era of the store in which this version was written. In a later era it is part of a
+    /// copy: versions that followed on it may be lost, and owners with them.
+    #[serde(default)]
+    pub era: u64,
+    /// How long, in milliseconds from the write of this version, keys may be held by instances
+    /// that no version of this era names.
+    #[serde(default)]
+    pub unknown_holds_ms: u64,
     /// The next fencing token to be used.
     pub next_fence: u64,
     /// All assignments, by service and first key.
@@ -72,16 +81,23 @@
 }
 
 impl OwnershipRecord {
-    /// The record under a new coordinator. Every assignment gets a new fencing
-    /// token, so that orders of the coordinator before are refused by each
-    /// instance that the new one has reached.
+    /// The record under a new coordinator, in an era of the store. Every assignment gets a new
+    /// fencing token, so that orders of the coordinator before are refused by each
+    /// instance that the new one has reached. Epochs and tokens of an era are above all of
+    /// earlier ones, also of those that were lost.
     pub fn taken_over_by(
         &self,
         coordinator: &NodeIdentity,
+        era: u64,
         protections: Protections,
     ) -> OwnershipRecord {
         let mut record = self.clone();
         record.epoch += 1;
+        if protections.has(Protection::EraTokens) {
+            record.epoch = record.epoch.max(first_of(era));
+            record.next_fence = record.next_fence.max(first_of(era));
+        }
+        record.era = era;
         record.coordinator = Some(coordinator.clone());
         let raised = protections.has(Protection::TakeoverFence);
         for assignment in record.assignments.iter_mut().filter(|_| raised) {
@@ -91,6 +107,21 @@
         record
     }
 
+    /// How long keys may be held by instances that no version of this era names.
+    pub fn unknown_holds(&self) -> Duration {
+        Duration::from_millis(self.unknown_holds_ms)
+    }
+
+    /// Sets how long that may be.
+    pub fn set_unknown_holds(&mut self, left: Duration) {
+        self.unknown_holds_ms = rounded_up_millis(left);
+    }
+
+    /// Whether this version knows of more moves of keys than another one.
+    pub fn is_later_than(&self, other: &OwnershipRecord) -> bool {
+        (self.epoch, self.next_fence) > (other.epoch, other.next_fence)
+    }
+
     /// How long coordinators before this one may go on to give orders.
     pub fn earlier_authority(&self) -> Duration {
         Duration::from_millis(self.earlier_authority_ms)
@@ -98,9 +129,7 @@
 
     /// Sets how long coordinators before this one may go on to give orders.
     pub fn set_earlier_authority(&mut self, left: Duration) {
-        // Rounded up, so that nobody is taken for silent too early.
-        let whole = left.as_nanos().div_ceil(1_000_000);
-        self.earlier_authority_ms = u64::try_from(whole).unwrap_or(u64::MAX);
+        self.earlier_authority_ms = rounded_up_millis(left);
     }
 
     /// A number that two records share that have the same epoch and the same
@@ -183,3 +212,9 @@
         !overlaps && fences
     }
 }
+
+/// Rounded up, so that nobody is taken for silent too early.
+fn rounded_up_millis(time: Duration) -> u64 {
+    let whole = time.as_nanos().div_ceil(1_000_000);
+    u64::try_from(whole).unwrap_or(u64::MAX)
+}
--- a/crates/ledgelead-router/src/ownership/view.rs
+++ b/crates/ledgelead-router/src/ownership/view.rs
@@ -2,6 +2,7 @@
 
 use super::record::{Assignment, OwnershipRecord};
 use crate::identity::ServiceName;
+use crate::store::era_of;
 
 /// Which version of the record a call of the store has told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,9 @@
 pub struct OwnershipView {
     record: OwnershipRecord,
     revision: Option<u64>,
+    /// The revision by which the record was written. A store that came back from a copy holds
+    /// another version at `revision`.
+    written_at: Option<u64>,
     /// Whether the store itself told this version.
     confirmed: bool,
 }
@@ -48,6 +52,7 @@
         self.record = record;
         self.record.sort();
         self.revision = Some(revision);
+        self.written_at = Some(revision);
         self.confirmed = is_confirmed;
         true
     }
@@ -62,6 +67,7 @@
         }
         self.record.overlay(changes);
         self.revision = Some(revision);
+        self.written_at = Some(revision);
         self.confirmed = false;
         true
     }
@@ -76,10 +82,31 @@
         }
         self.record = record;
         self.revision = Some(revision);
+        self.written_at = Some(revision);
         self.confirmed = false;
         true
     }
 
+    /// Since it came back from a copy, the store holds an earlier version at this revision, or
+    /// none. What is known stays, for requests to be routed by it and for a coordinator to
+    /// write it again.
+    pub fn set_back(&mut self, revision: Option<u64>, is_confirmed: bool) {
+        self.revision = revision;
+        self.confirmed = is_confirmed;
+    }
+
+    /// The revision by which the record that is known was written.
+    pub fn written_at(&self) -> Option<u64> {
+        self.written_at
+    }
+
+    /// Whether versions that followed on this one may be lost: it was written in an earlier
+    /// era than the one in which the store holds it.
+    pub fn is_of_former_era(&self) -> bool {
+        self.revision
+            .is_none_or(|revision| self.record.era < era_of(revision))
+    }
+
     /// Whether the store itself told this version.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed
--- a/crates/ledgelead-router/src/peers/transfer.rs
+++ b/crates/ledgelead-router/src/peers/transfer.rs
@@ -71,6 +71,11 @@
     pub coordinator: Option<CoordinatorEntry>,
     /// How long earlier coordinators may go on to give orders, in milliseconds.
     pub earlier_authority_ms: u64,
+    /// The era of the store in which it was written.
+    pub era: u64,
+    /// How long keys may be held by instances that no version of this era names, in
+    /// milliseconds.
+    pub unknown_holds_ms: u64,
     /// The next fencing token.
     pub next_fence: u64,
     /// All assignments.
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -42,13 +42,18 @@
     HeededRateLimit,
     /// Such a limit binds all nodes together, not each of them.
     SharedRateLimit,
+    /// What was taken from the store in an era counts for nothing in a later one, unless it
+    /// is proved there.
+    EraBound,
+    /// Epochs and fencing tokens of an era are above all of earlier ones.
+    EraTokens,
     /// A request is recognised by all that makes it the same, not by its path alone.
     WholeIdentity,
 }
 
 impl Protection {
     /// Every protection, under the name of the sabotage that turns it off.
-    pub const SABOTAGES: [(&'static str, Protection); 19] = [
+    pub const SABOTAGES: [(&'static str, Protection); 21] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -65,6 +70,8 @@
         ("ignore-backoff", Protection::HeededBackoff),
         ("ignore-limit", Protection::HeededRateLimit),
         ("keep-limit-alone", Protection::SharedRateLimit),
+        ("ignore-era", Protection::EraBound),
+        ("reuse-fences", Protection::EraTokens),
         ("know-by-path", Protection::WholeIdentity),
         ("drop-with-foreign", Protection::ForeignApart),
         ("use-foreign", Protection::ForeignUnused),
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -67,6 +67,12 @@
 /// gives up is reset before.
 pub const ORDER_TRANSIT: Duration = Duration::from_millis(1_000);
 
+/// The longest that an instance can hold keys by orders of a coordinator of which nothing is
+/// known any more.
+pub fn longest_unknown_hold() -> Duration {
+    COORDINATOR_AUTHORITY + ORDER_TRANSIT + longest_hold()
+}
+
 /// The longest that an instance can hold keys after a grant reached it: its
 /// clock may be 2% slow.
 pub fn longest_hold() -> Duration {
--- a/crates/ledgelead-router/tests/lives.rs
+++ b/crates/ledgelead-router/tests/lives.rs
@@ -154,6 +154,8 @@
             epoch: 1,
             coordinator: Some(identity),
             earlier_authority_ms: 0,
+            era: 0,
+            unknown_holds_ms: 0,
             next_fence: 6,
             assignments: vec![Assignment {
                 service: ServiceName::from("s"),
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -206,6 +206,8 @@
         epoch: 4,
         coordinator: None,
         earlier_authority_ms: 0,
+        era: 0,
+        unknown_holds_ms: 0,
         next_fence: fences.iter().max().map_or(0, |fence| fence + 1),
         assignments,
     }
@@ -224,7 +226,7 @@
         fences in proptest::collection::vec(0u64..1_000, 1..40)
     ) {
         let before = record_of(&fences);
-        let after = before.taken_over_by(&identity("n"), ALL_ON());
+        let after = before.taken_over_by(&identity("n"), 0, ALL_ON());
         prop_assert!(after.is_consistent());
         prop_assert_eq!(after.epoch, before.epoch + 1);
         let highest = fences.iter().max().copied().unwrap_or(0);
