--- /dev/null
+++ b/crates/ledgelead-router/tests/eras.rs
@@ -0,0 +1,97 @@
+//! Numbers of a store that may come back from a copy.
+
+use googletest::prelude::*;
+use ledgelead_router::dialect::{Object, ObjectContent, ObjectKind, StoreAnswer, StoreCall};
+use ledgelead_router::directory::{Directory, InstanceRecord, Presence};
+use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
+use ledgelead_router::protections::Protections;
+use ledgelead_router::store::{MAX_ERA, answer_in, call_of_store, era_of, first_of};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn events(revision: u64) -> StoreAnswer {
+    StoreAnswer::Events {
+        events: Vec::new(),
+        revision,
+    }
+}
+
+/// The revision of an answer in an era; none if it is out of bounds.
+fn numbered(era: u64, revision: u64) -> Option<u64> {
+    match answer_in(era, events(revision)) {
+        Ok(StoreAnswer::Events { revision, .. }) => Some(revision),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn each_revision_of_an_era_is_above_all_of_earlier_ones() {
+    let last = first_of(1) - 1;
+    let first = numbered(1, 1).expect("a revision");
+    expect_that!(first, gt(last));
+    expect_that!(era_of(first), eq(1));
+    expect_that!(numbered(2, 1), gt(numbered(1, last)));
+    // Stores that name no era keep their own numbers.
+    expect_that!(numbered(0, 17), some(eq(17)));
+}
+
+#[gtest]
+fn numbers_out_of_bounds_are_findings() {
+    expect_that!(numbered(1, first_of(1)), none());
+    expect_that!(numbered(MAX_ERA, 1), some(anything()));
+    expect_that!(numbered(MAX_ERA + 1, 1), none());
+    let object = Object {
+        name: "a".to_owned(),
+        revision: u64::MAX,
+        content: Ok(ObjectContent::Evacuation(ZoneName::from("z"))),
+    };
+    let listed = StoreAnswer::Objects {
+        objects: vec![object],
+        more: false,
+        revision: 3,
+    };
+    let Ok(StoreAnswer::Objects { objects, .. }) = answer_in(1, listed) else {
+        panic!("the list can be read");
+    };
+    expect_that!(objects[0].content.is_err(), eq(true));
+}
+
+#[gtest]
+fn the_store_is_asked_by_its_own_numbers() {
+    let watch = StoreCall::Watch {
+        kind: ObjectKind::Instances,
+        revision: first_of(3) | 41,
+        wait: Duration::ZERO,
+    };
+    match call_of_store(&watch) {
+        StoreCall::Watch { revision, .. } => expect_that!(revision, eq(41)),
+        call => panic!("{call:?}"),
+    }
+}
+
+#[gtest]
+fn an_entry_of_a_copy_does_not_bring_a_leaving_instance_back() {
+    let ready = InstanceRecord {
+        id: InstanceId::from("a"),
+        service: ServiceName::from("s"),
+        address: SocketAddr::from(([10, 0, 1, 1], 8_000)),
+        zone: ZoneName::from("z"),
+        slots: 2,
+        draining: false,
+        warmup_left: Duration::ZERO,
+    };
+    let draining = InstanceRecord {
+        draining: true,
+        ..ready.clone()
+    };
+    let at = Duration::from_secs;
+    let mut directory = Directory::new(Protections::default());
+    directory.replace_all(vec![draining], at(1));
+    directory.begin_era(at(2));
+    directory.replace_all(vec![ready], at(3));
+    let known = directory.get(&InstanceId::from("a")).expect("it is known");
+    expect_that!(
+        matches!(known.presence, Presence::Draining { .. }),
+        eq(true)
+    );
+}
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -43,6 +43,13 @@
 /// Objects by their kinds and names.
 type Objects = BTreeMap<(ObjectKind, String), Object>;
 
+/// The store's state at a time.
+pub struct Copy {
+    revision: u64,
+    objects: Objects,
+    gone: Vec<(ObjectKind, Object)>,
+}
+
 /// What the store holds, with one revision for each object.
 #[derive(Default)]
 pub struct Store {
@@ -60,6 +67,8 @@
     pub answers_changes: bool,
     /// Most objects of one page of a list, if there is a bound.
     pub page: Option<usize>,
+    /// The era that answers name, if they do.
+    pub era: Option<String>,
     /// What lists hold that may be stale, with its revision, if they lag.
     stale: Option<(u64, Objects)>,
 }
@@ -76,6 +85,32 @@
         object
     }
 
+    /// The state, to come back to.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            revision: self.revision,
+            objects: self.objects.clone(),
+            gone: self.gone.clone(),
+        }
+    }
+
+    /// The store comes back from a copy, in another era.
+    pub fn restore(&mut self, copy: Copy, era: u64) {
+        self.revision = copy.revision;
+        self.objects = copy.objects;
+        self.gone = copy.gone;
+        self.era = Some(era.to_string());
+    }
+
+    /// The response that carries an answer by its number.
+    fn carried(&self, number: u64) -> Response {
+        let mut response = Response::new(200, number.to_string());
+        if let Some(era) = &self.era {
+            response.headers.push("store-era", era.as_str());
+        }
+        response
+    }
+
     /// Lists that may be stale know nothing of what changes from now on.
     pub fn stale_lists_end_here(&mut self) {
         self.stale = Some((self.revision, self.objects.clone()));
@@ -175,6 +210,11 @@
             StoreCall::Watch { revision, .. } if self.forgets && *revision < self.revision => {
                 Some(StoreAnswer::HistoryLost)
             }
+            StoreCall::Watch { revision, .. }
+                if self.era.is_some() && *revision > self.revision =>
+            {
+                Some(StoreAnswer::HistoryLost)
+            }
             // A watch that hardly waits only asks how things are.
             StoreCall::Watch {
                 kind,
@@ -603,7 +643,7 @@
             revision: self.store.revision,
         };
         self.mailbox.borrow_mut().answers.insert(number, answer);
-        self.end(exchange, Ok(Response::new(200, number.to_string())));
+        self.end(exchange, Ok(self.store.carried(number)));
     }
 
     /// The store answers the newest watch of a kind that its history is lost, and
@@ -615,10 +655,28 @@
         let (exchange, number, _) = self.watches.remove(position.expect("a watch waits"));
         let lost = StoreAnswer::HistoryLost;
         self.mailbox.borrow_mut().answers.insert(number, lost);
-        self.end(exchange, Ok(Response::new(200, number.to_string())));
+        self.end(exchange, Ok(self.store.carried(number)));
         self.run_until(self.now + ms(500));
     }
 
+    /// The store answers all watches that wait.
+    pub fn answer_watches(&mut self) {
+        for (exchange, number, call) in std::mem::take(&mut self.watches) {
+            let StoreCall::Watch { kind, revision, .. } = call else {
+                continue;
+            };
+            let answer = match revision > self.store.revision {
+                true => StoreAnswer::HistoryLost,
+                false => StoreAnswer::Events {
+                    events: self.store.changes(kind, revision),
+                    revision: self.store.revision,
+                },
+            };
+            self.mailbox.borrow_mut().answers.insert(number, answer);
+            self.end(exchange, Ok(self.store.carried(number)));
+        }
+    }
+
     /// Answers of a slow store arrive.
     pub fn deliver(&mut self) {
         self.deliver_all_but(|_| false);
@@ -770,7 +828,7 @@
         self.mailbox.borrow_mut().answers.insert(number, answer);
         let input = Input::Exchanged {
             exchange,
-            result: Ok(Response::new(200, number.to_string())),
+            result: Ok(self.store.carried(number)),
             rested: Duration::ZERO,
         };
         if self.store.is_slow {
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod crashing;
+mod eras;
 mod evacuation;
 mod fixture;
 mod foreign;
