The second limiter of an instance follows one that is lost for good

Registrations of nodes are not removed, so that a machine which is taken away stays the first limiter of its instances: they got 0.3 of the limits that they name. The second now probes the first while it is asked in its place, and hands out the whole rate after 10 s of silence. Before: 12 tokens in 10 s at a limit of 4, whether or not the first answers; now 38 to 44 if it doesn't (tests/node/rate_limits.rs).

Also a test that a quarantine which a copy of the store lacks is kept again.

--- a/crates/ledgelead-router/src/node/gossip.rs
+++ b/crates/ledgelead-router/src/node/gossip.rs
@@ -5,7 +5,7 @@
 use super::leaving::AnnouncedLeaving;
 use super::open_requests::OpenRequestPace;
 use super::quarantine::EvidenceMessage;
-use super::rate_limits::{token_ask, token_verdict};
+use super::rate_limits::{limiter_probed, token_ask, token_verdict};
 use super::relay::{RelayState, TakeOver};
 use crate::Timestamp;
 use crate::dialect::ObjectKind;
@@ -215,6 +215,7 @@
             log::warn!(target: "peers", "datagram from {from}: numbers out of bounds");
             return;
         }
+        self.succession.heard(from);
         self.message(from, message, now, out);
     }
 
@@ -373,6 +374,7 @@
                 };
                 self.token_decided(from, &decision, now, out);
             }
+            PeerMessage::LimiterProbe { is_reply } => limiter_probed(from, is_reply, out),
             PeerMessage::InstancesListed {
                 span,
                 unconfirmed_ms,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -41,7 +41,7 @@
 use crate::ownership::election::Election;
 use crate::ownership::view::OwnershipView;
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
-use crate::rate_limit::Limiter;
+use crate::rate_limit::{Limiter, Succession};
 use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use crate::zone_traffic::ZoneTraffic;
@@ -81,6 +81,7 @@
     load_hub: LoadHub,
     dispatcher: Dispatcher,
     limiter: Limiter,
+    succession: Succession,
     overloads: Overloads,
     evacuations: Evacuations,
     quarantine: Quarantine,
@@ -118,6 +119,7 @@
             load_hub: LoadHub::new(now),
             dispatcher: Dispatcher::default(),
             limiter: Limiter::default(),
+            succession: Succession::default(),
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
             quarantine: Quarantine::default(),
@@ -309,6 +311,7 @@
             self.transfer_server.expire(now);
             self.dispatcher.expire(now);
             self.limiter.expire(now);
+            self.succession.expire(now);
             self.cold_keys.expire(now);
         }
     }
--- a/crates/ledgelead-router/src/node/rate_limits.rs
+++ b/crates/ledgelead-router/src/node/rate_limits.rs
@@ -36,7 +36,7 @@
             for (to, ask) in asks {
                 if to == self.settings.peer_address {
                     has_decided = true;
-                    let decision = self.decide_on_token(to, &ask, now);
+                    let decision = self.decide_on_token(to, &ask, now, out);
                     self.token_decided(to, &decision, now, out);
                 } else {
                     let message = PeerMessage::TokenAsk {
@@ -58,7 +58,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let decision = self.decide_on_token(from, ask, now);
+        let decision = self.decide_on_token(from, ask, now, out);
         let (verdict, wait) = match decision.verdict {
             TokenVerdict::Granted => (TokenVerdictEntry::Granted, Duration::ZERO),
             TokenVerdict::Refused(wait) => (TokenVerdictEntry::Refused, wait),
@@ -90,12 +90,13 @@
         asker: SocketAddr,
         ask: &TokenAsk,
         now: Timestamp,
+        out: &mut Vec<Action>,
     ) -> TokenDecision {
         let limits = self.requests.limits_mut();
         limits.announced(ask.instance, ask.statement);
         let verdict = match limits.limit(ask.instance) {
             None => TokenVerdict::Unlimited,
-            Some(limit) => match self.limiter_role(ask) {
+            Some(limit) => match self.limiter_role(ask, now, out) {
                 Some(role) => self.limiter.ask(asker, ask.instance, limit, role, now),
                 None => TokenVerdict::Refused(OTHER_LIMITER_WAIT),
             },
@@ -109,7 +110,12 @@
 
     /// Which of an instance's limiters this node is, by its own view of the nodes. Two nodes
     /// whose views differ are not both the first for longer than their views differ.
-    fn limiter_role(&self, ask: &TokenAsk) -> Option<LimiterRole> {
+    fn limiter_role(
+        &mut self,
+        ask: &TokenAsk,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> Option<LimiterRole> {
         if !self.settings.protections.has(Protection::SharedRateLimit) {
             return Some(LimiterRole::First);
         }
@@ -118,7 +124,18 @@
         if candidates.first == own {
             return Some(LimiterRole::First);
         }
-        (candidates.second == Some(own)).then_some(LimiterRole::Second)
+        if candidates.second != Some(own) {
+            return None;
+        }
+        let standing = self.succession.asked_for(candidates.first, now);
+        if standing.is_probed {
+            let probe = PeerMessage::LimiterProbe { is_reply: false };
+            send(candidates.first, &[encode(&probe)], out);
+        }
+        Some(match standing.is_lost {
+            true => LimiterRole::First,
+            false => LimiterRole::Second,
+        })
     }
 
     /// Reports to the coordinator which limits it lacks.
@@ -166,6 +183,14 @@
     }
 }
 
+/// Another limiter probes this one, or answers a probe.
+pub(super) fn limiter_probed(from: SocketAddr, is_reply: bool, out: &mut Vec<Action>) {
+    if !is_reply {
+        let reply = PeerMessage::LimiterProbe { is_reply: true };
+        send(from, &[encode(&reply)], out);
+    }
+}
+
 fn limits_message(
     limits: impl Iterator<Item = (u64, LimitStatement)>,
     now: Timestamp,
--- a/crates/ledgelead-router/src/peers/bounds.rs
+++ b/crates/ledgelead-router/src/peers/bounds.rs
@@ -49,6 +49,7 @@
             | PeerMessage::RateLimits { .. }
             | PeerMessage::TokenAsk { .. }
             | PeerMessage::TokenDecision { .. }
+            | PeerMessage::LimiterProbe { .. }
             | PeerMessage::Evidence { .. } => true,
         }
     }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -501,6 +501,11 @@
         /// Time for which there is no token for the sender, in milliseconds, if it is refused.
         wait_ms: u16,
     },
+    /// Asks a limiter whether it lives; sent by the one that is asked in its place.
+    LimiterProbe {
+        /// Whether this is the answer.
+        is_reply: bool,
+    },
     /// All instances; sent to a node that lacks changes which no log reaches back to.
     InstancesListed {
         /// From revision 0 to that of the last change.
@@ -536,6 +541,7 @@
             PeerMessage::RateLimits { .. } => "rate_limits",
             PeerMessage::TokenAsk { .. } => "token_ask",
             PeerMessage::TokenDecision { .. } => "token_decision",
+            PeerMessage::LimiterProbe { .. } => "limiter_probe",
             PeerMessage::Evidence { .. } => "evidence",
             PeerMessage::InstancesListed { .. } => "instances_list",
         }
--- a/crates/ledgelead-router/src/rate_limit/mod.rs
+++ b/crates/ledgelead-router/src/rate_limit/mod.rs
@@ -3,7 +3,9 @@
 mod known;
 mod limiter;
 mod notice;
+mod succession;
 
 pub use known::{KnownLimits, LimitStatement};
 pub use limiter::{Limiter, LimiterCounters, LimiterRole, TokenVerdict};
 pub use notice::{RateLimit, RateNotice};
+pub use succession::{Standing, Succession};
--- a/crates/ledgelead-router/tests/node/crashing.rs
+++ b/crates/ledgelead-router/tests/node/crashing.rs
@@ -103,6 +103,28 @@
     expect_that!(fixture.attempts, len(eq(1)));
 }
 
+#[gtest]
+fn what_a_copy_of_the_store_lacks_of_a_quarantine_is_kept_again() {
+    let mut fixture = quarantined();
+    let is_kept = |fixture: &Fixture| {
+        let mut kinds = fixture.store.objects.keys().map(|(kind, _)| *kind);
+        kinds.any(|kind| kind == ObjectKind::Quarantine)
+    };
+    fixture
+        .store
+        .objects
+        .retain(|(kind, _), _| *kind != ObjectKind::Quarantine);
+    fixture.store.era = Some("1".to_owned());
+    for _ in 0..10 {
+        fixture.answer_watches();
+        fixture.run_until(fixture.now + ms(500));
+    }
+    expect_that!(is_kept(&fixture), eq(true));
+    fixture.attempts.clear();
+    fixture.ask(SERVICE, None);
+    expect_that!(fixture.attempts, is_empty());
+}
+
 #[gtest]
 fn a_lost_answer_of_an_instance_that_lives_accuses_nobody() {
     let mut fixture = Fixture::coordinating(store());
--- a/crates/ledgelead-router/tests/node/rate_limits.rs
+++ b/crates/ledgelead-router/tests/node/rate_limits.rs
@@ -9,8 +9,9 @@
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::Timestamp;
+use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::peers::{PeerMessage, RateLimitEntry, TokenVerdictEntry};
-use ledgelead_types::codec::List;
+use ledgelead_types::codec::{List, Text};
 use std::net::SocketAddr;
 
 /// The target of orders.
@@ -299,3 +300,56 @@
     let (asked, answered) = ask_for_all_keys(&mut fixture, 5_000, answer);
     expect_that!(answered as f64 / asked as f64, ge(0.8));
 }
+
+/// Tokens that the node hands out in 10 s to another that asks for `instance` each 100 ms,
+/// once it has been asked for 15 s.
+fn handed_out(fixture: &mut Fixture, instance: u64, first_replies: bool) -> usize {
+    for step in 0..250 {
+        if step == 150 {
+            fixture.datagrams.clear();
+        }
+        let ask = PeerMessage::TokenAsk {
+            number: step,
+            zone: Text("a".to_owned()),
+            limit: RateLimitEntry {
+                instance,
+                millis_per_s: Some(4_000),
+                age_ms: 0,
+            },
+        };
+        fixture.receive(node_address(2), &ask);
+        if first_replies && step % 10 == 0 {
+            let reply = PeerMessage::LimiterProbe { is_reply: true };
+            fixture.receive(node_address(1), &reply);
+        }
+        fixture.run_until(fixture.now + ms(100));
+    }
+    let is_grant = |message: &PeerMessage| {
+        let granted = TokenVerdictEntry::Granted;
+        matches!(message, PeerMessage::TokenDecision { verdict, .. } if *verdict == granted)
+    };
+    let sent = fixture.datagrams.iter();
+    sent.filter(|(_, _, message)| is_grant(message)).count()
+}
+
+#[gtest]
+fn the_second_limiter_hands_out_a_part_until_the_first_is_lost() {
+    // An instance whose first limiter is node 1, so that this node is the second.
+    let in_fleet_of_two = || {
+        let mut store = owned_store(configuration(1));
+        store.remove(ObjectKind::Nodes, "node-002");
+        let mut fixture = Fixture::new(store);
+        fixture.run_until(ms(2_000));
+        fixture
+    };
+    let is_probed = |instance: &u64| {
+        let mut fixture = in_fleet_of_two();
+        handed_out(&mut fixture, *instance, true);
+        fixture.sent("limiter_probe") > 0
+    };
+    let instance = (1..100).find(is_probed).expect("such an instance");
+    let beside = handed_out(&mut in_fleet_of_two(), instance, true);
+    expect_that!(beside, all!(ge(10), le(14)));
+    let alone = handed_out(&mut in_fleet_of_two(), instance, false);
+    expect_that!(alone, all!(ge(38), le(44)));
+}
--- a/crates/ledgelead-router/tests/rate_limit.rs
+++ b/crates/ledgelead-router/tests/rate_limit.rs
@@ -5,7 +5,8 @@
 use ledgelead_router::dialect::HeaderNames;
 use ledgelead_router::identity::InstanceId;
 use ledgelead_router::rate_limit::{
-    KnownLimits, LimitStatement, Limiter, LimiterRole, RateLimit, RateNotice, TokenVerdict,
+    KnownLimits, LimitStatement, Limiter, LimiterRole, RateLimit, RateNotice, Standing, Succession,
+    TokenVerdict,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -240,3 +241,41 @@
     limits.expire(|_| false, ms(100_000));
     expect_that!(limits.is_empty(), eq(true));
 }
+
+/// How a limiter stands that is asked in place of another each 100 ms for so long.
+fn asked_for(succession: &mut Succession, span: std::ops::Range<u64>) -> Standing {
+    let standings = span
+        .step_by(100)
+        .map(|at| succession.asked_for(asker(1), ms(at)));
+    standings.last().expect("an ask")
+}
+
+#[gtest]
+fn the_second_limiter_follows_one_that_is_lost_for_good() {
+    let mut succession = Succession::default();
+    expect_that!(asked_for(&mut succession, 0..9_900).is_lost, eq(false));
+    expect_that!(asked_for(&mut succession, 9_900..10_200).is_lost, eq(true));
+    succession.heard(asker(1));
+    expect_that!(
+        asked_for(&mut succession, 10_200..19_000).is_lost,
+        eq(false)
+    );
+}
+
+#[gtest]
+fn silence_counts_only_while_the_first_limiter_is_missed() {
+    let mut succession = Succession::default();
+    asked_for(&mut succession, 0..1_000);
+    expect_that!(
+        asked_for(&mut succession, 11_000..12_000).is_lost,
+        eq(false)
+    );
+}
+
+#[gtest]
+fn a_first_limiter_is_probed_each_second() {
+    let mut succession = Succession::default();
+    let asks = (0..5_000).step_by(100);
+    let probes = asks.filter(|at| succession.asked_for(asker(1), ms(*at)).is_probed);
+    expect_that!(probes.count(), eq(5));
+}
