Names and comments of tokens and eras

The event of an era always has one; a request that holds no token asks for one, whatever it waited for; the comment on writes of a former era said the opposite.

--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -130,10 +130,10 @@
     },
     /// A call of the store was served again.
     StoreServes,
-    /// The store has another era than before, or this node has read the first one.
+    /// The store has come back from a copy.
     StoreEra {
-        /// The era; none if an answer doesn't say.
-        era: Option<u64>,
+        /// Its era from now on.
+        era: u64,
     },
     /// An object of the store can't be read.
     ObjectUnreadable {
--- a/crates/ledgelead-router/src/node/store_era.rs
+++ b/crates/ledgelead-router/src/node/store_era.rs
@@ -67,15 +67,15 @@
             answer,
             StoreAnswer::Objects { .. } | StoreAnswer::Events { .. }
         );
-        Ok(match goes_on && is_served && called_in < era {
-            true => StoreAnswer::HistoryLost,
-            false => answer,
-        })
+        match goes_on && is_served && called_in < era {
+            true => Ok(StoreAnswer::HistoryLost),
+            false => Ok(answer),
+        }
     }
 
     fn begin_era(&mut self, era: u64, now: Timestamp, out: &mut Vec<Action>) {
         self.store.era = era;
-        Event::StoreEra { era: Some(era) }.emit();
+        Event::StoreEra { era }.emit();
         // Instances write their entries again, as after an outage.
         self.directory.begin_era(now);
         self.coordination.begin_era(now);
@@ -169,7 +169,7 @@
             && self.newest_epoch() <= epoch
     }
 
-    /// Whether a call writes by what was read in the present era.
+    /// Whether a call that has been answered wrote by what was read in an earlier era.
     pub(super) fn is_write_of_former_era(&self, purpose: &Purpose, called_in: u64) -> bool {
         !matches!(purpose, Purpose::Watch(_)) && called_in < self.store.era
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -561,7 +561,7 @@
         }
         let step = match self.next_step(client, context) {
             Step::Send(selected, address) => self
-                .token_step(client, &selected.id, context.now)
+                .token_step(client, &selected.id)
                 .unwrap_or(Step::Send(selected, address)),
             step => step,
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/tokens.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/tokens.rs
@@ -1,5 +1,5 @@
 //! Requests to instances that name rate limits: each asks a limiter for a token before it is
-//! sent, also a repeat.
+//! sent, repeats included.
 
 use super::decide::Step;
 use super::{RequestContext, Requests};
@@ -31,30 +31,18 @@
         std::mem::take(&mut self.tokens.outbox)
     }
 
-    /// What is done with a request that is about to be sent to this instance, if that isn't
-    /// to send it.
-    pub(super) fn token_step(
-        &self,
-        client: ClientId,
-        instance: &InstanceId,
-        now: Timestamp,
-    ) -> Option<Step> {
+    /// What is done first with a request that is about to be sent to this instance, if it
+    /// needs a token and has none.
+    pub(super) fn token_step(&self, client: ClientId, instance: &InstanceId) -> Option<Step> {
         if self.statistics.limits.is_empty() || !self.protections.has(Protection::HeededRateLimit) {
             return None;
         }
         self.statistics.limits.limit(instance.stable_hash())?;
         let open = self.open.get(&client)?;
-        let token = open
-            .token
-            .as_ref()
-            .filter(|token| token.instance == *instance);
-        match token.map(|token| token.state) {
-            Some(TokenState::Held) => None,
-            Some(TokenState::Asked { check_at, .. }) if check_at > now => {
-                Some(Step::AwaitToken(check_at))
-            }
-            _ => Some(Step::AskToken(instance.clone())),
-        }
+        let is_held =
+            |token: &Token| token.instance == *instance && token.state == TokenState::Held;
+        let has_token = open.token.as_ref().is_some_and(is_held);
+        (!has_token).then(|| Step::AskToken(instance.clone()))
     }
 
     /// The wait for a token that was asked for, if a limiter may still decide.
@@ -111,10 +99,10 @@
             Some(TokenState::Asked { of, asks, .. }) => Some((of, asks)),
             _ => None,
         };
-        let zone = context.directory.get(instance);
-        let zone = zone.map(|instance| instance.record.zone.clone());
-        let limiter = zone.as_ref();
-        let limiter = limiter.and_then(|zone| self.limiter_to_ask(instance, zone, asked, context));
+        let known = context.directory.get(instance);
+        let zone = known.map(|instance| instance.record.zone.clone());
+        let in_zone = |zone: &ZoneName| self.limiter_to_ask(instance, zone, asked, context);
+        let limiter = zone.as_ref().and_then(in_zone);
         let statement = self.statistics.limits.statement(hash);
         let (Some((limiter, asks)), Some(zone), Some(statement)) = (limiter, zone, statement)
         else {
