The first era that a node reads begins nothing anew

Where the store names an era from the first answer on, each node took that for a return from a copy: it listed the nodes once more and registered only after that. Before its first answer a node has taken nothing from the store that could be lost. The node's test asks as often as without an era now.

--- a/crates/ledgelead-router/src/node/store_era.rs
+++ b/crates/ledgelead-router/src/node/store_era.rs
@@ -54,9 +54,11 @@
             Ok(answer) => answer,
             Err(finding) => return Ok(StoreAnswer::Unreadable(finding)),
         };
-        if era > self.store.era {
+        if era > self.store.era && self.store.health.has_served() {
             self.begin_era(era, now, out);
         }
+        // Before its first answer a node has taken nothing from the store.
+        self.store.era = era;
         // A list that goes on, or changes since a revision, would miss what the copy lacks.
         let goes_on = match call {
             StoreCall::List { after, .. } => after.is_some(),
--- a/crates/ledgelead-router/tests/node/eras.rs
+++ b/crates/ledgelead-router/tests/node/eras.rs
@@ -169,3 +169,15 @@
     fixture.ask(KEYED, Some(7));
     expect_that!(fixture.attempts, len(eq(1)));
 }
+
+#[gtest]
+fn a_store_that_names_an_era_from_the_first_answer_is_asked_no_more_than_others() {
+    let calls = |era: Option<&str>| {
+        let mut store = vacant_store();
+        store.era = era.map(str::to_owned);
+        let mut fixture = Fixture::coordinating(store);
+        run_with_orders(&mut fixture, 3_000);
+        fixture.calls.len()
+    };
+    expect_that!(calls(Some("5")), le(calls(None)));
+}
