All rate limits are announced, in as many messages as they take

Beyond 64 instances that name limits at once, the others were announced by nobody, in silence; nodes learned of them by their own answers alone. Failing test in this commit: 150 limits at a coordinator, 64 were announced.

--- a/crates/ledgelead-router/src/node/rate_limits.rs
+++ b/crates/ledgelead-router/src/node/rate_limits.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Most limits in one message, 17 bytes each.
+/// Most limits in one message, 17 bytes each, so that it fits the shortest usual MTU.
 const MAX_LIMITS: usize = 64;
 /// Time after which a node asks again that has asked one that is none of the limiters.
 const OTHER_LIMITER_WAIT: Duration = Duration::from_millis(300);
@@ -143,10 +143,9 @@
         if self.coordination.coordinator().is_some() || self.requests.limits().is_empty() {
             return;
         }
-        let lacking = self.requests.limits().unreported();
-        let message = limits_message(lacking, now);
-        if let (Some(message), Some(address)) = (message, self.coordinator_address()) {
-            send(address, &[message], out);
+        let messages = limits_messages(self.requests.limits().unreported(), now);
+        if let Some(address) = self.coordinator_address() {
+            send(address, &messages, out);
         }
     }
 
@@ -156,9 +155,9 @@
         if self.coordination.coordinator().is_none() || self.requests.limits().is_empty() {
             return;
         }
-        let message = limits_message(self.requests.limits().current(now), now);
-        if let Some(message) = message {
-            self.broadcast(&[message], now, out);
+        let messages = limits_messages(self.requests.limits().current(now), now);
+        if !messages.is_empty() {
+            self.broadcast(&messages, now, out);
         }
     }
 
@@ -191,14 +190,18 @@
     }
 }
 
-fn limits_message(
+/// As many messages as the limits take.
+fn limits_messages(
     limits: impl Iterator<Item = (u64, LimitStatement)>,
     now: Timestamp,
-) -> Option<Datagram> {
+) -> Vec<Datagram> {
     let entry = |(instance, statement)| limit_entry(instance, statement, now);
-    let limits: Vec<RateLimitEntry> = limits.take(MAX_LIMITS).map(entry).collect();
-    let limits = List(limits);
-    (!limits.is_empty()).then(|| encode(&PeerMessage::RateLimits { limits }))
+    let limits: Vec<RateLimitEntry> = limits.map(entry).collect();
+    let message = |part: &[RateLimitEntry]| {
+        let limits = List(part.to_vec());
+        encode(&PeerMessage::RateLimits { limits })
+    };
+    limits.chunks(MAX_LIMITS).map(message).collect()
 }
 
 fn limit_entry(instance: u64, statement: LimitStatement, now: Timestamp) -> RateLimitEntry {
--- a/crates/ledgelead-router/tests/node/rate_limits.rs
+++ b/crates/ledgelead-router/tests/node/rate_limits.rs
@@ -353,3 +353,30 @@
     let alone = handed_out(&mut in_fleet_of_two(), instance, false);
     expect_that!(alone, all!(ge(38), le(44)));
 }
+
+#[gtest]
+fn a_coordinator_announces_more_limits_than_one_message_holds() {
+    let mut fixture = Fixture::coordinating(vacant_store());
+    let limit = |instance: u64| RateLimitEntry {
+        instance,
+        millis_per_s: Some(1_000),
+        age_ms: 0,
+    };
+    for instance in [1..=60, 61..=120, 121..=150] {
+        let limits = List(instance.map(limit).collect());
+        fixture.receive(node_address(1), &PeerMessage::RateLimits { limits });
+    }
+    fixture.datagrams.clear();
+    fixture.run_until(fixture.now + ms(250));
+    let announced = fixture
+        .datagrams
+        .iter()
+        .flat_map(|(_, _, message)| match message {
+            PeerMessage::RateLimits { limits } => {
+                limits.iter().map(|entry| entry.instance).collect()
+            }
+            _ => Vec::new(),
+        });
+    let announced: std::collections::BTreeSet<u64> = announced.collect();
+    expect_that!(announced.len(), eq(150));
+}
