Limits, eras and their tests use what the project already had

Ages on the wire, the question whether a version of the record is news, and counters by verdict each stand once now. The era is set in one place; a call's own era says whether its write is of a former one. The names of headers of the router's tests stand in one file instead of three, so that a new header is one line. The simulated limits kept callers that nobody read.

--- a/crates/ledgelead-lab/src/fleet/limits.rs
+++ b/crates/ledgelead-lab/src/fleet/limits.rs
@@ -40,7 +40,7 @@
     history: Vec<(Duration, f64)>,
     /// Nodes that have passed on an answer that names one, since when.
     notified: HashMap<Caller, Duration>,
-    arrived: VecDeque<(Duration, Caller)>,
+    arrived: VecDeque<Duration>,
 }
 
 impl NamedLimit {
@@ -150,12 +150,8 @@
         if excused || now < *notified + NODE_BINDS_AFTER {
             return;
         }
-        named.arrived.push_back((now, caller));
-        while named
-            .arrived
-            .front()
-            .is_some_and(|(at, _)| *at + WINDOW <= now)
-        {
+        named.arrived.push_back(now);
+        while named.arrived.front().is_some_and(|at| *at + WINDOW <= now) {
             named.arrived.pop_front();
         }
         let highest = named.highest_since(now.saturating_sub(WINDOW + NODE_BINDS_AFTER));
--- a/crates/ledgelead-router/src/node/rate_limits.rs
+++ b/crates/ledgelead-router/src/node/rate_limits.rs
@@ -10,11 +10,13 @@
 use crate::dispatch::Candidates;
 use crate::identity::ZoneName;
 use crate::io::Action;
-use crate::peers::{Datagram, PeerMessage, RateLimitEntry, TokenVerdictEntry, encode, time_of};
+use crate::peers::{
+    Datagram, PeerMessage, RateLimitEntry, TokenVerdictEntry, age_ms, encode, time_of,
+};
 use crate::protections::Protection;
 use crate::rate_limit::{LimitStatement, LimiterRole, RateLimit, TokenVerdict};
 use crate::requests::{TokenAsk, TokenDecision};
-use crate::{short_millis, whole_millis};
+use crate::short_millis;
 use ledgelead_types::codec::{List, Text};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -205,11 +207,10 @@
 }
 
 fn limit_entry(instance: u64, statement: LimitStatement, now: Timestamp) -> RateLimitEntry {
-    let age = whole_millis(now.saturating_sub(statement.at));
     RateLimitEntry {
         instance,
         millis_per_s: statement.limit.map(|limit| limit.millis_per_s),
-        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        age_ms: age_ms(statement.at, now),
     }
 }
 
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -39,7 +39,7 @@
         };
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
         self.note_health(served, &answer, pending.started, now, out);
-        let is_former = self.is_write_of_former_era(&pending.purpose, pending.era);
+        let is_former = pending.era < self.store.era;
         match pending.purpose {
             Purpose::Watch(kind) => self.watch_answered(kind, answer, pending.started, now, out),
             Purpose::Register if is_former => self.store.registration.begin_era(),
--- a/crates/ledgelead-router/src/node/store_era.rs
+++ b/crates/ledgelead-router/src/node/store_era.rs
@@ -6,7 +6,6 @@
 //! of the owners of keys goes on to route requests meanwhile; owners answer for themselves.
 
 use super::Node;
-use super::store_calls::Purpose;
 use crate::Timestamp;
 use crate::dialect::{ObjectKind, StoreAnswer, StoreCall};
 use crate::events::Event;
@@ -54,11 +53,12 @@
             Ok(answer) => answer,
             Err(finding) => return Ok(StoreAnswer::Unreadable(finding)),
         };
-        if era > self.store.era && self.store.health.has_served() {
-            self.begin_era(era, now, out);
-        }
         // Before its first answer a node has taken nothing from the store.
+        let begins = era > self.store.era && self.store.health.has_served();
         self.store.era = era;
+        if begins {
+            self.begin_era(now, out);
+        }
         // A list that goes on, or changes since a revision, would miss what the copy lacks.
         let goes_on = match call {
             StoreCall::List { after, .. } => after.is_some(),
@@ -75,8 +75,8 @@
         }
     }
 
-    fn begin_era(&mut self, era: u64, now: Timestamp, out: &mut Vec<Action>) {
-        self.store.era = era;
+    fn begin_era(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let era = self.store.era;
         Event::StoreEra { era }.emit();
         // Instances write their entries again, as after an outage.
         self.directory.begin_era(now);
@@ -114,12 +114,7 @@
         version: RecordVersion,
         now: Timestamp,
     ) {
-        let known = self.ownership.revision();
-        let is_newer = known.is_none_or(|known| known < version.revision);
-        let confirms = known == Some(version.revision)
-            && version.is_confirmed
-            && !self.ownership.is_confirmed();
-        if !is_newer && !confirms {
+        if !self.ownership.is_news(version) {
             return;
         }
         if record.is_later_than(self.ownership.record()) {
@@ -159,7 +154,7 @@
             .written_at()
             .map(|revision| (epoch, revision));
         let is_vouched = written.is_some() && self.coordination.vouched_record() == written;
-        is_first || (self.continues_own_epoch() || is_vouched) && self.newest_epoch() <= epoch
+        is_first || self.continues_own_epoch() || is_vouched && self.newest_epoch() <= epoch
     }
 
     /// Whether this node coordinated until the era of the store ended, and knows of no other
@@ -170,9 +165,4 @@
             && self.coordination.coordinated_until_era() == Some(epoch)
             && self.newest_epoch() <= epoch
     }
-
-    /// Whether a call that has been answered wrote by what was read in an earlier era.
-    pub(super) fn is_write_of_former_era(&self, purpose: &Purpose, called_in: u64) -> bool {
-        !matches!(purpose, Purpose::Watch(_)) && called_in < self.store.era
-    }
 }
--- a/crates/ledgelead-router/src/ownership/view.rs
+++ b/crates/ledgelead-router/src/ownership/view.rs
@@ -37,18 +37,26 @@
 }
 
 impl OwnershipView {
-    /// Takes over a version, unless a newer one is known.
-    /// Returns whether it was newer, or confirms what was known.
-    pub fn update(&mut self, record: OwnershipRecord, version: RecordVersion) -> bool {
+    /// Whether a version is newer than what is known, or confirms it.
+    pub fn is_news(&self, version: RecordVersion) -> bool {
         let RecordVersion {
             revision,
             is_confirmed,
         } = version;
         let newer = self.revision.is_none_or(|known| known < revision);
-        let confirms = self.revision == Some(revision) && is_confirmed && !self.confirmed;
-        if !newer && !confirms {
+        newer || self.revision == Some(revision) && is_confirmed && !self.confirmed
+    }
+
+    /// Takes over a version, unless a newer one is known.
+    /// Returns whether it was newer, or confirms what was known.
+    pub fn update(&mut self, record: OwnershipRecord, version: RecordVersion) -> bool {
+        if !self.is_news(version) {
             return false;
         }
+        let RecordVersion {
+            revision,
+            is_confirmed,
+        } = version;
         self.record = record;
         self.record.sort();
         self.revision = Some(revision);
--- a/crates/ledgelead-router/src/peers/evidence.rs
+++ b/crates/ledgelead-router/src/peers/evidence.rs
@@ -125,7 +125,8 @@
     now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
 }
 
-fn age_ms(at: Timestamp, now: Timestamp) -> u32 {
+/// How long ago something began to hold, in milliseconds or the most that fits.
+pub fn age_ms(at: Timestamp, now: Timestamp) -> u32 {
     u32::try_from(whole_millis(now.saturating_sub(at))).unwrap_or(u32::MAX)
 }
 
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -22,7 +22,9 @@
     ConfigurationChange, ConfigurationDelta, LimitsEntry, RouteEntry, ServiceEntry, TargetEntry,
 };
 pub use delay::DelayEstimate;
-pub use evidence::{AgedEntry, EndEntry, RequestEntry, aged_instances, evidence_parts, time_of};
+pub use evidence::{
+    AgedEntry, EndEntry, RequestEntry, age_ms, aged_instances, evidence_parts, time_of,
+};
 pub use instance_table::InstanceTable;
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -1,6 +1,7 @@
 //! One node with a store that answers lists and writes at once, and instances
 //! that answer when a test says so.
 
+use crate::support::headers;
 use googletest::prelude::*;
 use ledgelead_http::{Request, Response};
 use ledgelead_router::Timestamp;
@@ -353,24 +354,6 @@
     }
 }
 
-fn headers() -> HeaderNames {
-    let name = |name: &str| name.to_owned();
-    HeaderNames {
-        attempt_id: name("attempt"),
-        deadline: name("deadline"),
-        signature: name("signature"),
-        target_instance: name("target"),
-        load: name("load"),
-        not_executed: name("not-executed"),
-        instance: name("instance"),
-        key: name("key"),
-        retry_after: name("retry-after"),
-        leaving: name("leaving"),
-        rate_limit: name("rate-limit"),
-        store_era: name("store-era"),
-    }
-}
-
 /// An attempt that is out.
 #[derive(Debug)]
 pub struct Sent {
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -23,6 +23,8 @@
 mod snapshot;
 mod split;
 mod starting;
+#[path = "../support/mod.rs"]
+mod support;
 mod transfer;
 mod zone_relay;
 mod zone_traffic;
--- a/crates/ledgelead-router/tests/rate_limit.rs
+++ b/crates/ledgelead-router/tests/rate_limit.rs
@@ -1,8 +1,9 @@
 //! Rate limits that instances name.
 
+mod support;
+
 use googletest::prelude::*;
 use ledgelead_http::Response;
-use ledgelead_router::dialect::HeaderNames;
 use ledgelead_router::identity::InstanceId;
 use ledgelead_router::rate_limit::{
     KnownLimits, LimitStatement, Limiter, LimiterRole, RateLimit, RateNotice, Standing, Succession,
@@ -10,6 +11,7 @@
 };
 use std::net::SocketAddr;
 use std::time::Duration;
+use support::headers;
 
 const INSTANCE: u64 = 17;
 
@@ -49,24 +51,6 @@
     times.iter().map(|from| in_window(*from)).max().unwrap_or(0)
 }
 
-fn headers() -> HeaderNames {
-    let name = |name: &str| name.to_owned();
-    HeaderNames {
-        attempt_id: name("attempt"),
-        deadline: name("deadline"),
-        signature: name("signature"),
-        target_instance: name("target"),
-        load: name("load"),
-        not_executed: name("not-executed"),
-        instance: name("instance"),
-        key: name("key"),
-        retry_after: name("retry-after"),
-        leaving: name("leaving"),
-        rate_limit: name("rate-limit"),
-        store_era: name("store-era"),
-    }
-}
-
 /// What an answer with this status and these headers says of the instance `a`.
 fn notice(status: u16, fields: &[(&str, &str)]) -> RateNotice {
     let mut response = Response::new(status, "");
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -1,8 +1,9 @@
 //! Which attempts are made, and what ends prove.
 
+mod support;
+
 use googletest::prelude::*;
 use ledgelead_http::Response;
-use ledgelead_router::dialect::HeaderNames;
 use ledgelead_router::directory::{Directory, InstanceRecord};
 use ledgelead_router::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
@@ -16,29 +17,12 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
+use support::headers;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn headers() -> HeaderNames {
-    let name = |name: &str| name.to_owned();
-    HeaderNames {
-        attempt_id: name("attempt"),
-        deadline: name("deadline"),
-        signature: name("signature"),
-        target_instance: name("target"),
-        load: name("load"),
-        not_executed: name("not-executed"),
-        instance: name("instance"),
-        key: name("key"),
-        retry_after: name("retry-after"),
-        leaving: name("leaving"),
-        rate_limit: name("rate-limit"),
-        store_era: name("store-era"),
-    }
-}
-
 fn answer(status: u16, headers: &[(&str, &str)]) -> Response {
     let mut response = Response::new(status, "");
     for (name, value) in headers {
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -332,22 +332,17 @@
         "Requests that had to ask for a permit and went on without one",
         status.permits.missed,
     );
-    let decided = Family::<VerdictLabel, Counter>::default();
     let dispatched = status.dispatched;
-    let counts = [
-        ("granted", dispatched.granted),
-        ("queued", dispatched.queued),
-        ("refused", dispatched.refused),
-        ("early", dispatched.early),
-    ];
-    for (verdict, count) in counts {
-        let label = VerdictLabel { verdict };
-        decided.get_or_create(&label).inc_by(count);
-    }
-    registry.register(
+    register_verdicts(
+        registry,
         "dispatched",
         "Decisions as dispatcher; a queued ask counts again as it is granted or refused, an early one as well by what it got",
-        decided,
+        &[
+            ("granted", dispatched.granted),
+            ("queued", dispatched.queued),
+            ("refused", dispatched.refused),
+            ("early", dispatched.early),
+        ],
     );
     gauge(
         registry,
@@ -373,29 +368,37 @@
 }
 
 fn register_rate_limits(registry: &mut Registry, status: &NodeStatus) {
-    let decided = Family::<VerdictLabel, Counter>::default();
-    let counts = [
-        ("granted", status.limiter.granted),
-        ("refused", status.limiter.refused),
-    ];
-    for (verdict, count) in counts {
-        let label = VerdictLabel { verdict };
-        decided.get_or_create(&label).inc_by(count);
-    }
-    registry.register(
+    register_verdicts(
+        registry,
         "rate_limit_tokens",
         "Requests to instances with rate limits that this node was asked to allow",
-        decided,
+        &[
+            ("granted", status.limiter.granted),
+            ("refused", status.limiter.refused),
+        ],
     );
-    let limits = Gauge::<i64>::default();
-    limits.set(i64::try_from(status.rate_limits).unwrap_or(i64::MAX));
-    registry.register(
+    gauge(
+        registry,
         "rate_limited_instances",
         "Instances that name a rate limit, or have lately ceased to",
-        limits,
+        status.rate_limits as u64,
     );
 }
 
+fn register_verdicts(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    counts: &[(&'static str, u64)],
+) {
+    let decided = Family::<VerdictLabel, Counter>::default();
+    for (verdict, count) in counts {
+        let label = VerdictLabel { verdict };
+        decided.get_or_create(&label).inc_by(*count);
+    }
+    registry.register(name, help, decided);
+}
+
 fn register_zone_traffic(registry: &mut Registry, traffic: &ZoneTraffic) {
     let bytes = Family::<ZoneLabel, Counter>::default();
     for (direction, counts) in [("sent", &traffic.sent), ("received", &traffic.received)] {
