Exchanges name their connections and the answers that they take

A header's expected value becomes a filter of answers, and idle connections are kept by address and kind of exchange. No behaviour changes: orders still take any answer and share the connections of requests.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of a node.
 
+use crate::answer_filter::AnswerFilter;
 use crate::peers::Datagram;
 use ledgelead_http::{Request, Response};
 use std::net::{IpAddr, SocketAddr};
@@ -51,14 +52,27 @@
     }
 }
 
+/// Exchanges that share idle connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ConnectionPool {
+    /// Requests of clients, and calls.
+    #[default]
+    Requests,
+    /// Orders to instances.
+    Orders,
+}
+
 /// Parameters of an exchange.
 #[derive(Clone, Debug)]
 pub struct ExchangeOptions {
-    /// A header and its expected value. A response without this value is not the answer to the
-    /// request.
-    pub match_header: Option<(Box<str>, Box<[u8]>)>,
+    /// Which responses can be the answer to the request.
+    pub answer: AnswerFilter,
+    /// The connections that it may reuse.
+    pub pool: ConnectionPool,
     /// A pooled connection may be reused if it was idle for less than this.
     pub reuse_idle_below: Duration,
+    /// Whether its connection is returned to the pool.
+    pub keeps_connection: bool,
     /// Timeout for a new connection.
     pub connect_timeout: Duration,
     /// How long a new connection is observed before the first byte is written: an instance
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`dialect::Dialect`] translates between the router and a store, its objects and the
 //! instances.
 
+pub mod answer_filter;
 pub mod configuration;
 pub mod dialect;
 pub mod directory;
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -4,10 +4,11 @@
 use super::store_answers::describe;
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
+use crate::answer_filter::AnswerFilter;
 use crate::dialect::{ObjectKind, Order, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
 use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity};
-use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
+use crate::io::{Action, ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::coordinator::{Context, Coordinator, EarlierAuthority, OutgoingOrder};
 use crate::ownership::election::{Election, rank};
 use crate::ownership::record::OwnershipRecord;
@@ -490,8 +491,10 @@
             address: outgoing.address,
             request,
             options: ExchangeOptions {
-                match_header: None,
+                answer: AnswerFilter::default(),
+                pool: ConnectionPool::Requests,
                 reuse_idle_below: ORDER_REUSE_IDLE,
+                keeps_connection: true,
                 connect_timeout: ORDER_CONNECT_TIMEOUT,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -4,8 +4,9 @@
 use super::registration::RegistrationState;
 use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
 use crate::Timestamp;
+use crate::answer_filter::AnswerFilter;
 use crate::dialect::{ObjectKind, StoreCall};
-use crate::io::{Action, ExchangeId, ExchangeOptions};
+use crate::io::{Action, ConnectionPool, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
@@ -466,8 +467,10 @@
             address: self.settings.store_address,
             request: self.dialect.store_request(&with_store_revisions(&call)),
             options: ExchangeOptions {
-                match_header: None,
+                answer: AnswerFilter::default(),
+                pool: ConnectionPool::Requests,
                 reuse_idle_below: REUSE_IDLE,
+                keeps_connection: true,
                 connect_timeout: CONNECT_TIMEOUT,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -5,10 +5,11 @@
 use super::retries::rejection_cause;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::answer_filter::AnswerFilter;
 use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
-use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
+use crate::io::{Action, ClientId, ConnectionPool, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::rate_limit::RateNotice;
@@ -469,14 +470,18 @@
     let left = open.due.saturating_sub(context.now);
     let write_timeout = left - WRITE_MARGIN.min(left / 2);
     let header = &context.headers.attempt_id;
-    let match_header = open
+    let answer = open
         .request
         .headers
         .get(header)
-        .map(|value| (header.as_str().into(), value.into()));
+        .map_or(AnswerFilter::Any, |value| {
+            AnswerFilter::Equal(header.as_str().into(), value.into())
+        });
     ExchangeOptions {
-        match_header,
+        answer,
+        pool: ConnectionPool::Requests,
         reuse_idle_below: idle_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
+        keeps_connection: true,
         connect_timeout: CONNECT_TIMEOUT.min(write_timeout),
         write_timeout: Some(write_timeout),
         // Retrying an idempotent request costs less than delaying every one.
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -3,7 +3,8 @@
 
 use crate::stream::{Stream, StreamEnd};
 use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
-use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::answer_filter::AnswerFilter;
+use ledgelead_router::io::{ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use ledgelead_router::validation::MAX_TIMEOUT;
 use slab::Slab;
 use stakker_mio::MioSource;
@@ -14,7 +15,7 @@
 
 /// Longest body of an answer, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
-/// Idle connections kept for one address.
+/// Idle connections kept for one address in each pool.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
 /// An idle connection is closed after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(9);
@@ -30,13 +31,18 @@
     pub(crate) generation: u64,
 }
 
+/// Idle connections of a pool to one address.
+type PoolKey = (SocketAddr, ConnectionPool);
+
 struct Running {
     exchange: ExchangeId,
     /// Whether it ends once its connection is established.
     is_probe: bool,
     method: String,
     reader: ResponseReader,
-    match_header: Option<(Box<str>, Box<[u8]>)>,
+    answer: AnswerFilter,
+    /// Whether its connection is returned to the pool.
+    keeps_connection: bool,
     /// Unsolicited answers skipped so far.
     unsolicited: u32,
     /// How long the connection was idle before the exchange; zero for a new connection.
@@ -55,7 +61,7 @@
 
 struct Connection {
     generation: u64,
-    address: SocketAddr,
+    pool: PoolKey,
     stream: Stream,
     connected: bool,
     running: Option<Running>,
@@ -80,8 +86,10 @@
             address,
             request: None,
             options: ExchangeOptions {
-                match_header: None,
+                answer: AnswerFilter::default(),
+                pool: ConnectionPool::Requests,
                 reuse_idle_below: Duration::ZERO,
+                keeps_connection: true,
                 connect_timeout: timeout,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
@@ -96,7 +104,7 @@
 #[derive(Default)]
 pub(crate) struct Outbound {
     connections: Slab<Connection>,
-    idle: HashMap<SocketAddr, Vec<usize>>,
+    idle: HashMap<PoolKey, Vec<usize>>,
     by_exchange: HashMap<ExchangeId, usize>,
     deadlines: BTreeSet<(Instant, ConnectionKey)>,
     last_generation: u64,
@@ -110,7 +118,8 @@
         now: Instant,
         inputs: &mut Vec<Input>,
     ) -> Result<(), Box<NewExchange>> {
-        let Some(index) = self.take_idle(new.address, new.options.reuse_idle_below, now) else {
+        let pool = (new.address, new.options.pool);
+        let Some(index) = self.take_idle(pool, new.options.reuse_idle_below, now) else {
             return Err(new);
         };
         self.begin(index, *new, now);
@@ -136,7 +145,7 @@
         self.last_generation += 1;
         let index = self.connections.insert(Connection {
             generation: self.last_generation,
-            address: new.address,
+            pool: (new.address, new.options.pool),
             stream: Stream::new(source),
             connected: false,
             running: None,
@@ -233,16 +242,16 @@
         }
     }
 
-    fn take_idle(&mut self, address: SocketAddr, below: Duration, now: Instant) -> Option<usize> {
+    fn take_idle(&mut self, pool: PoolKey, below: Duration, now: Instant) -> Option<usize> {
         loop {
-            let index = *self.idle.get(&address)?.last()?;
+            let index = *self.idle.get(&pool)?.last()?;
             let usable = self.connections.get(index)?.is_reusable(below, now);
             if usable {
-                self.idle.get_mut(&address)?.pop();
+                self.idle.get_mut(&pool)?.pop();
                 return Some(index);
             }
             // The last one became idle most recently, so the others are too old as well.
-            let stale = self.idle.remove(&address)?;
+            let stale = self.idle.remove(&pool)?;
             for index in stale {
                 self.drop_connection(index);
             }
@@ -276,7 +285,8 @@
             is_probe: new.request.is_none(),
             reader: ResponseReader::new(&method, MAX_BODY_BYTES),
             method,
-            match_header: new.options.match_header,
+            answer: new.options.answer,
+            keeps_connection: new.options.keeps_connection,
             unsolicited: 0,
             idle_for: if connection.connected {
                 now.duration_since(connection.idle_since)
@@ -462,7 +472,8 @@
         let clean = connection.stream.input.is_empty()
             && connection.stream.is_flushed()
             && connection.stream.end().is_none()
-            && running.unsolicited == 0;
+            && running.unsolicited == 0
+            && running.keeps_connection;
         let key = ConnectionKey {
             index,
             generation: connection.generation,
@@ -475,7 +486,7 @@
             connection.stream.shrink_input();
             connection.idle_since = now;
             connection.keep_until = keep_alive(&response).map(|keep| now + keep);
-            let idle = self.idle.entry(connection.address).or_default();
+            let idle = self.idle.entry(connection.pool).or_default();
             idle.push(index);
             if idle.len() > MAX_IDLE_PER_ADDRESS {
                 let oldest = idle.remove(0);
@@ -519,10 +530,10 @@
         let Some(connection) = self.connections.try_remove(index) else {
             return;
         };
-        if let Some(idle) = self.idle.get_mut(&connection.address) {
+        if let Some(idle) = self.idle.get_mut(&connection.pool) {
             idle.retain(|other| *other != index);
             if idle.is_empty() {
-                self.idle.remove(&connection.address);
+                self.idle.remove(&connection.pool);
             }
         }
         if let Some(running) = connection.running {
@@ -588,10 +599,7 @@
 
 impl Running {
     fn is_answered_by(&self, response: &Response) -> bool {
-        match &self.match_header {
-            None => true,
-            Some((name, value)) => response.headers.get(name) == Some(value.as_ref()),
-        }
+        self.answer.accepts(response)
     }
 
     /// Skips an unsolicited answer and prepares for the next one. False if there were too
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -4,7 +4,8 @@
 use super::{NewExchange, Outbound};
 use googletest::prelude::*;
 use ledgelead_http::Request;
-use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::answer_filter::AnswerFilter;
+use ledgelead_router::io::{ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use stakker::{Stakker, fwd_nop};
 use stakker_mio::MioPoll;
 use stakker_mio::mio::net::TcpStream;
@@ -28,8 +29,10 @@
 
 fn options() -> ExchangeOptions {
     ExchangeOptions {
-        match_header: None,
+        answer: AnswerFilter::default(),
+        pool: ConnectionPool::Requests,
         reuse_idle_below: Duration::ZERO,
+        keeps_connection: true,
         connect_timeout: LONG_TIMEOUT * 2,
         write_timeout: None,
         observe_before_write: LONG_TIMEOUT,
