--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -314,6 +314,11 @@
     }
 }
 
+/// The body of an order that grants keys.
+pub const GRANT: &str = "grant";
+/// The body of an order that releases keys.
+pub const RELEASE: &str = "release";
+
 /// Typed calls and answers of a node by number.
 #[derive(Default)]
 struct TypedCalls {
@@ -347,8 +352,12 @@
         answer.expect("an answer of this number")
     }
 
-    fn order_request(&self, _instance: &InstanceId, _order: &Order) -> Request {
-        Request::new("POST", "order", Vec::new())
+    fn order_request(&self, _instance: &InstanceId, order: &Order) -> Request {
+        let kind = match order {
+            Order::Grant { .. } => GRANT,
+            Order::Release { .. } => RELEASE,
+        };
+        Request::new("POST", "order", kind.into())
     }
 
     fn order_answer(&self, _instance: &InstanceId, _response: &Response) -> OrderAnswer {
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod incomplete_requests;
 mod leaving;
 mod open_requests;
+mod order_answers;
 mod overload;
 mod permits;
 mod placement;
