Log the answer to each release

A line for each: how long it took, whether it handed state over, and which attempt of a client it names, which tells the three hypotheses apart.

--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -82,6 +82,7 @@
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
         store_era: name("store-era"),
+        handover: name(HANDOVER),
     }
 }
 
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -307,6 +307,8 @@
     pub rate_limit: String,
     /// The era of the store, which increases with each restore from a backup.
     pub store_era: String,
+    /// State for the next owner of keys, in the answer to a release.
+    pub handover: String,
 }
 
 /// Translates between a platform and the router.
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -236,6 +236,23 @@
         /// The fencing token.
         fence: u64,
     },
+    /// An instance answered a release.
+    KeysReleased {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+        /// The fencing token.
+        fence: u64,
+        /// Time from sending the release to its answer.
+        took_ms: u64,
+        /// Whether the answer contains state for the next owner.
+        handover: bool,
+        /// The client's attempt that the answer names; none in an answer to an order.
+        attempt: Option<&'a str>,
+    },
     /// As far as the coordinator knows, an instance did not execute an order.
     OrderFailed {
         /// The instance.
@@ -321,6 +338,7 @@
             | Event::TakeOverNotFollowed { .. }
             | Event::MoveBegins { .. }
             | Event::KeysOwned { .. }
+            | Event::KeysReleased { .. }
             | Event::RecordNotWritten { .. }
             | Event::RecordConflict { .. }
             | Event::OrderFailed { .. } => "ownership",
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -16,6 +16,7 @@
 use crate::protections::{Protection, Protections};
 use crate::settings::{COORDINATOR_AUTHORITY, longest_unknown_hold};
 use crate::store::era_of;
+use crate::whole_millis;
 use ledgelead_http::Response;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -47,11 +48,17 @@
     named_at: u64,
 }
 
+/// An order without an answer.
+struct OrderInFlight {
+    instance: InstanceId,
+    order: Order,
+    sent: Timestamp,
+}
+
 /// State of the coordinator role at this node.
 pub(super) struct Coordination {
     coordinator: Option<Coordinator>,
-    /// The target instance of each order in flight.
-    orders: HashMap<ExchangeId, (InstanceId, Order)>,
+    orders: HashMap<ExchangeId, OrderInFlight>,
     /// Start of the latest call in which the store confirmed that this node holds the role.
     confirmed: Option<Timestamp>,
     /// Whether the ownership record last received from the store is unreadable. It may name
@@ -120,8 +127,8 @@
 
     /// The target instance of an order that is in flight.
     pub(super) fn order_target(&self, exchange: ExchangeId) -> Option<&InstanceId> {
-        let (instance, _) = self.orders.get(&exchange)?;
-        Some(instance)
+        let sent = self.orders.get(&exchange)?;
+        Some(&sent.instance)
     }
 
     /// Whether this node may give orders now.
@@ -467,14 +474,14 @@
         };
         let commands = coordinator.step(&mut context);
         for order in commands.orders {
-            self.send_order(order, out);
+            self.send_order(order, now, out);
         }
         if commands.write.is_some() {
             self.write_record(now, out);
         }
     }
 
-    fn send_order(&mut self, outgoing: OutgoingOrder, out: &mut Vec<Action>) {
+    fn send_order(&mut self, outgoing: OutgoingOrder, now: Timestamp, out: &mut Vec<Action>) {
         let timeout = match &outgoing.order {
             Order::Grant { .. } => GRANT_TIMEOUT,
             Order::Release { .. } => RELEASE_TIMEOUT,
@@ -483,9 +490,14 @@
         let request = self
             .dialect
             .order_request(&outgoing.instance, &outgoing.order);
+        let in_flight = OrderInFlight {
+            instance: outgoing.instance,
+            order: outgoing.order,
+            sent: now,
+        };
         self.coordination
             .orders
-            .insert(outgoing.exchange, (outgoing.instance, outgoing.order));
+            .insert(outgoing.exchange, in_flight);
         out.push(Action::Exchange {
             exchange: outgoing.exchange,
             address: outgoing.address,
@@ -511,13 +523,17 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let Some((instance, order)) = self.coordination.orders.remove(&exchange) else {
+        let Some(in_flight) = self.coordination.orders.remove(&exchange) else {
             return;
         };
         self.coordination.schedule_step();
         if let Ok(response) = &result {
-            self.apply_order_notice(&instance, response, now, out);
+            self.log_release(&in_flight, response, now);
+            self.apply_order_notice(&in_flight.instance, response, now, out);
         }
+        let OrderInFlight {
+            instance, order, ..
+        } = in_flight;
         let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
         if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
             let (kind, range, fence) = match &order {
@@ -540,6 +556,24 @@
         coordinator.order_ended(exchange, answer, now);
     }
 
+    /// Logs the answer to a release. Grants are answered too often for a line each.
+    fn log_release(&self, in_flight: &OrderInFlight, response: &Response, now: Timestamp) {
+        let Order::Release { range, fence } = &in_flight.order else {
+            return;
+        };
+        let headers = self.dialect.headers();
+        let released = Event::KeysReleased {
+            instance: &in_flight.instance,
+            first: range.first,
+            last: range.last,
+            fence: *fence,
+            took_ms: whole_millis(now.saturating_sub(in_flight.sent)),
+            handover: response.headers.get(&headers.handover).is_some(),
+            attempt: response.headers.text(&headers.attempt_id),
+        };
+        released.emit();
+    }
+
     /// Writes the record version that the coordinator has decided on. Only one such write is
     /// in flight at a time, so a late one can't undo another: the condition on the revision
     /// lets only one of them succeed.
--- a/crates/ledgelead-router/tests/support/mod.rs
+++ b/crates/ledgelead-router/tests/support/mod.rs
@@ -17,5 +17,6 @@
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
         store_era: name("store-era"),
+        handover: name("handover"),
     }
 }
