An order takes no answer but its own

Cause: the coordinator took the first answer on the connection of an order for the order's own. Orders shared the connections of clients' requests, and some instances send a second answer to an earlier request there, late, in the place of the next one. Class: an answer is put down to a request because of where it arrives.

Change: answers to orders carry no id, so an order excludes what could pass for its answer. Its connections are never those of requests; an answer that names a client's attempt is skipped; a success counts for a release only with handover state; a release's connection is not used again, nor one on which an order failed; the first grant under a token gets a new connection; bytes that arrive before an order is written end its connection. The node checks the answer once more. Sending orders moves to a module of its own. Skipped answers are counted (unsolicited_answers), those to orders logged. A request without an attempt id takes no answer that has one.

What stays: a second answer to an earlier renewal can pass for that of the next renewal on the same connection.

Tests: tests/node/order_answers.rs (four, failing before), tests/outbound.rs of the runtime. Tests that answer orders send the handover state with the answer to a release now, as instances do; no expectation changed.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -62,6 +62,18 @@
     Orders,
 }
 
+/// When the connection of an exchange is returned to its pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// After each complete answer.
+    #[default]
+    Always,
+    /// After a successful answer.
+    AfterSuccess,
+    /// Never.
+    Never,
+}
+
 /// Parameters of an exchange.
 #[derive(Clone, Debug)]
 pub struct ExchangeOptions {
@@ -71,8 +83,8 @@
     pub pool: ConnectionPool,
     /// A pooled connection may be reused if it was idle for less than this.
     pub reuse_idle_below: Duration,
-    /// Whether its connection is returned to the pool.
-    pub keeps_connection: bool,
+    /// Whether other exchanges may reuse its connection afterwards.
+    pub reuse: ConnectionReuse,
     /// Timeout for a new connection.
     pub connect_timeout: Duration,
     /// How long a new connection is observed before the first byte is written: an instance
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -1,34 +1,24 @@
 //! The coordinator role: campaigning for it, holding it and giving it up.
 
 use super::Node;
+use super::orders::OrderInFlight;
 use super::store_answers::describe;
 use super::store_calls::{OWNERSHIP_NAME, Purpose};
 use crate::Timestamp;
-use crate::answer_filter::AnswerFilter;
-use crate::dialect::{ObjectKind, Order, OrderAnswer, StoreAnswer, StoreCall, WrittenContent};
+use crate::dialect::{ObjectKind, StoreAnswer, StoreCall, WrittenContent};
 use crate::events::Event;
 use crate::identity::{InstanceId, NodeIdentity};
-use crate::io::{Action, ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions};
-use crate::ownership::coordinator::{Context, Coordinator, EarlierAuthority, OutgoingOrder};
+use crate::io::{Action, ExchangeFailure, ExchangeId};
+use crate::ownership::coordinator::{Context, Coordinator, EarlierAuthority};
 use crate::ownership::election::{Election, rank};
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::protections::{Protection, Protections};
 use crate::settings::{COORDINATOR_AUTHORITY, longest_unknown_hold};
 use crate::store::era_of;
-use crate::whole_millis;
-use ledgelead_http::Response;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Timeout for connecting to an instance.
-const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout for a grant, which the instance answers without waiting for anything.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Timeout for a release, which the instance answers once the work on the keys has ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Maximum idle time of a connection that is reused for orders.
-const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
 /// Maximum interval between two steps of the coordinator, and the interval while it has no
 /// authority.
 const WITHOUT_AUTHORITY_PAUSE: Duration = Duration::from_millis(250);
@@ -48,17 +38,10 @@
     named_at: u64,
 }
 
-/// An order without an answer.
-struct OrderInFlight {
-    instance: InstanceId,
-    order: Order,
-    sent: Timestamp,
-}
-
 /// State of the coordinator role at this node.
 pub(super) struct Coordination {
     coordinator: Option<Coordinator>,
-    orders: HashMap<ExchangeId, OrderInFlight>,
+    pub(super) orders: HashMap<ExchangeId, OrderInFlight>,
     /// Start of the latest call in which the store confirmed that this node holds the role.
     confirmed: Option<Timestamp>,
     /// Whether the ownership record last received from the store is unreadable. It may name
@@ -481,99 +464,6 @@
         }
     }
 
-    fn send_order(&mut self, outgoing: OutgoingOrder, now: Timestamp, out: &mut Vec<Action>) {
-        let timeout = match &outgoing.order {
-            Order::Grant { .. } => GRANT_TIMEOUT,
-            Order::Release { .. } => RELEASE_TIMEOUT,
-        };
-        log::debug!(target: "ownership", "{}: {:?}", outgoing.instance, outgoing.order);
-        let request = self
-            .dialect
-            .order_request(&outgoing.instance, &outgoing.order);
-        let in_flight = OrderInFlight {
-            instance: outgoing.instance,
-            order: outgoing.order,
-            sent: now,
-        };
-        self.coordination
-            .orders
-            .insert(outgoing.exchange, in_flight);
-        out.push(Action::Exchange {
-            exchange: outgoing.exchange,
-            address: outgoing.address,
-            request,
-            options: ExchangeOptions {
-                answer: AnswerFilter::default(),
-                pool: ConnectionPool::Requests,
-                reuse_idle_below: ORDER_REUSE_IDLE,
-                keeps_connection: true,
-                connect_timeout: ORDER_CONNECT_TIMEOUT,
-                write_timeout: None,
-                observe_before_write: Duration::ZERO,
-                timeout,
-                timeout_restarts: false,
-            },
-        });
-    }
-
-    pub(super) fn order_answered(
-        &mut self,
-        exchange: ExchangeId,
-        result: Result<Response, ExchangeFailure>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(in_flight) = self.coordination.orders.remove(&exchange) else {
-            return;
-        };
-        self.coordination.schedule_step();
-        if let Ok(response) = &result {
-            self.log_release(&in_flight, response, now);
-            self.apply_order_notice(&in_flight.instance, response, now, out);
-        }
-        let OrderInFlight {
-            instance, order, ..
-        } = in_flight;
-        let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
-        if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
-            let (kind, range, fence) = match &order {
-                Order::Grant { range, fence, .. } => ("grant", range, fence),
-                Order::Release { range, fence } => ("release", range, fence),
-            };
-            let failed = Event::OrderFailed {
-                instance: &instance,
-                order: kind,
-                first: range.first,
-                last: range.last,
-                fence: *fence,
-                answer: &format!("{answer:?}"),
-            };
-            failed.emit();
-        }
-        let Some(coordinator) = &mut self.coordination.coordinator else {
-            return;
-        };
-        coordinator.order_ended(exchange, answer, now);
-    }
-
-    /// Logs the answer to a release. Grants are answered too often for a line each.
-    fn log_release(&self, in_flight: &OrderInFlight, response: &Response, now: Timestamp) {
-        let Order::Release { range, fence } = &in_flight.order else {
-            return;
-        };
-        let headers = self.dialect.headers();
-        let released = Event::KeysReleased {
-            instance: &in_flight.instance,
-            first: range.first,
-            last: range.last,
-            fence: *fence,
-            took_ms: whole_millis(now.saturating_sub(in_flight.sent)),
-            handover: response.headers.get(&headers.handover).is_some(),
-            attempt: response.headers.text(&headers.attempt_id),
-        };
-        released.emit();
-    }
-
     /// Writes the record version that the coordinator has decided on. Only one such write is
     /// in flight at a time, so a late one can't undo another: the condition on the revision
     /// lets only one of them succeed.
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod load_hub;
 mod messaging;
 mod open_requests;
+mod orders;
 mod quarantine;
 mod rate_limits;
 mod registration;
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -6,7 +6,7 @@
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
 use crate::dialect::{ObjectKind, StoreCall};
-use crate::io::{Action, ConnectionPool, ExchangeId, ExchangeOptions};
+use crate::io::{Action, ConnectionPool, ConnectionReuse, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
@@ -470,7 +470,7 @@
                 answer: AnswerFilter::default(),
                 pool: ConnectionPool::Requests,
                 reuse_idle_below: REUSE_IDLE,
-                keeps_connection: true,
+                reuse: ConnectionReuse::Always,
                 connect_timeout: CONNECT_TIMEOUT,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -24,7 +24,9 @@
 use crate::directory::Entry;
 use crate::events::Event;
 use crate::identity::{NodeIdentity, NodeName};
-use crate::io::{Action, ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions};
+use crate::io::{
+    Action, ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions,
+};
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::peers::{
@@ -269,7 +271,7 @@
                 answer: AnswerFilter::default(),
                 pool: ConnectionPool::Requests,
                 reuse_idle_below: Duration::ZERO,
-                keeps_connection: true,
+                reuse: ConnectionReuse::Always,
                 connect_timeout: CONNECT_TIMEOUT,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -56,6 +56,8 @@
     pub address: SocketAddr,
     /// The order.
     pub order: Order,
+    /// Whether it is a grant under a token for which the receiver has answered no grant yet.
+    pub is_first_grant: bool,
 }
 
 /// The result of a step of the coordinator.
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -78,6 +78,7 @@
                     range: shard.range,
                     fence,
                 },
+                is_first_grant: false,
             });
         }
     }
@@ -108,6 +109,7 @@
                     hold: crate::settings::HOLD,
                     handover: shard.lease.handover.clone(),
                 },
+                is_first_grant: !shard.lease.fenced,
             });
         }
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -9,7 +9,9 @@
 use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
-use crate::io::{Action, ClientId, ConnectionPool, ExchangeFailure, ExchangeOptions};
+use crate::io::{
+    Action, ClientId, ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeOptions,
+};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::rate_limit::RateNotice;
@@ -470,18 +472,19 @@
     let left = open.due.saturating_sub(context.now);
     let write_timeout = left - WRITE_MARGIN.min(left / 2);
     let header = &context.headers.attempt_id;
-    let answer = open
-        .request
-        .headers
-        .get(header)
-        .map_or(AnswerFilter::Any, |value| {
-            AnswerFilter::Equal(header.as_str().into(), value.into())
-        });
+    let answer = match open.request.headers.get(header) {
+        Some(id) => AnswerFilter::Equal(header.as_str().into(), id.into()),
+        // The answer to a request without an id has none either.
+        None => AnswerFilter::Unmarked {
+            marker: header.as_str().into(),
+            on_success: None,
+        },
+    };
     ExchangeOptions {
         answer,
         pool: ConnectionPool::Requests,
         reuse_idle_below: idle_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
-        keeps_connection: true,
+        reuse: ConnectionReuse::Always,
         connect_timeout: CONNECT_TIMEOUT.min(write_timeout),
         write_timeout: Some(write_timeout),
         // Retrying an idempotent request costs less than delaying every one.
--- a/crates/ledgelead-router/tests/node/evacuation.rs
+++ b/crates/ledgelead-router/tests/node/evacuation.rs
@@ -1,6 +1,6 @@
 //! Zones that an operator evacuates and puts back into use.
 
-use crate::fixture::{Fixture, KEYED, SERVICE, Store, configuration, instance, ms};
+use crate::fixture::{Fixture, KEYED, SERVICE, Store, completed, configuration, instance, ms};
 use crate::fixture::{node_address, node_record};
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -121,7 +121,7 @@
     let complete_orders = |fixture: &mut Fixture, rounds: u32| {
         for _ in 0..rounds {
             for order in std::mem::take(&mut fixture.attempts) {
-                fixture.answer(order.exchange, Response::new(200, ""));
+                fixture.answer(order.exchange, completed(&order));
             }
             fixture.run_until(fixture.now + ms(50));
         }
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -409,6 +409,15 @@
     response
 }
 
+/// An instance's answer to an order that it has carried out.
+pub fn completed(order: &Sent) -> Response {
+    let mut response = Response::new(200, "");
+    if order.body == RELEASE.as_bytes() {
+        response.headers.push("handover", "state");
+    }
+    response
+}
+
 /// The address of the node with this number.
 pub fn node_address(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_000))
--- a/crates/ledgelead-router/tests/node/leaving.rs
+++ b/crates/ledgelead-router/tests/node/leaving.rs
@@ -1,7 +1,7 @@
 //! How nodes pass on that an instance has announced in a response that it is leaving.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, configuration, instance, ms, node_address, owned_store,
+    Fixture, KEYED, SERVICE, completed, configuration, instance, ms, node_address, owned_store,
     store_without_owners, success,
 };
 use googletest::prelude::*;
@@ -115,7 +115,7 @@
 /// Answers all outstanding orders.
 fn complete_orders(fixture: &mut Fixture) {
     while let Some(sent) = fixture.attempts.pop() {
-        fixture.answer(sent.exchange, Response::new(200, ""));
+        fixture.answer(sent.exchange, completed(&sent));
     }
 }
 
--- a/crates/ledgelead-router/tests/node/order_answers.rs
+++ b/crates/ledgelead-router/tests/node/order_answers.rs
@@ -5,7 +5,9 @@
 //! grants the keys to their next owner while the last one still works on them: the release
 //! arrived at 11.820 s, the next grant at 11.838 s, and the work ended at 11.917 s.
 
-use crate::fixture::{Fixture, GRANT, KEYED, RELEASE, Sent, instance, ms, store_without_owners};
+use crate::fixture::{
+    Fixture, GRANT, KEYED, RELEASE, Sent, completed, instance, ms, store_without_owners,
+};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::identity::InstanceId;
@@ -21,13 +23,6 @@
     response
 }
 
-/// An instance's answer to a release, once the work on the keys has ended.
-fn released() -> Response {
-    let mut response = Response::new(200, "");
-    response.headers.push("handover", "state");
-    response
-}
-
 fn take_orders(fixture: &mut Fixture, kind: &str) -> Vec<Sent> {
     let all = std::mem::take(&mut fixture.attempts);
     let is_wanted = |sent: &Sent| sent.target == ORDER && sent.body == kind.as_bytes();
@@ -38,7 +33,7 @@
 
 fn answer_grants(fixture: &mut Fixture) {
     for sent in take_orders(fixture, GRANT) {
-        fixture.answer(sent.exchange, Response::new(200, ""));
+        fixture.answer(sent.exchange, completed(&sent));
     }
 }
 
@@ -81,7 +76,7 @@
     fixture.answer(release.exchange, second_answer(200));
     fixture.run_until(fixture.now + ms(400));
     let repeated = take_orders(&mut fixture, RELEASE).pop().expect("a release");
-    fixture.answer(repeated.exchange, released());
+    fixture.answer(repeated.exchange, completed(&repeated));
     fixture.run_until(fixture.now + ms(200));
     expect_that!(fixture.owner_of(7), some(not(eq(&owner))));
 }
--- a/crates/ledgelead-router/tests/node/overload.rs
+++ b/crates/ledgelead-router/tests/node/overload.rs
@@ -1,8 +1,8 @@
 //! Keys with more requests than their owner can process.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Store, all_keys_of, configuration, instance, ms, node_address,
-    node_record, success,
+    Fixture, KEYED, SERVICE, Store, all_keys_of, completed, configuration, instance, ms,
+    node_address, node_record, success,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -142,7 +142,7 @@
 /// Answers all outstanding orders, and advances the time.
 fn complete_orders(fixture: &mut Fixture) {
     for order in std::mem::take(&mut fixture.attempts) {
-        fixture.answer(order.exchange, ledgelead_http::Response::new(200, ""));
+        fixture.answer(order.exchange, completed(&order));
     }
     fixture.run_until(fixture.now + ms(50));
 }
--- a/crates/ledgelead-router/tests/node/placement.rs
+++ b/crates/ledgelead-router/tests/node/placement.rs
@@ -1,6 +1,6 @@
 //! Placement of keys whose owners are lost.
 
-use crate::fixture::{Fixture, KEYED, Store, configuration, instance, ms, node_record};
+use crate::fixture::{Fixture, KEYED, Store, completed, configuration, instance, ms, node_record};
 use googletest::prelude::*;
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::identity::{InstanceId, ServiceName};
@@ -33,7 +33,7 @@
     // The new coordinator knows no load. It assigns the keys after the leases have expired.
     for _ in 0..240 {
         for order in std::mem::take(&mut fixture.attempts) {
-            fixture.answer(order.exchange, ledgelead_http::Response::new(200, ""));
+            fixture.answer(order.exchange, completed(&order));
         }
         fixture.run_until(fixture.now + ms(50));
     }
@@ -79,7 +79,7 @@
                 .any(|number| instance(*number, KEYED).address == order.address);
             let result = match lost {
                 true => Err(ExchangeFailure::Lost),
-                false => Ok(ledgelead_http::Response::new(200, "")),
+                false => Ok(completed(&order)),
             };
             fixture.end(order.exchange, result);
         }
--- a/crates/ledgelead-router/tests/node/rate_limits.rs
+++ b/crates/ledgelead-router/tests/node/rate_limits.rs
@@ -4,8 +4,8 @@
 //! to 10.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, Sent, Store, all_keys_of, configuration, instance, ms, node_address,
-    node_record, owned_store, store_without_owners, success,
+    Fixture, KEYED, SERVICE, Sent, Store, all_keys_of, completed, configuration, instance, ms,
+    node_address, node_record, owned_store, store_without_owners, success,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -55,7 +55,7 @@
         fixture.run_until(fixture.now + ms(5));
         for sent in std::mem::take(&mut fixture.attempts) {
             if sent.target == ORDER {
-                fixture.answer(sent.exchange, Response::new(200, ""));
+                fixture.answer(sent.exchange, completed(&sent));
                 continue;
             }
             attempts.push((sent.at, sent.address));
@@ -300,7 +300,7 @@
         let done: Vec<Sent> = in_progress.extract_if(.., is_done).collect();
         for sent in done {
             let response = match sent.target == ORDER {
-                true => Response::new(200, ""),
+                true => completed(&sent),
                 false => answer(sent.address),
             };
             answered += usize::from(sent.target != ORDER);
--- a/crates/ledgelead-router/tests/node/response_notices.rs
+++ b/crates/ledgelead-router/tests/node/response_notices.rs
@@ -10,7 +10,9 @@
 //! 14 owners answered 503 with `Retry-After: 3`, and a node sent one of them up to 12 requests
 //! within that time, and each request up to four times (the second time after 62 ms).
 
-use crate::fixture::{Fixture, KEYED, SERVICE, configuration, instance, ms, owned_store, success};
+use crate::fixture::{
+    Fixture, KEYED, SERVICE, completed, configuration, instance, ms, owned_store, success,
+};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use std::net::SocketAddr;
@@ -47,7 +49,7 @@
     while let Some(sent) = fixture.attempts.pop() {
         fixture.run_until(fixture.now + ms(1));
         if sent.target == ORDER {
-            fixture.answer(sent.exchange, Response::new(200, ""));
+            fixture.answer(sent.exchange, completed(&sent));
             continue;
         }
         receivers.push(sent.address);
--- a/crates/ledgelead-router/tests/node/store_eras.rs
+++ b/crates/ledgelead-router/tests/node/store_eras.rs
@@ -6,10 +6,10 @@
 //! instances held.
 
 use crate::fixture::{
-    Fixture, KEYED, all_keys_of, configuration, ms, node_record, owned_store, store_without_owners,
+    Fixture, KEYED, all_keys_of, completed, configuration, ms, node_record, owned_store,
+    store_without_owners,
 };
 use googletest::prelude::*;
-use ledgelead_http::Response;
 use ledgelead_router::dialect::{ObjectContent, ObjectKind};
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::store::{era_of, first_in_era};
@@ -30,7 +30,7 @@
         }
         for sent in std::mem::take(&mut fixture.attempts) {
             orders += usize::from(sent.target == ORDER);
-            fixture.answer(sent.exchange, Response::new(200, ""));
+            fixture.answer(sent.exchange, completed(&sent));
         }
     }
     orders
--- a/crates/ledgelead-router/tests/node/unreadable_objects.rs
+++ b/crates/ledgelead-router/tests/node/unreadable_objects.rs
@@ -1,7 +1,8 @@
 //! Entries of the store that another program has written in an unreadable form.
 
 use crate::fixture::{
-    Fixture, KEYED, SERVICE, instance, ms, node_address, node_record, store_without_owners,
+    Fixture, KEYED, SERVICE, completed, instance, ms, node_address, node_record,
+    store_without_owners,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
@@ -48,7 +49,7 @@
         let next = fixture.now + ms(50);
         fixture.run_until(next);
         for sent in std::mem::take(&mut fixture.attempts) {
-            fixture.answer(sent.exchange, Response::new(200, ""));
+            fixture.answer(sent.exchange, completed(&sent));
         }
     }
 }
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -51,7 +51,11 @@
 }
 
 /// Encodes all metrics.
-pub(crate) fn render(status: &NodeStatus, buffers: BufferStats) -> String {
+pub(crate) fn render(
+    status: &NodeStatus,
+    buffers: BufferStats,
+    unsolicited_answers: u64,
+) -> String {
     let mut registry = Registry::with_prefix("ledgelead");
     gauge(
         &mut registry,
@@ -143,6 +147,12 @@
         "Log lines dropped since nobody read them in time",
         crate::logging::dropped_lines(),
     );
+    counter(
+        &mut registry,
+        "unsolicited_answers",
+        "Answers that belonged to no exchange on their connection",
+        unsolicited_answers,
+    );
     counter(
         &mut registry,
         "former_heartbeats",
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -4,7 +4,9 @@
 use crate::stream::{Stream, StreamEnd};
 use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
 use ledgelead_router::answer_filter::AnswerFilter;
-use ledgelead_router::io::{ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::io::{
+    ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions, Input,
+};
 use ledgelead_router::validation::MAX_TIMEOUT;
 use slab::Slab;
 use stakker_mio::MioSource;
@@ -31,8 +33,12 @@
     pub(crate) generation: u64,
 }
 
-/// Idle connections of a pool to one address.
-type PoolKey = (SocketAddr, ConnectionPool);
+/// Identifies the idle connections of a pool to one address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct PoolKey {
+    address: SocketAddr,
+    pool: ConnectionPool,
+}
 
 struct Running {
     exchange: ExchangeId,
@@ -41,8 +47,7 @@
     method: String,
     reader: ResponseReader,
     answer: AnswerFilter,
-    /// Whether its connection is returned to the pool.
-    keeps_connection: bool,
+    reuse: ConnectionReuse,
     /// Unsolicited answers skipped so far.
     unsolicited: u32,
     /// How long the connection was idle before the exchange; zero for a new connection.
@@ -79,6 +84,13 @@
 }
 
 impl NewExchange {
+    fn pool_key(&self) -> PoolKey {
+        PoolKey {
+            address: self.address,
+            pool: self.options.pool,
+        }
+    }
+
     /// An exchange that opens a connection and sends nothing on it.
     pub(crate) fn probe(exchange: ExchangeId, address: SocketAddr, timeout: Duration) -> Self {
         NewExchange {
@@ -89,7 +101,7 @@
                 answer: AnswerFilter::default(),
                 pool: ConnectionPool::Requests,
                 reuse_idle_below: Duration::ZERO,
-                keeps_connection: true,
+                reuse: ConnectionReuse::Always,
                 connect_timeout: timeout,
                 write_timeout: None,
                 observe_before_write: Duration::ZERO,
@@ -108,6 +120,7 @@
     by_exchange: HashMap<ExchangeId, usize>,
     deadlines: BTreeSet<(Instant, ConnectionKey)>,
     last_generation: u64,
+    unsolicited_answers: u64,
 }
 
 impl Outbound {
@@ -118,7 +131,7 @@
         now: Instant,
         inputs: &mut Vec<Input>,
     ) -> Result<(), Box<NewExchange>> {
-        let pool = (new.address, new.options.pool);
+        let pool = new.pool_key();
         let Some(index) = self.take_idle(pool, new.options.reuse_idle_below, now) else {
             return Err(new);
         };
@@ -145,7 +158,7 @@
         self.last_generation += 1;
         let index = self.connections.insert(Connection {
             generation: self.last_generation,
-            pool: (new.address, new.options.pool),
+            pool: new.pool_key(),
             stream: Stream::new(source),
             connected: false,
             running: None,
@@ -181,6 +194,11 @@
             .sum()
     }
 
+    /// Answers skipped so far that did not belong to the exchange on their connection.
+    pub(crate) fn unsolicited_answers(&self) -> u64 {
+        self.unsolicited_answers
+    }
+
     /// The next time limit of an exchange.
     pub(crate) fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(at, _)| *at)
@@ -286,7 +304,7 @@
             reader: ResponseReader::new(&method, MAX_BODY_BYTES),
             method,
             answer: new.options.answer,
-            keeps_connection: new.options.keeps_connection,
+            reuse: new.options.reuse,
             unsolicited: 0,
             idle_for: if connection.connected {
                 now.duration_since(connection.idle_since)
@@ -334,7 +352,7 @@
         };
         connection.stream.fill();
         let unsent = connection.running.is_some() && !connection.stream.has_written();
-        if unsent && connection.stream.end().is_some() {
+        if unsent && (connection.stream.end().is_some() || connection.has_stray_answer()) {
             // No byte of the request was written, and none will be.
             self.fail(index, ExchangeFailure::NotConnected, inputs);
             return;
@@ -399,6 +417,8 @@
             match running.reader.read(&mut connection.stream.input) {
                 Ok(ResponseProgress::Complete { response, reusable }) => {
                     if !running.is_answered_by(&response) {
+                        self.unsolicited_answers += 1;
+                        connection.pool.log_unsolicited(&response);
                         if running.skip_answer() {
                             continue;
                         }
@@ -473,7 +493,7 @@
             && connection.stream.is_flushed()
             && connection.stream.end().is_none()
             && running.unsolicited == 0
-            && running.keeps_connection;
+            && running.allows_reuse(&response);
         let key = ConnectionKey {
             index,
             generation: connection.generation,
@@ -555,7 +575,23 @@
     }
 }
 
+impl PoolKey {
+    /// Logs an answer that belongs to no order. Those to requests are frequent and harmless.
+    fn log_unsolicited(self, response: &Response) {
+        if self.pool == ConnectionPool::Orders {
+            let (status, address) = (response.status, self.address);
+            log::info!(target: "ownership", "skipped an answer {status} from {address} that belongs to no order");
+        }
+    }
+}
+
 impl Connection {
+    /// Whether bytes that arrived on an idle connection could pass for the answer to an order,
+    /// which carries no id.
+    fn has_stray_answer(&self) -> bool {
+        self.pool.pool == ConnectionPool::Orders && !self.stream.input.is_empty()
+    }
+
     fn buffered_bytes(&self) -> usize {
         let running = self.running.as_ref();
         let reader = running.map_or(0, |running| running.reader.reserved_bytes());
@@ -598,6 +634,14 @@
 }
 
 impl Running {
+    fn allows_reuse(&self, response: &Response) -> bool {
+        match self.reuse {
+            ConnectionReuse::Always => true,
+            ConnectionReuse::AfterSuccess => response.is_success(),
+            ConnectionReuse::Never => false,
+        }
+    }
+
     fn is_answered_by(&self, response: &Response) -> bool {
         self.answer.accepts(response)
     }
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -320,7 +320,11 @@
                 bytes: self.inbound.buffered_bytes() + self.outbound.buffered_bytes(),
                 dropped: self.inbound.dropped_clients(),
             };
-            Response::new(200, metrics::render(&self.node.status(), buffers))
+            let unsolicited = self.outbound.unsolicited_answers();
+            Response::new(
+                200,
+                metrics::render(&self.node.status(), buffers, unsolicited),
+            )
         } else {
             Response::new(404, Vec::new())
         };
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -3,9 +3,11 @@
 
 use super::{NewExchange, Outbound};
 use googletest::prelude::*;
-use ledgelead_http::Request;
+use ledgelead_http::{Request, Response};
 use ledgelead_router::answer_filter::AnswerFilter;
-use ledgelead_router::io::{ConnectionPool, ExchangeFailure, ExchangeId, ExchangeOptions, Input};
+use ledgelead_router::io::{
+    ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions, Input,
+};
 use stakker::{Stakker, fwd_nop};
 use stakker_mio::MioPoll;
 use stakker_mio::mio::net::TcpStream;
@@ -32,7 +34,7 @@
         answer: AnswerFilter::default(),
         pool: ConnectionPool::Requests,
         reuse_idle_below: Duration::ZERO,
-        keeps_connection: true,
+        reuse: ConnectionReuse::Always,
         connect_timeout: LONG_TIMEOUT * 2,
         write_timeout: None,
         observe_before_write: LONG_TIMEOUT,
@@ -381,6 +383,136 @@
     expect_that!(not_sent, eq(true));
 }
 
+/// Options of an order: answers carry no id, and those that do belong to requests.
+fn of_order(on_success: Option<&str>) -> ExchangeOptions {
+    ExchangeOptions {
+        answer: AnswerFilter::Unmarked {
+            marker: "id".into(),
+            on_success: on_success.map(Into::into),
+        },
+        pool: ConnectionPool::Orders,
+        ..without_observation()
+    }
+}
+
+/// Runs an exchange of which the instance sends these bytes, and returns its result.
+fn run_exchange(fixture: &mut Fixture, answers: &[u8]) -> Result<Response, ExchangeFailure> {
+    let mut inputs = poll_until_request_arrives(fixture);
+    let mut request = [0; 4_096];
+    let count = fixture.peer.read(&mut request).expect("the request");
+    expect_that!(request[..count].ends_with(b"\r\n\r\n"), eq(true));
+    fixture.peer.write_all(answers).expect("a connection");
+    while inputs.is_empty() {
+        poll(fixture, &mut inputs);
+    }
+    match inputs.remove(0) {
+        Input::ExchangeEnded { result, .. } => result,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Begins a second exchange. Returns whether it found an idle connection, and the inputs for
+/// the node.
+fn start_second(fixture: &mut Fixture, options: ExchangeOptions) -> (bool, Vec<Input>) {
+    let mut inputs = Vec::new();
+    let new = NewExchange {
+        exchange: ExchangeId(2),
+        address: fixture.peer.local_addr().expect("an address"),
+        request: Some(Request::new("POST", "/order", Vec::new())),
+        options: ExchangeOptions {
+            reuse_idle_below: LONG_TIMEOUT,
+            ..options
+        },
+    };
+    let started = fixture
+        .outbound
+        .start_on_idle(Box::new(new), fixture.start, &mut inputs);
+    (started.is_ok(), inputs)
+}
+
+const EMPTY_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const CONFLICT: &[u8] = b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+const ANSWER_OF_REQUEST: &[u8] = b"HTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 0\r\n\r\n";
+const ANSWER_WITH_STATE: &[u8] = b"HTTP/1.1 200 OK\r\nstate: s\r\nContent-Length: 0\r\n\r\n";
+
+#[gtest]
+fn an_order_skips_the_second_answer_to_a_request() {
+    for status in ["200 OK", "409 Conflict", "421 Misdirected Request"] {
+        let mut fixture = fixture_with(Vec::new(), of_order(None));
+        let stray = format!("HTTP/1.1 {status}\r\nid: 7\r\nContent-Length: 0\r\n\r\n");
+        let both = [stray.as_bytes(), b"HTTP/1.1 204 No Content\r\n\r\n"].concat();
+        let answer = run_exchange(&mut fixture, &both).expect("an answer");
+        expect_that!(answer.status, eq(204));
+        expect_that!(fixture.outbound.unsolicited_answers(), eq(1));
+        // Further answers may follow on this connection.
+        expect_that!(start_second(&mut fixture, of_order(None)).0, eq(false));
+    }
+}
+
+#[gtest]
+fn a_success_without_the_expected_header_is_skipped() {
+    let mut fixture = fixture_with(Vec::new(), of_order(Some("state")));
+    let both = [EMPTY_ANSWER, ANSWER_WITH_STATE].concat();
+    let answer = run_exchange(&mut fixture, &both).expect("an answer");
+    expect_that!(answer.headers.text("state"), some(eq("s")));
+    let mut fixture = fixture_with(Vec::new(), of_order(Some("state")));
+    let conflict = run_exchange(&mut fixture, CONFLICT).expect("an answer");
+    expect_that!(conflict.status, eq(409));
+}
+
+#[gtest]
+fn orders_and_requests_share_no_connection() {
+    let mut fixture = fixture_with(Vec::new(), without_observation());
+    run_exchange(&mut fixture, ANSWER_OF_REQUEST).expect("an answer");
+    expect_that!(start_second(&mut fixture, of_order(None)).0, eq(false));
+    expect_that!(
+        start_second(&mut fixture, without_observation()).0,
+        eq(true)
+    );
+    let mut fixture = fixture_with(Vec::new(), of_order(None));
+    run_exchange(&mut fixture, EMPTY_ANSWER).expect("an answer");
+    expect_that!(
+        start_second(&mut fixture, without_observation()).0,
+        eq(false)
+    );
+    expect_that!(start_second(&mut fixture, of_order(None)).0, eq(true));
+}
+
+#[gtest]
+fn a_connection_is_reused_only_as_far_as_the_exchange_allows() {
+    for (reuse, answer, is_kept) in [
+        (ConnectionReuse::Always, CONFLICT, true),
+        (ConnectionReuse::AfterSuccess, CONFLICT, false),
+        (ConnectionReuse::AfterSuccess, EMPTY_ANSWER, true),
+        (ConnectionReuse::Never, EMPTY_ANSWER, false),
+    ] {
+        let options = ExchangeOptions {
+            reuse,
+            ..of_order(None)
+        };
+        let mut fixture = fixture_with(Vec::new(), options);
+        run_exchange(&mut fixture, answer).expect("an answer");
+        let (is_reused, _) = start_second(&mut fixture, of_order(None));
+        expect_that!(is_reused, eq(is_kept), "{reuse:?}");
+    }
+}
+
+#[gtest]
+fn an_order_is_not_written_after_bytes_that_belong_to_no_order() {
+    let mut fixture = fixture_with(Vec::new(), of_order(None));
+    run_exchange(&mut fixture, EMPTY_ANSWER).expect("an answer");
+    fixture.peer.write_all(EMPTY_ANSWER).expect("a connection");
+    let (_, inputs) = start_second(&mut fixture, of_order(None));
+    let not_sent = matches!(
+        inputs.first(),
+        Some(Input::ExchangeEnded {
+            result: Err(ExchangeFailure::NotConnected),
+            ..
+        })
+    );
+    expect_that!(not_sent, eq(true));
+}
+
 #[gtest]
 fn a_keep_alive_of_any_length_is_bounded() {
     for seconds in [
