--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -23,6 +23,7 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum idle time of a connection that is reused for orders.
 const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
+
 /// An order without an answer.
 pub(super) struct OrderInFlight {
     pub(super) instance: InstanceId,
@@ -31,6 +32,17 @@
     sent: Timestamp,
 }
 
+/// Options with which an order takes any answer, on connections that it shares with requests.
+fn without_matching(options: ExchangeOptions) -> ExchangeOptions {
+    ExchangeOptions {
+        answer: AnswerFilter::Any,
+        pool: ConnectionPool::Requests,
+        reuse_idle_below: ORDER_REUSE_IDLE,
+        reuse: ConnectionReuse::Always,
+        ..options
+    }
+}
+
 impl Node {
     /// Answers to orders carry no id, so an order must not share a connection with exchanges
     /// whose second answers could pass for its own: requests of clients, earlier releases, and
@@ -45,7 +57,7 @@
                 RELEASE_TIMEOUT,
             ),
         };
-        ExchangeOptions {
+        let options = ExchangeOptions {
             answer: AnswerFilter::Unmarked {
                 marker: headers.attempt_id.as_str().into(),
                 on_success,
@@ -61,18 +73,10 @@
             observe_before_write: Duration::ZERO,
             timeout,
             timeout_restarts: false,
-        }
-    }
-
-    /// Options with which an order takes any answer, on connections that it shares with
-    /// requests.
-    fn unmatched_order_options(options: ExchangeOptions) -> ExchangeOptions {
-        ExchangeOptions {
-            answer: AnswerFilter::Any,
-            pool: ConnectionPool::Requests,
-            reuse_idle_below: ORDER_REUSE_IDLE,
-            reuse: ConnectionReuse::Always,
-            ..options
+        };
+        match self.settings.protections.has(Protection::MatchOrderAnswers) {
+            true => options,
+            false => without_matching(options),
         }
     }
 
@@ -82,11 +86,7 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
-        let mut options = self.order_options(&outgoing);
-        let protections = self.settings.protections;
-        if !protections.has(Protection::MatchOrderAnswers) {
-            options = Node::unmatched_order_options(options);
-        }
+        let options = self.order_options(&outgoing);
         log::debug!(target: "ownership", "{}: {:?}", outgoing.instance, outgoing.order);
         let request = self
             .dialect
