Requests need the key of a tenant where the configuration has tenants

Cause: nothing read tenants. Ruled out: a key that is late, since no version with tenants was ever looked at.

Change: the configuration has tenants with digests of their keys. A request without a key that belongs to a tenant is refused with 401, unless its route allows anonymous callers; a key that is unknown is refused there as well. The key is taken off, and the tenant's name set, whatever the client sent. A tenant's priority replaces the route's. Nodes send each other tenants as further entries of a version; keys are neither kept, sent nor logged.

Tests: tests/node/callers.rs, tests of the platform's objects. They don't compile on the code before, which knows no tenants.

--- a/crates/ledgelead-lab/src/fleet/dialect.rs
+++ b/crates/ledgelead-lab/src/fleet/dialect.rs
@@ -82,6 +82,8 @@
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
         store_era: name("store-era"),
+        caller_key: name("caller-key"),
+        tenant: name("tenant"),
         handover: name(HANDOVER),
     }
 }
--- a/crates/ledgelead-lab/src/fleet/versions.rs
+++ b/crates/ledgelead-lab/src/fleet/versions.rs
@@ -169,6 +169,7 @@
             target_latency: Duration::from_millis(250),
             max_attempts: 2,
             priority: 1,
+            allows_anonymous: false,
         })
     };
     let service = |name: &str, sharded| Service {
@@ -194,6 +195,7 @@
             .into_iter()
             .chain(read_service)
             .collect(),
+        tenants: Vec::new(),
         limits: ClientLimits::default(),
     }
 }
--- a/crates/ledgelead-router/examples/coordinator_bench.rs
+++ b/crates/ledgelead-router/examples/coordinator_bench.rs
@@ -71,6 +71,7 @@
                 max_connections: 100,
                 cold_rate: None,
             }],
+            tenants: Vec::new(),
             limits: ClientLimits::default(),
         };
         let earlier = EarlierAuthority {
--- a/crates/ledgelead-router/src/configuration.rs
+++ b/crates/ledgelead-router/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The operator's routes, services and limits.
 
 use crate::identity::ServiceName;
+use crate::tenants::{Tenant, TenantTable};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,8 @@
     pub max_attempts: u32,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether it accepts requests without a caller's key although there are tenants.
+    pub allows_anonymous: bool,
 }
 
 /// The configuration of a service.
@@ -92,6 +95,8 @@
     pub routes: Vec<Arc<Route>>,
     /// All services.
     pub services: Vec<Service>,
+    /// All tenants. If there are none, requests need no keys.
+    pub tenants: Vec<Arc<Tenant>>,
     /// Limits for client requests.
     pub limits: ClientLimits,
 }
@@ -107,14 +112,26 @@
         let mut kinds: BTreeMap<&ServiceName, BTreeSet<(u32, Duration)>> = BTreeMap::new();
         for route in &self.routes {
             for target in route.targets.iter().filter(|target| target.weight > 0.0) {
-                let kind = (route.priority, route.target_latency);
-                kinds.entry(&target.service).or_default().insert(kind);
+                let kinds = kinds.entry(&target.service).or_default();
+                for priority in self.priorities_on(route) {
+                    kinds.insert((priority, route.target_latency));
+                }
             }
         }
         let contended = kinds.into_iter().filter(|(_, kinds)| kinds.len() > 1);
         contended.map(|(service, _)| service.clone()).collect()
     }
 
+    /// The priorities of requests on a route.
+    fn priorities_on(&self, route: &Route) -> BTreeSet<u32> {
+        let of_tenants = self.tenants.iter().map(|tenant| tenant.priority);
+        let is_route_used = self.tenants.is_empty() || route.allows_anonymous;
+        of_tenants
+            .chain(is_route_used.then_some(None))
+            .map(|priority| priority.unwrap_or(route.priority))
+            .collect()
+    }
+
     /// Services whose keys are owned by instances.
     pub fn sharded_services(&self) -> impl Iterator<Item = &ServiceName> {
         self.services
@@ -124,11 +141,12 @@
     }
 }
 
-/// Looks up the route of a request.
+/// Looks up the route of a request, and its tenant.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     by_host: HashMap<String, Vec<Arc<Route>>>,
     contended: BTreeSet<ServiceName>,
+    tenants: TenantTable,
 }
 
 impl RouteTable {
@@ -147,9 +165,15 @@
         RouteTable {
             by_host,
             contended: configuration.contended_services(),
+            tenants: TenantTable::new(&configuration.tenants),
         }
     }
 
+    /// The tenants, by the keys of their callers.
+    pub fn tenants(&self) -> &TenantTable {
+        &self.tenants
+    }
+
     /// Whether any service is contended.
     pub fn has_contended(&self) -> bool {
         !self.contended.is_empty()
--- a/crates/ledgelead-router/src/dialect.rs
+++ b/crates/ledgelead-router/src/dialect.rs
@@ -307,6 +307,10 @@
     pub rate_limit: String,
     /// The era of the store, which increases with each restore from a backup.
     pub store_era: String,
+    /// The caller's key, which identifies its tenant.
+    pub caller_key: String,
+    /// The tenant of a request, set for the instance.
+    pub tenant: String,
     /// State for the next owner of keys, in the answer to a release.
     pub handover: String,
 }
--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod requests;
 pub mod settings;
 pub mod store;
+pub mod tenants;
 pub mod validation;
 pub mod zone_traffic;
 
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -4,6 +4,7 @@
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
 use crate::identity::ServiceName;
+use crate::tenants::{KEY_DIGEST_BYTES, KeyDigest, Tenant};
 use crate::validation::{self, MAX_TIMEOUT};
 use crate::whole_millis;
 use ledgelead_types::codec::{List, Text};
@@ -57,6 +58,17 @@
     pub cold_rate: f64,
 }
 
+/// A tenant.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct TenantEntry {
+    /// Its name.
+    pub name: Text,
+    /// Digests of its keys.
+    pub keys: List<[u8; KEY_DIGEST_BYTES]>,
+    /// Priority of its requests, if it replaces that of their routes.
+    pub priority: Option<u32>,
+}
+
 /// Limits for client requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct LimitsEntry {
@@ -81,6 +93,13 @@
     Service(ServiceEntry),
     /// The service of this name is removed.
     ServiceRemoved(Text),
+    /// The route of this name, which precedes this entry, accepts requests without a caller's
+    /// key.
+    AnonymousRoute(Text),
+    /// A new or changed tenant.
+    Tenant(TenantEntry),
+    /// The tenant of this name is removed.
+    TenantRemoved(Text),
 }
 
 /// The difference between two versions of the configuration.
@@ -110,6 +129,7 @@
         // Looked up by name: configurations have thousands of routes.
         let mut former_routes = earlier.map(routes_by_name).unwrap_or_default();
         let mut former_services = earlier.map(services_by_name).unwrap_or_default();
+        let mut former_tenants = earlier.map(tenants_by_name).unwrap_or_default();
         let mut changes = Vec::new();
         for service in &next.services {
             if former_services.remove(service.name.as_str()) != Some(service) {
@@ -119,6 +139,15 @@
         for route in &next.routes {
             if former_routes.remove(route.name.as_str()) != Some(route.as_ref()) {
                 changes.push(ConfigurationChange::Route(route_entry(route)));
+                if route.allows_anonymous {
+                    let name = Text(route.name.clone());
+                    changes.push(ConfigurationChange::AnonymousRoute(name));
+                }
+            }
+        }
+        for tenant in &next.tenants {
+            if former_tenants.remove(tenant.name.as_str()) != Some(tenant.as_ref()) {
+                changes.push(ConfigurationChange::Tenant(tenant_entry(tenant)));
             }
         }
         let removed = former_routes.into_keys().map(|name| Text(name.to_owned()));
@@ -127,6 +156,8 @@
             .into_keys()
             .map(|name| Text(name.to_owned()));
         changes.extend(removed.map(ConfigurationChange::ServiceRemoved));
+        let removed = former_tenants.into_keys().map(|name| Text(name.to_owned()));
+        changes.extend(removed.map(ConfigurationChange::TenantRemoved));
         Some(ConfigurationDelta {
             base: earlier.map_or(0, |known| known.version),
             version: next.version,
@@ -184,6 +215,23 @@
             let services = &mut configuration.services;
             services.retain(|service| service.name.as_str() != name.0);
         }
+        ConfigurationChange::AnonymousRoute(name) => {
+            let mut routes = configuration.routes.iter_mut();
+            if let Some(route) = routes.find(|route| route.name == name.0) {
+                Arc::make_mut(route).allows_anonymous = true;
+            }
+        }
+        ConfigurationChange::Tenant(entry) => {
+            let changed = Arc::new(tenant(entry));
+            let tenants = &mut configuration.tenants;
+            match tenants.iter_mut().find(|known| known.name == changed.name) {
+                Some(known) => *known = changed,
+                None => tenants.push(changed),
+            }
+        }
+        ConfigurationChange::TenantRemoved(name) => {
+            configuration.tenants.retain(|tenant| tenant.name != name.0);
+        }
     }
 }
 
@@ -201,10 +249,20 @@
         .collect()
 }
 
+fn tenants_by_name(configuration: &Configuration) -> BTreeMap<&str, &Tenant> {
+    let tenants = configuration.tenants.iter();
+    tenants
+        .map(|tenant| (tenant.name.as_str(), tenant.as_ref()))
+        .collect()
+}
+
 fn has_unique_names(configuration: &Configuration) -> bool {
     let routes = routes_by_name(configuration).len();
     let services = services_by_name(configuration).len();
-    routes == configuration.routes.len() && services == configuration.services.len()
+    let tenants = tenants_by_name(configuration).len();
+    routes == configuration.routes.len()
+        && services == configuration.services.len()
+        && tenants == configuration.tenants.len()
 }
 
 fn route_entry(route: &Route) -> RouteEntry {
@@ -244,6 +302,23 @@
         target_latency: Duration::from_micros(entry.target_latency_us).min(MAX_TIMEOUT),
         max_attempts: entry.max_attempts,
         priority: entry.priority,
+        allows_anonymous: false,
+    }
+}
+
+fn tenant_entry(tenant: &Tenant) -> TenantEntry {
+    TenantEntry {
+        name: Text(tenant.name.clone()),
+        keys: tenant.keys.iter().map(|key| key.0).collect(),
+        priority: tenant.priority,
+    }
+}
+
+fn tenant(entry: TenantEntry) -> Tenant {
+    Tenant {
+        name: entry.name.0,
+        keys: entry.keys.0.into_iter().map(KeyDigest).collect(),
+        priority: entry.priority,
     }
 }
 
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -11,6 +11,8 @@
     NotConfigured,
     /// No route matches the request.
     NoRoute,
+    /// The caller's key is missing or belongs to no tenant.
+    UnknownCaller,
     /// The key header is missing or not a number.
     BadKey,
     /// No instance can answer in time.
@@ -54,6 +56,7 @@
     pub fn status(self) -> u16 {
         match self {
             Refusal::NoRoute => 404,
+            Refusal::UnknownCaller => 401,
             Refusal::BadKey => 400,
             Refusal::NotConfigured
             | Refusal::Overloaded
@@ -90,6 +93,7 @@
         match self {
             Refusal::NotConfigured => "not_configured",
             Refusal::NoRoute => "no_route",
+            Refusal::UnknownCaller => "unknown_caller",
             Refusal::BadKey => "bad_key",
             Refusal::Overloaded => "overloaded",
             Refusal::QueueTooLong => "queue_too_long",
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Drives each open request: sends attempts, lets it wait, or answers it.
 
 mod attempts;
+mod callers;
 mod crashes;
 mod decide;
 mod endings;
@@ -13,6 +14,7 @@
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
 
+use self::callers::take_tenant;
 use self::decide::Step;
 use self::endings::relayed_response;
 use self::permits::permit_outcome;
@@ -478,7 +480,7 @@
     fn classify(
         &mut self,
         source: IpAddr,
-        request: Request,
+        mut request: Request,
         context: &RequestContext<'_>,
     ) -> Result<OpenRequest, (Request, Refusal)> {
         let Some(configuration) = context.configuration else {
@@ -488,6 +490,11 @@
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
             return Err((request, Refusal::NoRoute));
         };
+        let tenants = context.routes.tenants();
+        let Ok(tenant) = take_tenant(&mut request, tenants, &route, context.headers) else {
+            return Err((request, Refusal::UnknownCaller));
+        };
+        let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let key = request.headers.number::<u16>(&context.headers.key);
         let service = self.choose_target(&route, key, request.body.len(), context);
         let sharded = configuration
@@ -509,6 +516,7 @@
             lost_attempts: 0,
             digest: self.first_digest(&request),
             request,
+            priority: tenant_priority.unwrap_or(route.priority),
             route,
             service,
             key: key.filter(|_| sharded),
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -78,6 +78,8 @@
     pub request: Request,
     /// The matching route.
     pub route: Arc<Route>,
+    /// Its priority, that of its tenant or else of its route; 0 is the most urgent.
+    pub priority: u32,
     /// The service that handles it.
     pub service: ServiceName,
     /// Its key, if the service is sharded.
@@ -125,7 +127,7 @@
     /// The rank of a request among waiting ones; 0 comes first.
     pub fn rank(self, open: &OpenRequest) -> u32 {
         if self.has(Mechanism::Priority) {
-            open.route.priority
+            open.priority
         } else {
             0
         }
--- a/crates/ledgelead-router/src/validation.rs
+++ b/crates/ledgelead-router/src/validation.rs
@@ -136,7 +136,9 @@
         .routes
         .iter()
         .try_for_each(|known| route(known))?;
-    configuration.services.iter().try_for_each(service)
+    configuration.services.iter().try_for_each(service)?;
+    let mut tenants = configuration.tenants.iter();
+    tenants.try_for_each(|tenant| name("tenant", &tenant.name))
 }
 
 /// Checks a revision, version, epoch or fencing token.
--- a/crates/ledgelead-router/tests/incarnations.rs
+++ b/crates/ledgelead-router/tests/incarnations.rs
@@ -189,6 +189,7 @@
                 max_connections: 10,
                 cold_rate: None,
             }],
+            tenants: Vec::new(),
             limits: ClientLimits::default(),
         };
         self.coordinator.step(&mut Context {
--- a/crates/ledgelead-router/tests/local_view.rs
+++ b/crates/ledgelead-router/tests/local_view.rs
@@ -634,6 +634,7 @@
             target_latency: ms(100),
             max_attempts: 2,
             priority: 0,
+            allows_anonymous: false,
         })
     };
     let table = RouteTable::new(&Configuration {
@@ -645,6 +646,7 @@
             route("other", "o", "/a/"),
         ],
         services: Vec::new(),
+        tenants: Vec::new(),
         limits: ClientLimits::default(),
     });
     let found = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -11,6 +11,7 @@
 use ledgelead_router::peers::{
     ChangeSpan, ConfigurationDelta, Heartbeat, PeerMessage, RelayedKind, decode, encode,
 };
+use ledgelead_router::tenants::{KeyDigest, Tenant};
 use ledgelead_types::codec::List;
 use proptest::prelude::*;
 use std::sync::Arc;
@@ -264,7 +265,9 @@
 fn arbitrary_configuration(version: u64) -> impl Strategy<Value = Configuration> {
     let routes = proptest::collection::btree_map(0..8u8, (1..3u8, 1..4u64, any::<bool>()), 0..6);
     let services = proptest::collection::btree_map(0..5u8, (any::<bool>(), 1..3u32), 0..5);
-    (routes, services, 1..3usize).prop_map(move |(routes, services, head)| {
+    let keys = proptest::collection::btree_set(0..4u8, 0..3);
+    let tenants = proptest::collection::btree_map(0..4u8, (keys, any::<Option<u32>>()), 0..4);
+    (routes, services, tenants, 1..3usize).prop_map(move |(routes, services, tenants, head)| {
         let mut drawn = configuration(version);
         let template = Route::clone(&drawn.routes[0]);
         drawn.limits.max_head_bytes = head * 1_000;
@@ -281,10 +284,21 @@
                     timeout: ms(timeout),
                     target_latency: std::time::Duration::from_micros(timeout * 333),
                     priority: u32::from(repeats),
+                    allows_anonymous: repeats,
                     ..template.clone()
                 })
             })
             .collect();
+        drawn.tenants = tenants
+            .into_iter()
+            .map(|(name, (keys, priority))| {
+                Arc::new(Tenant {
+                    name: format!("t{name}"),
+                    keys: keys.into_iter().map(|key| KeyDigest::new(&[key])).collect(),
+                    priority,
+                })
+            })
+            .collect();
         drawn.services = services
             .into_iter()
             .map(|(name, (sharded, max_connections))| Service {
@@ -306,6 +320,9 @@
         .services
         .sort_by(|left, right| left.name.cmp(&right.name));
     configuration
+        .tenants
+        .sort_by(|left, right| left.name.cmp(&right.name));
+    configuration
 }
 
 proptest! {
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -3,7 +3,7 @@
 
 use crate::support::headers;
 use googletest::prelude::*;
-use ledgelead_http::{Request, Response};
+use ledgelead_http::{Headers, Request, Response};
 use ledgelead_router::Timestamp;
 use ledgelead_router::configuration::{
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
@@ -372,6 +372,7 @@
     pub address: SocketAddr,
     /// The path of a client's request, or `order` for an order.
     pub target: String,
+    pub headers: Headers,
     pub body: Vec<u8>,
     pub at: Timestamp,
     /// The options of the exchange; `None` for a probe.
@@ -510,6 +511,7 @@
             target_latency: ms(400),
             max_attempts: 2,
             priority: 1,
+            allows_anonymous: false,
         })
     };
     let service = |name: &str, sharded| Service {
@@ -522,6 +524,7 @@
         version,
         routes: vec![route(SERVICE), route(KEYED)],
         services: vec![service(SERVICE, false), service(KEYED, true)],
+        tenants: Vec::new(),
         limits: ClientLimits::default(),
     }
 }
@@ -787,6 +790,7 @@
                     exchange,
                     address,
                     target: String::new(),
+                    headers: Headers::default(),
                     body: Vec::new(),
                     at: self.now,
                     options: None,
@@ -809,6 +813,7 @@
                     exchange,
                     address,
                     target: request.target,
+                    headers: request.headers,
                     body: request.body,
                     at: self.now,
                     options: Some(options),
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a complete node with a simulated store and simulated peers.
 
 mod arbitrary_input;
+mod callers;
 mod configuration;
 mod crashing_requests;
 mod evacuation;
--- a/crates/ledgelead-router/tests/scale.rs
+++ b/crates/ledgelead-router/tests/scale.rs
@@ -60,6 +60,7 @@
             max_connections: 100,
             cold_rate: None,
         }],
+        tenants: Vec::new(),
         limits: ClientLimits::default(),
     }
 }
--- a/crates/ledgelead-router/tests/support/mod.rs
+++ b/crates/ledgelead-router/tests/support/mod.rs
@@ -17,6 +17,8 @@
         leaving: name("leaving"),
         rate_limit: name("rate-limit"),
         store_era: name("store-era"),
+        caller_key: name("caller-key"),
+        tenant: name("tenant"),
         handover: name("handover"),
     }
 }
