--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -424,6 +424,7 @@
             drain_bound: DRAIN_BOUND,
             configuration_bound: CONFIGURATION_BOUND,
             evacuation_bound: Some(Duration::from_secs(5)),
+            caller_key_ttl: None,
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A single router node: its view of the cluster, the requests it handles and, at one node,
 //! the coordinator role.
 
+mod caller_keys;
 mod coordination;
 mod dispatch;
 mod first_view;
@@ -67,6 +68,8 @@
     dialect: Box<dyn Dialect>,
     configuration: Option<Configuration>,
     routes: RouteTable,
+    /// The latest time at which the configuration was known to be the newest one.
+    configuration_current_at: Timestamp,
     directory: Directory,
     ownership: OwnershipView,
     cold_keys: ColdKeys,
@@ -105,6 +108,7 @@
         Node {
             configuration: None,
             routes: RouteTable::default(),
+            configuration_current_at: now,
             directory: Directory::new(settings.protections),
             ownership: OwnershipView::default(),
             cold_keys: ColdKeys::default(),
@@ -334,6 +338,7 @@
             unconfirmed_until: self.unconfirmed_until(now),
             configuration: self.configuration.as_ref(),
             routes: &self.routes,
+            caller_keys_expired: self.caller_keys_expired(now),
             directory: &self.directory,
             ownership: &self.ownership,
             cold_keys: &self.cold_keys,
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -167,6 +167,11 @@
         };
         self.relay_change(kind, &change, now, out);
         self.apply(kind, change, is_first, started, now, out);
+        if kind == ObjectKind::Configuration
+            && let Some(as_of) = self.store.watcher(kind).as_of()
+        {
+            self.configuration_read(as_of);
+        }
         if kind == ObjectKind::Instances
             && let Some(as_of) = self.store.watcher(kind).as_of()
         {
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -13,6 +13,8 @@
     NoRoute,
     /// The caller's key is missing or belongs to no tenant.
     UnknownCaller,
+    /// This node can't know whether the caller's key is still valid.
+    KeysOutdated,
     /// The key header is missing or not a number.
     BadKey,
     /// No instance can answer in time.
@@ -59,6 +61,7 @@
             Refusal::UnknownCaller => 401,
             Refusal::BadKey => 400,
             Refusal::NotConfigured
+            | Refusal::KeysOutdated
             | Refusal::Overloaded
             | Refusal::QueueTooLong
             | Refusal::KeyOverloaded
@@ -94,6 +97,7 @@
             Refusal::NotConfigured => "not_configured",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownCaller => "unknown_caller",
+            Refusal::KeysOutdated => "keys_outdated",
             Refusal::BadKey => "bad_key",
             Refusal::Overloaded => "overloaded",
             Refusal::QueueTooLong => "queue_too_long",
--- a/crates/ledgelead-router/src/requests/lifecycle/callers.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/callers.rs
@@ -1,8 +1,9 @@
 //! Identifies the tenant of a request by its caller's key.
 
+use super::RequestContext;
 use crate::configuration::Route;
-use crate::dialect::HeaderNames;
-use crate::tenants::{Tenant, TenantTable, UnknownKey};
+use crate::requests::answers::Refusal;
+use crate::tenants::{Tenant, UnknownKey};
 use ledgelead_http::Request;
 use std::sync::Arc;
 
@@ -10,15 +11,21 @@
 /// instances never see keys, and no caller can name a tenant by itself.
 pub(super) fn take_tenant(
     request: &mut Request,
-    tenants: &TenantTable,
     route: &Route,
-    headers: &HeaderNames,
-) -> Result<Option<Arc<Tenant>>, UnknownKey> {
+    context: &RequestContext<'_>,
+) -> Result<Option<Arc<Tenant>>, Refusal> {
+    let tenants = context.routes.tenants();
     if tenants.is_empty() {
         return Ok(None);
     }
+    let headers = context.headers;
     let key = request.headers.get(&headers.caller_key);
-    let tenant = tenants.identify(key, route.allows_anonymous)?;
+    if key.is_some() && context.caller_keys_expired {
+        return Err(Refusal::KeysOutdated);
+    }
+    let tenant = tenants
+        .identify(key, route.allows_anonymous)
+        .map_err(|UnknownKey| Refusal::UnknownCaller)?;
     request.headers.remove(&headers.caller_key);
     request.headers.remove(&headers.tenant);
     if let Some(tenant) = &tenant {
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -69,6 +69,8 @@
     pub configuration: Option<&'a Configuration>,
     /// Routes of the configuration.
     pub routes: &'a RouteTable,
+    /// Whether the keys of callers are too old to be accepted.
+    pub caller_keys_expired: bool,
     /// Known instances.
     pub directory: &'a Directory,
     /// Owners of keys.
@@ -490,9 +492,9 @@
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
             return Err((request, Refusal::NoRoute));
         };
-        let tenants = context.routes.tenants();
-        let Ok(tenant) = take_tenant(&mut request, tenants, &route, context.headers) else {
-            return Err((request, Refusal::UnknownCaller));
+        let tenant = match take_tenant(&mut request, &route, context) {
+            Ok(tenant) => tenant,
+            Err(reason) => return Err((request, reason)),
         };
         let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let key = request.headers.number::<u16>(&context.headers.key);
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -29,6 +29,9 @@
     /// Time after which an evacuated zone must not get requests. None if zones are never
     /// evacuated, so that the store is not queried for evacuations.
     pub evacuation_bound: Option<Duration>,
+    /// How long the keys of callers are accepted after this node last knew that it has the
+    /// newest ones. None if they are accepted however old they are.
+    pub caller_key_ttl: Option<Duration>,
     /// Limit for requests to a cold instance, over all nodes.
     pub cold_bound: ColdBound,
     /// Time from the request to shut down until the process is killed.
--- a/crates/ledgelead-router/tests/node/callers.rs
+++ b/crates/ledgelead-router/tests/node/callers.rs
@@ -9,6 +9,7 @@
 use ledgelead_router::configuration::{Configuration, Route};
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::io::{ClientId, Input};
+use ledgelead_router::settings::NodeSettings;
 use ledgelead_router::tenants::{KeyDigest, Tenant};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
@@ -144,6 +145,40 @@
     );
 }
 
+#[gtest]
+fn keys_are_refused_once_they_cannot_be_confirmed_if_operators_choose_so() {
+    for (ttl, status) in [(None, None), (Some(ms(5_000)), Some(503))] {
+        let settings = NodeSettings {
+            caller_key_ttl: ttl,
+            ..Fixture::settings()
+        };
+        let mut fixture = Fixture::with_settings(owned_store(with_tenants(1)), settings);
+        fixture.run_until(ms(500));
+        fixture.store.refuses_calls = true;
+        fixture.answer_watches();
+        fixture.run_until(ms(4_000));
+        expect_that!(
+            send(&mut fixture, &[("caller-key", "key-a")]),
+            ok(anything())
+        );
+        fixture.run_until(ms(7_000));
+        expect_that!(
+            send(&mut fixture, &[("caller-key", "key-a")]).err(),
+            eq(status)
+        );
+        // Keys that were confirmed again are accepted again.
+        fixture.store.refuses_calls = false;
+        for _ in 0..10 {
+            fixture.run_until(fixture.now + ms(1_000));
+            fixture.answer_watches();
+        }
+        expect_that!(
+            send(&mut fixture, &[("caller-key", "key-a")]),
+            ok(anything())
+        );
+    }
+}
+
 #[gtest]
 fn without_tenants_all_headers_are_forwarded() {
     let mut fixture = node(configuration(1));
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -561,6 +561,7 @@
             drain_bound: Duration::from_secs(2),
             configuration_bound: Duration::from_secs(2),
             evacuation_bound: Some(Duration::from_secs(5)),
+            caller_key_ttl: None,
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
