--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -11,6 +11,10 @@
     NotConfigured,
     /// No route matches the request.
     NoRoute,
+    /// The caller's key is missing or belongs to no tenant.
+    UnknownCaller,
+    /// This node can't know whether the caller's key is still valid.
+    KeysOutdated,
     /// The key header is missing or not a number.
     BadKey,
     /// No instance can answer in time.
@@ -54,8 +58,10 @@
     pub fn status(self) -> u16 {
         match self {
             Refusal::NoRoute => 404,
+            Refusal::UnknownCaller => 401,
             Refusal::BadKey => 400,
             Refusal::NotConfigured
+            | Refusal::KeysOutdated
             | Refusal::Overloaded
             | Refusal::QueueTooLong
             | Refusal::KeyOverloaded
@@ -90,6 +96,8 @@
         match self {
             Refusal::NotConfigured => "not_configured",
             Refusal::NoRoute => "no_route",
+            Refusal::UnknownCaller => "unknown_caller",
+            Refusal::KeysOutdated => "keys_outdated",
             Refusal::BadKey => "bad_key",
             Refusal::Overloaded => "overloaded",
             Refusal::QueueTooLong => "queue_too_long",
