A former hold ends only by its own order or lease

A lease may expire while its owner's release is unanswered. The range then goes to another owner, and the late answer ended whatever release the range had by then, so that the keys could be granted on while that other owner worked on them. An answer now counts only if the range still waits for that exchange.

An owner that rejects its token gets the keys again under a higher one, at once and without a release. Its new lease began as one that nobody can hold, so that two grants that never arrived gave the keys to another instance while the hold by the earlier grant lasted: 0.3 s after the rejection, 3 s before its lease ended. The new lease now keeps the end of the former one, as it already did for a later incarnation of the owner. After an answered release or an expired lease that end has passed, so nothing changes there.

--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -157,9 +157,11 @@
         };
         if shard.lease.order == Some(exchange) {
             shard.grant_ended(result, interval, now, &mut self.counters);
-        } else {
+        } else if shard.release_order() == Some(exchange) {
             shard.release_ended(result, now, &mut self.counters);
         }
+        // Otherwise the lease of the order's receiver has expired meanwhile: the range may be
+        // another owner's by now.
     }
 
     /// Releases the keys of owners that leave, are gone or have become unresponsive. All
--- a/crates/ledgelead-router/src/ownership/coordinator/shard.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/shard.rs
@@ -128,11 +128,11 @@
         now: Timestamp,
     ) -> Lease {
         let fresh = Lease::fresh(now, handover);
-        let is_earlier_incarnation = |owner: &InstanceId| owner != next && owner.shares_name(next);
-        if !self.owner.as_ref().is_some_and(is_earlier_incarnation) {
+        let shares_name = |owner: &InstanceId| owner.shares_name(next);
+        if !self.owner.as_ref().is_some_and(shares_name) {
             return fresh;
         }
-        // Orders to the earlier incarnation may have reached this one.
+        // It may hold the keys by earlier orders, also by those to an earlier incarnation.
         Lease {
             possible_until: self.lease.possible_until.max(now),
             ..fresh
