Simulation: no grant during another instance's work

Cause: `single_owner` compares holds. A hold that was released while a request still ran under it is over, so a grant that came before the end of that request was not reported.

Ruled out: remembering released ranges in place of the requests. A renewal that joins two ranges begins a new hold, and the running request would be lost from view.

Change: a running request carries the end of the hold under which it began, renewals included. `granted_during_work` is reported when a grant that isn't late, of a sender that isn't just thawed, meets such a request on another live instance before that end. In force in all modes.

--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -11,6 +11,9 @@
 pub enum ViolationKind {
     /// Two live instances held the same key under grants that were not late.
     SingleOwner,
+    /// A key was granted while another live instance still worked on a request for it, within
+    /// the hold under which that request began. The grants were not late.
+    GrantedDuringWork,
     /// Keys moved to another instance or incarnation without a higher token.
     TokenRises,
     /// An incarnation received the keys of its predecessor from a node that knew of the new
@@ -49,6 +52,7 @@
     pub fn name(self) -> &'static str {
         match self {
             ViolationKind::SingleOwner => "single_owner",
+            ViolationKind::GrantedDuringWork => "granted_during_work",
             ViolationKind::TokenRises => "token_rises",
             ViolationKind::DistinctIncarnations => "lives_apart",
             ViolationKind::TwoOwnersServed => "two_owners_served",
@@ -130,6 +134,33 @@
         }
     }
 
+    /// An instance accepted a grant that was not late. No other instance may still work on the
+    /// keys within its own hold.
+    pub fn granted_during_work(
+        &mut self,
+        holder: usize,
+        range: KeyRange,
+        instances: &[Instance],
+        now: Duration,
+    ) {
+        let service = &instances[holder].record.service;
+        for (index, other) in instances.iter().enumerate() {
+            if index == holder || !other.alive || other.record.service != *service {
+                continue;
+            }
+            if let Some(request) = other.unfinished_work(range, now) {
+                let what = format!(
+                    "{} takes {range:?} while {} works on request {} for {:?}",
+                    instances[holder].id(),
+                    other.id(),
+                    request.attempt,
+                    request.key
+                );
+                self.record_violation(ViolationKind::GrantedDuringWork, now, what);
+            }
+        }
+    }
+
     /// An incarnation accepted a grant that was not late. Its token must exceed those under
     /// which other incarnations held the keys. A grant addressed to a previous incarnation
     /// that was in flight when that ended counts as the same grant.
--- a/crates/ledgelead-lab/src/fleet/instance.rs
+++ b/crates/ledgelead-lab/src/fleet/instance.rs
@@ -43,6 +43,8 @@
     pub until: Duration,
     /// Index into the crashing requests, if this is one of them.
     pub crashes: Option<usize>,
+    /// When the hold under which it started expires, unless that hold was granted late.
+    pub held_until: Option<Duration>,
 }
 
 /// A simulated instance.
@@ -131,16 +133,45 @@
             .held_range_of(range.first, now)
             .filter(|held| held.range.contains(range.last))
             .map(|held| held.since);
+        let until = now + hold.mul_f64(CLOCK_FACTOR);
+        if !late {
+            self.renew_running(range, until, now);
+        }
         self.drop_held_ranges(range);
         self.held_ranges.push(HeldRange {
             range,
             since: continued.unwrap_or(now),
-            until: now + hold.mul_f64(CLOCK_FACTOR),
+            until,
             late,
         });
         GrantOutcome::Held
     }
 
+    /// Applies the renewal of unexpired holds to the requests that run under them.
+    fn renew_running(&mut self, range: KeyRange, until: Duration, now: Duration) {
+        for (request, _) in &mut self.running {
+            let is_held = |key: u16| {
+                let mut holds = self.held_ranges.iter();
+                holds.any(|hold| hold.range.contains(key) && hold.until > now)
+            };
+            if request
+                .key
+                .is_some_and(|key| range.contains(key) && is_held(key))
+            {
+                request.held_until = Some(until);
+            }
+        }
+    }
+
+    /// A running request for one of the keys whose hold has not expired, even if the hold was
+    /// released.
+    pub fn unfinished_work(&self, range: KeyRange, now: Duration) -> Option<&InstanceRequest> {
+        let requests = self.running.iter().map(|(request, _)| request);
+        requests
+            .filter(|request| request.key.is_some_and(|key| range.contains(key)))
+            .find(|request| request.held_until.is_some_and(|until| until > now))
+    }
+
     /// Stops accepting requests for a range of keys. Returns when the running ones finish. The
     /// platform does not specify that a release raises the highest token seen, so this one
     /// does not.
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -114,8 +114,10 @@
         };
         if outcome == GrantOutcome::Held {
             if !late && !thawed {
-                self.checker.granted(instance, range, &self.instances, now);
                 let instances = &self.instances;
+                self.checker.granted(instance, range, instances, now);
+                self.checker
+                    .granted_during_work(instance, range, instances, now);
                 self.checker.keys_transferred(
                     instance,
                     is_intended,
@@ -223,6 +225,7 @@
             key,
             until,
             crashes,
+            held_until: None,
         };
         if self.instances[instance].has_free_slot() {
             self.start_request(instance, instance_request);
@@ -231,14 +234,16 @@
         }
     }
 
-    fn start_request(&mut self, instance: usize, instance_request: InstanceRequest) {
+    fn start_request(&mut self, instance: usize, mut instance_request: InstanceRequest) {
         let now = self.now;
-        let lost_key = instance_request
+        let hold = instance_request
             .key
-            .is_some_and(|key| self.instances[instance].held_range_of(key, now).is_none());
+            .and_then(|key| self.instances[instance].held_range_of(key, now));
+        let lost_key = instance_request.key.is_some() && hold.is_none();
         if instance_request.until <= now || lost_key {
             return;
         }
+        instance_request.held_until = hold.filter(|hold| !hold.late).map(|hold| hold.until);
         let once = self.instances[instance].record.service.as_str() == ONCE;
         self.checker.request_started(
             instance,
