Simulation: kept connections and second answers

Cause: the fleet simulation had no connections and its instances answered each exchange once, so an answer that arrives in the place of another exchange's could not occur.

Ruled out: strays that hit a random exchange of the same node and instance; which exchange a stray hits follows from pools, reuse and filters.

Change: a model of kept connections as the runtime keeps them, by node, instance and pool; an instance reads one request at a time on each. Sabotage `take-any-answer` is named; the router doesn't read it yet. Probes and the limit of connections of an instance are not modelled.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -11,7 +11,7 @@
 use lexopt::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::ops::RangeInclusive;
+use std::ops::{Range, RangeInclusive};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -25,6 +25,10 @@
 const LAST_FAULT: Duration = Duration::from_secs(25);
 /// Page size that makes lists span several pages.
 const SMALL_PAGE_OBJECTS: usize = 4;
+/// Service times of instances, in milliseconds.
+const SERVICE_MS: Range<u64> = 15..45;
+/// Service times of slow instances, in milliseconds.
+const SLOW_SERVICE_MS: Range<u64> = 70..180;
 /// Maximum number of violations printed.
 const MAX_PRINTED_VIOLATIONS: usize = 20;
 
@@ -53,6 +57,7 @@
         page_objects: PAGE_OBJECTS,
         trace: false,
         hot_from: None,
+        service_ms: SERVICE_MS,
         crashing: Vec::new(),
         reports_start_times: false,
         reports_leaving_in_responses: false,
@@ -229,6 +234,25 @@
     FleetSettings { schedule, ..drawn }
 }
 
+/// Settings of a run with slow instances that send second answers, and with hot keys, so that
+/// keys often change owners during work. Half of the runs also have random faults.
+pub fn drawn_second_answers(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x2a5e);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let second = Schedule::draw_second_answers(&mut rng, from, to);
+    let schedule = match seed % 2 {
+        0 => second,
+        _ => drawn.schedule.join(second),
+    };
+    FleetSettings {
+        schedule,
+        hot_from: Some(from),
+        service_ms: SLOW_SERVICE_MS,
+        ..drawn
+    }
+}
+
 /// Settings of a run whose lists of instances and nodes span several store pages, so that
 /// nodes fetch them from each other.
 pub fn drawn_paged(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
@@ -303,6 +327,7 @@
             Long("notices") => draw = drawn_notices,
             Long("eras") => draw = drawn_eras,
             Long("limits") => draw = drawn_limits,
+            Long("second-answers") => draw = drawn_second_answers,
             Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
         }
--- a/crates/ledgelead-lab/src/fleet/event.rs
+++ b/crates/ledgelead-lab/src/fleet/event.rs
@@ -2,6 +2,7 @@
 
 use super::faults::FaultKind;
 use super::instance::InstanceRequest;
+use super::second_answers::AnswerInFlight;
 use super::transport::BlockedOrder;
 use ledgelead_http::Request;
 use ledgelead_router::dialect::{Order, StoreCall};
@@ -22,6 +23,8 @@
     Input(Caller, Input),
     /// An exchange ends, unless it has already ended.
     Exchanged(Caller, ExchangeId, Box<Input>),
+    /// The answer of an instance arrives on a connection.
+    Answer(Box<AnswerInFlight>),
     /// A call reaches the store.
     StoreCall(Caller, ExchangeId, Box<StoreCall>),
     /// The wait time of a watch is over.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -79,6 +79,8 @@
     OrdersLate,
     /// Some requests run but their responses are lost.
     AnswersLost,
+    /// Instances follow some of their answers with a second, equal one on the same connection.
+    SecondAnswers,
     /// The operator changes the configuration.
     Configure,
     /// The operator adds more routes than nodes send each other in datagrams.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod clients;
 pub mod command;
+mod connections;
 mod crashing;
 mod dialect;
 mod eras;
@@ -20,6 +21,7 @@
 mod orders;
 mod report;
 mod restarts;
+mod second_answers;
 mod store;
 mod store_traffic;
 mod transfers;
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -151,8 +151,7 @@
         after: Duration,
     ) {
         if let Some(exchange) = exchange {
-            let input = exchanged(exchange, Ok(response));
-            self.schedule(after + LATENCY, Event::Exchanged(caller, exchange, input));
+            self.send_answer(caller, exchange, response, after + LATENCY);
         }
     }
 
@@ -409,6 +408,7 @@
             FaultKind::StoreCompacts => self.store.compact(),
             FaultKind::OrdersLate => self.orders_late += 1,
             FaultKind::AnswersLost => self.answers_lost += 1,
+            FaultKind::SecondAnswers => self.second_answers += 1,
             FaultKind::RestartInstance(position) => self.crash_and_restart(*position, duration),
             FaultKind::CrashMany => self.crash_many(),
             FaultKind::CrashInTurn => self.crash_in_turn(),
@@ -477,6 +477,7 @@
             }
             FaultKind::OrdersLate => self.orders_late -= 1,
             FaultKind::AnswersLost => self.answers_lost -= 1,
+            FaultKind::SecondAnswers => self.second_answers -= 1,
             FaultKind::DrainInstance(_)
             | FaultKind::LeaveUnannounced(_)
             | FaultKind::Leave(_)
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -1,6 +1,7 @@
 //! The simulated nodes, store and instances in virtual time.
 
 use super::checker::{Checker, Violation};
+use super::connections::Connections;
 use super::crashing::{Crashing, CrashingRequest};
 use super::dialect::{TicketDialect, Tickets};
 use super::eras::Snapshots;
@@ -30,6 +31,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -80,6 +82,8 @@
     /// When set, nine in ten keyed requests after this time go to a small range of adjacent
     /// keys.
     pub hot_from: Option<Duration>,
+    /// Range of the service times of instances, in milliseconds.
+    pub service_ms: Range<u64>,
     /// Share of datagrams between nodes that are lost. The others are delayed by up to
     /// `MAX_DATAGRAM_DELAY` more than other messages, so that they can arrive out of order.
     pub datagram_loss: f64,
@@ -175,6 +179,11 @@
     pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
     pub(super) orders_late: u32,
     pub(super) answers_lost: u32,
+    /// Active faults by which instances send second answers.
+    pub(super) second_answers: u32,
+    /// Separate generator for second answers.
+    pub(super) second_answer_rng: Pcg64Mcg,
+    pub(super) connections: Connections,
     pub(super) versions: Versions,
     pub(super) checker: Checker,
     pub(super) report: FleetReport,
@@ -219,6 +228,9 @@
             pending: HashMap::new(),
             orders_late: 0,
             answers_lost: 0,
+            second_answers: 0,
+            second_answer_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x2a5e),
+            connections: Connections::default(),
             versions: Versions::new(!settings.crashing.is_empty()),
             checker: Checker::default(),
             report: FleetReport::default(),
@@ -287,7 +299,8 @@
             draining: false,
             warmup_left: Duration::ZERO,
         };
-        let service_time = Duration::from_millis(self.rng.random_range(15..45));
+        let service_ms = self.settings.service_ms.clone();
+        let service_time = Duration::from_millis(self.rng.random_range(service_ms));
         self.instances
             .push(Instance::new(record, sharded, service_time));
         let delay = Duration::from_millis(self.rng.random_range(0..1_000));
@@ -343,17 +356,17 @@
     }
 
     fn handle_event(&mut self, event: Event) {
+        let Some(event) = self.connections.admit(event) else {
+            return;
+        };
         match event {
             Event::Start(index) => self.start_node(index),
             Event::Deadline(caller) => self.deadline(caller),
             Event::Input(caller, input) => self.input(caller, input),
             Event::Exchanged(caller, exchange, input) => {
-                if self.pending.remove(&(caller, exchange)).is_some() {
-                    self.notice_arrives(caller, exchange);
-                    self.limit_arrives(caller, exchange);
-                    self.input(caller, *input);
-                }
+                self.exchange_ends(caller, exchange, *input);
             }
+            Event::Answer(answer) => self.answer_arrives(*answer),
             Event::StoreCall(caller, exchange, call) => self.store_call(caller, exchange, &call),
             Event::WatchTimeout(caller, exchange) => self.watch_times_out(caller, exchange),
             Event::LateWrite(call) => {
@@ -401,6 +414,17 @@
         }
     }
 
+    /// Ends an exchange, unless it has already ended.
+    pub(super) fn exchange_ends(&mut self, caller: Caller, exchange: ExchangeId, input: Input) {
+        if self.pending.remove(&(caller, exchange)).is_some() {
+            // An accepted answer has already released the connection.
+            self.connections.abort(caller, exchange);
+            self.notice_arrives(caller, exchange);
+            self.limit_arrives(caller, exchange);
+            self.input(caller, input);
+        }
+    }
+
     /// Starts a new incarnation of a node.
     pub(super) fn start_node(&mut self, index: usize) {
         if self.nodes[index].node.is_some() {
@@ -449,6 +473,7 @@
         let incarnation = self.nodes[index].incarnation;
         self.nodes[index].node = None;
         self.pending.retain(|((node, _), _), _| *node != index);
+        self.connections.close_node(index);
         self.store
             .pending_watches
             .retain(|watch| watch.caller.0 != index);
@@ -559,6 +584,7 @@
 
     fn cancel(&mut self, caller: Caller, exchange: ExchangeId) {
         self.pending.remove(&(caller, exchange));
+        self.connections.abort(caller, exchange);
         self.store
             .pending_watches
             .retain(|watch| watch.caller != caller || watch.exchange != exchange);
@@ -592,6 +618,10 @@
             return;
         }
         let instance = self.running_instance_at(address);
+        if let Some(instance) = instance {
+            self.connections
+                .begin(caller, instance, exchange, options, self.now);
+        }
         match instance {
             Some(instance) if self.network.instance_connected(caller.0, instance) => {
                 self.reach_instance(caller, exchange, instance, request);
--- a/crates/ledgelead-lab/src/main.rs
+++ b/crates/ledgelead-lab/src/main.rs
@@ -14,7 +14,7 @@
   ledgelead-lab hollow [--nodes N] [--groups N] [--servers-per-node N] [--seconds N] [--seed N] [--json]
   ledgelead-lab simulate SCENARIO.toml [--seeds A..B] [--sabotage NAME] [--threads N]
            [--baselines] [--report DIR] [--json | --session]
-  ledgelead-lab fleet [--seeds A..B] [--nodes N] [--versions|--crashing|--suspended|--cuts|--foreign|--restarts|--notices|--limits|--eras|--paged] [--sabotage NAME] [--trace] [--json]
+  ledgelead-lab fleet [--seeds A..B] [--nodes N] [--versions|--crashing|--suspended|--cuts|--foreign|--restarts|--notices|--limits|--eras|--second-answers|--paged] [--sabotage NAME] [--trace] [--json]
   ledgelead-lab overload SCENARIO.toml [--loads 0.5,0.8,..] [--seed N] [--seconds N] [--threads N] [--json]";
 
 fn main() -> ExitCode {
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -46,6 +46,8 @@
     EraIsolation,
     /// Epochs and fencing tokens of an era are above all those of earlier eras.
     EraTokens,
+    /// An answer on the connection of an order counts only if it can be the order's own.
+    MatchOrderAnswers,
     /// A request that is submitted again is recognized by its full identity, not by its path
     /// alone.
     FullRequestIdentity,
@@ -53,7 +55,7 @@
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 21] = [
+    pub const SABOTAGES: [(&'static str, Protection); 22] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -72,6 +74,7 @@
         ("keep-limit-alone", Protection::SharedRateLimit),
         ("ignore-era", Protection::EraIsolation),
         ("reuse-fences", Protection::EraTokens),
+        ("take-any-answer", Protection::MatchOrderAnswers),
         ("know-by-path", Protection::FullRequestIdentity),
         ("drop-with-foreign", Protection::IsolateUnreadable),
         ("use-foreign", Protection::ExcludeUnreadable),
