Known red: requests to a released owner that a late grant revived

Cause: a grant under the earlier token that is carried out after the release is accepted, since a release needn't raise the highest token that an instance has seen. A node that doesn't know of the next owner yet still sends requests there, and both owners run requests for the key.

Ruled out: second answers.

--- a/crates/ledgelead-lab/tests/fleet.rs
+++ b/crates/ledgelead-lab/tests/fleet.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ledgelead_lab::fleet::command::{NODES, drawn, drawn_for, run_seeds};
 use ledgelead_lab::fleet::{
-    FaultKind, FleetReport, FleetSettings, Schedule, Target, ViolationKind, World,
+    FaultKind, FleetReport, FleetSettings, Schedule, TRAFFIC_FROM, Target, ViolationKind, World,
 };
 use ledgelead_router::protections::{Protection, Protections};
 use std::time::Duration;
@@ -302,6 +302,19 @@
     expect_that!(report.violations, is_empty());
 }
 
+#[gtest]
+fn late_grant_to_a_released_owner_brings_it_no_requests() {
+    // A late grant under the earlier token arrives after the release and is accepted. A node
+    // that doesn't know of the new owner still sends requests for the keys there.
+    let settings = FleetSettings {
+        hot_from: Some(TRAFFIC_FROM),
+        service_ms: 70..180,
+        ..drawn(83, Protections::default())
+    };
+    let report = World::new(settings).run();
+    expect_that!(report.violations, is_empty());
+}
+
 #[gtest]
 fn keys_stay_served_while_the_store_is_down() {
     let schedule = Schedule::one(seconds(15.0), seconds(6.0), FaultKind::StoreSilent);
