A retry at the same instance takes no second answer to its first attempt

Cause: a retry has the attempt id of the client's request, as its first attempt has, and could use the same kept connection, so a second rejection of the first attempt passed for the answer to the retry.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -209,7 +209,7 @@
             .idle_limit
             .current(context.now)
             .filter(|_| limits_idle_time);
-        let options = attempt_options(open, idle_limit, context);
+        let options = attempt_options(open, &selected.id, idle_limit, context);
         let review = open.route.target_latency.mul_f64(SLOW_ATTEMPT_SHARE);
         let request = forwarded_request(open, &selected.id, context);
         open.tried.push(selected.id.clone());
@@ -461,10 +461,15 @@
 
 fn attempt_options(
     open: &OpenRequest,
+    instance: &InstanceId,
     idle_limit: Option<Duration>,
     context: &RequestContext<'_>,
 ) -> ExchangeOptions {
-    let reuse_idle_below = if open.is_idempotent() {
+    let reuse_idle_below = if open.tried.contains(instance) {
+        // A retry has the id of its first attempt, so a second answer to that one would pass
+        // for its own.
+        Duration::ZERO
+    } else if open.is_idempotent() {
         REUSE_IDLE
     } else {
         REUSE_IDLE_NON_IDEMPOTENT
