An exchange that wants a new connection leaves the idle ones to others

Found in the simulation's model: a limit of zero for the idle time dropped all idle connections of that pool to the address, so each first grant closed the connections on which an owner's other ranges are renewed. No failure was seen. an_exchange_on_a_new_connection_leaves_idle_ones_to_others fails before.

--- a/crates/ledgelead-lab/src/fleet/connections.rs
+++ b/crates/ledgelead-lab/src/fleet/connections.rs
@@ -102,6 +102,9 @@
     /// Takes the connection that became idle most recently. If that one is too old, so are the
     /// others, and all are closed.
     fn take_idle(&mut self, pool: PoolKey, below: Duration, now: Duration) -> Option<ConnectionId> {
+        if below.is_zero() {
+            return None;
+        }
         let id = *self.idle.get(&pool)?.last()?;
         if now.saturating_sub(self.open.get(&id)?.idle_since) < below {
             return self.idle.get_mut(&pool)?.pop();
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -261,6 +261,10 @@
     }
 
     fn take_idle(&mut self, pool: PoolKey, below: Duration, now: Instant) -> Option<usize> {
+        if below.is_zero() {
+            // A new connection is wanted; the idle ones remain for other exchanges.
+            return None;
+        }
         loop {
             let index = *self.idle.get(&pool)?.last()?;
             let usable = self.connections.get(index)?.is_reusable(below, now);
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -497,6 +497,24 @@
     }
 }
 
+#[gtest]
+fn an_exchange_on_a_new_connection_leaves_idle_ones_to_others() {
+    let mut fixture = fixture_with(Vec::new(), of_order(None));
+    run_exchange(&mut fixture, EMPTY_ANSWER).expect("an answer");
+    let mut inputs = Vec::new();
+    let new = NewExchange {
+        exchange: ExchangeId(2),
+        address: fixture.peer.local_addr().expect("an address"),
+        request: Some(Request::new("POST", "/order", Vec::new())),
+        options: of_order(None),
+    };
+    let started = fixture
+        .outbound
+        .start_on_idle(Box::new(new), fixture.start, &mut inputs);
+    expect_that!(started.is_ok(), eq(false));
+    expect_that!(start_second(&mut fixture, of_order(None)).0, eq(true));
+}
+
 #[gtest]
 fn an_order_is_not_written_after_bytes_that_belong_to_no_order() {
     let mut fixture = fixture_with(Vec::new(), of_order(None));
