--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -494,6 +494,7 @@
 
     pub(super) fn update_answered(
         &mut self,
+        call: StoreCall,
         answer: Result<StoreAnswer, ExchangeFailure>,
         started: Timestamp,
         now: Timestamp,
@@ -501,13 +502,16 @@
     ) {
         self.coordination.write_in_flight = false;
         self.coordination.next_write = now + WRITE_RETRY;
-        let pending = self
-            .coordination
-            .coordinator
-            .as_ref()
-            .and_then(Coordinator::pending_write)
-            .cloned();
-        match (answer, pending) {
+        // The version that this call has written; the coordinator may have decided on a later
+        // one meanwhile.
+        let written = match call {
+            StoreCall::Replace {
+                content: WrittenContent::Ownership(record),
+                ..
+            } if self.coordination.coordinator.is_some() => Some(record),
+            _ => None,
+        };
+        match (answer, written) {
             (Ok(StoreAnswer::Written(object)), Some(record)) => {
                 self.store.defer_role_confirmation(now);
                 let version = RecordVersion::confirmed(object.revision);
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -52,7 +52,9 @@
             Purpose::Takeover(record) => {
                 self.takeover_answered(record, answer, pending.started, now, out)
             }
-            Purpose::Update => self.update_answered(answer, pending.started, now, out),
+            Purpose::Update => {
+                self.update_answered(pending.call, answer, pending.started, now, out);
+            }
             Purpose::Resign => {
                 self.coordination.finish_resigning();
                 self.announce_resignation(out);
