A new connection is watched for 2 ms before an order is written

A full instance accepts connections and resets them. Found by review, not seen. Names: the filter says which header an answer must not have.

--- a/crates/ledgelead-router/src/answer_filter.rs
+++ b/crates/ledgelead-router/src/answer_filter.rs
@@ -12,9 +12,9 @@
     /// A response that has a header with this value.
     Equal(Box<str>, Box<[u8]>),
     /// A response without a header that marks the answers to requests of another kind.
-    Unmarked {
+    WithoutHeader {
         /// The header that the answer must not have.
-        marker: Box<str>,
+        header: Box<str>,
         /// The header that a successful answer must have.
         on_success: Option<Box<str>>,
     },
@@ -27,9 +27,9 @@
         match self {
             AnswerFilter::Any => true,
             AnswerFilter::Equal(name, value) => response.headers.get(name) == Some(value.as_ref()),
-            AnswerFilter::Unmarked { marker, on_success } => {
+            AnswerFilter::WithoutHeader { header, on_success } => {
                 let needed = on_success.as_deref().filter(|_| response.is_success());
-                !has(marker) && needed.is_none_or(has)
+                !has(header) && needed.is_none_or(has)
             }
         }
     }
--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -17,6 +17,10 @@
 
 /// Timeout for connecting to an instance.
 const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a new connection is observed before an order is written. An instance that is full
+/// resets it at once; an order that was written then counts as delivered, and extends the
+/// lease.
+const ORDER_OBSERVATION: Duration = Duration::from_millis(2);
 /// Timeout for a grant, which the instance answers without waiting for anything.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for a release, which the instance answers once the work on the keys has ended.
@@ -58,8 +62,8 @@
             ),
         };
         let options = ExchangeOptions {
-            answer: AnswerFilter::Unmarked {
-                marker: headers.attempt_id.as_str().into(),
+            answer: AnswerFilter::WithoutHeader {
+                header: headers.attempt_id.as_str().into(),
                 on_success,
             },
             pool: ConnectionPool::Orders,
@@ -70,7 +74,7 @@
             reuse,
             connect_timeout: ORDER_CONNECT_TIMEOUT,
             write_timeout: None,
-            observe_before_write: Duration::ZERO,
+            observe_before_write: ORDER_OBSERVATION,
             timeout,
             timeout_restarts: false,
         };
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -67,8 +67,8 @@
             let exchange = context.exchanges.next_id();
             *order = Some(exchange);
             self.pending_orders.insert(exchange, index);
-            // The token of the next owner, or a lower one. It makes the instance reject grants
-            // of this range that are still in transit.
+            // The token of the next owner, or a lower one. An instance may reject earlier
+            // grants of this range from then on, but need not.
             let fence = self.next_fence;
             commands.orders.push(OutgoingOrder {
                 exchange,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -480,8 +480,8 @@
     let answer = match open.request.headers.get(header) {
         Some(id) => AnswerFilter::Equal(header.as_str().into(), id.into()),
         // The answer to a request without an id has none either.
-        None => AnswerFilter::Unmarked {
-            marker: header.as_str().into(),
+        None => AnswerFilter::WithoutHeader {
+            header: header.as_str().into(),
             on_success: None,
         },
     };
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -356,7 +356,7 @@
         };
         connection.stream.fill();
         let unsent = connection.running.is_some() && !connection.stream.has_written();
-        if unsent && (connection.stream.end().is_some() || connection.has_stray_answer()) {
+        if unsent && (connection.stream.end().is_some() || connection.has_unsolicited_bytes()) {
             // No byte of the request was written, and none will be.
             self.fail(index, ExchangeFailure::NotConnected, inputs);
             return;
@@ -592,7 +592,7 @@
 impl Connection {
     /// Whether bytes that arrived on an idle connection could pass for the answer to an order,
     /// which carries no id.
-    fn has_stray_answer(&self) -> bool {
+    fn has_unsolicited_bytes(&self) -> bool {
         self.pool.pool == ConnectionPool::Orders && !self.stream.input.is_empty()
     }
 
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -386,8 +386,8 @@
 /// Options of an order: answers carry no id, and those that do belong to requests.
 fn of_order(on_success: Option<&str>) -> ExchangeOptions {
     ExchangeOptions {
-        answer: AnswerFilter::Unmarked {
-            marker: "id".into(),
+        answer: AnswerFilter::WithoutHeader {
+            header: "id".into(),
             on_success: on_success.map(Into::into),
         },
         pool: ConnectionPool::Orders,
