--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -360,8 +360,13 @@
         Request::new("POST", "order", kind.into())
     }
 
-    fn order_answer(&self, _instance: &InstanceId, _response: &Response) -> OrderAnswer {
-        OrderAnswer::Done { handover: None }
+    fn order_answer(&self, _instance: &InstanceId, response: &Response) -> OrderAnswer {
+        match response.status {
+            409 => OrderAnswer::Fenced,
+            421 => OrderAnswer::OtherInstance,
+            503 => OrderAnswer::Refused,
+            _ => OrderAnswer::Done { handover: None },
+        }
     }
 }
 
@@ -765,6 +770,17 @@
         }
     }
 
+    /// Number of versions of the ownership record written so far.
+    pub fn writes(&self) -> usize {
+        let is_write = |call: &StoreCall| {
+            let StoreCall::Replace { content, .. } = call else {
+                return false;
+            };
+            content.kind() == ObjectKind::Ownership
+        };
+        self.calls.iter().filter(|(_, call)| is_write(call)).count()
+    }
+
     /// Number of messages of a kind sent so far.
     pub fn sent(&self, kind: &str) -> usize {
         let of_kind =
--- a/crates/ledgelead-router/tests/node/order_answers.rs
+++ b/crates/ledgelead-router/tests/node/order_answers.rs
@@ -2,15 +2,16 @@
 //!
 //! Instances may send a second answer to an earlier request on a kept connection, in the place
 //! of the answer to the next one. If a coordinator takes it for the answer to a release, it
-//! grants the keys to their next owner while the last one still works on them: the release
-//! arrived at 11.820 s, the next grant at 11.838 s, and the work ended at 11.917 s.
+//! grants the keys to their next owner while the last one still works on them.
 
 use crate::fixture::{
-    Fixture, GRANT, KEYED, RELEASE, Sent, completed, instance, ms, store_without_owners,
+    Fixture, GRANT, KEYED, RELEASE, Sent, completed, configuration, instance, ms, owned_store,
+    store_without_owners,
 };
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::identity::InstanceId;
+use ledgelead_router::io::{ConnectionPool, ConnectionReuse};
 
 /// The path of orders.
 const ORDER: &str = "order";
@@ -86,11 +87,14 @@
     for status in [200, 409, 421] {
         let mut fixture = Fixture::coordinating(store_without_owners());
         let owner = fixture.owner_of(7).expect("an owner");
+        let writes = fixture.writes();
         for sent in take_orders(&mut fixture, GRANT) {
             fixture.answer(sent.exchange, second_answer(status));
         }
         fixture.run_until(fixture.now + ms(300));
         expect_that!(fixture.owner_of(7), some(eq(&owner)), "{status}");
+        // A refused grant is followed by a new token, in a new version of the record.
+        expect_that!(fixture.writes(), eq(writes), "{status}");
         // An unanswered grant is repeated at once, an answered one after a second.
         expect_that!(
             take_orders(&mut fixture, GRANT),
@@ -99,3 +103,50 @@
         );
     }
 }
+
+/// What an order may share its connection with.
+fn sharing(sent: &Sent) -> (ConnectionPool, ConnectionReuse, bool) {
+    let options = sent.options.as_ref().expect("options");
+    let is_new = options.reuse_idle_below.is_zero();
+    (options.pool, options.reuse, is_new)
+}
+
+#[gtest]
+fn orders_use_connections_on_which_nothing_can_pass_for_their_answer() {
+    let mut fixture = Fixture::coordinating(store_without_owners());
+    let first = take_orders(&mut fixture, GRANT);
+    let expected = (ConnectionPool::Orders, ConnectionReuse::AfterSuccess, true);
+    for sent in &first {
+        expect_that!(sharing(sent), eq(expected));
+    }
+    for sent in first {
+        fixture.answer(sent.exchange, completed(&sent));
+    }
+    fixture.run_until(fixture.now + ms(1_500));
+    let expected = (ConnectionPool::Orders, ConnectionReuse::AfterSuccess, false);
+    let renewals = take_orders(&mut fixture, GRANT);
+    expect_that!(renewals, not(is_empty()));
+    for sent in &renewals {
+        expect_that!(sharing(sent), eq(expected));
+    }
+    let (_, _, release) = releasing();
+    let expected = (ConnectionPool::Orders, ConnectionReuse::Never, false);
+    expect_that!(sharing(&release), eq(expected));
+}
+
+#[gtest]
+fn retry_at_the_same_instance_uses_a_new_connection() {
+    let mut fixture = Fixture::new(owned_store(configuration(1)));
+    fixture.run_until(ms(500));
+    fixture.attempts.clear();
+    fixture.request(KEYED, Some(7));
+    let first = fixture.attempts.pop().expect("an attempt");
+    expect_that!(sharing(&first).2, eq(false));
+    let mut rejection = Response::new(421, "");
+    rejection.headers.push("not-executed", "1");
+    fixture.answer(first.exchange, rejection);
+    fixture.run_until(fixture.now + ms(100));
+    let retry = fixture.attempts.pop().expect("a retry");
+    expect_that!(retry.address, eq(first.address));
+    expect_that!(sharing(&retry).2, eq(true));
+}
