--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -265,9 +265,11 @@
 
     /// The page of a list that follows a name.
     fn listed(&self, kind: ObjectKind, after: Option<&str>) -> StoreAnswer {
-        let mut objects = self.of_kind(kind);
-        objects.retain(|object| after.is_none_or(|after| object.name.as_str() > after));
         let page = self.page.unwrap_or(usize::MAX);
+        let is_listed = |object: &&Object| after.is_none_or(|after| object.name.as_str() > after);
+        let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
+        let listed = of_kind.map(|(_, object)| object).filter(is_listed);
+        let mut objects: Vec<Object> = listed.take(page.saturating_add(1)).cloned().collect();
         let more = objects.len() > page;
         objects.truncate(page);
         StoreAnswer::Objects {
