Only candidates whose turn it is read all pages of nodes

Cause: each node that started without a coordinator read all pages of nodes, for its rank in the first election and to learn whether it is registered, until it heard a coordinator. Nodes of equal strength do so at the same time, and six of 24 campaigned, since those that are not registered yet hear nobody.

Change: the pages read so far give the least rank of a node; it reads the next page when a node of that rank may campaign, after a check of the record for a new coordinator. Candidates whose place the pages don't show wait 1 s at most in addition, with exponentially growing density. A node registers by a write that creates only, without the whole list. A list that was begun as an exact one comes from other nodes once a coordinator is heard. A registration that the store has acknowledged is not dropped for an older list. A campaign needs the whole list, as before.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -262,15 +262,24 @@
     }
 
     pub(super) fn campaign_due(&self) -> Timestamp {
-        if self.succeeds_own_incarnation() || self.continues_own_epoch() {
+        self.campaign_due_at(self.campaign_rank())
+    }
+
+    /// When this node should campaign if it has this rank.
+    pub(super) fn campaign_due_at(&self, rank: usize) -> Timestamp {
+        if self.resumes_own_role() {
             return self.coordination.election.due_after_own_restart();
         }
         let record = self.ownership.record();
         let served_since = self.store.health.serving_since().unwrap_or_default();
-        let rank = self.campaign_rank();
         self.coordination.election.due(record, rank, served_since)
     }
 
+    /// Whether the last coordinator known was this node, which therefore waits for no other.
+    pub(super) fn resumes_own_role(&self) -> bool {
+        self.succeeds_own_incarnation() || self.continues_own_epoch()
+    }
+
     /// How many nodes precede this one in the order of succession.
     pub(super) fn campaign_rank(&self) -> usize {
         let coordinator = self.ownership.record().coordinator.as_ref();
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod load_hub;
 mod messaging;
+mod node_list;
 mod open_requests;
 mod quarantine;
 mod rate_limits;
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -68,25 +68,42 @@
         if is_suspended {
             return None;
         }
-        let is_informed = self.store.has_listed(ObjectKind::Nodes) || self.store.is_cold_start();
-        let is_required_now =
-            is_informed && (!self.is_registered_as_reachable() || self.succeeds_own_incarnation());
-        if is_required_now {
-            return Some(state.next_try);
+        if let Some(informed_at) = self.informed_of_registration_at()
+            && (!self.is_registered_as_reachable() || self.succeeds_own_incarnation())
+        {
+            return Some(state.next_try.max(informed_at));
         }
         let campaigns = self.could_campaign();
         campaigns.then(|| self.campaign_due().max(state.next_try))
     }
 
+    /// From when on this node decides by what it has read whether it must register. A node that
+    /// has read only a part of the nodes, without its own registration, tries to create one: a
+    /// coordinator sends heartbeats only to registered nodes.
+    fn informed_of_registration_at(&self) -> Option<Timestamp> {
+        if self.store.has_listed(ObjectKind::Nodes) || self.store.is_cold_start() {
+            return Some(Timestamp::ZERO);
+        }
+        let must_replace = self.succeeds_own_incarnation();
+        let is_decided = !must_replace || self.read_registration().is_some();
+        is_decided.then(|| self.informed_by_pages_at())?
+    }
+
+    /// This incarnation's registration, if the store has acknowledged it.
+    pub(super) fn written_registration(&self) -> Option<Registration> {
+        let known = self.registry.registration(&self.settings.identity.node)?;
+        let is_own = known.record.identity == self.settings.identity;
+        (self.store.is_registered() && is_own).then(|| known.clone())
+    }
+
     /// Whether some incarnation of this node is registered with the same address, zone and CPU
     /// share.
     fn is_registered_as_reachable(&self) -> bool {
         let own = self.own_record();
-        let known = self.registry.get(&own.identity.node);
-        known.is_some_and(|known| {
+        self.read_registration().is_some_and(|known| {
             NodeRecord {
                 identity: own.identity.clone(),
-                ..known.clone()
+                ..known.record
             } == own
         })
     }
@@ -108,7 +125,7 @@
         }
     }
 
-    fn own_record(&self) -> NodeRecord {
+    pub(super) fn own_record(&self) -> NodeRecord {
         NodeRecord {
             identity: self.settings.identity.clone(),
             zone: self.settings.zone.clone(),
@@ -122,8 +139,7 @@
             return;
         }
         let record = self.own_record();
-        let known = self.registry.registration(&record.identity.node);
-        let revision = known.map(|known| known.revision);
+        let revision = self.read_registration().map(|known| known.revision);
         let name = record.identity.node.to_string();
         let content = WrittenContent::Node(record);
         let call = match revision {
@@ -156,7 +172,9 @@
                 self.store.registration.needs_list = true;
                 // An unreadable object may persist, so that further attempts fail as well.
                 self.store.registration.next_try = now + RETRY_PAUSE;
-                self.store.list_nodes(now);
+                if self.node_page_awaited_since().is_none() {
+                    self.store.list_nodes(now);
+                }
             }
             _ => self.store.registration.next_try = now + RETRY_PAUSE,
         }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -151,7 +151,9 @@
                 let was_paged = self.store.watcher(kind).is_paged();
                 let change = self.store.watcher(kind).apply_answer(answer, now);
                 let has_more_pages = !was_paged && self.store.watcher(kind).is_paging_stale();
-                if has_more_pages && !self.transfers_from_nodes() {
+                if kind == ObjectKind::Nodes {
+                    self.node_page_read(now);
+                } else if has_more_pages && !self.transfers_from_nodes() {
                     self.store.defer_further_pages(kind, now);
                 }
                 let confirms = has_state && self.store.is_exact(kind);
@@ -165,6 +167,10 @@
                 return;
             }
         };
+        if kind == ObjectKind::Ownership && self.node_page_awaited_since().is_some() {
+            // The record decides whether the next page is due.
+            self.store.watcher(ObjectKind::Nodes).call_now(now);
+        }
         self.relay_change(kind, &change, now, out);
         self.apply(kind, change, is_first, started, now, out);
         if kind == ObjectKind::Instances
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -2,10 +2,12 @@
 
 use super::Node;
 use super::registration::RegistrationState;
-use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
+use super::store_timing::{
+    CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace, unplaced_pause,
+};
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
-use crate::dialect::{ObjectKind, StoreCall};
+use crate::dialect::{Object, ObjectKind, StoreCall};
 use crate::io::{Action, ConnectionPool, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
@@ -115,6 +117,12 @@
     cold_start: ColdStart,
     /// Delay after the first page of a long list of instances.
     list_pause: Duration,
+    /// When the first page of a long list of nodes was read.
+    first_node_page: Option<Timestamp>,
+    /// Delay of the further pages of nodes while they may show this node's place.
+    unplaced_pause: Duration,
+    /// When the record was checked before further pages of nodes.
+    record_check: Option<Timestamp>,
     /// Whether evacuations of zones are enabled.
     reads_evacuations: bool,
     /// Whether the first list of the configuration was empty.
@@ -145,6 +153,9 @@
             registration: RegistrationState::new(now),
             cold_start: ColdStart::new(settings.millicores, settings.seed),
             list_pause: large_list_pause(settings.seed),
+            first_node_page: None,
+            unplaced_pause: unplaced_pause(settings.seed),
+            record_check: None,
             reads_evacuations: settings.evacuation_bound.is_some(),
             is_cold_start: false,
             next_rejection_read: now,
@@ -197,6 +208,50 @@
             .any(|kind| self.watchers[*kind as usize].is_paged())
     }
 
+    /// The objects of a kind read so far, while further pages of the first list are missing.
+    pub(super) fn first_pages(&self, kind: ObjectKind) -> Option<&[Object]> {
+        self.watchers[kind as usize].first_pages()
+    }
+
+    /// Records a page of a long list of nodes. Returns whether it is the first.
+    pub(super) fn record_node_page(&mut self, now: Timestamp) -> bool {
+        let is_first = self.first_node_page.is_none();
+        self.first_node_page.get_or_insert(now);
+        is_first
+    }
+
+    /// When the first page of a long list of nodes was read.
+    pub(super) fn first_node_page(&self) -> Option<Timestamp> {
+        self.first_node_page
+    }
+
+    /// How long a node that has read a page of nodes leaves the first election to nodes with a
+    /// larger CPU share. In a deployment that starts the pause precedes the list.
+    pub(super) fn node_pages_pause(&self) -> Duration {
+        match self.is_cold_start {
+            true => Duration::ZERO,
+            false => self.cold_start.election,
+        }
+    }
+
+    /// How long a candidate that doesn't know its place among the others waits for them.
+    pub(super) fn unplaced_pause(&self) -> Duration {
+        self.unplaced_pause
+    }
+
+    /// Requests the changes of a record that was read only from a stale list. Returns when they
+    /// were first requested.
+    pub(super) fn check_record(&mut self, now: Timestamp, out: &mut Vec<Action>) -> Timestamp {
+        if let Some(checked_at) = self.record_check {
+            return checked_at;
+        }
+        // A watch in flight may be on a dead connection.
+        self.interrupt(ObjectKind::Ownership, now, now, out);
+        let watcher = self.watcher(ObjectKind::Ownership);
+        let requested_at = watcher.request_confirmation(now);
+        *self.record_check.insert(requested_at)
+    }
+
     /// Whether the store's last answer about a kind reported the latest state.
     pub(super) fn is_exact(&self, kind: ObjectKind) -> bool {
         self.watchers[kind as usize].as_of().is_some()
@@ -257,10 +312,7 @@
 
     /// Defers the further pages of a long first list, which another node may send meanwhile.
     pub(super) fn defer_further_pages(&mut self, kind: ObjectKind, now: Timestamp) {
-        let pause = match kind {
-            ObjectKind::Nodes => self.cold_start.election,
-            _ => self.list_pause,
-        };
+        let pause = self.list_pause;
         self.watcher(kind).defer(now + pause);
     }
 
@@ -439,6 +491,7 @@
     pub(super) fn call_store(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.restart_watches_of_former_era(now);
         self.register_if_due(now, out);
+        self.defer_node_page(now, out);
         for index in 0..self.store.watchers.len() {
             if self.store.is_suspended(index) {
                 continue;
--- a/crates/ledgelead-router/src/node/store_objects.rs
+++ b/crates/ledgelead-router/src/node/store_objects.rs
@@ -94,14 +94,19 @@
 
     /// Replaces all known registrations of nodes.
     pub(super) fn replace_nodes(&mut self, registrations: Vec<Registration>) {
+        let own = self.written_registration();
         self.registry.replace_all(registrations);
+        if let Some(own) = own {
+            // The list may be older.
+            self.registry.upsert(own);
+        }
         self.record_earlier_incarnation();
     }
 
     /// Records that the nodes were listed completely; `is_first` marks the first such list.
     pub(super) fn nodes_listed(&mut self, is_first: bool, now: Timestamp) {
         self.store.registration.record_nodes_listed();
-        if is_first {
+        if is_first && self.store.first_node_page().is_none() {
             self.coordination.election.nodes_listed(now);
         }
     }
--- a/crates/ledgelead-router/src/node/store_timing.rs
+++ b/crates/ledgelead-router/src/node/store_timing.rs
@@ -169,6 +169,20 @@
     LARGE_LIST_PAUSE.mul_f64(rng.random_range(1.0..2.0))
 }
 
+/// Longest delay of a candidate that doesn't know its place among the others.
+const MAX_UNPLACED_PAUSE: Duration = Duration::from_secs(1);
+/// Number of such candidates of which one is expected to have no delay.
+const UNPLACED_NODES: f64 = 1_000.0;
+
+/// How long a candidate that doesn't know its place among the others leaves the first election
+/// to them. The density of the delays grows exponentially, so that however many such
+/// candidates there are, only few begin in the time that the first one takes.
+pub(super) fn unplaced_pause(seed: u64) -> Duration {
+    let drawn: f64 = Pcg64Mcg::seed_from_u64(seed).random_range(0.0..1.0);
+    let exponent = drawn.max(1.0 / UNPLACED_NODES).ln() / UNPLACED_NODES.ln();
+    MAX_UNPLACED_PAUSE.mul_f64(1.0 + exponent)
+}
+
 /// Delays of a node that finds no configuration, which means that the whole deployment is
 /// starting.
 #[derive(Clone, Copy, Debug)]
--- a/crates/ledgelead-router/src/ownership/election.rs
+++ b/crates/ledgelead-router/src/ownership/election.rs
@@ -57,9 +57,7 @@
     /// was lost, the delay by rank counts from there. Otherwise any node that notices the
     /// recovery first would become the coordinator.
     pub fn due(&self, record: &OwnershipRecord, rank: usize, served_since: Timestamp) -> Timestamp {
-        let delay = RANK_DELAY
-            .saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
-            .min(MAX_RANK_DELAY);
+        let delay = delay_of(rank);
         let vacant = record.coordinator.is_none();
         let silence = if vacant {
             Duration::ZERO
@@ -96,6 +94,17 @@
     }
 }
 
+/// Whether the delay by rank differs from that of the next rank.
+pub fn has_own_delay(rank: usize) -> bool {
+    delay_of(rank) < MAX_RANK_DELAY
+}
+
+fn delay_of(rank: usize) -> Duration {
+    RANK_DELAY
+        .saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
+        .min(MAX_RANK_DELAY)
+}
+
 /// The rank of a node among the candidates. Nodes with the largest share of a processor come
 /// first, since the coordinator's work grows with the deployment. Nodes with equal shares are
 /// ordered by name, starting after the current coordinator, so that the role does not always
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -140,12 +140,12 @@
         }
     }
 
-    /// Sets whether the first list may be a few seconds old, unless it is complete. A stale
-    /// list that is being read, but no longer allowed, is started again.
+    /// Sets whether the first list may be a few seconds old, unless it is complete. A list that
+    /// is being read in the other way is started again.
     pub fn set_first_may_be_stale(&mut self, may_be: bool) {
         self.first_may_be_stale = may_be;
         let is_read = matches!(self.position, Position::Listing { .. });
-        if !may_be && self.reads_stale && is_read && !self.in_flight {
+        if self.is_first && may_be != self.reads_stale && is_read && !self.in_flight {
             self.position = Position::start();
         }
     }
@@ -160,6 +160,18 @@
         self.is_paged && self.is_first && self.reads_stale
     }
 
+    /// The objects of the first list read so far, while further pages are missing.
+    pub fn first_pages(&self) -> Option<&[Object]> {
+        match &self.position {
+            Position::Listing {
+                pages,
+                after: Some(_),
+                ..
+            } if self.is_first => Some(pages),
+            _ => None,
+        }
+    }
+
     /// Whether a list has been completed.
     pub fn has_listed(&self) -> bool {
         !self.is_first
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod crashing_requests;
 mod evacuation;
+mod first_election;
 mod fixture;
 mod former_coordinator;
 mod incomplete_requests;
