--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -49,6 +49,7 @@
 use coordination::Coordination;
 use load_hub::LoadHub;
 use messaging::Messaging;
+use node_list::NodeList;
 use quarantine::Quarantine;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -75,6 +76,7 @@
     requests: Requests,
     exchanges: ExchangeIds,
     store: StoreCalls,
+    node_list: NodeList,
     coordination: Coordination,
     messaging: Messaging,
     zone_relays: ZoneRelays,
@@ -113,6 +115,7 @@
             requests,
             exchanges: ExchangeIds::default(),
             store: StoreCalls::new(&settings, now),
+            node_list: NodeList::new(settings.seed),
             coordination: Coordination::new(Election::default(), settings.protections),
             messaging: Messaging::new(now),
             zone_relays: ZoneRelays::default(),
--- a/crates/ledgelead-router/src/node/registration.rs
+++ b/crates/ledgelead-router/src/node/registration.rs
@@ -172,7 +172,7 @@
                 self.store.registration.needs_list = true;
                 // An unreadable object may persist, so that further attempts fail as well.
                 self.store.registration.next_try = now + RETRY_PAUSE;
-                if self.node_page_awaited_since().is_none() {
+                if self.next_node_page_awaited_since().is_none() {
                     self.store.list_nodes(now);
                 }
             }
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -167,7 +167,7 @@
                 return;
             }
         };
-        if kind == ObjectKind::Ownership && self.node_page_awaited_since().is_some() {
+        if kind == ObjectKind::Ownership && self.next_node_page_awaited_since().is_some() {
             // The record decides whether the next page is due.
             self.store.watcher(ObjectKind::Nodes).call_now(now);
         }
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -2,9 +2,7 @@
 
 use super::Node;
 use super::registration::RegistrationState;
-use super::store_timing::{
-    CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace, unplaced_pause,
-};
+use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
 use crate::dialect::{Object, ObjectKind, StoreCall};
@@ -117,12 +115,6 @@
     cold_start: ColdStart,
     /// Delay after the first page of a long list of instances.
     list_pause: Duration,
-    /// When the first page of a long list of nodes was read.
-    first_node_page: Option<Timestamp>,
-    /// Delay of the further pages of nodes while they may show this node's place.
-    unplaced_pause: Duration,
-    /// When the record was checked before further pages of nodes.
-    record_check: Option<Timestamp>,
     /// Whether evacuations of zones are enabled.
     reads_evacuations: bool,
     /// Whether the first list of the configuration was empty.
@@ -153,9 +145,6 @@
             registration: RegistrationState::new(now),
             cold_start: ColdStart::new(settings.millicores, settings.seed),
             list_pause: large_list_pause(settings.seed),
-            first_node_page: None,
-            unplaced_pause: unplaced_pause(settings.seed),
-            record_check: None,
             reads_evacuations: settings.evacuation_bound.is_some(),
             is_cold_start: false,
             next_rejection_read: now,
@@ -213,45 +202,15 @@
         self.watchers[kind as usize].first_pages()
     }
 
-    /// Records a page of a long list of nodes. Returns whether it is the first.
-    pub(super) fn record_node_page(&mut self, now: Timestamp) -> bool {
-        let is_first = self.first_node_page.is_none();
-        self.first_node_page.get_or_insert(now);
-        is_first
-    }
-
-    /// When the first page of a long list of nodes was read.
-    pub(super) fn first_node_page(&self) -> Option<Timestamp> {
-        self.first_node_page
-    }
-
     /// How long a node that has read a page of nodes leaves the first election to nodes with a
     /// larger CPU share. In a deployment that starts the pause precedes the list.
-    pub(super) fn node_pages_pause(&self) -> Duration {
+    pub(super) fn election_pause(&self) -> Duration {
         match self.is_cold_start {
             true => Duration::ZERO,
             false => self.cold_start.election,
         }
     }
 
-    /// How long a candidate that doesn't know its place among the others waits for them.
-    pub(super) fn unplaced_pause(&self) -> Duration {
-        self.unplaced_pause
-    }
-
-    /// Requests the changes of a record that was read only from a stale list. Returns when they
-    /// were first requested.
-    pub(super) fn check_record(&mut self, now: Timestamp, out: &mut Vec<Action>) -> Timestamp {
-        if let Some(checked_at) = self.record_check {
-            return checked_at;
-        }
-        // A watch in flight may be on a dead connection.
-        self.interrupt(ObjectKind::Ownership, now, now, out);
-        let watcher = self.watcher(ObjectKind::Ownership);
-        let requested_at = watcher.request_confirmation(now);
-        *self.record_check.insert(requested_at)
-    }
-
     /// Whether the store's last answer about a kind reported the latest state.
     pub(super) fn is_exact(&self, kind: ObjectKind) -> bool {
         self.watchers[kind as usize].as_of().is_some()
--- a/crates/ledgelead-router/src/node/store_objects.rs
+++ b/crates/ledgelead-router/src/node/store_objects.rs
@@ -106,7 +106,7 @@
     /// Records that the nodes were listed completely; `is_first` marks the first such list.
     pub(super) fn nodes_listed(&mut self, is_first: bool, now: Timestamp) {
         self.store.registration.record_nodes_listed();
-        if is_first && self.store.first_node_page().is_none() {
+        if is_first && !self.node_list.has_begun() {
             self.coordination.election.nodes_listed(now);
         }
     }
--- a/crates/ledgelead-router/tests/node/first_election.rs
+++ b/crates/ledgelead-router/tests/node/first_election.rs
@@ -176,7 +176,7 @@
     fixture.run_until(ms(SILENCE_MS + RANK_MS + SILENCE_MS - 100));
     expect_that!(further_pages(&fixture), is_empty());
     expect_that!(campaigns(&fixture), is_empty());
-    // A coordinator that is not heard is succeeded like any other.
+    // A coordinator whose heartbeats are missing is succeeded like any other.
     fixture.run_until(ms(SILENCE_MS
         + RANK_MS
         + SILENCE_MS
@@ -380,7 +380,7 @@
 }
 
 /// How many of the strongest nodes read further pages of nodes until a coordinator is elected
-/// and heard.
+/// and has sent a heartbeat.
 fn readers(records: &[NodeRecord], coordinator: usize) -> usize {
     /// From the first further page to the first heartbeat.
     const ELECTION: Duration = Duration::from_millis(150);
