--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -5,7 +5,7 @@
 use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
-use crate::dialect::{ObjectKind, StoreCall};
+use crate::dialect::{Object, ObjectKind, StoreCall};
 use crate::io::{Action, ConnectionPool, ConnectionReuse, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
@@ -197,6 +197,20 @@
             .any(|kind| self.watchers[*kind as usize].is_paged())
     }
 
+    /// The objects of a kind read so far, while further pages of the first list are missing.
+    pub(super) fn first_pages(&self, kind: ObjectKind) -> Option<&[Object]> {
+        self.watchers[kind as usize].first_pages()
+    }
+
+    /// How long a node that has read a page of nodes leaves the first election to nodes with a
+    /// larger CPU share. In a deployment that starts the pause precedes the list.
+    pub(super) fn election_pause(&self) -> Duration {
+        match self.is_cold_start {
+            true => Duration::ZERO,
+            false => self.cold_start.election,
+        }
+    }
+
     /// Whether the store's last answer about a kind reported the latest state.
     pub(super) fn is_exact(&self, kind: ObjectKind) -> bool {
         self.watchers[kind as usize].as_of().is_some()
@@ -257,10 +271,7 @@
 
     /// Defers the further pages of a long first list, which another node may send meanwhile.
     pub(super) fn defer_further_pages(&mut self, kind: ObjectKind, now: Timestamp) {
-        let pause = match kind {
-            ObjectKind::Nodes => self.cold_start.election,
-            _ => self.list_pause,
-        };
+        let pause = self.list_pause;
         self.watcher(kind).defer(now + pause);
     }
 
@@ -439,6 +450,7 @@
     pub(super) fn call_store(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.restart_watches_of_former_era(now);
         self.register_if_due(now, out);
+        self.defer_node_page(now, out);
         for index in 0..self.store.watchers.len() {
             if self.store.is_suspended(index) {
                 continue;
