--- a/crates/ledgelead-lab/src/fleet/instance.rs
+++ b/crates/ledgelead-lab/src/fleet/instance.rs
@@ -45,6 +45,8 @@
     pub crashes: Option<usize>,
     /// When the hold under which it started expires, unless that hold was granted late.
     pub held_until: Option<Duration>,
+    /// How long its execution takes, if that differs from the instance's service time.
+    pub work: Option<Duration>,
 }
 
 /// A simulated instance.
