Evidence of a crashing request counts over all of its callers

Cause: ends were counted by the caller's address, so a request that came from a new address each time never reached three ends of one caller, nor two ends of each of two callers alone.

Ruled out: a verdict on all callers as soon as three instances ended.

Change: three instances over all callers quarantine the request, if at least two of them ended without any one caller. An answer of any caller voids that for 60 s as it does for the caller itself, and leaves callers with three ends of their own quarantined.

Tests: no existing check changed.

--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -123,7 +123,7 @@
             limiter_failover: LimiterFailover::default(),
             overloads: Overloads::default(),
             evacuations: Evacuations::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(settings.protections),
             unreadable: UnreadableObjects::default(),
             confirmation_deadline: None,
             traffic: PeerTraffic::default(),
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -11,9 +11,9 @@
 use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
-use crate::protections::Protection;
+use crate::protections::{Protection, Protections};
 use crate::quarantine::{
-    CallerId, Evidence, InstanceEnd, LostAttempts, QuarantineRecord, RecentAnswers,
+    CallerId, Counting, Evidence, InstanceEnd, LostAttempts, QuarantineRecord, RecentAnswers,
     UnconfirmedAnswers,
 };
 use crate::requests::RequestDigest;
@@ -57,6 +57,18 @@
 }
 
 impl Quarantine {
+    /// The state of a node that has just started.
+    pub(super) fn new(protections: Protections) -> Quarantine {
+        let counting = match protections.has(Protection::EvidenceByRequest) {
+            true => Counting::ByRequest,
+            false => Counting::ByAddress,
+        };
+        Quarantine {
+            evidence: Evidence::new(counting),
+            ..Quarantine::default()
+        }
+    }
+
     /// The store was restored from a backup and lacks the evidence stored since. This is stored
     /// again, and its absence doesn't mean that an operator removed it.
     pub(super) fn begin_era(&mut self) {
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -49,11 +49,13 @@
     /// A request that is submitted again is recognized by its full identity, not by its path
     /// alone.
     FullRequestIdentity,
+    /// Ends count for a request over all of its callers.
+    EvidenceByRequest,
 }
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 21] = [
+    pub const SABOTAGES: [(&'static str, Protection); 22] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -73,6 +75,7 @@
         ("ignore-era", Protection::EraIsolation),
         ("reuse-fences", Protection::EraTokens),
         ("know-by-path", Protection::FullRequestIdentity),
+        ("count-by-address", Protection::EvidenceByRequest),
         ("drop-with-foreign", Protection::IsolateUnreadable),
         ("use-foreign", Protection::ExcludeUnreadable),
     ];
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -1,6 +1,7 @@
 //! The evidence of all nodes about requests during which instances ended.
 
-use super::entry::{CLEARED_FOR, CallerId, Entry, InstanceEnd};
+use super::entry::{CallerId, Entry, InstanceEnd};
+use super::verdict::{CLEARED_FOR, Counting};
 use crate::Timestamp;
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +25,7 @@
 /// matter.
 #[derive(Debug, Default)]
 pub struct Evidence {
+    counting: Counting,
     entries: BTreeMap<RequestDigest, Entry>,
     /// Instances that have ended, and when.
     ended: BTreeMap<u64, Timestamp>,
@@ -37,6 +39,14 @@
 }
 
 impl Evidence {
+    /// No evidence so far.
+    pub fn new(counting: Counting) -> Evidence {
+        Evidence {
+            counting,
+            ..Evidence::default()
+        }
+    }
+
     /// Whether there is no evidence.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -71,10 +81,17 @@
         entry.is_some_and(|entry| entry.is_quarantined_for(caller))
     }
 
-    /// Number of instances that ended during a caller's request.
+    /// Number of instances that ended during a request: the caller's own, or those of all
+    /// callers as long as no answer clears the request.
     pub fn ends_of(&self, request: &RequestDigest, caller: CallerId) -> usize {
-        let entry = self.entries.get(request);
-        entry.map_or(0, |entry| entry.ends_of(caller))
+        let Some(entry) = self.entries.get(request) else {
+            return 0;
+        };
+        let own = entry.ends_of(caller);
+        match self.counting {
+            Counting::ByRequest => own.max(entry.ends_of(CallerId::ALL)),
+            Counting::ByAddress => own,
+        }
     }
 
     /// When an instance ended, if some node has reported that and no node has disproved it.
@@ -94,21 +111,23 @@
         self.unannounced.insert(request);
     }
 
-    /// Records that an instance has answered a caller's request. Needed only for suspected
-    /// callers; an answer to any other caller shows that the request does not crash instances
-    /// for all callers.
+    /// Records that an instance has answered a caller's request. Needed only if something
+    /// counts against that caller or the request. An answer to a caller against whom nothing
+    /// counts leaves the verdicts on other callers.
     pub fn record_answer(&mut self, request: RequestDigest, caller: CallerId, now: Timestamp) {
         let Some(entry) = self.entries.get_mut(&request) else {
             return;
         };
-        let is_suspected = entry.ends_of(caller) > 0 || entry.is_quarantined_for(caller);
-        if is_suspected {
-            entry.cleared.insert(caller, now);
-            self.unannounced.insert(request);
-        } else if entry.cleared.is_empty() && !entry.ends.is_empty() {
-            entry.cleared.insert(CallerId::SOME_OTHER, now);
-            self.unannounced.insert(request);
-        }
+        let is_suspected = |scope| entry.ends_of(scope) > 0 || entry.is_active(scope);
+        let cleared = match caller {
+            caller if is_suspected(caller) => caller,
+            _ if is_suspected(CallerId::ALL) => CallerId::SOME_OTHER,
+            _ => return,
+        };
+        entry.cleared.insert(cleared, now);
+        self.unannounced.insert(request);
+        // A caller's own ends may count now that those of all callers do not.
+        self.next_review = Some(Timestamp::ZERO);
     }
 
     /// Lifts a quarantine on behalf of the operator.
@@ -134,7 +153,7 @@
             return false;
         }
         for entry in self.entries.values_mut() {
-            entry.remove_end(instance, at);
+            entry.remove_end(instance, at, self.counting);
         }
         true
     }
@@ -154,6 +173,9 @@
             let review = self.next_review.unwrap_or(settled_at);
             self.next_review = Some(review.min(settled_at));
         }
+        if !other.cleared.is_empty() {
+            self.next_review = Some(Timestamp::ZERO);
+        }
         self.entries.entry(request).or_default().merge(&other);
     }
 
@@ -182,9 +204,9 @@
                 }
                 end.settled = !ended_with_others(&self.ended, &self.alive, &involved, end.at);
             }
-            for caller in entry.callers_to_quarantine() {
-                entry.quarantined.insert(caller, now);
-                found.0.push((*request, caller));
+            for scope in entry.scopes_to_quarantine(self.counting) {
+                entry.quarantined.insert(scope, now);
+                found.0.push((*request, scope));
             }
         }
         self.next_review = next;
--- a/crates/ledgelead-router/src/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/quarantine/mod.rs
@@ -4,8 +4,8 @@
 //! ([`lost_attempts`]) until the instance is shown to have ended or to be alive. The findings
 //! become [`evidence`]: a grow-only set that all nodes share. It stays correct if messages are
 //! reordered, repeated or lost, and with earlier or several coordinators. A request is
-//! quarantined after three instances have ended during it, if no instance has ever answered
-//! it.
+//! quarantined after three instances have ended during it, whoever sent it, if no instance has
+//! answered it ([`verdict`]).
 
 mod answers;
 mod entry;
@@ -13,6 +13,7 @@
 mod lost_attempts;
 mod record;
 mod unconfirmed_answers;
+mod verdict;
 
 pub use answers::RecentAnswers;
 pub use entry::{CallerId, Entry, InstanceEnd};
@@ -20,3 +21,4 @@
 pub use lost_attempts::{LostAttempt, LostAttempts};
 pub use record::QuarantineRecord;
 pub use unconfirmed_answers::UnconfirmedAnswers;
+pub use verdict::Counting;
--- a/crates/ledgelead-router/src/quarantine/record.rs
+++ b/crates/ledgelead-router/src/quarantine/record.rs
@@ -22,11 +22,11 @@
         let counts = |end: &&InstanceEnd| !entry.is_voided(end.caller, end.at);
         let end = |end: &InstanceEnd| (hex(end.caller.0), hex(end.instance));
         let quarantined = entry.quarantined.keys();
-        let active = quarantined.filter(|caller| entry.is_quarantined_for(**caller));
+        let active = quarantined.filter(|scope| entry.is_active(**scope));
         QuarantineRecord {
             path: entry.path.clone(),
             ends: entry.ends.iter().filter(counts).map(end).collect(),
-            quarantined: active.map(|caller| hex(caller.0)).collect(),
+            quarantined: active.map(|scope| hex(scope.0)).collect(),
         }
     }
 
--- /dev/null
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -0,0 +1,123 @@
+//! Verdicts on a request by the evidence about it.
+//!
+//! Ends count against the request, whoever sent it. Callers only narrow the verdict: once an
+//! answer shows that the request is harmless for others, and while the requests of a single
+//! caller explain the ends.
+
+use super::entry::{CallerId, Entry, InstanceEnd};
+use crate::Timestamp;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Number of instances that end during a request before it is quarantined. With fewer, a
+/// harmless request that meets two unrelated failures would be quarantined.
+const ENDS_TO_QUARANTINE: usize = 3;
+/// Number of these instances at which any one caller had no request, before all callers are
+/// quarantined. One of them may have ended for another reason.
+const ENDS_BESIDE_ONE_CALLER: usize = 2;
+/// How long a complete answer clears a request. Instances that end meanwhile do so for another
+/// reason, since a crashing request ends every instance that begins to process it.
+pub(super) const CLEARED_FOR: Duration = Duration::from_secs(60);
+
+/// Which ends count together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Counting {
+    /// Those of all callers.
+    #[default]
+    ByRequest,
+    /// Those of one caller address.
+    ByAddress,
+}
+
+impl Entry {
+    /// Whether an event at this time is void in a scope because of an answer or a lifted
+    /// quarantine. An answer to any caller voids what counts against the request itself.
+    pub(super) fn is_voided(&self, scope: CallerId, at: Timestamp) -> bool {
+        let mut cleared = self.cleared.iter();
+        cleared.any(|(caller, cleared_at)| match *caller {
+            CallerId::ALL => at <= *cleared_at,
+            caller => {
+                let applies = scope == CallerId::ALL || scope == caller;
+                applies && at <= *cleared_at + CLEARED_FOR
+            }
+        })
+    }
+
+    /// Whether requests in exactly this scope are quarantined.
+    pub(super) fn is_active(&self, scope: CallerId) -> bool {
+        let since = self.quarantined.get(&scope);
+        since.is_some_and(|since| !self.is_voided(scope, *since))
+    }
+
+    /// Whether a caller's request is quarantined.
+    pub fn is_quarantined_for(&self, caller: CallerId) -> bool {
+        self.is_active(caller) || self.is_active(CallerId::ALL)
+    }
+
+    /// Whether any caller's request is quarantined.
+    pub fn is_quarantined(&self) -> bool {
+        self.quarantined.keys().any(|scope| self.is_active(*scope))
+    }
+
+    /// Number of instances that ended during requests in a scope.
+    pub fn ends_of(&self, scope: CallerId) -> usize {
+        distinct(self.ends_in(scope)).len()
+    }
+
+    /// Removes the end of an instance that turned out to be alive. The remaining evidence may
+    /// no longer justify a quarantine.
+    pub(super) fn remove_end(&mut self, instance: u64, now: Timestamp, counting: Counting) {
+        let before = self.ends.len();
+        self.ends.retain(|end| end.instance != instance);
+        if self.ends.len() < before && !self.quarantined.is_empty() {
+            let quarantined = std::mem::take(&mut self.quarantined);
+            let scopes = self.scopes_to_quarantine(counting);
+            let still = quarantined
+                .into_iter()
+                .filter(|(scope, _)| scopes.contains(scope));
+            self.quarantined = still.collect();
+            if self.quarantined.is_empty() {
+                self.cleared.insert(CallerId::ALL, now);
+            }
+        }
+    }
+
+    /// The scopes to quarantine by the settled ends, except those that are already: a caller,
+    /// if enough instances ended during that caller's requests; all callers, if enough ended
+    /// over all callers, and no single caller explains them.
+    pub(super) fn scopes_to_quarantine(&self, counting: Counting) -> Vec<CallerId> {
+        let mut by_caller: BTreeMap<CallerId, BTreeSet<u64>> = BTreeMap::new();
+        for end in self.ends.iter().filter(|end| end.settled) {
+            if !self.is_voided(end.caller, end.at) {
+                let instances = by_caller.entry(end.caller).or_default();
+                instances.insert(end.instance);
+            }
+        }
+        let mut scopes: Vec<CallerId> = by_caller
+            .iter()
+            .filter(|(_, instances)| instances.len() >= ENDS_TO_QUARANTINE)
+            .map(|(caller, _)| *caller)
+            .collect();
+        let over_all = distinct(self.ends_in(CallerId::ALL).filter(|end| end.settled));
+        let is_unexplained_by =
+            |at: &BTreeSet<u64>| over_all.difference(at).count() >= ENDS_BESIDE_ONE_CALLER;
+        let affects_all =
+            over_all.len() >= ENDS_TO_QUARANTINE && by_caller.values().all(is_unexplained_by);
+        if counting == Counting::ByRequest && affects_all {
+            scopes.push(CallerId::ALL);
+        }
+        scopes.retain(|scope| !self.is_active(*scope));
+        scopes
+    }
+
+    /// The ends during requests in a scope that count.
+    fn ends_in(&self, scope: CallerId) -> impl Iterator<Item = &InstanceEnd> {
+        let is_in = move |end: &&InstanceEnd| scope == CallerId::ALL || end.caller == scope;
+        let ends = self.ends.iter().filter(is_in);
+        ends.filter(move |end| !self.is_voided(scope, end.at))
+    }
+}
+
+fn distinct<'a>(ends: impl Iterator<Item = &'a InstanceEnd>) -> BTreeSet<u64> {
+    ends.map(|end| end.instance).collect()
+}
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -13,9 +13,12 @@
 use ledgelead_router::io::ExchangeFailure;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 /// Instances that may end before a request is quarantined.
 const MAX_CRASHES: usize = 3;
+/// The same for a request whose callers change their address at any time.
+const MAX_CRASHES_OF_CHANGING_CALLERS: usize = 5;
 
 fn store() -> Store {
     let mut store = Store::default();
@@ -72,25 +75,48 @@
     IpAddr::V4(Ipv4Addr::new(10, 0, 4, number))
 }
 
-/// The request came from an address of its own each time, so that no caller's requests had
-/// ended more than one instance: `attempt_ended` with `answer_lost` and one digest at six of
-/// six ended instances, by ten nodes, and no `quarantined` at all. No instance ever answered
-/// it.
-#[gtest]
-fn request_from_changing_addresses_is_quarantined_after_three_crashes() {
-    let mut fixture = Fixture::coordinating(store());
+/// Lets eight callers send the request, one a second, with up to `max_attempts` per try.
+/// Returns the number of instances that ended.
+fn crashed_by_changing_callers(max_attempts: u32) -> (Fixture, usize) {
+    let mut store = store();
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        Arc::make_mut(route).max_attempts = max_attempts;
+    }
+    store.put_configuration(configuration);
+    let mut fixture = Fixture::coordinating(store);
     let mut ended = BTreeSet::new();
     for number in 0..8 {
         fixture.request_from(new_caller(number), SERVICE, None);
         crash_instances_that_run_requests(&mut fixture, &mut ended);
         fixture.run_until(fixture.now + ms(1_000));
     }
-    expect_that!(ended.len(), eq(MAX_CRASHES));
+    (fixture, ended.len())
+}
+
+/// The request came from an address of its own each time, so that no caller's requests had
+/// ended more than one instance: `attempt_ended` with `answer_lost` and one digest at six of
+/// six ended instances, by ten nodes, and no `quarantined` at all. No instance ever answered
+/// it.
+#[gtest]
+fn request_from_changing_addresses_is_quarantined_after_three_crashes() {
+    let (fixture, ended) = crashed_by_changing_callers(1);
+    expect_that!(ended, eq(MAX_CRASHES));
     let (_, last) = fixture.answers.last().expect("an answer");
     expect_that!(last.status, eq(503));
     expect_that!(last.body.as_slice(), eq(b"quarantined"));
 }
 
+/// The first caller's try may end two instances. Those that follow end one each, which may have
+/// another cause at first.
+#[gtest]
+fn request_retried_once_from_changing_addresses_ends_at_most_five_instances() {
+    let (fixture, ended) = crashed_by_changing_callers(2);
+    expect_that!(ended, le(MAX_CRASHES_OF_CHANGING_CALLERS));
+    let (_, last) = fixture.answers.last().expect("an answer");
+    expect_that!(last.body.as_slice(), eq(b"quarantined"));
+}
+
 /// A coordinator that has quarantined a request.
 fn quarantined() -> Fixture {
     let mut fixture = Fixture::coordinating(store());
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -80,6 +80,23 @@
     expect_that!(is_quarantined_for(&evidence, 1), eq(false));
 }
 
+#[gtest]
+fn two_requests_that_end_the_same_instances_are_both_quarantined() {
+    let mut evidence = Evidence::default();
+    for (number, at) in [(1, 0), (2, 2_000), (3, 4_000)] {
+        for (path, by) in [("/a", 10 + number), ("/b", 20 + number)] {
+            evidence.record_end(request(path), path, end(by, number.into(), at));
+        }
+    }
+    review(&mut evidence);
+    for path in ["/a", "/b"] {
+        expect_that!(
+            evidence.is_quarantined_for(&request(path), caller(9)),
+            eq(true)
+        );
+    }
+}
+
 #[gtest]
 fn instances_that_end_together_with_unrelated_ones_cause_no_suspicion() {
     let mut evidence = reviewed(&[]);
@@ -109,6 +126,12 @@
         end(2, 2, 1_000),
     ];
     expect_that!(is_quarantined_for(&reviewed(&together), 3), eq(false));
+    // One of the two may be harmless and beside the other each time.
+    let third = [end(1, 3, 2_000), end(2, 3, 2_000)];
+    let beside = reviewed(&[together.as_slice(), &third].concat());
+    expect_that!(is_quarantined_for(&beside, 1), eq(true));
+    expect_that!(is_quarantined_for(&beside, 2), eq(true));
+    expect_that!(is_quarantined_for(&beside, 3), eq(false));
     let alone = [
         end(1, 1, 0),
         end(1, 2, 1_000),
@@ -126,6 +149,48 @@
     expect_that!(is_quarantined_for(&reviewed(&ends), 4), eq(true));
 }
 
+/// A caller whose requests have ended three instances is held back alone. One more end may
+/// have another cause, and two more extend the quarantine to all callers.
+#[gtest]
+fn two_ends_under_further_callers_extend_a_quarantine_to_all() {
+    let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    for (number, is_extended) in [(4, false), (5, true)] {
+        let at = 100_000 + u64::from(number) * 1_000;
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+        evidence.review(ms(at + 500));
+        expect_that!(is_quarantined_for(&evidence, 9), eq(is_extended));
+    }
+}
+
+#[gtest]
+fn an_answer_to_another_caller_narrows_a_quarantine_to_callers_with_three_ends() {
+    let mut evidence = reviewed(&[
+        end(1, 1, 0),
+        end(1, 2, 1_000),
+        end(1, 3, 2_000),
+        end(2, 4, 3_000),
+        end(2, 5, 4_000),
+    ]);
+    expect_that!(is_quarantined_for(&evidence, 2), eq(true));
+    evidence.record_answer(request("/a"), caller(9), ms(50_000));
+    review(&mut evidence);
+    expect_that!(is_quarantined_for(&evidence, 1), eq(true));
+    expect_that!(is_quarantined_for(&evidence, 2), eq(false));
+    expect_that!(is_quarantined_for(&evidence, 9), eq(false));
+}
+
+/// A request that is harmless at first may end instances later, after a change of the service.
+#[gtest]
+fn ends_long_after_the_last_answer_count_for_all_callers() {
+    let mut evidence = reviewed(&[end(1, 1, 0), end(2, 2, 1_000)]);
+    evidence.record_answer(request("/a"), caller(9), ms(2_000));
+    for (number, at) in [(3, 70_000), (4, 71_000), (5, 72_000)] {
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+    }
+    evidence.review(ms(73_000));
+    expect_that!(is_quarantined_for(&evidence, 8), eq(true));
+}
+
 #[gtest]
 fn an_answer_to_another_caller_prevents_a_quarantine_for_all() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(2, 3, 2_000)]);
