Suspected requests are tried by one node at a time

Cause: between the second end and the verdict, 250 ms after the third, each node went on sending the request, so that the third end was several instances.

Weighed: one node by rendezvous that gives the turn, as rate limits do. It has to be asked, and replaced when it is silent, cut off or restarted.

Others are answered 503 suspected with the time of the node's next turn. Ends that have not settled count for this, so a rack's end makes requests that nobody has answered suspected for 250 ms.

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -1,15 +1,12 @@
 //! The evidence of all nodes about requests during which instances ended.
 
 use super::entry::{CallerId, Entry, InstanceEnd};
-use super::verdict::{CLEARED_FOR, Counting};
+use super::verdict::{CLEARED_FOR, Counting, SETTLE_TIME, Verdict};
 use crate::Timestamp;
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Delay before an end counts, in which other nodes can report further ends or that the
-/// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
-const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Ends within this time have a common cause, such as a rack, a zone or power.
 const SAME_MOMENT: Duration = Duration::from_millis(150);
 /// How long evidence that led to no quarantine is kept.
@@ -81,6 +78,14 @@
         entry.is_some_and(|entry| entry.is_quarantined_for(caller))
     }
 
+    /// The verdict on a caller's request.
+    pub fn verdict(&self, request: &RequestDigest, caller: CallerId, now: Timestamp) -> Verdict {
+        let entry = self.entries.get(request);
+        entry.map_or(Verdict::Clear, |entry| {
+            entry.verdict(caller, now, self.counting)
+        })
+    }
+
     /// Number of instances that ended during a request: the caller's own, or those of all
     /// callers as long as no answer clears the request.
     pub fn ends_of(&self, request: &RequestDigest, caller: CallerId) -> usize {
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -19,6 +19,26 @@
 /// reason, since a crashing request ends every instance that begins to process it.
 pub(super) const CLEARED_FOR: Duration = Duration::from_secs(60);
 
+/// Number of instances that end during a request before it is suspected.
+const ENDS_TO_SUSPECT: usize = 2;
+/// Delay before an end counts, in which other nodes can report further ends or that the
+/// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
+
+/// What follows for a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent as usual.
+    Clear,
+    /// Nodes try it in turns, which count from the latest end on.
+    Suspected {
+        /// When the latest instance ended.
+        since: Timestamp,
+    },
+    /// It is not sent.
+    Quarantined,
+}
+
 /// Which ends count together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Counting {
@@ -54,6 +74,28 @@
         self.is_active(caller) || self.is_active(CallerId::ALL)
     }
 
+    /// The verdict on a caller's request.
+    pub(super) fn verdict(&self, caller: CallerId, now: Timestamp, counting: Counting) -> Verdict {
+        if self.is_quarantined_for(caller) {
+            return Verdict::Quarantined;
+        }
+        let suspected_since = match counting {
+            Counting::ByRequest => self
+                .suspected_since(CallerId::ALL, now)
+                .max(self.suspected_since(caller, now)),
+            Counting::ByAddress => None,
+        };
+        suspected_since.map_or(Verdict::Clear, |since| Verdict::Suspected { since })
+    }
+
+    /// The latest end in a scope, if enough ends count or may still turn out to count.
+    fn suspected_since(&self, scope: CallerId, now: Timestamp) -> Option<Timestamp> {
+        let may_count = |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
+        let instances = distinct(self.ends_in(scope).filter(may_count));
+        let latest = self.ends_in(scope).filter(may_count).map(|end| end.at);
+        latest.max().filter(|_| instances.len() >= ENDS_TO_SUSPECT)
+    }
+
     /// Whether any caller's request is quarantined.
     pub fn is_quarantined(&self) -> bool {
         self.quarantined.keys().any(|scope| self.is_active(*scope))
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -37,6 +37,8 @@
     BackedOff,
     /// Every instance that could run the request has reached its rate limit.
     RateLimited,
+    /// Instances have ended while running the request, and it is another node's turn to try it.
+    Suspected,
     /// The request is quarantined because instances have crashed while running it.
     Quarantined,
     /// This node has no memory for the request's body.
@@ -68,6 +70,7 @@
             | Refusal::Rejected
             | Refusal::BackedOff
             | Refusal::RateLimited
+            | Refusal::Suspected
             | Refusal::Quarantined
             | Refusal::NoMemory
             | Refusal::NotSentInTime => 503,
@@ -103,6 +106,7 @@
             Refusal::Rejected => "rejected",
             Refusal::BackedOff => "backed_off",
             Refusal::RateLimited => "rate_limited",
+            Refusal::Suspected => "suspected",
             Refusal::Quarantined => "quarantined",
             Refusal::NoMemory => "no_memory",
             Refusal::NotSentInTime => "not_sent_in_time",
--- a/crates/ledgelead-router/src/requests/digest.rs
+++ b/crates/ledgelead-router/src/requests/digest.rs
@@ -37,6 +37,11 @@
         RequestDigest(bytes)
     }
 
+    /// The last 64 bits, as a hash of the request.
+    pub fn low_bits(&self) -> u64 {
+        u128::from_be_bytes(self.0) as u64
+    }
+
     /// Parses the output of `Display`.
     pub fn parse(text: &str) -> Option<RequestDigest> {
         let is_hex = text.len() == 2 * DIGEST_BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends attempts, aborts those that take too long, and evaluates their results.
 
 use super::ANSWER_MARGIN;
+use super::crashes::is_trial;
 use super::endings::{attempt_name, owner_fence};
 use super::retries::rejection_cause;
 use super::{RequestContext, Requests};
@@ -110,7 +111,7 @@
         attempt: &Attempt,
         context: &RequestContext<'_>,
     ) -> bool {
-        if open.tried.len() >= open.route.max_attempts as usize {
+        if open.tried.len() >= open.route.max_attempts as usize || is_trial(open, context) {
             return false;
         }
         let answers_others = self
@@ -191,6 +192,10 @@
             self.waiting
                 .remove(&(self.mechanisms.rank(open), since, client));
         }
+        self.record_trial(client, context);
+        let Some(open) = self.open.get_mut(&client) else {
+            return;
+        };
         open.token = None;
         let permit = open.permit.take();
         let (permit, unused) = match permit {
--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -5,15 +5,20 @@
 use crate::Timestamp;
 use crate::identity::InstanceId;
 use crate::io::{ClientId, ExchangeFailure};
-use crate::quarantine::{CallerId, LostAttempt};
+use crate::quarantine::{CallerId, LostAttempt, TURN, Turns, Verdict};
+use crate::requests::answers::Refusal;
 use crate::requests::digest::RequestDigest;
 use crate::requests::open_request::{Attempt, OpenRequest};
 use ledgelead_http::Response;
+use std::time::Duration;
 
 /// Number of instances that may end without a response during attempts of a request, in this
 /// and earlier submissions, before this node stops retrying it. Any further submission is the
 /// client's.
 const MAX_ENDED_INSTANCES: usize = 2;
+/// `Retry-After` for a request that crashes instances. The quarantine doesn't change by itself
+/// meanwhile, but an operator may lift it.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum length in bytes of the path that is kept for operators.
 const MAX_PATH_BYTES: usize = 96;
 
@@ -75,10 +80,59 @@
         }
     }
 
-    /// Whether a request is quarantined because it crashes instances.
-    pub(super) fn is_quarantined(&self, open: &OpenRequest, context: &RequestContext<'_>) -> bool {
-        let evidence = context.evidence;
-        !evidence.is_empty() && evidence.is_quarantined_for(&open.digest(), open.caller)
+    /// Why a request may not be sent now, if instances have ended during it: it is quarantined,
+    /// or suspected and not to be tried by this node at this time.
+    pub(super) fn held_back(
+        &self,
+        client: ClientId,
+        open: &OpenRequest,
+        context: &RequestContext<'_>,
+    ) -> Option<Refusal> {
+        match verdict(open, context) {
+            Verdict::Clear => None,
+            Verdict::Quarantined => Some(Refusal::Quarantined),
+            Verdict::Suspected { since } => {
+                let is_turn = wait_for_turn(open, since, context).is_zero();
+                let may_try = is_turn && self.is_only_trial(client, open, context.now);
+                (!may_try).then_some(Refusal::Suspected)
+            }
+        }
+    }
+
+    /// Whether no other request of this node is the try of the current turn, or still in
+    /// flight from an earlier one.
+    fn is_only_trial(&self, client: ClientId, open: &OpenRequest, now: Timestamp) -> bool {
+        let Some((latest, is_current)) = self.trials.latest(&open.digest(), now) else {
+            return true;
+        };
+        let is_in_flight = |open: &OpenRequest| open.attempt.is_some();
+        latest == client || !is_current && !self.open.get(&latest).is_some_and(is_in_flight)
+    }
+
+    /// Records that a request is about to be sent, if it is suspected.
+    pub(super) fn record_trial(&mut self, client: ClientId, context: &RequestContext<'_>) {
+        let Some(open) = self.open.get(&client) else {
+            return;
+        };
+        if is_trial(open, context) {
+            self.trials.record(open.digest(), client, context.now);
+        }
+    }
+
+    /// When a request that is held back may be sent.
+    pub(super) fn held_back_for(
+        &self,
+        open: &OpenRequest,
+        context: &RequestContext<'_>,
+    ) -> Option<Duration> {
+        match verdict(open, context) {
+            Verdict::Clear => None,
+            Verdict::Quarantined => Some(QUARANTINE_RETRY_AFTER),
+            Verdict::Suspected { since } => {
+                let wait = wait_for_turn(open, since, context);
+                Some(if wait.is_zero() { TURN } else { wait })
+            }
+        }
     }
 
     /// Whether a request that was lost with its instance has ended too many instances to be
@@ -101,6 +155,26 @@
     }
 }
 
+fn verdict(open: &OpenRequest, context: &RequestContext<'_>) -> Verdict {
+    match context.evidence.is_empty() {
+        true => Verdict::Clear,
+        false => context
+            .evidence
+            .verdict(&open.digest(), open.caller, context.now),
+    }
+}
+
+/// Whether a request that is sent is one of the tries of a suspected request.
+pub(super) fn is_trial(open: &OpenRequest, context: &RequestContext<'_>) -> bool {
+    matches!(verdict(open, context), Verdict::Suspected { .. })
+}
+
+/// How long this node waits for its turn to try a request.
+fn wait_for_turn(open: &OpenRequest, since: Timestamp, context: &RequestContext<'_>) -> Duration {
+    let turns = Turns::new(&open.digest(), context.node, context.registry);
+    turns.wait(since, context.now)
+}
+
 /// Whether an instance has run the request to a complete response. A 504 may mean that the
 /// deadline had passed before the request began.
 fn was_run(response: &Response, context: &RequestContext<'_>) -> bool {
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -58,8 +58,8 @@
         if open.exhausted || self.is_retry_too_risky(open, context) {
             return Step::Refuse(open.failure_reason());
         }
-        if self.is_quarantined(open, context) {
-            return Step::Refuse(open.failure_reason_or(Refusal::Quarantined));
+        if let Some(reason) = self.held_back(client, open, context) {
+            return Step::Refuse(open.failure_reason_or(reason));
         }
         if !open.tried.is_empty() {
             let exhausted = open.tried.len() >= open.route.max_attempts as usize;
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -27,10 +27,6 @@
 /// and to connect again.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(30);
 
-/// `Retry-After` for a request that crashes instances. The quarantine doesn't change by itself
-/// meanwhile, but an operator may lift it.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
-
 impl Requests {
     pub(super) fn wait(
         &mut self,
@@ -133,10 +129,13 @@
         let request = open.request.clone();
         let service = open.service.clone();
         let key = open.key;
-        let from_dispatcher = open.retry_after;
-        let from_dispatcher = from_dispatcher.filter(|_| reason == Refusal::QueueTooLong);
+        let known = match reason {
+            Refusal::QueueTooLong => open.retry_after,
+            Refusal::Suspected | Refusal::Quarantined => self.held_back_for(open, context),
+            _ => None,
+        };
         let own = self.retry_after(&service, key, reason, context);
-        let delay = from_dispatcher.unwrap_or(own);
+        let delay = known.unwrap_or(own);
         let response = self.refusal(&request, reason, delay, context);
         self.finish(client, response, out);
     }
@@ -216,9 +215,6 @@
         reason: Refusal,
         context: &RequestContext<'_>,
     ) -> Duration {
-        if reason == Refusal::Quarantined {
-            return QUARANTINE_RETRY_AFTER;
-        }
         if let Refusal::BackedOff | Refusal::RateLimited | Refusal::Rejected = reason
             && let Some(left) = self.backoff_of(service, key, context)
         {
@@ -248,7 +244,11 @@
         context: &RequestContext<'_>,
     ) -> Response {
         *self.counters.refused.entry(reason.name()).or_default() += 1;
-        let jitter = delay.mul_f64(self.rng.random_range(0.0..RETRY_AFTER_JITTER));
+        let jitter = match reason {
+            // Only one of those that return is tried, and at that time alone.
+            Refusal::Suspected => Duration::ZERO,
+            _ => delay.mul_f64(self.rng.random_range(0.0..RETRY_AFTER_JITTER)),
+        };
         refusal(request, reason, delay + jitter, context.headers)
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -44,7 +44,7 @@
 use crate::ownership::work::WorkSample;
 use crate::peers::{OpenRequests, Registry, SharedLoad, SpeedSample};
 use crate::protections::{Protection, Protections};
-use crate::quarantine::{CallerId, Evidence};
+use crate::quarantine::{CallerId, Evidence, Trials};
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
@@ -148,6 +148,7 @@
     announced_leaving: Vec<InstanceId>,
     misdirected: bool,
     crash_signs: CrashSigns,
+    trials: Trials,
     stopping: bool,
     protections: Protections,
     mechanisms: Mechanisms,
@@ -188,6 +189,7 @@
             announced_leaving: Vec::new(),
             misdirected: false,
             crash_signs: CrashSigns::default(),
+            trials: Trials::default(),
             stopping: false,
             protections: settings.protections,
             mechanisms: settings.mechanisms,
@@ -244,6 +246,7 @@
         self.permits.expire(now);
         let open = &self.open;
         self.tokens.expire(|client| open.contains_key(client), now);
+        self.trials.expire(|client| open.contains_key(client), now);
         self.splits.expire(now);
         self.common_rejections.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -6,7 +6,7 @@
 //! node ended with `answer_lost` after 114 ms, another at a second node 5.5 s later after 46
 //! ms, and 1 ms after each of them the instance refused connections (`never_sent` after 1 ms).
 
-use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
+use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record, success};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::dialect::ObjectKind;
@@ -14,6 +14,7 @@
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Instances that may end before a request is quarantined.
 const MAX_CRASHES: usize = 3;
@@ -117,6 +118,96 @@
     expect_that!(last.body.as_slice(), eq(b"quarantined"));
 }
 
+/// A node at which two instances have ended during a request, with their addresses.
+fn suspecting() -> (Fixture, BTreeSet<SocketAddr>) {
+    let mut fixture = Fixture::coordinating(store());
+    let mut ended = BTreeSet::new();
+    fixture.request_from(new_caller(0), SERVICE, None);
+    crash_instances_that_run_requests(&mut fixture, &mut ended);
+    expect_that!(ended, len(eq(2)));
+    (fixture, ended)
+}
+
+/// Lets a new caller send the request, and returns how long it is to wait, if it is refused as
+/// suspected.
+fn refused_for(fixture: &mut Fixture, number: u8) -> Option<Duration> {
+    let answered = fixture.answers.len();
+    fixture.request_from(new_caller(number), SERVICE, None);
+    let (_, answer) = fixture.answers.get(answered)?;
+    expect_that!(answer.status, eq(503));
+    expect_that!(answer.body.as_slice(), eq(b"suspected"));
+    let seconds = answer
+        .headers
+        .text("retry-after")?
+        .parse()
+        .expect("seconds");
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+#[gtest]
+fn suspected_request_is_tried_once_in_a_turn_of_the_node() {
+    let (mut fixture, _) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    expect_that!(wait, gt(Duration::ZERO));
+    fixture.run_until(fixture.now + wait);
+    expect_that!(refused_for(&mut fixture, 2), none());
+    expect_that!(fixture.attempts, len(eq(1)));
+    // Others are refused as long as that try is in flight, in the next turn as well, and it is
+    // not aborted for being slow.
+    for _ in 0..3 {
+        let wait = refused_for(&mut fixture, 3).expect("refused");
+        fixture.run_until(fixture.now + wait);
+    }
+    expect_that!(refused_for(&mut fixture, 4), some(anything()));
+    expect_that!(fixture.attempts, len(eq(1)));
+    let attempt = fixture.attempts.pop().expect("a try");
+    fixture.answer(attempt.exchange, success());
+    let (_, answer) = fixture.answers.last().expect("an answer");
+    expect_that!(answer.status, eq(200));
+}
+
+#[gtest]
+fn suspected_request_is_sent_freely_after_a_try_is_answered() {
+    let (mut fixture, _) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    fixture.run_until(fixture.now + wait);
+    fixture.request_from(new_caller(2), SERVICE, None);
+    let attempt = fixture.attempts.pop().expect("a try");
+    fixture.answer(attempt.exchange, success());
+    for number in 3..6 {
+        expect_that!(refused_for(&mut fixture, number), none());
+    }
+}
+
+/// A failure that the router reports itself says nothing about the request.
+#[gtest]
+fn answers_of_the_router_do_not_clear_a_request() {
+    let (mut fixture, _) = suspecting();
+    for number in 1..6 {
+        expect_that!(refused_for(&mut fixture, number), some(anything()));
+    }
+}
+
+/// A request that waits at an instance is not known to run there, and an answer that it was not
+/// executed clears nothing.
+#[gtest]
+fn rejection_does_not_clear_a_request() {
+    let (mut fixture, ended) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    fixture.run_until(fixture.now + wait);
+    fixture.request_from(new_caller(2), SERVICE, None);
+    while let Some(attempt) = fixture.attempts.pop() {
+        let mut busy = Response::new(503, "");
+        busy.headers.push("not-executed", "1");
+        let result = match ended.contains(&attempt.address) {
+            true => Err(ExchangeFailure::Refused),
+            false => Ok(busy),
+        };
+        fixture.end(attempt.exchange, result);
+    }
+    expect_that!(refused_for(&mut fixture, 3), some(anything()));
+}
+
 /// A coordinator that has quarantined a request.
 fn quarantined() -> Fixture {
     let mut fixture = Fixture::coordinating(store());
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -5,7 +5,9 @@
 use ledgelead_http::Request;
 use ledgelead_router::Timestamp;
 use ledgelead_router::peers::RequestEntry;
-use ledgelead_router::quarantine::{CallerId, Entry, Evidence, InstanceEnd, QuarantineRecord};
+use ledgelead_router::quarantine::{
+    CallerId, Entry, Evidence, InstanceEnd, QuarantineRecord, Verdict,
+};
 use ledgelead_router::requests::RequestDigest;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -149,6 +151,41 @@
     expect_that!(is_quarantined_for(&reviewed(&ends), 4), eq(true));
 }
 
+#[gtest]
+fn two_ends_make_a_request_suspected_for_all_callers() {
+    let mut evidence = Evidence::default();
+    let verdict = |evidence: &Evidence, at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    expect_that!(verdict(&evidence, 1_000), eq(Verdict::Clear));
+    evidence.record_end(request("/a"), "/a", end(2, 2, 2_000));
+    let since = ms(2_000);
+    expect_that!(
+        verdict(&evidence, 2_000),
+        eq(Verdict::Clear),
+        "the first end is not reviewed yet"
+    );
+    evidence.review(ms(2_000));
+    for at in [2_000, 2_100, 50_000] {
+        evidence.review(ms(at));
+        expect_that!(verdict(&evidence, at), eq(Verdict::Suspected { since }));
+    }
+    evidence.record_answer(request("/a"), caller(8), ms(50_500));
+    expect_that!(verdict(&evidence, 50_500), eq(Verdict::Clear));
+}
+
+#[gtest]
+fn a_rack_that_ends_makes_requests_suspected_only_until_its_ends_settle() {
+    let mut evidence = Evidence::default();
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    evidence.record_end(request("/a"), "/a", end(2, 2, 1_010));
+    evidence.record_end(request("/b"), "/b", end(3, 3, 1_020));
+    let verdict = |evidence: &Evidence, at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    let since = ms(1_010);
+    expect_that!(verdict(&evidence, 1_100), eq(Verdict::Suspected { since }));
+    evidence.review(ms(1_300));
+    expect_that!(verdict(&evidence, 1_300), eq(Verdict::Clear));
+}
+
 /// A caller whose requests have ended three instances is held back alone. One more end may
 /// have another cause, and two more extend the quarantine to all callers.
 #[gtest]
