Probe an instance for each loss, if need be after the pause

Cause: a loss within 0.3 s after a probe was never probed, so a node that had lost another connection to the instance shortly before waited for the next request to be refused there.

Change: the probe is made when the pause is over.

Measured: the test fails before (0 ends counted) and passes after.

--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -101,6 +101,7 @@
         [
             suspect_check,
             repeat,
+            self.lost_attempts.next_probe(),
             self.unconfirmed_answers.next_due(),
             self.evidence.next_review(),
         ]
@@ -264,6 +265,9 @@
             self.quarantine.next_suspect_check = now + SUSPECT_CHECK_INTERVAL;
             self.check_suspects(now);
         }
+        for instance in self.quarantine.lost_attempts.take_due_probes(now) {
+            self.probe(instance, out);
+        }
         self.check_unconfirmed_answers(now);
         self.review_evidence(now);
         self.share_evidence(now, out);
--- a/crates/ledgelead-router/src/quarantine/lost_attempts.rs
+++ b/crates/ledgelead-router/src/quarantine/lost_attempts.rs
@@ -32,6 +32,20 @@
 struct Pending {
     attempts: Vec<LostAttempt>,
     next_probe: Timestamp,
+    /// Whether an attempt was lost since the last probe.
+    unprobed: bool,
+}
+
+impl Pending {
+    /// Whether to probe the instance now; the next probe then follows after a pause.
+    fn take_probe(&mut self, now: Timestamp) -> bool {
+        let probes = self.unprobed && self.next_probe <= now;
+        if probes {
+            self.next_probe = now + PROBE_PAUSE;
+            self.unprobed = false;
+        }
+        probes
+    }
 }
 
 /// Lost attempts by instance, while it is unknown whether the instance ended.
@@ -60,11 +74,25 @@
         if pending.attempts.len() < MAX_PENDING {
             pending.attempts.push(attempt);
         }
-        let probes = pending.next_probe <= now;
-        if probes {
-            pending.next_probe = now + PROBE_PAUSE;
-        }
-        probes
+        pending.unprobed = true;
+        pending.take_probe(now)
+    }
+
+    /// The instances to probe now, since an attempt was lost within the pause after the last
+    /// probe.
+    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<InstanceId> {
+        let pending = self.0.iter_mut();
+        let due = pending.filter_map(|(instance, pending)| {
+            let is_due = pending.take_probe(now);
+            is_due.then(|| instance.clone())
+        });
+        due.collect()
+    }
+
+    /// When the next probe is due.
+    pub fn next_probe(&self) -> Option<Timestamp> {
+        let unprobed = self.0.values().filter(|pending| pending.unprobed);
+        unprobed.map(|pending| pending.next_probe).min()
     }
 
     /// The instance has ended. Removes and returns its pending attempts.
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -278,6 +278,34 @@
     expect_that!(reasons.collect::<Vec<_>>(), each(eq(&502)));
 }
 
+/// Three nodes took 0.8 to 0.94 s longer than three others to prove the same end: they had lost
+/// a connection to the instance shortly before, whose probe was accepted, and the probe for the
+/// loss that its end caused fell into the pause after that.
+#[gtest]
+fn instance_that_ends_right_after_an_accepted_probe_is_probed_again() {
+    let mut fixture = Fixture::coordinating(store());
+    fixture.request(SERVICE, None);
+    let sent = fixture.attempts.pop().expect("an attempt");
+    fixture.end(sent.exchange, Err(ExchangeFailure::Lost));
+    let mut ended = BTreeSet::new();
+    finish_probes(&mut fixture, &ended);
+    // The retry, and any request after it, is lost at the same instance.
+    fixture.attempts.clear();
+    while fixture.attempts.last().map(|sent| sent.address) != Some(sent.address) {
+        fixture.attempts.clear();
+        fixture.upload(SERVICE, None, 1);
+    }
+    let second = fixture.attempts.pop().expect("an attempt");
+    ended.insert(sent.address);
+    fixture.end(second.exchange, Err(ExchangeFailure::Lost));
+    fixture.attempts.clear();
+    for _ in 0..4 {
+        fixture.run_until(fixture.now + ms(100));
+        finish_probes(&mut fixture, &ended);
+    }
+    expect_that!(fixture.node.status().ends_counted, eq(1));
+}
+
 /// Sends requests of two clients to one instance. The connection of the first request is lost,
 /// and the instance then refuses connections; the second request is answered. Returns the
 /// number of ends that still count.
