A quarantine ends, and one node at a time tries the request again

Cause: a quarantine lasted until an operator lifted it; mended software earned no try.

Change: ten minutes after the latest end a quarantined request is suspected: nodes try it in turns, one instance at a time. The time runs from the latest end, not from the verdict, which a node renews whenever it lists the store. The registration holds no generation of the software here, so time alone earns the try. Retry-After is what is left of it, 60 s at most, since an operator may lift it. suspect_tried logs each try.

Measured: tests of the terms (600 s to 86,400 s), of an answered try, of a quarantine read from the store.

--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -292,6 +292,13 @@
         /// Number of instances that ended during it, counted per caller.
         ended: usize,
     },
+    /// A request during which instances have ended is sent to one instance as a try.
+    SuspectTried {
+        /// The request.
+        digest: RequestDigest,
+        /// The instance.
+        instance: &'a InstanceId,
+    },
     /// An operator has lifted a quarantine.
     QuarantineLifted {
         /// The request.
@@ -345,6 +352,7 @@
             Event::InstanceEnded { .. }
             | Event::EndDisproved { .. }
             | Event::Quarantined { .. }
+            | Event::SuspectTried { .. }
             | Event::QuarantineLifted { .. } => "quarantine",
             Event::Stops { .. } => "node",
         }
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -25,18 +25,28 @@
 /// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
 
+/// How long the first quarantine of a request lasts: enough to roll out mended software. Each
+/// try that ends a further instance doubles it, so a request that is sent for ever ends seven
+/// instances on its first day after the quarantine began.
+const FIRST_TERM: Duration = Duration::from_secs(600);
+/// Maximum duration of a quarantine.
+const MAX_TERM: Duration = Duration::from_secs(86_400);
+
 /// What follows for a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is sent as usual.
     Clear,
-    /// Nodes try it in turns, which count from the latest end on.
+    /// Nodes try it in turns, which are counted from a time that all of them know.
     Suspected {
-        /// When the latest instance ended.
+        /// When the latest instance ended, or the quarantine.
         since: Timestamp,
     },
     /// It is not sent.
-    Quarantined,
+    Quarantined {
+        /// From when on nodes try it again in turns.
+        until: Timestamp,
+    },
 }
 
 /// Which ends count together.
@@ -76,24 +86,43 @@
 
     /// The verdict on a caller's request.
     pub(super) fn verdict(&self, caller: CallerId, now: Timestamp, counting: Counting) -> Verdict {
-        if self.is_quarantined_for(caller) {
-            return Verdict::Quarantined;
+        let scopes = [CallerId::ALL, caller];
+        let until = scopes.iter().filter_map(|scope| self.term_end(*scope, now));
+        let until = until.max();
+        if let Some(until) = until.filter(|until| now < *until) {
+            return Verdict::Quarantined { until };
+        }
+        let suspected_since = scopes
+            .iter()
+            .filter(|_| counting == Counting::ByRequest)
+            .filter_map(|scope| self.suspected_since(*scope, now));
+        let since = suspected_since.chain(until).max();
+        since.map_or(Verdict::Clear, |since| Verdict::Suspected { since })
+    }
+
+    /// When the quarantine of a scope ends. Counted from the latest end: the time of the verdict
+    /// is renewed whenever a node reads it from the store.
+    fn term_end(&self, scope: CallerId, now: Timestamp) -> Option<Timestamp> {
+        if !self.is_active(scope) {
+            return None;
         }
-        let suspected_since = match counting {
-            Counting::ByRequest => self
-                .suspected_since(CallerId::ALL, now)
-                .max(self.suspected_since(caller, now)),
-            Counting::ByAddress => None,
-        };
-        suspected_since.map_or(Verdict::Clear, |since| Verdict::Suspected { since })
+        let begun = self.quarantined.get(&scope).copied();
+        let (instances, latest) = self.counted_ends(scope, now);
+        Some(latest.or(begun)? + term(instances))
     }
 
     /// The latest end in a scope, if enough ends count or may still turn out to count.
     fn suspected_since(&self, scope: CallerId, now: Timestamp) -> Option<Timestamp> {
+        let (instances, latest) = self.counted_ends(scope, now);
+        latest.filter(|_| instances >= ENDS_TO_SUSPECT)
+    }
+
+    /// The number of instances whose ends count in a scope, or may still turn out to count, and
+    /// the latest of these ends.
+    fn counted_ends(&self, scope: CallerId, now: Timestamp) -> (usize, Option<Timestamp>) {
         let may_count = |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
-        let instances = distinct(self.ends_in(scope).filter(may_count));
-        let latest = self.ends_in(scope).filter(may_count).map(|end| end.at);
-        latest.max().filter(|_| instances.len() >= ENDS_TO_SUSPECT)
+        let ends = || self.ends_in(scope).filter(may_count);
+        (distinct(ends()).len(), ends().map(|end| end.at).max())
     }
 
     /// Whether any caller's request is quarantined.
@@ -160,6 +189,16 @@
     }
 }
 
+/// How long a quarantine lasts that this many ended instances have led to.
+fn term(instances: usize) -> Duration {
+    let doublings = instances.saturating_sub(ENDS_TO_QUARANTINE);
+    let factor = u32::try_from(doublings)
+        .ok()
+        .and_then(|doublings| 1_u32.checked_shl(doublings));
+    let term = factor.and_then(|factor| FIRST_TERM.checked_mul(factor));
+    term.map_or(MAX_TERM, |term| term.min(MAX_TERM))
+}
+
 fn distinct<'a>(ends: impl Iterator<Item = &'a InstanceEnd>) -> BTreeSet<u64> {
     ends.map(|end| end.instance).collect()
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -192,7 +192,7 @@
             self.waiting
                 .remove(&(self.mechanisms.rank(open), since, client));
         }
-        self.record_trial(client, context);
+        self.record_trial(client, &selected.id, context);
         let Some(open) = self.open.get_mut(&client) else {
             return;
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -3,6 +3,7 @@
 
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{ClientId, ExchangeFailure};
 use crate::quarantine::{CallerId, LostAttempt, TURN, Turns, Verdict};
@@ -16,9 +17,8 @@
 /// and earlier submissions, before this node stops retrying it. Any further submission is the
 /// client's.
 const MAX_ENDED_INSTANCES: usize = 2;
-/// `Retry-After` for a request that crashes instances. The quarantine doesn't change by itself
-/// meanwhile, but an operator may lift it.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Maximum `Retry-After` for a quarantined request, since an operator may lift the quarantine.
+const MAX_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum length in bytes of the path that is kept for operators.
 const MAX_PATH_BYTES: usize = 96;
 
@@ -90,7 +90,7 @@
     ) -> Option<Refusal> {
         match verdict(open, context) {
             Verdict::Clear => None,
-            Verdict::Quarantined => Some(Refusal::Quarantined),
+            Verdict::Quarantined { .. } => Some(Refusal::Quarantined),
             Verdict::Suspected { since } => {
                 let is_turn = wait_for_turn(open, since, context).is_zero();
                 let may_try = is_turn && self.is_only_trial(client, open, context.now);
@@ -109,12 +109,19 @@
         latest == client || !is_current && !self.open.get(&latest).is_some_and(is_in_flight)
     }
 
-    /// Records that a request is about to be sent, if it is suspected.
-    pub(super) fn record_trial(&mut self, client: ClientId, context: &RequestContext<'_>) {
+    /// Records that a request is about to be sent to an instance, if it is suspected.
+    pub(super) fn record_trial(
+        &mut self,
+        client: ClientId,
+        instance: &InstanceId,
+        context: &RequestContext<'_>,
+    ) {
         let Some(open) = self.open.get(&client) else {
             return;
         };
         if is_trial(open, context) {
+            let digest = open.digest();
+            Event::SuspectTried { digest, instance }.emit();
             self.trials.record(open.digest(), client, context.now);
         }
     }
@@ -127,7 +134,10 @@
     ) -> Option<Duration> {
         match verdict(open, context) {
             Verdict::Clear => None,
-            Verdict::Quarantined => Some(QUARANTINE_RETRY_AFTER),
+            Verdict::Quarantined { until } => {
+                let left = until.saturating_sub(context.now);
+                Some(left.min(MAX_QUARANTINE_RETRY_AFTER))
+            }
             Verdict::Suspected { since } => {
                 let wait = wait_for_turn(open, since, context);
                 Some(if wait.is_zero() { TURN } else { wait })
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -271,6 +271,80 @@
     expect_that!(is_quarantined_for(&other, 2), eq(false));
 }
 
+/// Three callers' requests end three instances, the last of them at 2 s.
+fn quarantined_for_all() -> Evidence {
+    let mut evidence = Evidence::default();
+    for (number, at) in [(1, 0), (2, 1_000), (3, 2_000)] {
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+        evidence.review(ms(at + 250));
+    }
+    evidence
+}
+
+#[gtest]
+fn a_quarantine_ends_and_the_request_is_tried_in_turns() {
+    let evidence = quarantined_for_all();
+    let verdict = |seconds| {
+        let now = Timestamp::from_secs(seconds);
+        evidence.verdict(&request("/a"), caller(9), now)
+    };
+    let until = Timestamp::from_secs(602);
+    expect_that!(verdict(3), eq(Verdict::Quarantined { until }));
+    expect_that!(verdict(601), eq(Verdict::Quarantined { until }));
+    expect_that!(verdict(602), eq(Verdict::Suspected { since: until }));
+    expect_that!(verdict(100_000), eq(Verdict::Suspected { since: until }));
+}
+
+#[gtest]
+fn each_further_end_doubles_the_quarantine_up_to_a_day() {
+    let mut evidence = quarantined_for_all();
+    let mut at = ms(2_000);
+    let mut terms = Vec::new();
+    for instance in 4..14 {
+        let verdict = evidence.verdict(&request("/a"), caller(9), at + ms(300));
+        let Verdict::Quarantined { until } = verdict else {
+            panic!("not quarantined");
+        };
+        terms.push((until - at).as_secs());
+        at = until + ms(700);
+        let probed = InstanceEnd {
+            at,
+            ..end(9, instance, 0)
+        };
+        evidence.record_end(request("/a"), "/a", probed);
+        evidence.review(at + ms(250));
+    }
+    let expected = [
+        600, 1_200, 2_400, 4_800, 9_600, 19_200, 38_400, 76_800, 86_400, 86_400,
+    ];
+    expect_that!(terms, eq(&expected.to_vec()));
+}
+
+#[gtest]
+fn an_answered_try_ends_the_quarantine() {
+    let mut evidence = quarantined_for_all();
+    let now = Timestamp::from_secs(603);
+    evidence.record_answer(request("/a"), caller(9), now);
+    let verdict = evidence.verdict(&request("/a"), caller(8), now);
+    expect_that!(verdict, eq(Verdict::Clear));
+}
+
+/// A restored quarantine begins anew: the store holds no times.
+#[gtest]
+fn a_quarantine_from_the_store_ends_as_well() {
+    let evidence = quarantined_for_all();
+    let record = QuarantineRecord::new(evidence.get(&request("/a")).expect("an entry"));
+    let mut other = Evidence::default();
+    let read_at = Timestamp::from_secs(5_000);
+    other.merge(request("/a"), &record.entry(read_at));
+    // A node reads the record again whenever it lists the store.
+    let later = read_at + Duration::from_secs(300);
+    other.merge(request("/a"), &record.entry(later));
+    let verdict = other.verdict(&request("/a"), caller(9), later);
+    let until = read_at + Duration::from_secs(600);
+    expect_that!(verdict, eq(Verdict::Quarantined { until }));
+}
+
 #[gtest]
 fn evidence_is_bounded_and_quarantines_are_removed_last() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
