A request is suspected after two callers' ends, also at one instance

Cause: tries with a key wait at its owner together and all end with it.

Change: ends count one for each caller and instance before a request is suspected.

--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -19,7 +19,8 @@
 /// reason, since a crashing request ends every instance that begins to process it.
 pub(super) const CLEARED_FOR: Duration = Duration::from_secs(60);
 
-/// Number of instances that end during a request before it is suspected.
+/// Number of ends before a request is suspected, with one for each caller whose request was in
+/// flight at an ended instance: callers of a key are at the same instance.
 const ENDS_TO_SUSPECT: usize = 2;
 /// Delay before an end counts, in which other nodes can report further ends or that the
 /// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
@@ -107,22 +108,22 @@
             return None;
         }
         let begun = self.quarantined.get(&scope).copied();
-        let (instances, latest) = self.counted_ends(scope, now);
+        let latest = self.counted_ends(scope, now).map(|end| end.at).max();
+        let instances = distinct(self.counted_ends(scope, now)).len();
         Some(latest.or(begun)? + term(instances))
     }
 
     /// The latest end in a scope, if enough ends count or may still turn out to count.
     fn suspected_since(&self, scope: CallerId, now: Timestamp) -> Option<Timestamp> {
-        let (instances, latest) = self.counted_ends(scope, now);
-        latest.filter(|_| instances >= ENDS_TO_SUSPECT)
+        let count = self.counted_ends(scope, now).count();
+        let latest = self.counted_ends(scope, now).map(|end| end.at).max();
+        latest.filter(|_| count >= ENDS_TO_SUSPECT)
     }
 
-    /// The number of instances whose ends count in a scope, or may still turn out to count, and
-    /// the latest of these ends.
-    fn counted_ends(&self, scope: CallerId, now: Timestamp) -> (usize, Option<Timestamp>) {
-        let may_count = |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
-        let ends = || self.ends_in(scope).filter(may_count);
-        (distinct(ends()).len(), ends().map(|end| end.at).max())
+    /// The ends that count in a scope, or may still turn out to count.
+    fn counted_ends(&self, scope: CallerId, now: Timestamp) -> impl Iterator<Item = &InstanceEnd> {
+        let may_count = move |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
+        self.ends_in(scope).filter(may_count)
     }
 
     /// Whether any caller's request is quarantined.
--- a/crates/ledgelead-router/src/requests/digest.rs
+++ b/crates/ledgelead-router/src/requests/digest.rs
@@ -1,9 +1,9 @@
 //! Recognizes a request that is submitted again.
 //!
-//! Two submissions are the same request if their method, host, path with query, body and
-//! caller are the same. The caller is the address that the connection came from, without its
-//! port; the digest covers the other four. Other headers differ between submissions (the
-//! client's name for the submission, the time left), or depend on the client's software.
+//! Two submissions are the same request if their method, host, path with query and body are the
+//! same. The caller's address is no part of it: a caller may change it with each submission.
+//! Other headers differ between submissions (the client's name for the submission, the time
+//! left), or depend on the client's software.
 
 use ledgelead_http::Request;
 use serde::{Serialize, Serializer};
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -173,6 +173,18 @@
     expect_that!(verdict(&evidence, 50_500), eq(Verdict::Clear));
 }
 
+/// Four tries of a request for a key were at its owner when that ended, and three at the next
+/// one: seven tries ended with instances before the third instance did.
+#[gtest]
+fn two_callers_at_one_ended_instance_make_a_request_suspected() {
+    let mut evidence = Evidence::default();
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    evidence.record_end(request("/a"), "/a", end(2, 1, 1_001));
+    let verdict = |at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    let since = ms(1_001);
+    expect_that!(verdict(1_001), eq(Verdict::Suspected { since }));
+}
+
 #[gtest]
 fn a_rack_that_ends_makes_requests_suspected_only_until_its_ends_settle() {
     let mut evidence = Evidence::default();
@@ -345,6 +357,29 @@
     expect_that!(verdict, eq(Verdict::Quarantined { until }));
 }
 
+/// Earlier versions store and send the same fields, with a caller in each verdict.
+#[gtest]
+fn evidence_of_earlier_versions_is_read() {
+    let caller_number = caller(1).0;
+    let text = format!(
+        r#"{{"path":"/a","ends":[["{caller_number:x}","1"],["{caller_number:x}","2"],["{caller_number:x}","3"]],"quarantined":["{caller_number:x}"]}}"#
+    );
+    let record: QuarantineRecord = serde_json::from_str(&text).expect("a record");
+    let mut evidence = Evidence::default();
+    evidence.merge(request("/a"), &record.entry(ms(5)));
+    expect_that!(is_quarantined_for(&evidence, 1), eq(true));
+    expect_that!(is_quarantined_for(&evidence, 2), eq(false));
+    let entry = evidence.get(&request("/a")).expect("an entry");
+    let written = serde_json::to_string(&QuarantineRecord::new(entry)).expect("text");
+    expect_that!(written, eq(&text));
+    let for_all = quarantined_for_all();
+    let entry = for_all.get(&request("/a")).expect("an entry");
+    expect_that!(
+        QuarantineRecord::new(entry).quarantined,
+        elements_are![eq("0")]
+    );
+}
+
 #[gtest]
 fn evidence_is_bounded_and_quarantines_are_removed_last() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
