--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -11,9 +11,9 @@
 use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{Action, ExchangeFailure, ExchangeId};
-use crate::protections::Protection;
+use crate::protections::{Protection, Protections};
 use crate::quarantine::{
-    CallerId, Evidence, InstanceEnd, LostAttempts, QuarantineRecord, RecentAnswers,
+    CallerId, Counting, Evidence, InstanceEnd, LostAttempts, QuarantineRecord, RecentAnswers,
     UnconfirmedAnswers,
 };
 use crate::requests::RequestDigest;
@@ -57,6 +57,18 @@
 }
 
 impl Quarantine {
+    /// The state of a node that has just started.
+    pub(super) fn new(protections: Protections) -> Quarantine {
+        let counting = match protections.has(Protection::EvidenceByRequest) {
+            true => Counting::ByRequest,
+            false => Counting::ByAddress,
+        };
+        Quarantine {
+            evidence: Evidence::new(counting),
+            ..Quarantine::default()
+        }
+    }
+
     /// The store was restored from a backup and lacks the evidence stored since. This is stored
     /// again, and its absence doesn't mean that an operator removed it.
     pub(super) fn begin_era(&mut self) {
@@ -89,6 +101,7 @@
         [
             suspect_check,
             repeat,
+            self.lost_attempts.next_probe(),
             self.unconfirmed_answers.next_due(),
             self.evidence.next_review(),
         ]
@@ -252,6 +265,9 @@
             self.quarantine.next_suspect_check = now + SUSPECT_CHECK_INTERVAL;
             self.check_suspects(now);
         }
+        for instance in self.quarantine.lost_attempts.take_due_probes(now) {
+            self.probe(instance, out);
+        }
         self.check_unconfirmed_answers(now);
         self.review_evidence(now);
         self.share_evidence(now, out);
--- a/crates/ledgelead-router/src/requests/digest.rs
+++ b/crates/ledgelead-router/src/requests/digest.rs
@@ -1,9 +1,9 @@
 //! Recognizes a request that is submitted again.
 //!
-//! Two submissions are the same request if their method, host, path with query, body and
-//! caller are the same. The caller is the address that the connection came from, without its
-//! port; the digest covers the other four. Other headers differ between submissions (the
-//! client's name for the submission, the time left), or depend on the client's software.
+//! Two submissions are the same request if their method, host, path with query and body are the
+//! same. The caller's address is no part of it: a caller may change it with each submission.
+//! Other headers differ between submissions (the client's name for the submission, the time
+//! left), or depend on the client's software.
 
 use ledgelead_http::Request;
 use serde::{Serialize, Serializer};
@@ -37,6 +37,11 @@
         RequestDigest(bytes)
     }
 
+    /// The last 64 bits, as a hash of the request.
+    pub fn low_bits(&self) -> u64 {
+        u128::from_be_bytes(self.0) as u64
+    }
+
     /// Parses the output of `Display`.
     pub fn parse(text: &str) -> Option<RequestDigest> {
         let is_hex = text.len() == 2 * DIGEST_BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -6,16 +6,20 @@
 //! node ended with `answer_lost` after 114 ms, another at a second node 5.5 s later after 46
 //! ms, and 1 ms after each of them the instance refused connections (`never_sent` after 1 ms).
 
-use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record};
+use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record, success};
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::io::ExchangeFailure;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Instances that may end before a request is quarantined.
 const MAX_CRASHES: usize = 3;
+/// The same for a request whose callers change their address at any time.
+const MAX_CRASHES_OF_CHANGING_CALLERS: usize = 5;
 
 fn store() -> Store {
     let mut store = Store::default();
@@ -67,6 +71,143 @@
     expect_that!(last.body.as_slice(), eq(b"quarantined"));
 }
 
+/// The address of a caller that has sent no request before.
+fn new_caller(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 4, number))
+}
+
+/// Lets eight callers send the request, one a second, with up to `max_attempts` per try.
+/// Returns the number of instances that ended.
+fn crashed_by_changing_callers(max_attempts: u32) -> (Fixture, usize) {
+    let mut store = store();
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        Arc::make_mut(route).max_attempts = max_attempts;
+    }
+    store.put_configuration(configuration);
+    let mut fixture = Fixture::coordinating(store);
+    let mut ended = BTreeSet::new();
+    for number in 0..8 {
+        fixture.request_from(new_caller(number), SERVICE, None);
+        crash_instances_that_run_requests(&mut fixture, &mut ended);
+        fixture.run_until(fixture.now + ms(1_000));
+    }
+    (fixture, ended.len())
+}
+
+/// The request came from an address of its own each time, so that no caller's requests had
+/// ended more than one instance: `attempt_ended` with `answer_lost` and one digest at six of
+/// six ended instances, by ten nodes, and no `quarantined` at all. No instance ever answered
+/// it.
+#[gtest]
+fn request_from_changing_addresses_is_quarantined_after_three_crashes() {
+    let (fixture, ended) = crashed_by_changing_callers(1);
+    expect_that!(ended, eq(MAX_CRASHES));
+    let (_, last) = fixture.answers.last().expect("an answer");
+    expect_that!(last.status, eq(503));
+    expect_that!(last.body.as_slice(), eq(b"quarantined"));
+}
+
+/// The first caller's try may end two instances. Those that follow end one each, which may have
+/// another cause at first.
+#[gtest]
+fn request_retried_once_from_changing_addresses_ends_at_most_five_instances() {
+    let (fixture, ended) = crashed_by_changing_callers(2);
+    expect_that!(ended, le(MAX_CRASHES_OF_CHANGING_CALLERS));
+    let (_, last) = fixture.answers.last().expect("an answer");
+    expect_that!(last.body.as_slice(), eq(b"quarantined"));
+}
+
+/// A node at which two instances have ended during a request, with their addresses.
+fn suspecting() -> (Fixture, BTreeSet<SocketAddr>) {
+    let mut fixture = Fixture::coordinating(store());
+    let mut ended = BTreeSet::new();
+    fixture.request_from(new_caller(0), SERVICE, None);
+    crash_instances_that_run_requests(&mut fixture, &mut ended);
+    expect_that!(ended, len(eq(2)));
+    (fixture, ended)
+}
+
+/// Lets a new caller send the request, and returns how long it is to wait, if it is refused as
+/// suspected.
+fn refused_for(fixture: &mut Fixture, number: u8) -> Option<Duration> {
+    let answered = fixture.answers.len();
+    fixture.request_from(new_caller(number), SERVICE, None);
+    let (_, answer) = fixture.answers.get(answered)?;
+    expect_that!(answer.status, eq(503));
+    expect_that!(answer.body.as_slice(), eq(b"suspected"));
+    let seconds = answer
+        .headers
+        .text("retry-after")?
+        .parse()
+        .expect("seconds");
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+#[gtest]
+fn suspected_request_is_tried_once_in_a_turn_of_the_node() {
+    let (mut fixture, _) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    expect_that!(wait, gt(Duration::ZERO));
+    fixture.run_until(fixture.now + wait);
+    expect_that!(refused_for(&mut fixture, 2), none());
+    expect_that!(fixture.attempts, len(eq(1)));
+    // Others are refused as long as that try is in flight, in the next turn as well, and it is
+    // not aborted for being slow.
+    for _ in 0..3 {
+        let wait = refused_for(&mut fixture, 3).expect("refused");
+        fixture.run_until(fixture.now + wait);
+    }
+    expect_that!(refused_for(&mut fixture, 4), some(anything()));
+    expect_that!(fixture.attempts, len(eq(1)));
+    let attempt = fixture.attempts.pop().expect("a try");
+    fixture.answer(attempt.exchange, success());
+    let (_, answer) = fixture.answers.last().expect("an answer");
+    expect_that!(answer.status, eq(200));
+}
+
+#[gtest]
+fn suspected_request_is_sent_freely_after_a_try_is_answered() {
+    let (mut fixture, _) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    fixture.run_until(fixture.now + wait);
+    fixture.request_from(new_caller(2), SERVICE, None);
+    let attempt = fixture.attempts.pop().expect("a try");
+    fixture.answer(attempt.exchange, success());
+    for number in 3..6 {
+        expect_that!(refused_for(&mut fixture, number), none());
+    }
+}
+
+/// A failure that the router reports itself says nothing about the request.
+#[gtest]
+fn answers_of_the_router_do_not_clear_a_request() {
+    let (mut fixture, _) = suspecting();
+    for number in 1..6 {
+        expect_that!(refused_for(&mut fixture, number), some(anything()));
+    }
+}
+
+/// A request that waits at an instance is not known to run there, and an answer that it was not
+/// executed clears nothing.
+#[gtest]
+fn rejection_does_not_clear_a_request() {
+    let (mut fixture, ended) = suspecting();
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    fixture.run_until(fixture.now + wait);
+    fixture.request_from(new_caller(2), SERVICE, None);
+    while let Some(attempt) = fixture.attempts.pop() {
+        let mut busy = Response::new(503, "");
+        busy.headers.push("not-executed", "1");
+        let result = match ended.contains(&attempt.address) {
+            true => Err(ExchangeFailure::Refused),
+            false => Ok(busy),
+        };
+        fixture.end(attempt.exchange, result);
+    }
+    expect_that!(refused_for(&mut fixture, 3), some(anything()));
+}
+
 /// A coordinator that has quarantined a request.
 fn quarantined() -> Fixture {
     let mut fixture = Fixture::coordinating(store());
@@ -137,6 +278,34 @@
     expect_that!(reasons.collect::<Vec<_>>(), each(eq(&502)));
 }
 
+/// Three nodes took 0.8 to 0.94 s longer than three others to prove the same end: they had lost
+/// a connection to the instance shortly before, whose probe was accepted, and the probe for the
+/// loss that its end caused fell into the pause after that.
+#[gtest]
+fn instance_that_ends_right_after_an_accepted_probe_is_probed_again() {
+    let mut fixture = Fixture::coordinating(store());
+    fixture.request(SERVICE, None);
+    let sent = fixture.attempts.pop().expect("an attempt");
+    fixture.end(sent.exchange, Err(ExchangeFailure::Lost));
+    let mut ended = BTreeSet::new();
+    finish_probes(&mut fixture, &ended);
+    // The retry, and any request after it, is lost at the same instance.
+    fixture.attempts.clear();
+    while fixture.attempts.last().map(|sent| sent.address) != Some(sent.address) {
+        fixture.attempts.clear();
+        fixture.upload(SERVICE, None, 1);
+    }
+    let second = fixture.attempts.pop().expect("an attempt");
+    ended.insert(sent.address);
+    fixture.end(second.exchange, Err(ExchangeFailure::Lost));
+    fixture.attempts.clear();
+    for _ in 0..4 {
+        fixture.run_until(fixture.now + ms(100));
+        finish_probes(&mut fixture, &ended);
+    }
+    expect_that!(fixture.node.status().ends_counted, eq(1));
+}
+
 /// Sends requests of two clients to one instance. The connection of the first request is lost,
 /// and the instance then refuses connections; the second request is answered. Returns the
 /// number of ends that still count.
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -5,7 +5,9 @@
 use ledgelead_http::Request;
 use ledgelead_router::Timestamp;
 use ledgelead_router::peers::RequestEntry;
-use ledgelead_router::quarantine::{CallerId, Entry, Evidence, InstanceEnd, QuarantineRecord};
+use ledgelead_router::quarantine::{
+    CallerId, Entry, Evidence, InstanceEnd, QuarantineRecord, Verdict,
+};
 use ledgelead_router::requests::RequestDigest;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -80,6 +82,23 @@
     expect_that!(is_quarantined_for(&evidence, 1), eq(false));
 }
 
+#[gtest]
+fn two_requests_that_end_the_same_instances_are_both_quarantined() {
+    let mut evidence = Evidence::default();
+    for (number, at) in [(1, 0), (2, 2_000), (3, 4_000)] {
+        for (path, by) in [("/a", 10 + number), ("/b", 20 + number)] {
+            evidence.record_end(request(path), path, end(by, number.into(), at));
+        }
+    }
+    review(&mut evidence);
+    for path in ["/a", "/b"] {
+        expect_that!(
+            evidence.is_quarantined_for(&request(path), caller(9)),
+            eq(true)
+        );
+    }
+}
+
 #[gtest]
 fn instances_that_end_together_with_unrelated_ones_cause_no_suspicion() {
     let mut evidence = reviewed(&[]);
@@ -109,6 +128,12 @@
         end(2, 2, 1_000),
     ];
     expect_that!(is_quarantined_for(&reviewed(&together), 3), eq(false));
+    // One of the two may be harmless and beside the other each time.
+    let third = [end(1, 3, 2_000), end(2, 3, 2_000)];
+    let beside = reviewed(&[together.as_slice(), &third].concat());
+    expect_that!(is_quarantined_for(&beside, 1), eq(true));
+    expect_that!(is_quarantined_for(&beside, 2), eq(true));
+    expect_that!(is_quarantined_for(&beside, 3), eq(false));
     let alone = [
         end(1, 1, 0),
         end(1, 2, 1_000),
@@ -119,6 +144,102 @@
     expect_that!(is_quarantined_for(&reviewed(&alone), 3), eq(true));
 }
 
+#[gtest]
+fn three_ends_under_changing_callers_quarantine_a_request_for_all() {
+    let ends = [end(1, 1, 0), end(2, 2, 1_000), end(3, 3, 2_000)];
+    expect_that!(is_quarantined_for(&reviewed(&ends[..2]), 4), eq(false));
+    expect_that!(is_quarantined_for(&reviewed(&ends), 4), eq(true));
+}
+
+#[gtest]
+fn two_ends_make_a_request_suspected_for_all_callers() {
+    let mut evidence = Evidence::default();
+    let verdict = |evidence: &Evidence, at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    expect_that!(verdict(&evidence, 1_000), eq(Verdict::Clear));
+    evidence.record_end(request("/a"), "/a", end(2, 2, 2_000));
+    let since = ms(2_000);
+    expect_that!(
+        verdict(&evidence, 2_000),
+        eq(Verdict::Clear),
+        "the first end is not reviewed yet"
+    );
+    evidence.review(ms(2_000));
+    for at in [2_000, 2_100, 50_000] {
+        evidence.review(ms(at));
+        expect_that!(verdict(&evidence, at), eq(Verdict::Suspected { since }));
+    }
+    evidence.record_answer(request("/a"), caller(8), ms(50_500));
+    expect_that!(verdict(&evidence, 50_500), eq(Verdict::Clear));
+}
+
+/// Four tries of a request for a key were at its owner when that ended, and three at the next
+/// one: seven tries ended with instances before the third instance did.
+#[gtest]
+fn two_callers_at_one_ended_instance_make_a_request_suspected() {
+    let mut evidence = Evidence::default();
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    evidence.record_end(request("/a"), "/a", end(2, 1, 1_001));
+    let verdict = |at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    let since = ms(1_001);
+    expect_that!(verdict(1_001), eq(Verdict::Suspected { since }));
+}
+
+#[gtest]
+fn a_rack_that_ends_makes_requests_suspected_only_until_its_ends_settle() {
+    let mut evidence = Evidence::default();
+    evidence.record_end(request("/a"), "/a", end(1, 1, 1_000));
+    evidence.record_end(request("/a"), "/a", end(2, 2, 1_010));
+    evidence.record_end(request("/b"), "/b", end(3, 3, 1_020));
+    let verdict = |evidence: &Evidence, at| evidence.verdict(&request("/a"), caller(9), ms(at));
+    let since = ms(1_010);
+    expect_that!(verdict(&evidence, 1_100), eq(Verdict::Suspected { since }));
+    evidence.review(ms(1_300));
+    expect_that!(verdict(&evidence, 1_300), eq(Verdict::Clear));
+}
+
+/// A caller whose requests have ended three instances is held back alone. One more end may
+/// have another cause, and two more extend the quarantine to all callers.
+#[gtest]
+fn two_ends_under_further_callers_extend_a_quarantine_to_all() {
+    let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
+    for (number, is_extended) in [(4, false), (5, true)] {
+        let at = 100_000 + u64::from(number) * 1_000;
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+        evidence.review(ms(at + 500));
+        expect_that!(is_quarantined_for(&evidence, 9), eq(is_extended));
+    }
+}
+
+#[gtest]
+fn an_answer_to_another_caller_narrows_a_quarantine_to_callers_with_three_ends() {
+    let mut evidence = reviewed(&[
+        end(1, 1, 0),
+        end(1, 2, 1_000),
+        end(1, 3, 2_000),
+        end(2, 4, 3_000),
+        end(2, 5, 4_000),
+    ]);
+    expect_that!(is_quarantined_for(&evidence, 2), eq(true));
+    evidence.record_answer(request("/a"), caller(9), ms(50_000));
+    review(&mut evidence);
+    expect_that!(is_quarantined_for(&evidence, 1), eq(true));
+    expect_that!(is_quarantined_for(&evidence, 2), eq(false));
+    expect_that!(is_quarantined_for(&evidence, 9), eq(false));
+}
+
+/// A request that is harmless at first may end instances later, after a change of the service.
+#[gtest]
+fn ends_long_after_the_last_answer_count_for_all_callers() {
+    let mut evidence = reviewed(&[end(1, 1, 0), end(2, 2, 1_000)]);
+    evidence.record_answer(request("/a"), caller(9), ms(2_000));
+    for (number, at) in [(3, 70_000), (4, 71_000), (5, 72_000)] {
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+    }
+    evidence.review(ms(73_000));
+    expect_that!(is_quarantined_for(&evidence, 8), eq(true));
+}
+
 #[gtest]
 fn an_answer_to_another_caller_prevents_a_quarantine_for_all() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(2, 3, 2_000)]);
@@ -162,6 +283,103 @@
     expect_that!(is_quarantined_for(&other, 2), eq(false));
 }
 
+/// Three callers' requests end three instances, the last of them at 2 s.
+fn quarantined_for_all() -> Evidence {
+    let mut evidence = Evidence::default();
+    for (number, at) in [(1, 0), (2, 1_000), (3, 2_000)] {
+        evidence.record_end(request("/a"), "/a", end(number, number.into(), at));
+        evidence.review(ms(at + 250));
+    }
+    evidence
+}
+
+#[gtest]
+fn a_quarantine_ends_and_the_request_is_tried_in_turns() {
+    let evidence = quarantined_for_all();
+    let verdict = |seconds| {
+        let now = Timestamp::from_secs(seconds);
+        evidence.verdict(&request("/a"), caller(9), now)
+    };
+    let until = Timestamp::from_secs(602);
+    expect_that!(verdict(3), eq(Verdict::Quarantined { until }));
+    expect_that!(verdict(601), eq(Verdict::Quarantined { until }));
+    expect_that!(verdict(602), eq(Verdict::Suspected { since: until }));
+    expect_that!(verdict(100_000), eq(Verdict::Suspected { since: until }));
+}
+
+#[gtest]
+fn each_further_end_doubles_the_quarantine_up_to_a_day() {
+    let mut evidence = quarantined_for_all();
+    let mut at = ms(2_000);
+    let mut terms = Vec::new();
+    for instance in 4..14 {
+        let verdict = evidence.verdict(&request("/a"), caller(9), at + ms(300));
+        let Verdict::Quarantined { until } = verdict else {
+            panic!("not quarantined");
+        };
+        terms.push((until - at).as_secs());
+        at = until + ms(700);
+        let probed = InstanceEnd {
+            at,
+            ..end(9, instance, 0)
+        };
+        evidence.record_end(request("/a"), "/a", probed);
+        evidence.review(at + ms(250));
+    }
+    let expected = [
+        600, 1_200, 2_400, 4_800, 9_600, 19_200, 38_400, 76_800, 86_400, 86_400,
+    ];
+    expect_that!(terms, eq(&expected.to_vec()));
+}
+
+#[gtest]
+fn an_answered_try_ends_the_quarantine() {
+    let mut evidence = quarantined_for_all();
+    let now = Timestamp::from_secs(603);
+    evidence.record_answer(request("/a"), caller(9), now);
+    let verdict = evidence.verdict(&request("/a"), caller(8), now);
+    expect_that!(verdict, eq(Verdict::Clear));
+}
+
+/// A restored quarantine begins anew: the store holds no times.
+#[gtest]
+fn a_quarantine_from_the_store_ends_as_well() {
+    let evidence = quarantined_for_all();
+    let record = QuarantineRecord::new(evidence.get(&request("/a")).expect("an entry"));
+    let mut other = Evidence::default();
+    let read_at = Timestamp::from_secs(5_000);
+    other.merge(request("/a"), &record.entry(read_at));
+    // A node reads the record again whenever it lists the store.
+    let later = read_at + Duration::from_secs(300);
+    other.merge(request("/a"), &record.entry(later));
+    let verdict = other.verdict(&request("/a"), caller(9), later);
+    let until = read_at + Duration::from_secs(600);
+    expect_that!(verdict, eq(Verdict::Quarantined { until }));
+}
+
+/// Earlier versions store and send the same fields, with a caller in each verdict.
+#[gtest]
+fn evidence_of_earlier_versions_is_read() {
+    let caller_number = caller(1).0;
+    let text = format!(
+        r#"{{"path":"/a","ends":[["{caller_number:x}","1"],["{caller_number:x}","2"],["{caller_number:x}","3"]],"quarantined":["{caller_number:x}"]}}"#
+    );
+    let record: QuarantineRecord = serde_json::from_str(&text).expect("a record");
+    let mut evidence = Evidence::default();
+    evidence.merge(request("/a"), &record.entry(ms(5)));
+    expect_that!(is_quarantined_for(&evidence, 1), eq(true));
+    expect_that!(is_quarantined_for(&evidence, 2), eq(false));
+    let entry = evidence.get(&request("/a")).expect("an entry");
+    let written = serde_json::to_string(&QuarantineRecord::new(entry)).expect("text");
+    expect_that!(written, eq(&text));
+    let for_all = quarantined_for_all();
+    let entry = for_all.get(&request("/a")).expect("an entry");
+    expect_that!(
+        QuarantineRecord::new(entry).quarantined,
+        elements_are![eq("0")]
+    );
+}
+
 #[gtest]
 fn evidence_is_bounded_and_quarantines_are_removed_last() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
