--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -146,7 +146,7 @@
     }
 
     /// Whether a request that was lost with its instance has ended too many instances to be
-    /// sent again by this node.
+    /// sent again by this node. The try of a turn is a single attempt.
     pub(super) fn is_retry_too_risky(
         &self,
         open: &OpenRequest,
@@ -155,6 +155,9 @@
         if open.lost_attempts == 0 {
             return false;
         }
+        if is_trial(open, context) {
+            return true;
+        }
         let before = match context.evidence.is_empty() {
             true => 0,
             false => context.evidence.ends_of(&open.digest(), open.caller),
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -6,11 +6,17 @@
 //! node ended with `answer_lost` after 114 ms, another at a second node 5.5 s later after 46
 //! ms, and 1 ms after each of them the instance refused connections (`never_sent` after 1 ms).
 
-use crate::fixture::{Fixture, SERVICE, Store, configuration, instance, ms, node_record, success};
+use crate::fixture::{
+    Fixture, SERVICE, Store, configuration, instance, ms, node_address, node_record, success,
+};
 use googletest::prelude::*;
-use ledgelead_http::Response;
+use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::ObjectKind;
 use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::peers::{PeerMessage, RequestEntry};
+use ledgelead_router::quarantine::{CallerId, Entry, InstanceEnd};
+use ledgelead_router::requests::RequestDigest;
+use ledgelead_types::codec::List;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -179,6 +185,43 @@
     }
 }
 
+/// Another node's evidence: two callers' requests were in flight at an instance that ended.
+fn evidence_of_a_peer(fixture: &Fixture) -> PeerMessage {
+    let mut request = Request::new("GET", format!("/{SERVICE}/1"), Vec::new());
+    request.headers.push("host", "h");
+    let end = |number| InstanceEnd {
+        caller: CallerId::new(new_caller(number)),
+        instance: 77,
+        at: fixture.now,
+        settled: true,
+    };
+    let entry = Entry {
+        path: request.path().to_owned(),
+        ends: vec![end(100), end(101)],
+        ..Entry::default()
+    };
+    let digest = RequestDigest::new(&request);
+    PeerMessage::Evidence {
+        wants_reply: false,
+        alive: List(Vec::new()),
+        requests: List(vec![RequestEntry::new(&digest, &entry, fixture.now)]),
+    }
+}
+
+/// A try was lost with its instance, and went to the key's owner again within its turn.
+#[gtest]
+fn lost_try_of_a_suspected_request_is_not_repeated() {
+    let mut fixture = Fixture::coordinating(store());
+    let message = evidence_of_a_peer(&fixture);
+    fixture.receive(node_address(1), &message);
+    let wait = refused_for(&mut fixture, 1).expect("no turn right after an end");
+    fixture.run_until(fixture.now + wait);
+    let mut ended = BTreeSet::new();
+    fixture.request_from(new_caller(2), SERVICE, None);
+    crash_instances_that_run_requests(&mut fixture, &mut ended);
+    expect_that!(ended, len(eq(1)));
+}
+
 /// A failure that the router reports itself says nothing about the request.
 #[gtest]
 fn answers_of_the_router_do_not_clear_a_request() {
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -481,6 +481,10 @@
         prop_assert_eq!(one.checksum(), other.checksum());
         for caller_number in 1..4 {
             prop_assert_eq!(is_quarantined_for(&one, caller_number), is_quarantined_for(&other, caller_number));
+            let verdict = |evidence: &Evidence| {
+                evidence.verdict(&request("/a"), caller(caller_number), Timestamp::from_secs(100))
+            };
+            prop_assert_eq!(verdict(&one), verdict(&other));
         }
     }
 }
