Sabotage tests of the quarantine play seeds that still tell the difference

Fewer instances end under a request that is tried in turns, so two sabotages no longer show on the seeds chosen for the earlier code: keep-no-evidence on 225 (now on 269 alone of seeds 1 to 400), acquit-nobody on 10 to 20 (now on 52 of seeds 1 to 200). Same checks, same number of seeds.

--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -62,13 +62,13 @@
 
 #[gtest]
 fn checker_detects_crash_evidence_lost_with_all_nodes() {
-    let (forwarded, _) = count_violations(Protection::PersistedEvidence, 225..=225);
+    let (forwarded, _) = count_violations(Protection::PersistedEvidence, 269..=269);
     expect_that!(forwarded, gt(0));
 }
 
 #[gtest]
 fn checker_detects_harmless_requests_still_suspected_after_a_response() {
-    let (_, refused_harmless) = count_violations(Protection::AnswerClearsSuspicion, 10..=20);
+    let (_, refused_harmless) = count_violations(Protection::AnswerClearsSuspicion, 45..=55);
     expect_that!(refused_harmless, gt(0));
 }
 
