Quotas of tenants over all nodes

Nodes report arrived and admitted requests of limited tenants to the coordinator; it keeps a token bucket for each tenant and announces the share of its requests that each node admits while the demand exceeds the tokens. Beyond it callers get 429 with Retry-After at once.

For times without a coordinator the node turns it into a rate.

--- a/crates/ledgelead-router/src/lib.rs
+++ b/crates/ledgelead-router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod protections;
 pub mod quarantine;
+pub mod quota;
 pub mod rate_limit;
 mod rendezvous;
 pub mod requests;
--- a/crates/ledgelead-router/src/node/messaging.rs
+++ b/crates/ledgelead-router/src/node/messaging.rs
@@ -387,6 +387,13 @@
                 self.token_decided(from, &decision, now, out);
             }
             PeerMessage::LimiterProbe { is_reply } => limiter_probed(from, is_reply, out),
+            PeerMessage::QuotaReport {
+                incarnation,
+                counts,
+            } => self.quota_reported(from, incarnation, &counts, now),
+            PeerMessage::QuotaShares { epoch, shares } => {
+                self.shares_received(epoch, &shares, now);
+            }
             PeerMessage::InstancesListed {
                 span,
                 unconfirmed_ms,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod open_requests;
 mod orders;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod registration;
 mod relay;
@@ -51,6 +52,7 @@
 use load_hub::LoadHub;
 use messaging::Messaging;
 use quarantine::Quarantine;
+use quotas::Quotas;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use store_calls::StoreCalls;
@@ -85,6 +87,7 @@
     transfer_server: TransferServer,
     load_hub: LoadHub,
     dispatcher: Dispatcher,
+    quotas: Quotas,
     limiter: Limiter,
     limiter_failover: LimiterFailover,
     overloads: Overloads,
@@ -124,6 +127,7 @@
             transfer_server: TransferServer::default(),
             load_hub: LoadHub::new(now),
             dispatcher: Dispatcher::default(),
+            quotas: Quotas::default(),
             limiter: Limiter::default(),
             limiter_failover: LimiterFailover::default(),
             overloads: Overloads::default(),
@@ -263,6 +267,7 @@
                 self.messaging
                     .next_deadline()
                     .min(self.open_requests_deadline())
+                    .min(self.quota_deadline())
                     .min(self.load_hub.next_deadline().unwrap_or(Timestamp::MAX))
                     .min(
                         self.transfer_server
@@ -296,6 +301,7 @@
         self.review_quarantine(now, out);
         self.coordinate(now, out);
         self.send_due_messages(now, out);
+        self.send_due_quotas(now, out);
         // After all steps that may make a watch due.
         self.call_store(now, out);
         let (requests, mut context) = self.requests_and_context(now);
@@ -318,6 +324,7 @@
             self.zone_relays.expire(now);
             self.transfer_server.expire(now);
             self.dispatcher.expire(now);
+            self.quotas.expire(now);
             self.limiter.expire(now);
             self.limiter_failover.expire(now);
             self.cold_keys.expire(now);
--- a/crates/ledgelead-router/src/peers/configuration.rs
+++ b/crates/ledgelead-router/src/peers/configuration.rs
@@ -4,6 +4,7 @@
     ClientLimits, Configuration, Repeatability, Route, RouteTarget, Service,
 };
 use crate::identity::ServiceName;
+use crate::quota::Quota;
 use crate::tenants::{KEY_DIGEST_BYTES, KeyDigest, Tenant};
 use crate::validation::{self, MAX_TIMEOUT};
 use crate::whole_millis;
@@ -67,6 +68,17 @@
     pub keys: List<[u8; KEY_DIGEST_BYTES]>,
     /// Priority of its requests, if it replaces that of their routes.
     pub priority: Option<u32>,
+    /// The number of its requests, if it is limited.
+    pub quota: Option<QuotaEntry>,
+}
+
+/// The quota of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, SerBin, DeBin)]
+pub struct QuotaEntry {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests above the rate.
+    pub burst: f64,
 }
 
 /// Limits for client requests.
@@ -311,6 +323,9 @@
         name: Text(tenant.name.clone()),
         keys: tenant.keys.iter().map(|key| key.0).collect(),
         priority: tenant.priority,
+        quota: tenant
+            .quota
+            .map(|Quota { rate, burst }| QuotaEntry { rate, burst }),
     }
 }
 
@@ -319,6 +334,9 @@
         name: entry.name.0,
         keys: entry.keys.0.into_iter().map(KeyDigest).collect(),
         priority: entry.priority,
+        quota: entry
+            .quota
+            .map(|QuotaEntry { rate, burst }| Quota { rate, burst }),
     }
 }
 
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -173,6 +173,32 @@
     pub age_ms: u32,
 }
 
+/// A node's requests of a tenant, for its quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct QuotaCountsEntry {
+    /// Stable hash of the tenant's name.
+    pub tenant: u64,
+    /// Requests that arrived since the start of the node, wrapping around.
+    pub arrived: u32,
+    /// Requests that were admitted since the start of the node, wrapping around.
+    pub admitted: u32,
+    /// Requests that arrived since the last report.
+    pub recent_arrived: u32,
+    /// Requests that were admitted since the last report.
+    pub recent_admitted: u32,
+}
+
+/// The share of a tenant's requests that each node admits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct QuotaShareEntry {
+    /// Stable hash of the tenant's name.
+    pub tenant: u64,
+    /// The share now; `u16::MAX` is all.
+    pub current: u16,
+    /// The share without a coordinator; `u16::MAX` is all.
+    pub steady: u16,
+}
+
 /// A limiter's decision about a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum TokenStatusEntry {
@@ -519,6 +545,20 @@
         /// The instances.
         instances: List<ChangedInstance>,
     },
+    /// A node's requests of tenants with a quota; sent to the coordinator.
+    QuotaReport {
+        /// The sender's incarnation; counts of an earlier one are discarded.
+        incarnation: u64,
+        /// The counts of the tenants with requests since the last report.
+        counts: List<QuotaCountsEntry>,
+    },
+    /// The shares of tenants that exceed their quota; sent by the coordinator to all nodes.
+    QuotaShares {
+        /// The coordinator's epoch.
+        epoch: u64,
+        /// The shares.
+        shares: List<QuotaShareEntry>,
+    },
 }
 
 impl PeerMessage {
@@ -548,6 +588,8 @@
             PeerMessage::LimiterProbe { .. } => "limiter_probe",
             PeerMessage::Evidence { .. } => "evidence",
             PeerMessage::InstancesListed { .. } => "instances_list",
+            PeerMessage::QuotaReport { .. } => "quota_report",
+            PeerMessage::QuotaShares { .. } => "quota_shares",
         }
     }
 }
--- a/crates/ledgelead-router/src/peers/message_validation.rs
+++ b/crates/ledgelead-router/src/peers/message_validation.rs
@@ -31,7 +31,9 @@
                 first_fence,
                 ..
             } => are_valid_revisions(&[*base, *revision, *first_fence]),
-            PeerMessage::CoordinatorResigned { epoch } => are_valid_revisions(&[*epoch]),
+            PeerMessage::CoordinatorResigned { epoch } | PeerMessage::QuotaShares { epoch, .. } => {
+                are_valid_revisions(&[*epoch])
+            }
             PeerMessage::LoadReport {
                 configuration_version,
                 nodes_revision,
@@ -50,6 +52,7 @@
             | PeerMessage::TokenRequest { .. }
             | PeerMessage::TokenDecision { .. }
             | PeerMessage::LimiterProbe { .. }
+            | PeerMessage::QuotaReport { .. }
             | PeerMessage::Evidence { .. } => true,
         }
     }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -29,8 +29,8 @@
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
     InstanceEntry, KeyReport, NodeEntry, OpenRequests, PeerAddress, PeerMessage,
-    PermitRequestEntry, PermitReturnReason, PermitStatus, RateLimitEntry, RelayedKind,
-    TokenStatusEntry, WorkReport, ZoneSum, decode, encode,
+    PermitRequestEntry, PermitReturnReason, PermitStatus, QuotaCountsEntry, QuotaShareEntry,
+    RateLimitEntry, RelayedKind, TokenStatusEntry, WorkReport, ZoneSum, decode, encode,
 };
 pub use registry::{NodeRecord, Registration, Registry};
 pub use shared_load::{SharedLoad, SpeedSample};
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -15,6 +15,8 @@
     UnknownCaller,
     /// This node can't know whether the caller's key is still valid.
     KeysOutdated,
+    /// The tenant's requests exceed its quota.
+    QuotaExceeded,
     /// The key header is missing or not a number.
     BadKey,
     /// No instance can answer in time.
@@ -59,6 +61,7 @@
         match self {
             Refusal::NoRoute => 404,
             Refusal::UnknownCaller => 401,
+            Refusal::QuotaExceeded => 429,
             Refusal::BadKey => 400,
             Refusal::NotConfigured
             | Refusal::KeysOutdated
@@ -98,6 +101,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::UnknownCaller => "unknown_caller",
             Refusal::KeysOutdated => "keys_outdated",
+            Refusal::QuotaExceeded => "quota_exceeded",
             Refusal::BadKey => "bad_key",
             Refusal::Overloaded => "overloaded",
             Refusal::QueueTooLong => "queue_too_long",
@@ -131,7 +135,7 @@
     if let Some(attempt) = request.headers.get(&headers.attempt_id) {
         response.headers.push(&headers.attempt_id, attempt.to_vec());
     }
-    if reason.status() == 503 {
+    if matches!(reason.status(), 429 | 503) {
         let seconds = format!("{:.3}", retry_after.as_secs_f64());
         response.headers.push(&headers.retry_after, seconds);
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -1,6 +1,7 @@
 //! Lets requests wait, and produces their final responses.
 
 use super::attempts::{CUT_AT_TIMEOUT, WRITE_MARGIN, log_attempt_ended};
+use super::callers::Unrouted;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::dialect::HeaderNames;
@@ -76,7 +77,7 @@
         out: &mut Vec<Action>,
     ) {
         self.counters.received += 1;
-        self.refuse_unrouted(client, request, Refusal::NoMemory, context, out);
+        self.refuse_unrouted(client, request, Refusal::NoMemory.into(), context, out);
     }
 
     /// Refuses a request for which no service was chosen.
@@ -84,7 +85,7 @@
         &mut self,
         client: ClientId,
         request: &Request,
-        reason: Refusal,
+        Unrouted { reason, delay }: Unrouted,
         context: &RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
@@ -97,7 +98,7 @@
             configuration: context.configuration.map_or(0, |known| known.version),
         };
         unrouted.emit();
-        let response = self.refusal(request, reason, retry_after(0.0), context);
+        let response = self.refusal(request, reason, delay, context);
         out.push(Action::Respond { client, response });
     }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -14,7 +14,7 @@
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
 
-use self::callers::take_tenant;
+use self::callers::{Unrouted, admit, take_tenant};
 use self::decide::Step;
 use self::endings::relayed_response;
 use self::permits::permit_outcome;
@@ -47,6 +47,7 @@
 use crate::peers::{OpenRequests, Registry, SharedLoad, SpeedSample};
 use crate::protections::{Protection, Protections};
 use crate::quarantine::{CallerId, Evidence};
+use crate::quota::Admission;
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
@@ -140,6 +141,8 @@
     refusals: RefusalShares,
     permits: Permits,
     tokens: TokenRequests,
+    /// Admission of tenants' requests.
+    quota: Admission,
     /// Share of attempts that instances rejected although they had free slots.
     rejections: RefusalShares,
     common_rejections: CommonRejections,
@@ -183,6 +186,7 @@
             refusals: RefusalShares::default(),
             permits: Permits::new(first_number),
             tokens: TokenRequests::new(first_number),
+            quota: Admission::new(first_number),
             rejections: RefusalShares::default(),
             common_rejections: CommonRejections::default(),
             cold_bound: settings.cold_bound,
@@ -248,12 +252,23 @@
         self.permits.expire(now);
         let open = &self.open;
         self.tokens.expire(|client| open.contains_key(client), now);
+        self.quota.expire(now);
         self.splits.expire(now);
         self.common_rejections.expire(now);
         self.statistics.retain(|id| directory.get(id).is_some());
         self.expire_limits(directory, now);
     }
 
+    /// Admission of tenants' requests at this node.
+    pub fn quota(&self) -> &Admission {
+        &self.quota
+    }
+
+    /// Like `quota`, for reports and updates.
+    pub fn quota_mut(&mut self) -> &mut Admission {
+        &mut self.quota
+    }
+
     /// Returns the keys requested since the last call, by service.
     pub fn take_requested_keys(&mut self) -> BTreeMap<ServiceName, Vec<u16>> {
         std::mem::take(&mut self.requested_keys)
@@ -385,8 +400,8 @@
                 self.open.insert(client, open);
                 self.advance(client, context, out);
             }
-            Err((request, reason)) => {
-                self.refuse_unrouted(client, &request, reason, context, out);
+            Err((request, refused)) => {
+                self.refuse_unrouted(client, &request, refused, context, out);
             }
         }
     }
@@ -484,27 +499,30 @@
         source: IpAddr,
         mut request: Request,
         context: &RequestContext<'_>,
-    ) -> Result<OpenRequest, (Request, Refusal)> {
+    ) -> Result<OpenRequest, (Request, Unrouted)> {
         let Some(configuration) = context.configuration else {
-            return Err((request, Refusal::NotConfigured));
+            return Err((request, Refusal::NotConfigured.into()));
         };
         let host = request.headers.text("host").unwrap_or_default();
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
-            return Err((request, Refusal::NoRoute));
+            return Err((request, Refusal::NoRoute.into()));
         };
         let tenant = match take_tenant(&mut request, &route, context) {
             Ok(tenant) => tenant,
-            Err(reason) => return Err((request, reason)),
+            Err(reason) => return Err((request, reason.into())),
         };
-        let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let key = request.headers.number::<u16>(&context.headers.key);
         let service = self.choose_target(&route, key, request.body.len(), context);
         let sharded = configuration
             .service(&service)
             .is_some_and(|service| service.sharded);
         if sharded && key.is_none() {
-            return Err((request, Refusal::BadKey));
+            return Err((request, Refusal::BadKey.into()));
+        }
+        if let Err(refused) = admit(&mut self.quota, tenant.as_deref(), context.now) {
+            return Err((request, refused));
         }
+        let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let client_wait = request
             .headers
             .number::<u64>(&context.headers.deadline)
--- a/crates/ledgelead-router/src/tenants.rs
+++ b/crates/ledgelead-router/src/tenants.rs
@@ -1,5 +1,6 @@
 //! Tenants, and the keys by which their callers identify themselves.
 
+use crate::quota::Quota;
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
@@ -30,7 +31,7 @@
 }
 
 /// A customer whose callers present one of its keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
     /// Its name.
     pub name: String,
@@ -38,6 +39,15 @@
     pub keys: BTreeSet<KeyDigest>,
     /// Priority of its requests, if it replaces that of their routes; 0 is the most urgent.
     pub priority: Option<u32>,
+    /// The number of its requests, if it is limited.
+    pub quota: Option<Quota>,
+}
+
+impl Tenant {
+    /// A hash of the name that is identical on all nodes.
+    pub fn stable_hash(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.name.as_bytes())
+    }
 }
 
 /// A request has no key, or one that belongs to no tenant.
@@ -49,6 +59,8 @@
 pub struct TenantTable {
     /// Lookups take the digest, so their time reveals nothing about keys.
     by_key: HashMap<KeyDigest, Arc<Tenant>>,
+    /// Quotas by the stable hashes of the tenants.
+    quotas: HashMap<u64, Quota>,
     has_tenants: bool,
 }
 
@@ -58,8 +70,12 @@
         let keys = tenants
             .iter()
             .flat_map(|tenant| tenant.keys.iter().map(|key| (*key, tenant.clone())));
+        let quotas = tenants
+            .iter()
+            .filter_map(|tenant| Some((tenant.stable_hash(), tenant.quota?)));
         TenantTable {
             by_key: keys.collect(),
+            quotas: quotas.collect(),
             has_tenants: !tenants.is_empty(),
         }
     }
@@ -69,6 +85,11 @@
         !self.has_tenants
     }
 
+    /// The quota of the tenant with this stable hash.
+    pub fn quota(&self, tenant: u64) -> Option<Quota> {
+        self.quotas.get(&tenant).copied()
+    }
+
     /// The tenant of a request with this key; none for a request without a key on a route that
     /// allows that.
     ///
--- a/crates/ledgelead-router/src/validation.rs
+++ b/crates/ledgelead-router/src/validation.rs
@@ -13,6 +13,7 @@
 use crate::peers::NodeRecord;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
+use crate::tenants::Tenant;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -138,7 +139,29 @@
         .try_for_each(|known| route(known))?;
     configuration.services.iter().try_for_each(service)?;
     let mut tenants = configuration.tenants.iter();
-    tenants.try_for_each(|tenant| name("tenant", &tenant.name))
+    tenants.try_for_each(|known| tenant(known))
+}
+
+/// Checks a rate a second or another number that can't be negative.
+///
+/// # Errors
+///
+/// Returns an error that names the field.
+pub fn rate(field: &str, rate: f64) -> Result<(), String> {
+    match (0.0..=MAX_WEIGHT).contains(&rate) {
+        true => Ok(()),
+        false => Err(format!("{field}: {rate} is not in 0 to {MAX_WEIGHT}")),
+    }
+}
+
+fn tenant(tenant: &Tenant) -> Result<(), String> {
+    name("tenant", &tenant.name)?;
+    let Some(quota) = tenant.quota else {
+        return Ok(());
+    };
+    rate("ratePerS", quota.rate)
+        .and_then(|()| rate("burst", quota.burst))
+        .map_err(|error| format!("tenant {}: {error}", tenant.name))
 }
 
 /// Checks a revision, version, epoch or fencing token.
--- a/crates/ledgelead-router/tests/node/arbitrary_input.rs
+++ b/crates/ledgelead-router/tests/node/arbitrary_input.rs
@@ -8,8 +8,8 @@
 use ledgelead_router::peers::{
     AgedEntry, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, ConfigurationChange,
     DigestEntry, EndEntry, Heartbeat, InstanceEntry, KeyReport, LimitsEntry, NodeEntry,
-    OpenRequests, PeerAddress, PeerMessage, RelayedKind, RequestEntry, RouteEntry, ServiceEntry,
-    TargetEntry, WorkReport, ZoneSum, decode, encode,
+    OpenRequests, PeerAddress, PeerMessage, QuotaCountsEntry, QuotaShareEntry, RelayedKind,
+    RequestEntry, RouteEntry, ServiceEntry, TargetEntry, WorkReport, ZoneSum, decode, encode,
 };
 use ledgelead_router::requests::OverloadedKey;
 use ledgelead_types::codec::{Bytes, List, Text};
@@ -86,6 +86,27 @@
     prop_oneof![4 => prop::sample::select(known.to_vec()), 1 => number()]
 }
 
+fn quota_counts() -> impl Strategy<Value = QuotaCountsEntry> {
+    let counts = (small(), small(), small(), small());
+    (number(), counts).prop_map(
+        |(tenant, (arrived, admitted, recent_arrived, recent_admitted))| QuotaCountsEntry {
+            tenant,
+            arrived,
+            admitted,
+            recent_arrived,
+            recent_admitted,
+        },
+    )
+}
+
+fn quota_share() -> impl Strategy<Value = QuotaShareEntry> {
+    (number(), short(), short()).prop_map(|(tenant, current, steady)| QuotaShareEntry {
+        tenant,
+        current,
+        steady,
+    })
+}
+
 fn short_list<T: std::fmt::Debug>(
     item: impl Strategy<Value = T>,
 ) -> impl Strategy<Value = List<T>> {
@@ -283,6 +304,14 @@
                 }
             }
         ),
+        (number(), short_list(quota_counts())).prop_map(|(incarnation, counts)| {
+            PeerMessage::QuotaReport {
+                incarnation,
+                counts,
+            }
+        }),
+        (number(), short_list(quota_share()))
+            .prop_map(|(epoch, shares)| PeerMessage::QuotaShares { epoch, shares }),
         (span(), short_list(node_change()))
             .prop_map(|(span, changes)| PeerMessage::NodesChanged { span, changes }),
         (span(), limits(), short_list(configuration_change())).prop_map(
--- a/crates/ledgelead-router/tests/node/callers.rs
+++ b/crates/ledgelead-router/tests/node/callers.rs
@@ -24,6 +24,7 @@
             .map(|key| KeyDigest::new(key.as_bytes()))
             .collect(),
         priority,
+        quota: None,
     })
 }
 
--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -11,6 +11,7 @@
 use ledgelead_router::peers::{
     ChangeSpan, ConfigurationDelta, Heartbeat, PeerMessage, RelayedKind, decode, encode,
 };
+use ledgelead_router::quota::Quota;
 use ledgelead_router::tenants::{KeyDigest, Tenant};
 use ledgelead_types::codec::List;
 use proptest::prelude::*;
@@ -266,7 +267,8 @@
     let routes = proptest::collection::btree_map(0..8u8, (1..3u8, 1..4u64, any::<bool>()), 0..6);
     let services = proptest::collection::btree_map(0..5u8, (any::<bool>(), 1..3u32), 0..5);
     let keys = proptest::collection::btree_set(0..4u8, 0..3);
-    let tenants = proptest::collection::btree_map(0..4u8, (keys, any::<Option<u32>>()), 0..4);
+    let tenants =
+        proptest::collection::btree_map(0..4u8, (keys, any::<Option<u32>>(), 0..3u8), 0..4);
     (routes, services, tenants, 1..3usize).prop_map(move |(routes, services, tenants, head)| {
         let mut drawn = configuration(version);
         let template = Route::clone(&drawn.routes[0]);
@@ -291,11 +293,12 @@
             .collect();
         drawn.tenants = tenants
             .into_iter()
-            .map(|(name, (keys, priority))| {
+            .map(|(name, (keys, priority, rate))| {
                 Arc::new(Tenant {
                     name: format!("t{name}"),
                     keys: keys.into_iter().map(|key| KeyDigest::new(&[key])).collect(),
                     priority,
+                    quota: Quota::new(f64::from(rate), 1.5),
                 })
             })
             .collect();
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod permits;
 mod placement;
+mod quotas;
 mod rate_limits;
 mod registration;
 mod rejections;
