--- a/crates/ledgelead-router/src/quota/admission.rs
+++ b/crates/ledgelead-router/src/quota/admission.rs
@@ -5,7 +5,7 @@
 use super::bucket::Bucket;
 use super::demand::EventRate;
 use crate::Timestamp;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long an announced share applies without a later one: longer than the election of
@@ -72,7 +72,7 @@
 /// The requests of limited tenants at one node.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
-    tenants: HashMap<u64, TenantState>,
+    tenants: BTreeMap<u64, TenantState>,
     seed: u64,
     has_unreported: bool,
     /// Until when shares that were received are recent.
--- a/crates/ledgelead-router/src/quota/allocation.rs
+++ b/crates/ledgelead-router/src/quota/allocation.rs
@@ -5,12 +5,12 @@
 use super::bucket::Bucket;
 use super::demand::EventRate;
 use crate::Timestamp;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time over which tokens are spent, and a debt is paid back. Longer than a node's counts and
-/// the resulting share travel, since the control loop oscillates otherwise.
+/// Time over which tokens are spent, and a debt is paid back. Not much shorter than the counts
+/// of nodes and the resulting share travel, since the control loop oscillates otherwise.
 const SETTLING_TIME_S: f64 = 0.3;
 /// Time over which the demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_millis(400);
@@ -44,8 +44,8 @@
 struct TenantState {
     bucket: Bucket,
     demand: EventRate,
-    /// Counts since the last sample.
-    unsampled: Counts,
+    /// Requests that arrived since the last sample.
+    unsampled: u32,
     sampled_at: Timestamp,
     current_share: f64,
     steady_share: f64,
@@ -58,7 +58,7 @@
 #[derive(Clone, Debug)]
 struct Reporter {
     incarnation: u64,
-    totals: HashMap<u64, Counts>,
+    totals: BTreeMap<u64, Counts>,
     heard_at: Timestamp,
 }
 
@@ -66,8 +66,8 @@
 #[derive(Clone, Debug)]
 pub struct Allocator {
     since: Timestamp,
-    tenants: HashMap<u64, TenantState>,
-    reporters: HashMap<SocketAddr, Reporter>,
+    tenants: BTreeMap<u64, TenantState>,
+    reporters: BTreeMap<SocketAddr, Reporter>,
 }
 
 impl Allocator {
@@ -75,8 +75,8 @@
     pub fn new(now: Timestamp) -> Allocator {
         Allocator {
             since: now,
-            tenants: HashMap::new(),
-            reporters: HashMap::new(),
+            tenants: BTreeMap::new(),
+            reporters: BTreeMap::new(),
         }
     }
 
@@ -91,7 +91,7 @@
     ) {
         let reporter = self.reporters.entry(node).or_insert_with(|| Reporter {
             incarnation,
-            totals: HashMap::new(),
+            totals: BTreeMap::new(),
             heard_at: now,
         });
         let Some(new) = reporter.new_counts(incarnation, counts, now) else {
@@ -191,7 +191,7 @@
         TenantState {
             bucket: Bucket::full(quota, now),
             demand: EventRate::new(DEMAND_TIME, now),
-            unsampled: Counts::default(),
+            unsampled: 0,
             sampled_at,
             current_share: 1.0,
             steady_share: 1.0,
@@ -216,7 +216,7 @@
         self.bucket.fill(quota, now);
         self.bucket.take(f64::from(new.admitted));
         self.demand.record(f64::from(new.arrived), now);
-        self.unsampled.arrived = self.unsampled.arrived.saturating_add(new.arrived);
+        self.unsampled = self.unsampled.saturating_add(new.arrived);
     }
 
     /// Computes the share from the demand and the tokens.
@@ -225,8 +225,8 @@
         if elapsed < SAMPLE_INTERVAL {
             return;
         }
-        let recent = f64::from(self.unsampled.arrived) / elapsed.as_secs_f64();
-        self.unsampled = Counts::default();
+        let recent = f64::from(self.unsampled) / elapsed.as_secs_f64();
+        self.unsampled = 0;
         self.sampled_at = now;
         self.bucket.fill(quota, now);
         // The average lags behind a surge.
