--- a/crates/ledgelead-router/tests/quota.rs
+++ b/crates/ledgelead-router/tests/quota.rs
@@ -3,7 +3,7 @@
 
 use googletest::prelude::*;
 use ledgelead_router::Timestamp;
-use ledgelead_router::quota::{Admission, Allocator, NodeCounts, Quota, Share};
+use ledgelead_router::quota::{Admission, Allocator, Counts, NodeCounts, Quota, Share};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
@@ -389,3 +389,29 @@
     let shares = |allocator: &mut Allocator| allocator.shares(|_| Some(quota), ms(1_700));
     expect_that!(shares(&mut coordinator), eq(&shares(&mut expected)));
 }
+
+/// The share after a first report in which half of 100 requests were refused.
+fn share_after_refusals(started: Timestamp, now: Timestamp) -> f64 {
+    let quota = quota(49.0, 98.0);
+    let counts = Counts {
+        arrived: 100,
+        admitted: 50,
+    };
+    let entry = NodeCounts {
+        tenant: TENANT,
+        total: counts,
+        recent: counts,
+    };
+    let mut coordinator = Allocator::new(started);
+    coordinator.record(node_address(1), 1, entry, quota, now);
+    let shares = coordinator.shares(|_| Some(quota), now + ms(200));
+    shares.first().map_or(1.0, |share| share.current)
+}
+
+#[gtest]
+fn new_coordinator_grants_no_burst_to_a_tenant_that_was_refused_requests() {
+    let of_new = share_after_refusals(ms(9_000), ms(10_000));
+    let of_old = share_after_refusals(ms(0), ms(10_000));
+    expect_that!(of_new, lt(0.1));
+    expect_that!(of_old, gt(0.5));
+}
