--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod permits;
 mod placement;
+mod quotas;
 mod rate_limits;
 mod registration;
 mod rejections;
