--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -26,7 +26,7 @@
 /// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
 
-/// How long the first quarantine of a request lasts: enough to roll out mended software. Each
+/// How long the first quarantine of a request lasts: enough to roll out fixed software. Each
 /// try that ends a further instance doubles it, so a request that is sent for ever ends seven
 /// instances on its first day after the quarantine began.
 const FIRST_TERM: Duration = Duration::from_secs(600);
