--- a/crates/ledgelead-router/src/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/quarantine/mod.rs
@@ -4,8 +4,8 @@
 //! ([`lost_attempts`]) until the instance is shown to have ended or to be alive. The findings
 //! become [`evidence`]: a grow-only set that all nodes share. It stays correct if messages are
 //! reordered, repeated or lost, and with earlier or several coordinators. After two ends nodes
-//! try a request in [`turns`], one instance at a time. It is quarantined after three instances have ended during it, whoever sent it, if no instance has
-//! answered it ([`verdict`]).
+//! try a request in [`turns`], one instance at a time. It is quarantined after three instances
+//! have ended during it, whoever sent it, if no instance has answered it ([`verdict`]).
 
 mod answers;
 mod entry;
