Priorities of tenants are collected once for a configuration

Each route walked over all tenants, once for each of its targets, whenever a configuration came into force: thousands of routes by tens of tenants. Few priorities differ, so they are collected before the routes. Same result; the tests of ledgelead-router pass, no speed was measured.

--- a/crates/ledgelead-router/src/configuration.rs
+++ b/crates/ledgelead-router/src/configuration.rs
@@ -109,29 +109,25 @@
 
     /// Services whose instances receive requests with different priorities or latency targets.
     pub fn contended_services(&self) -> BTreeSet<ServiceName> {
+        // Few differ: a configuration has thousands of routes, and many tenants.
+        let tenant_priorities: BTreeSet<Option<u32>> =
+            self.tenants.iter().map(|tenant| tenant.priority).collect();
         let mut kinds: BTreeMap<&ServiceName, BTreeSet<(u32, Duration)>> = BTreeMap::new();
         for route in &self.routes {
+            let priorities = priorities_on(route, &tenant_priorities);
             for target in route.targets.iter().filter(|target| target.weight > 0.0) {
                 let kinds = kinds.entry(&target.service).or_default();
-                for priority in self.priorities_on(route) {
-                    kinds.insert((priority, route.target_latency));
-                }
+                kinds.extend(
+                    priorities
+                        .iter()
+                        .map(|priority| (*priority, route.target_latency)),
+                );
             }
         }
         let contended = kinds.into_iter().filter(|(_, kinds)| kinds.len() > 1);
         contended.map(|(service, _)| service.clone()).collect()
     }
 
-    /// The priorities of requests on a route.
-    fn priorities_on(&self, route: &Route) -> BTreeSet<u32> {
-        let of_tenants = self.tenants.iter().map(|tenant| tenant.priority);
-        let is_route_used = self.tenants.is_empty() || route.allows_anonymous;
-        of_tenants
-            .chain(is_route_used.then_some(None))
-            .map(|priority| priority.unwrap_or(route.priority))
-            .collect()
-    }
-
     /// Services whose keys are owned by instances.
     pub fn sharded_services(&self) -> impl Iterator<Item = &ServiceName> {
         self.services
@@ -141,6 +137,16 @@
     }
 }
 
+/// The priorities of requests on a route, by those that tenants set. A tenant without one has
+/// the route's.
+fn priorities_on(route: &Route, tenants: &BTreeSet<Option<u32>>) -> BTreeSet<u32> {
+    let is_route_used = tenants.is_empty() || route.allows_anonymous;
+    let without_tenant = is_route_used.then_some(None);
+    let all = tenants.iter().copied().chain(without_tenant);
+    all.map(|priority| priority.unwrap_or(route.priority))
+        .collect()
+}
+
 /// Looks up the route of a request, and its tenant.
 #[derive(Debug, Default)]
 pub struct RouteTable {
