--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -41,6 +41,7 @@
 /// State of the coordinator role at this node.
 pub(super) struct Coordination {
     coordinator: Option<Coordinator>,
+    /// Orders without an answer.
     pub(super) orders: HashMap<ExchangeId, OrderInFlight>,
     /// Start of the latest call in which the store confirmed that this node holds the role.
     confirmed: Option<Timestamp>,
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -101,8 +101,6 @@
                 out,
             );
             self.revision_announced(RelayedKind::Nodes, heartbeat.nodes_revision, now, out);
-        }
-        if store_serves && age < self.view_ttl() {
             self.confirm_configuration(heartbeat.configuration_version, age, now);
         }
         self.configuration_version_announced(heartbeat.configuration_version, now, out);
--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -122,7 +122,7 @@
         if is_trial(open, context) {
             let digest = open.digest();
             Event::SuspectTried { digest, instance }.emit();
-            self.trials.record(open.digest(), client, context.now);
+            self.trials.record(digest, client, context.now);
         }
     }
 
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -420,7 +420,7 @@
             }
             match running.reader.read(&mut connection.stream.input) {
                 Ok(ResponseProgress::Complete { response, reusable }) => {
-                    if !running.is_answered_by(&response) {
+                    if !running.answer.accepts(&response) {
                         self.unsolicited_answers += 1;
                         connection.pool.log_unsolicited(&response);
                         if running.skip_answer() {
@@ -454,7 +454,7 @@
         match connection.stream.end() {
             None => {}
             Some(StreamEnd::Closed) => match running.reader.finish_at_close() {
-                Ok(response) if running.is_answered_by(&response) => {
+                Ok(response) if running.answer.accepts(&response) => {
                     self.complete(index, response, false, now, inputs);
                 }
                 _ => self.fail_disconnected(index, inputs),
@@ -646,10 +646,6 @@
         }
     }
 
-    fn is_answered_by(&self, response: &Response) -> bool {
-        self.answer.accepts(response)
-    }
-
     /// Skips an unsolicited answer and prepares for the next one. False if there were too
     /// many.
     fn skip_answer(&mut self) -> bool {
