Tests of the coordinator share one fixture

former_holds.rs had the fixture of incarnations.rs once more, and two tests of the first election the same end.

--- a/crates/ledgelead-router/tests/former_holds.rs
+++ b/crates/ledgelead-router/tests/former_holds.rs
@@ -1,18 +1,15 @@
 //! Keys that an owner may still hold by an order from before its latest one.
 
+#[path = "support/coordinator.rs"]
+mod coordinator;
+
+use coordinator::Fixture;
 use googletest::prelude::*;
-use ledgelead_router::configuration::{ClientLimits, Configuration, Service};
 use ledgelead_router::dialect::{Order, OrderAnswer};
-use ledgelead_router::directory::{Directory, InstanceRecord};
-use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::directory::InstanceRecord;
+use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
-use ledgelead_router::mechanisms::Mechanisms;
-use ledgelead_router::ownership::coordinator::{
-    Commands, Context, Coordinator, EarlierAuthority, ExchangeIds, OutgoingOrder,
-};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
-use ledgelead_router::protections::Protections;
-use ledgelead_router::rate_limit::KnownLimits;
+use ledgelead_router::ownership::coordinator::OutgoingOrder;
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
 
@@ -40,82 +37,15 @@
 const GRANTED: Duration = Duration::from_millis(10_005);
 
 /// Three instances, of which the first owns all keys and has answered a grant.
-struct Fixture {
-    coordinator: Coordinator,
-    directory: Directory,
-    exchanges: ExchangeIds,
+fn granted() -> Fixture {
+    let instances = (1..=3).map(instance).collect();
+    let mut fixture = Fixture::owned_by(id(1), instances);
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, GRANTED);
+    fixture
 }
 
 impl Fixture {
-    fn new() -> Fixture {
-        let record = OwnershipRecord {
-            epoch: 1,
-            coordinator: Some(NodeIdentity {
-                node: NodeName::from("n"),
-                incarnation: 1,
-            }),
-            next_fence: 6,
-            assignments: vec![Assignment {
-                service: ServiceName::from("s"),
-                first: 0,
-                last: u16::MAX,
-                owner: id(1),
-                fence: 5,
-            }],
-            ..OwnershipRecord::default()
-        };
-        let earlier = EarlierAuthority {
-            predecessor: Duration::ZERO,
-            others: Duration::ZERO,
-        };
-        let mut directory = Directory::default();
-        directory.replace_all((1..=3).map(instance).collect(), ms(0));
-        let mut fixture = Fixture {
-            coordinator: Coordinator::new(record, earlier, Protections::default(), ms(0)),
-            directory,
-            exchanges: ExchangeIds::default(),
-        };
-        let granted = fixture.order(ms(10_000));
-        fixture.done(&granted, GRANTED);
-        fixture
-    }
-
-    fn step(&mut self, now: Duration) -> Commands {
-        let configuration = Configuration {
-            version: 1,
-            routes: Vec::new(),
-            services: vec![Service {
-                name: ServiceName::from("s"),
-                sharded: true,
-                max_connections: 10,
-                cold_rate: None,
-            }],
-            tenants: Vec::new(),
-            limits: ClientLimits::default(),
-        };
-        self.coordinator.step(&mut Context {
-            now,
-            directory: &self.directory,
-            configuration: &configuration,
-            limits: &KnownLimits::default(),
-            store_serves: true,
-            mechanisms: Mechanisms::default(),
-            exchanges: &mut self.exchanges,
-        })
-    }
-
-    /// The single order of a step.
-    fn order(&mut self, now: Duration) -> OutgoingOrder {
-        let orders = self.step(now).orders;
-        assert_eq!(orders.len(), 1, "{orders:?}");
-        orders[0].clone()
-    }
-
-    fn done(&mut self, order: &OutgoingOrder, now: Duration) {
-        let done = OrderAnswer::Done { handover: None };
-        self.coordinator.order_ended(order.exchange, Ok(done), now);
-    }
-
     /// An instance begins to drain, and the coordinator asks it to release its keys.
     fn release(&mut self, number: u8, now: Duration) -> OutgoingOrder {
         self.directory.upsert(
@@ -152,7 +82,7 @@
 
 #[gtest]
 fn late_answer_to_a_former_owners_release_does_not_end_the_next_owners() {
-    let mut fixture = Fixture::new();
+    let mut fixture = granted();
     let expiry = GRANTED + longest_hold();
     let first = fixture.release(1, expiry - ms(500));
     let (at, owner) = fixture
@@ -173,7 +103,7 @@
 
 #[gtest]
 fn owner_that_rejects_its_token_may_hold_the_keys_until_its_former_lease_ends() {
-    let mut fixture = Fixture::new();
+    let mut fixture = granted();
     let expiry = GRANTED + longest_hold();
     let renewal = fixture.order(ms(11_005));
     let rejected = Ok(OrderAnswer::Fenced);
--- a/crates/ledgelead-router/tests/incarnations.rs
+++ b/crates/ledgelead-router/tests/incarnations.rs
@@ -1,20 +1,16 @@
 //! Instances that restart under the same name. State known of one incarnation must not be
 //! attributed to another.
 
+#[path = "support/coordinator.rs"]
+mod coordinator;
+
+use coordinator::Fixture;
 use googletest::prelude::*;
-use ledgelead_router::configuration::{ClientLimits, Configuration, Service};
-use ledgelead_router::dialect::{Order, OrderAnswer};
+use ledgelead_router::dialect::Order;
 use ledgelead_router::directory::{Directory, Entry, InstanceRecord};
-use ledgelead_router::identity::{InstanceId, NodeIdentity, NodeName, ServiceName, ZoneName};
+use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
-use ledgelead_router::mechanisms::Mechanisms;
-use ledgelead_router::ownership::coordinator::{
-    Commands, Context, Coordinator, EarlierAuthority, ExchangeIds, OutgoingOrder,
-};
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
-use ledgelead_router::protections::Protections;
 use ledgelead_router::quarantine::UnconfirmedAnswers;
-use ledgelead_router::rate_limit::KnownLimits;
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
 
@@ -137,84 +133,13 @@
     expect_that!(state_of(&directory, 20), eq(UNKNOWN));
 }
 
-/// A coordinator with one range that `a` owns with token 5, started at 10, and with a second
-/// instance `b`.
-struct Fixture {
-    coordinator: Coordinator,
-    directory: Directory,
-    exchanges: ExchangeIds,
+/// A coordinator whose keys `a` owns, started at 10, with a second instance `b`.
+fn owned() -> Fixture {
+    let owner = InstanceId::with_start_time("a", 10);
+    Fixture::owned_by(owner, vec![incarnation("a", 10), incarnation("b", 1)])
 }
 
 impl Fixture {
-    fn new() -> Fixture {
-        let identity = NodeIdentity {
-            node: NodeName::from("n"),
-            incarnation: 1,
-        };
-        let record = OwnershipRecord {
-            epoch: 1,
-            coordinator: Some(identity),
-            earlier_authority_ms: 0,
-            era: 0,
-            unknown_holds_ms: 0,
-            next_fence: 6,
-            assignments: vec![Assignment {
-                service: ServiceName::from("s"),
-                first: 0,
-                last: u16::MAX,
-                owner: InstanceId::with_start_time("a", 10),
-                fence: 5,
-            }],
-        };
-        let earlier = EarlierAuthority {
-            predecessor: Duration::ZERO,
-            others: Duration::ZERO,
-        };
-        let mut directory = Directory::default();
-        directory.replace_all(vec![incarnation("a", 10), incarnation("b", 1)], ms(0));
-        Fixture {
-            coordinator: Coordinator::new(record, earlier, Protections::default(), ms(0)),
-            directory,
-            exchanges: ExchangeIds::default(),
-        }
-    }
-
-    fn step(&mut self, now: Duration) -> Commands {
-        let configuration = Configuration {
-            version: 1,
-            routes: Vec::new(),
-            services: vec![Service {
-                name: ServiceName::from("s"),
-                sharded: true,
-                max_connections: 10,
-                cold_rate: None,
-            }],
-            tenants: Vec::new(),
-            limits: ClientLimits::default(),
-        };
-        self.coordinator.step(&mut Context {
-            now,
-            directory: &self.directory,
-            configuration: &configuration,
-            limits: &KnownLimits::default(),
-            store_serves: true,
-            mechanisms: Mechanisms::default(),
-            exchanges: &mut self.exchanges,
-        })
-    }
-
-    /// The single order of a step.
-    fn order(&mut self, now: Duration) -> OutgoingOrder {
-        let orders = self.step(now).orders;
-        assert_eq!(orders.len(), 1, "{orders:?}");
-        orders[0].clone()
-    }
-
-    fn done(&mut self, order: &OutgoingOrder, now: Duration) {
-        let done = OrderAnswer::Done { handover: None };
-        self.coordinator.order_ended(order.exchange, Ok(done), now);
-    }
-
     /// Steps until the record is to be written; returns the time and the owner.
     fn next_owner(&mut self, from: Duration, to: Duration) -> Option<(Duration, InstanceId, u64)> {
         let mut now = from;
@@ -231,7 +156,7 @@
 
 #[gtest]
 fn keys_pass_to_the_later_incarnation_with_a_higher_token() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     fixture.done(&granted, ms(10_005));
     fixture.directory.upsert(incarnation("a", 20), ms(10_500));
@@ -249,7 +174,7 @@
 
 #[gtest]
 fn a_grant_in_transit_delays_the_later_incarnation() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     fixture.directory.upsert(incarnation("a", 20), ms(10_100));
     expect_that!(fixture.next_owner(ms(10_100), ms(10_590)), none());
@@ -266,7 +191,7 @@
 
 #[gtest]
 fn another_instance_waits_for_grants_that_the_later_incarnation_may_have_received() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     let leaving = InstanceRecord {
         draining: true,
@@ -287,7 +212,7 @@
 
 #[gtest]
 fn the_lease_of_a_later_incarnation_that_accepts_no_keys_must_expire_too() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     fixture.done(&granted, ms(10_005));
     fixture.directory.upsert(incarnation("a", 20), ms(10_100));
@@ -316,7 +241,7 @@
 
 #[gtest]
 fn no_order_is_sent_to_an_incarnation_whose_name_another_one_has() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     fixture.done(&granted, ms(10_005));
     let leaving = InstanceRecord {
@@ -333,7 +258,7 @@
 
 #[gtest]
 fn a_different_name_at_the_address_ends_the_lease_at_once() {
-    let mut fixture = Fixture::new();
+    let mut fixture = owned();
     let granted = fixture.order(ms(10_000));
     fixture.done(&granted, ms(10_005));
     let other = InstanceRecord {
--- a/crates/ledgelead-router/tests/node/first_election.rs
+++ b/crates/ledgelead-router/tests/node/first_election.rs
@@ -221,16 +221,14 @@
     expect_that!(fixture.node.coordinator().is_some(), eq(true));
 }
 
-#[gtest]
-fn node_that_follows_a_coordinator_reads_no_further_page() {
-    let mut fixture = starting_node(1, store());
-    fixture.run_until(ms(SILENCE_MS));
-    let end = ms(3_000);
-    while fixture.now < end {
-        receive_heartbeat(&mut fixture, 6);
+/// Follows coordinator 6 for a while, and checks that the node requests the list of nodes from
+/// it and reads no further page of the store.
+fn expect_list_from_other_nodes(fixture: &mut Fixture) {
+    while fixture.now < ms(3_000) {
+        receive_heartbeat(fixture, 6);
         fixture.run_until(fixture.now + ms(100));
     }
-    expect_that!(further_pages(&fixture), is_empty());
+    expect_that!(further_pages(fixture), is_empty());
     let requested = fixture.attempts.iter().map(|sent| sent.address);
     expect_that!(
         requested.collect::<Vec<_>>(),
@@ -238,22 +236,20 @@
     );
 }
 
+#[gtest]
+fn node_that_follows_a_coordinator_reads_no_further_page() {
+    let mut fixture = starting_node(1, store());
+    fixture.run_until(ms(SILENCE_MS));
+    expect_list_from_other_nodes(&mut fixture);
+}
+
 #[gtest]
 fn node_of_a_starting_deployment_reads_no_further_page_once_it_follows_a_coordinator() {
     let mut store = store();
     store.remove(ObjectKind::Configuration, "main");
     let mut fixture = starting_node(1, store);
     fixture.run_until(ms(900));
-    while fixture.now < ms(3_000) {
-        receive_heartbeat(&mut fixture, 6);
-        fixture.run_until(fixture.now + ms(100));
-    }
-    expect_that!(further_pages(&fixture), is_empty());
-    let requested = fixture.attempts.iter().map(|sent| sent.address);
-    expect_that!(
-        requested.collect::<Vec<_>>(),
-        contains(eq(&node_address(6)))
-    );
+    expect_list_from_other_nodes(&mut fixture);
 }
 
 #[gtest]
