--- a/crates/ledgelead-lab/src/fleet/connections.rs
+++ b/crates/ledgelead-lab/src/fleet/connections.rs
@@ -6,7 +6,7 @@
 
 use super::event::{Caller, Event};
 use ledgelead_http::Response;
-use ledgelead_router::io::{ConnectionPool, ConnectionReuse, ExchangeId, ExchangeOptions};
+use ledgelead_router::io::{ConnectionPool, ExchangeId, ExchangeOptions};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -194,7 +194,7 @@
         let exchange = running.exchange;
         if running.options.answer.accepts(response) {
             let is_clean = running.unsolicited == 0;
-            if is_clean && is_returned(&running.options, response) {
+            if is_clean && running.options.reuse.allows(response) {
                 self.put_idle(id, now);
             } else {
                 self.close(id);
@@ -241,12 +241,3 @@
         }
     }
 }
-
-/// Whether the connection of an answered exchange is returned to the pool.
-fn is_returned(options: &ExchangeOptions, response: &Response) -> bool {
-    match options.reuse {
-        ConnectionReuse::Always => true,
-        ConnectionReuse::AfterSuccess => response.is_success(),
-        ConnectionReuse::Never => false,
-    }
-}
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -74,6 +74,17 @@
     Never,
 }
 
+impl ConnectionReuse {
+    /// Whether the connection is returned to its pool after this answer.
+    pub fn allows(self, answer: &Response) -> bool {
+        match self {
+            ConnectionReuse::Always => true,
+            ConnectionReuse::AfterSuccess => answer.is_success(),
+            ConnectionReuse::Never => false,
+        }
+    }
+}
+
 /// Parameters of an exchange.
 #[derive(Clone, Debug)]
 pub struct ExchangeOptions {
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -497,7 +497,7 @@
             && connection.stream.is_flushed()
             && connection.stream.end().is_none()
             && running.unsolicited == 0
-            && running.allows_reuse(&response);
+            && running.reuse.allows(&response);
         let key = ConnectionKey {
             index,
             generation: connection.generation,
@@ -638,14 +638,6 @@
 }
 
 impl Running {
-    fn allows_reuse(&self, response: &Response) -> bool {
-        match self.reuse {
-            ConnectionReuse::Always => true,
-            ConnectionReuse::AfterSuccess => response.is_success(),
-            ConnectionReuse::Never => false,
-        }
-    }
-
     /// Skips an unsolicited answer and prepares for the next one. False if there were too
     /// many.
     fn skip_answer(&mut self) -> bool {
