Plain exchanges get their options from one constructor

The pool, the filter and the reuse of connections had been added to each of five literals, four of which take the defaults. No behaviour changes; the tests' own options go by the same constructor.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -111,6 +111,23 @@
     pub timeout_restarts: bool,
 }
 
+impl ExchangeOptions {
+    /// An exchange on a new connection that takes any answer.
+    pub fn new(connect_timeout: Duration, timeout: Duration) -> ExchangeOptions {
+        ExchangeOptions {
+            answer: AnswerFilter::default(),
+            pool: ConnectionPool::default(),
+            reuse_idle_below: Duration::ZERO,
+            reuse: ConnectionReuse::default(),
+            connect_timeout,
+            observe_before_write: Duration::ZERO,
+            write_timeout: None,
+            timeout,
+            timeout_restarts: false,
+        }
+    }
+}
+
 /// An event that a node has to handle.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -72,11 +72,8 @@
                 false => ORDER_REUSE_IDLE,
             },
             reuse,
-            connect_timeout: ORDER_CONNECT_TIMEOUT,
-            write_timeout: None,
             observe_before_write: ORDER_OBSERVATION,
-            timeout,
-            timeout_restarts: false,
+            ..ExchangeOptions::new(ORDER_CONNECT_TIMEOUT, timeout)
         };
         match self.settings.protections.has(Protection::MatchOrderAnswers) {
             true => options,
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -4,9 +4,8 @@
 use super::registration::RegistrationState;
 use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
 use crate::Timestamp;
-use crate::answer_filter::AnswerFilter;
 use crate::dialect::{Object, ObjectKind, StoreCall};
-use crate::io::{Action, ConnectionPool, ConnectionReuse, ExchangeId, ExchangeOptions};
+use crate::io::{Action, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
@@ -479,15 +478,9 @@
             address: self.settings.store_address,
             request: self.dialect.store_request(&with_store_revisions(&call)),
             options: ExchangeOptions {
-                answer: AnswerFilter::default(),
-                pool: ConnectionPool::Requests,
                 reuse_idle_below: REUSE_IDLE,
-                reuse: ConnectionReuse::Always,
-                connect_timeout: CONNECT_TIMEOUT,
-                write_timeout: None,
-                observe_before_write: Duration::ZERO,
-                timeout,
                 timeout_restarts: true,
+                ..ExchangeOptions::new(CONNECT_TIMEOUT, timeout)
             },
         });
         self.store.calls += 1;
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -19,14 +19,11 @@
 use super::relay::registration;
 use super::store_calls::Purpose;
 use crate::Timestamp;
-use crate::answer_filter::AnswerFilter;
 use crate::dialect::{ObjectKind, StoreCall};
 use crate::directory::Entry;
 use crate::events::Event;
 use crate::identity::{NodeIdentity, NodeName};
-use crate::io::{
-    Action, ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions,
-};
+use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::ownership::view::RecordVersion;
 use crate::peers::{
@@ -268,15 +265,8 @@
             address: source,
             request: Request::new("POST", TRANSFER_PATH, codec::encode(&request)),
             options: ExchangeOptions {
-                answer: AnswerFilter::default(),
-                pool: ConnectionPool::Requests,
-                reuse_idle_below: Duration::ZERO,
-                reuse: ConnectionReuse::Always,
-                connect_timeout: CONNECT_TIMEOUT,
-                write_timeout: None,
-                observe_before_write: Duration::ZERO,
-                timeout: PROGRESS_TIMEOUT,
                 timeout_restarts: true,
+                ..ExchangeOptions::new(CONNECT_TIMEOUT, PROGRESS_TIMEOUT)
             },
         });
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -10,9 +10,7 @@
 use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
-use crate::io::{
-    Action, ClientId, ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeOptions,
-};
+use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::rate_limit::RateNotice;
@@ -490,12 +488,12 @@
             on_success: None,
         },
     };
+    // Slightly longer than this node waits: the request's own timer produces the final response
+    // at its deadline.
+    let timeout = left + ANSWER_MARGIN;
     ExchangeOptions {
         answer,
-        pool: ConnectionPool::Requests,
         reuse_idle_below: idle_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
-        reuse: ConnectionReuse::Always,
-        connect_timeout: CONNECT_TIMEOUT.min(write_timeout),
         write_timeout: Some(write_timeout),
         // Retrying an idempotent request costs less than delaying every one.
         observe_before_write: if open.is_idempotent() {
@@ -503,10 +501,7 @@
         } else {
             OBSERVE_NON_IDEMPOTENT
         },
-        // Slightly longer than this node waits: the request's own timer produces the final
-        // response at its deadline.
-        timeout: left + ANSWER_MARGIN,
-        timeout_restarts: false,
+        ..ExchangeOptions::new(CONNECT_TIMEOUT.min(write_timeout), timeout)
     }
 }
 
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -97,17 +97,7 @@
             exchange,
             address,
             request: None,
-            options: ExchangeOptions {
-                answer: AnswerFilter::default(),
-                pool: ConnectionPool::Requests,
-                reuse_idle_below: Duration::ZERO,
-                reuse: ConnectionReuse::Always,
-                connect_timeout: timeout,
-                write_timeout: None,
-                observe_before_write: Duration::ZERO,
-                timeout,
-                timeout_restarts: false,
-            },
+            options: ExchangeOptions::new(timeout, timeout),
         }
     }
 }
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -31,15 +31,8 @@
 
 fn options() -> ExchangeOptions {
     ExchangeOptions {
-        answer: AnswerFilter::default(),
-        pool: ConnectionPool::Requests,
-        reuse_idle_below: Duration::ZERO,
-        reuse: ConnectionReuse::Always,
-        connect_timeout: LONG_TIMEOUT * 2,
-        write_timeout: None,
         observe_before_write: LONG_TIMEOUT,
-        timeout: LONG_TIMEOUT * 2,
-        timeout_restarts: false,
+        ..ExchangeOptions::new(LONG_TIMEOUT * 2, LONG_TIMEOUT * 2)
     }
 }
 
