--- a/crates/ledgelead-router/tests/node/callers.rs
+++ b/crates/ledgelead-router/tests/node/callers.rs
@@ -5,17 +5,13 @@
 
 use crate::fixture::{Fixture, SERVICE, configuration, ms, owned_store, success};
 use googletest::prelude::*;
-use ledgelead_http::{Headers, Request};
+use ledgelead_http::Headers;
 use ledgelead_router::configuration::{Configuration, Route};
 use ledgelead_router::dialect::ObjectKind;
-use ledgelead_router::io::{ClientId, Input};
 use ledgelead_router::settings::NodeSettings;
 use ledgelead_router::tenants::{KeyDigest, Tenant};
-use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1));
-
 fn tenant(name: &str, keys: &[&str], priority: Option<u32>) -> Arc<Tenant> {
     Arc::new(Tenant {
         name: name.to_owned(),
@@ -49,19 +45,9 @@
 /// Sends a request with these headers. Returns the headers that reach an instance, or the
 /// status of the refusal.
 fn send(fixture: &mut Fixture, headers: &[(&str, &str)]) -> std::result::Result<Headers, u16> {
-    let mut request = Request::new("GET", format!("/{SERVICE}/1"), Vec::new());
-    request.headers.push("host", "h");
-    request.headers.push("attempt", "1");
-    for (name, value) in headers {
-        request.headers.push(name, *value);
-    }
     fixture.answers.clear();
     fixture.attempts.clear();
-    fixture.step(Input::Request {
-        client: ClientId(77),
-        source: CALLER,
-        request,
-    });
+    fixture.request_with(SERVICE, 0, headers);
     match fixture.attempts.pop() {
         Some(sent) => {
             fixture.answer(sent.exchange, success());
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -734,6 +734,23 @@
         key: Option<u16>,
         body_bytes: usize,
         deadline: Option<Duration>,
+    ) -> ClientId {
+        let key = key.map(|key| ("key", key.to_string()));
+        let deadline = deadline.map(|deadline| ("deadline", deadline.as_millis().to_string()));
+        let headers: Vec<(&str, String)> = key.into_iter().chain(deadline).collect();
+        let headers: Vec<(&str, &str)> = headers
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect();
+        self.request_with(service, body_bytes, &headers)
+    }
+
+    /// Sends a client's request with these headers beside the usual ones.
+    pub fn request_with(
+        &mut self,
+        service: &str,
+        body_bytes: usize,
+        headers: &[(&str, &str)],
     ) -> ClientId {
         self.last_client += 1;
         let client = ClientId(self.last_client);
@@ -741,12 +758,8 @@
         request.headers.push("host", "h");
         let attempt = format!("request-{}", self.last_client);
         request.headers.push("attempt", attempt);
-        if let Some(key) = key {
-            request.headers.push("key", key.to_string());
-        }
-        if let Some(deadline) = deadline {
-            let deadline = deadline.as_millis().to_string();
-            request.headers.push("deadline", deadline);
+        for (name, value) in headers {
+            request.headers.push(name, *value);
         }
         self.step(Input::Request {
             client,
--- a/crates/ledgelead-router/tests/node/quotas.rs
+++ b/crates/ledgelead-router/tests/node/quotas.rs
@@ -5,18 +5,16 @@
 
 use crate::fixture::{Fixture, SERVICE, configuration, ms, node_address, owned_store, success};
 use googletest::prelude::*;
-use ledgelead_http::{Request, Response};
+use ledgelead_http::Response;
 use ledgelead_router::configuration::Configuration;
 use ledgelead_router::dialect::ObjectKind;
-use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
+use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::peers::{PeerMessage, QuotaCountsEntry, QuotaShareEntry};
 use ledgelead_router::quota::Quota;
 use ledgelead_router::tenants::{KeyDigest, Tenant};
 use ledgelead_types::codec::List;
-use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1));
 /// The epoch of the coordinator in the record.
 const EPOCH: u64 = 4;
 
@@ -55,17 +53,9 @@
 
 /// Sends a request of the tenant, and answers its attempt. Returns the response.
 fn send(fixture: &mut Fixture) -> Response {
-    let mut request = Request::new("GET", format!("/{SERVICE}/1"), Vec::new());
-    request.headers.push("host", "h");
-    request.headers.push("attempt", "1");
-    request.headers.push("caller-key", "key-a");
     fixture.answers.clear();
     fixture.attempts.clear();
-    fixture.step(Input::Request {
-        client: ClientId(77),
-        source: CALLER,
-        request,
-    });
+    fixture.request_with(SERVICE, 0, &[("caller-key", "key-a")]);
     if let Some(sent) = fixture.attempts.pop() {
         fixture.answer(sent.exchange, success());
     }
@@ -217,14 +207,7 @@
 #[gtest]
 fn retry_of_a_request_is_not_counted() {
     let mut fixture = node_of_three(1.0);
-    let mut request = Request::new("GET", format!("/{SERVICE}/1"), Vec::new());
-    request.headers.push("host", "h");
-    request.headers.push("caller-key", "key-a");
-    fixture.step(Input::Request {
-        client: ClientId(5),
-        source: CALLER,
-        request,
-    });
+    fixture.request_with(SERVICE, 0, &[("caller-key", "key-a")]);
     let sent = fixture.attempts.pop().expect("an attempt");
     fixture.end(sent.exchange, Err(ExchangeFailure::Refused));
     fixture.run_until(fixture.now + ms(250));
