The configuration's readers share one schedule of calls

The poll of the machines and the watch of the configuration each kept the time of their next call and whether one is open, with the same `is_due` and `next_due`. `CallSchedule` now holds both; each reader keeps what differs, the call it makes and the delay after it.

Behaviour is unchanged.

--- a/crates/ledgelead-configuration/src/configuration_manager.rs
+++ b/crates/ledgelead-configuration/src/configuration_manager.rs
@@ -1,6 +1,7 @@
 //! Reads the configuration from the platform's store for all nodes if this node is a reader,
 //! and writes the operators' commands received by this node.
 
+mod call_schedule;
 mod commands;
 mod machines;
 mod watch;
@@ -174,14 +175,14 @@
         if !self.may_read(now) {
             return;
         }
-        if self.watch.is_due(now) {
+        if self.watch.schedule().is_due(now) {
             self.fallback_read_at =
                 now + FALLBACK_READ_DELAY + jitter(&mut self.random, FALLBACK_READ_JITTER);
             let after = self.newest_seen();
             let request = self.watch.begin(after);
             self.call(Purpose::Watch, request);
         }
-        if self.is_reading(now) && self.machines.is_due(now) {
+        if self.is_reading(now) && self.machines.schedule().is_due(now) {
             let request = self.machines.begin();
             self.call(Purpose::Machines, request);
         }
@@ -190,12 +191,16 @@
     /// The time at which [`ConfigurationManager::tick`] has to be called next.
     pub fn next_wakeup(&self) -> Time {
         let as_reader = self.reads_after.map(|from| {
-            let due = self.watch.next_due().min(self.machines.next_due());
+            let due = self
+                .watch
+                .schedule()
+                .next_due()
+                .min(self.machines.schedule().next_due());
             from.max(due)
         });
         let as_fallback = self
             .has_no_configuration()
-            .then(|| self.fallback_read_at.max(self.watch.next_due()));
+            .then(|| self.fallback_read_at.max(self.watch.schedule().next_due()));
         let dues = as_reader.into_iter().chain(as_fallback);
         dues.min().unwrap_or(Time(u64::MAX))
     }
--- a/crates/ledgelead-configuration/src/configuration_manager/watch.rs
+++ b/crates/ledgelead-configuration/src/configuration_manager/watch.rs
@@ -1,5 +1,6 @@
 //! Long polling of the configuration's object.
 
+use super::call_schedule::CallSchedule;
 use ledgelead_types::platform::{
     CONFIGURATION_OBJECT, ObjectVersion, PlatformCall, PlatformError, PlatformReply,
 };
@@ -17,11 +18,10 @@
 /// stays far below the 6 s within which a configuration has to be in force on all nodes.
 const MAX_BACKOFF: Span = Span::from_seconds(2);
 
-/// State of the watch: a call is open or the next one is scheduled.
+/// State of the watch.
 #[derive(Debug)]
 pub(super) struct Watch {
-    next: Time,
-    is_open: bool,
+    schedule: CallSchedule,
     backoff: Span,
 }
 
@@ -29,29 +29,19 @@
     /// Schedules the first call immediately.
     pub(super) fn new(now: Time) -> Watch {
         Watch {
-            next: now,
-            is_open: false,
+            schedule: CallSchedule::new(now),
             backoff: INITIAL_BACKOFF,
         }
     }
 
-    /// Whether the next call is due.
-    pub(super) fn is_due(&self, now: Time) -> bool {
-        !self.is_open && self.next <= now
-    }
-
-    /// When the next call is due; never while one is open.
-    pub(super) fn next_due(&self) -> Time {
-        if self.is_open {
-            Time(u64::MAX)
-        } else {
-            self.next
-        }
+    /// When calls are due.
+    pub(super) fn schedule(&self) -> &CallSchedule {
+        &self.schedule
     }
 
     /// Starts a call.
     pub(super) fn begin(&mut self, after: ObjectVersion) -> PlatformCall {
-        self.is_open = true;
+        self.schedule.begin();
         let name = CONFIGURATION_OBJECT.into();
         PlatformCall::Watch { name, after }
     }
@@ -63,7 +53,6 @@
         reply: &Result<PlatformReply, PlatformError>,
         random: &mut Pcg64Mcg,
     ) {
-        self.is_open = false;
         let delay = match reply {
             Ok(PlatformReply::NotFound) => MISSING_INTERVAL,
             Ok(_) => MIN_INTERVAL,
@@ -72,7 +61,7 @@
         if reply.is_ok() {
             self.backoff = INITIAL_BACKOFF;
         }
-        self.next = now + delay;
+        self.schedule.ended(now, delay);
     }
 
     /// Returns a delay drawn from the upper half of the current backoff, so that readers do
