Connections and the exchange they carry have their own module

Connection, Running and PoolKey move to outbound/connection.rs as they were; only their visibility changes.

--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -1,13 +1,12 @@
 //! Outbound connections: exchanges with instances and with the store, and the idle
 //! connections that later exchanges reuse.
 
+mod connection;
+
+use self::connection::{Connection, MAX_BODY_BYTES, PoolKey, Running, keep_alive};
 use crate::stream::{Stream, StreamEnd};
 use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
-use ledgelead_router::answer_filter::AnswerFilter;
-use ledgelead_router::io::{
-    ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions, Input,
-};
-use ledgelead_router::validation::MAX_TIMEOUT;
+use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use slab::Slab;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
@@ -15,16 +14,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Longest body of an answer, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 20;
 /// Idle connections kept for one address in each pool.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
 /// An idle connection is closed after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(9);
-/// How long before the peer's `Keep-Alive` timeout an idle connection is no longer used.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
-/// Unsolicited answers that one exchange skips.
-const MAX_UNSOLICITED_ANSWERS: u32 = 3;
 
 /// Identifies a connection by its slot in the table and the use of the slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,47 +26,6 @@
     pub(crate) generation: u64,
 }
 
-/// Identifies the idle connections of a pool to one address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct PoolKey {
-    address: SocketAddr,
-    pool: ConnectionPool,
-}
-
-struct Running {
-    exchange: ExchangeId,
-    /// Whether it ends once its connection is established.
-    is_probe: bool,
-    method: String,
-    reader: ResponseReader,
-    answer: AnswerFilter,
-    reuse: ConnectionReuse,
-    /// Unsolicited answers skipped so far.
-    unsolicited: u32,
-    /// How long the connection was idle before the exchange; zero for a new connection.
-    idle_for: Duration,
-    /// When the request is written, if that is delayed on a new connection.
-    write_at: Option<Instant>,
-    /// Delay between the connection's establishment and the first write.
-    observe_before_write: Duration,
-    connect_by: Instant,
-    /// When the whole request must be written, if that is bounded.
-    write_by: Option<Instant>,
-    answer_by: Instant,
-    /// If set, each part of the answer that arrives moves `answer_by` to this much later.
-    idle_timeout: Option<Duration>,
-}
-
-struct Connection {
-    generation: u64,
-    pool: PoolKey,
-    stream: Stream,
-    connected: bool,
-    running: Option<Running>,
-    idle_since: Instant,
-    keep_until: Option<Instant>,
-}
-
 /// An exchange to begin on an idle or a new connection.
 pub(crate) struct NewExchange {
     pub(crate) exchange: ExchangeId,
@@ -569,86 +521,6 @@
     }
 }
 
-impl PoolKey {
-    /// Logs an answer that belongs to no order. Those to requests are frequent and harmless.
-    fn log_unsolicited(self, response: &Response) {
-        if self.pool == ConnectionPool::Orders {
-            let (status, address) = (response.status, self.address);
-            log::info!(target: "ownership", "skipped an answer {status} from {address} that belongs to no order");
-        }
-    }
-}
-
-impl Connection {
-    /// Whether bytes that arrived on an idle connection could pass for the answer to an order,
-    /// which carries no id.
-    fn has_unsolicited_bytes(&self) -> bool {
-        self.pool.pool == ConnectionPool::Orders && !self.stream.input.is_empty()
-    }
-
-    fn buffered_bytes(&self) -> usize {
-        let running = self.running.as_ref();
-        let reader = running.map_or(0, |running| running.reader.reserved_bytes());
-        self.stream.buffered_bytes() + reader
-    }
-
-    /// Whether the request must not be written yet.
-    fn is_write_delayed(&self, now: Instant) -> bool {
-        let running = self.running.as_ref();
-        running
-            .and_then(|running| running.write_at)
-            .is_some_and(|write_at| now < write_at)
-    }
-
-    /// Whether the time limit for writing has passed before the whole request was written.
-    fn has_write_timed_out(&self, now: Instant) -> bool {
-        let running = self.running.as_ref();
-        let is_past = running
-            .and_then(|running| running.write_by)
-            .is_some_and(|write_by| write_by <= now);
-        is_past && self.stream.is_incomplete()
-    }
-
-    /// The failure of an exchange that has timed out, by how far its request was written.
-    fn timeout_failure(&self) -> ExchangeFailure {
-        if !self.connected {
-            ExchangeFailure::NotConnected
-        } else if self.stream.is_incomplete() {
-            ExchangeFailure::Incomplete { timed_out: true }
-        } else {
-            ExchangeFailure::TimedOut
-        }
-    }
-
-    /// Whether the connection was idle for less than `below` and the peer keeps it open.
-    fn is_reusable(&self, below: Duration, now: Instant) -> bool {
-        let is_kept = self.keep_until.is_none_or(|until| now < until);
-        is_kept && now.duration_since(self.idle_since) < below
-    }
-}
-
-impl Running {
-    /// Skips an unsolicited answer and prepares for the next one. False if there were too
-    /// many.
-    fn skip_answer(&mut self) -> bool {
-        self.unsolicited += 1;
-        self.reader = ResponseReader::new(&self.method, MAX_BODY_BYTES);
-        self.unsolicited <= MAX_UNSOLICITED_ANSWERS
-    }
-}
-
-/// How long the peer keeps an idle connection open according to its `Keep-Alive` header, less
-/// a margin.
-fn keep_alive(response: &Response) -> Option<Duration> {
-    let value = response.headers.text("keep-alive")?;
-    let seconds = value
-        .split(',')
-        .filter_map(|part| part.trim().strip_prefix("timeout="))
-        .find_map(|seconds| seconds.trim().parse::<u64>().ok())?;
-    let keep = Duration::from_secs(seconds).min(MAX_TIMEOUT);
-    Some(keep.saturating_sub(KEEP_ALIVE_MARGIN))
-}
-
 #[cfg(test)]
 #[path = "../tests/outbound.rs"]
 mod tests;
