Say how a late write of the record is kept from undoing another

The comment claimed that only one write is in flight. A write that has timed out may still be carried out; it is the condition on the revision that protects the record. Comment only.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -474,9 +474,9 @@
         }
     }
 
-    /// Writes the record version that the coordinator has decided on. Only one such write is
-    /// in flight at a time, so a late one can't undo another: the condition on the revision
-    /// lets only one of them succeed.
+    /// Writes the record version that the coordinator has decided on. A write that has timed
+    /// out may still arrive at the store, but it can't undo another: the condition on the
+    /// revision lets only one of them succeed.
     fn write_record(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let pending = self
             .coordination
