Simulation: runs with frequent moves and with orders that are carried out late

A trace now names the node that a keyed request comes from, which revisions of the record that node has heard of and knows, and whether the request starts under a hold that was granted late. Without it a request to a former owner could come from a node that lacks the next owner, or from one that knows it.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -248,10 +248,20 @@
     FleetSettings { schedule, ..drawn }
 }
 
-/// Settings of a run with slow instances that send second answers, and with hot keys, so that
-/// keys often change owners during work. Half of the runs also have random faults.
+/// Settings of a run with slow instances and hot keys, so that keys often change owners during
+/// work, and with random faults.
+pub fn drawn_moves(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    FleetSettings {
+        hot_from: Some(TRAFFIC_FROM),
+        service_ms: SLOW_SERVICE_MS,
+        ..drawn_for(seed, nodes, protections)
+    }
+}
+
+/// The same with slow instances that send second answers. Half of the runs also have random
+/// faults.
 pub fn drawn_second_answers(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
-    let drawn = drawn_for(seed, nodes, protections);
+    let drawn = drawn_moves(seed, nodes, protections);
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x2a5e);
     let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
     let second = Schedule::draw_second_answers(&mut rng, from, to);
@@ -259,12 +269,21 @@
         0 => second,
         _ => drawn.schedule.join(second),
     };
-    FleetSettings {
-        schedule,
-        hot_from: Some(from),
-        service_ms: SLOW_SERVICE_MS,
-        ..drawn
-    }
+    FleetSettings { schedule, ..drawn }
+}
+
+/// The same with long periods in which orders are carried out late. Half of the runs also have
+/// random faults.
+pub fn drawn_late_orders(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_moves(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1a7e);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let late = Schedule::draw_late_orders(&mut rng, nodes, SHARDED_INSTANCES, from, to);
+    let schedule = match seed % 2 {
+        0 => late,
+        _ => drawn.schedule.join(late),
+    };
+    FleetSettings { schedule, ..drawn }
 }
 
 /// Settings of a run whose lists of instances and nodes span several store pages, so that
@@ -341,7 +360,9 @@
             Long("notices") => draw = drawn_notices,
             Long("eras") => draw = drawn_eras,
             Long("limits") => draw = drawn_limits,
+            Long("moves") => draw = drawn_moves,
             Long("second-answers") => draw = drawn_second_answers,
+            Long("late-orders") => draw = drawn_late_orders,
             Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
         }
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -8,6 +8,8 @@
 /// Duration of partitions between nodes and instances, in milliseconds. Some end between two
 /// TCP retransmissions, which occur at 3.0, 6.2 and 12.6 s.
 const CUT_MS: std::ops::Range<u64> = 1_000..15_000;
+/// Duration of periods in which orders are carried out late, in milliseconds.
+const LATE_PERIOD_MS: std::ops::Range<u64> = 3_000..20_000;
 /// Duration of machine suspensions, in milliseconds. The longest outlast every lease and every
 /// coordinator's authority.
 const SUSPENDED_MS: std::ops::Range<u64> = 1_000..18_000;
@@ -175,6 +177,33 @@
         Schedule((0..count).map(|number| one(number, rng)).collect())
     }
 
+    /// Draws periods in which orders are carried out late, while nodes are cut off and owners
+    /// leave, so that a late grant meets nodes that don't know of the next owner.
+    pub(super) fn draw_late_orders(
+        rng: &mut Pcg64Mcg,
+        nodes: usize,
+        instances: usize,
+        from: Duration,
+        to: Duration,
+    ) -> Schedule {
+        let mut schedule = Schedule::default();
+        for _ in 0..rng.random_range(1..3) {
+            let at = draw_time(rng, from, to);
+            let duration = Duration::from_millis(rng.random_range(LATE_PERIOD_MS));
+            schedule = schedule.and(at, duration, FaultKind::OrdersLate);
+        }
+        for _ in 0..rng.random_range(1..4) {
+            let at = draw_time(rng, from, to);
+            let duration = Duration::from_millis(rng.random_range(CUT_MS));
+            let kind = match rng.random_range(0..3) {
+                0 => FaultKind::DrainInstance(rng.random_range(0..instances)),
+                _ => FaultKind::CutNode(Target::Node(rng.random_range(0..nodes))),
+            };
+            schedule = schedule.and(at, duration, kind);
+        }
+        schedule
+    }
+
     /// Draws random faults that begin between `from` and `to`.
     pub fn draw(
         rng: &mut Pcg64Mcg,
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -244,7 +244,9 @@
         if instance_request.until <= now || lost_key {
             return;
         }
+        let is_late = hold.is_some_and(|hold| hold.late);
         instance_request.held_until = hold.filter(|hold| !hold.late).map(|hold| hold.until);
+        self.trace_start(instance, &instance_request, is_late);
         let once = self.instances[instance].record.service.as_str() == ONCE;
         self.checker.request_started(
             instance,
@@ -270,6 +272,21 @@
         );
     }
 
+    /// Traces a keyed request that starts: under which kind of hold, and the revision of the
+    /// ownership record that the sending node announces and knows.
+    fn trace_start(&self, instance: usize, request: &InstanceRequest, is_late: bool) {
+        let Some(key) = request.key else {
+            return;
+        };
+        self.trace(|| {
+            let node = self.nodes[request.caller.0].node.as_ref();
+            let known = node.map(|node| node.status().announced_and_known["ownership"]);
+            let id = self.instances[instance].id();
+            let (attempt, caller) = (request.attempt, request.caller.0);
+            format!("{id} starts {attempt} of key {key} from node {caller}, late hold: {is_late}, revisions {known:?}")
+        });
+    }
+
     pub(super) fn request_done(&mut self, instance: usize, instance_request: &InstanceRequest) {
         let now = self.now;
         let target = &mut self.instances[instance];
