An owner with an unanswered grant gets a higher token before its release

Cause: an answered release was taken for the end of the hold. A grant that got no answer may be carried out seconds later, also after the release; it carries the token that the owner has seen, so the owner accepts it and holds the keys again.

Change: a grant without an answer marks the lease. Such an owner is released only after it has answered a grant under a higher token, since it then rejects what comes under the earlier one. The token needs no write: a version of the record leaves 1,024 of them to its coordinator, and successors begin above these. An owner that didn't answer the last two grants is asked to release first, as before; if it answers, it is given the keys back with its state under a higher token, and released again.

Why this works: a token, unlike a release, holds against messages that are under way.

--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -90,6 +90,7 @@
 /// Assigns keys to instances, and grants, renews and releases them.
 pub struct Coordinator {
     record: OwnershipRecord,
+    /// The next unused fencing token. It may be granted once `record.next_fence` is above it.
     next_fence: u64,
     /// A shard keeps its index; shards that are split off are appended.
     shards: Vec<Shard>,
@@ -296,6 +297,7 @@
             State::Held if shard.lease.is_given_up() => Some(shard.lease.possible_until),
             State::Held => Some(shard.lease.next_grant),
             State::Releasing { order: None, .. } if shard.lease.order.is_some() => None,
+            State::Releasing { order: None, .. } if !self.is_token_recorded(shard) => None,
             State::Releasing {
                 order: None,
                 next_attempt,
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -28,7 +28,8 @@
     ///
     /// A release is sent only when no grant of this range is in transit, and after the owner
     /// has answered a grant of this epoch. Otherwise a grant of this or of an earlier
-    /// coordinator could arrive after the release and take the keys again.
+    /// coordinator could arrive after the release and take the keys again. The same holds for
+    /// unanswered grants, so after one the owner first gets a higher token.
     pub(super) fn send_releases(&mut self, context: &mut Context<'_>, commands: &mut Commands) {
         for (index, shard) in self.shards.iter_mut().enumerate() {
             let State::Releasing {
@@ -64,6 +65,10 @@
                 *next_attempt = shard.lease.possible_until;
                 continue;
             };
+            if shard.lease.needs_new_token() {
+                shard.raise_token(&mut self.next_fence, context.now);
+                continue;
+            }
             let exchange = context.exchanges.next_id();
             *order = Some(exchange);
             self.pending_orders.insert(exchange, index);
@@ -124,7 +129,8 @@
                 State::Releasing { order, .. } => order.is_none() && !shard.lease.fenced,
                 State::Free { .. } | State::Assigning { .. } => false,
             };
-            wanted && shard.lease.order.is_none() && shard.lease.next_grant <= now
+            let is_allowed = shard.lease.order.is_none() && self.is_token_recorded(shard);
+            wanted && is_allowed && shard.lease.next_grant <= now
         };
         let indices = 0..self.shards.len();
         let mut due: Vec<usize> = indices
--- a/crates/ledgelead-router/src/ownership/coordinator/shard.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/shard.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Takes the next token for this range.
+    pub(super) fn raise_token(&mut self, next_fence: &mut u64, now: Timestamp) {
+        self.fence = *next_fence;
+        *next_fence += 1;
+        self.lease.record_new_token(now);
+    }
+
     /// Grants the keys to nobody before this time, whoever holds them.
     pub(super) fn block_until(&mut self, until: Timestamp) {
         self.lease = Lease::given_up(until);
@@ -194,6 +201,14 @@
         };
         *order = None;
         let handover = match result {
+            Ok(OrderAnswer::Done { handover }) if self.lease.may_be_revived => {
+                // The owner responds again, so it can get a higher token before the release
+                // that is final.
+                self.lease.failures = 0;
+                self.lease.handover = handover;
+                *next_attempt = now;
+                return;
+            }
             Ok(OrderAnswer::Done { handover }) => handover,
             Ok(OrderAnswer::OtherInstance) => None,
             Ok(OrderAnswer::Fenced | OrderAnswer::Refused) | Err(_) => {
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -8,7 +8,7 @@
 use crate::events::Event;
 use crate::identity::ServiceName;
 use crate::ownership::next_owner::{NextOwners, RangePlacement};
-use crate::ownership::record::{Assignment, OwnershipRecord};
+use crate::ownership::record::{Assignment, OwnershipRecord, RESERVED_TOKENS};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -31,7 +31,8 @@
 }
 
 impl Coordinator {
-    /// Writes the next owners of all free ranges, in one version of the record.
+    /// Writes the next owners of all free ranges, in one version of the record, and tokens that
+    /// may not be granted before.
     pub(super) fn begin_write(&mut self, context: &Context<'_>) -> Option<OwnershipRecord> {
         if self.writing.is_some() || context.now < self.next_write {
             return None;
@@ -91,7 +92,7 @@
                 handover,
             });
         }
-        let changed = !decided.is_empty();
+        let changed = !decided.is_empty() || self.awaits_tokens();
         for range in decided {
             self.split_free_range(range);
         }
@@ -106,8 +107,25 @@
         self.writing.clone()
     }
 
-    /// When next owners of free ranges can be written, if there are any.
+    /// Whether a successor of this coordinator would not use the token of a range.
+    pub(super) fn is_token_recorded(&self, shard: &Shard) -> bool {
+        shard.fence < self.record.next_fence
+    }
+
+    /// Whether the owner of a range waits for a token that has to be recorded.
+    fn awaits_tokens(&self) -> bool {
+        let awaits = |shard: &Shard| {
+            let is_releasing = matches!(shard.state, State::Releasing { .. });
+            is_releasing && shard.owner.is_some() && !self.is_token_recorded(shard)
+        };
+        self.shards.iter().any(awaits)
+    }
+
+    /// When next owners of free ranges or tokens can be written, if there are any.
     pub(super) fn next_possible_write(&self) -> Option<Timestamp> {
+        if self.writing.is_none() && self.awaits_tokens() {
+            return Some(self.next_write);
+        }
         let is_free = |shard: &Shard| matches!(shard.state, State::Free { .. });
         let waits = self.writing.is_none() && self.shards.iter().any(is_free);
         waits.then_some(self.next_write.max(self.next_placement))
@@ -161,7 +179,7 @@
             earlier_authority_ms: 0,
             era: self.record.era,
             unknown_holds_ms: 0,
-            next_fence: self.next_fence,
+            next_fence: self.next_fence + RESERVED_TOKENS,
             assignments: Vec::with_capacity(assignments.len()),
         };
         record.set_earlier_authority(self.earlier_authority(now));
--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -36,6 +36,9 @@
     pub next_grant: Timestamp,
     /// Consecutive unanswered grants.
     pub failures: u32,
+    /// Whether a grant under this token got no answer. The platform may execute it at any
+    /// later time, also after a release, and the owner then holds the keys again.
+    pub may_be_revived: bool,
     /// State from the previous owner; kept until the first answered grant.
     pub handover: Option<String>,
 }
@@ -49,6 +52,7 @@
             order: None,
             next_grant: now,
             failures: 0,
+            may_be_revived: false,
             handover,
         }
     }
@@ -95,6 +99,7 @@
         self.failures += 1;
         self.next_grant = now + REPEAT_AFTER_FAILURE;
         if sent {
+            self.may_be_revived = true;
             self.possible_until = self.possible_until.max(now + longest_hold());
         }
     }
@@ -105,6 +110,20 @@
         (self.possible_until <= now && self.order.is_none()) || !waits
     }
 
+    /// The range has got a higher token. Once the owner has answered a grant under it, the
+    /// owner rejects all grants under earlier ones.
+    pub fn record_new_token(&mut self, now: Timestamp) {
+        self.fenced = false;
+        self.may_be_revived = false;
+        self.next_grant = now;
+    }
+
+    /// Whether the range should get a higher token before it is released. An unresponsive owner
+    /// is asked to release first, since further grants would extend its lease.
+    pub fn needs_new_token(&self) -> bool {
+        self.may_be_revived && !self.is_unresponsive()
+    }
+
     /// Whether the owner has not answered recent grants.
     pub fn is_unresponsive(&self) -> bool {
         self.failures >= UNRESPONSIVE_AFTER
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -8,6 +8,10 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
+/// Number of tokens that a coordinator may use between two versions: more than it sends orders
+/// in that time.
+pub(super) const RESERVED_TOKENS: u64 = 1_024;
+
 /// A range of a service's keys and its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Assignment {
@@ -75,7 +79,8 @@
     /// milliseconds from the write of this version.
     #[serde(default)]
     pub unknown_holds_ms: u64,
-    /// The next unused fencing token.
+    /// The first fencing token that a successor may use. The coordinator named here may use
+    /// all tokens below it without writing another version.
     pub next_fence: u64,
     /// All assignments, by service and first key.
     pub assignments: Vec<Assignment>,
--- a/crates/ledgelead-router/tests/former_holds.rs
+++ b/crates/ledgelead-router/tests/former_holds.rs
@@ -9,7 +9,7 @@
 use ledgelead_router::directory::InstanceRecord;
 use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
-use ledgelead_router::ownership::coordinator::OutgoingOrder;
+use ledgelead_router::ownership::coordinator::{Commands, OutgoingOrder};
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
 
@@ -48,19 +48,37 @@
 impl Fixture {
     /// An instance begins to drain, and the coordinator asks it to release its keys.
     fn release(&mut self, number: u8, now: Duration) -> OutgoingOrder {
-        self.directory.upsert(
-            InstanceRecord {
-                draining: true,
-                ..instance(number)
-            },
-            now,
-        );
-        let release = self.order(now);
+        let orders = self.drain(number, now).orders;
+        assert_eq!(orders.len(), 1, "{orders:?}");
+        let release = orders[0].clone();
         assert_eq!(release.instance, id(number));
         assert!(matches!(release.order, Order::Release { .. }));
         release
     }
 
+    /// A renewal gets no answer, and the platform may execute it at any later time. A repeated
+    /// one is answered.
+    fn leave_renewal_unanswered(&mut self) {
+        let unanswered = self.order(ms(11_005));
+        self.fail(&unanswered, ms(11_605));
+        let repeated = self.order(ms(11_855));
+        self.done(&repeated, ms(11_860));
+    }
+
+    fn fail(&mut self, order: &OutgoingOrder, now: Duration) {
+        let timed_out = Err(ExchangeFailure::TimedOut);
+        self.coordinator.order_ended(order.exchange, timed_out, now);
+    }
+
+    fn drain(&mut self, number: u8, now: Duration) -> Commands {
+        let draining = InstanceRecord {
+            draining: true,
+            ..instance(number)
+        };
+        self.directory.upsert(draining, now);
+        self.step(now)
+    }
+
     /// Steps until the record is to be written, while no order arrives anywhere; returns the
     /// time and the owner.
     fn next_owner(&mut self, from: Duration, to: Duration) -> Option<(Duration, InstanceId)> {
@@ -119,3 +137,93 @@
     expect_that!(at, ge(expiry));
     expect_that!(owner, not(eq(&id(1))));
 }
+
+/// The token and the state that a grant carries.
+fn granted_token(order: &OutgoingOrder) -> Option<(u64, Option<&str>)> {
+    match &order.order {
+        Order::Grant {
+            fence, handover, ..
+        } => Some((*fence, handover.as_deref())),
+        Order::Release { .. } => None,
+    }
+}
+
+fn released(state: &str) -> Result<OrderAnswer, ExchangeFailure> {
+    let handover = Some(state.to_owned());
+    Ok(OrderAnswer::Done { handover })
+}
+
+#[gtest]
+fn unanswered_grant_cannot_revive_a_hold_after_its_release() {
+    let mut fixture = granted();
+    fixture.leave_renewal_unanswered();
+    // The record reserves no token yet.
+    let draining = fixture.drain(1, ms(12_000));
+    expect_that!(draining.orders, is_empty());
+    let recorded = draining.write.expect("a version that covers the new token");
+    expect_that!(recorded.assignments[0].owner, eq(&id(1)));
+    fixture.coordinator.record_written(ms(12_005));
+
+    let grant = fixture.order(ms(12_005));
+    let (token, _) = granted_token(&grant).expect("a grant before the release");
+    expect_that!(token, gt(5));
+    expect_that!(grant.is_first_grant, eq(true));
+    fixture.done(&grant, ms(12_010));
+    let release = fixture.order(ms(12_010));
+    expect_that!(granted_token(&release), none());
+    fixture
+        .coordinator
+        .order_ended(release.exchange, released("state"), ms(12_020));
+    let moved = fixture.step(ms(12_020)).write.expect("the next owner");
+    expect_that!(moved.assignments[0].owner, not(eq(&id(1))));
+    expect_that!(moved.assignments[0].fence, gt(token));
+}
+
+#[gtest]
+fn new_token_below_those_of_a_successor_needs_no_write() {
+    let mut fixture = granted();
+    let first = fixture.release(1, ms(10_100));
+    fixture.done(&first, ms(10_110));
+    let moved = fixture.step(ms(10_110)).write.expect("the next owner");
+    fixture.coordinator.record_written(ms(10_115));
+    let grant = fixture.order(ms(10_115));
+    fixture.fail(&grant, ms(10_715));
+    let repeated = fixture.order(ms(10_965));
+    fixture.done(&repeated, ms(10_970));
+
+    let number = if grant.instance == id(2) { 2 } else { 3 };
+    let draining = fixture.drain(number, ms(11_000));
+    expect_that!(draining.write, none());
+    let mut tokens = draining.orders.iter().filter_map(granted_token);
+    let (token, _) = tokens.next().expect("a grant before the release");
+    expect_that!(token, gt(moved.assignments[0].fence));
+    expect_that!(token, lt(moved.next_fence));
+}
+
+#[gtest]
+fn owner_that_answers_a_release_after_unanswered_grants_gets_a_new_token_with_its_state() {
+    let mut fixture = granted();
+    for at in [11_005, 11_855] {
+        let unanswered = fixture.order(ms(at));
+        fixture.fail(&unanswered, ms(at + 600));
+    }
+    // Another grant would extend the lease of an owner that may be down.
+    let release = fixture.release(1, ms(12_500));
+    fixture
+        .coordinator
+        .order_ended(release.exchange, released("state"), ms(12_510));
+    let draining = fixture.step(ms(12_510));
+    expect_that!(draining.write, some(anything()));
+    fixture.coordinator.record_written(ms(12_515));
+    let grant = fixture.order(ms(12_515));
+    expect_that!(granted_token(&grant), some(eq((6, Some("state")))));
+    fixture.done(&grant, ms(12_520));
+    let release = fixture.order(ms(12_520));
+    expect_that!(granted_token(&release), none());
+}
+
+#[gtest]
+fn range_is_released_at_once_if_all_grants_were_answered() {
+    let mut fixture = granted();
+    fixture.release(1, ms(10_400));
+}
