Logs name the requests that were in flight at an ended instance; traces show the nodes' logs

instance_ended tells only how many requests of a node were lost with an instance. Whether a request that is held back was lost alone, beside another one, or while instances ended for another reason could not be read from the logs. Each of them has a line now: request_lost, with digest, path and instance.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -5,6 +5,7 @@
 use super::faults::Schedule;
 use super::report::FleetReport;
 use super::store::PAGE_OBJECTS;
+use super::trace_log;
 use super::transport::Transport;
 use super::world::{FleetSettings, SHARDED_INSTANCES, TRAFFIC_FROM, World, violation_lines};
 use ledgelead_router::protections::{Protection, Protections};
@@ -367,6 +368,9 @@
             other => return Err(other.unexpected()),
         }
     }
+    if trace {
+        trace_log::start();
+    }
     let (report, lines) = run_seeds(draw, seeds, nodes, protections, trace);
     if !json {
         for line in lines.iter().take(MAX_PRINTED_VIOLATIONS) {
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 mod second_answers;
 mod store;
 mod store_traffic;
+mod trace_log;
 mod transfers;
 mod transport;
 mod versions;
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -14,6 +14,7 @@
 use super::notices::Notices;
 use super::report::FleetReport;
 use super::store::Store;
+use super::trace_log;
 use super::transport::{BlockedOrder, Transport};
 use super::versions::{CONFIGURATION_BOUND, VERSION_CHECK_INTERVAL, Versions};
 use ledgelead_http::{Request, Response};
@@ -516,6 +517,9 @@
         let Some(node) = &mut simulated.node else {
             return;
         };
+        if self.settings.trace {
+            trace_log::set_node(caller.0, self.now);
+        }
         let mut actions = Vec::new();
         let time = self.now - simulated.clock_behind;
         if std::mem::take(&mut simulated.resumed_without_step) && node.next_deadline() <= time {
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -276,6 +276,15 @@
         /// Number of this node's requests that were in flight there.
         requests: usize,
     },
+    /// A request of this node was in flight at an instance that has ended.
+    RequestLost {
+        /// The request.
+        digest: RequestDigest,
+        /// Its path.
+        path: &'a str,
+        /// The instance.
+        instance: &'a InstanceId,
+    },
     /// An instance that was reported as ended has answered.
     EndDisproved {
         /// The instance.
@@ -350,6 +359,7 @@
             | Event::RecordConflict { .. }
             | Event::OrderFailed { .. } => "ownership",
             Event::InstanceEnded { .. }
+            | Event::RequestLost { .. }
             | Event::EndDisproved { .. }
             | Event::Quarantined { .. }
             | Event::SuspectTried { .. }
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -245,6 +245,12 @@
         let requests = lost_attempts.len();
         Event::InstanceEnded { instance, requests }.emit();
         for lost_attempt in lost_attempts {
+            let request_lost = Event::RequestLost {
+                digest: lost_attempt.request,
+                path: &lost_attempt.path,
+                instance,
+            };
+            request_lost.emit();
             let end = InstanceEnd {
                 caller: lost_attempt.caller,
                 instance: instance.stable_hash(),
