A request is not quarantined for ends that another one may explain

What callers saw: a harmless request that a page sends along with a crashing one got 503 quarantined at all nodes for ten minutes.

Cause: each end of an instance counted in full against every request that was in flight there. Three ends prove that one of them ends instances, not that each does.

Change: a request stays suspected, and isn't quarantined, while another that no answer clears was in flight at all instances that count against it. Suspected requests are tried in turns as before, one instance at a time; the end under the crashing one's try is not the other's, and the other one is answered. With five ends a request is quarantined in any case.

Why this works: what told them apart was missing, not possible evidence; the tries were made before too, only the verdict came first.

Tests: two_requests_that_end_the_same_instances_are_both_quarantined asked for a verdict on both after the same three ends, which is the fault: one of the two may be harmless.

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -1,7 +1,7 @@
 //! The evidence of all nodes about requests during which instances ended.
 
 use super::entry::{CallerId, Entry, InstanceEnd};
-use super::verdict::{CLEARED_FOR, Counting, SETTLE_TIME, Verdict};
+use super::verdict::{CLEARED_FOR, Counting, SETTLE_TIME, Verdict, may_be_explained};
 use crate::Timestamp;
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -196,7 +196,7 @@
             return found;
         }
         let mut next = None;
-        for (request, entry) in &mut self.entries {
+        for entry in self.entries.values_mut() {
             let involved: BTreeSet<u64> = entry.ends.iter().map(|end| end.instance).collect();
             for end in &mut entry.ends {
                 if end.settled {
@@ -209,15 +209,44 @@
                 }
                 end.settled = !ended_with_others(&self.ended, &self.alive, &involved, end.at);
             }
-            for scope in entry.scopes_to_quarantine(self.counting) {
+        }
+        self.next_review = next;
+        for (request, scope) in self.scopes_to_quarantine() {
+            if let Some(entry) = self.entries.get_mut(&request) {
                 entry.quarantined.insert(scope, now);
-                found.0.push((*request, scope));
+                found.0.push((request, scope));
             }
         }
-        self.next_review = next;
         found
     }
 
+    /// The requests and callers to quarantine by the settled ends.
+    fn scopes_to_quarantine(&self) -> Vec<(RequestDigest, CallerId)> {
+        let mut scopes = Vec::new();
+        for (request, entry) in &self.entries {
+            let of_entry = entry.scopes_to_quarantine(self.counting);
+            let unexplained = of_entry
+                .into_iter()
+                .filter(|scope| !self.is_explained_by_others(request, entry, *scope));
+            scopes.extend(unexplained.map(|scope| (*request, scope)));
+        }
+        scopes
+    }
+
+    /// Whether another request, which no answer clears, was in flight at all instances that
+    /// count against this one.
+    fn is_explained_by_others(
+        &self,
+        request: &RequestDigest,
+        entry: &Entry,
+        scope: CallerId,
+    ) -> bool {
+        let own = entry.ended_instances(scope);
+        let others = self.entries.iter().filter(|(other, _)| *other != request);
+        let ended = others.map(|(_, other)| other.ended_instances(CallerId::ALL));
+        may_be_explained(&own, ended)
+    }
+
     /// Returns and resets the requests with new evidence, and the instances that turned out to
     /// be alive, since the last call.
     pub fn take_unannounced(&mut self) -> (BTreeSet<RequestDigest>, BTreeSet<u64>) {
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -12,6 +12,9 @@
 /// Number of instances that end during a request before it is quarantined. With fewer, a
 /// harmless request that meets two unrelated failures would be quarantined.
 const ENDS_TO_QUARANTINE: usize = 3;
+/// Number of ended instances with which a request is quarantined whatever else may explain the
+/// ends.
+const ENDS_WITHOUT_EXPLANATION: usize = 5;
 /// Number of these instances at which any one caller had no request, before all callers are
 /// quarantined. One of them may have ended for another reason.
 const ENDS_BESIDE_ONE_CALLER: usize = 2;
@@ -182,6 +185,11 @@
         scopes
     }
 
+    /// The ended instances in a scope.
+    pub(super) fn ended_instances(&self, scope: CallerId) -> BTreeSet<u64> {
+        distinct(self.ends_in(scope))
+    }
+
     /// The ends during requests in a scope that count.
     fn ends_in(&self, scope: CallerId) -> impl Iterator<Item = &InstanceEnd> {
         let is_in = move |end: &&InstanceEnd| scope == CallerId::ALL || end.caller == scope;
@@ -190,6 +198,15 @@
     }
 }
 
+/// Whether the ends in a scope may be explained by other requests: one that was in flight at all
+/// of the same instances. Both are suspected, and tries tell them apart.
+pub(super) fn may_be_explained(
+    own: &BTreeSet<u64>,
+    mut others: impl Iterator<Item = BTreeSet<u64>>,
+) -> bool {
+    own.len() < ENDS_WITHOUT_EXPLANATION && others.any(|other| other.is_superset(own))
+}
+
 /// How long a quarantine lasts that this many ended instances have led to.
 fn term(instances: usize) -> Duration {
     let doublings = instances.saturating_sub(ENDS_TO_QUARANTINE);
