A request that is slow at any instance is left to run

What callers saw: 504 for each repeatable request without a key that takes longer than what the route's time-out leaves after twice its target latency, though the instance would have answered in time. Beside other crashes it was then refused as quarantined, since nothing ever answered it.

Cause: a node aborts an attempt that takes 1.3 to 2 times the target latency and sends the request elsewhere. It took a slow request for a slow instance, each time anew.

The same path is answered where it is not sent twice (keyed, or at most once), and is never held back there. Ruled out: answers that nodes don't share (there are none).

Change: a request that got no answer in time after an aborted attempt is known as slow at this node for a minute, and its next attempts are not aborted.

Why this works: the second attempt has less time than the first one had, so if it fails as well the request is slow, not its instance.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -114,6 +114,11 @@
         if open.tried.len() >= open.route.max_attempts as usize || is_trial(open, context) {
             return false;
         }
+        if !self.slow_requests.is_empty()
+            && self.slow_requests.contains(&open.digest(), context.now)
+        {
+            return false;
+        }
         let answers_others = self
             .statistics
             .get(&attempt.instance)
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -154,6 +154,10 @@
         if let Some(attempt) = open.attempt.take() {
             log_attempt_ended(open, &attempt, CUT_AT_TIMEOUT, context);
             open.may_have_run = true;
+            if open.timed_out {
+                // An earlier attempt was aborted, which left too little time for this one.
+                self.slow_requests.record(open.digest(), context.now);
+            }
             open.timed_out = true;
             self.end_attempt(&attempt, PermitOutcome::Failed);
             self.statistics
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -29,6 +29,7 @@
 use super::overload::Overloads;
 use super::permits::{PermitCounters, Permits};
 use super::refusal_share::RefusalShares;
+use super::slow_requests::SlowRequests;
 use super::split::Splits;
 use super::statistics::StatisticsTable;
 use super::tokens::TokenRequests;
@@ -156,6 +157,7 @@
     misdirected: bool,
     crash_signs: CrashSigns,
     trials: Trials,
+    slow_requests: SlowRequests,
     stopping: bool,
     protections: Protections,
     mechanisms: Mechanisms,
@@ -198,6 +200,7 @@
             misdirected: false,
             crash_signs: CrashSigns::default(),
             trials: Trials::default(),
+            slow_requests: SlowRequests::default(),
             stopping: false,
             protections: settings.protections,
             mechanisms: settings.mechanisms,
@@ -255,6 +258,7 @@
         let open = &self.open;
         self.tokens.expire(|client| open.contains_key(client), now);
         self.trials.expire(|client| open.contains_key(client), now);
+        self.slow_requests.expire(now);
         self.quota.expire(now);
         self.splits.expire(now);
         self.common_rejections.expire(now);
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -17,6 +17,7 @@
 mod rejection_cause;
 mod retry_value;
 mod selection;
+mod slow_requests;
 mod split;
 mod statistics;
 mod tokens;
--- a/crates/ledgelead-router/tests/node/slow_attempts.rs
+++ b/crates/ledgelead-router/tests/node/slow_attempts.rs
@@ -43,3 +43,24 @@
 fn slow_attempt_is_not_replaced_without_a_free_slot_elsewhere() {
     expect_that!(attempts_of_slow_request(SERVICE, None, "4,2,4"), eq(1));
 }
+
+/// Sends a request that no instance answers, and returns the number of attempts until its
+/// deadline.
+fn attempts_without_answer(fixture: &mut Fixture) -> usize {
+    fixture.attempts.clear();
+    fixture.request(SERVICE, None);
+    fixture.run_until(fixture.now + ms(2_100));
+    let path = format!("/{SERVICE}/1");
+    let requests = fixture.attempts.iter().filter(|sent| sent.target == path);
+    requests.count()
+}
+
+#[gtest]
+fn request_that_is_slow_everywhere_is_left_to_run() {
+    let mut fixture = node();
+    expect_that!(attempts_without_answer(&mut fixture), eq(2));
+    // The first attempt was aborted, and the time that was left didn't suffice for the second.
+    expect_that!(attempts_without_answer(&mut fixture), eq(1));
+    fixture.run_until(fixture.now + ms(60_000));
+    expect_that!(attempts_without_answer(&mut fixture), eq(2));
+}
