Only settled ends may count without another explanation

Settled ends alone are compared now; those of the other request needn't be settled.

A request beyond the first four that share turns had turns as if it were alone; it has a share now too.

--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Number of tokens that a coordinator may use between two versions: more than it sends orders
-/// in that time.
+/// Number of tokens that a coordinator may use between two versions: more than the orders that
+/// it sends in that time.
 pub(super) const RESERVED_TOKENS: u64 = 1_024;
 
 /// A range of a service's keys and its owner.
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -14,7 +14,6 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of requests with evidence. Each takes 100 bytes here and in messages.
 const MAX_ENTRIES: usize = 512;
-
 /// Maximum number of suspected requests that share turns.
 const MAX_SHARING: usize = 4;
 
@@ -100,16 +99,16 @@
         let sharing = self.entries.iter().filter_map(|(other, entry)| {
             let since = entry.suspected_since(CallerId::ALL, now)?;
             let shares = !entry.ended_instances(CallerId::ALL).is_disjoint(&own);
-            (shares || other == request).then_some((other, since))
+            shares.then_some((other, since))
         });
-        let sharing: Vec<(&RequestDigest, Timestamp)> = sharing.take(MAX_SHARING).collect();
+        let sharing: Vec<(&RequestDigest, Timestamp)> = sharing.collect();
         let position = sharing.iter().position(|(other, _)| *other == request);
         let as_u32 = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-        let since = sharing.iter().map(|(_, since)| *since).max();
         let share = position.map_or(TurnShare::WHOLE, |position| TurnShare {
-            position: as_u32(position),
-            count: as_u32(sharing.len()),
+            position: as_u32(position % MAX_SHARING),
+            count: as_u32(sharing.len().min(MAX_SHARING)),
         });
+        let since = sharing.iter().map(|(_, since)| *since).max();
         (share, since.unwrap_or_default())
     }
 
@@ -261,14 +260,14 @@
     }
 
     /// Whether another request, which no answer clears, was in flight at all instances that
-    /// count against this one.
+    /// count against this one. Of its ends, those that have not settled yet suffice.
     fn is_explained_by_others(
         &self,
         request: &RequestDigest,
         entry: &Entry,
         scope: CallerId,
     ) -> bool {
-        let own = entry.ended_instances(scope);
+        let own = entry.settled_instances(scope);
         let others = self.entries.iter().filter(|(other, _)| *other != request);
         let ended = others.map(|(_, other)| other.ended_instances(CallerId::ALL));
         may_be_explained(&own, ended)
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -173,7 +173,7 @@
             .filter(|(_, instances)| instances.len() >= ENDS_TO_QUARANTINE)
             .map(|(caller, _)| *caller)
             .collect();
-        let over_all = distinct(self.ends_in(CallerId::ALL).filter(|end| end.settled));
+        let over_all = self.settled_instances(CallerId::ALL);
         let is_unexplained_by =
             |at: &BTreeSet<u64>| over_all.difference(at).count() >= ENDS_BESIDE_ONE_CALLER;
         let affects_all =
@@ -190,6 +190,11 @@
         distinct(self.ends_in(scope))
     }
 
+    /// The same, without those whose ends may still turn out to have a common cause.
+    pub(super) fn settled_instances(&self, scope: CallerId) -> BTreeSet<u64> {
+        distinct(self.ends_in(scope).filter(|end| end.settled))
+    }
+
     /// The ends during requests in a scope that count.
     fn ends_in(&self, scope: CallerId) -> impl Iterator<Item = &InstanceEnd> {
         let is_in = move |end: &&InstanceEnd| scope == CallerId::ALL || end.caller == scope;
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -142,6 +142,19 @@
     expect_that!(verdicts(&evidence, 8_000)[1], eq(Verdict::Clear));
 }
 
+/// A node learns of an end by its own lost request, and some milliseconds later that the
+/// crashing one was there as well.
+#[gtest]
+fn harmless_request_is_not_quarantined_before_its_last_end_has_settled() {
+    let mut evidence = lost_together(1..=3);
+    evidence.record_end(request("/b"), "/b", end(30, 4, 8_000));
+    evidence.review(ms(8_010));
+    evidence.record_end(request("/a"), "/a", end(31, 4, 8_001));
+    evidence.review(ms(8_300));
+    let is_quarantined = evidence.is_quarantined_for(&request("/b"), caller(9));
+    expect_that!(is_quarantined, eq(false));
+}
+
 #[gtest]
 fn answer_to_a_request_leaves_the_ends_to_the_other_one() {
     let mut evidence = lost_together(1..=3);
