--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -75,6 +75,20 @@
     expect_that!(of_kind(&LARGE_FLEET_VIOLATIONS, kind), is_empty());
 }
 
+#[gtest]
+fn slow_requests_are_served_in_a_series_of_crashes() {
+    // A request that takes a second is at three instances that end for another reason, before
+    // any instance has answered it.
+    for seed in [81, 231, 366, 399] {
+        let held_back = of_kind(
+            &violations(seed..=seed, NODES),
+            ViolationKind::HarmlessServed,
+        )
+        .len();
+        expect_that!(held_back, eq(0));
+    }
+}
+
 #[gtest]
 fn crashing_requests_cause_no_other_violations() {
     let all = VIOLATIONS.iter().chain(LARGE_FLEET_VIOLATIONS.iter());
