--- a/crates/ledgelead-router/tests/former_holds.rs
+++ b/crates/ledgelead-router/tests/former_holds.rs
@@ -70,6 +70,14 @@
         self.coordinator.order_ended(order.exchange, timed_out, now);
     }
 
+    /// Many requests for a few keys, so that the next plan moves some of them to an idle owner.
+    fn plan_move(&mut self, now: Duration) -> Commands {
+        let keys: Vec<u16> = (0..600).map(|index| index % 10 * 6_000).collect();
+        let service = ServiceName::from("s");
+        self.coordinator.record_load(&service, &keys, now);
+        self.step(now)
+    }
+
     fn drain(&mut self, number: u8, now: Duration) -> Commands {
         let draining = InstanceRecord {
             draining: true,
@@ -227,3 +235,43 @@
     let mut fixture = granted();
     fixture.release(1, ms(10_400));
 }
+
+#[gtest]
+fn part_of_a_range_with_an_unanswered_grant_gets_a_token_of_its_own() {
+    let mut fixture = granted();
+    fixture.leave_renewal_unanswered();
+    let planned = fixture.plan_move(ms(12_100));
+    expect_that!(planned.orders, is_empty());
+    let recorded = planned.write.expect("a version that covers the new tokens");
+    let tokens = recorded.assignments.iter().map(|part| part.fence);
+    let (kept, raised): (Vec<u64>, Vec<u64>) = tokens.partition(|token| *token == 5);
+    expect_that!(kept, not(is_empty()));
+    expect_that!(raised, not(is_empty()));
+    fixture.coordinator.record_written(ms(12_105));
+    let orders = fixture.step(ms(12_105)).orders;
+    let first_grants = orders.iter().filter(|order| order.is_first_grant);
+    let granted: Vec<u64> = first_grants
+        .filter_map(granted_token)
+        .map(|(token, _)| token)
+        .collect();
+    expect_that!(granted, eq(&raised));
+}
+
+#[gtest]
+fn unanswered_grant_under_the_new_token_is_followed_by_a_higher_one() {
+    let mut fixture = granted();
+    fixture.leave_renewal_unanswered();
+    fixture.drain(1, ms(12_000));
+    fixture.coordinator.record_written(ms(12_005));
+    let lost = fixture.order(ms(12_005));
+    fixture.fail(&lost, ms(12_605));
+    let repeated = fixture.order(ms(12_855));
+    fixture.done(&repeated, ms(12_860));
+    let next = fixture.order(ms(12_860));
+    let token = |order| granted_token(order).map(|(token, _)| token);
+    expect_that!(token(&repeated), eq(token(&lost)));
+    expect_that!(token(&next), some(gt(token(&lost).unwrap_or_default())));
+    fixture.done(&next, ms(12_865));
+    let release = fixture.order(ms(12_865));
+    expect_that!(granted_token(&release), none());
+}
