Known red: a harmless request beside two crashing ones

By its trace the request is lost with one crashing request at i-12 and i-16 and with another one at i-14, so that no single request was at all three. Not fixed: what may explain an end has to be weighed over several requests.

--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -89,6 +89,13 @@
     }
 }
 
+#[gtest]
+fn harmless_request_beside_two_crashing_ones_is_served() {
+    // It is lost with one of them at two instances and with the other one at a third.
+    let seen = violations(25..=25, MANY_NODES);
+    expect_that!(of_kind(&seen, ViolationKind::HarmlessServed), is_empty());
+}
+
 #[gtest]
 fn crashing_requests_cause_no_other_violations() {
     let all = VIOLATIONS.iter().chain(LARGE_FLEET_VIOLATIONS.iter());
