A relay closes its listener before it counts as disconnected

Cause: disconnecting a relay wakes the thread that accepts, and returned before that thread had closed the listener. Until then the kernel accepts connections, which are reset later.

--- a/crates/ledgelead-lab/src/demo/relay.rs
+++ b/crates/ledgelead-lab/src/demo/relay.rs
@@ -8,13 +8,14 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 /// Relays connections from its own port to `target` until it is disconnected.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
     shared: Arc<Shared>,
+    accepting: Mutex<Option<JoinHandle<()>>>,
 }
 
 #[derive(Debug, Default)]
@@ -30,10 +31,14 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
         let accepting = Arc::clone(&shared);
-        thread::Builder::new()
+        let thread = thread::Builder::new()
             .name("lab-relay".to_owned())
             .spawn(move || accept(&listener, target, &accepting))?;
-        Ok(Relay { address, shared })
+        Ok(Relay {
+            address,
+            shared,
+            accepting: Mutex::new(Some(thread)),
+        })
     }
 
     /// Its address.
@@ -53,6 +58,12 @@
         }
         // Wake the accepting thread, so that it notices the end of the relay.
         let _ = TcpStream::connect(self.address);
+        // Until its listener is closed, the kernel accepts connections that are then reset.
+        let accepting = self.accepting.lock().expect("relay thread").take();
+        if let Some(thread) = accepting {
+            // A panic of the thread has already been reported on standard error.
+            let _ = thread.join();
+        }
     }
 }
 
