Known red: callers while nodes lose their links to all instances

Reproduces the incident in the simulation: nodes are partitioned from all instances (connections hang, are reset, or new ones are refused) while clients, the store and the other nodes reach them. Counted from 3 s after the start: requests that an instance answered, at the isolated nodes and at all others.

--- a/crates/ledgelead-lab/src/fleet/checker.rs
+++ b/crates/ledgelead-lab/src/fleet/checker.rs
@@ -1,6 +1,7 @@
 //! Checks the recorded behaviour of the simulated services for violations.
 
 use super::instance::{Instance, KEY_COUNT};
+use super::isolation::{IsolationWindow, Service};
 use ledgelead_router::dialect::KeyRange;
 use ledgelead_router::identity::{InstanceId, ServiceName};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -47,6 +48,10 @@
     CrashesBounded,
     /// A request that crashes no instances was quarantined.
     HarmlessServed,
+    /// Callers of nodes that were partitioned from all instances were not served.
+    IsolatedNodesServe,
+    /// Callers of the other nodes were not served meanwhile.
+    OtherNodesServe,
 }
 
 impl ViolationKind {
@@ -70,6 +75,8 @@
             ViolationKind::CrashesContained => "crashes_contained",
             ViolationKind::CrashesBounded => "crashes_bounded",
             ViolationKind::HarmlessServed => "harmless_served",
+            ViolationKind::IsolatedNodesServe => "isolated_nodes_serve",
+            ViolationKind::OtherNodesServe => "other_nodes_serve",
         }
     }
 }
@@ -369,6 +376,22 @@
         self.record_violation(ViolationKind::LimitKept, now, what);
     }
 
+    /// Some nodes were partitioned from all instances.
+    pub fn service_during_isolation(&mut self, window: &IsolationWindow) {
+        let groups = [
+            (ViolationKind::IsolatedNodesServe, window.isolated),
+            (ViolationKind::OtherNodesServe, window.others),
+        ];
+        for (kind, service) in groups {
+            if service.is_degraded() {
+                let Service { sent, served } = service;
+                let nodes = &window.nodes;
+                let what = format!("{served} of {sent} while nodes {nodes:?} were isolated");
+                self.record_violation(kind, window.began, what);
+            }
+        }
+    }
+
     /// A connected node must have applied this configuration by now.
     pub fn check_due_version(&mut self, caller: (usize, u64), due: u64, now: Duration) {
         let known = self.versions.get(&caller).copied().unwrap_or(0);
--- a/crates/ledgelead-lab/src/fleet/clients.rs
+++ b/crates/ledgelead-lab/src/fleet/clients.rs
@@ -114,6 +114,7 @@
         let target = Arc::from(request.target.as_str());
         self.clients.expect(caller, attempt, once, target);
         self.report.requests += 1;
+        self.isolations.request_sent(attempt, index, self.now);
         let input = Input::Request {
             client,
             source: CALLER,
@@ -145,6 +146,7 @@
         match response.status {
             200 => {
                 self.report.answered += 1;
+                self.isolations.request_served(request.attempt);
                 self.held_back.answered(caller.0, &request.target);
                 let answered_attempt = response.headers.number("attempt");
                 self.checker
--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -135,6 +135,24 @@
     }
 }
 
+/// Settings of a run with nodes that are partitioned from all instances. Half of the runs also
+/// have random faults.
+pub fn drawn_isolated(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x150a);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let isolations = Schedule::draw_isolations(&mut rng, nodes, from, to);
+    let schedule = match seed % 2 {
+        0 => isolations,
+        _ => drawn.schedule.join(isolations),
+    };
+    FleetSettings {
+        schedule,
+        transport: Transport::RUNTIME,
+        ..drawn
+    }
+}
+
 /// Settings of a run with store entries written by a foreign writer. Half of the runs also
 /// have random faults.
 pub fn drawn_foreign(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
@@ -356,6 +374,7 @@
             Long("crashing") => draw = drawn_crashing,
             Long("suspended") => draw = drawn_suspended,
             Long("cuts") => draw = drawn_cuts,
+            Long("isolated") => draw = drawn_isolated,
             Long("foreign") => draw = drawn_foreign,
             Long("restarts") => draw = drawn_restarts,
             Long("notices") => draw = drawn_notices,
--- a/crates/ledgelead-lab/src/fleet/connections.rs
+++ b/crates/ledgelead-lab/src/fleet/connections.rs
@@ -61,7 +61,8 @@
 }
 
 impl Connections {
-    /// Begins an exchange on an idle connection or on a new one.
+    /// Begins an exchange on an idle connection or on a new one. Returns whether it is a new
+    /// one.
     pub fn begin(
         &mut self,
         caller: Caller,
@@ -69,12 +70,13 @@
         exchange: ExchangeId,
         options: &ExchangeOptions,
         now: Duration,
-    ) {
+    ) -> bool {
         let pool = (caller, instance, options.pool);
         let idle = self.take_idle(pool, options.reuse_idle_below, now);
+        let is_new = idle.is_none();
         let id = idle.unwrap_or_else(|| self.open_new(pool, now));
         let Some(connection) = self.open.get_mut(&id) else {
-            return;
+            return is_new;
         };
         connection.unanswered.push_back(exchange);
         connection.running = Some(Running {
@@ -83,6 +85,7 @@
             unsolicited: 0,
         });
         self.by_exchange.insert((caller, exchange), id);
+        is_new
     }
 
     fn open_new(&mut self, pool: PoolKey, now: Duration) -> ConnectionId {
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -1,5 +1,6 @@
 //! Faults and random schedules of them.
 
+use super::isolation::{IsolatedNodes, IsolationEffect};
 use super::world::ALL_INSTANCES;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -48,6 +49,8 @@
     CutInstance(usize),
     /// A node is partitioned from some instances only.
     CutFromInstances(Target),
+    /// Nodes are partitioned from all instances.
+    IsolateNodes(IsolatedNodes, IsolationEffect),
     /// The coordinator and an instance reach each other but nothing else.
     IsolateWithCoordinator(usize),
     /// An instance announces that it is leaving and ends later.
--- a/crates/ledgelead-lab/src/fleet/network.rs
+++ b/crates/ledgelead-lab/src/fleet/network.rs
@@ -1,6 +1,7 @@
 //! Network partitions.
 
-use std::collections::BTreeSet;
+use super::isolation::IsolationEffect;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// One-way latency between any two machines.
@@ -17,6 +18,8 @@
     pub cut_from_nodes: BTreeSet<usize>,
     /// Pairs of node and instance that cannot reach each other.
     pub cut_from_instance: BTreeSet<(usize, usize)>,
+    /// Nodes that are partitioned from all instances.
+    pub isolated: BTreeMap<usize, IsolationEffect>,
 }
 
 impl Network {
@@ -25,8 +28,10 @@
         !self.cut_from_nodes.contains(&one) && !self.cut_from_nodes.contains(&other)
     }
 
-    /// Whether a node and an instance can reach each other.
+    /// Whether a node and an instance can reach each other on an established connection.
     pub fn instance_connected(&self, node: usize, instance: usize) -> bool {
-        !self.cut_from_instance.contains(&(node, instance))
+        let effect = self.isolated.get(&node);
+        let passes = effect.is_none_or(|effect| *effect == IsolationEffect::RefusesNew);
+        passes && !self.cut_from_instance.contains(&(node, instance))
     }
 }
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -402,6 +402,7 @@
                 self.partition_instance(self.sharded_instance_at(*index))
             }
             FaultKind::CutFromInstances(target) => self.partition_from_instances(*target),
+            FaultKind::IsolateNodes(nodes, effect) => self.isolate_nodes(*nodes, *effect, duration),
             FaultKind::IsolateWithCoordinator(position) => {
                 self.isolate(self.sharded_instance_at(*position))
             }
@@ -472,6 +473,7 @@
                 self.network.cut_from_instance.clear();
             }
             FaultKind::CutFromInstances(_) => self.network.cut_from_instance.clear(),
+            FaultKind::IsolateNodes(..) => self.rejoin_nodes(),
             FaultKind::ForeignEntry(index) => self.restore_entry(*index),
             FaultKind::AnnounceLimit(position, _) => self.end_limit(*position),
             FaultKind::StoreSilent => {
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -9,6 +9,7 @@
 use super::faults::{Fault, Schedule, Target};
 use super::harmless::HeldBack;
 use super::instance::Instance;
+use super::isolation::{IsolationEffect, Isolations};
 use super::limits::Limits;
 use super::network::{LATENCY, Network};
 use super::notices::Notices;
@@ -182,6 +183,7 @@
     /// writer.
     pub(super) unreadable_entries: BTreeSet<usize>,
     pub(super) network: Network,
+    pub(super) isolations: Isolations,
     pub(super) tickets: Rc<RefCell<Tickets>>,
     pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
     pub(super) orders_late: u32,
@@ -233,6 +235,7 @@
             unregistered_since: HashMap::new(),
             unreadable_entries: BTreeSet::new(),
             network: Network::default(),
+            isolations: Isolations::default(),
             tickets: Rc::default(),
             pending: HashMap::new(),
             orders_late: 0,
@@ -341,6 +344,7 @@
         });
         self.report.epochs = epochs.max().unwrap_or(0);
         self.report.unanswered = self.clients.open();
+        self.check_isolations();
         self.report.violations = std::mem::take(&mut self.checker.violations);
         self.report
     }
@@ -634,11 +638,15 @@
             return;
         }
         let instance = self.running_instance_at(address);
-        if let Some(instance) = instance {
+        let is_new = instance.is_some_and(|instance| {
             self.connections
-                .begin(caller, instance, exchange, options, self.now);
-        }
+                .begin(caller, instance, exchange, options, self.now)
+        });
         match instance {
+            Some(_) if self.refuses_connection(caller.0, is_new) => {
+                let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
+                self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+            }
             Some(instance) if self.network.instance_connected(caller.0, instance) => {
                 self.reach_instance(caller, exchange, instance, request);
             }
@@ -648,6 +656,8 @@
                     // Sent on an established connection, so the exchange ends only with its
                     // timeout.
                     Some(held) => self.schedule_retransmission(held),
+                    // Hangs on an established connection.
+                    None if !is_new && self.network.isolated.contains_key(&caller.0) => {}
                     None => self.not_connected(caller, exchange, options.connect_timeout),
                 }
             }
@@ -658,6 +668,15 @@
         }
     }
 
+    /// Whether a partition refuses this node's new connections.
+    fn refuses_connection(&self, node: usize, is_new: bool) -> bool {
+        match self.network.isolated.get(&node) {
+            None | Some(IsolationEffect::Drops) => false,
+            Some(IsolationEffect::Resets) => true,
+            Some(IsolationEffect::RefusesNew) => is_new,
+        }
+    }
+
     /// The order that the kernel retransmits after the partition, if the transport
     /// retransmits.
     fn blocked_order(
@@ -695,6 +714,9 @@
             connected && !self.instances[instance].unresponsive
         };
         let (after, result) = match self.running_instance_at(address) {
+            Some(_) if self.refuses_connection(caller.0, true) => {
+                (LATENCY * 2, Err(ExchangeFailure::Refused))
+            }
             Some(instance) if is_reached(instance) => (LATENCY * 2, Ok(Response::new(200, ""))),
             Some(_) => (timeout, Err(ExchangeFailure::NotConnected)),
             None => (LATENCY * 2, Err(ExchangeFailure::Refused)),
--- /dev/null
+++ b/crates/ledgelead-lab/tests/fleet_isolated.rs
@@ -0,0 +1,68 @@
+//! Nodes that are partitioned from all instances, while clients, the store and the other nodes
+//! still reach them: callers are served there and everywhere else.
+
+use googletest::prelude::*;
+use ledgelead_lab::fleet::command::{NODES, drawn, drawn_isolated, run_seeds};
+use ledgelead_lab::fleet::{
+    FaultKind, FleetReport, FleetSettings, IsolatedNodes, IsolationEffect, Schedule, Transport,
+    World,
+};
+use ledgelead_router::protections::Protections;
+use std::time::Duration;
+
+const BEGIN: Duration = Duration::from_secs(16);
+const LENGTH: Duration = Duration::from_secs(12);
+const EFFECTS: [IsolationEffect; 3] = [
+    IsolationEffect::Drops,
+    IsolationEffect::Resets,
+    IsolationEffect::RefusesNew,
+];
+
+fn run(nodes: IsolatedNodes, effect: IsolationEffect, protections: Protections) -> FleetReport {
+    let kind = FaultKind::IsolateNodes(nodes, effect);
+    World::new(FleetSettings {
+        schedule: Schedule::one(BEGIN, LENGTH, kind),
+        transport: Transport::RUNTIME,
+        datagram_loss: 0.0,
+        ..drawn(3, protections)
+    })
+    .run()
+}
+
+fn violations(nodes: IsolatedNodes) -> Vec<String> {
+    let reports = EFFECTS.map(|effect| (effect, run(nodes, effect, Protections::default())));
+    let lines = reports.iter().flat_map(|(effect, report)| {
+        let found = report.violations.iter();
+        found.map(move |found| format!("{effect:?}, {}: {}", found.kind.name(), found.what))
+    });
+    lines.collect()
+}
+
+#[gtest]
+fn callers_are_served_while_the_coordinator_reaches_no_instance() {
+    expect_that!(violations(IsolatedNodes::WithCoordinator(1)), is_empty());
+}
+
+#[gtest]
+fn callers_are_served_while_most_nodes_reach_no_instance() {
+    expect_that!(
+        violations(IsolatedNodes::WithCoordinator(NODES - 1)),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn callers_of_nodes_that_reach_no_instance_are_served() {
+    expect_that!(violations(IsolatedNodes::WithoutCoordinator(2)), is_empty());
+}
+
+#[gtest]
+fn callers_are_served_while_a_zone_reaches_no_instance() {
+    expect_that!(violations(IsolatedNodes::Zone(1)), is_empty());
+}
+
+#[gtest]
+fn series_of_isolations_keeps_callers_served() {
+    let (_, lines) = run_seeds(drawn_isolated, 1..=24, NODES, Protections::default(), false);
+    expect_that!(lines, is_empty());
+}
