--- a/crates/ledgelead-lab/src/fleet/transfers.rs
+++ b/crates/ledgelead-lab/src/fleet/transfers.rs
@@ -4,6 +4,7 @@
 use super::network::LATENCY;
 use super::world::{World, exchanged};
 use ledgelead_http::{Request, Response};
+use ledgelead_router::forwarding::FORWARD_PATH;
 use ledgelead_router::io::{ClientId, ExchangeFailure, ExchangeId, Input};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,12 +13,16 @@
 const TRANSFER_TIME: Duration = Duration::from_millis(20);
 /// First client id of requests between nodes, which keeps them apart from those of clients.
 const FIRST_NUMBER: u64 = 1 << 48;
+/// Minimum size of the body of an answer whose transfer takes time.
+const LIST_BYTES: usize = 1_024;
 
 /// Pending requests between nodes.
 #[derive(Default)]
 pub struct Transfers {
     last: u64,
     open: HashMap<(Caller, ClientId), (Caller, ExchangeId)>,
+    /// Requests to forward an attempt, which end with the connection of the asking node.
+    forwards: HashMap<(Caller, ExchangeId), (Caller, ClientId)>,
 }
 
 impl World {
@@ -42,10 +47,54 @@
         let client = ClientId(FIRST_NUMBER + self.transfers.last);
         let to = (receiver, self.nodes[receiver].incarnation);
         self.transfers.open.insert((to, client), (caller, exchange));
+        if request.path() == FORWARD_PATH {
+            let forward = (caller, exchange);
+            self.transfers.forwards.insert(forward, (to, client));
+        }
         let input = Input::PeerRequest { client, request };
         self.schedule(LATENCY, Event::Input(to, input));
     }
 
+    /// The asking node closes the connection on which it asked to forward an attempt.
+    pub(super) fn abort_forward(&mut self, caller: Caller, exchange: ExchangeId) {
+        let Some((to, client)) = self.transfers.forwards.remove(&(caller, exchange)) else {
+            return;
+        };
+        let is_open = self.transfers.open.remove(&(to, client)).is_some();
+        if is_open && self.network.nodes_connected(to.0, caller.0) {
+            let input = Input::ClientDisconnected { client };
+            self.schedule(LATENCY, Event::Input(to, input));
+        }
+    }
+
+    /// The process of a node ends, and its connections with it.
+    pub(super) fn abort_forwards_of(&mut self, node: usize) {
+        let mut asked: Vec<(Caller, ExchangeId)> = self
+            .transfers
+            .forwards
+            .keys()
+            .filter(|(caller, _)| caller.0 == node)
+            .copied()
+            .collect();
+        asked.sort_unstable();
+        for (caller, exchange) in asked {
+            self.abort_forward(caller, exchange);
+        }
+        let mut lost: Vec<(Caller, ExchangeId)> = self
+            .transfers
+            .forwards
+            .iter()
+            .filter(|(_, (to, _))| to.0 == node)
+            .map(|(asking, _)| *asking)
+            .collect();
+        lost.sort_unstable();
+        for (caller, exchange) in lost {
+            self.transfers.forwards.remove(&(caller, exchange));
+            let input = exchanged(exchange, Err(ExchangeFailure::Lost));
+            self.schedule(LATENCY, Event::Exchanged(caller, exchange, input));
+        }
+    }
+
     /// Forwards the response to a request between nodes. Returns whether the response belongs
     /// to one.
     pub(super) fn node_answered(
@@ -57,9 +106,13 @@
         let Some((asking, exchange)) = self.transfers.open.remove(&(answering, client)) else {
             return client.0 >= FIRST_NUMBER;
         };
+        self.transfers.forwards.remove(&(asking, exchange));
         if self.network.nodes_connected(answering.0, asking.0) {
             let input = exchanged(exchange, Ok(response.clone()));
-            let after = LATENCY + TRANSFER_TIME;
+            let after = match response.body.len() >= LIST_BYTES {
+                true => LATENCY + TRANSFER_TIME,
+                false => LATENCY,
+            };
             self.schedule(after, Event::Exchanged(asking, exchange, input));
         }
         true
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -433,6 +433,7 @@
     /// Ends an exchange, unless it has already ended.
     pub(super) fn exchange_ends(&mut self, caller: Caller, exchange: ExchangeId, input: Input) {
         if self.pending.remove(&(caller, exchange)).is_some() {
+            self.abort_forward(caller, exchange);
             // An accepted answer has already released the connection.
             self.connections.abort(caller, exchange);
             self.notice_arrives(caller, exchange);
@@ -491,6 +492,7 @@
         self.nodes[index].node = None;
         self.pending.retain(|((node, _), _), _| *node != index);
         self.connections.close_node(index);
+        self.abort_forwards_of(index);
         self.store
             .pending_watches
             .retain(|watch| watch.caller.0 != index);
@@ -605,6 +607,7 @@
     fn cancel(&mut self, caller: Caller, exchange: ExchangeId) {
         self.pending.remove(&(caller, exchange));
         self.connections.abort(caller, exchange);
+        self.abort_forward(caller, exchange);
         self.store
             .pending_watches
             .retain(|watch| watch.caller != caller || watch.exchange != exchange);
--- a/crates/ledgelead-lab/tests/fleet_late_orders.rs
+++ b/crates/ledgelead-lab/tests/fleet_late_orders.rs
@@ -5,6 +5,20 @@
 use ledgelead_lab::fleet::command::{NODES, drawn_late_orders, drawn_moves, run_seeds};
 use ledgelead_router::protections::Protections;
 
+#[gtest]
+fn late_grants_after_a_release_bring_no_requests() {
+    for seeds in [1..=10, 12..=12] {
+        let protections = Protections::default();
+        let (_, lines) = run_seeds(drawn_late_orders, seeds, NODES, protections, false);
+        expect_that!(lines, is_empty());
+    }
+    for seed in [45, 74, 77] {
+        let protections = Protections::default();
+        let (_, lines) = run_seeds(drawn_moves, seed..=seed, NODES, protections, false);
+        expect_that!(lines, is_empty());
+    }
+}
+
 #[gtest]
 fn late_grants_bring_released_owners_no_requests() {
     // Seeds 1, 6 and 7 of the first runs and all of the second have a grant that is carried out
--- a/crates/ledgelead-router/examples/coordinator_bench.rs
+++ b/crates/ledgelead-router/examples/coordinator_bench.rs
@@ -101,6 +101,7 @@
                 configuration: &configuration,
                 limits: &KnownLimits::default(),
                 store_serves: true,
+                is_cut_off: false,
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut exchanges,
             };
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -313,6 +313,23 @@
         /// The request.
         digest: RequestDigest,
     },
+    /// No connection to an instance was established, so this node's link to it is not used.
+    LinkFailed {
+        /// The instance.
+        instance: &'a InstanceId,
+    },
+    /// An instance is reached again by this node's own link.
+    LinkRecovered {
+        /// The instance.
+        instance: &'a InstanceId,
+    },
+    /// This node reaches no instance; requests go by way of peers.
+    Isolated {
+        /// Number of links that failed with no contact to any instance in between.
+        failed: usize,
+    },
+    /// This node reaches an instance again.
+    IsolationEnded,
     /// The node was asked to shut down.
     Stops {
         /// Number of open requests.
@@ -340,6 +357,10 @@
             | Event::RateLimitNotice { .. }
             | Event::Evacuated { .. }
             | Event::InstanceGone { .. } => "instances",
+            Event::LinkFailed { .. }
+            | Event::LinkRecovered { .. }
+            | Event::Isolated { .. }
+            | Event::IsolationEnded => "links",
             Event::StoreFails { .. }
             | Event::StoreServes
             | Event::StoreEra { .. }
@@ -371,7 +392,7 @@
     fn level(&self) -> Level {
         match self {
             Event::ObjectUnreadable { .. } => Level::Error,
-            Event::Quarantined { .. } => Level::Warn,
+            Event::Quarantined { .. } | Event::Isolated { .. } => Level::Warn,
             Event::StoreFails { .. }
             | Event::OrderFailed { .. }
             | Event::RecordNotWritten { .. } => Level::Warn,
--- /dev/null
+++ b/crates/ledgelead-router/src/forwarding/outcome.rs
@@ -0,0 +1,80 @@
+//! What the end of an exchange with a forwarding peer proves.
+
+use crate::io::ExchangeFailure;
+use crate::peers::{ForwardAnswer, ForwardDecline, headers};
+use ledgelead_http::Response;
+use ledgelead_types::codec;
+
+/// The outcome of an exchange with a peer that was asked to forward.
+#[derive(Debug)]
+pub enum ForwardOutcome {
+    /// The peer made an attempt, with this result.
+    Attempted(Result<Response, ExchangeFailure>),
+    /// The peer made no attempt.
+    Declined(ForwardDecline),
+    /// The peer is of a version that doesn't forward, or has no memory for the request.
+    Unsupported,
+    /// The peer received no complete request.
+    NotReached,
+    /// The peer may have made an attempt.
+    Unknown(ExchangeFailure),
+}
+
+impl ForwardOutcome {
+    /// The result as that of an attempt of this node. Without an attempt of the peer, nothing
+    /// was sent.
+    pub fn into_result(self) -> Result<Response, ExchangeFailure> {
+        match self {
+            ForwardOutcome::Attempted(result) => result,
+            ForwardOutcome::Declined(_)
+            | ForwardOutcome::Unsupported
+            | ForwardOutcome::NotReached => Err(ExchangeFailure::NotConnected),
+            ForwardOutcome::Unknown(failure) => Err(failure),
+        }
+    }
+
+    /// Whether the peer showed that it doesn't reach the instance either.
+    pub fn lacks_path(&self) -> bool {
+        match self {
+            ForwardOutcome::Attempted(Err(failure)) => failure.shows_failed_link(),
+            ForwardOutcome::Declined(decline) => *decline == ForwardDecline::NoPath,
+            _ => false,
+        }
+    }
+
+    /// Whether the peer showed that it reaches the instance.
+    pub fn has_path(&self) -> bool {
+        matches!(self, ForwardOutcome::Attempted(Ok(_)))
+    }
+
+    /// Whether the peer made an attempt.
+    pub fn was_attempted(&self) -> bool {
+        matches!(self, ForwardOutcome::Attempted(_))
+    }
+}
+
+/// Evaluates the end of an exchange with a forwarding peer.
+pub fn forward_outcome(result: Result<Response, ExchangeFailure>) -> ForwardOutcome {
+    let response = match result {
+        Ok(response) => response,
+        Err(failure) if failure.proves_not_run() => return ForwardOutcome::NotReached,
+        Err(failure) => return ForwardOutcome::Unknown(failure),
+    };
+    if !response.is_success() {
+        return ForwardOutcome::Unsupported;
+    }
+    match codec::decode::<ForwardAnswer>(&response.body) {
+        Ok(ForwardAnswer::Response {
+            status,
+            headers: entries,
+            body,
+        }) => {
+            let mut response = Response::new(status, body.0);
+            response.headers = headers(entries);
+            ForwardOutcome::Attempted(Ok(response))
+        }
+        Ok(ForwardAnswer::Failed(failure)) => ForwardOutcome::Attempted(Err(failure.into())),
+        Ok(ForwardAnswer::Declined(decline)) => ForwardOutcome::Declined(decline),
+        Err(_) => ForwardOutcome::Unknown(ExchangeFailure::Malformed),
+    }
+}
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -21,6 +21,8 @@
     NotConnected,
     /// The connection was refused: no process listens on the address. Nothing was sent.
     Refused,
+    /// The connection was established, and closed by the receiver before anything was sent.
+    ClosedUnsent,
     /// The exchange ended before the last byte of the request was written and before any byte
     /// of a response arrived. The receiver has no complete request and never will.
     Incomplete {
@@ -39,6 +41,16 @@
 impl ExchangeFailure {
     /// Whether the receiver certainly never received any part of the request.
     pub fn proves_not_sent(self) -> bool {
+        matches!(
+            self,
+            ExchangeFailure::NotConnected
+                | ExchangeFailure::Refused
+                | ExchangeFailure::ClosedUnsent
+        )
+    }
+
+    /// Whether no connection was established, so that the link or the receiver has failed.
+    pub fn shows_failed_link(self) -> bool {
         matches!(
             self,
             ExchangeFailure::NotConnected | ExchangeFailure::Refused
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -450,6 +450,7 @@
             return;
         };
         let ended = self.predecessor_has_ended();
+        let is_cut_off = self.is_cut_off(now);
         let Some(coordinator) = &mut self.coordination.coordinator else {
             return;
         };
@@ -462,6 +463,7 @@
             configuration,
             limits: self.requests.limits(),
             store_serves: self.store.health.serves(),
+            is_cut_off,
             mechanisms: self.settings.mechanisms,
             exchanges: &mut self.exchanges,
         };
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -5,8 +5,11 @@
 mod coordination;
 mod dispatch;
 mod first_view;
+mod forwarded_orders;
+mod forwarding;
 mod heartbeat;
 mod leaving;
+mod links;
 mod load_hub;
 mod messaging;
 mod node_list;
@@ -39,6 +42,7 @@
 use crate::dispatch::Dispatcher;
 use crate::evacuation::Evacuations;
 use crate::events::Event;
+use crate::forwarding::{FORWARD_PATH, ForwardPeers};
 use crate::io::{Action, Input};
 use crate::ownership::cold_keys::ColdKeys;
 use crate::ownership::coordinator::{Coordinator, ExchangeIds};
@@ -46,10 +50,12 @@
 use crate::ownership::view::OwnershipView;
 use crate::peers::{PeerTraffic, Registry, SharedLoad};
 use crate::rate_limit::{Limiter, LimiterFailover};
+use crate::reachability::Reachability;
 use crate::requests::{Overloads, RequestContext, Requests};
 use crate::settings::NodeSettings;
 use crate::zone_traffic::ZoneTraffic;
 use coordination::Coordination;
+use forwarding::ForwardServer;
 use load_hub::LoadHub;
 use messaging::Messaging;
 use node_list::NodeList;
@@ -88,6 +94,11 @@
     zone_relays: ZoneRelays,
     transfers: Transfers,
     transfer_server: TransferServer,
+    /// This node's links to the instances.
+    reachability: Reachability,
+    next_silence_review: Timestamp,
+    forward_peers: ForwardPeers,
+    forward_server: ForwardServer,
     load_hub: LoadHub,
     dispatcher: Dispatcher,
     quotas: Quotas,
@@ -129,6 +140,10 @@
             zone_relays: ZoneRelays::default(),
             transfers: Transfers::new(settings.seed),
             transfer_server: TransferServer::default(),
+            reachability: Reachability::new(settings.seed, settings.protections),
+            next_silence_review: now,
+            forward_peers: ForwardPeers::new(settings.seed),
+            forward_server: ForwardServer::default(),
             load_hub: LoadHub::new(now),
             dispatcher: Dispatcher::default(),
             quotas: Quotas::default(),
@@ -156,7 +171,10 @@
     /// Whether the node was asked to stop and has neither open requests nor the coordinator
     /// role left.
     pub fn has_finished(&self) -> bool {
-        self.stopping && self.requests.is_empty() && self.coordination.has_resigned()
+        self.stopping
+            && self.requests.is_empty()
+            && self.forward_server.is_empty()
+            && self.coordination.has_resigned()
     }
 
     /// Whether the node was asked to stop.
@@ -204,12 +222,15 @@
                 let (requests, mut context) = self.requests_and_context(now);
                 requests.refuse_unread(client, &request, &mut context, out);
             }
-            Input::PeerRequest { client, request } => {
-                self.transfer_requested(client, &request, now, out);
-            }
+            Input::PeerRequest { client, request } => match request.path() {
+                FORWARD_PATH => self.forward_requested(client, &request, now, out),
+                _ => self.transfer_requested(client, &request, now, out),
+            },
             Input::ClientDisconnected { client } => {
                 self.transfer_server.client_disconnected(client);
-                self.requests.client_disconnected(client, out);
+                self.forward_server.client_disconnected(client, out);
+                let peers = &mut self.forward_peers;
+                self.requests.client_disconnected(client, peers, out);
             }
             Input::ExchangeEnded {
                 exchange,
@@ -234,6 +255,10 @@
                     self.store_answered(exchange, result, now, out);
                 } else if self.transfers.owns(exchange) {
                     self.transfer_ended(exchange, result, now, out);
+                } else if self.forward_server.owns(exchange) {
+                    self.forwarded_attempt_ended(exchange, result, now, out);
+                } else if self.reachability.owns(exchange) {
+                    self.link_probe_ended(exchange, result.is_ok(), now, out);
                 } else if self.quarantine.owns(exchange) {
                     self.probe_ended(exchange, result.err(), now);
                 } else {
@@ -257,8 +282,8 @@
     }
 
     /// The next deadlines of requests, store calls, coordination, messaging, directory,
-    /// quarantine and owner queues, in this order.
-    pub fn next_deadlines(&self) -> [Option<Timestamp>; 7] {
+    /// quarantine, owner queues and links, in this order.
+    pub fn next_deadlines(&self) -> [Option<Timestamp>; 8] {
         [
             self.requests.next_deadline(),
             self.store
@@ -282,6 +307,7 @@
             self.directory.next_expiry(),
             self.quarantine_deadline(),
             self.dispatcher.next_deadline(),
+            self.links_deadline(),
         ]
     }
 
@@ -302,6 +328,7 @@
             self.coordination.schedule_step();
             self.reconsider_waiting(now, out);
         }
+        self.review_links(now, out);
         self.review_quarantine(now, out);
         self.coordinate(now, out);
         self.send_due_messages(now, out);
@@ -332,6 +359,10 @@
             self.limiter.expire(now);
             self.limiter_failover.expire(now);
             self.cold_keys.expire(now);
+            let directory = &self.directory;
+            self.reachability
+                .expire(|id| directory.get(id).is_some(), now);
+            self.forward_peers.expire(&self.registry);
         }
     }
 
@@ -362,6 +393,8 @@
             exchanges: &mut self.exchanges,
             registry: &self.registry,
             node: &self.settings.identity.node,
+            reachability: &mut self.reachability,
+            forward_peers: &mut self.forward_peers,
         };
         (&mut self.requests, context)
     }
--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -11,29 +11,36 @@
 };
 use crate::ownership::coordinator::OutgoingOrder;
 use crate::protections::Protection;
+use crate::reachability::Path;
+use crate::settings::ORDER_TRANSIT;
 use crate::whole_millis;
 use ledgelead_http::Response;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Timeout for connecting to an instance.
-const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a new connection is observed before an order is written. An instance that is full
 /// resets it at once; an order that was written then counts as delivered, and extends the
 /// lease.
-const ORDER_OBSERVATION: Duration = Duration::from_millis(2);
+pub(super) const ORDER_OBSERVATION: Duration = Duration::from_millis(2);
 /// Timeout for a grant, which the instance answers without waiting for anything.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for a release, which the instance answers once the work on the keys has ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum idle time of a connection that is reused for orders.
 const ORDER_REUSE_IDLE: Duration = Duration::from_secs(7);
 
 /// An order without an answer.
 pub(super) struct OrderInFlight {
     pub(super) instance: InstanceId,
-    order: Order,
-    answer: AnswerFilter,
-    sent: Timestamp,
+    pub(super) order: Order,
+    pub(super) answer: AnswerFilter,
+    pub(super) sent: Timestamp,
+    /// The peer that forwards it.
+    pub(super) via: Option<SocketAddr>,
+    /// Number of peers that were asked to forward it.
+    pub(super) asked: u32,
 }
 
 /// Options with which an order takes any answer, on connections that it shares with requests.
@@ -86,6 +93,27 @@
         outgoing: OutgoingOrder,
         now: Timestamp,
         out: &mut Vec<Action>,
+    ) {
+        match self.reachability.path(&outgoing.instance, now) {
+            Path::Direct => self.send_order_directly(outgoing, now, out),
+            Path::None => self.order_not_sent(outgoing.exchange, now),
+            Path::ByPeer => {
+                let OutgoingOrder {
+                    exchange,
+                    instance,
+                    order,
+                    ..
+                } = outgoing;
+                self.forward_order(exchange, instance, order, 0, now, out);
+            }
+        }
+    }
+
+    fn send_order_directly(
+        &mut self,
+        outgoing: OutgoingOrder,
+        now: Timestamp,
+        out: &mut Vec<Action>,
     ) {
         let options = self.order_options(&outgoing);
         log::debug!(target: "ownership", "{}: {:?}", outgoing.instance, outgoing.order);
@@ -97,6 +125,8 @@
             order: outgoing.order,
             answer: options.answer.clone(),
             sent: now,
+            via: None,
+            asked: 0,
         };
         self.coordination
             .orders
@@ -120,6 +150,10 @@
             return;
         };
         self.coordination.schedule_step();
+        let Some((in_flight, result)) = self.order_result(exchange, in_flight, result, now, out)
+        else {
+            return;
+        };
         let is_own = |response: &Response| in_flight.answer.accepts(response);
         let result = result.and_then(|response| match is_own(&response) {
             true => Ok(response),
@@ -130,7 +164,10 @@
             self.apply_order_notice(&in_flight.instance, response, now, out);
         }
         let OrderInFlight {
-            instance, order, ..
+            instance,
+            order,
+            via,
+            ..
         } = in_flight;
         let answer = result.map(|response| self.dialect.order_answer(&instance, &response));
         if !matches!(answer, Ok(OrderAnswer::Done { .. })) {
@@ -148,8 +185,13 @@
             };
             failed.emit();
         }
+        // The process of a peer may end with the order in its kernel's buffer.
+        let transit = match via {
+            Some(_) => ORDER_TRANSIT,
+            None => Duration::ZERO,
+        };
         if let Some(coordinator) = self.coordination.coordinator_mut() {
-            coordinator.order_ended(exchange, answer, now);
+            coordinator.order_ended_in_transit(exchange, answer, transit, now);
         }
     }
 
--- a/crates/ledgelead-router/src/node/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/node/quarantine/mod.rs
@@ -48,6 +48,8 @@
     recent: RecentAnswers,
     unconfirmed_answers: UnconfirmedAnswers,
     probes: HashMap<ExchangeId, InstanceId>,
+    /// Instances that refused a connection while this node may have lost its links.
+    refused_in_doubt: BTreeSet<InstanceId>,
     next_suspect_check: Timestamp,
     repeats: Vec<PendingRepeat>,
     next_sync: Timestamp,
@@ -150,7 +152,33 @@
             self.clear_if_answered(request, caller, now);
         }
         for instance in signs.refused {
-            self.instance_ended(&instance, now);
+            self.instance_refused(instance, now);
+        }
+    }
+
+    /// An instance refused a connection: its process has ended, unless this node has lost its
+    /// links. While that is in doubt, the evidence is held back.
+    fn instance_refused(&mut self, instance: InstanceId, now: Timestamp) {
+        match self.reachability.is_in_doubt() {
+            true => {
+                self.quarantine.refused_in_doubt.insert(instance);
+            }
+            false => self.instance_ended(&instance, now),
+        }
+    }
+
+    /// Applies the evidence that was held back once this node knows whether it has lost its
+    /// links.
+    fn resolve_refusals(&mut self, now: Timestamp) {
+        if self.quarantine.refused_in_doubt.is_empty() {
+            return;
+        }
+        if self.reachability.is_isolated() {
+            self.quarantine.refused_in_doubt.clear();
+        } else if !self.reachability.is_in_doubt() {
+            for instance in std::mem::take(&mut self.quarantine.refused_in_doubt) {
+                self.instance_ended(&instance, now);
+            }
         }
     }
 
@@ -230,9 +258,12 @@
         failure: Option<ExchangeFailure>,
         now: Timestamp,
     ) {
-        let instance = self.quarantine.probes.remove(&exchange);
-        if let (Some(instance), Some(ExchangeFailure::Refused)) = (instance, failure) {
-            self.instance_ended(&instance, now);
+        let Some(instance) = self.quarantine.probes.remove(&exchange) else {
+            return;
+        };
+        if failure == Some(ExchangeFailure::Refused) {
+            self.reachability.record_refused_probe(&instance);
+            self.instance_refused(instance, now);
         }
     }
 
@@ -274,6 +305,7 @@
         for instance in self.quarantine.lost_attempts.take_due_probes(now) {
             self.probe(instance, out);
         }
+        self.resolve_refusals(now);
         self.check_unconfirmed_answers(now);
         self.review_evidence(now);
         self.share_evidence(now, out);
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -73,6 +73,12 @@
     pub limiter: LimiterCounters,
     /// Instances that have announced a rate limit, or have withdrawn it recently.
     pub rate_limits: usize,
+    /// Whether this node reaches no instance.
+    pub isolated: bool,
+    /// Number of instances to which this node's link is failing.
+    pub failing_links: usize,
+    /// Attempts that peers asked this node for, by how they were handled.
+    pub forwarded: BTreeMap<&'static str, u64>,
     /// Bytes exchanged within this zone and with other zones.
     pub zone_traffic: ZoneTraffic,
 }
@@ -109,6 +115,9 @@
             dispatch_waiting: self.dispatcher.waiting(),
             limiter: self.limiter.counters(),
             rate_limits: self.requests.limits().len(),
+            isolated: self.reachability.is_isolated(),
+            failing_links: self.reachability.failing(),
+            forwarded: self.forward_server.counters().clone(),
             zone_traffic: self.zone_traffic.clone(),
         }
     }
--- a/crates/ledgelead-router/src/node/zone_traffic.rs
+++ b/crates/ledgelead-router/src/node/zone_traffic.rs
@@ -69,7 +69,11 @@
 
     /// Purpose and destination zone of an exchange; `None` if it is no longer known.
     fn purpose_of(&self, exchange: ExchangeId) -> Option<(&'static str, ZoneRelation)> {
-        if let Some(instance) = self.requests.instance_of(exchange) {
+        if let Some(peer) = self.requests.peer_of(exchange) {
+            return Some((REQUESTS, self.zone_relation_of_node(peer)));
+        }
+        let forwarded = self.forward_server.instance_of(exchange);
+        if let Some(instance) = forwarded.or_else(|| self.requests.instance_of(exchange)) {
             return Some((REQUESTS, self.zone_relation_of_instance(instance)));
         }
         if self.store.owns(exchange) {
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -81,6 +81,8 @@
     pub limits: &'a KnownLimits,
     /// Whether the store serves this node, so that a next owner can be recorded soon.
     pub store_serves: bool,
+    /// Whether no instance can be reached, neither by this node nor by way of a peer.
+    pub is_cut_off: bool,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
     /// Allocates exchange ids.
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -157,6 +157,37 @@
         exchange: ExchangeId,
         result: Result<OrderAnswer, ExchangeFailure>,
         now: Timestamp,
+    ) {
+        self.order_ended_in_transit(exchange, result, Duration::ZERO, now);
+    }
+
+    /// The order was sent by way of several peers in turn, the next one in another exchange.
+    pub fn order_resent(&mut self, earlier: ExchangeId, again: ExchangeId) {
+        let Some(index) = self.pending_orders.remove(&earlier) else {
+            return;
+        };
+        self.pending_orders.insert(again, index);
+        if let Some(shard) = self.shards.get_mut(index) {
+            shard.replace_order(earlier, again);
+        }
+    }
+
+    /// An order was not sent, for a reason that has nothing to do with its instance.
+    pub fn order_postponed(&mut self, exchange: ExchangeId, now: Timestamp) {
+        let index = self.pending_orders.remove(&exchange);
+        if let Some(shard) = index.and_then(|index| self.shards.get_mut(index)) {
+            shard.postpone_order(exchange, now);
+        }
+    }
+
+    /// Handles the outcome of an order that, without an answer, may still arrive within
+    /// `transit`.
+    pub fn order_ended_in_transit(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<OrderAnswer, ExchangeFailure>,
+        transit: Duration,
+        now: Timestamp,
     ) {
         let interval = self.renewal_interval();
         let index = self.pending_orders.remove(&exchange);
@@ -164,7 +195,13 @@
             return;
         };
         if shard.lease.order == Some(exchange) {
+            let may_arrive = result
+                .as_ref()
+                .is_err_and(|failure| !failure.proves_not_sent());
             shard.grant_ended(result, interval, now, &mut self.counters);
+            if may_arrive {
+                shard.lease.extend_for_transit(transit, now);
+            }
         } else if shard.release_order() == Some(exchange) {
             shard.release_ended(result, now, &mut self.counters);
         }
@@ -207,7 +244,9 @@
                 None => context.directory.is_absence_conclusive(context.now),
             };
             let is_expired = shard.lease.has_expired(self.protections, context.now);
-            let lapsed = shard.lease.is_unresponsive() && is_expired;
+            // A coordinator without a path to any instance can't tell who is gone, and could
+            // grant the keys to nobody else.
+            let lapsed = shard.lease.is_unresponsive() && is_expired && !context.is_cut_off;
             if lapsed {
                 self.unreachable.record(owner, context.now);
             }
--- a/crates/ledgelead-router/src/ownership/coordinator/shard.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/shard.rs
@@ -54,6 +54,35 @@
         }
     }
 
+    /// The order is now sent in another exchange.
+    pub(super) fn replace_order(&mut self, earlier: ExchangeId, again: ExchangeId) {
+        if self.lease.order == Some(earlier) {
+            self.lease.order = Some(again);
+        }
+        if let State::Releasing { order, .. } = &mut self.state
+            && *order == Some(earlier)
+        {
+            *order = Some(again);
+        }
+    }
+
+    /// The order was not sent; it is due again later.
+    pub(super) fn postpone_order(&mut self, exchange: ExchangeId, now: Timestamp) {
+        if self.lease.order == Some(exchange) {
+            self.lease.postpone_grant(now);
+        }
+        if let State::Releasing {
+            order,
+            next_attempt,
+            ..
+        } = &mut self.state
+            && *order == Some(exchange)
+        {
+            *order = None;
+            *next_attempt = now + RELEASE_RETRY;
+        }
+    }
+
     /// Whether an order to the owner has no answer yet.
     pub(super) fn has_pending_order(&self) -> bool {
         self.lease.order.is_some() || self.release_order().is_some()
@@ -169,9 +198,7 @@
                 };
             }
             Ok(OrderAnswer::OtherInstance) => {
-                self.lease.record_grant_unanswered(false, now);
-                self.lease.possible_until = now;
-                self.lease.failures = u32::MAX / 2;
+                self.lease.record_other_instance(now);
             }
             Ok(OrderAnswer::Refused) => {
                 counters.grants_unanswered += 1;
@@ -204,7 +231,7 @@
             Ok(OrderAnswer::Done { handover }) if self.lease.may_be_revived => {
                 // The owner responds again, so it can get a higher token before the release
                 // that is final.
-                self.lease.failures = 0;
+                self.lease.record_response();
                 self.lease.handover = handover;
                 *next_attempt = now;
                 return;
--- a/crates/ledgelead-router/src/ownership/lease.rs
+++ b/crates/ledgelead-router/src/ownership/lease.rs
@@ -11,8 +11,8 @@
 const REPEAT_AFTER_FAILURE: Duration = Duration::from_millis(250);
 /// Consecutive unanswered grants after which the owner counts as unresponsive.
 const UNRESPONSIVE_AFTER: u32 = 2;
-/// Consecutive unanswered grants after which the owner gets no further grants for its keys:
-/// each one may have arrived and would extend the hold. If half of all answers are lost, one
+/// Consecutive unanswered grants that may have arrived, after which the owner gets no further
+/// grants for its keys: each one would extend the hold. If half of all answers are lost, one
 /// grant in 64 reaches this limit.
 const GIVEN_UP_AFTER: u32 = 6;
 
@@ -34,8 +34,10 @@
     pub order: Option<ExchangeId>,
     /// When the next grant is due.
     pub next_grant: Timestamp,
-    /// Consecutive unanswered grants.
+    /// Consecutive unanswered grants, including those that were not sent.
     pub failures: u32,
+    /// Consecutive unanswered grants that may have arrived.
+    pub unanswered: u32,
     /// Whether a grant under this token got no answer. The platform may execute it at any
     /// later time, also after a release, and the owner then holds the keys again.
     pub may_be_revived: bool,
@@ -52,6 +54,7 @@
             order: None,
             next_grant: now,
             failures: 0,
+            unanswered: 0,
             may_be_revived: false,
             handover,
         }
@@ -71,6 +74,7 @@
         Lease {
             possible_until,
             failures: GIVEN_UP_AFTER,
+            unanswered: GIVEN_UP_AFTER,
             ..Lease::fresh(possible_until, None)
         }
     }
@@ -87,6 +91,7 @@
         self.order = None;
         self.fenced = true;
         self.failures = 0;
+        self.unanswered = 0;
         self.handover = None;
         self.next_grant = now + renewed_after;
         self.possible_until = now + longest_hold();
@@ -99,11 +104,38 @@
         self.failures += 1;
         self.next_grant = now + REPEAT_AFTER_FAILURE;
         if sent {
+            self.unanswered += 1;
             self.may_be_revived = true;
             self.possible_until = self.possible_until.max(now + longest_hold());
         }
     }
 
+    /// Records proof that another instance uses the owner's address.
+    pub fn record_other_instance(&mut self, now: Timestamp) {
+        self.record_grant_unanswered(false, now);
+        self.possible_until = now;
+        self.failures = self.failures.max(GIVEN_UP_AFTER);
+        self.unanswered = GIVEN_UP_AFTER;
+    }
+
+    /// Records that the owner responds again.
+    pub fn record_response(&mut self) {
+        self.failures = 0;
+        self.unanswered = 0;
+    }
+
+    /// Records that a grant was not sent, for a reason that has nothing to do with the owner.
+    pub fn postpone_grant(&mut self, now: Timestamp) {
+        self.order = None;
+        self.next_grant = now + REPEAT_AFTER_FAILURE;
+    }
+
+    /// Records that an unanswered grant may still arrive within `transit`.
+    pub fn extend_for_transit(&mut self, transit: Duration, now: Timestamp) {
+        let latest_end = now + transit + longest_hold();
+        self.possible_until = self.possible_until.max(latest_end);
+    }
+
     /// Whether the owner can no longer hold the keys.
     pub fn has_expired(&self, protections: Protections, now: Timestamp) -> bool {
         let waits = protections.has(Protection::LeaseWait) || !self.is_unresponsive();
@@ -131,6 +163,6 @@
 
     /// Whether the owner gets no further grants, so that the lease expires.
     pub fn is_given_up(&self) -> bool {
-        self.failures >= GIVEN_UP_AFTER
+        self.unanswered >= GIVEN_UP_AFTER
     }
 }
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod delay;
 mod evidence;
+mod forward;
 mod instance_table;
 mod message;
 mod message_validation;
@@ -25,6 +26,10 @@
 pub use evidence::{
     AgedEntry, EndEntry, RequestEntry, age_ms, aged_instances, evidence_parts, time_from_age,
 };
+pub(crate) use forward::headers;
+pub use forward::{
+    ForwardAnswer, ForwardDecline, ForwardFailure, ForwardPurpose, ForwardRequest, HeaderEntry,
+};
 pub use instance_table::InstanceTable;
 pub use message::{
     ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode, Datagram, DigestEntry, Heartbeat,
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -53,11 +53,19 @@
     /// A request that is submitted again is recognized by its full identity, not by its path
     /// alone.
     FullRequestIdentity,
+    /// Requests and orders for instances that this node doesn't reach go by way of a peer.
+    Forwarding,
+    /// Orders go by way of a peer if the coordinator doesn't reach the instance.
+    ForwardedOrders,
+    /// A link on which no connection was established is not used for a while.
+    LinkBackoff,
+    /// A peer forwards only recent orders of the current coordinator.
+    RecentOrders,
 }
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 23] = [
+    pub const SABOTAGES: [(&'static str, Protection); 27] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -81,25 +89,36 @@
         ("know-by-path", Protection::FullRequestIdentity),
         ("drop-with-foreign", Protection::IsolateUnreadable),
         ("use-foreign", Protection::ExcludeUnreadable),
+        ("forward-nothing", Protection::Forwarding),
+        ("forward-no-orders", Protection::ForwardedOrders),
+        ("retry-links", Protection::LinkBackoff),
+        ("forward-old-orders", Protection::RecentOrders),
     ];
 }
 
 /// The set of enabled protections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Protections {
-    off: Option<Protection>,
+    off: [Option<Protection>; 2],
 }
 
 impl Protections {
     /// All protections but one.
     pub fn without(protection: Protection) -> Protections {
         Protections {
-            off: Some(protection),
+            off: [Some(protection), None],
+        }
+    }
+
+    /// The same without another one, for faults that a second protection would hide.
+    pub fn also_without(self, protection: Protection) -> Protections {
+        Protections {
+            off: [self.off[0], Some(protection)],
         }
     }
 
     /// Whether a protection is enabled.
     pub fn has(self, protection: Protection) -> bool {
-        self.off != Some(protection)
+        !self.off.contains(&Some(protection))
     }
 }
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -37,6 +37,8 @@
     OwnerCold,
     /// The service has no usable instance.
     NoInstance,
+    /// Neither this node nor its peers reach an instance that could run the request.
+    Unreachable,
     /// Instances rejected the request without running it.
     Rejected,
     /// Every instance that could run the request has requested a pause from this node.
@@ -76,6 +78,7 @@
             | Refusal::OwnerFails
             | Refusal::OwnerCold
             | Refusal::NoInstance
+            | Refusal::Unreachable
             | Refusal::Rejected
             | Refusal::BackedOff
             | Refusal::RateLimited
@@ -115,6 +118,7 @@
             Refusal::OwnerFails => "owner_fails",
             Refusal::OwnerCold => "owner_cold",
             Refusal::NoInstance => "no_instance",
+            Refusal::Unreachable => "unreachable",
             Refusal::Rejected => "rejected",
             Refusal::BackedOff => "backed_off",
             Refusal::RateLimited => "rate_limited",
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -3,10 +3,12 @@
 use super::ANSWER_MARGIN;
 use super::crashes::is_trial;
 use super::endings::{attempt_name, owner_fence};
+use super::forwarding::{AttemptPath, wrapped};
 use super::retries::rejection_cause;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
+use crate::dialect::HeaderNames;
 use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
@@ -14,6 +16,8 @@
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::rate_limit::RateNotice;
+use crate::reachability::Path;
+use crate::requests::answers::Refusal;
 use crate::requests::notice::Notice;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{AttemptOutcome, is_server_failure};
@@ -89,6 +93,9 @@
             self.wake_at(client, next);
             return false;
         }
+        if let Some(peer) = attempt.via {
+            context.forward_peers.cancelled(peer);
+        }
         if let Some(open) = self.open.get_mut(&client) {
             open.attempt = None;
             open.may_have_run = true;
@@ -141,6 +148,8 @@
                 .is_some_and(|assignment| assignment.owner != attempt.instance),
             None => true,
         };
+        // The peer may have lost it, and another one can forward it.
+        let another = another || attempt.via.is_some();
         another
             && left > attempt.expected.min(open.route.target_latency / 2)
             && self.can_retry(open, context)
@@ -180,6 +189,14 @@
         context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
+        let Some(path) = self.attempt_path(&selected.id, context) else {
+            let open = self.open.get(&client);
+            let reason = open.map_or(Refusal::Unreachable, |open| {
+                open.failure_reason_or(Refusal::Unreachable)
+            });
+            self.refuse(client, reason, context, out);
+            return;
+        };
         let Some(open) = self.open.get(&client) else {
             return;
         };
@@ -220,10 +237,22 @@
         let options = attempt_options(open, &selected.id, idle_limit, context);
         let review = open.route.target_latency.mul_f64(SLOW_ATTEMPT_SHARE);
         let request = forwarded_request(open, &selected.id, context);
+        let (via, address, request, options) = match path {
+            AttemptPath::Direct => (None, address, request, options),
+            AttemptPath::ByPeer(peer) => {
+                let is_idempotent = open.is_idempotent();
+                let is_fresh = open.tried.contains(&selected.id);
+                let (request, options) =
+                    wrapped(request, &selected.id, is_idempotent, is_fresh, &options);
+                context.forward_peers.sent(peer);
+                (Some(peer), peer, request, options)
+            }
+        };
         open.tried.push(selected.id.clone());
         open.attempt = Some(Attempt {
             exchange,
             instance: selected.id.clone(),
+            via,
             is_retry,
             sent: context.now,
             load_factor: selected.load_factor,
@@ -266,6 +295,7 @@
             AttemptOutcome::NeverSent { .. } => {
                 // Removes this attempt only: an earlier one at the same instance may have run.
                 open.tried.pop();
+                open.unsent += 1;
                 if attempt.is_retry {
                     let rank = self.mechanisms.rank(open);
                     self.budget.refund_for(&open.service, rank);
@@ -275,7 +305,14 @@
                     // from being selected.
                     open.rejected = true;
                 }
-                let retry_at = Some(context.now + MISDIRECTED_PAUSE);
+                // Another path to the owner is tried at once.
+                let has_other_path =
+                    context.reachability.path(&attempt.instance, context.now) == Path::ByPeer;
+                let pause = match has_other_path {
+                    true => Duration::ZERO,
+                    false => MISDIRECTED_PAUSE,
+                };
+                let retry_at = Some(context.now + pause);
                 open.misdirection = Misdirection::at(&attempt.instance, assignment, retry_at);
             }
             AttemptOutcome::Incomplete { .. } => {
@@ -334,7 +371,8 @@
         let not_executed = &context.headers.not_executed;
         let ran = match result {
             Ok(response) => response.headers.get(not_executed).is_none(),
-            Err(failure) => !failure.proves_not_run(),
+            // The time that a request of an isolated node took is no work of the owner.
+            Err(failure) => !failure.proves_not_run() && !context.reachability.is_isolated(),
         };
         if keyed && ran {
             let took = context.now.saturating_sub(attempt.sent);
@@ -347,6 +385,7 @@
         &mut self,
         attempt: &Attempt,
         result: &Result<Response, ExchangeFailure>,
+        was_attempted: bool,
         context: &RequestContext<'_>,
     ) -> Option<RejectionCause> {
         let now = context.now;
@@ -389,6 +428,7 @@
                     stats.record_success(now.saturating_sub(attempt.sent), factor, now);
                 }
             }
+            Err(failure) if self.may_be_own_failure(attempt, was_attempted, *failure, context) => {}
             Err(_) => self.statistics.entry(&attempt.instance).record_failure(now),
         }
         cause
@@ -473,19 +513,50 @@
     idle_limit: Option<Duration>,
     context: &RequestContext<'_>,
 ) -> ExchangeOptions {
-    let reuse_idle_below = if open.tried.contains(instance) {
-        // A retry has the id of its first attempt, so a second answer to that one would pass
-        // for its own.
-        Duration::ZERO
-    } else if open.is_idempotent() {
-        REUSE_IDLE
-    } else {
-        REUSE_IDLE_NON_IDEMPOTENT
+    let since_recovery = context.reachability.reuse_limit(instance, context.now);
+    let profile = RequestProfile {
+        is_idempotent: open.is_idempotent(),
+        fresh_connection: open.tried.contains(instance),
+        // Slightly longer than this node waits: the request's own timer produces the final
+        // response at its deadline.
+        left: open.due.saturating_sub(context.now) + ANSWER_MARGIN,
+        max_idle: idle_limit.into_iter().chain(since_recovery).min(),
+    };
+    request_options(&open.request, &profile, context.headers)
+}
+
+/// What the options of an attempt depend on.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestProfile {
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Whether it needs a new connection. A retry has the id of its first attempt, so a second
+    /// answer to that one would pass for its own.
+    pub fresh_connection: bool,
+    /// Time for the attempt.
+    pub left: Duration,
+    /// Maximum idle time of a connection that is reused, if limited.
+    pub max_idle: Option<Duration>,
+}
+
+/// The options of an attempt to send a client's request to an instance.
+pub fn request_options(
+    request: &Request,
+    profile: &RequestProfile,
+    headers: &HeaderNames,
+) -> ExchangeOptions {
+    let reuse_idle_below = match (profile.fresh_connection, profile.is_idempotent) {
+        (true, _) => Duration::ZERO,
+        (false, true) => REUSE_IDLE,
+        (false, false) => REUSE_IDLE_NON_IDEMPOTENT,
     };
-    let left = open.due.saturating_sub(context.now);
+    let reuse_idle_below = profile
+        .max_idle
+        .map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below));
+    let left = profile.left.saturating_sub(ANSWER_MARGIN);
     let write_timeout = left - WRITE_MARGIN.min(left / 2);
-    let header = &context.headers.attempt_id;
-    let answer = match open.request.headers.get(header) {
+    let header = &headers.attempt_id;
+    let answer = match request.headers.get(header) {
         Some(id) => AnswerFilter::Equal(header.as_str().into(), id.into()),
         // The answer to a request without an id has none either.
         None => AnswerFilter::WithoutHeader {
@@ -493,20 +564,17 @@
             on_success: None,
         },
     };
-    // Slightly longer than this node waits: the request's own timer produces the final response
-    // at its deadline.
-    let timeout = left + ANSWER_MARGIN;
     ExchangeOptions {
         answer,
-        reuse_idle_below: idle_limit.map_or(reuse_idle_below, |limit| limit.min(reuse_idle_below)),
+        reuse_idle_below,
         write_timeout: Some(write_timeout),
         // Retrying an idempotent request costs less than delaying every one.
-        observe_before_write: if open.is_idempotent() {
+        observe_before_write: if profile.is_idempotent {
             Duration::ZERO
         } else {
             OBSERVE_NON_IDEMPOTENT
         },
-        ..ExchangeOptions::new(CONNECT_TIMEOUT.min(write_timeout), timeout)
+        ..ExchangeOptions::new(CONNECT_TIMEOUT.min(write_timeout), profile.left)
     }
 }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/crashes.rs
@@ -52,7 +52,10 @@
             return;
         };
         let signs = &mut self.crash_signs;
+        let is_own_failure = attempt.via.is_none() && context.reachability.is_isolated();
         match result {
+            // An isolated node loses all of its connections.
+            Err(ExchangeFailure::Lost | ExchangeFailure::Refused) if is_own_failure => {}
             Err(ExchangeFailure::Lost) => {
                 open.lost_attempts += 1;
                 let instance = context.directory.get(&attempt.instance);
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -1,11 +1,13 @@
 //! Chooses the next step of a request without an attempt in flight: send, wait or refuse.
 
+use super::forwarding::MAX_UNSENT;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
 use crate::identity::InstanceId;
 use crate::io::ClientId;
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
+use crate::reachability::Path;
 use crate::requests::answers::Refusal;
 use crate::requests::cold_start::ColdGate;
 use crate::requests::open_request::OpenRequest;
@@ -61,6 +63,9 @@
         if let Some(reason) = self.held_back(client, open, context) {
             return Step::Refuse(open.failure_reason_or(reason));
         }
+        if open.unsent >= MAX_UNSENT {
+            return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+        }
         if !open.tried.is_empty() {
             let exhausted = open.tried.len() >= open.route.max_attempts as usize;
             if exhausted && open.key.is_none() || open.tried.len() >= MAX_ATTEMPTS {
@@ -158,6 +163,9 @@
         if let Some(left) = paused {
             return self.step_in_backoff(open, left, context);
         }
+        if context.reachability.path(&assignment.owner, context.now) == Path::None {
+            return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+        }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
             if same
@@ -260,6 +268,9 @@
             if let Some(left) = self.backoff_of(&open.service, None, context) {
                 return self.step_in_backoff(open, left, context);
             }
+            if self.is_cut_off(client, context) {
+                return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+            }
             return Step::Wait {
                 retry_at: None,
                 reason: open.failure_reason_or(Refusal::NoInstance),
@@ -278,6 +289,7 @@
             directory: context.directory,
             statistics: &self.statistics,
             shared: context.shared,
+            reachability: context.reachability,
             zone: &self.zone,
             zones: context.registry.zones(),
             cold: ColdGate {
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -22,6 +22,9 @@
 /// return at the same time.
 const RETRY_AFTER_JITTER: f64 = 0.7;
 
+/// `Retry-After` while no instance can be reached. Links are probed and peers asked again
+/// within this time.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// `Retry-After` for a request that was rejected by instances with free slots. The next
 /// submission is as likely to be accepted at once as later, and a target latency is a few
 /// hundred milliseconds, so this is only the time that a client needs to receive the response
@@ -133,6 +136,7 @@
         let known = match reason {
             Refusal::QueueTooLong => open.retry_after,
             Refusal::Suspected | Refusal::Quarantined => self.held_back_for(open, context),
+            Refusal::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
             _ => None,
         };
         let own = self.retry_after(&service, key, reason, context);
@@ -145,7 +149,7 @@
     pub(super) fn expire(
         &mut self,
         client: ClientId,
-        context: &RequestContext<'_>,
+        context: &mut RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
         let Some(open) = self.open.get_mut(&client) else {
@@ -160,9 +164,14 @@
             }
             open.timed_out = true;
             self.end_attempt(&attempt, PermitOutcome::Failed);
-            self.statistics
-                .entry(&attempt.instance)
-                .record_failure(context.now);
+            if let Some(peer) = attempt.via {
+                context.forward_peers.cancelled(peer);
+            }
+            if !context.reachability.is_isolated() {
+                self.statistics
+                    .entry(&attempt.instance)
+                    .record_failure(context.now);
+            }
             out.push(Action::Cancel {
                 exchange: attempt.exchange,
             });
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -5,12 +5,14 @@
 mod crashes;
 mod decide;
 mod endings;
+mod forwarding;
 mod notices;
 mod permits;
 mod retries;
 mod targets;
 mod tokens;
 
+pub use self::attempts::{RequestProfile, request_options};
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
 
@@ -38,6 +40,7 @@
 use crate::dialect::HeaderNames;
 use crate::directory::Directory;
 use crate::dispatch::PermitOutcome;
+use crate::forwarding::ForwardPeers;
 use crate::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeId};
 use crate::mechanisms::Mechanisms;
@@ -49,13 +52,14 @@
 use crate::protections::{Protection, Protections};
 use crate::quarantine::{CallerId, Evidence, Trials};
 use crate::quota::Admission;
+use crate::reachability::Reachability;
 use crate::settings::NodeSettings;
 use ledgelead_http::{Request, Response};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Time reserved for the response to reach the client before its deadline.
@@ -98,6 +102,10 @@
     pub registry: &'a Registry,
     /// The name of this node.
     pub node: &'a NodeName,
+    /// This node's links to the instances.
+    pub reachability: &'a mut Reachability,
+    /// The peers that forward for this node.
+    pub forward_peers: &'a mut ForwardPeers,
 }
 
 /// Request counts for metrics.
@@ -115,6 +123,8 @@
     pub refused: BTreeMap<&'static str, u64>,
     /// Retries considered, by decision.
     pub retries: BTreeMap<&'static str, u64>,
+    /// Attempts sent by way of a peer, by outcome.
+    pub forwards: BTreeMap<&'static str, u64>,
     /// Responses in which instances announced that they leave, or requested a pause.
     pub notices: BTreeMap<&'static str, u64>,
 }
@@ -377,6 +387,12 @@
         Some(&attempt.instance)
     }
 
+    /// The peer that forwards an attempt in flight.
+    pub fn peer_of(&self, exchange: ExchangeId) -> Option<SocketAddr> {
+        let client = self.by_exchange.get(&exchange)?;
+        self.open.get(client)?.attempt.as_ref()?.via
+    }
+
     /// The next time at which a request needs a decision.
     pub fn next_deadline(&self) -> Option<Timestamp> {
         self.wakeups.first().map(|(at, _)| *at)
@@ -414,7 +430,12 @@
     }
 
     /// Handles the disconnection of a client: its request is aborted.
-    pub fn client_disconnected(&mut self, client: ClientId, out: &mut Vec<Action>) {
+    pub fn client_disconnected(
+        &mut self,
+        client: ClientId,
+        forward_peers: &mut ForwardPeers,
+        out: &mut Vec<Action>,
+    ) {
         let Some(mut open) = self.open.remove(&client) else {
             return;
         };
@@ -422,6 +443,9 @@
         self.forget_timers(client, &open);
         self.drop_permit(open.permit.take(), PermitOutcome::NoSample);
         if let Some(attempt) = open.attempt.take() {
+            if let Some(peer) = attempt.via {
+                forward_peers.cancelled(peer);
+            }
             // The disconnection of a client says nothing about the instance.
             self.end_attempt(&attempt, PermitOutcome::NoSample);
             out.push(Action::Cancel {
@@ -449,10 +473,19 @@
         else {
             return;
         };
+        let (result, was_attempted) = match attempt.via {
+            Some(peer) => self.forward_ended(peer, &attempt, result, context),
+            None => {
+                self.record_link(&attempt, &result, context);
+                (result, true)
+            }
+        };
         self.end_attempt(&attempt, permit_outcome(&attempt, &result, context));
         self.record_owner_work(client, &attempt, &result, context);
-        let cause = self.record_result(&attempt, &result, context);
-        self.record_connection_result(&attempt, &result, idle_for, context.now);
+        let cause = self.record_result(&attempt, &result, was_attempted, context);
+        if attempt.via.is_none() {
+            self.record_connection_result(&attempt, &result, idle_for, context.now);
+        }
         self.collect_crash_signs(client, &attempt, &result, context);
         let outcome = classify_outcome(result, &attempt.instance, context.headers);
         match outcome {
@@ -550,6 +583,7 @@
             received: context.now,
             due,
             tried: Vec::new(),
+            unsent: 0,
             attempt: None,
             admission_checked: false,
             waiting_since: None,
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -29,7 +29,8 @@
 pub use digest::{DIGEST_BYTES, RequestDigest};
 pub use idle_limit::IdleLimit;
 pub use lifecycle::{
-    CrashSigns, Declined, PermitDecision, RequestContext, RequestCounters, Requests,
+    CrashSigns, Declined, PermitDecision, RequestContext, RequestCounters, RequestProfile,
+    Requests, request_options,
 };
 pub use notice::Notice;
 pub use open_request::Misdirection;
--- a/crates/ledgelead-router/src/requests/open_request.rs
+++ b/crates/ledgelead-router/src/requests/open_request.rs
@@ -12,6 +12,7 @@
 use crate::requests::tokens::Token;
 use ledgelead_http::{Request, Response};
 use std::cell::OnceCell;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     pub exchange: ExchangeId,
     /// The instance it was sent to.
     pub instance: InstanceId,
+    /// The peer that forwards it, if this node doesn't reach the instance.
+    pub via: Option<SocketAddr>,
     /// Whether it was taken from the retry budget.
     pub is_retry: bool,
     /// When it was sent.
@@ -91,6 +94,8 @@
     pub due: Timestamp,
     /// Instances it was sent to.
     pub tried: Vec<InstanceId>,
+    /// Number of attempts that were not sent to any instance.
+    pub unsent: u32,
     /// The attempt in flight.
     pub attempt: Option<Attempt>,
     /// Whether the admission check for overloaded keys was already made.
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -7,6 +7,7 @@
 use crate::identity::{InstanceId, ServiceName, ZoneName};
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::SharedLoad;
+use crate::reachability::{Path, Reachability};
 use rand::RngExt;
 use rand::distr::Distribution;
 use rand::distr::weighted::WeightedIndex;
@@ -22,6 +23,9 @@
 const MAX_OTHER_ZONE_COST: f64 = 0.75;
 /// Maximum share of a service's instances that may be ejected.
 const MAX_EJECTED_SHARE: f64 = 0.5;
+/// Share of a service's instances that this node must reach itself for the others not to be
+/// used by way of peers.
+const MIN_DIRECT_SHARE: f64 = 0.5;
 /// Cost of a failure as a multiple of the time left: the request is lost, or starts over
 /// elsewhere.
 const FAILURE_COST: f64 = 2.0;
@@ -51,6 +55,8 @@
     pub statistics: &'a StatisticsTable,
     /// Open requests of the other nodes in the zone.
     pub shared: &'a SharedLoad,
+    /// This node's links to the instances.
+    pub reachability: &'a Reachability,
     /// This node's zone.
     pub zone: &'a ZoneName,
     /// Number of zones that have nodes.
@@ -109,7 +115,8 @@
             .of_service(service)
             .filter(|instance| instance.serves() && !self.is_unavailable(instance))
             .collect();
-        let usable = self.without_ejected(&serving);
+        let reachable = self.reachable(&serving);
+        let usable = self.without_ejected(&reachable);
         let typical = self.typical_service_time(&serving, time_left);
         let estimate = |instance: &Instance| self.estimate(instance, typical, 1, time_left);
         let untried = usable
@@ -280,6 +287,21 @@
         self.statistics.unavailable_for(id, self.now).is_some()
     }
 
+    /// The instances that this node reaches itself, or if those are too few, also those that
+    /// peers may reach.
+    fn reachable<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
+        let path = |instance: &Instance| self.reachability.path(&instance.record.id, self.now);
+        let by = |accepts: fn(Path) -> bool| -> Vec<&'a Instance> {
+            let accepted = serving.iter().filter(|instance| accepts(path(instance)));
+            accepted.copied().collect()
+        };
+        let direct = by(|path| path == Path::Direct);
+        if direct.len() as f64 >= serving.len() as f64 * MIN_DIRECT_SHARE {
+            return direct;
+        }
+        by(|path| path != Path::None)
+    }
+
     fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
         let is_ejected = |instance: &&&Instance| {
             self.statistics
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -10,6 +10,8 @@
 use ledgelead_router::mechanisms::{Mechanism, Mechanisms};
 use ledgelead_router::ownership::record::Assignment;
 use ledgelead_router::peers::{DigestEntry, OpenRequests, Registry, SharedLoad};
+use ledgelead_router::protections::Protections;
+use ledgelead_router::reachability::Reachability;
 use ledgelead_router::requests::{
     AttemptOutcome, BudgetBounds, ColdBound, ColdGate, ColdSends, IdleLimit, Misdirection, Notice,
     RetryBudget, Selected, SelectionContext, StatisticsTable, classify_outcome,
@@ -211,6 +213,7 @@
             directory: &self.directory,
             statistics: &self.statistics,
             shared: &self.shared,
+            reachability: &Reachability::new(1, Protections::default()),
             zone: &self.zone,
             zones: 2,
             cold: ColdGate {
--- a/crates/ledgelead-router/tests/scale.rs
+++ b/crates/ledgelead-router/tests/scale.rs
@@ -132,6 +132,7 @@
                 configuration: &self.configuration,
                 limits: &KnownLimits::default(),
                 store_serves: true,
+                is_cut_off: false,
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut self.exchanges,
             };
--- a/crates/ledgelead-router/tests/support/coordinator.rs
+++ b/crates/ledgelead-router/tests/support/coordinator.rs
@@ -74,6 +74,7 @@
             configuration: &configuration,
             limits: &KnownLimits::default(),
             store_serves: true,
+            is_cut_off: false,
             mechanisms: Mechanisms::default(),
             exchanges: &mut self.exchanges,
         })
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -19,6 +19,9 @@
 /// How long a connection stays open after this side has shut down its direction, to wait for
 /// the client's close. Closing earlier could cut off the last answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes by which a request of another node may exceed the longest body of a client: it wraps
+/// a client's request with its head.
+const WRAPPING_BYTES: usize = 4_096;
 /// If memory is short, a client that has accepted no byte of its answer for this long is
 /// disconnected. Retransmissions over a lossy link take only a part of this time.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -87,12 +90,17 @@
         self.stopping = true;
     }
 
-    /// Whether a request of a client is being received or answered.
+    /// Whether a request of a client is being received or answered, or an answer to another
+    /// node is being written.
     pub(crate) fn is_busy(&self) -> bool {
         self.connections.iter().any(|(_, connection)| {
-            let client = connection.endpoint == Endpoint::Clients;
             let flushing = !connection.stream.is_flushed();
-            client && (connection.open.is_some() || connection.receiving || flushing)
+            match connection.endpoint {
+                Endpoint::Clients => connection.open.is_some() || connection.receiving || flushing,
+                // The node itself waits for the attempts that it makes for other nodes.
+                Endpoint::Peers => flushing,
+                Endpoint::Status => false,
+            }
         })
     }
 
@@ -335,13 +343,17 @@
         budget: MemoryBudget<'_>,
         events: &mut Vec<ClientEvent>,
     ) {
-        let limits = RequestLimits {
-            max_head_bytes: self.limits.max_head_bytes,
-            max_body_bytes: self.limits.max_body_bytes,
-        };
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
+        let wrapping = match connection.endpoint {
+            Endpoint::Peers => self.limits.max_head_bytes.saturating_add(WRAPPING_BYTES),
+            Endpoint::Clients | Endpoint::Status => 0,
+        };
+        let limits = RequestLimits {
+            max_head_bytes: self.limits.max_head_bytes,
+            max_body_bytes: self.limits.max_body_bytes.saturating_add(wrapping),
+        };
         let progress = match connection.reader.read(&mut connection.stream.input, limits) {
             Ok(progress) => progress,
             Err(error) => {
@@ -378,8 +390,8 @@
             return false;
         }
         let body = connection.reader.reserved_bytes() + connection.open_body_bytes;
-        let is_client = connection.endpoint == Endpoint::Clients;
-        let is_checked = is_client && body >= MIN_CHECKED_BYTES;
+        let is_status = connection.endpoint == Endpoint::Status;
+        let is_checked = !is_status && body >= MIN_CHECKED_BYTES;
         is_checked
             && !budget.admits(|| self.buffered_bytes())
             && !budget.is_nearly_empty(|| self.buffered_bytes() - body)
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -99,6 +99,18 @@
         "Whether this node coordinates",
         u64::from(status.coordinator.is_some()),
     );
+    gauge(
+        &mut registry,
+        "isolated",
+        "Whether this node reaches no instance",
+        u64::from(status.isolated),
+    );
+    gauge(
+        &mut registry,
+        "failing_links",
+        "Instances that this node doesn't reach itself",
+        status.failing_links as u64,
+    );
     gauge(
         &mut registry,
         "open_requests",
@@ -206,6 +218,7 @@
     }
     registry.register("refusals", "Own answers by reason", refused);
     register_retries(&mut registry, status);
+    register_forwards(&mut registry, status);
     register_notices(&mut registry, status);
     register_calls(&mut registry, status);
     register_quarantine(&mut registry, status);
@@ -235,6 +248,29 @@
     );
 }
 
+fn register_forwards(registry: &mut Registry, status: &NodeStatus) {
+    let sent = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in &status.requests.forwards {
+        sent.get_or_create(&ReasonLabel { reason }).inc_by(*count);
+    }
+    registry.register(
+        "forwards_sent",
+        "Attempts sent by way of another node, by outcome",
+        sent,
+    );
+    let received = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in &status.forwarded {
+        received
+            .get_or_create(&ReasonLabel { reason })
+            .inc_by(*count);
+    }
+    registry.register(
+        "forwards_received",
+        "Attempts that other nodes asked for, by how they were handled",
+        received,
+    );
+}
+
 fn register_notices(registry: &mut Registry, status: &NodeStatus) {
     let notices = Family::<KindLabel, Counter>::default();
     for (kind, count) in &status.requests.notices {
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -89,6 +89,12 @@
             .is_some_and(|write_at| now < write_at)
     }
 
+    /// Whether the time limit of the exchange has passed.
+    pub(super) fn is_overdue(&self, now: Instant) -> bool {
+        let running = self.running.as_ref();
+        running.is_some_and(|running| running.answer_by <= now)
+    }
+
     /// Whether the time limit for writing has passed before the whole request was written.
     pub(super) fn has_write_timed_out(&self, now: Instant) -> bool {
         let running = self.running.as_ref();
