The rate of log lines is bounded

Lines were only dropped when the reader was slow, and a fast reader took all of them.

Change: 400 lines a second after a burst of 2,000; further ones are dropped and counted, as before (lines_dropped). The test replays such a storm: 27,000 lines in 10 s, 6,000 written; all before.

--- a/crates/ledgelead-runtime/src/logging.rs
+++ b/crates/ledgelead-runtime/src/logging.rs
@@ -2,19 +2,25 @@
 //!
 //! Lines go through a bounded queue to a thread that writes them. If the reader of the
 //! output is slow, the queue fills up and further lines are dropped. Their number is logged
-//! as a line of its own as soon as the writer continues.
+//! as a line of its own as soon as the writer continues. The same holds for lines beyond a rate
+//! that a failure of many attempts at once would exceed.
 
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
 use std::io::{self, Write};
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Capacity of the queue of lines.
 const QUEUE_LINES: usize = 2_048;
+/// Lines a second that are written for longer.
+const LINES_PER_S: f64 = 400.0;
+/// Lines that may be written at once.
+const BURST_LINES: f64 = 2_000.0;
 /// Stack size of the writer thread.
 const WRITER_STACK_BYTES: usize = 64 * 1024;
 
@@ -39,11 +45,21 @@
             None
         }
     };
+    let started = Instant::now();
+    let rate = Mutex::new(LineRate::default());
+    let admits = move || {
+        // A lock poisoned by a panic still protects consistent numbers.
+        let mut rate = rate.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        rate.admits(started.elapsed())
+    };
     fern::Dispatch::new()
         .level(level)
         .chain(fern::Output::call(move |record| {
             if let Some(queue) = &queue {
-                queue.push(json_line(record, &node));
+                match admits() {
+                    true => queue.push(json_line(record, &node)),
+                    false => queue.drop_line(),
+                }
                 DROPPED.store(queue.dropped(), Ordering::Relaxed);
             }
         }))
@@ -81,6 +97,36 @@
     serde_json::Value::Object(object).to_string()
 }
 
+/// Limits the rate of lines.
+#[derive(Clone, Copy, Debug)]
+pub struct LineRate {
+    available: f64,
+    at: Duration,
+}
+
+impl Default for LineRate {
+    fn default() -> LineRate {
+        LineRate {
+            available: BURST_LINES,
+            at: Duration::ZERO,
+        }
+    }
+}
+
+impl LineRate {
+    /// Whether another line may be written at a time since the start.
+    pub fn admits(&mut self, now: Duration) -> bool {
+        let earned = now.saturating_sub(self.at).as_secs_f64() * LINES_PER_S;
+        self.available = (self.available + earned).min(BURST_LINES);
+        self.at = now;
+        let admits = self.available >= 1.0;
+        if admits {
+            self.available -= 1.0;
+        }
+        admits
+    }
+}
+
 /// A bounded queue of lines for a writer that may be slow.
 #[derive(Clone, Debug)]
 pub struct LineQueue {
@@ -109,10 +155,15 @@
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
             self.lines.try_send(line)
         {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.drop_line();
         }
     }
 
+    /// Counts a line that is not written.
+    pub fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Number of lines dropped so far.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
--- a/crates/ledgelead-runtime/tests/logging.rs
+++ b/crates/ledgelead-runtime/tests/logging.rs
@@ -1,7 +1,7 @@
 //! Logging while the output accepts no lines.
 
 use googletest::prelude::*;
-use ledgelead_runtime::logging::LineQueue;
+use ledgelead_runtime::logging::{LineQueue, LineRate};
 use serde_json::Value;
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -76,3 +76,14 @@
         .sum();
     expect_that!(reported, eq(dropped));
 }
+
+#[gtest]
+fn storm_of_failed_attempts_does_not_flood_the_log() {
+    // 2,700 attempts a second, each with a line.
+    let mut rate = LineRate::default();
+    let line = |number: u64| Duration::from_micros(number * 370);
+    let written = (0..27_000).filter(|number| rate.admits(line(*number)));
+    expect_that!(written.count(), all!(gt(5_000), lt(6_100)));
+    // Later lines are written again.
+    expect_that!(rate.admits(line(27_000) + Duration::from_secs(1)), eq(true));
+}
