--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod first_election;
 mod fixture;
 mod former_coordinator;
+mod forwarding;
 mod incomplete_requests;
 mod leaving;
 mod open_requests;
