--- a/crates/ledgelead-router/tests/node/forwarding.rs
+++ b/crates/ledgelead-router/tests/node/forwarding.rs
@@ -16,6 +16,8 @@
     ForwardAnswer, ForwardDecline, ForwardFailure, ForwardPurpose, ForwardRequest, Heartbeat,
     PeerMessage,
 };
+use ledgelead_router::protections::{Protection, Protections};
+use ledgelead_router::settings::NodeSettings;
 use ledgelead_types::codec::{self, List};
 use std::time::Duration;
 
@@ -258,8 +260,12 @@
 
 /// Asks a node that hears the coordinator of `EPOCH` to forward a grant that was sent this long
 /// ago, and returns whether it does.
-fn forwards_order(epoch: u64, age: Duration) -> bool {
-    let mut fixture = Fixture::new(owned_store(configuration(1)));
+fn forwards_order(epoch: u64, age: Duration, protections: Protections) -> bool {
+    let settings = NodeSettings {
+        protections,
+        ..Fixture::settings()
+    };
+    let mut fixture = Fixture::with_settings(owned_store(configuration(1)), settings);
     fixture.run_until(ms(2_000));
     for _ in 0..4 {
         let sent = fixture.now;
@@ -282,10 +288,13 @@
 /// An order held up at a suspended peer would reach its instance after the keys went to another.
 #[gtest]
 fn peer_forwards_only_recent_orders_of_the_newest_coordinator() {
-    expect_that!(forwards_order(EPOCH, ms(20)), eq(true));
-    expect_that!(forwards_order(EPOCH, ms(600)), eq(false));
-    expect_that!(forwards_order(EPOCH - 1, ms(20)), eq(false));
-    expect_that!(forwards_order(EPOCH + 1, ms(20)), eq(false));
+    let safe = Protections::default();
+    expect_that!(forwards_order(EPOCH, ms(20), safe), eq(true));
+    expect_that!(forwards_order(EPOCH, ms(600), safe), eq(false));
+    expect_that!(forwards_order(EPOCH - 1, ms(20), safe), eq(false));
+    expect_that!(forwards_order(EPOCH + 1, ms(20), safe), eq(false));
+    let sabotaged = Protections::without(Protection::RecentOrders);
+    expect_that!(forwards_order(EPOCH, ms(600), sabotaged), eq(true));
 }
 
 #[gtest]
