Peers that could not forward come last; a node that knows no others asks those whom it hears

Change: the choice ranks peers that failed to forward last; without registrations the nodes from which the coordinator is heard are asked.

--- a/crates/ledgelead-lab/tests/fleet_isolated.rs
+++ b/crates/ledgelead-lab/tests/fleet_isolated.rs
@@ -8,6 +8,7 @@
     ViolationKind, World,
 };
 use ledgelead_router::protections::{Protection, Protections};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 const BEGIN: Duration = Duration::from_secs(16);
@@ -63,8 +64,27 @@
 
 #[gtest]
 fn series_of_isolations_keeps_callers_served() {
-    let (_, lines) = run_seeds(drawn_isolated, 1..=24, NODES, Protections::default(), false);
-    expect_that!(lines, is_empty());
+    expect_that!(violation_lines(1..=24, NODES), is_empty());
+}
+
+/// Number of nodes for which zones are large enough that broadcasts are relayed.
+const MANY_NODES: usize = 21;
+
+fn violation_lines(seeds: RangeInclusive<u64>, nodes: usize) -> Vec<String> {
+    let (_, lines) = run_seeds(drawn_isolated, seeds, nodes, Protections::default(), false);
+    lines
+}
+
+#[gtest]
+fn series_of_isolations_keeps_callers_of_large_fleets_served() {
+    expect_that!(violation_lines(1..=13, MANY_NODES), is_empty());
+}
+
+#[gtest]
+fn isolated_node_that_knows_few_others_serves_its_callers() {
+    // Four datagrams in ten are lost. Two isolated nodes know no registration but their own for
+    // more than ten seconds, and their zone relay is isolated too.
+    expect_that!(violation_lines(26..=26, MANY_NODES), is_empty());
 }
 
 fn count(report: &FleetReport, kind: ViolationKind) -> usize {
--- a/crates/ledgelead-router/src/forwarding/mod.rs
+++ b/crates/ledgelead-router/src/forwarding/mod.rs
@@ -41,6 +41,9 @@
     pub registry: &'a Registry,
     /// This node.
     pub node: &'a NodeName,
+    /// Nodes from which this one hears the coordinator, for when it doesn't know the others'
+    /// registrations yet.
+    pub heartbeat_senders: [Option<SocketAddr>; 2],
     /// Whether a peer is known not to reach the instance.
     pub is_excluded: Excluded,
     /// Whether a peer has recently reached the instance.
@@ -74,8 +77,9 @@
     }
 
     /// Chooses a peer: one that has reached the instance, or else one that has forwarded to any
-    /// instance, or else any, with a preference for the own zone. Of two random ones, the one
-    /// with fewer open requests of this node. Now and then any peer is chosen, so that more of
+    /// instance, or else any, with a preference for the own zone. Those that could not forward
+    /// when they were last asked come last. Of two random ones, the one with fewer open requests
+    /// of this node. Now and then the choice is among all that have not failed, so that more of
     /// them share the work.
     pub fn choose(
         &mut self,
@@ -92,6 +96,7 @@
         let rank = |peer: &NodeRecord| {
             let is_far = Some(&peer.zone) != zone.as_ref();
             let trust = match explores {
+                _ if self.has_failed(peer.address) => 3,
                 true => 0,
                 false if (choice.has_path)(peer.address) => 0,
                 false if self.has_forwarded(peer.address, now) => 1,
@@ -100,7 +105,11 @@
             (trust, is_far)
         };
         let ranked: Vec<_> = usable.map(|peer| (rank(peer), peer.address)).collect();
-        let best = ranked.iter().map(|(rank, _)| *rank).min()?;
+        let Some(best) = ranked.iter().map(|(rank, _)| *rank).min() else {
+            let mut senders = choice.heartbeat_senders.into_iter().flatten();
+            return senders
+                .find(|sender| !self.is_avoided(*sender, now) && !(choice.is_excluded)(*sender));
+        };
         let candidates: Vec<SocketAddr> = ranked
             .into_iter()
             .filter(|(rank, _)| *rank == best)
@@ -177,6 +186,13 @@
         forwarded_at.is_some_and(|at| now < at + PREFERRED_FOR)
     }
 
+    /// Whether a peer could not forward when it was last asked.
+    fn has_failed(&self, address: SocketAddr) -> bool {
+        self.peers
+            .get(&address)
+            .is_some_and(|peer| peer.failures > 0)
+    }
+
     fn open(&self, address: SocketAddr) -> u32 {
         self.peers.get(&address).map_or(0, |peer| peer.open)
     }
--- a/crates/ledgelead-router/src/node/forwarded_orders.rs
+++ b/crates/ledgelead-router/src/node/forwarded_orders.rs
@@ -99,6 +99,7 @@
         let choice = PeerChoice {
             registry: &self.registry,
             node: &self.settings.identity.node,
+            heartbeat_senders: [None; 2],
             is_excluded: |peer| reachability.excludes(instance, peer, now),
             has_path: |peer| reachability.is_reached_by(instance, peer, now),
         };
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -393,6 +393,10 @@
             exchanges: &mut self.exchanges,
             registry: &self.registry,
             node: &self.settings.identity.node,
+            heartbeat_senders: [
+                self.messaging.heartbeat_sender,
+                self.messaging.coordinator_address,
+            ],
             reachability: &mut self.reachability,
             forward_peers: &mut self.forward_peers,
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
@@ -58,6 +58,7 @@
         let choice = PeerChoice {
             registry: context.registry,
             node: context.node,
+            heartbeat_senders: context.heartbeat_senders,
             is_excluded: |peer| reachability.excludes(id, peer, now),
             has_path: |peer| reachability.is_reached_by(id, peer, now),
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -102,6 +102,8 @@
     pub registry: &'a Registry,
     /// The name of this node.
     pub node: &'a NodeName,
+    /// Nodes from which this one hears the coordinator.
+    pub heartbeat_senders: [Option<SocketAddr>; 2],
     /// This node's links to the instances.
     pub reachability: &'a mut Reachability,
     /// The peers that forward for this node.
