--- a/crates/ledgelead-router/src/forwarding/outcome.rs
+++ b/crates/ledgelead-router/src/forwarding/outcome.rs
@@ -1,7 +1,7 @@
 //! What the end of an exchange with a forwarding peer proves.
 
 use crate::io::ExchangeFailure;
-use crate::peers::{ForwardAnswer, ForwardDecline, headers};
+use crate::peers::{ForwardAnswer, ForwardDecline, headers_of};
 use ledgelead_http::Response;
 use ledgelead_types::codec;
 
@@ -66,11 +66,11 @@
     match codec::decode::<ForwardAnswer>(&response.body) {
         Ok(ForwardAnswer::Response {
             status,
-            headers: entries,
+            headers,
             body,
         }) => {
             let mut response = Response::new(status, body.0);
-            response.headers = headers(entries);
+            response.headers = headers_of(headers);
             ForwardOutcome::Attempted(Ok(response))
         }
         Ok(ForwardAnswer::Failed(failure)) => ForwardOutcome::Attempted(Err(failure.into())),
--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -96,7 +96,7 @@
     ) {
         match self.reachability.path(&outgoing.instance, now) {
             Path::Direct => self.send_order_directly(outgoing, now, out),
-            Path::None => self.order_not_sent(outgoing.exchange, now),
+            Path::Unreachable => self.order_not_sent(outgoing.exchange, now),
             Path::ByPeer => {
                 let OutgoingOrder {
                     exchange,
--- a/crates/ledgelead-router/src/peers/forward.rs
+++ b/crates/ledgelead-router/src/peers/forward.rs
@@ -133,7 +133,7 @@
     /// The wrapped request.
     pub fn into_request(self) -> Request {
         let mut request = Request::new(&self.method, self.target.0, self.body.0);
-        request.headers = headers(self.headers);
+        request.headers = headers_of(self.headers);
         request
     }
 }
@@ -190,7 +190,7 @@
     headers.iter().map(entry).collect()
 }
 
-pub(crate) fn headers(entries: List<HeaderEntry>) -> Headers {
+pub(crate) fn headers_of(entries: List<HeaderEntry>) -> Headers {
     let mut headers = Headers::new();
     for HeaderEntry { name, value } in entries.0 {
         headers.push(&name, value.0);
--- a/crates/ledgelead-router/src/peers/mod.rs
+++ b/crates/ledgelead-router/src/peers/mod.rs
@@ -26,7 +26,7 @@
 pub use evidence::{
     AgedEntry, EndEntry, RequestEntry, age_ms, aged_instances, evidence_parts, time_from_age,
 };
-pub(crate) use forward::headers;
+pub(crate) use forward::headers_of;
 pub use forward::{
     ForwardAnswer, ForwardDecline, ForwardFailure, ForwardPurpose, ForwardRequest, HeaderEntry,
 };
--- a/crates/ledgelead-router/src/reachability/link.rs
+++ b/crates/ledgelead-router/src/reachability/link.rs
@@ -14,7 +14,7 @@
 const MAX_RETRY_FLAPPING: Duration = Duration::from_secs(4);
 /// A link that fails within this time after its recovery is flapping.
 const FLAPPING_TIME: Duration = Duration::from_secs(5);
-/// How long a peer that reaches an instance no better is not asked again.
+/// How long a peer that doesn't reach an instance either is not asked for it again.
 const PEER_RETRY: Duration = Duration::from_millis(700);
 /// Delay before peers are asked again for an instance that none of them reaches.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(500);
@@ -42,10 +42,10 @@
     pub(super) suspected_at: Option<Timestamp>,
     wanted_at: Timestamp,
     /// Peers that don't reach the instance either, and until when they are not asked again.
-    peers: Vec<(SocketAddr, Timestamp)>,
+    failed_peers: Vec<(SocketAddr, Timestamp)>,
     unreachable_until: Timestamp,
     /// Peers that have reached the instance, and until when they are preferred.
-    preferred: Vec<(SocketAddr, Timestamp)>,
+    reaching_peers: Vec<(SocketAddr, Timestamp)>,
 }
 
 impl Link {
@@ -76,8 +76,8 @@
         }
         self.is_failing = false;
         self.recovered_at = Some(now);
-        self.peers.clear();
-        self.preferred.clear();
+        self.failed_peers.clear();
+        self.reaching_peers.clear();
         self.unreachable_until = Timestamp::ZERO;
         true
     }
@@ -89,11 +89,11 @@
 
     /// Records that a peer doesn't reach the instance either.
     pub(super) fn record_peer_failure(&mut self, peer: SocketAddr, now: Timestamp) {
-        self.peers
+        self.failed_peers
             .retain(|(known, until)| *known != peer && *until > now);
-        self.peers.push((peer, now + PEER_RETRY));
-        self.preferred.retain(|(known, _)| *known != peer);
-        if self.peers.len() >= MAX_PEERS_ASKED {
+        self.failed_peers.push((peer, now + PEER_RETRY));
+        self.reaching_peers.retain(|(known, _)| *known != peer);
+        if self.failed_peers.len() >= MAX_PEERS_ASKED {
             self.record_unreachable(now);
         }
     }
@@ -101,17 +101,17 @@
     /// Records that a peer has reached the instance.
     pub(super) fn record_peer_contact(&mut self, peer: SocketAddr, now: Timestamp) {
         self.unreachable_until = Timestamp::ZERO;
-        self.peers.retain(|(known, _)| *known != peer);
-        self.preferred
+        self.failed_peers.retain(|(known, _)| *known != peer);
+        self.reaching_peers
             .retain(|(known, until)| *known != peer && *until > now);
-        if self.preferred.len() < MAX_PREFERRED {
-            self.preferred.push((peer, now + PEER_PREFERRED_FOR));
+        if self.reaching_peers.len() < MAX_PREFERRED {
+            self.reaching_peers.push((peer, now + PEER_PREFERRED_FOR));
         }
     }
 
     /// Whether a peer has recently reached the instance.
     pub(super) fn is_reached_by(&self, peer: SocketAddr, now: Timestamp) -> bool {
-        self.preferred
+        self.reaching_peers
             .iter()
             .any(|(known, until)| *known == peer && *until > now)
     }
@@ -128,7 +128,7 @@
 
     /// Whether a peer is known not to reach the instance either.
     pub(super) fn excludes(&self, peer: SocketAddr, now: Timestamp) -> bool {
-        self.peers
+        self.failed_peers
             .iter()
             .any(|(known, until)| *known == peer && *until > now)
     }
--- a/crates/ledgelead-router/src/reachability/mod.rs
+++ b/crates/ledgelead-router/src/reachability/mod.rs
@@ -42,7 +42,7 @@
     /// Only by way of a peer.
     ByPeer,
     /// Neither this node nor its peers reach the instance.
-    None,
+    Unreachable,
 }
 
 /// The links of a node to the instances.
@@ -143,7 +143,7 @@
             return Path::Direct;
         }
         match self.links.get(id) {
-            Some(link) if link.is_unreachable(now) => Path::None,
+            Some(link) if link.is_unreachable(now) => Path::Unreachable,
             Some(link) if link.is_failing => Path::ByPeer,
             _ if self.isolated => Path::ByPeer,
             _ => Path::Direct,
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -163,7 +163,7 @@
         if let Some(left) = paused {
             return self.step_in_backoff(open, left, context);
         }
-        if context.reachability.path(&assignment.owner, context.now) == Path::None {
+        if context.reachability.path(&assignment.owner, context.now) == Path::Unreachable {
             return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
         }
         if let Some(misdirection) = &open.misdirection {
--- a/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
@@ -32,6 +32,17 @@
 /// Time by which a peer's attempt ends before this node stops waiting for it.
 const HOP_MARGIN: Duration = Duration::from_millis(10);
 
+/// Logged for an attempt that was aborted since the link to its instance has failed.
+const LINK_FAILED: &str = "link_failed";
+
+/// The result of an attempt.
+pub(super) struct AttemptResult {
+    /// The response, or why there is none.
+    pub(super) result: Result<Response, ExchangeFailure>,
+    /// Whether an attempt at the instance was made, by this node or a peer.
+    pub(super) was_attempted: bool,
+}
+
 /// How an attempt is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptPath {
@@ -50,7 +61,7 @@
         let now = context.now;
         match context.reachability.path(id, now) {
             Path::Direct => return Some(AttemptPath::Direct),
-            Path::None => return None,
+            Path::Unreachable => return None,
             Path::ByPeer => {}
         }
         context.reachability.record_demand(id, now);
@@ -79,7 +90,7 @@
         attempt: &Attempt,
         result: Result<Response, ExchangeFailure>,
         context: &mut RequestContext<'_>,
-    ) -> (Result<Response, ExchangeFailure>, bool) {
+    ) -> AttemptResult {
         let outcome = forward_outcome(result);
         context.forward_peers.ended(peer, &outcome, context.now);
         let name = match &outcome {
@@ -100,7 +111,10 @@
                 .record_peer_contact(&attempt.instance, peer, context.now);
         }
         let was_attempted = outcome.was_attempted();
-        (outcome.into_result(), was_attempted)
+        AttemptResult {
+            result: outcome.into_result(),
+            was_attempted,
+        }
     }
 
     /// Records what the end of a direct attempt shows about the link to its instance.
@@ -210,7 +224,7 @@
         };
         open.may_have_run = true;
         open.timed_out = true;
-        log_attempt_ended(open, &attempt, "link_failed", context);
+        log_attempt_ended(open, &attempt, LINK_FAILED, context);
         self.end_attempt(&attempt, PermitOutcome::NoSample);
         out.push(Action::Cancel {
             exchange: attempt.exchange,
@@ -229,7 +243,7 @@
             .filter(|instance| instance.serves())
             .peekable();
         let is_unreachable =
-            |id: &InstanceId| context.reachability.path(id, context.now) == Path::None;
+            |id: &InstanceId| context.reachability.path(id, context.now) == Path::Unreachable;
         serving.peek().is_some() && serving.all(|instance| is_unreachable(&instance.record.id))
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -19,6 +19,7 @@
 use self::callers::{Unrouted, admit, take_tenant};
 use self::decide::Step;
 use self::endings::relayed_response;
+use self::forwarding::AttemptResult;
 use self::permits::permit_outcome;
 use super::answers::Refusal;
 use super::budget::RetryBudget;
@@ -475,11 +476,17 @@
         else {
             return;
         };
-        let (result, was_attempted) = match attempt.via {
+        let AttemptResult {
+            result,
+            was_attempted,
+        } = match attempt.via {
             Some(peer) => self.forward_ended(peer, &attempt, result, context),
             None => {
                 self.record_link(&attempt, &result, context);
-                (result, true)
+                AttemptResult {
+                    result,
+                    was_attempted: true,
+                }
             }
         };
         self.end_attempt(&attempt, permit_outcome(&attempt, &result, context));
--- a/crates/ledgelead-router/src/requests/selection.rs
+++ b/crates/ledgelead-router/src/requests/selection.rs
@@ -299,7 +299,7 @@
         if direct.len() as f64 >= serving.len() as f64 * MIN_DIRECT_SHARE {
             return direct;
         }
-        by(|path| path != Path::None)
+        by(|path| path != Path::Unreachable)
     }
 
     fn without_ejected<'a>(&self, serving: &[&'a Instance]) -> Vec<&'a Instance> {
