Quarantine: losses that several suspected requests explain together

Callers saw 503 `quarantined` for ten minutes, at all nodes, for a harmless request that was in flight with one crashing request at some instances and with another one at the others.

Cause: the ends of a request counted as explained only if one other request had been at all of its ended instances. With two crashing requests neither had.

Ruled out: an end that only a try of its own may prove (tried before, ended more instances). The union over all other requests was feared to explain the ends of a crashing request beside many suspected ones; so only requests count which are suspected themselves (two ends), which are tried apart: an answer takes theirs away, and an end of a crashing request alone quarantines it. Five ends quarantine in any case, as before.

--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -96,6 +96,17 @@
     expect_that!(of_kind(&seen, ViolationKind::HarmlessServed), is_empty());
 }
 
+/// Counts refusals of harmless requests in a run of the large fleet.
+fn held_back_in_large_fleet(seed: u64) -> usize {
+    let seen = violations(seed..=seed, MANY_NODES);
+    of_kind(&seen, ViolationKind::HarmlessServed).len()
+}
+
+#[gtest]
+fn harmless_request_is_served_if_only_two_crashing_ones_together_explain_its_losses() {
+    expect_that!(held_back_in_large_fleet(703), eq(0));
+}
+
 #[gtest]
 fn crashing_requests_cause_no_other_violations() {
     let all = VIOLATIONS.iter().chain(LARGE_FLEET_VIOLATIONS.iter());
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -259,8 +259,8 @@
         scopes
     }
 
-    /// Whether another request, which no answer clears, was in flight at all instances that
-    /// count against this one. Of its ends, those that have not settled yet suffice.
+    /// Whether other suspected requests were in flight at all instances that count against this
+    /// one. Of their ends, those that have not settled yet suffice.
     fn is_explained_by_others(
         &self,
         request: &RequestDigest,
@@ -269,8 +269,9 @@
     ) -> bool {
         let own = entry.settled_instances(scope);
         let others = self.entries.iter().filter(|(other, _)| *other != request);
-        let ended = others.map(|(_, other)| other.ended_instances(CallerId::ALL));
-        may_be_explained(&own, ended)
+        let suspected = others.filter(|(_, other)| other.has_ends_to_suspect());
+        let ended = suspected.flat_map(|(_, other)| other.ended_instances(CallerId::ALL));
+        may_be_explained(&own, &ended.collect())
     }
 
     /// Returns and resets the requests with new evidence, and the instances that turned out to
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -123,6 +123,11 @@
         latest.filter(|_| count >= ENDS_TO_SUSPECT)
     }
 
+    /// Whether requests that are lost with this one may have been lost because of it.
+    pub(super) fn has_ends_to_suspect(&self) -> bool {
+        self.ends_in(CallerId::ALL).count() >= ENDS_TO_SUSPECT
+    }
+
     /// The ends that count in a scope, or may still turn out to count.
     fn counted_ends(&self, scope: CallerId, now: Timestamp) -> impl Iterator<Item = &InstanceEnd> {
         let may_count = move |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
@@ -203,13 +208,10 @@
     }
 }
 
-/// Whether the ends in a scope may be explained by other requests: one that was in flight at all
-/// of the same instances. Both are suspected, and tries tell them apart.
-pub(super) fn may_be_explained(
-    own: &BTreeSet<u64>,
-    mut others: impl Iterator<Item = BTreeSet<u64>>,
-) -> bool {
-    own.len() < ENDS_WITHOUT_EXPLANATION && others.any(|other| other.is_superset(own))
+/// Whether the ends in a scope may be explained by other requests, each of which was in flight
+/// at some of these instances. All of them are suspected, and tries tell them apart.
+pub(super) fn may_be_explained(own: &BTreeSet<u64>, ended_beside: &BTreeSet<u64>) -> bool {
+    own.len() < ENDS_WITHOUT_EXPLANATION && own.is_subset(ended_beside)
 }
 
 /// How long a quarantine lasts that this many ended instances have led to.
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -117,6 +117,61 @@
     }
 }
 
+/// The ends of instances 1, 2 and so on, 2 s apart, with the requests that were in flight at each.
+fn lost(at_instances: &[&[&str]]) -> Evidence {
+    let mut evidence = Evidence::default();
+    for (number, paths) in (1..).zip(at_instances) {
+        let at = u64::from(number) * 2_000;
+        for path in *paths {
+            evidence.record_end(request(path), path, end(10 + number, number.into(), at));
+        }
+        evidence.review(ms(at + 250));
+    }
+    evidence
+}
+
+fn quarantined(evidence: &Evidence, path: &str) -> bool {
+    evidence.is_quarantined_for(&request(path), caller(9))
+}
+
+/// Neither crashing request was at all instances with which the harmless one was lost.
+#[gtest]
+fn harmless_request_lost_beside_two_crashing_ones_in_turn_is_not_quarantined() {
+    let mut evidence = lost(&[
+        &["/c"],
+        &["/c", "/x"],
+        &["/d", "/x"],
+        &["/d"],
+        &["/c", "/x"],
+    ]);
+    let since = ms(10_000);
+    let verdict = evidence.verdict(&request("/x"), caller(9), ms(10_300));
+    expect_that!(verdict, eq(Verdict::Suspected { since }));
+    expect_that!(quarantined(&evidence, "/c"), eq(true));
+    evidence.record_answer(request("/x"), caller(9), ms(12_000));
+    let verdict = evidence.verdict(&request("/x"), caller(9), ms(12_000));
+    expect_that!(verdict, eq(Verdict::Clear));
+}
+
+/// Requests that were lost only once beside it explain nothing.
+#[gtest]
+fn crashing_request_with_another_harmless_one_at_each_instance_is_quarantined() {
+    let evidence = lost(&[&["/c", "/x"], &["/c", "/y"], &["/c", "/z"]]);
+    expect_that!(quarantined(&evidence, "/c"), eq(true));
+}
+
+#[gtest]
+fn crashing_request_beside_several_suspected_ones_is_quarantined_after_an_end_alone() {
+    let together: [&[&str]; 3] = [&["/c", "/x"], &["/c", "/x", "/y"], &["/c", "/y"]];
+    expect_that!(quarantined(&lost(&together), "/c"), eq(false));
+    let alone: &[&str] = &["/c"];
+    let evidence = lost(&[together.as_slice(), &[alone]].concat());
+    expect_that!(quarantined(&evidence, "/c"), eq(true));
+    for harmless in ["/x", "/y"] {
+        expect_that!(quarantined(&evidence, harmless), eq(false));
+    }
+}
+
 #[gtest]
 fn two_requests_that_are_never_apart_are_quarantined_after_five_ends() {
     for (ended, is_quarantined) in [(4, false), (5, true)] {
