Quarantine: ends left to one caller's request explain others

Callers saw 503 `quarantined` for a request that the same client sends along with one that crashes instances for this client, after the crashing one was answered for another client.

Cause: that answer voids the crashing request's ends over all callers, and only those were looked at as an explanation. The ends under its own caller still hold the crashing request back, but no longer explained the companion.

--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -114,6 +114,11 @@
     }
 }
 
+#[gtest]
+fn harmless_request_is_served_beside_one_that_crashes_instances_for_a_single_caller() {
+    expect_that!(held_back_in_large_fleet(803), eq(0));
+}
+
 #[gtest]
 fn crashing_requests_cause_no_other_violations() {
     let all = VIOLATIONS.iter().chain(LARGE_FLEET_VIOLATIONS.iter());
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -280,8 +280,7 @@
     ) -> bool {
         let own = entry.settled_instances(scope);
         let others = self.entries.iter().filter(|(other, _)| *other != request);
-        let suspected = others.filter(|(_, other)| other.has_ends_to_suspect());
-        let ended = suspected.flat_map(|(_, other)| other.ended_instances(CallerId::ALL));
+        let ended = others.flat_map(|(_, other)| other.suspected_instances());
         may_be_explained(&own, &ended.collect())
     }
 
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -126,9 +126,17 @@
         latest.filter(|_| count >= ENDS_TO_SUSPECT)
     }
 
-    /// Whether requests that are lost with this one may have been lost because of it.
-    pub(super) fn has_ends_to_suspect(&self) -> bool {
-        self.ends_in(CallerId::ALL).count() >= ENDS_TO_SUSPECT
+    /// The ended instances in all scopes in which enough ends count for a suspicion. An answer to
+    /// another caller leaves those of a caller.
+    pub(super) fn suspected_instances(&self) -> BTreeSet<u64> {
+        let callers = self.ends.iter().map(|end| end.caller);
+        let scopes: BTreeSet<CallerId> = callers.chain([CallerId::ALL]).collect();
+        let suspected = scopes
+            .into_iter()
+            .filter(|scope| self.ends_in(*scope).count() >= ENDS_TO_SUSPECT);
+        suspected
+            .flat_map(|scope| self.ended_instances(scope))
+            .collect()
     }
 
     /// Whether enough settled ends are known for a quarantine of a scope.
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -196,6 +196,22 @@
     expect_that!(quarantined(&without_evidence, "/x"), eq(true));
 }
 
+/// The crashing request is harmless for another caller, whose answer leaves the ends to the first.
+#[gtest]
+fn request_beside_one_that_is_answered_for_another_caller_is_not_quarantined() {
+    let mut evidence = Evidence::default();
+    for (instance, at) in [(1, 2_000), (2, 4_000), (3, 6_000)] {
+        for path in ["/c", "/x"] {
+            evidence.record_end(request(path), path, end(1, instance, at));
+        }
+        evidence.review(ms(at + 250));
+    }
+    evidence.record_answer(request("/c"), caller(2), ms(7_000));
+    evidence.review(ms(7_000));
+    let is_quarantined = |path: &str| evidence.is_quarantined_for(&request(path), caller(1));
+    expect_that!(is_quarantined("/x"), eq(false));
+}
+
 #[gtest]
 fn two_requests_that_are_never_apart_are_quarantined_after_five_ends() {
     for (ended, is_quarantined) in [(4, false), (5, true)] {
