Late grants: nodes that can't know the next owner send no keyed requests

Callers saw two owners serve one key at the same time, for up to 4 s: an owner answers no grant until its lease expires, the next one gets the keys, one of the unanswered grants is carried out late, and a node that knows no other owner sends requests to the former one.

Cause: an expired lease is no barrier for grants under way; only a token that the owner has answered is, and here it answers nothing. What can't be stopped by a message can only meet no requests. Ruled out: nodes that know the next owner, and grants that are newer than it (traces name revisions and tokens).

Change, in three parts of one protocol: - An owner that left six grants in a row unanswered gets a higher token at once, in grants too short to extend its lease, until that ends: one answer fences all earlier ones. Before, nothing was sent to it any more. - If it answers none, its successor gets the keys after a grace period: once all nodes have acknowledged the record that names it and have no request in flight to another owner, or can't act on an earlier one any more. The record keeps grace periods for a successor of the coordinator. - A node sends no keyed requests by owners that neither the store nor a coordinator has confirmed for 14.4 s, nor by a first list once it knows that a newer record exists. A node without requests acknowledges its record every 2 s, so that the coordinator knows which nodes may hear it.

The simulation draws the loss of acknowledgements from a generator of their own, so that the other datagrams of a seed stay as they were. `rate_limits.rs` answers the store's watches every 5 s, which a store that serves a node does: without, its nodes hear nobody for longer than that time. Its checks are unchanged.

--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -82,6 +82,9 @@
     StoreCompacts,
     /// Some orders get no response and are carried out seconds later.
     OrdersLate,
+    /// All orders to an instance of the sharded service get no response and are carried out
+    /// after this time.
+    DelayOrders(usize, Duration),
     /// Some requests run but their responses are lost.
     AnswersLost,
     /// Instances follow some of their answers with a second, equal one on the same connection.
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -42,11 +42,12 @@
         intended: InstanceId,
         order: Order,
     ) {
-        let late = self.orders_late > 0 && self.rng.random_range(0..3) == 0;
-        let delay = if late {
-            Duration::from_millis(self.rng.random_range(LATE_MS))
-        } else {
-            LATENCY
+        let delayed_by = self.order_delays.get(&instance).copied();
+        let late = delayed_by.is_some() || self.orders_late > 0 && self.rng.random_range(0..3) == 0;
+        let delay = match delayed_by {
+            Some(delay) => delay,
+            None if late => Duration::from_millis(self.rng.random_range(LATE_MS)),
+            None => LATENCY,
         };
         let event = Event::Order {
             caller,
@@ -427,6 +428,10 @@
             FaultKind::StoreLosesAnswers => self.store_faults.losing_answers += 1,
             FaultKind::StoreCompacts => self.store.compact(),
             FaultKind::OrdersLate => self.orders_late += 1,
+            FaultKind::DelayOrders(position, delay) => {
+                let instance = self.sharded_instance_at(*position);
+                self.order_delays.insert(instance, *delay);
+            }
             FaultKind::AnswersLost => self.answers_lost += 1,
             FaultKind::SecondAnswers => self.second_answers += 1,
             FaultKind::RestartInstance(position) => self.crash_and_restart(*position, duration),
@@ -498,6 +503,10 @@
                 }
             }
             FaultKind::OrdersLate => self.orders_late -= 1,
+            FaultKind::DelayOrders(position, _) => {
+                self.order_delays
+                    .remove(&self.sharded_instance_at(*position));
+            }
             FaultKind::AnswersLost => self.answers_lost -= 1,
             FaultKind::SecondAnswers => self.second_answers -= 1,
             FaultKind::DrainInstance(_)
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -25,6 +25,7 @@
 use ledgelead_router::mechanisms::Mechanisms;
 use ledgelead_router::node::Node;
 use ledgelead_router::ownership::coordinator::Coordinator;
+use ledgelead_router::peers::Datagram;
 use ledgelead_router::protections::Protections;
 use ledgelead_router::requests::{BudgetBounds, ColdBound};
 use ledgelead_router::settings::{DEFAULT_LINK_BYTES_PER_S, NodeSettings};
@@ -153,6 +154,8 @@
     pub(super) rng: Pcg64Mcg,
     /// Separate from `rng`, so that datagrams leave its sequence unchanged.
     datagram_rng: Pcg64Mcg,
+    /// Separate generator for acknowledgements of the ownership record.
+    acknowledgement_rng: Pcg64Mcg,
     /// Separate generator for requests that crash instances.
     pub(super) crash_rng: Pcg64Mcg,
     /// Separate generator for the callers in runs with such requests.
@@ -187,6 +190,8 @@
     pub(super) tickets: Rc<RefCell<Tickets>>,
     pub(super) pending: HashMap<(Caller, ExchangeId), Duration>,
     pub(super) orders_late: u32,
+    /// By how much orders to some instances are delayed.
+    pub(super) order_delays: HashMap<usize, Duration>,
     pub(super) answers_lost: u32,
     /// Active faults by which instances send second answers.
     pub(super) second_answers: u32,
@@ -210,6 +215,7 @@
             queue: BinaryHeap::new(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             datagram_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xda7a),
+            acknowledgement_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xacc0),
             crash_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xc4a5),
             caller_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xca11),
             start_time_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0xb04a),
@@ -239,6 +245,7 @@
             tickets: Rc::default(),
             pending: HashMap::new(),
             orders_late: 0,
+            order_delays: HashMap::new(),
             answers_lost: 0,
             second_answers: 0,
             second_answer_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x2a5e),
@@ -576,25 +583,29 @@
                 timeout,
             } => self.probe(caller, exchange, address, timeout),
             Action::Datagram { address, datagram } => {
-                self.datagram(caller, address, datagram.bytes.to_vec());
+                self.datagram(caller, address, &datagram);
             }
         }
     }
 
-    fn datagram(&mut self, caller: Caller, address: SocketAddr, bytes: Vec<u8>) {
+    fn datagram(&mut self, caller: Caller, address: SocketAddr, datagram: &Datagram) {
         let Some(receiver) = self.node_at(address) else {
             return;
         };
         if !self.network.nodes_connected(caller.0, receiver) {
             return;
         }
-        if self.datagram_rng.random_bool(self.settings.datagram_loss) {
+        let rng = match datagram.kind {
+            "ownership_ack" | "ownership_ack_request" => &mut self.acknowledgement_rng,
+            _ => &mut self.datagram_rng,
+        };
+        if rng.random_bool(self.settings.datagram_loss) {
             return;
         }
-        let delay = MAX_DATAGRAM_DELAY.mul_f64(self.datagram_rng.random_range(0.0..1.0));
+        let delay = MAX_DATAGRAM_DELAY.mul_f64(rng.random_range(0.0..1.0));
         let input = Input::Datagram {
             from: node_address(caller.0),
-            bytes,
+            bytes: datagram.bytes.to_vec(),
         };
         let to = (receiver, self.nodes[receiver].incarnation);
         self.schedule(LATENCY + delay, Event::Input(to, input));
--- a/crates/ledgelead-router/examples/coordinator_bench.rs
+++ b/crates/ledgelead-router/examples/coordinator_bench.rs
@@ -102,6 +102,8 @@
                 limits: &KnownLimits::default(),
                 store_serves: true,
                 is_cut_off: false,
+                record_revision: 1,
+                known_to_all: Some(1),
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut exchanges,
             };
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -115,6 +115,11 @@
         Some(&sent.instance)
     }
 
+    /// When the store last confirmed that this node holds the role.
+    pub(super) fn confirmed_at(&self) -> Option<Timestamp> {
+        self.confirmed
+    }
+
     /// Whether this node may give orders now.
     pub(super) fn has_authority(&self, now: Timestamp) -> bool {
         let bounded = self.protections.has(Protection::BoundedAuthority);
@@ -154,6 +159,11 @@
         self.coordinated_in_former_era
     }
 
+    /// Whether the record last received from the store is readable.
+    pub(super) fn is_record_readable(&self) -> bool {
+        !self.record_unreadable
+    }
+
     /// Sets whether the record last received from the store is readable.
     pub(super) fn set_record_readable(&mut self, is_readable: bool) {
         self.record_unreadable = !is_readable;
@@ -396,6 +406,7 @@
             predecessor_ended: ended,
         };
         coordinates.emit();
+        self.owner_views.begin_role(now);
         self.coordination.orders.clear();
         self.coordination.write_in_flight = false;
         self.coordination.coordinated_in_former_era = None;
@@ -446,11 +457,13 @@
         if !self.coordination.has_authority(now) {
             return;
         }
+        self.request_acknowledgements(now, out);
         let Some(configuration) = &self.configuration else {
             return;
         };
         let ended = self.predecessor_has_ended();
         let is_cut_off = self.is_cut_off(now);
+        let known_to_all = self.ownership_known_to_all(now);
         let Some(coordinator) = &mut self.coordination.coordinator else {
             return;
         };
@@ -464,6 +477,8 @@
             limits: self.requests.limits(),
             store_serves: self.store.health.serves(),
             is_cut_off,
+            record_revision: self.ownership.revision().unwrap_or(0),
+            known_to_all,
             mechanisms: self.settings.mechanisms,
             exchanges: &mut self.exchanges,
         };
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -86,6 +86,10 @@
         self.store_health_announced(store_serves, now, out);
         self.evacuations_announced(&heartbeat.evacuations, now, out);
         self.compare_evidence(from, heartbeat.evidence_checksum, now, out);
+        if store_serves {
+            let as_of = now.saturating_sub(age);
+            self.confirm_owners(heartbeat.record_revision, as_of, now, out);
+        }
         if store_serves && age < self.view_ttl() {
             self.follow_coordinator(from, epoch, age, now, out);
             let served_for = Duration::from_millis(u64::from(heartbeat.served_for_ms));
--- a/crates/ledgelead-router/src/node/messaging.rs
+++ b/crates/ledgelead-router/src/node/messaging.rs
@@ -169,8 +169,10 @@
         let owner_work = self.requests.take_owner_work();
         let is_empty = requested_keys.is_empty() && owner_work.is_empty();
         if is_empty && !self.is_relay_candidate() {
+            self.acknowledge_without_reports(now, out);
             return;
         }
+        self.owner_views.record_report(now);
         if let Some(coordinator) = self.coordination.coordinator_mut() {
             for (service, keys) in &requested_keys {
                 coordinator.record_load(service, keys, now);
@@ -286,6 +288,12 @@
             PeerMessage::ResyncRequest { kind, since } => {
                 self.changes_requested(from, kind, since, now, out);
             }
+            PeerMessage::OwnershipAckRequest { revision } => {
+                self.acknowledgement_requested(from, revision, out);
+            }
+            PeerMessage::OwnershipAck { revision } => {
+                self.ownership_acknowledged(from, revision, now)
+            }
             PeerMessage::CoordinatorResigned { epoch } => {
                 self.resignation_announced(epoch, now, out)
             }
@@ -296,6 +304,7 @@
                 work,
             } => {
                 self.zone_relays.record_report(from, nodes_revision, now);
+                self.owner_views.record_heard(from, now);
                 self.configuration_version_announced(configuration_version, now, out);
                 self.record_key_reports(&reports, now);
                 self.record_work_reports(&work);
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod node_list;
 mod open_requests;
 mod orders;
+mod owner_views;
 mod quarantine;
 mod quotas;
 mod rate_limits;
@@ -59,6 +60,7 @@
 use load_hub::LoadHub;
 use messaging::Messaging;
 use node_list::NodeList;
+use owner_views::OwnerViews;
 use quarantine::Quarantine;
 use quotas::Quotas;
 use rand::SeedableRng;
@@ -82,6 +84,7 @@
     configuration_current_at: Timestamp,
     directory: Directory,
     ownership: OwnershipView,
+    owner_views: OwnerViews,
     cold_keys: ColdKeys,
     registry: Registry,
     shared: SharedLoad,
@@ -128,6 +131,7 @@
             configuration_current_at: now,
             directory: Directory::new(settings.protections),
             ownership: OwnershipView::default(),
+            owner_views: OwnerViews::new(now),
             cold_keys: ColdKeys::default(),
             registry: Registry::default(),
             shared: SharedLoad::default(),
@@ -381,6 +385,7 @@
             configuration: self.configuration.as_ref(),
             routes: &self.routes,
             caller_keys_expired: self.caller_keys_expired(now),
+            owners_outdated: self.owners_outdated(now),
             directory: &self.directory,
             ownership: &self.ownership,
             cold_keys: &self.cold_keys,
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -180,6 +180,12 @@
         {
             self.configuration_read(as_of);
         }
+        if kind == ObjectKind::Ownership
+            && self.coordination.is_record_readable()
+            && let Some(as_of) = self.store.watcher(kind).as_of()
+        {
+            self.confirm_owners(0, as_of, now, out);
+        }
         if kind == ObjectKind::Instances
             && let Some(as_of) = self.store.watcher(kind).as_of()
         {
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -452,6 +452,7 @@
             era: entry.era,
             unknown_holds_ms: entry.unknown_holds_ms,
             next_fence: entry.next_fence,
+            grace_periods: Vec::new(),
             assignments,
         };
         if validation::ownership(super::OWNERSHIP_NAME, &record).is_err() {
--- a/crates/ledgelead-router/src/ownership/coordinator/mod.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/mod.rs
@@ -10,9 +10,9 @@
 use self::placement::RegistrationWindow;
 use self::shard::{Shard, State};
 use self::unreachable::UnreachableOwners;
-use super::lease::Lease;
+use super::lease::{GracePeriod, Lease};
 use super::load::KeyLoad;
-use super::record::OwnershipRecord;
+use super::record::{Assignment, OwnershipRecord, RangeGracePeriod};
 use super::work::{CapacityEstimator, WorkSample};
 use crate::Timestamp;
 use crate::configuration::Configuration;
@@ -83,6 +83,10 @@
     pub store_serves: bool,
     /// Whether no instance can be reached, neither by this node nor by way of a peer.
     pub is_cut_off: bool,
+    /// The store's revision of the record.
+    pub record_revision: u64,
+    /// The revision of the record that all nodes are known to have, if any.
+    pub known_to_all: Option<u64>,
     /// Which mechanisms are enabled.
     pub mechanisms: Mechanisms,
     /// Allocates exchange ids.
@@ -172,7 +176,10 @@
                 range: assignment.range(),
                 owner: Some(assignment.owner.clone()),
                 fence: assignment.fence,
-                lease: Lease::inherited(now, earlier.end().max(now)),
+                lease: Lease {
+                    grace_period: inherited_grace_period(&record, assignment, now),
+                    ..Lease::inherited(now, earlier.end().max(now))
+                },
                 state: State::Held,
             })
             .collect();
@@ -277,10 +284,31 @@
         self.long_window_work.record(instance, work);
     }
 
+    /// Whether new owners wait for their keys until all nodes know of them.
+    pub fn has_grace_periods(&self) -> bool {
+        let has_grace_period = |shard: &Shard| shard.lease.grace_period.is_some();
+        self.shards.iter().any(has_grace_period)
+    }
+
+    fn review_grace_periods(&mut self, context: &Context<'_>) {
+        // While a version is being written, the known one may not name the new owners yet.
+        if self.writing.is_some() {
+            return;
+        }
+        for shard in &mut self.shards {
+            shard.lease.review_grace_period(
+                context.record_revision,
+                context.known_to_all,
+                context.now,
+            );
+        }
+    }
+
     /// Decides what is due. Orders must be sent at once or not at all: the caller has checked
     /// that the coordinator may send orders at this moment.
     pub fn step(&mut self, context: &mut Context<'_>) -> Commands {
         let mut commands = Commands::default();
+        self.review_grace_periods(context);
         if !self.has_unknown_holds(context.now) {
             self.add_shards_for_new_services(context);
             self.replace_lost_owners(context);
@@ -296,8 +324,8 @@
     pub fn next_step(&self) -> Timestamp {
         let of_shard = |shard: &Shard| match &shard.state {
             State::Held if shard.lease.order.is_some() => None,
-            State::Held if shard.lease.is_given_up() => Some(shard.lease.possible_until),
-            State::Held => Some(shard.lease.next_grant),
+            State::Held if !self.is_token_recorded(shard) => None,
+            State::Held => Some(shard.lease.next_step()),
             State::Releasing { order: None, .. } if shard.lease.order.is_some() => None,
             State::Releasing { order: None, .. } if !self.is_token_recorded(shard) => None,
             State::Releasing {
@@ -305,10 +333,7 @@
                 next_attempt,
                 ..
             } if shard.lease.fenced => Some(*next_attempt),
-            State::Releasing { order: None, .. } if shard.lease.is_given_up() => {
-                Some(shard.lease.possible_until)
-            }
-            State::Releasing { order: None, .. } => Some(shard.lease.next_grant),
+            State::Releasing { order: None, .. } => Some(shard.lease.next_step()),
             State::Releasing { .. } => Some(shard.lease.possible_until),
             State::Free { .. } | State::Assigning { .. } => None,
         };
@@ -321,3 +346,20 @@
             .unwrap_or(self.next_plan)
     }
 }
+
+/// The grace_period that an earlier coordinator has imposed on an assignment.
+fn inherited_grace_period(
+    record: &OwnershipRecord,
+    assignment: &Assignment,
+    now: Timestamp,
+) -> Option<GracePeriod> {
+    let grace_periods = record.grace_periods.iter();
+    let left = grace_periods
+        .filter(|grace_period| grace_period.covers(&assignment.service, assignment.range()))
+        .map(RangeGracePeriod::left)
+        .max()?;
+    Some(GracePeriod {
+        until: now + left,
+        revision: None,
+    })
+}
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -93,6 +93,15 @@
     pub(super) fn send_grants(&mut self, context: &mut Context<'_>, commands: &mut Commands) {
         for index in self.due_grants(context.now) {
             let shard = &mut self.shards[index];
+            if shard.lease.needs_token_to_expire() {
+                shard.raise_token(&mut self.next_fence, context.now);
+                if shard.fence >= self.record.next_fence {
+                    continue;
+                }
+            }
+            let Some(hold) = shard.lease.next_hold(context.now) else {
+                continue;
+            };
             let instance = shard
                 .owner
                 .as_ref()
@@ -111,7 +120,7 @@
                 order: Order::Grant {
                     range: shard.range,
                     fence: shard.fence,
-                    hold: crate::settings::HOLD,
+                    hold,
                     handover: shard.lease.handover.clone(),
                 },
                 is_first_grant: !shard.lease.fenced,
@@ -124,7 +133,8 @@
     fn due_grants(&self, now: Timestamp) -> Vec<usize> {
         let is_due = |shard: &Shard| {
             let wanted = match &shard.state {
-                _ if shard.lease.is_given_up() => false,
+                _ if shard.lease.grace_period.is_some() => false,
+                _ if shard.lease.next_hold(now).is_none() => false,
                 State::Held => true,
                 State::Releasing { order, .. } => order.is_none() && !shard.lease.fenced,
                 State::Free { .. } | State::Assigning { .. } => false,
@@ -237,7 +247,7 @@
                 continue;
             }
             if context.directory.has_ended(owner) {
-                shard.lease.possible_until = shard.lease.possible_until.min(context.now);
+                shard.lease.record_owner_ended(context.now);
             }
             let leaving = match context.directory.get(owner) {
                 Some(instance) => !instance.serves() || must_warm_up(context, instance),
--- a/crates/ledgelead-router/src/ownership/coordinator/shard.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/shard.rs
@@ -156,21 +156,30 @@
         };
     }
 
-    /// The lease of the next owner, once the record names it.
+    /// The lease of the next owner, once the record names it. Nodes may have confirmed the
+    /// former one until `confirmed_until`; none if nobody waits for them.
     pub(super) fn next_lease(
         &self,
         next: &InstanceId,
         handover: Option<String>,
+        confirmed_until: Option<Timestamp>,
         now: Timestamp,
     ) -> Lease {
-        let fresh = Lease::fresh(now, handover);
+        let mut fresh = Lease {
+            grace_period: self.lease.grace_period,
+            ..Lease::fresh(now, handover)
+        };
         let shares_name = |owner: &InstanceId| owner.shares_name(next);
         if !self.owner.as_ref().is_some_and(shares_name) {
+            if let Some(until) = confirmed_until.filter(|_| self.lease.may_hold_again()) {
+                fresh.begin_grace_period(until);
+            }
             return fresh;
         }
         // It may hold the keys by earlier orders, also by those to an earlier incarnation.
         Lease {
             possible_until: self.lease.possible_until.max(now),
+            earlier_may_revive: self.lease.may_hold_again(),
             ..fresh
         }
     }
@@ -237,7 +246,10 @@
                 return;
             }
             Ok(OrderAnswer::Done { handover }) => handover,
-            Ok(OrderAnswer::OtherInstance) => None,
+            Ok(OrderAnswer::OtherInstance) => {
+                self.lease.record_owner_ended(now);
+                None
+            }
             Ok(OrderAnswer::Fenced | OrderAnswer::Refused) | Err(_) => {
                 *next_attempt = now + RELEASE_RETRY;
                 return;
--- a/crates/ledgelead-router/src/ownership/coordinator/writes.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/writes.rs
@@ -6,9 +6,11 @@
 use crate::Timestamp;
 use crate::dialect::KeyRange;
 use crate::events::Event;
-use crate::identity::ServiceName;
+use crate::identity::{InstanceId, ServiceName};
+use crate::ownership::lease::Lease;
 use crate::ownership::next_owner::{NextOwners, RangePlacement};
-use crate::ownership::record::{Assignment, OwnershipRecord, RESERVED_TOKENS};
+use crate::ownership::record::{Assignment, OwnershipRecord, RESERVED_TOKENS, RangeGracePeriod};
+use crate::protections::Protection;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -115,8 +117,8 @@
     /// Whether the owner of a range waits for a token that has to be recorded.
     fn awaits_tokens(&self) -> bool {
         let awaits = |shard: &Shard| {
-            let is_releasing = matches!(shard.state, State::Releasing { .. });
-            is_releasing && shard.owner.is_some() && !self.is_token_recorded(shard)
+            let is_owned = matches!(shard.state, State::Held | State::Releasing { .. });
+            is_owned && shard.owner.is_some() && !self.is_token_recorded(shard)
         };
         self.shards.iter().any(awaits)
     }
@@ -180,6 +182,7 @@
             era: self.record.era,
             unknown_holds_ms: 0,
             next_fence: self.next_fence + RESERVED_TOKENS,
+            grace_periods: self.projected_grace_periods(now),
             assignments: Vec::with_capacity(assignments.len()),
         };
         record.set_earlier_authority(self.earlier_authority(now));
@@ -193,6 +196,36 @@
         record
     }
 
+    /// The grace periods after all pending assignments.
+    fn projected_grace_periods(&self, now: Timestamp) -> Vec<RangeGracePeriod> {
+        let grace_periods = self.shards.iter().filter_map(|shard| {
+            let grace_period = match &shard.state {
+                State::Assigning { owner, .. } => {
+                    self.next_lease(shard, owner, None, now).grace_period
+                }
+                _ => shard.lease.grace_period,
+            };
+            let left = grace_period?.until.saturating_sub(now);
+            Some(RangeGracePeriod::new(&shard.service, shard.range, left))
+        });
+        grace_periods.collect()
+    }
+
+    /// The lease of the next owner of a range, once the record names it.
+    fn next_lease(
+        &self,
+        shard: &Shard,
+        next: &InstanceId,
+        handover: Option<String>,
+        now: Timestamp,
+    ) -> Lease {
+        // The predecessor may confirm former owners until its authority ends.
+        let confirmed_until = self.earlier.end().max(now);
+        let waits = self.protections.has(Protection::LeaseWait);
+        let confirmed_until = Some(confirmed_until).filter(|_| waits);
+        shard.next_lease(next, handover, confirmed_until, now)
+    }
+
     /// Whether the current write takes longer than usual.
     pub(super) fn writes_slowly(&self, now: Timestamp) -> bool {
         self.writing_since
@@ -208,12 +241,13 @@
         // A next owner may have begun to leave since.
         self.owners_reviewed = None;
         self.record = record;
-        for shard in &mut self.shards {
+        for index in 0..self.shards.len() {
+            let shard = &self.shards[index];
             let State::Assigning {
                 owner,
                 fence,
                 handover,
-            } = &shard.state
+            } = shard.state.clone()
             else {
                 continue;
             };
@@ -222,13 +256,15 @@
                 service: &shard.service,
                 first: shard.range.first,
                 last: shard.range.last,
-                owner,
-                fence: *fence,
+                owner: &owner,
+                fence,
             };
             owned.emit();
-            shard.lease = shard.next_lease(owner, handover.clone(), now);
-            shard.fence = *fence;
-            shard.owner = Some(owner.clone());
+            let lease = self.next_lease(shard, &owner, handover, now);
+            let shard = &mut self.shards[index];
+            shard.lease = lease;
+            shard.fence = fence;
+            shard.owner = Some(owner);
             shard.state = State::Held;
         }
     }
--- a/crates/ledgelead-router/src/ownership/record.rs
+++ b/crates/ledgelead-router/src/ownership/record.rs
@@ -51,6 +51,41 @@
     }
 }
 
+/// A range whose owner gets its keys only once no node sends requests by former owners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RangeGracePeriod {
+    /// The service.
+    pub service: ServiceName,
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+    /// For how long after this version was written, in milliseconds.
+    pub left_ms: u64,
+}
+
+impl RangeGracePeriod {
+    /// The grace_period of a range that ends after this time.
+    pub fn new(service: &ServiceName, range: KeyRange, left: Duration) -> RangeGracePeriod {
+        RangeGracePeriod {
+            service: service.clone(),
+            first: range.first,
+            last: range.last,
+            left_ms: rounded_up_millis(left),
+        }
+    }
+
+    /// How long it lasts.
+    pub fn left(&self) -> Duration {
+        Duration::from_millis(self.left_ms)
+    }
+
+    /// Whether it covers any key of a range.
+    pub fn covers(&self, service: &ServiceName, range: KeyRange) -> bool {
+        self.service == *service && self.first <= range.last && range.first <= self.last
+    }
+}
+
 /// The coordinator and the owners of all keys.
 ///
 /// Invariant: no coordinator before the one named here sends orders for longer than
@@ -82,6 +117,10 @@
     /// The first fencing token that a successor may use. The coordinator named here may use
     /// all tokens below it without writing another version.
     pub next_fence: u64,
+    /// Ranges whose owners don't get their keys yet. Complete only in a version that the store
+    /// itself has returned.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub grace_periods: Vec<RangeGracePeriod>,
     /// All assignments, by service and first key.
     pub assignments: Vec<Assignment>,
 }
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -559,6 +559,19 @@
         /// The shares.
         shares: List<QuotaShareEntry>,
     },
+    /// Asks which version of the ownership record the receiver acts on; sent by the
+    /// coordinator. Nodes with an earlier version don't answer.
+    OwnershipAckRequest {
+        /// The record's revision.
+        revision: u64,
+    },
+    /// The answer, also sent by a node that has nothing to report: the sender acts on this
+    /// version of the ownership record, and has no request in flight to an owner that only an
+    /// earlier one names.
+    OwnershipAck {
+        /// The record's revision.
+        revision: u64,
+    },
 }
 
 impl PeerMessage {
@@ -590,6 +603,8 @@
             PeerMessage::InstancesListed { .. } => "instances_list",
             PeerMessage::QuotaReport { .. } => "quota_report",
             PeerMessage::QuotaShares { .. } => "quota_shares",
+            PeerMessage::OwnershipAckRequest { .. } => "ownership_ack_request",
+            PeerMessage::OwnershipAck { .. } => "ownership_ack",
         }
     }
 }
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -4,7 +4,8 @@
 /// One protection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protection {
-    /// Keys of an unresponsive owner are reassigned only after its lease has expired.
+    /// Keys of an unresponsive owner are reassigned only after its lease has expired, and granted
+    /// after a grace period for nodes that don't know the next owner.
     LeaseWait,
     /// A coordinator increases all fencing tokens when it takes over.
     TakeoverFence,
@@ -61,11 +62,13 @@
     LinkBackoff,
     /// A peer forwards only recent orders of the current coordinator.
     RecentOrders,
+    /// Keyed requests are sent only by owners that were confirmed recently.
+    ConfirmedOwners,
 }
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 27] = [
+    pub const SABOTAGES: [(&'static str, Protection); 28] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -93,6 +96,7 @@
         ("forward-no-orders", Protection::ForwardedOrders),
         ("retry-links", Protection::LinkBackoff),
         ("forward-old-orders", Protection::RecentOrders),
+        ("trust-old-owners", Protection::ConfirmedOwners),
     ];
 }
 
--- a/crates/ledgelead-router/src/requests/answers.rs
+++ b/crates/ledgelead-router/src/requests/answers.rs
@@ -27,6 +27,8 @@
     KeyOverloaded,
     /// The key has no known owner.
     NoOwner,
+    /// This node can't know whether the key still has the owner that it knows.
+    OwnersOutdated,
     /// The key's owner has left, or is leaving.
     OwnerLeft,
     /// The key's owner rejected the request, since the key is being moved.
@@ -73,6 +75,7 @@
             | Refusal::QueueTooLong
             | Refusal::KeyOverloaded
             | Refusal::NoOwner
+            | Refusal::OwnersOutdated
             | Refusal::OwnerLeft
             | Refusal::KeyMoving
             | Refusal::OwnerFails
@@ -113,6 +116,7 @@
             Refusal::QueueTooLong => "queue_too_long",
             Refusal::KeyOverloaded => "key_overloaded",
             Refusal::NoOwner => "no_owner",
+            Refusal::OwnersOutdated => "owners_outdated",
             Refusal::OwnerLeft => "owner_left",
             Refusal::KeyMoving => "key_moving",
             Refusal::OwnerFails => "owner_fails",
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -134,6 +134,9 @@
         let Some(assignment) = context.ownership.find(&open.service, key) else {
             return wait_for_owner(Refusal::NoOwner);
         };
+        if context.owners_outdated {
+            return wait_for_owner(Refusal::OwnersOutdated);
+        }
         let Some(owner) = context.directory.get(&assignment.owner) else {
             return wait_for_owner(Refusal::OwnerLeft);
         };
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -78,6 +78,8 @@
     pub routes: &'a RouteTable,
     /// Whether the keys of callers are too old to be accepted.
     pub caller_keys_expired: bool,
+    /// Whether keys may have other owners than the known ones.
+    pub owners_outdated: bool,
     /// Known instances.
     pub directory: &'a Directory,
     /// Owners of keys.
@@ -543,6 +545,17 @@
         !self.waiting.is_empty()
     }
 
+    /// Whether any request is in flight at an instance that doesn't own its key by this view.
+    pub fn targets_former_owners(&self, ownership: &OwnershipView) -> bool {
+        self.open.values().any(|open| {
+            let (Some(key), Some(attempt)) = (open.key, &open.attempt) else {
+                return false;
+            };
+            let assignment = ownership.find(&open.service, key);
+            assignment.is_none_or(|assignment| assignment.owner != attempt.instance)
+        })
+    }
+
     fn classify(
         &mut self,
         source: IpAddr,
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -71,6 +71,19 @@
 /// node resets the connection of an order that it gives up before.
 pub const ORDER_TRANSIT: Duration = Duration::from_millis(1_000);
 
+/// How long a node sends keyed requests by owners that neither the store nor a coordinator has
+/// confirmed since. Without confirmation by the store, a coordinator sends orders for a time, and
+/// after a hold its owners have no keys any more.
+pub fn ownership_view_ttl() -> Duration {
+    COORDINATOR_AUTHORITY + longest_hold()
+}
+
+/// The longest time for which a request can reach an owner after this was last confirmed at its
+/// node.
+pub fn longest_use_of_owners() -> Duration {
+    ownership_view_ttl() + ORDER_TRANSIT + LEASE_SLACK
+}
+
 /// The longest time for which an instance can hold keys by orders of an unknown earlier
 /// coordinator.
 pub fn longest_unknown_hold() -> Duration {
--- a/crates/ledgelead-router/src/validation.rs
+++ b/crates/ledgelead-router/src/validation.rs
@@ -116,6 +116,11 @@
     if record.earlier_authority() > MAX_TIMEOUT {
         return Err("earlier_authority_ms: exceeds the maximum time".to_owned());
     }
+    for range in &record.grace_periods {
+        if range.left() > MAX_TIMEOUT {
+            return Err("grace_periods: exceed the maximum time".to_owned());
+        }
+    }
     for assignment in &record.assignments {
         name("service", assignment.service.as_str())?;
         name("owner", assignment.owner.as_str())?;
--- a/crates/ledgelead-router/tests/former_holds.rs
+++ b/crates/ledgelead-router/tests/former_holds.rs
@@ -10,7 +10,8 @@
 use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::ownership::coordinator::{Commands, OutgoingOrder};
-use ledgelead_router::settings::longest_hold;
+use ledgelead_router::ownership::record::{OwnershipRecord, RangeGracePeriod};
+use ledgelead_router::settings::{HOLD, longest_hold, longest_use_of_owners};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -65,6 +66,40 @@
         self.done(&repeated, ms(11_860));
     }
 
+    /// The owner leaves grants unanswered until it gets no more that extend its hold. Returns the
+    /// time of the last one.
+    fn give_up(&mut self) -> Duration {
+        let mut now = ms(11_005);
+        for _ in 0..5 {
+            let unanswered = self.order(now);
+            self.fail(&unanswered, now + ms(600));
+            now += ms(850);
+        }
+        let unanswered = self.order(now);
+        self.fail(&unanswered, now + ms(600));
+        now + ms(600)
+    }
+
+    /// Leaves all further grants unanswered. Returns when the record with the next owner of all
+    /// keys is to be written, and that record.
+    fn expire(&mut self, from: Duration) -> (Duration, OwnershipRecord) {
+        let mut now = from;
+        loop {
+            let commands = self.step(now);
+            if let Some(record) = commands.write {
+                if record.assignments[0].owner != id(1) {
+                    return (now, record);
+                }
+                self.coordinator.record_written(now);
+            }
+            for order in commands.orders {
+                self.fail(&order, now + ms(1));
+            }
+            now += ms(10);
+            assert!(now < from + ms(20_000), "no next owner");
+        }
+    }
+
     fn fail(&mut self, order: &OutgoingOrder, now: Duration) {
         let timed_out = Err(ExchangeFailure::TimedOut);
         self.coordinator.order_ended(order.exchange, timed_out, now);
@@ -275,3 +310,106 @@
     let release = fixture.order(ms(12_865));
     expect_that!(granted_token(&release), none());
 }
+
+/// The token and the hold of a grant.
+fn token_and_hold(order: &OutgoingOrder) -> (u64, Duration) {
+    match &order.order {
+        Order::Grant { fence, hold, .. } => (*fence, *hold),
+        Order::Release { .. } => panic!("no grant: {order:?}"),
+    }
+}
+
+#[gtest]
+fn owner_that_is_given_up_gets_a_higher_token_for_no_longer_than_its_lease() {
+    let mut fixture = granted();
+    let given_up = fixture.give_up();
+    let expiry = given_up + longest_hold();
+    let tokens_recorded = fixture.step(given_up + ms(250));
+    expect_that!(tokens_recorded.orders, is_empty());
+    expect_that!(tokens_recorded.write, some(anything()));
+    fixture.coordinator.record_written(given_up + ms(260));
+    let sent = given_up + ms(260);
+    let shortened = fixture.order(sent);
+    let (token, hold) = token_and_hold(&shortened);
+    expect_that!(token, gt(5));
+    expect_that!(shortened.is_first_grant, eq(true));
+    // A grant may be in transit for as long as an order without an answer.
+    expect_that!(sent + ms(1_000) + hold.mul_f64(1.02), le(expiry));
+    fixture.fail(&shortened, sent + ms(600));
+    let (at, _) = fixture.expire(sent + ms(600));
+    expect_that!(at, le(expiry + ms(20)));
+}
+
+#[gtest]
+fn owner_that_answers_a_shortened_grant_keeps_its_keys() {
+    let mut fixture = granted();
+    let given_up = fixture.give_up();
+    fixture.step(given_up + ms(250));
+    fixture.coordinator.record_written(given_up + ms(260));
+    let shortened = fixture.order(given_up + ms(260));
+    fixture.done(&shortened, given_up + ms(270));
+    let renewal = fixture.order(given_up + ms(270));
+    expect_that!(
+        token_and_hold(&renewal),
+        eq((token_and_hold(&shortened).0, HOLD))
+    );
+    fixture.done(&renewal, given_up + ms(280));
+    // It rejects all earlier grants, so it can be released at once.
+    fixture.release(1, given_up + ms(300));
+}
+
+/// The first owner answers nothing until its lease expires, and the record names the next one.
+fn next_owner_recorded() -> (Fixture, Duration) {
+    let mut fixture = granted();
+    let given_up = fixture.give_up();
+    let (at, _) = fixture.expire(given_up);
+    fixture.coordinator.record_written(at + ms(5));
+    (fixture, at + ms(5))
+}
+
+#[gtest]
+fn next_owner_after_unanswered_grants_waits_until_all_nodes_know_it() {
+    let (mut fixture, recorded) = next_owner_recorded();
+    expect_that!(fixture.step(recorded).orders, is_empty());
+    fixture.known_to_all = Some(0);
+    expect_that!(fixture.step(recorded + ms(500)).orders, is_empty());
+    fixture.known_to_all = Some(1);
+    let grant = fixture.order(recorded + ms(1_000));
+    expect_that!(token_and_hold(&grant).1, eq(HOLD));
+}
+
+#[gtest]
+fn next_owner_after_unanswered_grants_is_granted_once_no_node_can_use_the_former_one() {
+    let (mut fixture, recorded) = next_owner_recorded();
+    let end = recorded + longest_use_of_owners();
+    expect_that!(fixture.step(end - ms(10)).orders, is_empty());
+    fixture.order(end);
+}
+
+/// The first owner has answered all grants, so none can be executed after its lease.
+#[gtest]
+fn next_owner_of_one_that_was_never_reached_again_waits_for_no_node() {
+    let mut fixture = granted();
+    let expiry = GRANTED + longest_hold();
+    let next = fixture.next_owner(ms(11_005), expiry + ms(1_000));
+    let (at, _) = next.expect("another owner");
+    fixture.coordinator.record_written(at + ms(5));
+    fixture.order(at + ms(5));
+}
+
+#[gtest]
+fn successor_of_a_coordinator_continues_its_grace_periods() {
+    let mut fixture = granted();
+    let given_up = fixture.give_up();
+    let (_, record) = fixture.expire(given_up);
+    let left = longest_use_of_owners();
+    let periods = record.grace_periods.iter();
+    expect_that!(
+        periods.map(RangeGracePeriod::left).collect::<Vec<_>>(),
+        eq(&vec![left])
+    );
+    let instances = (1..=3).map(instance).collect();
+    let mut successor = Fixture::with_grace_periods(id(2), instances, record.grace_periods);
+    expect_that!(successor.step(left - ms(10)).orders, is_empty());
+    successor.order(left);
+}
--- a/crates/ledgelead-router/tests/node/arbitrary_input.rs
+++ b/crates/ledgelead-router/tests/node/arbitrary_input.rs
@@ -310,6 +310,8 @@
                 counts,
             }
         }),
+        number().prop_map(|revision| PeerMessage::OwnershipAckRequest { revision }),
+        number().prop_map(|revision| PeerMessage::OwnershipAck { revision }),
         (number(), short_list(quota_share()))
             .prop_map(|(epoch, shares)| PeerMessage::QuotaShares { epoch, shares }),
         (span(), short_list(node_change()))
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod open_requests;
 mod order_answers;
 mod overload;
+mod owner_views;
 mod permits;
 mod placement;
 mod quotas;
--- a/crates/ledgelead-router/tests/node/rate_limits.rs
+++ b/crates/ledgelead-router/tests/node/rate_limits.rs
@@ -50,7 +50,9 @@
 ) -> Vec<(Timestamp, SocketAddr)> {
     let mut attempts = Vec::new();
     let end = fixture.now + ms(duration_ms);
+    let mut next_watches = fixture.now;
     while fixture.now < end {
+        answer_due_watches(fixture, &mut next_watches);
         fixture.request(service, key);
         fixture.run_until(fixture.now + ms(5));
         for sent in std::mem::take(&mut fixture.attempts) {
@@ -66,6 +68,14 @@
     attempts
 }
 
+/// Answers waiting watches in time, as a store does that serves the node.
+fn answer_due_watches(fixture: &mut Fixture, next: &mut Timestamp) {
+    if *next <= fixture.now {
+        *next = fixture.now + ms(5_000);
+        fixture.answer_watches();
+    }
+}
+
 /// Maximum number of requests in any window.
 fn max_per_window(attempts: &[(Timestamp, SocketAddr)]) -> usize {
     let in_window = |from: Timestamp| {
@@ -289,7 +299,9 @@
     let mut answered = 0;
     let mut in_progress = Vec::new();
     let end = fixture.now + ms(duration_ms);
+    let mut next_watches = fixture.now;
     while fixture.now < end {
+        answer_due_watches(fixture, &mut next_watches);
         key = key.wrapping_add(9_973);
         fixture.request(KEYED, Some(key));
         requested += 1;
--- a/crates/ledgelead-router/tests/ownership.rs
+++ b/crates/ledgelead-router/tests/ownership.rs
@@ -208,6 +208,7 @@
         earlier_authority_ms: 0,
         era: 0,
         unknown_holds_ms: 0,
+        grace_periods: Vec::new(),
         next_fence: fences.iter().max().map_or(0, |fence| fence + 1),
         assignments,
     }
--- a/crates/ledgelead-router/tests/scale.rs
+++ b/crates/ledgelead-router/tests/scale.rs
@@ -133,6 +133,8 @@
                 limits: &KnownLimits::default(),
                 store_serves: true,
                 is_cut_off: false,
+                record_revision: 1,
+                known_to_all: Some(1),
                 mechanisms: Mechanisms::default(),
                 exchanges: &mut self.exchanges,
             };
--- a/crates/ledgelead-router/tests/support/coordinator.rs
+++ b/crates/ledgelead-router/tests/support/coordinator.rs
@@ -8,7 +8,7 @@
 use ledgelead_router::ownership::coordinator::{
     Commands, Context, Coordinator, EarlierAuthority, ExchangeIds, OutgoingOrder,
 };
-use ledgelead_router::ownership::record::{Assignment, OwnershipRecord};
+use ledgelead_router::ownership::record::{Assignment, OwnershipRecord, RangeGracePeriod};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::rate_limit::KnownLimits;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 pub struct Fixture {
     pub coordinator: Coordinator,
     pub directory: Directory,
+    /// The revision of the record that all nodes are known to have.
+    pub known_to_all: Option<u64>,
     exchanges: ExchangeIds,
 }
 
@@ -24,6 +26,15 @@
     /// A coordinator with one range that this instance owns with token 5. Earlier coordinators
     /// have no authority.
     pub fn owned_by(owner: InstanceId, instances: Vec<InstanceRecord>) -> Fixture {
+        Fixture::with_grace_periods(owner, instances, Vec::new())
+    }
+
+    /// The same with grace periods in the record.
+    pub fn with_grace_periods(
+        owner: InstanceId,
+        instances: Vec<InstanceRecord>,
+        grace_periods: Vec<RangeGracePeriod>,
+    ) -> Fixture {
         let identity = NodeIdentity {
             node: NodeName::from("n"),
             incarnation: 1,
@@ -32,6 +43,7 @@
             epoch: 1,
             coordinator: Some(identity),
             next_fence: 6,
+            grace_periods,
             assignments: vec![Assignment {
                 service: ServiceName::from("s"),
                 first: 0,
@@ -51,6 +63,7 @@
         Fixture {
             coordinator: Coordinator::new(record, earlier, Protections::default(), start),
             directory,
+            known_to_all: None,
             exchanges: ExchangeIds::default(),
         }
     }
@@ -75,6 +88,8 @@
             limits: &KnownLimits::default(),
             store_serves: true,
             is_cut_off: false,
+            record_revision: 1,
+            known_to_all: self.known_to_all,
             mechanisms: Mechanisms::default(),
             exchanges: &mut self.exchanges,
         })
