Verdicts look only at requests that share an ended instance

Others that share no ended instance are skipped before their ends are collected, and a scope without a quarantine isn't examined. The order of a range's new token is checked where all others are.

--- a/crates/ledgelead-router/src/node/owner_views.rs
+++ b/crates/ledgelead-router/src/node/owner_views.rs
@@ -150,12 +150,13 @@
     /// Asks the other nodes which revision of the record they act on, while new owners wait
     /// for that.
     pub(super) fn request_acknowledgements(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let is_due = self.owner_views.next_request <= now;
         let has_grace_periods = self
             .coordinator()
             .is_some_and(Coordinator::has_grace_periods);
-        let (true, true, Some(revision)) = (is_due, has_grace_periods, self.ownership.revision())
-        else {
+        if !has_grace_periods || now < self.owner_views.next_request {
+            return;
+        }
+        let Some(revision) = self.ownership.revision() else {
             return;
         };
         self.owner_views.next_request = now + REQUEST_INTERVAL;
--- a/crates/ledgelead-router/src/ownership/coordinator/orders.rs
+++ b/crates/ledgelead-router/src/ownership/coordinator/orders.rs
@@ -92,13 +92,13 @@
     /// granted only until its owner has answered this coordinator once.
     pub(super) fn send_grants(&mut self, context: &mut Context<'_>, commands: &mut Commands) {
         for index in self.due_grants(context.now) {
-            let shard = &mut self.shards[index];
-            if shard.lease.needs_token_to_expire() {
-                shard.raise_token(&mut self.next_fence, context.now);
-                if shard.fence >= self.record.next_fence {
-                    continue;
-                }
+            if self.shards[index].lease.needs_token_to_expire() {
+                self.shards[index].raise_token(&mut self.next_fence, context.now);
             }
+            if !self.is_token_recorded(&self.shards[index]) {
+                continue;
+            }
+            let shard = &mut self.shards[index];
             let Some(hold) = shard.lease.next_hold(context.now) else {
                 continue;
             };
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -279,23 +279,30 @@
         scope: CallerId,
     ) -> bool {
         let own = entry.settled_instances(scope);
-        match needs_proved_explanation(&own) {
-            false => own.is_subset(&self.ended_beside(request, |_, _| true)),
-            true => own.is_subset(&self.ended_beside(request, |other, entry| {
+        let beside = match needs_proved_explanation(&own) {
+            false => self.ended_beside(request, &own, |_, _| true),
+            true => self.ended_beside(request, &own, |other, entry| {
                 self.is_proved_to_crash(other, entry)
-            })),
-        }
+            }),
+        };
+        own.is_subset(&beside)
     }
 
-    /// Instances that ended under other suspected requests. Of their ends, those that have not
-    /// settled yet suffice.
+    /// Instances that ended under other suspected requests, each of which was in flight at one of
+    /// the given instances. Of their ends, those that have not settled yet suffice.
     fn ended_beside(
         &self,
         request: &RequestDigest,
+        at: &BTreeSet<u64>,
         includes: impl Fn(&RequestDigest, &Entry) -> bool,
     ) -> BTreeSet<u64> {
-        let others = self.entries.iter();
-        let others = others.filter(|(other, entry)| *other != request && includes(other, entry));
+        let is_beside = |(other, entry): &(&RequestDigest, &Entry)| {
+            let mut instances = entry.ends.iter().map(|end| end.instance);
+            *other != request
+                && instances.any(|instance| at.contains(&instance))
+                && includes(other, entry)
+        };
+        let others = self.entries.iter().filter(is_beside);
         others
             .flat_map(|(_, entry)| entry.suspected_instances())
             .collect()
@@ -304,11 +311,11 @@
     /// Whether enough instances ended under a request, and not all of them under other suspected
     /// ones as well.
     fn is_proved_to_crash(&self, request: &RequestDigest, entry: &Entry) -> bool {
-        let beside = self.ended_beside(request, |_, _| true);
-        let mut scopes = entry
-            .scopes_with_ends_to_quarantine(self.counting)
-            .into_iter();
-        scopes.any(|scope| !entry.settled_instances(scope).is_subset(&beside))
+        let scopes = entry.scopes_with_ends_to_quarantine(self.counting);
+        scopes.into_iter().any(|scope| {
+            let own = entry.settled_instances(scope);
+            !own.is_subset(&self.ended_beside(request, &own, |_, _| true))
+        })
     }
 
     /// Returns and resets the requests with new evidence, and the instances that turned out to
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -93,7 +93,9 @@
         stands: impl Fn(CallerId) -> bool,
     ) -> Verdict {
         let scopes = [CallerId::ALL, caller];
-        let standing = scopes.iter().filter(|scope| stands(**scope));
+        let standing = scopes
+            .iter()
+            .filter(|scope| self.is_active(**scope) && stands(**scope));
         let until = standing.filter_map(|scope| self.term_end(*scope, now));
         let until = until.max();
         if let Some(until) = until.filter(|until| now < *until) {
