--- a/crates/ledgelead-lab/tests/fleet_crashing.rs
+++ b/crates/ledgelead-lab/tests/fleet_crashing.rs
@@ -119,6 +119,12 @@
     expect_that!(held_back_in_large_fleet(803), eq(0));
 }
 
+#[gtest]
+fn harmless_request_lost_in_a_zone_is_served_by_a_node_that_was_cut_off() {
+    // The node learns of its ends without those of the zone's other instances.
+    expect_that!(held_back_in_large_fleet(797), eq(0));
+}
+
 #[gtest]
 fn crashing_requests_cause_no_other_violations() {
     let all = VIOLATIONS.iter().chain(LARGE_FLEET_VIOLATIONS.iter());
