Quarantine: ends learned late keep the judgement of the node that sends them

Callers of a node that was cut off saw 503 `quarantined` for a harmless request that was lost with several instances of a zone.

Cause: an end that has a common cause (another instance, at which the request was not in flight, ended within 150 ms) is sent as one that hasn't settled. A node that learns of it long afterwards lacks the other ends, since requests with a single end aren't part of the evidence that nodes compare, and judges it anew: as one that counts.

Change: an end that is older than the time to settle, and hasn't settled when it is sent, was judged to have a common cause. A node that didn't know it keeps that judgement. Its own ends it still judges by what it knows.

Before: `node_that_learns_late_of_losses_in_zones_...`, a controlled order of events, fails (the request is quarantined at the node that gets all evidence at once). After: it passes, and the order of messages still doesn't matter.

--- a/crates/ledgelead-router/src/peers/evidence.rs
+++ b/crates/ledgelead-router/src/peers/evidence.rs
@@ -1,7 +1,7 @@
 //! Wire format of the evidence about requests during which instances ended.
 
 use crate::Timestamp;
-use crate::quarantine::{CallerId, Entry, InstanceEnd};
+use crate::quarantine::{CallerId, Entry, InstanceEnd, SETTLE_TIME};
 use crate::requests::RequestDigest;
 use crate::whole_millis;
 use ledgelead_types::codec::{self, List, Text};
@@ -81,9 +81,13 @@
             at: time_from_age(end.age_ms, now),
             settled: end.settled,
         };
+        let is_coincident =
+            |end: &&EndEntry| !end.settled && u128::from(end.age_ms) >= SETTLE_TIME.as_millis();
+        let coincident = self.ends.iter().filter(is_coincident);
         let entry = Entry {
             path: self.path.0.clone(),
             ends: self.ends.iter().map(end).collect(),
+            coincident: coincident.map(|end| end.instance).collect(),
             cleared: times(&self.cleared, now),
             quarantined: times(&self.quarantined, now),
         };
--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -1,7 +1,7 @@
 //! The evidence about one request.
 
 use crate::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -44,6 +44,9 @@
     pub path: String,
     /// Instances that ended while processing it.
     pub ends: Vec<InstanceEnd>,
+    /// Those of them that ended together with others, as judged by a node that knew these. This
+    /// node may not know them, and doesn't judge these ends again.
+    pub coincident: BTreeSet<u64>,
     /// Callers with an answered request, and when the last one was answered.
     pub cleared: BTreeMap<CallerId, Timestamp>,
     /// Callers whose requests are quarantined, and since when.
@@ -57,6 +60,8 @@
         if self.path.is_empty() {
             self.path.clone_from(&other.path);
         }
+        let known: BTreeSet<u64> = self.ends.iter().map(|end| end.instance).collect();
+        self.coincident.extend(other.coincident.difference(&known));
         for end in &other.ends {
             is_new |= self.add(*end);
         }
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -236,7 +236,7 @@
         for entry in self.entries.values_mut() {
             let involved: BTreeSet<u64> = entry.ends.iter().map(|end| end.instance).collect();
             for end in &mut entry.ends {
-                if end.settled {
+                if end.settled || entry.coincident.contains(&end.instance) {
                     continue;
                 }
                 let settled_at = end.at + SETTLE_TIME;
--- a/crates/ledgelead-router/src/quarantine/mod.rs
+++ b/crates/ledgelead-router/src/quarantine/mod.rs
@@ -23,4 +23,4 @@
 pub use record::QuarantineRecord;
 pub use turns::{TURN, Trials, TurnShare, Turns};
 pub use unconfirmed_answers::UnconfirmedAnswers;
-pub use verdict::{Counting, Verdict};
+pub use verdict::{Counting, SETTLE_TIME, Verdict};
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -27,7 +27,7 @@
 const ENDS_TO_SUSPECT: usize = 2;
 /// Delay before an end counts, in which other nodes can report further ends or that the
 /// instance is alive: time for four datagrams in a row (0, 0.2 s) and a request.
-pub(super) const SETTLE_TIME: Duration = Duration::from_millis(250);
+pub const SETTLE_TIME: Duration = Duration::from_millis(250);
 
 /// How long the first quarantine of a request lasts: enough to roll out fixed software. Each
 /// try that ends a further instance doubles it, so a request that is sent for ever ends seven
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -209,6 +209,85 @@
     }
 }
 
+/// A peer reports that an instance ended just now under a request.
+fn report_end(fixture: &mut Fixture, path: &str, caller: u8, instance: u64) {
+    let mut request = Request::new("GET", path, Vec::new());
+    request.headers.push("host", "h");
+    let end = InstanceEnd {
+        caller: CallerId::new(new_caller(caller)),
+        instance,
+        at: fixture.now,
+        settled: false,
+    };
+    let entry = Entry {
+        path: path.to_owned(),
+        ends: vec![end],
+        ..Entry::default()
+    };
+    let digest = RequestDigest::new(&request);
+    let message = PeerMessage::Evidence {
+        wants_reply: false,
+        alive: List(Vec::new()),
+        requests: List(vec![RequestEntry::new(&digest, &entry, fixture.now)]),
+    };
+    fixture.receive(node_address(1), &message);
+}
+
+/// A node at which the fixture's request was lost with three instances, two of them in zones that
+/// ended with instances at which only other requests were lost.
+fn knowing_of_two_zones() -> Fixture {
+    let path = format!("/{SERVICE}/1");
+    let mut fixture = Fixture::coordinating(store());
+    report_end(&mut fixture, &path, 100, 71);
+    for (number, instance) in [(101, 72), (102, 74)] {
+        fixture.run_until(fixture.now + ms(2_000));
+        report_end(
+            &mut fixture,
+            &format!("/other/{instance}"),
+            number,
+            instance + 1,
+        );
+        fixture.run_until(fixture.now + ms(50));
+        report_end(&mut fixture, &path, number, instance);
+    }
+    fixture.run_until(fixture.now + ms(1_000));
+    fixture
+}
+
+/// Whether the fixture's request of a new caller is refused as quarantined.
+fn is_quarantined(fixture: &mut Fixture) -> bool {
+    let answered = fixture.answers.len();
+    fixture.request_from(new_caller(1), SERVICE, None);
+    let refusal = fixture.answers.get(answered);
+    refusal.is_some_and(|(_, answer)| answer.body.as_slice() == b"quarantined")
+}
+
+/// A node that was cut off gets all evidence at once, long after the zones ended.
+#[gtest]
+fn node_that_learns_late_of_losses_in_zones_does_not_quarantine_the_request() {
+    let mut other = knowing_of_two_zones();
+    expect_that!(is_quarantined(&mut other), eq(false));
+    other.datagrams.clear();
+    let request = PeerMessage::Evidence {
+        wants_reply: true,
+        alive: List(Vec::new()),
+        requests: List(Vec::new()),
+    };
+    other.receive(node_address(1), &request);
+    let mut fixture = Fixture::coordinating(store());
+    fixture.run_until(other.now);
+    let is_evidence = |message: &PeerMessage| matches!(message, PeerMessage::Evidence { .. });
+    let replies = std::mem::take(&mut other.datagrams).into_iter();
+    let replies = replies.filter(|(_, _, message)| is_evidence(message));
+    let replies: Vec<PeerMessage> = replies.map(|(_, _, message)| message).collect();
+    expect_that!(replies, not(is_empty()));
+    for reply in &replies {
+        fixture.receive(node_address(0), reply);
+    }
+    fixture.run_until(fixture.now + ms(1_000));
+    expect_that!(is_quarantined(&mut fixture), eq(false));
+}
+
 /// A try was lost with its instance, and went to the key's owner again within its turn.
 #[gtest]
 fn lost_try_of_a_suspected_request_is_not_repeated() {
