Quarantine: a common cause delays a verdict, and no longer hides a request

A request that ended several instances at once was sent on freely if any other instance ended within 150 ms, and two such requests hid each other.

Cause: an end with a common cause counted for nothing at all, whatever pointed at the request.

Change, in the verdicts: - Instances need no other cause, and are none for others, if they ended under a request that was in flight at several ones ended at that moment, or that is suspected by ends of which one counts. Requests that were lost once each at every moment, and never alone, still void each other's ends. - Ends with a common cause count together as one for a suspicion, and three ends of any kind make a request suspected: it is tried in turns, where an answer clears it. - An end in a try quarantines it as the fourth one, as beside other suspected requests; five ends do so whatever ended beside them.

The existing tests of common causes are unchanged and pass.

Before: five tests in `tests/quarantine.rs` fail. After: they pass.

--- a/crates/ledgelead-router/src/peers/evidence.rs
+++ b/crates/ledgelead-router/src/peers/evidence.rs
@@ -90,6 +90,7 @@
             coincident: coincident.map(|end| end.instance).collect(),
             cleared: times(&self.cleared, now),
             quarantined: times(&self.quarantined, now),
+            ..Entry::default()
         };
         (RequestDigest(number.to_be_bytes()), entry)
     }
--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -47,6 +47,8 @@
     /// Those of them that ended together with others, as judged by a node that knew these. This
     /// node may not know them, and doesn't judge these ends again.
     pub coincident: BTreeSet<u64>,
+    /// When it was reviewed last which ends count.
+    pub reviewed: Timestamp,
     /// Callers with an answered request, and when the last one was answered.
     pub cleared: BTreeMap<CallerId, Timestamp>,
     /// Callers whose requests are quarantined, and since when.
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Ends within this time have a common cause, such as a rack, a zone or power.
-const SAME_MOMENT: Duration = Duration::from_millis(150);
+pub(super) const SAME_MOMENT: Duration = Duration::from_millis(150);
 /// How long evidence that led to no quarantine is kept.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of requests with evidence. Each takes 100 bytes here and in messages.
@@ -233,8 +233,10 @@
             return found;
         }
         let mut next = None;
+        let ended = self.ended_without_request();
         for entry in self.entries.values_mut() {
             let involved: BTreeSet<u64> = entry.ends.iter().map(|end| end.instance).collect();
+            entry.reviewed = now;
             for end in &mut entry.ends {
                 if end.settled || entry.coincident.contains(&end.instance) {
                     continue;
@@ -244,7 +246,7 @@
                     next = Some(next.map_or(settled_at, |at: Timestamp| at.min(settled_at)));
                     continue;
                 }
-                end.settled = !ended_with_others(&self.ended, &self.alive, &involved, end.at);
+                end.settled = !ended_with_others(&ended, &involved, end.at);
             }
         }
         self.next_review = next;
@@ -257,6 +259,18 @@
         found
     }
 
+    /// Ended instances whose ends no request explains. Only these show that instances ended for a
+    /// common cause.
+    fn ended_without_request(&self) -> BTreeMap<u64, Timestamp> {
+        let explained = self.entries.values().map(Entry::explained_instances);
+        let explained: BTreeSet<u64> = explained.flatten().collect();
+        let ended = self.ended.iter().map(|(instance, at)| (*instance, *at));
+        let unexplained = ended.filter(|(instance, _)| !explained.contains(instance));
+        unexplained
+            .filter(|(instance, _)| !self.alive.contains_key(instance))
+            .collect()
+    }
+
     /// The requests and callers to quarantine by the settled ends.
     fn scopes_to_quarantine(&self) -> Vec<(RequestDigest, CallerId)> {
         let mut scopes = Vec::new();
@@ -278,14 +292,15 @@
         entry: &Entry,
         scope: CallerId,
     ) -> bool {
-        let own = entry.settled_instances(scope);
-        let beside = match needs_proved_explanation(&own) {
-            false => self.ended_beside(request, &own, |_, _| true),
-            true => self.ended_beside(request, &own, |other, entry| {
+        let all = entry.judged_instances(scope);
+        if needs_proved_explanation(&all) {
+            let proved = self.ended_beside(request, &all, |other, entry| {
                 self.is_proved_to_crash(other, entry)
-            }),
-        };
-        own.is_subset(&beside)
+            });
+            return all.is_subset(&proved);
+        }
+        let own = entry.settled_instances(scope);
+        own.is_subset(&self.ended_beside(request, &own, |_, _| true))
     }
 
     /// Instances that ended under other suspected requests, each of which was in flight at one of
@@ -396,13 +411,12 @@
 /// Whether an instance at which the request was not in flight ended at the same moment.
 fn ended_with_others(
     ended: &BTreeMap<u64, Timestamp>,
-    alive: &BTreeMap<u64, Timestamp>,
     involved: &BTreeSet<u64>,
     at: Timestamp,
 ) -> bool {
     ended.iter().any(|(instance, other)| {
         let is_near = at.abs_diff(*other) < SAME_MOMENT;
-        is_near && !involved.contains(instance) && !alive.contains_key(instance)
+        is_near && !involved.contains(instance)
     })
 }
 
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -5,8 +5,9 @@
 //! caller explain the ends.
 
 use super::entry::{CallerId, Entry, InstanceEnd};
+use super::evidence::SAME_MOMENT;
 use crate::Timestamp;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Number of instances that end during a request before it is quarantined. With fewer, a
@@ -121,29 +122,65 @@
         Some(latest.or(begun)? + term(instances))
     }
 
-    /// The latest end in a scope, if enough ends count or may still turn out to count.
+    /// The latest end in a scope, if it has enough ends for a suspicion: two that count or may still
+    /// turn out to count, or three of any kind. Those of a moment with a common cause count as one.
     pub(super) fn suspected_since(&self, scope: CallerId, now: Timestamp) -> Option<Timestamp> {
-        let count = self.counted_ends(scope, now).count();
-        let latest = self.counted_ends(scope, now).map(|end| end.at).max();
-        latest.filter(|_| count >= ENDS_TO_SUSPECT)
+        let counted = self.counted_ends(scope, now).count();
+        let moments = self.coincident_moments(scope);
+        let is_suspected = counted + moments >= ENDS_TO_SUSPECT
+            || self.ended_instances(scope).len() >= ENDS_TO_QUARANTINE;
+        let latest = self.ends_in(scope).map(|end| end.at).max();
+        latest.filter(|_| is_suspected)
+    }
+
+    /// Number of moments at which instances ended in a scope together with others.
+    fn coincident_moments(&self, scope: CallerId) -> usize {
+        let coincident = self.ends_in(scope).filter(|end| !end.settled);
+        let reviewed = coincident.filter(|end| end.at + SETTLE_TIME <= self.reviewed);
+        moments(reviewed).len()
+    }
+
+    /// The ended instances that need no cause besides this request: it was in flight at several ones
+    /// of that moment, or it is suspected by ends of which one counts.
+    pub(super) fn explained_instances(&self) -> BTreeSet<u64> {
+        let has_counted = |scope: &CallerId| !self.settled_instances(*scope).is_empty();
+        let mut explained = BTreeSet::new();
+        for scope in self.scopes() {
+            let moments = moments(self.ends_in(scope)).into_iter();
+            explained.extend(moments.filter(|instances| instances.len() > 1).flatten());
+        }
+        let counted = self.scopes().into_iter().filter(has_counted);
+        explained.extend(counted.flat_map(|scope| self.instances_if_suspected(scope)));
+        explained
+    }
+
+    /// Each caller, and all of them.
+    fn scopes(&self) -> BTreeSet<CallerId> {
+        let callers = self.ends.iter().map(|end| end.caller);
+        callers.chain([CallerId::ALL]).collect()
+    }
+
+    /// The ended instances in a scope, if enough ends count for a suspicion.
+    fn instances_if_suspected(&self, scope: CallerId) -> BTreeSet<u64> {
+        match self.ends_in(scope).count() >= ENDS_TO_SUSPECT {
+            true => self.ended_instances(scope),
+            false => BTreeSet::new(),
+        }
     }
 
     /// The ended instances in all scopes in which enough ends count for a suspicion. An answer to
     /// another caller leaves those of a caller.
     pub(super) fn suspected_instances(&self) -> BTreeSet<u64> {
-        let callers = self.ends.iter().map(|end| end.caller);
-        let scopes: BTreeSet<CallerId> = callers.chain([CallerId::ALL]).collect();
-        let suspected = scopes
-            .into_iter()
-            .filter(|scope| self.ends_in(*scope).count() >= ENDS_TO_SUSPECT);
-        suspected
-            .flat_map(|scope| self.ended_instances(scope))
+        let scopes = self.scopes().into_iter();
+        scopes
+            .flat_map(|scope| self.instances_if_suspected(scope))
             .collect()
     }
 
-    /// Whether enough settled ends are known for a quarantine of a scope.
+    /// Whether enough ends are known for a quarantine of a scope.
     pub(super) fn has_ends_to_quarantine(&self, scope: CallerId) -> bool {
-        self.settled_instances(scope).len() >= ENDS_TO_QUARANTINE
+        let counted = self.settled_instances(scope).len();
+        suffice(counted, self.judged_instances(scope).len())
     }
 
     /// The ends that count in a scope, or may still turn out to count.
@@ -187,30 +224,22 @@
         scopes
     }
 
-    /// The scopes in which the settled ends suffice for a quarantine: a caller, if enough
-    /// instances ended during that caller's requests; all callers, if enough ended over all
-    /// callers, and no single caller explains them.
+    /// The scopes in which the ends suffice for a quarantine: a caller, if enough instances ended
+    /// during that caller's requests; all callers, if enough ended over all callers, and no single
+    /// caller explains them.
     pub(super) fn scopes_with_ends_to_quarantine(&self, counting: Counting) -> Vec<CallerId> {
-        let mut by_caller: BTreeMap<CallerId, BTreeSet<u64>> = BTreeMap::new();
-        for end in self.ends.iter().filter(|end| end.settled) {
-            if !self.is_voided(end.caller, end.at) {
-                let instances = by_caller.entry(end.caller).or_default();
-                instances.insert(end.instance);
-            }
-        }
-        let mut scopes: Vec<CallerId> = by_caller
-            .iter()
-            .filter(|(_, instances)| instances.len() >= ENDS_TO_QUARANTINE)
-            .map(|(caller, _)| *caller)
-            .collect();
-        let over_all = self.settled_instances(CallerId::ALL);
-        let is_unexplained_by =
-            |at: &BTreeSet<u64>| over_all.difference(at).count() >= ENDS_BESIDE_ONE_CALLER;
-        let affects_all =
-            over_all.len() >= ENDS_TO_QUARANTINE && by_caller.values().all(is_unexplained_by);
-        if counting == Counting::ByRequest && affects_all {
-            scopes.push(CallerId::ALL);
-        }
+        let callers: BTreeSet<CallerId> = self.ends.iter().map(|end| end.caller).collect();
+        let over_all = self.judged_instances(CallerId::ALL);
+        let is_unexplained_by = |caller: &CallerId| {
+            let own = self.judged_instances(*caller);
+            over_all.difference(&own).count() >= ENDS_BESIDE_ONE_CALLER
+        };
+        let affects_all = counting == Counting::ByRequest
+            && self.has_ends_to_quarantine(CallerId::ALL)
+            && callers.iter().all(is_unexplained_by);
+        let has_ends = |caller: &CallerId| self.has_ends_to_quarantine(*caller);
+        let mut scopes: Vec<CallerId> = callers.into_iter().filter(has_ends).collect();
+        scopes.extend(affects_all.then_some(CallerId::ALL));
         scopes
     }
 
@@ -224,6 +253,12 @@
         distinct(self.ends_in(scope).filter(|end| end.settled))
     }
 
+    /// The same, including those whose ends have a common cause.
+    pub(super) fn judged_instances(&self, scope: CallerId) -> BTreeSet<u64> {
+        let is_judged = |end: &&InstanceEnd| end.settled || end.at + SETTLE_TIME <= self.reviewed;
+        distinct(self.ends_in(scope).filter(is_judged))
+    }
+
     /// The ends during requests in a scope that count.
     fn ends_in(&self, scope: CallerId) -> impl Iterator<Item = &InstanceEnd> {
         let is_in = move |end: &&InstanceEnd| scope == CallerId::ALL || end.caller == scope;
@@ -232,12 +267,27 @@
     }
 }
 
-/// Whether so many instances ended under a request that it is quarantined unless requests that
-/// are proved to end instances explain all of these ends.
+/// Whether ends suffice for a quarantine: three that count, four with one that counts, or five.
+fn suffice(counted: usize, all: usize) -> bool {
+    counted >= ENDS_TO_QUARANTINE
+        || counted > 0 && all > ENDS_TO_QUARANTINE
+        || all >= ENDS_WITHOUT_EXPLANATION
+}
+
+/// Whether so many instances ended under a request that only requests which are proved to end
+/// instances explain it.
 pub(super) fn needs_proved_explanation(own: &BTreeSet<u64>) -> bool {
     own.len() >= ENDS_WITHOUT_EXPLANATION
 }
 
+/// The instances that ended at each moment.
+fn moments<'a>(ends: impl Iterator<Item = &'a InstanceEnd>) -> Vec<BTreeSet<u64>> {
+    let mut ends: Vec<&InstanceEnd> = ends.collect();
+    ends.sort_unstable_by_key(|end| end.at);
+    let moments = ends.chunk_by(|one, next| next.at < one.at + SAME_MOMENT);
+    moments.map(|ends| distinct(ends.iter().copied())).collect()
+}
+
 /// How long a quarantine lasts that this many ended instances have led to.
 fn term(instances: usize) -> Duration {
     let doublings = instances.saturating_sub(ENDS_TO_QUARANTINE);
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -288,6 +288,88 @@
     expect_that!(is_quarantined_for(&evidence, 1), eq(false));
 }
 
+/// Records that instances ended under a request, each during a request of another caller.
+fn record_ends(evidence: &mut Evidence, path: &str, at_instances: &[(u64, u64)]) {
+    for (instance, at) in at_instances {
+        let by = u8::try_from(*instance).expect("a small number");
+        evidence.record_end(request(path), path, end(by, *instance, *at));
+    }
+}
+
+/// A request that ends many instances at once isn't hidden by another one that does so too.
+#[gtest]
+fn requests_that_each_end_several_instances_at_one_moment_are_both_quarantined() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000), (2, 1_000), (3, 1_010)]);
+    record_ends(&mut evidence, "/b", &[(4, 1_060), (5, 1_060), (6, 1_070)]);
+    evidence.review(ms(1_500));
+    for path in ["/a", "/b"] {
+        expect_that!(quarantined(&evidence, path), eq(true));
+    }
+}
+
+/// They are in flight at one instance each, and one of them ends an instance alone later.
+#[gtest]
+fn end_alone_shows_that_instances_ended_beside_it_for_no_common_cause() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000)]);
+    record_ends(&mut evidence, "/b", &[(2, 1_050)]);
+    evidence.review(ms(1_500));
+    record_ends(&mut evidence, "/b", &[(3, 3_000)]);
+    evidence.review(ms(3_500));
+    record_ends(&mut evidence, "/a", &[(4, 5_000), (5, 7_000)]);
+    evidence.review(ms(7_500));
+    expect_that!(quarantined(&evidence, "/a"), eq(true));
+}
+
+/// An instance of another service ends beside those that the request ends.
+#[gtest]
+fn request_lost_at_three_instances_of_one_moment_is_tried_in_turns() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000), (2, 1_000), (3, 1_010)]);
+    record_ends(&mut evidence, "/b", &[(4, 1_100)]);
+    evidence.review(ms(1_500));
+    let since = ms(1_010);
+    let verdict = evidence.verdict(&request("/a"), caller(9), ms(1_500));
+    expect_that!(verdict, eq(Verdict::Suspected { since }));
+    // The try.
+    record_ends(&mut evidence, "/a", &[(5, 2_000)]);
+    evidence.review(ms(2_250));
+    expect_that!(quarantined(&evidence, "/a"), eq(true));
+}
+
+#[gtest]
+fn request_lost_at_two_moments_is_suspected_whatever_ended_beside_it() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000)]);
+    record_ends(&mut evidence, "/b", &[(2, 1_100)]);
+    evidence.review(ms(1_500));
+    let verdict = evidence.verdict(&request("/a"), caller(9), ms(1_500));
+    expect_that!(verdict, eq(Verdict::Clear));
+    record_ends(&mut evidence, "/a", &[(3, 3_000)]);
+    evidence.review(ms(3_500));
+    let since = ms(3_000);
+    let verdict = evidence.verdict(&request("/a"), caller(9), ms(3_500));
+    expect_that!(verdict, eq(Verdict::Suspected { since }));
+}
+
+#[gtest]
+fn five_ends_quarantine_a_request_whatever_ended_beside_it() {
+    let mut evidence = Evidence::default();
+    for number in 1..=5 {
+        let at = number * 2_000;
+        expect_that!(quarantined(&evidence, "/a"), eq(false));
+        record_ends(&mut evidence, "/a", &[(number, at)]);
+        record_ends(
+            &mut evidence,
+            &format!("/{number}"),
+            &[(100 + number, at + 100)],
+        );
+        evidence.review(ms(at + 500));
+    }
+    expect_that!(quarantined(&evidence, "/a"), eq(true));
+}
+
 #[gtest]
 fn an_end_disproved_by_an_answer_no_longer_counts() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
