Quarantine: the store keeps which ends have a common cause

Callers saw 503 `quarantined` for harmless requests, most often `/read/slow`, at nodes that read evidence from the store: after a restart or a cut, and at the coordinator, which reads its own writes.

Cause: the stored record holds callers and instances only, and whoever reads it takes each end for one that counts.

Change: the record names the instances that ended together with others, and is written once its ends have been judged.

Before: `ends_of_a_zone_are_restored_...` and `node_that_reads_of_losses_in_zones_in_the_store_...` fail.

--- a/crates/ledgelead-router/src/node/quarantine/persistence.rs
+++ b/crates/ledgelead-router/src/node/quarantine/persistence.rs
@@ -30,7 +30,7 @@
     }
 
     /// A request whose evidence differs from what the store holds.
-    fn next_unsaved_request(&self) -> Option<RequestDigest> {
+    fn next_unsaved_request(&self, now: Timestamp) -> Option<RequestDigest> {
         let is_unsaved = |(request, record): &(RequestDigest, QuarantineRecord)| {
             let stored = self.quarantine.stored.get(request);
             match stored {
@@ -38,7 +38,9 @@
                 None => record.ends.len() >= 2 || !record.quarantined.is_empty(),
             }
         };
+        // Whether an end counts is stored with it.
         let entries = self.quarantine.evidence.broadcast_entries();
+        let entries = entries.filter(|(_, entry)| !entry.has_unsettled(now));
         let records = entries.map(|(request, entry)| (*request, QuarantineRecord::new(entry)));
         let mut unsaved = records.filter(is_unsaved);
         unsaved.next().map(|(request, _)| request)
@@ -49,7 +51,7 @@
             return;
         }
         self.quarantine.next_write = now + STORE_INTERVAL;
-        let Some(request) = self.next_unsaved_request() else {
+        let Some(request) = self.next_unsaved_request(now) else {
             return;
         };
         let Some(entry) = self.quarantine.evidence.get(&request) else {
--- a/crates/ledgelead-router/src/quarantine/record.rs
+++ b/crates/ledgelead-router/src/quarantine/record.rs
@@ -1,8 +1,10 @@
 //! The part of the evidence that is kept in the store and survives the loss of all nodes.
 
 use super::entry::{CallerId, Entry, InstanceEnd};
+use super::verdict::SETTLE_TIME;
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// The stored evidence about one request. Numbers are stored as text since they use all of
 /// their 64 bits.
@@ -14,6 +16,9 @@
     pub ends: Vec<(String, String)>,
     /// Callers whose requests are quarantined; "0" stands for all.
     pub quarantined: Vec<String>,
+    /// The instances among those in `ends` that ended together with others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub coincident: Vec<String>,
 }
 
 impl QuarantineRecord {
@@ -23,21 +28,37 @@
         let end = |end: &InstanceEnd| (hex(end.caller.0), hex(end.instance));
         let quarantined = entry.quarantined.keys();
         let active = quarantined.filter(|scope| entry.is_active(**scope));
+        let counted: Vec<&InstanceEnd> = entry.ends.iter().filter(counts).collect();
+        let together = counted.iter().filter(|end| !end.settled);
+        let coincident: BTreeSet<u64> = together.map(|end| end.instance).collect();
         QuarantineRecord {
             path: entry.path.clone(),
-            ends: entry.ends.iter().filter(counts).map(end).collect(),
+            ends: counted.iter().copied().map(end).collect(),
             quarantined: active.map(|scope| hex(scope.0)).collect(),
+            coincident: coincident.into_iter().map(hex).collect(),
         }
     }
 
     /// Converts the record to evidence, with `now` as the time of all events.
     pub fn entry(&self, now: Timestamp) -> Entry {
+        let coincident = self
+            .coincident
+            .iter()
+            .filter_map(|instance| number(instance));
+        let coincident: BTreeSet<u64> = coincident.collect();
         let end = |(caller, instance): &(String, String)| {
+            let instance = number(instance)?;
+            let settled = !coincident.contains(&instance);
             Some(InstanceEnd {
                 caller: CallerId(number(caller)?),
-                instance: number(instance)?,
-                at: now,
-                settled: true,
+                instance,
+                // Other nodes must not take it for an end that is yet to be judged.
+                at: if settled {
+                    now
+                } else {
+                    now.saturating_sub(SETTLE_TIME)
+                },
+                settled,
             })
         };
         let active = self.quarantined.iter();
@@ -45,6 +66,7 @@
         Entry {
             path: self.path.clone(),
             ends: self.ends.iter().filter_map(end).collect(),
+            coincident: coincident.clone(),
             quarantined: active.collect(),
             ..Entry::default()
         }
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -183,6 +183,12 @@
         suffice(counted, self.judged_instances(scope).len())
     }
 
+    /// Whether ends may still turn out to count.
+    pub fn has_unsettled(&self, now: Timestamp) -> bool {
+        let is_unsettled = |end: &InstanceEnd| !end.settled && now < end.at + SETTLE_TIME;
+        self.ends.iter().any(is_unsettled)
+    }
+
     /// The ends that count in a scope, or may still turn out to count.
     fn counted_ends(&self, scope: CallerId, now: Timestamp) -> impl Iterator<Item = &InstanceEnd> {
         let may_count = move |end: &&InstanceEnd| end.settled || now < end.at + SETTLE_TIME;
--- a/crates/ledgelead-router/tests/node/crashing_requests.rs
+++ b/crates/ledgelead-router/tests/node/crashing_requests.rs
@@ -262,6 +262,18 @@
     refusal.is_some_and(|(_, answer)| answer.body.as_slice() == b"quarantined")
 }
 
+/// The store holds neither times nor the losses of other requests.
+#[gtest]
+fn node_that_reads_of_losses_in_zones_in_the_store_does_not_quarantine_the_request() {
+    let mut other = knowing_of_two_zones();
+    expect_that!(is_quarantined(&mut other), eq(false));
+    let mut kinds = other.store.objects.keys().map(|(kind, _)| *kind);
+    expect_that!(kinds.any(|kind| kind == ObjectKind::Quarantine), eq(true));
+    let mut fixture = Fixture::coordinating(std::mem::take(&mut other.store));
+    fixture.run_until(fixture.now + ms(1_000));
+    expect_that!(is_quarantined(&mut fixture), eq(false));
+}
+
 /// A node that was cut off gets all evidence at once, long after the zones ended.
 #[gtest]
 fn node_that_learns_late_of_losses_in_zones_does_not_quarantine_the_request() {
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -370,6 +370,31 @@
     expect_that!(quarantined(&evidence, "/a"), eq(true));
 }
 
+/// Evidence as a node has it that has read another node's from the store.
+fn restored(evidence: &Evidence, path: &str) -> Evidence {
+    let record = QuarantineRecord::new(evidence.get(&request(path)).expect("an entry"));
+    let text = serde_json::to_string(&record).expect("text");
+    let read: QuarantineRecord = serde_json::from_str(&text).expect("a record");
+    let mut other = Evidence::default();
+    other.merge(request(path), &read.entry(ms(50_000)));
+    other.review(ms(51_000));
+    other
+}
+
+/// The store holds no times, and not the ends of the zone's other instances.
+#[gtest]
+fn ends_of_a_zone_are_restored_from_the_store_as_such() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000), (2, 3_000), (3, 3_100)]);
+    record_ends(&mut evidence, "/b", &[(4, 3_050)]);
+    evidence.review(ms(4_000));
+    expect_that!(quarantined(&evidence, "/a"), eq(false));
+    expect_that!(quarantined(&restored(&evidence, "/a"), "/a"), eq(false));
+    record_ends(&mut evidence, "/a", &[(5, 6_000), (6, 8_000)]);
+    evidence.review(ms(9_000));
+    expect_that!(quarantined(&restored(&evidence, "/a"), "/a"), eq(true));
+}
+
 #[gtest]
 fn an_end_disproved_by_an_answer_no_longer_counts() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
