Quarantine: the store keeps that an answer narrowed the ends to their callers

Cause: an answer to one caller voids the ends for all callers, but leaves those of each other caller to that caller. Such ends are stored, the answer isn't: read by a node that has lost its memory, single ends of several callers count for all. Evidence: ends at four instances at 12.7 to 13.9 s lead to nothing until all nodes are killed at 17.5 s, and to a quarantine when the record is read at 18.2 s.

Change: the record says whether an answer voids all of its ends for all. A node that knows nothing of the request takes the answer for one of now; at others it changes nothing, so that reading it again doesn't prolong it.

Before: `ends_that_an_answer_leaves_to_their_callers_...` fails. After: it passes.

--- a/crates/ledgelead-router/src/node/quarantine/persistence.rs
+++ b/crates/ledgelead-router/src/node/quarantine/persistence.rs
@@ -111,7 +111,12 @@
         let Some(request) = RequestDigest::parse(&object.name) else {
             return;
         };
-        self.quarantine.evidence.merge(request, &record.entry(now));
+        let mut entry = record.entry(now);
+        if self.quarantine.evidence.get(&request).is_some() {
+            // The answer came earlier. It must not count as a new one whenever it is read.
+            entry.cleared.clear();
+        }
+        self.quarantine.evidence.merge(request, &entry);
         let stored = StoredRecord {
             record: record.clone(),
             revision: object.revision,
--- a/crates/ledgelead-router/src/quarantine/record.rs
+++ b/crates/ledgelead-router/src/quarantine/record.rs
@@ -19,6 +19,9 @@
     /// The instances among those in `ends` that ended together with others.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub coincident: Vec<String>,
+    /// Whether an answer to another caller leaves all ends to their own callers.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub answered: bool,
 }
 
 impl QuarantineRecord {
@@ -36,6 +39,7 @@
             ends: counted.iter().copied().map(end).collect(),
             quarantined: active.map(|scope| hex(scope.0)).collect(),
             coincident: coincident.into_iter().map(hex).collect(),
+            answered: !counted.is_empty() && entry.ends_of(CallerId::ALL) == 0,
         }
     }
 
@@ -67,6 +71,11 @@
             path: self.path.clone(),
             ends: self.ends.iter().filter_map(end).collect(),
             coincident: coincident.clone(),
+            cleared: self
+                .answered
+                .then_some((CallerId::SOME_OTHER, now))
+                .into_iter()
+                .collect(),
             quarantined: active.collect(),
             ..Entry::default()
         }
@@ -77,6 +86,14 @@
     format!("{number:x}")
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde calls"
+)]
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 fn number(text: &str) -> Option<u64> {
     u64::from_str_radix(text, 16).ok()
 }
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -395,6 +395,17 @@
     expect_that!(quarantined(&restored(&evidence, "/a"), "/a"), eq(true));
 }
 
+/// Each caller has one end only, and an answer to another one clears the request for all.
+#[gtest]
+fn ends_that_an_answer_leaves_to_their_callers_are_restored_as_such() {
+    let mut evidence = Evidence::default();
+    record_ends(&mut evidence, "/a", &[(1, 1_000), (2, 3_000), (3, 5_000)]);
+    evidence.record_answer(request("/a"), caller(9), ms(5_200));
+    evidence.review(ms(6_000));
+    expect_that!(quarantined(&evidence, "/a"), eq(false));
+    expect_that!(quarantined(&restored(&evidence, "/a"), "/a"), eq(false));
+}
+
 #[gtest]
 fn an_end_disproved_by_an_answer_no_longer_counts() {
     let mut evidence = reviewed(&[end(1, 1, 0), end(1, 2, 1_000), end(1, 3, 2_000)]);
