Quarantine: ends under a request that is proved to crash count for no other

Cause: other requests explained all of a request's ends or none. A single end that they don't explain made the explained ones count as well.

Change: an end under a request that is proved to end instances doesn't count for itself. Three others quarantine a request, or one among four in all, or five in all, as with ends that have a common cause.

Before: `request_lost_once_without_the_one_that_is_proved_to_crash_...` fails. After: it passes; two crashing requests that end the same instances are both quarantined as before (test unchanged).

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -2,7 +2,9 @@
 
 use super::entry::{CallerId, Entry, InstanceEnd};
 use super::turns::TurnShare;
-use super::verdict::{CLEARED_FOR, Counting, SETTLE_TIME, Verdict, needs_proved_explanation};
+use super::verdict::{
+    CLEARED_FOR, Counting, SETTLE_TIME, Verdict, needs_proved_explanation, suffice,
+};
 use crate::Timestamp;
 use crate::requests::RequestDigest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -293,14 +295,16 @@
         scope: CallerId,
     ) -> bool {
         let all = entry.judged_instances(scope);
+        let proved = self.ended_beside(request, &all, |other, entry| {
+            self.is_proved_to_crash(other, entry)
+        });
         if needs_proved_explanation(&all) {
-            let proved = self.ended_beside(request, &all, |other, entry| {
-                self.is_proved_to_crash(other, entry)
-            });
             return all.is_subset(&proved);
         }
         let own = entry.settled_instances(scope);
-        own.is_subset(&self.ended_beside(request, &own, |_, _| true))
+        let counted = own.difference(&proved).count();
+        !suffice(counted, all.len())
+            || own.is_subset(&self.ended_beside(request, &own, |_, _| true))
     }
 
     /// Instances that ended under other suspected requests, each of which was in flight at one of
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -274,7 +274,7 @@
 }
 
 /// Whether ends suffice for a quarantine: three that count, four with one that counts, or five.
-fn suffice(counted: usize, all: usize) -> bool {
+pub(super) fn suffice(counted: usize, all: usize) -> bool {
     counted >= ENDS_TO_QUARANTINE
         || counted > 0 && all > ENDS_TO_QUARANTINE
         || all >= ENDS_WITHOUT_EXPLANATION
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -370,6 +370,19 @@
     expect_that!(quarantined(&evidence, "/a"), eq(true));
 }
 
+/// Two instances ended under a crashing request, and a third one for another reason.
+#[gtest]
+fn request_lost_once_without_the_one_that_is_proved_to_crash_is_not_quarantined() {
+    let ends: [&[&str]; 5] = [&["/c", "/x"], &["/c", "/x"], &["/c"], &["/c"], &["/x"]];
+    let evidence = lost(&ends);
+    for (path, is_quarantined) in [("/c", true), ("/x", false)] {
+        expect_that!(quarantined(&evidence, path), eq(is_quarantined), "{path}");
+    }
+    let again: &[&str] = &["/x"];
+    let evidence = lost(&[ends.as_slice(), &[again]].concat());
+    expect_that!(quarantined(&evidence, "/x"), eq(true));
+}
+
 /// Evidence as a node has it that has read another node's from the store.
 fn restored(evidence: &Evidence, path: &str) -> Evidence {
     let record = QuarantineRecord::new(evidence.get(&request(path)).expect("an entry"));
