Slow requests are left to run once they were lost with an instance

Callers got 504 for a repeatable request that takes longer than its attempts may (`/read/slow`, 1.0 s), at each node until that had seen it fail once. Since nothing answered it, nothing cleared it, and instances that ended for other reasons counted against it at all nodes.

Cause: an attempt that is aborted as slow can't clear a request.

Change: nodes share the evidence of ends already. A request against which an end counts isn't aborted for being slow at any node, until an answer clears it.

Before: `request_that_was_lost_with_an_instance_is_left_to_run_at_all_nodes` fails (2 attempts).

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Whether an instance ended during a request, and no answer clears it.
+    pub fn counts_against(&self, request: &RequestDigest) -> bool {
+        let entry = self.entries.get(request);
+        entry.is_some_and(|entry| entry.ends_of(CallerId::ALL) > 0)
+    }
+
     /// When an instance ended, if some node has reported that and no node has disproved it.
     pub fn reported_end(&self, instance: u64) -> Option<Timestamp> {
         let ended = self.ended.get(&instance).copied();
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -121,6 +121,10 @@
         if open.tried.len() >= open.route.max_attempts as usize || is_trial(open, context) {
             return false;
         }
+        // Only an answer can show that the request did not end the instance with which it was lost.
+        if !context.evidence.is_empty() && context.evidence.counts_against(&open.digest()) {
+            return false;
+        }
         if !self.slow_requests.is_empty()
             && self.slow_requests.contains(&open.digest(), context.now)
         {
--- a/crates/ledgelead-router/tests/node/slow_attempts.rs
+++ b/crates/ledgelead-router/tests/node/slow_attempts.rs
@@ -1,8 +1,14 @@
 //! Which slow attempts are replaced by another one.
 
-use crate::fixture::{Fixture, KEYED, SERVICE, configuration, ms, owned_store};
+use crate::fixture::{
+    CALLER, Fixture, KEYED, SERVICE, configuration, ms, node_address, owned_store,
+};
 use googletest::prelude::*;
-use ledgelead_http::Response;
+use ledgelead_http::{Request, Response};
+use ledgelead_router::peers::{PeerMessage, RequestEntry};
+use ledgelead_router::quarantine::{CallerId, Entry, InstanceEnd};
+use ledgelead_router::requests::RequestDigest;
+use ledgelead_types::codec::List;
 
 /// A node that knows two instances of the service without keys, and one owner of all keys.
 fn node() -> Fixture {
@@ -64,3 +70,30 @@
     fixture.run_until(fixture.now + ms(60_000));
     expect_that!(attempts_without_answer(&mut fixture), eq(2));
 }
+
+/// Nothing clears a request whose attempts are all aborted, though it didn't end the instance.
+#[gtest]
+fn request_that_was_lost_with_an_instance_is_left_to_run_at_all_nodes() {
+    let mut request = Request::new("GET", format!("/{SERVICE}/1"), Vec::new());
+    request.headers.push("host", "h");
+    let mut fixture = node();
+    let end = InstanceEnd {
+        caller: CallerId::new(CALLER),
+        instance: 77,
+        at: fixture.now,
+        settled: true,
+    };
+    let entry = Entry {
+        path: request.path().to_owned(),
+        ends: vec![end],
+        ..Entry::default()
+    };
+    let entry = RequestEntry::new(&RequestDigest::new(&request), &entry, fixture.now);
+    let message = PeerMessage::Evidence {
+        wants_reply: false,
+        alive: List(Vec::new()),
+        requests: List(vec![entry]),
+    };
+    fixture.receive(node_address(1), &message);
+    expect_that!(attempts_without_answer(&mut fixture), eq(1));
+}
