Quarantine: ends of one caller at several instances of a moment count

Cause: an instance that ends beside several under the same caller's request was taken for the common cause of them all.

Change: if three or more instances ended at one moment during requests of one caller, these ends count against it whatever else ended then.

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -244,6 +244,7 @@
         let ended = self.ended_without_request();
         for entry in self.entries.values_mut() {
             let involved: BTreeSet<u64> = entry.ends.iter().map(|end| end.instance).collect();
+            let under_one_caller = entry.ended_under_one_caller();
             entry.reviewed = now;
             for end in &mut entry.ends {
                 if end.settled || entry.coincident.contains(&end.instance) {
@@ -254,7 +255,8 @@
                     next = Some(next.map_or(settled_at, |at: Timestamp| at.min(settled_at)));
                     continue;
                 }
-                end.settled = !ended_with_others(&ended, &involved, end.at);
+                end.settled = under_one_caller.contains(&(end.caller, end.instance))
+                    || !ended_with_others(&ended, &involved, end.at);
             }
         }
         self.next_review = next;
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -154,6 +154,18 @@
         explained
     }
 
+    /// The ends at moments at which enough instances for a quarantine ended under requests of one
+    /// caller.
+    pub(super) fn ended_under_one_caller(&self) -> BTreeSet<(CallerId, u64)> {
+        let callers: BTreeSet<CallerId> = self.ends.iter().map(|end| end.caller).collect();
+        let of_caller = |caller: CallerId| {
+            let moments = moments(self.ends_in(caller)).into_iter();
+            let enough = moments.filter(|instances| instances.len() >= ENDS_TO_QUARANTINE);
+            enough.flatten().map(move |instance| (caller, instance))
+        };
+        callers.into_iter().flat_map(of_caller).collect()
+    }
+
     /// Each caller, and all of them.
     fn scopes(&self) -> BTreeSet<CallerId> {
         let callers = self.ends.iter().map(|end| end.caller);
--- a/crates/ledgelead-router/tests/quarantine.rs
+++ b/crates/ledgelead-router/tests/quarantine.rs
@@ -370,6 +370,19 @@
     expect_that!(quarantined(&evidence, "/a"), eq(true));
 }
 
+/// Requests of one caller are seldom in flight at several instances of a rack.
+#[gtest]
+fn three_ends_of_one_caller_at_a_moment_quarantine_its_request_whatever_ended_beside_it() {
+    let mut evidence = Evidence::default();
+    for (instance, at) in [(1, 1_000), (2, 1_000), (3, 1_010)] {
+        evidence.record_end(request("/a"), "/a", end(1, instance, at));
+    }
+    record_ends(&mut evidence, "/b", &[(10, 1_100)]);
+    evidence.review(ms(1_500));
+    expect_that!(is_quarantined_for(&evidence, 1), eq(true));
+    expect_that!(is_quarantined_for(&evidence, 2), eq(false));
+}
+
 /// Two instances ended under a crashing request, and a third one for another reason.
 #[gtest]
 fn request_lost_once_without_the_one_that_is_proved_to_crash_is_not_quarantined() {
