Quarantine: callers of an entry in one place, cheaper explanations first

A verdict on a quarantined request collected the requests that are proved to crash before it asked whether suspected ones explain its ends; the cheap question comes first now. The callers of an entry were collected three times over; two doc comments still spoke of settled ends.

--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -281,7 +281,7 @@
             .collect()
     }
 
-    /// The requests and callers to quarantine by the settled ends.
+    /// The requests and callers to quarantine, since other requests don't explain their ends.
     fn scopes_to_quarantine(&self) -> Vec<(RequestDigest, CallerId)> {
         let mut scopes = Vec::new();
         for (request, entry) in &self.entries {
@@ -303,16 +303,19 @@
         scope: CallerId,
     ) -> bool {
         let all = entry.judged_instances(scope);
+        let own = entry.settled_instances(scope);
+        let is_many = needs_proved_explanation(&all);
+        if !is_many && own.is_subset(&self.ended_beside(request, &own, |_, _| true)) {
+            return true;
+        }
         let proved = self.ended_beside(request, &all, |other, entry| {
             self.is_proved_to_crash(other, entry)
         });
-        if needs_proved_explanation(&all) {
-            return all.is_subset(&proved);
+        match is_many {
+            true => all.is_subset(&proved),
+            // Ends under a request that is proved to crash don't count.
+            false => !suffice(own.difference(&proved).count(), all.len()),
         }
-        let own = entry.settled_instances(scope);
-        let counted = own.difference(&proved).count();
-        !suffice(counted, all.len())
-            || own.is_subset(&self.ended_beside(request, &own, |_, _| true))
     }
 
     /// Instances that ended under other suspected requests, each of which was in flight at one of
--- a/crates/ledgelead-router/src/quarantine/record.rs
+++ b/crates/ledgelead-router/src/quarantine/record.rs
@@ -50,18 +50,15 @@
             .iter()
             .filter_map(|instance| number(instance));
         let coincident: BTreeSet<u64> = coincident.collect();
+        // Other nodes must not take an end for one that is yet to be judged.
+        let judged_at = now.saturating_sub(SETTLE_TIME);
         let end = |(caller, instance): &(String, String)| {
             let instance = number(instance)?;
             let settled = !coincident.contains(&instance);
             Some(InstanceEnd {
                 caller: CallerId(number(caller)?),
                 instance,
-                // Other nodes must not take it for an end that is yet to be judged.
-                at: if settled {
-                    now
-                } else {
-                    now.saturating_sub(SETTLE_TIME)
-                },
+                at: if settled { now } else { judged_at },
                 settled,
             })
         };
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -157,19 +157,24 @@
     /// The ends at moments at which enough instances for a quarantine ended under requests of one
     /// caller.
     pub(super) fn ended_under_one_caller(&self) -> BTreeSet<(CallerId, u64)> {
-        let callers: BTreeSet<CallerId> = self.ends.iter().map(|end| end.caller).collect();
         let of_caller = |caller: CallerId| {
             let moments = moments(self.ends_in(caller)).into_iter();
             let enough = moments.filter(|instances| instances.len() >= ENDS_TO_QUARANTINE);
             enough.flatten().map(move |instance| (caller, instance))
         };
-        callers.into_iter().flat_map(of_caller).collect()
+        self.callers().into_iter().flat_map(of_caller).collect()
+    }
+
+    /// The callers during whose requests instances ended.
+    fn callers(&self) -> BTreeSet<CallerId> {
+        self.ends.iter().map(|end| end.caller).collect()
     }
 
     /// Each caller, and all of them.
     fn scopes(&self) -> BTreeSet<CallerId> {
-        let callers = self.ends.iter().map(|end| end.caller);
-        callers.chain([CallerId::ALL]).collect()
+        let mut scopes = self.callers();
+        scopes.insert(CallerId::ALL);
+        scopes
     }
 
     /// The ended instances in a scope, if enough ends count for a suspicion.
@@ -235,7 +240,7 @@
         }
     }
 
-    /// The scopes to quarantine by the settled ends, except those that are already.
+    /// The scopes with enough ends for a quarantine, except those that are quarantined already.
     pub(super) fn scopes_to_quarantine(&self, counting: Counting) -> Vec<CallerId> {
         let mut scopes = self.scopes_with_ends_to_quarantine(counting);
         scopes.retain(|scope| !self.is_active(*scope));
@@ -246,7 +251,7 @@
     /// during that caller's requests; all callers, if enough ended over all callers, and no single
     /// caller explains them.
     pub(super) fn scopes_with_ends_to_quarantine(&self, counting: Counting) -> Vec<CallerId> {
-        let callers: BTreeSet<CallerId> = self.ends.iter().map(|end| end.caller).collect();
+        let callers = self.callers();
         let over_all = self.judged_instances(CallerId::ALL);
         let is_unexplained_by = |caller: &CallerId| {
             let own = self.judged_instances(*caller);
