Simulation of store connections that fall silent; logged lateness of timers

Callers saw answers by an older configuration, and requests at instances that had left, more than the bound after both were acknowledged. Nothing could show it: the simulation's connections to the store broke or worked, and no log told whether a node was short of processor time.

--silent-connections draws moments at which all open connections to the store carry nothing more, each followed by a large version and a departure. The node logs timers_late with the work done since, and counts selections and decisions. No decision has changed.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -85,6 +85,24 @@
     FleetSettings { schedule, ..drawn }
 }
 
+/// Settings of a run in which connections to the store fall silent around large versions and
+/// departures. Half of the runs also have random faults.
+pub fn drawn_silent_connections(
+    seed: u64,
+    nodes: usize,
+    protections: Protections,
+) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x51c0);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let silent = Schedule::draw_silent_connections(&mut rng, from, to);
+    let schedule = match seed % 2 {
+        0 => silent,
+        _ => drawn.schedule.join(silent),
+    };
+    FleetSettings { schedule, ..drawn }
+}
+
 /// Settings of a run with random faults, with requests that crash instances, and with callers
 /// of harmless requests.
 pub fn drawn_crashing(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
@@ -371,6 +389,7 @@
             Long("json") => json = true,
             Long("trace") => trace = true,
             Long("versions") => draw = drawn_versions,
+            Long("silent-connections") => draw = drawn_silent_connections,
             Long("crashing") => draw = drawn_crashing,
             Long("suspended") => draw = drawn_suspended,
             Long("cuts") => draw = drawn_cuts,
--- a/crates/ledgelead-lab/src/fleet/connections.rs
+++ b/crates/ledgelead-lab/src/fleet/connections.rs
@@ -38,6 +38,8 @@
     unanswered: VecDeque<ExchangeId>,
     /// Requests that the instance has not read.
     unread: VecDeque<Event>,
+    /// Whether it carries no more bytes, although neither end has closed it.
+    is_silent: bool,
 }
 
 /// What an answer on a connection does to the exchange that uses it.
@@ -97,6 +99,7 @@
             idle_since: now,
             unanswered: VecDeque::new(),
             unread: VecDeque::new(),
+            is_silent: false,
         };
         self.open.insert(id, connection);
         id
@@ -126,6 +129,21 @@
         }
     }
 
+    /// All open connections to an instance fall silent.
+    pub fn silence(&mut self, instance: usize) {
+        let to_instance = |connection: &&mut Connection| connection.pool.1 == instance;
+        for connection in self.open.values_mut().filter(to_instance) {
+            connection.is_silent = true;
+        }
+    }
+
+    /// Whether the connection of an exchange is silent.
+    pub fn is_silent(&self, caller: Caller, exchange: ExchangeId) -> bool {
+        let id = self.carrying(caller, exchange);
+        id.and_then(|id| self.open.get(&id))
+            .is_some_and(|connection| connection.is_silent)
+    }
+
     /// Closes the connections of a node whose process ended.
     pub fn close_node(&mut self, node: usize) {
         let of_node = |(_, connection): &(&ConnectionId, &Connection)| connection.pool.0.0 == node;
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -103,6 +103,8 @@
     RestartInstance(usize),
     /// The store refuses all calls of one node.
     StoreRefusesNode(Target),
+    /// All open connections to the store stop carrying bytes, without being reset.
+    SilenceConnections,
 }
 
 /// A scheduled fault.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod report;
 mod restarts;
 mod second_answers;
+mod silent_connections;
 mod store;
 mod store_traffic;
 mod trace_log;
--- a/crates/ledgelead-lab/src/fleet/network.rs
+++ b/crates/ledgelead-lab/src/fleet/network.rs
@@ -20,6 +20,8 @@
     pub cut_from_instance: BTreeSet<(usize, usize)>,
     /// Nodes that are partitioned from all instances.
     pub isolated: BTreeMap<usize, IsolationEffect>,
+    /// When open connections to the store last fell silent.
+    pub silenced_at: Option<Duration>,
 }
 
 impl Network {
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -415,6 +415,7 @@
                 self.announce_limit(*position, *millis_per_s)
             }
             FaultKind::ForeignEntry(index) => self.make_entry_unreadable(*index),
+            FaultKind::SilenceConnections => self.silence_connections(),
             FaultKind::StoreSilent => {
                 self.store_faults.silent += 1;
                 self.store.pending_watches.clear();
@@ -521,7 +522,8 @@
             | FaultKind::CrashMany
             | FaultKind::CrashInTurn
             | FaultKind::CrashZone(_)
-            | FaultKind::RestartInstance(_) => {}
+            | FaultKind::RestartInstance(_)
+            | FaultKind::SilenceConnections => {}
         }
     }
 
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -441,6 +441,7 @@
     pub(super) fn exchange_ends(&mut self, caller: Caller, exchange: ExchangeId, input: Input) {
         if self.pending.remove(&(caller, exchange)).is_some() {
             self.abort_forward(caller, exchange);
+            self.release_store_connection(caller, exchange, &input);
             // An accepted answer has already released the connection.
             self.connections.abort(caller, exchange);
             self.notice_arrives(caller, exchange);
@@ -635,13 +636,16 @@
     ) {
         self.pending
             .insert((caller, exchange), self.now + options.timeout);
-        let timeout = exchanged(exchange, Err(ExchangeFailure::TimedOut));
-        self.schedule(options.timeout, Event::Exchanged(caller, exchange, timeout));
+        let timed_out = ExchangeFailure::TimedOut;
+        self.exchange_fails_after(options.timeout, caller, exchange, timed_out);
         if address == store_address() {
             let Some(call) = self.tickets.borrow_mut().take_call(&request) else {
                 return;
             };
-            if !self.network.cut_from_store.contains(&caller.0) {
+            self.connect_to_store(caller, exchange, options);
+            if !self.network.cut_from_store.contains(&caller.0)
+                && !self.is_silenced(caller, exchange)
+            {
                 let event = Event::StoreCall(caller, exchange, Box::new(call));
                 self.schedule(LATENCY, event);
             }
@@ -682,6 +686,18 @@
         }
     }
 
+    /// Schedules the failure of an exchange, unless it ends before.
+    pub(super) fn exchange_fails_after(
+        &mut self,
+        time: Duration,
+        caller: Caller,
+        exchange: ExchangeId,
+        failure: ExchangeFailure,
+    ) {
+        let input = exchanged(exchange, Err(failure));
+        self.schedule(time, Event::Exchanged(caller, exchange, input));
+    }
+
     /// Whether a partition refuses this node's new connections.
     fn refuses_connection(&self, node: usize, is_new: bool) -> bool {
         match self.network.isolated.get(&node) {
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -188,6 +188,21 @@
         /// How long the changes have been missing, in milliseconds.
         missing_ms: u64,
     },
+    /// The node handles the timers of requests late, so that its other work is late as well.
+    TimersLate {
+        /// How late, in milliseconds.
+        late_ms: u64,
+        /// Number of open requests.
+        open: usize,
+        /// Number of requests that wait for an owner or a free slot.
+        waiting: usize,
+        /// Instances selected for requests since the previous such event.
+        selections: u64,
+        /// Steps decided for requests since the previous such event.
+        decisions: u64,
+        /// Inputs handled since the previous such event.
+        inputs: u64,
+    },
     /// Another node has sent all objects of a kind.
     StateReceived {
         /// The kind.
@@ -385,14 +400,16 @@
             | Event::Quarantined { .. }
             | Event::SuspectTried { .. }
             | Event::QuarantineLifted { .. } => "quarantine",
-            Event::Stops { .. } => "node",
+            Event::Stops { .. } | Event::TimersLate { .. } => "node",
         }
     }
 
     fn level(&self) -> Level {
         match self {
             Event::ObjectUnreadable { .. } => Level::Error,
-            Event::Quarantined { .. } | Event::Isolated { .. } => Level::Warn,
+            Event::Quarantined { .. } | Event::Isolated { .. } | Event::TimersLate { .. } => {
+                Level::Warn
+            }
             Event::StoreFails { .. }
             | Event::OrderFailed { .. }
             | Event::RecordNotWritten { .. } => Level::Warn,
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -34,6 +34,9 @@
     Lost,
     /// No complete response arrived in time; the request was sent.
     TimedOut,
+    /// A reused connection brought no part of a response in time; the request was sent. A new
+    /// connection may work.
+    Unresponsive,
     /// The received bytes are not a valid response.
     Malformed,
 }
@@ -118,6 +121,9 @@
     pub write_timeout: Option<Duration>,
     /// Timeout for the exchange; with `timeout_restarts`, the time without progress.
     pub timeout: Duration,
+    /// Time without any part of the response after which the exchange fails if it reused a
+    /// connection, which may no longer carry anything.
+    pub reused_answer_timeout: Option<Duration>,
     /// Whether the timeout restarts with each received part of the response, so that a long
     /// response over a slow link completes instead of being requested again.
     pub timeout_restarts: bool,
@@ -135,6 +141,7 @@
             observe_before_write: Duration::ZERO,
             write_timeout: None,
             timeout,
+            reused_answer_timeout: None,
             timeout_restarts: false,
         }
     }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod open_requests;
 mod orders;
 mod owner_views;
+mod punctuality;
 mod quarantine;
 mod quotas;
 mod rate_limits;
@@ -61,6 +62,7 @@
 use messaging::Messaging;
 use node_list::NodeList;
 use owner_views::OwnerViews;
+use punctuality::Punctuality;
 use quarantine::Quarantine;
 use quotas::Quotas;
 use rand::SeedableRng;
@@ -115,6 +117,7 @@
     confirmation_deadline: Option<Timestamp>,
     traffic: PeerTraffic,
     zone_traffic: ZoneTraffic,
+    punctuality: Punctuality,
     stopping: bool,
     next_clean_up: Timestamp,
 }
@@ -160,6 +163,7 @@
             confirmation_deadline: None,
             traffic: PeerTraffic::default(),
             zone_traffic: ZoneTraffic::default(),
+            punctuality: Punctuality::default(),
             stopping: false,
             next_clean_up: now + CLEAN_UP_INTERVAL,
             settings,
@@ -212,6 +216,8 @@
     /// Handles one input, then all timers that are due.
     pub fn step(&mut self, input: Input, now: Timestamp, out: &mut Vec<Action>) {
         let before = out.len();
+        self.punctuality.record_input();
+        self.record_lateness(now);
         match input {
             Input::Request {
                 client,
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -37,6 +37,8 @@
     pub coordinator: Option<OwnershipCounters>,
     /// Number of open requests.
     pub open: usize,
+    /// Number of times that timers of requests were handled late.
+    pub late_timers: u64,
     /// Outcomes of requests.
     pub requests: RequestCounters,
     /// Number of calls to the store.
@@ -95,6 +97,7 @@
             epoch: self.ownership.record().epoch,
             coordinator: self.coordinator().map(|known| known.counters()),
             open: self.requests.len(),
+            late_timers: self.punctuality.late(),
             requests: self.requests.counters().clone(),
             store_calls: self.store.calls(),
             store_failures: self.store.failures(),
--- a/crates/ledgelead-router/src/peers/forward.rs
+++ b/crates/ledgelead-router/src/peers/forward.rs
@@ -161,7 +161,7 @@
             ExchangeFailure::Incomplete { timed_out: false } => ForwardFailure::Incomplete,
             ExchangeFailure::Incomplete { timed_out: true } => ForwardFailure::IncompleteInTime,
             ExchangeFailure::Lost => ForwardFailure::Lost,
-            ExchangeFailure::TimedOut => ForwardFailure::TimedOut,
+            ExchangeFailure::TimedOut | ExchangeFailure::Unresponsive => ForwardFailure::TimedOut,
             ExchangeFailure::Malformed => ForwardFailure::Malformed,
         }
     }
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -240,6 +240,7 @@
         client: ClientId,
         context: &RequestContext<'_>,
     ) -> Option<Selected> {
+        self.counters.selections += 1;
         let open = self.open.get(&client)?;
         let left = open.time_left(context.now);
         // The selection borrows `self` and draws random numbers, so it works on a copy of the
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -117,6 +117,24 @@
         "Requests without an answer",
         status.open as u64,
     );
+    counter(
+        &mut registry,
+        "late_timers",
+        "Times that timers of requests were handled over 100 ms late",
+        status.late_timers,
+    );
+    counter(
+        &mut registry,
+        "selections",
+        "Selections among the instances of a service",
+        status.requests.selections,
+    );
+    counter(
+        &mut registry,
+        "decisions",
+        "Steps decided for requests",
+        status.requests.decisions,
+    );
     counter(
         &mut registry,
         "requests",
