Dead connections to the store, and versions too large for datagrams, keep within one bound

Callers saw requests handled by a version, and sent to an instance, more than the bound after its successor or its departure was acknowledged. A change passes the coordinator's watch (0.6 s, and 0.7 s until it is given up), a heartbeat, 0.4 s for lost datagrams and a call of the node's own. On a kept connection that carries nothing more, each call took 1.3 to 1.5 s, and the next one took the next dead connection. Each step kept its own limit; their sum was 3 s and more.

Ruled out by the simulation: lost heartbeats alone, a slow store, a former coordinator.

- A read on a kept connection that brings no byte within a tenth of the bound (twice the time that the store takes, if it is slow) is made again on a new connection at once, without taking the store for failing.
Connections kept since before that are not used any more.
- A coordinator says so if it can't send missed changes in datagrams (ResyncUnavailable); the node then asks others or the store without the 0.4 s.
- A missing version is read although other calls have failed, instead of waiting for the probe of the store and 0.25 s.
- The watch on the configuration resumes after a tenth of the bound at the latest.

--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -52,6 +52,17 @@
         )
     }
 
+    /// Whether a kept connection that no longer works may be the only reason.
+    pub fn may_be_kept_connection(self) -> bool {
+        matches!(
+            self,
+            ExchangeFailure::Unresponsive
+                | ExchangeFailure::Lost
+                | ExchangeFailure::ClosedUnsent
+                | ExchangeFailure::Incomplete { .. }
+        )
+    }
+
     /// Whether no connection was established, so that the link or the receiver has failed.
     pub fn shows_failed_link(self) -> bool {
         matches!(
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -422,7 +422,8 @@
             // valid.
             self.store.interrupt(kind, now, now, out);
         }
-        self.store.set_following(false, now, out);
+        let bound = self.settings.propagation_bound();
+        self.store.set_following(false, bound, now, out);
     }
 
     /// Gives up the role: another node or none is the coordinator in this epoch.
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -180,17 +180,14 @@
                 // Until the coordinator reports for how long the store has served it.
                 self.directory.record_store_outage(now);
             }
-            self.store.set_following(true, now, out);
+            let bound = self.settings.propagation_bound();
+            self.store.set_following(true, bound, now, out);
         }
     }
 
     /// How long a coordinator's view of the store is followed.
     fn view_ttl(&self) -> Duration {
-        let bound = self
-            .settings
-            .drain_bound
-            .min(self.settings.configuration_bound);
-        bound.mul_f64(VIEW_TTL_SHARE)
+        self.settings.propagation_bound().mul_f64(VIEW_TTL_SHARE)
     }
 
     /// The coordinator has read all changes of instances up to this revision. If this node
--- a/crates/ledgelead-router/src/node/messaging.rs
+++ b/crates/ledgelead-router/src/node/messaging.rs
@@ -126,7 +126,8 @@
             self.messaging.following_until = None;
             self.messaging.followed_epoch = None;
             Event::FollowsNobody.emit();
-            self.store.set_following(false, now, out);
+            let bound = self.settings.propagation_bound();
+            self.store.set_following(false, bound, now, out);
         }
         self.review_gaps(now, out);
     }
@@ -403,6 +404,9 @@
             PeerMessage::QuotaShares { epoch, shares } => {
                 self.shares_received(epoch, &shares, now);
             }
+            PeerMessage::ResyncUnavailable { kind, since } => {
+                self.changes_unavailable(from, kind, since, now, out);
+            }
             PeerMessage::InstancesListed {
                 span,
                 unconfirmed_ms,
--- a/crates/ledgelead-router/src/node/relay/gaps.rs
+++ b/crates/ledgelead-router/src/node/relay/gaps.rs
@@ -33,6 +33,8 @@
     /// Start of the delay before the next call to the store: when the gap began or the store was
     /// last asked, unless `review_gap_at` has set it.
     store_delay_start: Timestamp,
+    /// Whether the coordinator has stated that it can't send the changes in datagrams.
+    is_unavailable: bool,
     /// Earliest time of the next request to the coordinator.
     pub(super) next_request: Timestamp,
 }
@@ -113,6 +115,7 @@
         let gap = self.messaging.relay.gap(kind);
         if !is_missing {
             gap.missing_since = None;
+            gap.is_unavailable = false;
             return;
         }
         if gap.missing_since.is_none() {
@@ -134,6 +137,21 @@
         self.ask_store(kind, since, now, out);
     }
 
+    /// Asks other sources for missing changes at once, since the coordinator can't send them in
+    /// datagrams. Later reviews of the gap repeat that at their usual interval.
+    pub(in crate::node) fn fill_gap_without_datagrams(
+        &mut self,
+        kind: RelayedKind,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let gap = self.messaging.relay.gap(kind);
+        if gap.missing_since.is_some() && !std::mem::replace(&mut gap.is_unavailable, true) {
+            self.messaging.relay.review_gap_at(kind, now);
+            self.review_gap(kind, now, out);
+        }
+    }
+
     /// Reviews all gaps that are due, even if no coordinator is heard.
     pub(in crate::node) fn review_gaps(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         for kind in RelayedKind::ALL {
@@ -156,7 +174,8 @@
         if self.fill_gap_from_nodes(kind, now, out) {
             return;
         }
-        if self.store.health.has_failed() {
+        let reads_despite_failures = kind == RelayedKind::Configuration;
+        if self.store.health.has_failed() && !reads_despite_failures {
             self.store.probe_for_gap(now, out);
         }
         if kind == RelayedKind::Ownership {
--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -230,6 +230,24 @@
         let datagrams = datagrams.or_else(|| self.snapshot_for(from, kind, now));
         if let Some(datagrams) = datagrams {
             send(from, &datagrams, out);
+        } else if self.known_revision(kind).is_some_and(|known| since < known) {
+            let unavailable = PeerMessage::ResyncUnavailable { kind, since };
+            send(from, &[encode(&unavailable)], out);
+        }
+    }
+
+    /// The coordinator can't send missed changes in datagrams, so waiting for them is of no use.
+    pub(super) fn changes_unavailable(
+        &mut self,
+        from: SocketAddr,
+        kind: RelayedKind,
+        since: u64,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let is_awaited = self.known_revision(kind) == Some(since);
+        if is_awaited && self.coordinator_address() == Some(from) {
+            self.fill_gap_without_datagrams(kind, now, out);
         }
     }
 
--- a/crates/ledgelead-router/src/node/store_answers.rs
+++ b/crates/ledgelead-router/src/node/store_answers.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use super::relay::differences;
-use super::store_calls::{OWNERSHIP_NAME, Purpose};
+use super::store_calls::{OWNERSHIP_NAME, PendingCall, Purpose, longest_wait};
 use super::store_timing::{FOLLOWER_BACKOFF, backoff};
 use crate::Timestamp;
 use crate::dialect::{Object, ObjectKind, StoreAnswer};
@@ -29,6 +29,11 @@
             return;
         };
         self.coordination.schedule_step();
+        if let Err(failure) = &result
+            && self.repeat_on_new_connection(&pending, *failure, now, out)
+        {
+            return;
+        }
         let answer = self.read_store_answer(&pending.call, pending.era, result, now, out);
         let isolates_unreadable = self.settings.protections.has(Protection::IsolateUnreadable);
         let answer = match answer {
@@ -38,6 +43,9 @@
             answer => answer,
         };
         let served = matches!(&answer, Ok(answer) if !matches!(answer, StoreAnswer::Refused | StoreAnswer::Unreadable(_)));
+        if served {
+            self.record_answer_time(&pending, now);
+        }
         self.record_call_outcome(served, &answer, pending.started, now, out);
         let is_former = pending.era < self.store.era;
         match pending.purpose {
@@ -62,6 +70,16 @@
         }
     }
 
+    /// Records how long the store took. A watch that ends before its wait was answered for a
+    /// change, and says nothing.
+    fn record_answer_time(&mut self, pending: &PendingCall, now: Timestamp) {
+        let took = now.saturating_sub(pending.started);
+        let wait = longest_wait(&pending.call).unwrap_or_default();
+        if let Some(time) = took.checked_sub(wait) {
+            self.store.connections.record_answer(time);
+        }
+    }
+
     /// Backoff between this node's calls while they fail.
     fn probe_backoff(&self) -> Backoff {
         if self.messaging.following_until.is_some() {
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -2,15 +2,17 @@
 
 use super::Node;
 use super::registration::RegistrationState;
-use super::store_timing::{CONFIRM_INTERVAL, ColdStart, RESUME_PAUSES, large_list_pause, pace};
+use super::store_timing::{CONFIRM_INTERVAL, ColdStart, large_list_pause, pace, resume_pauses};
 use crate::Timestamp;
 use crate::dialect::{Object, ObjectKind, StoreCall};
-use crate::io::{Action, ExchangeId, ExchangeOptions};
+use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
 use crate::settings::NodeSettings;
-use crate::store::{StoreHealth, Watcher, with_store_revisions};
+use crate::store::{
+    ConnectionChoice, StoreConnections, StoreHealth, Watcher, with_store_revisions,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -18,8 +20,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum idle time of a reused connection to the store.
-const REUSE_IDLE: Duration = Duration::from_secs(4);
 /// Timeout of a watch beyond the wait that it requests.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Name of the single ownership record.
@@ -99,6 +99,7 @@
     pub(super) purpose: Purpose,
     pub(super) call: StoreCall,
     pub(super) started: Timestamp,
+    pub(super) connection: ConnectionChoice,
     /// The store era known when the call was made.
     pub(super) era: u64,
 }
@@ -106,6 +107,7 @@
 /// State of the store calls.
 pub(super) struct StoreCalls {
     pub(super) health: StoreHealth,
+    pub(super) connections: StoreConnections,
     /// Indexed by `ObjectKind`.
     watchers: [Watcher; ObjectKind::ALL.len()],
     pub(super) pending: HashMap<ExchangeId, PendingCall>,
@@ -139,6 +141,7 @@
         watchers[ObjectKind::Quarantine as usize].defer(now + FIRST_QUARANTINE_PAUSE);
         StoreCalls {
             health: StoreHealth::default(),
+            connections: StoreConnections::default(),
             watchers,
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
@@ -235,7 +238,10 @@
             return true;
         }
         if self.health.has_failed() {
-            return kind != ObjectKind::Instances;
+            // A missing version is not left until the probe succeeds: its bound runs.
+            let is_missing =
+                kind == ObjectKind::Configuration && self.watchers[index].is_catch_up_requested();
+            return kind != ObjectKind::Instances && !is_missing;
         }
         // The configuration shows whether the whole deployment is starting. A coordinator may
         // have sent it before it is listed; changes since a list are requested in any case.
@@ -324,8 +330,15 @@
     }
 
     /// Sets whether a coordinator relays changes, so that this node's own watches can be
-    /// paused. The coordinator's own watches are never paused.
-    pub(super) fn set_following(&mut self, following: bool, now: Timestamp, out: &mut Vec<Action>) {
+    /// paused. The coordinator's own watches are never paused. Changes have to reach all nodes
+    /// within `bound`.
+    pub(super) fn set_following(
+        &mut self,
+        following: bool,
+        bound: Duration,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
         let paused = following && !self.coordinating;
         let was_paused = self.watcher(ObjectKind::Instances).is_paused();
         let resumes = !paused && was_paused;
@@ -342,7 +355,7 @@
         }
         if resumes {
             self.watcher(ObjectKind::Instances).call_now(now);
-            for (kind, pause) in RESUME_PAUSES {
+            for (kind, pause) in resume_pauses(bound) {
                 self.watcher(kind).defer(now + pause);
             }
             // A call started before the pause may wait on a dead connection.
@@ -467,18 +480,60 @@
         call: StoreCall,
         now: Timestamp,
         out: &mut Vec<Action>,
+    ) {
+        self.start_call_on(ConnectionChoice::Any, purpose, call, now, out);
+    }
+
+    /// Makes a call that brought no answer on a kept connection again on a new one. Returns
+    /// whether it did.
+    pub(super) fn repeat_on_new_connection(
+        &mut self,
+        pending: &PendingCall,
+        failure: ExchangeFailure,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Purpose::Watch(kind) = pending.purpose else {
+            return false;
+        };
+        let may_be_connection = pending.connection == ConnectionChoice::Any
+            && failure.may_be_kept_connection()
+            && !self.store.health.has_failed();
+        if !may_be_connection {
+            return false;
+        }
+        self.store.connections.record_unresponsive(now);
+        let call = self.store.watcher(kind).repeat_call(&pending.call, now);
+        let purpose = Purpose::Watch(kind);
+        self.start_call_on(ConnectionChoice::New, purpose, call, now, out);
+        true
+    }
+
+    fn start_call_on(
+        &mut self,
+        connection: ConnectionChoice,
+        purpose: Purpose,
+        call: StoreCall,
+        now: Timestamp,
+        out: &mut Vec<Action>,
     ) {
         let exchange = self.exchanges.next_id();
-        let timeout = match &call {
-            StoreCall::Watch { wait, .. } => *wait + WATCH_SLACK,
-            _ => CALL_TIMEOUT,
+        let wait = longest_wait(&call);
+        let timeout = match wait {
+            Some(wait) => wait + WATCH_SLACK,
+            None => CALL_TIMEOUT,
         };
+        let bound = self.settings.propagation_bound();
+        let answer_limit = self.store.connections.answer_limit(bound);
+        let is_read = matches!(purpose, Purpose::Watch(_));
         out.push(Action::Exchange {
             exchange,
             address: self.settings.store_address,
             request: self.dialect.store_request(&with_store_revisions(&call)),
             options: ExchangeOptions {
-                reuse_idle_below: REUSE_IDLE,
+                reuse_idle_below: self.store.connections.reuse_idle_below(connection, now),
+                reused_answer_timeout: is_read
+                    .then(|| (wait.unwrap_or_default() + answer_limit).min(timeout)),
                 timeout_restarts: true,
                 ..ExchangeOptions::new(CONNECT_TIMEOUT, timeout)
             },
@@ -491,8 +546,17 @@
                 purpose,
                 call,
                 started: now,
+                connection,
                 era: self.store.era,
             },
         );
     }
 }
+
+/// How long the store may wait for a change before it answers a watch; `None` for other calls.
+pub(super) fn longest_wait(call: &StoreCall) -> Option<Duration> {
+    match call {
+        StoreCall::Watch { wait, .. } => Some(*wait),
+        _ => None,
+    }
+}
--- a/crates/ledgelead-router/src/node/store_timing.rs
+++ b/crates/ledgelead-router/src/node/store_timing.rs
@@ -87,7 +87,7 @@
 /// fallen silent, since another coordinator may be heard meanwhile. Configurations must be
 /// active in time. Ownership and nodes may wait longer: they are changed only by a
 /// coordinator, reported by an answer, or read for a campaign.
-pub(super) const RESUME_PAUSES: [(ObjectKind, Duration); 5] = [
+const RESUME_PAUSES: [(ObjectKind, Duration); 5] = [
     (ObjectKind::Configuration, Duration::from_millis(300)),
     (ObjectKind::Evacuations, Duration::from_millis(300)),
     // With the 1.4 s for which the coordinator's view is followed and one call, this stays
@@ -97,6 +97,20 @@
     (ObjectKind::Nodes, Duration::from_millis(2_500)),
 ];
 
+/// Longest pause before the watch on the configuration resumes, as a share of the bound for
+/// changes to reach all nodes. What the coordinator's view has left of the bound has to suffice
+/// for this pause, a dead connection and a list.
+const RESUME_SHARE: f64 = 0.1;
+
+/// How long each of these watches remains paused after a coordinator has fallen silent.
+pub(super) fn resume_pauses(bound: Duration) -> [(ObjectKind, Duration); 5] {
+    let longest = bound.mul_f64(RESUME_SHARE);
+    RESUME_PAUSES.map(|(kind, pause)| match kind {
+        ObjectKind::Configuration => (kind, pause.min(longest)),
+        _ => (kind, pause),
+    })
+}
+
 /// How long a node with a full core waits for other nodes to register before it lists them for
 /// the first election. The time grows in inverse proportion to the CPU share, so that only few
 /// nodes list, and the preferred coordinators do so first.
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -188,9 +188,10 @@
         if transfers_from_nodes && now < self.transfers.kind_state(kind).next_gap_fill {
             return true;
         }
-        let bound = self.settings.drain_bound;
-        let bound = bound.min(self.settings.configuration_bound);
-        let node_timeout = bound.mul_f64(GAP_FROM_NODES_SHARE);
+        let node_timeout = self
+            .settings
+            .propagation_bound()
+            .mul_f64(GAP_FROM_NODES_SHARE);
         if !transfers_from_nodes || !self.transfers.may_ask_nodes(kind, node_timeout, now) {
             self.transfers.kind_state(kind).ask_nodes_until = None;
             return false;
--- a/crates/ledgelead-router/src/peers/message.rs
+++ b/crates/ledgelead-router/src/peers/message.rs
@@ -572,6 +572,14 @@
         /// The record's revision.
         revision: u64,
     },
+    /// The coordinator's answer to a `ResyncRequest` for changes that it can't send in
+    /// datagrams.
+    ResyncUnavailable {
+        /// The kind of objects.
+        kind: RelayedKind,
+        /// The revision of the request.
+        since: u64,
+    },
 }
 
 impl PeerMessage {
@@ -605,6 +613,7 @@
             PeerMessage::QuotaShares { .. } => "quota_shares",
             PeerMessage::OwnershipAckRequest { .. } => "ownership_ack_request",
             PeerMessage::OwnershipAck { .. } => "ownership_ack",
+            PeerMessage::ResyncUnavailable { .. } => "resync_unavailable",
         }
     }
 }
--- a/crates/ledgelead-router/src/peers/message_validation.rs
+++ b/crates/ledgelead-router/src/peers/message_validation.rs
@@ -41,7 +41,8 @@
             } => are_valid_revisions(&[*configuration_version, *nodes_revision]),
             PeerMessage::OwnershipAckRequest { revision }
             | PeerMessage::OwnershipAck { revision } => are_valid_revisions(&[*revision]),
-            PeerMessage::ResyncRequest { since, .. } => are_valid_revisions(&[*since]),
+            PeerMessage::ResyncRequest { since, .. }
+            | PeerMessage::ResyncUnavailable { since, .. } => are_valid_revisions(&[*since]),
             PeerMessage::Forwarded { .. }
             | PeerMessage::OpenRequestCounts { .. }
             | PeerMessage::LoadDigest { .. }
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -48,6 +48,14 @@
     pub mechanisms: Mechanisms,
 }
 
+impl NodeSettings {
+    /// The shortest bound for an acknowledged change to reach all nodes. All steps on its way
+    /// share it.
+    pub fn propagation_bound(&self) -> Duration {
+        self.drain_bound.min(self.configuration_bound)
+    }
+}
+
 /// Assumed bandwidth of a link without a setting, in bytes a second: one gigabit.
 pub const DEFAULT_LINK_BYTES_PER_S: u64 = 125_000_000;
 
--- a/crates/ledgelead-router/src/store/watcher.rs
+++ b/crates/ledgelead-router/src/store/watcher.rs
@@ -262,6 +262,24 @@
         }
     }
 
+    /// Whether a single call is due although the watch is paused.
+    pub fn is_catch_up_requested(&self) -> bool {
+        self.catch_up_requested
+    }
+
+    /// The call in flight, to be made again on another connection. It waits only a short time
+    /// for a change.
+    pub fn repeat_call(&mut self, call: &StoreCall, now: Timestamp) -> StoreCall {
+        let mut again = call.clone();
+        let mut call_wait = Duration::ZERO;
+        if let StoreCall::Watch { wait, .. } = &mut again {
+            *wait = SHORT_WAIT.min(*wait);
+            call_wait = *wait;
+        }
+        self.call = Some((now, call_wait));
+        again
+    }
+
     /// Another node has reported all changes up to this revision.
     pub fn advance(&mut self, reported: u64) {
         if let Position::Watching { revision } = &mut self.position {
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -165,6 +165,7 @@
             if connection.connected
                 && running.answer_by > now
                 && !connection.has_write_timed_out(now)
+                && !connection.is_unresponsive(now)
             {
                 self.deadlines.insert((running.answer_by, key));
                 if running.write_at == Some(at) {
@@ -172,7 +173,7 @@
                 }
                 continue;
             }
-            let failure = connection.timeout_failure();
+            let failure = connection.timeout_failure(now);
             self.fail(key.index, failure, inputs);
         }
     }
@@ -244,6 +245,11 @@
             index,
             generation: connection.generation,
         };
+        let unresponsive_at = new
+            .options
+            .reused_answer_timeout
+            .filter(|_| connection.connected)
+            .map(|time| now + time);
         connection.running = Some(Running {
             exchange: new.exchange,
             is_probe: new.request.is_none(),
@@ -263,11 +269,12 @@
             write_by,
             answer_by,
             idle_timeout: new.options.timeout_restarts.then_some(new.options.timeout),
+            unresponsive_at,
         });
         self.by_exchange.insert(new.exchange, index);
         self.deadlines.insert((first_deadline, key));
-        if let Some(write_by) = write_by {
-            self.deadlines.insert((write_by, key));
+        for limit in [write_by, unresponsive_at].into_iter().flatten() {
+            self.deadlines.insert((limit, key));
         }
     }
 
@@ -358,11 +365,13 @@
             let Some(running) = connection.running.as_mut() else {
                 return;
             };
-            if connection.stream.take_has_read()
-                && let Some(time) = running.idle_timeout
-            {
-                // The earlier limit stays in `deadlines`; `expire` replaces it by the new one.
-                running.answer_by = now + time;
+            if connection.stream.take_has_read() {
+                running.unresponsive_at = None;
+                if let Some(time) = running.idle_timeout {
+                    // The earlier limit stays in `deadlines`; `expire` replaces it by the new
+                    // one.
+                    running.answer_by = now + time;
+                }
             }
             match running.reader.read(&mut connection.stream.input) {
                 Ok(ResponseProgress::Complete { response, reusable }) => {
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -45,6 +45,9 @@
     pub(super) answer_by: Instant,
     /// If set, each part of the answer that arrives moves `answer_by` to this much later.
     pub(super) idle_timeout: Option<Duration>,
+    /// When the exchange fails unless some part of the answer has arrived, on a reused
+    /// connection.
+    pub(super) unresponsive_at: Option<Instant>,
 }
 
 /// A connection to an instance or to the store.
@@ -105,16 +108,26 @@
     }
 
     /// The failure of an exchange that has timed out, by how far its request was written.
-    pub(super) fn timeout_failure(&self) -> ExchangeFailure {
+    pub(super) fn timeout_failure(&self, now: Instant) -> ExchangeFailure {
         if !self.connected {
             ExchangeFailure::NotConnected
         } else if self.stream.is_incomplete() {
             ExchangeFailure::Incomplete { timed_out: true }
+        } else if self.is_unresponsive(now) {
+            ExchangeFailure::Unresponsive
         } else {
             ExchangeFailure::TimedOut
         }
     }
 
+    /// Whether the connection was reused and has brought no part of the answer in time.
+    pub(super) fn is_unresponsive(&self, now: Instant) -> bool {
+        let running = self.running.as_ref();
+        running
+            .and_then(|running| running.unresponsive_at)
+            .is_some_and(|at| at <= now)
+    }
+
     /// Whether the connection was idle for less than `below` and the peer keeps it open.
     pub(super) fn is_reusable(&self, below: Duration, now: Instant) -> bool {
         let is_kept = self.keep_until.is_none_or(|until| now < until);
