Evidence of lost requests is reviewed when something is new, at a bounded rate

Cause: each node reports the requests that it lost, four times, to all nodes, and every report made its receiver review all evidence, also where it held nothing new. With 400 lost requests and 250 reports a second these reviews took 88 of 100 of a node's processor time (a trial with the time of each part logged), so all of its timers, reads and messages were late: timers_late shows up to 1.6 s. Ruled out: timers counted from the wrong moment (the same requests end in time on a calm second), selections and reviews of attempts (under a tenth together).

Only what is new is reviewed, and with over 32 requests the pause before the next review grows by 1 ms with each. Entries with too few ends for a verdict skip its sets. Requests for all evidence are sent less often the more of it there is.

--- a/crates/ledgelead-router/src/node/quarantine/sharing.rs
+++ b/crates/ledgelead-router/src/node/quarantine/sharing.rs
@@ -27,6 +27,9 @@
 /// Minimum interval between requests for all evidence: two heartbeats.
 const SYNC_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The same for each request that it is about.
+const SYNC_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(10);
+
 /// Evidence received from another node.
 #[derive(Debug)]
 pub(in crate::node) struct EvidenceMessage {
@@ -100,11 +103,19 @@
         let differs = checksum != self.quarantine.evidence.checksum();
         let shares = self.settings.protections.has(Protection::SharedEvidence);
         if differs && shares && self.quarantine.next_sync <= now {
-            self.quarantine.next_sync = now + SYNC_INTERVAL;
+            self.quarantine.next_sync = now + self.sync_interval();
             send(from, &self.all_evidence(true, now), out);
         }
     }
 
+    /// Minimum interval between requests for all evidence. The exchange grows with it, and
+    /// while many instances end, the nodes' evidence differs until the last repeats arrive.
+    fn sync_interval(&self) -> Duration {
+        let entries = self.quarantine.evidence.broadcast_entries().count();
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        SYNC_INTERVAL.max(SYNC_INTERVAL_PER_ENTRY.saturating_mul(entries))
+    }
+
     /// Applies evidence received from another node.
     pub(in crate::node) fn evidence_received(
         &mut self,
@@ -113,13 +124,17 @@
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
+        let mut is_new = false;
         for entry in message.alive.iter() {
             let at = time_from_age(entry.age_ms, now);
-            self.quarantine.evidence.record_alive(entry.subject, at);
+            is_new |= self.quarantine.evidence.record_alive(entry.subject, at);
         }
         for entry in message.requests.iter() {
             let (request, entry) = entry.received(now);
-            self.quarantine.evidence.merge(request, &entry);
+            if !self.quarantine.evidence.merge(request, &entry) {
+                continue;
+            }
+            is_new = true;
             let callers: BTreeSet<CallerId> = entry.ends.iter().map(|end| end.caller).collect();
             for caller in callers {
                 self.clear_if_answered(request, caller, now);
@@ -129,7 +144,9 @@
         if message.wants_reply {
             send(from, &self.all_evidence(false, now), out);
         }
-        self.reconsider_waiting(now, out);
+        if is_new {
+            self.reconsider_waiting(now, out);
+        }
     }
 }
 
--- a/crates/ledgelead-router/src/node/status.rs
+++ b/crates/ledgelead-router/src/node/status.rs
@@ -59,6 +59,8 @@
     pub suspected: usize,
     /// Ends of instances attributed to these requests, without those that were disproved.
     pub ends_counted: usize,
+    /// Reviews of the evidence about such requests.
+    pub evidence_reviews: u64,
     /// Occurrences of unreadable objects in the store, by kind.
     pub unreadable: BTreeMap<&'static str, u64>,
     /// Datagrams exchanged with other nodes.
@@ -107,6 +109,7 @@
             quarantined: self.quarantine.quarantined_requests(),
             suspected: self.quarantine.evidence.iter().count(),
             ends_counted: self.quarantine.evidence.ends(),
+            evidence_reviews: self.quarantine.evidence.reviews(),
             unreadable: self.unreadable.counts().clone(),
             traffic: self.traffic.clone(),
             transfers: TransferCounters {
--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -63,7 +63,9 @@
             self.path.clone_from(&other.path);
         }
         let known: BTreeSet<u64> = self.ends.iter().map(|end| end.instance).collect();
+        let judged = self.coincident.len();
         self.coincident.extend(other.coincident.difference(&known));
+        is_new |= self.coincident.len() > judged;
         for end in &other.ends {
             is_new |= self.add(*end);
         }
@@ -72,14 +74,15 @@
         is_new
     }
 
-    /// Adds the end of an instance. Returns whether it was new.
+    /// Adds the end of an instance. Returns whether it was new, or counts only now.
     pub(super) fn add(&mut self, end: InstanceEnd) -> bool {
         let same =
             |known: &&mut InstanceEnd| (known.caller, known.instance) == (end.caller, end.instance);
         match self.ends.iter_mut().find(same) {
             Some(known) => {
+                let counts_now = end.settled && !known.settled;
                 known.settled |= end.settled;
-                false
+                counts_now
             }
             None => {
                 self.ends.push(end);
--- a/crates/ledgelead-router/src/quarantine/evidence.rs
+++ b/crates/ledgelead-router/src/quarantine/evidence.rs
@@ -16,6 +16,10 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of requests with evidence. Each takes 100 bytes here and in messages.
 const MAX_ENTRIES: usize = 512;
+/// Number of requests with evidence up to which it is reviewed as soon as something is new.
+const PROMPTLY_REVIEWED: usize = 32;
+/// Minimum interval between reviews for each further request.
+const REVIEW_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(1);
 /// Maximum number of suspected requests that share turns.
 const MAX_SHARING: usize = 4;
 
@@ -36,8 +40,11 @@
     /// Requests with new evidence since the last announcement.
     unannounced: BTreeSet<RequestDigest>,
     unannounced_alive: BTreeSet<u64>,
-    /// When ends that have not settled yet are reviewed.
+    /// When the evidence is reviewed next, if the last review is not too recent.
     next_review: Option<Timestamp>,
+    last_review: Timestamp,
+    /// Number of reviews so far.
+    reviews: u64,
 }
 
 impl Evidence {
@@ -208,17 +215,23 @@
         true
     }
 
-    /// Merges the evidence of another node, or of the store, about a request.
-    pub fn merge(&mut self, request: RequestDigest, other: &Entry) {
+    /// Merges the evidence of another node, or of the store, about a request. Returns whether
+    /// something was new. Only that is reviewed: each node sends its evidence several times.
+    pub fn merge(&mut self, request: RequestDigest, other: &Entry) -> bool {
         let mut other = other.clone();
         other
             .ends
             .retain(|end| !self.alive.contains_key(&end.instance));
         if other == Entry::default() {
-            return;
+            return false;
         }
         for end in &other.ends {
             self.ended.entry(end.instance).or_insert(end.at);
+        }
+        if !self.entries.entry(request).or_default().merge(&other) {
+            return false;
+        }
+        for end in &other.ends {
             let settled_at = end.at + SETTLE_TIME;
             let review = self.next_review.unwrap_or(settled_at);
             self.next_review = Some(review.min(settled_at));
@@ -226,20 +239,36 @@
         if !other.cleared.is_empty() {
             self.next_review = Some(Timestamp::ZERO);
         }
-        self.entries.entry(request).or_default().merge(&other);
+        true
     }
 
-    /// When ends are reviewed next.
+    /// When the evidence is reviewed next.
     pub fn next_review(&self) -> Option<Timestamp> {
-        self.next_review
+        let earliest = self.earliest_review().unwrap_or_default();
+        self.next_review.map(|at| at.max(earliest))
+    }
+
+    /// When the next review may begin, if there is much evidence. Each review compares all of it,
+    /// and when many instances end together, hundreds of requests are reported within a second.
+    fn earliest_review(&self) -> Option<Timestamp> {
+        let further = self.entries.len().checked_sub(PROMPTLY_REVIEWED + 1)?;
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        Some(self.last_review + REVIEW_INTERVAL_PER_ENTRY.saturating_mul(further))
+    }
+
+    /// Number of reviews so far.
+    pub fn reviews(&self) -> u64 {
+        self.reviews
     }
 
     /// Reviews the ends that have settled by now.
     pub fn review(&mut self, now: Timestamp) -> NewQuarantines {
         let mut found = NewQuarantines::default();
-        if self.next_review.is_none_or(|at| now < at) {
+        if self.next_review().is_none_or(|at| now < at) {
             return found;
         }
+        self.last_review = now;
+        self.reviews += 1;
         let mut next = None;
         let ended = self.ended_without_request();
         for entry in self.entries.values_mut() {
--- a/crates/ledgelead-router/src/quarantine/verdict.rs
+++ b/crates/ledgelead-router/src/quarantine/verdict.rs
@@ -143,6 +143,9 @@
     /// The ended instances that need no cause besides this request: it was in flight at several ones
     /// of that moment, or it is suspected by ends of which one counts.
     pub(super) fn explained_instances(&self) -> BTreeSet<u64> {
+        if self.ends.len() < ENDS_TO_SUSPECT {
+            return BTreeSet::new();
+        }
         let has_counted = |scope: &CallerId| !self.settled_instances(*scope).is_empty();
         let mut explained = BTreeSet::new();
         for scope in self.scopes() {
@@ -157,6 +160,9 @@
     /// The ends at moments at which enough instances for a quarantine ended under requests of one
     /// caller.
     pub(super) fn ended_under_one_caller(&self) -> BTreeSet<(CallerId, u64)> {
+        if self.ends.len() < ENDS_TO_QUARANTINE {
+            return BTreeSet::new();
+        }
         let of_caller = |caller: CallerId| {
             let moments = moments(self.ends_in(caller)).into_iter();
             let enough = moments.filter(|instances| instances.len() >= ENDS_TO_QUARANTINE);
@@ -188,6 +194,9 @@
     /// The ended instances in all scopes in which enough ends count for a suspicion. An answer to
     /// another caller leaves those of a caller.
     pub(super) fn suspected_instances(&self) -> BTreeSet<u64> {
+        if self.ends.len() < ENDS_TO_SUSPECT {
+            return BTreeSet::new();
+        }
         let scopes = self.scopes().into_iter();
         scopes
             .flat_map(|scope| self.instances_if_suspected(scope))
@@ -251,6 +260,9 @@
     /// during that caller's requests; all callers, if enough ended over all callers, and no single
     /// caller explains them.
     pub(super) fn scopes_with_ends_to_quarantine(&self, counting: Counting) -> Vec<CallerId> {
+        if self.ends.len() < ENDS_TO_QUARANTINE {
+            return Vec::new();
+        }
         let callers = self.callers();
         let over_all = self.judged_instances(CallerId::ALL);
         let is_unexplained_by = |caller: &CallerId| {
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod crashing_requests;
 mod evacuation;
+mod evidence_flood;
 mod first_election;
 mod fixture;
 mod former_coordinator;
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -354,6 +354,12 @@
         "Instances that ended under them",
         status.ends_counted as u64,
     );
+    counter(
+        registry,
+        "evidence_reviews",
+        "Reviews of the evidence about them",
+        status.evidence_reviews,
+    );
     let quarantined = Family::<QuarantineLabel, Gauge>::default();
     for (digest, path) in &status.quarantined {
         let label = QuarantineLabel {
