Peers forward no request to an instance that has drained

A node that reaches an instance only by way of a peer sent it requests after the bound if it learned late that the instance leaves, or if its request was held up on the way: the peer checked only whether the instance had ended.

The peer applies the same share of the drain bound as owners of keys get. Orders go on, since keys have to be released.

--- a/crates/ledgelead-router/src/node/forwarding.rs
+++ b/crates/ledgelead-router/src/node/forwarding.rs
@@ -115,7 +115,11 @@
         }
         let id = InstanceId::parse(&forward.instance);
         let instance = self.directory.get(&id).ok_or(ForwardDecline::NoPath)?;
-        let is_usable = !instance.ended && !instance.is_gone();
+        // The peer that asks may not know yet that the instance leaves, or its request was held up
+        // on its way. Orders still reach it, since its keys have to be released.
+        let is_request = matches!(forward.purpose, ForwardPurpose::Request { .. });
+        let has_drained = is_request && self.requests.has_drained(instance, now);
+        let is_usable = !instance.ended && !instance.is_gone() && !has_drained;
         match is_usable && self.reachability.path(&id, now) == Path::Direct {
             true => Ok((id, instance.record.address)),
             false => Err(ForwardDecline::NoPath),
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -3,6 +3,7 @@
 use super::forwarding::MAX_UNSENT;
 use super::{RequestContext, Requests};
 use crate::Timestamp;
+use crate::directory::Instance;
 use crate::identity::InstanceId;
 use crate::io::ClientId;
 use crate::mechanisms::Mechanism;
@@ -140,15 +141,7 @@
         let Some(owner) = context.directory.get(&assignment.owner) else {
             return wait_for_owner(Refusal::OwnerLeft);
         };
-        let bounded = self.protections.has(Protection::DrainBound);
-        let drain_cutoff = self.drain_bound.mul_f64(DRAIN_SHARE);
-        if owner.ended {
-            return wait_for_owner(Refusal::OwnerLeft);
-        }
-        if owner
-            .leaving_since()
-            .is_some_and(|since| since + drain_cutoff <= context.now && bounded)
-        {
+        if owner.ended || self.has_drained(owner, context.now) {
             return wait_for_owner(Refusal::OwnerLeft);
         }
         let evacuation_cutoff = self.evacuation_bound.mul_f64(EVACUATION_SHARE);
@@ -205,6 +198,14 @@
         self.send_or_wait(open, selected, owner.record.address, context)
     }
 
+    /// Whether an instance has been leaving for so long that it gets no more requests.
+    pub fn has_drained(&self, instance: &Instance, now: Timestamp) -> bool {
+        let cutoff = self.drain_bound.mul_f64(DRAIN_SHARE);
+        let since = instance.leaving_since();
+        let is_bounded = self.protections.has(Protection::DrainBound);
+        is_bounded && since.is_some_and(|since| since + cutoff <= now)
+    }
+
     /// Sends a request to the selected instance if it is likely to be answered in time there,
     /// and otherwise waits a short time for a slot. When load is known from a digest, other
     /// nodes may have taken the slot since, so fewer requests are admitted, and a request past
--- a/crates/ledgelead-router/tests/node/forwarding.rs
+++ b/crates/ledgelead-router/tests/node/forwarding.rs
@@ -226,6 +226,23 @@
     expect_that!(fixture.attempts, is_empty());
 }
 
+/// The peer that asks may lack the departure, or its request may have been on its way for long.
+#[gtest]
+fn peer_forwards_no_request_to_an_instance_that_has_drained() {
+    let mut fixture = Fixture::coordinating(store());
+    ask(&mut fixture, "i-1", REQUEST);
+    expect_that!(fixture.attempts.len(), eq(1));
+    let mut leaving = instance(1, SERVICE);
+    leaving.draining = true;
+    fixture.store.add_instance(leaving);
+    fixture.answer_watches();
+    fixture.run_until(fixture.now + ms(1_500));
+    ask(&mut fixture, "i-1", REQUEST);
+    expect_that!(fixture.attempts.len(), eq(1));
+    let declined = ForwardAnswer::Declined(ForwardDecline::NoPath);
+    expect_that!(forward_answer(&fixture), some(eq(&declined)));
+}
+
 #[gtest]
 fn attempt_ends_when_the_asking_node_disconnects() {
     let mut fixture = Fixture::coordinating(store());
