--- a/crates/ledgelead-lab/tests/fleet_silent_connections.rs
+++ b/crates/ledgelead-lab/tests/fleet_silent_connections.rs
@@ -4,8 +4,8 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::command::{NODES, drawn, drawn_silent_connections, run_seeds};
-use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, World};
-use ledgelead_router::protections::Protections;
+use ledgelead_lab::fleet::{FaultKind, FleetSettings, Schedule, ViolationKind, World};
+use ledgelead_router::protections::{Protection, Protections};
 use std::time::Duration;
 
 /// Number of nodes for which zones are large enough that broadcasts are relayed.
@@ -50,6 +50,16 @@
     expect_that!(lines, is_empty());
 }
 
+#[gtest]
+fn checker_detects_versions_delayed_by_dead_connections() {
+    let protections = Protections::without(Protection::ReplaceUnresponsive);
+    let draw = drawn_silent_connections;
+    let (report, _) = run_seeds(draw, 1..=60, NODES, protections, false);
+    let mut kinds = report.violations.iter().map(|seen| seen.kind);
+    let is_late = kinds.any(|kind| kind == ViolationKind::ConfigurationInTime);
+    expect_that!(is_late, eq(true));
+}
+
 #[gtest]
 fn versions_and_departures_reach_many_nodes_in_time_after_connections_fell_silent() {
     let draw = drawn_silent_connections;
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{Object, ObjectKind, StoreCall};
 use crate::io::{Action, ExchangeFailure, ExchangeId, ExchangeOptions};
 use crate::ownership::record::OwnershipRecord;
+use crate::protections::Protection;
 use crate::quarantine::QuarantineRecord;
 use crate::requests::RequestDigest;
 use crate::settings::NodeSettings;
@@ -526,13 +527,18 @@
         let bound = self.settings.propagation_bound();
         let answer_limit = self.store.connections.answer_limit(bound);
         let is_read = matches!(purpose, Purpose::Watch(_));
+        let replaces = is_read
+            && self
+                .settings
+                .protections
+                .has(Protection::ReplaceUnresponsive);
         out.push(Action::Exchange {
             exchange,
             address: self.settings.store_address,
             request: self.dialect.store_request(&with_store_revisions(&call)),
             options: ExchangeOptions {
                 reuse_idle_below: self.store.connections.reuse_idle_below(connection, now),
-                reused_answer_timeout: is_read
+                reused_answer_timeout: replaces
                     .then(|| (wait.unwrap_or_default() + answer_limit).min(timeout)),
                 timeout_restarts: true,
                 ..ExchangeOptions::new(CONNECT_TIMEOUT, timeout)
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -64,11 +64,13 @@
     RecentOrders,
     /// Keyed requests are sent only by owners that were confirmed recently.
     ConfirmedOwners,
+    /// A call that gets no answer on a kept connection is soon made again on a new one.
+    ReplaceUnresponsive,
 }
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 28] = [
+    pub const SABOTAGES: [(&'static str, Protection); 29] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -97,6 +99,7 @@
         ("retry-links", Protection::LinkBackoff),
         ("forward-old-orders", Protection::RecentOrders),
         ("trust-old-owners", Protection::ConfirmedOwners),
+        ("keep-dead-connections", Protection::ReplaceUnresponsive),
     ];
 }
 
