--- a/crates/ledgelead-router/tests/node/configuration.rs
+++ b/crates/ledgelead-router/tests/node/configuration.rs
@@ -7,6 +7,7 @@
 use ledgelead_router::dialect::{ObjectKind, StoreCall};
 use ledgelead_router::evacuation::EvacuationsEntry;
 use ledgelead_router::identity::ServiceName;
+use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::ownership::record::OwnershipRecord;
 use ledgelead_router::peers::{
     ChangeSpan, ConfigurationDelta, Heartbeat, PeerMessage, RelayedKind, decode, encode,
@@ -143,6 +144,52 @@
     expect_that!(lists_of_configuration(&fixture), gt(before));
 }
 
+/// A follower that has learned of version 8, which the coordinator can't send in datagrams.
+fn lacking_a_large_version(fixture: &mut Fixture) {
+    // A call may follow on the last answer.
+    fixture.run_until(fixture.now + ms(450));
+    fixture.store.put_configuration(next_version(8));
+    let message = heartbeat(fixture, 8);
+    fixture.receive(node_address(COORDINATOR), &message);
+    let kind = RelayedKind::Configuration;
+    let unavailable = PeerMessage::ResyncUnavailable { kind, since: 5 };
+    fixture.receive(node_address(COORDINATOR), &unavailable);
+}
+
+#[gtest]
+fn version_too_large_for_datagrams_is_read_at_once() {
+    let mut fixture = follower();
+    lacking_a_large_version(&mut fixture);
+    expect_that!(fixture.node.status().configuration, some(eq(8)));
+}
+
+#[gtest]
+fn call_without_an_answer_on_a_kept_connection_is_repeated_at_once() {
+    let mut fixture = follower();
+    fixture.store.is_slow = true;
+    lacking_a_large_version(&mut fixture);
+    let before = lists_of_configuration(&fixture);
+    fixture.fail_calls(ExchangeFailure::Unresponsive);
+    expect_that!(lists_of_configuration(&fixture), eq(before + 1));
+    expect_that!(fixture.node.status().store_failures, eq(0));
+    fixture.deliver_answers();
+    expect_that!(fixture.node.status().configuration, some(eq(8)));
+}
+
+#[gtest]
+fn call_without_an_answer_on_a_new_connection_shows_that_the_store_fails() {
+    let mut fixture = follower();
+    fixture.store.is_slow = true;
+    lacking_a_large_version(&mut fixture);
+    fixture.fail_calls(ExchangeFailure::Unresponsive);
+    fixture.fail_calls(ExchangeFailure::TimedOut);
+    expect_that!(fixture.node.status().store_failures, eq(1));
+    // The version stays missing, so it is read on although the store has failed a call.
+    let before = lists_of_configuration(&fixture);
+    fixture.run_until(fixture.now + ms(150));
+    expect_that!(lists_of_configuration(&fixture), eq(before + 1));
+}
+
 #[gtest]
 fn slow_list_is_not_restarted() {
     let mut fixture = follower();
@@ -206,6 +253,7 @@
         fixture.receive(node_address(3), &PeerMessage::ResyncRequest { kind, since });
     }
     expect_that!(fixture.sent("configuration"), eq(0));
+    expect_that!(fixture.sent("resync_unavailable"), eq(3));
     // The next version is a small change again.
     fixture.datagrams.clear();
     fixture.store.put_configuration(next_version(9));
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -698,6 +698,15 @@
         self.deliver_answers_except(|_| false);
     }
 
+    /// Fails the calls whose answers a slow store has held back.
+    pub fn fail_calls(&mut self, failure: ExchangeFailure) {
+        for (_, input) in std::mem::take(&mut self.in_flight) {
+            if let Input::ExchangeEnded { exchange, .. } = input {
+                self.end(exchange, Err(failure));
+            }
+        }
+    }
+
     /// Delivers the answers that a slow store has held back, except for some calls.
     pub fn deliver_answers_except(&mut self, is_held_back: impl Fn(&StoreCall) -> bool) {
         for (call, input) in std::mem::take(&mut self.in_flight) {
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -490,6 +490,36 @@
     }
 }
 
+/// A second exchange on a connection whose peer has sent `answer` by the time after which an
+/// exchange without any part of an answer fails.
+fn failure_on_reused_connection(answer: &[u8]) -> Option<ExchangeFailure> {
+    let mut fixture = fixture_with(Vec::new(), of_order(None));
+    run_exchange(&mut fixture, EMPTY_ANSWER).expect("an answer");
+    let options = ExchangeOptions {
+        reused_answer_timeout: Some(LONG_TIMEOUT),
+        ..of_order(None)
+    };
+    let (_, mut inputs) = start_second(&mut fixture, options);
+    fixture.peer.write_all(answer).expect("a connection");
+    while !answer.is_empty() && fixture.outbound.buffered_bytes() == 0 {
+        poll(&mut fixture, &mut inputs);
+    }
+    let at = fixture.start + LONG_TIMEOUT;
+    fixture.outbound.expire(at, &mut inputs);
+    match inputs.pop() {
+        Some(Input::ExchangeEnded { result, .. }) => result.err(),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn a_reused_connection_without_any_part_of_an_answer_is_unresponsive() {
+    let unresponsive = ExchangeFailure::Unresponsive;
+    expect_that!(failure_on_reused_connection(b""), some(eq(unresponsive)));
+    let part = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+    expect_that!(failure_on_reused_connection(part), none());
+}
+
 #[gtest]
 fn an_exchange_on_a_new_connection_leaves_idle_ones_to_others() {
     let mut fixture = fixture_with(Vec::new(), of_order(None));
