--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -231,7 +231,7 @@
         /// The request.
         request: Request,
         /// The parameters of the exchange.
-        options: ExchangeOptions,
+        options: Box<ExchangeOptions>,
     },
     /// Opens a connection to find out whether a process listens on the address. The exchange
     /// ends with an empty response once the connection is established.
--- a/crates/ledgelead-router/src/node/forwarded_orders.rs
+++ b/crates/ledgelead-router/src/node/forwarded_orders.rs
@@ -73,10 +73,10 @@
             exchange,
             address: peer,
             request: Request::new("POST", FORWARD_PATH, codec::encode(&forward)),
-            options: ExchangeOptions {
+            options: Box::new(ExchangeOptions {
                 reuse_idle_below: PEER_REUSE_IDLE,
                 ..ExchangeOptions::new(PEER_CONNECT_TIMEOUT, direct_timeout + HOP_TIME)
-            },
+            }),
         });
     }
 
--- a/crates/ledgelead-router/src/node/forwarding.rs
+++ b/crates/ledgelead-router/src/node/forwarding.rs
@@ -184,7 +184,7 @@
             exchange,
             address,
             request,
-            options,
+            options: Box::new(options),
         });
     }
 
--- a/crates/ledgelead-router/src/node/orders.rs
+++ b/crates/ledgelead-router/src/node/orders.rs
@@ -135,7 +135,7 @@
             exchange: outgoing.exchange,
             address: outgoing.address,
             request,
-            options,
+            options: Box::new(options),
         });
     }
 
--- a/crates/ledgelead-router/src/node/punctuality.rs
+++ b/crates/ledgelead-router/src/node/punctuality.rs
@@ -6,8 +6,8 @@
 use crate::whole_millis;
 use std::time::Duration;
 
-/// Lateness of a timer that is logged: more than a full machine causes by a single long step.
-const LOGGED_LATENESS: Duration = Duration::from_millis(100);
+/// Lateness from which on a timer counts as late. A single long step takes less.
+const MIN_LATENESS: Duration = Duration::from_millis(100);
 /// Minimum interval between two log records.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -24,7 +24,7 @@
 pub(super) struct Punctuality {
     /// Inputs handled.
     inputs: u64,
-    /// Timers of requests handled more than `LOGGED_LATENESS` late.
+    /// Timers of requests handled more than `MIN_LATENESS` late.
     late: u64,
     next_log: Timestamp,
     logged: Work,
@@ -47,7 +47,7 @@
     pub(super) fn record_lateness(&mut self, now: Timestamp) {
         let due = self.requests.next_deadline().unwrap_or(now);
         let late = now.saturating_sub(due);
-        if late < LOGGED_LATENESS {
+        if late < MIN_LATENESS {
             return;
         }
         self.punctuality.late += 1;
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -536,13 +536,13 @@
             exchange,
             address: self.settings.store_address,
             request: self.dialect.store_request(&with_store_revisions(&call)),
-            options: ExchangeOptions {
+            options: Box::new(ExchangeOptions {
                 reuse_idle_below: self.store.connections.reuse_idle_below(connection, now),
                 reused_answer_timeout: replaces
                     .then(|| (wait.unwrap_or_default() + answer_limit).min(timeout)),
                 timeout_restarts: true,
                 ..ExchangeOptions::new(CONNECT_TIMEOUT, timeout)
-            },
+            }),
         });
         self.store.calls += 1;
         *self.store.calls_by.entry(purpose.label(&call)).or_default() += 1;
--- a/crates/ledgelead-router/src/node/transfer/mod.rs
+++ b/crates/ledgelead-router/src/node/transfer/mod.rs
@@ -265,10 +265,10 @@
             exchange,
             address: source,
             request: Request::new("POST", TRANSFER_PATH, codec::encode(&request)),
-            options: ExchangeOptions {
+            options: Box::new(ExchangeOptions {
                 timeout_restarts: true,
                 ..ExchangeOptions::new(CONNECT_TIMEOUT, PROGRESS_TIMEOUT)
-            },
+            }),
         });
     }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -275,7 +275,7 @@
             exchange,
             address,
             request,
-            options,
+            options: Box::new(options),
         });
     }
 
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -868,7 +868,7 @@
                     headers: request.headers,
                     body: request.body,
                     at: self.now,
-                    options: Some(options),
+                    options: Some(*options),
                 });
                 None
             }
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -18,6 +18,7 @@
 mod owner_views;
 mod permits;
 mod placement;
+mod punctuality;
 mod quotas;
 mod rate_limits;
 mod registration;
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -396,7 +396,7 @@
                     exchange,
                     address,
                     request: Some(request),
-                    options,
+                    options: *options,
                 };
                 self.start_exchange(cx, new, now);
             }
