--- a/crates/ledgelead-router/src/node/relay/mod.rs
+++ b/crates/ledgelead-router/src/node/relay/mod.rs
@@ -31,6 +31,7 @@
     ChangeListAssembler, ChangeLog, ChangeSpan, ChangedAssignment, ChangedInstance, ChangedNode,
     ConfigurationChange, Datagram, LimitsEntry, MAX_PARTS, PeerMessage, RelayedKind, encode,
 };
+use crate::protections::Protection;
 use ledgelead_types::codec::{self, List};
 use nanoserde::SerBin;
 use std::collections::{HashMap, VecDeque};
@@ -246,7 +247,8 @@
         out: &mut Vec<Action>,
     ) {
         let is_awaited = self.known_revision(kind) == Some(since);
-        if is_awaited && self.coordinator_address() == Some(from) {
+        let reads = self.settings.protections.has(Protection::ReadUnavailable);
+        if reads && is_awaited && self.coordinator_address() == Some(from) {
             self.fill_gap_without_datagrams(kind, now, out);
         }
     }
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -66,11 +66,13 @@
     ConfirmedOwners,
     /// A call that gets no answer on a kept connection is soon made again on a new one.
     ReplaceUnresponsive,
+    /// Changes that the coordinator can't send in datagrams are read at once.
+    ReadUnavailable,
 }
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 29] = [
+    pub const SABOTAGES: [(&'static str, Protection); 30] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -100,6 +102,7 @@
         ("forward-old-orders", Protection::RecentOrders),
         ("trust-old-owners", Protection::ConfirmedOwners),
         ("keep-dead-connections", Protection::ReplaceUnresponsive),
+        ("await-datagrams", Protection::ReadUnavailable),
     ];
 }
 
