A follower's own watch on the configuration waits a share of the bound

A node that followed nobody could lack a version for 10 s: its watch on the configuration waited so long for a change, and a connection that falls silent meanwhile shows that only after the wait.

Such nodes make more calls until a coordinator is heard.

--- a/crates/ledgelead-lab/tests/fleet_silent_connections.rs
+++ b/crates/ledgelead-lab/tests/fleet_silent_connections.rs
@@ -50,6 +50,14 @@
     expect_that!(lines, is_empty());
 }
 
+/// A node without a coordinator waited 10 s for a change on a connection that fell silent.
+#[gtest]
+fn watch_that_waits_on_a_silent_connection_is_repeated_in_time() {
+    let draw = drawn_silent_connections;
+    let (_, lines) = run_seeds(draw, 53..=53, MANY_NODES, Protections::default(), false);
+    expect_that!(lines, is_empty());
+}
+
 #[gtest]
 fn checker_detects_versions_delayed_by_dead_connections() {
     let protections = Protections::without(Protection::ReplaceUnresponsive);
--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -416,7 +416,8 @@
             true => coordinator,
             false => coordinator.with_unknown_holds(now + unknown_holds),
         });
-        self.store.set_coordinating(true, now);
+        let bound = self.settings.propagation_bound();
+        self.store.set_coordinating(true, bound, now);
         for kind in [ObjectKind::Configuration, ObjectKind::Instances] {
             // A watch started earlier may wait longer than the coordinator's view remains
             // valid.
@@ -435,7 +436,8 @@
         self.coordination.orders.clear();
         self.coordination.confirmed = None;
         self.coordination.resignation_done = true;
-        self.store.set_coordinating(false, now);
+        let bound = self.settings.propagation_bound();
+        self.store.set_coordinating(false, bound, now);
     }
 
     /// Whether the predecessor has resigned or has provably ended.
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -136,7 +136,8 @@
 
 impl StoreCalls {
     pub(super) fn new(settings: &NodeSettings, now: Timestamp) -> StoreCalls {
-        let watcher = |kind| Watcher::new(kind, pace(kind, false));
+        let bound = settings.propagation_bound();
+        let watcher = |kind| Watcher::new(kind, pace(kind, false, bound));
         let mut watchers = ObjectKind::ALL.map(watcher);
         watchers[ObjectKind::Evacuations as usize].defer(now + FIRST_EVACUATIONS_PAUSE);
         watchers[ObjectKind::Quarantine as usize].defer(now + FIRST_QUARANTINE_PAUSE);
@@ -316,10 +317,10 @@
     }
 
     /// Adjusts the watches when this node assumes or gives up the coordinator role.
-    pub(super) fn set_coordinating(&mut self, coordinating: bool, now: Timestamp) {
+    pub(super) fn set_coordinating(&mut self, coordinating: bool, bound: Duration, now: Timestamp) {
         self.coordinating = coordinating;
         for watcher in &mut self.watchers {
-            watcher.set_pace(pace(watcher.kind(), coordinating));
+            watcher.set_pace(pace(watcher.kind(), coordinating, bound));
             watcher.set_paused(false);
             if coordinating {
                 // Until the coordinator knows the current state, it can't relay anything, and
--- a/crates/ledgelead-router/src/node/store_timing.rs
+++ b/crates/ledgelead-router/src/node/store_timing.rs
@@ -7,12 +7,11 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
-/// Pace of a watch whose changes the coordinator relays anyway, only a little later.
-const CONFIGURATION_PACE: WatcherPace = WatcherPace {
-    after_events: Duration::from_millis(150),
-    after_nothing: Duration::ZERO,
-    wait: Duration::from_secs(10),
-};
+/// Pause after an answer with changes of the configuration.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(150);
+/// How long a watch on the configuration waits, as a share of the bound for changes to reach all
+/// nodes. Its connection may fall silent meanwhile, which shows only after the wait.
+const CONFIGURATION_WAIT_SHARE: f64 = 0.35;
 /// Pace of the watch on instances. It also detects the loss of the store, so its wait is
 /// short. Together with the share of the drain bound for which a leaving owner is still used,
 /// the pause stays below that bound.
@@ -69,10 +68,15 @@
     wait: Duration::from_secs(25),
 };
 
-/// The pace of a watch at the coordinator or at another node.
-pub(super) fn pace(kind: ObjectKind, coordinating: bool) -> WatcherPace {
+/// The pace of a watch at the coordinator or at another node, if changes have to reach all
+/// nodes within `bound`.
+pub(super) fn pace(kind: ObjectKind, coordinating: bool, bound: Duration) -> WatcherPace {
     match (kind, coordinating) {
-        (ObjectKind::Configuration, false) => CONFIGURATION_PACE,
+        (ObjectKind::Configuration, false) => WatcherPace {
+            after_events: CONFIGURATION_PAUSE,
+            after_nothing: Duration::ZERO,
+            wait: bound.mul_f64(CONFIGURATION_WAIT_SHARE),
+        },
         (ObjectKind::Instances, false) => INSTANCES_PACE,
         (ObjectKind::Configuration | ObjectKind::Instances, true) => COORDINATOR_PACE,
         (ObjectKind::Ownership, false) => OWNERSHIP_PACE,
