Simulation: one function schedules the failure of an exchange

Also there: the time of silence is a plain time like those of other disturbances, and a method that only called another one is gone.

--- a/crates/ledgelead-lab/src/fleet/crashing.rs
+++ b/crates/ledgelead-lab/src/fleet/crashing.rs
@@ -7,7 +7,7 @@
 use super::instance::InstanceRequest;
 use super::network::LATENCY;
 use super::versions::CONTACT_TIME;
-use super::world::{HOST, ONCE, READ, SHARDED, World, exchanged};
+use super::world::{HOST, ONCE, READ, SHARDED, World};
 use ledgelead_http::Request;
 use ledgelead_router::io::{ClientId, ExchangeFailure, Input};
 use rand::RngExt;
@@ -255,11 +255,10 @@
     }
 
     fn fail_request(&mut self, instance_request: InstanceRequest) {
-        let lost = exchanged(instance_request.exchange, Err(ExchangeFailure::Lost));
-        self.schedule(
-            LATENCY,
-            Event::Exchanged(instance_request.caller, instance_request.exchange, lost),
-        );
+        let InstanceRequest {
+            caller, exchange, ..
+        } = instance_request;
+        self.exchange_fails_after(LATENCY, caller, exchange, ExchangeFailure::Lost);
     }
 
     /// Brings back a crashed instance, unless another one is running at its address.
--- a/crates/ledgelead-lab/src/fleet/isolation.rs
+++ b/crates/ledgelead-lab/src/fleet/isolation.rs
@@ -1,9 +1,9 @@
 //! Nodes that are partitioned from all instances, while clients, the store and the other nodes
 //! still reach them, and how well callers are served meanwhile.
 
-use super::event::{Caller, Event};
+use super::event::Caller;
 use super::faults::{FaultKind, Schedule, Target, draw_time};
-use super::world::{World, exchanged};
+use super::world::World;
 use ledgelead_router::io::{ExchangeFailure, ExchangeId};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -211,8 +211,8 @@
         let mut lost = lost;
         lost.sort_unstable();
         for (caller, exchange) in lost {
-            let input = exchanged(exchange, Err(ExchangeFailure::Lost));
-            self.schedule(Duration::ZERO, Event::Exchanged(caller, exchange, input));
+            let lost = ExchangeFailure::Lost;
+            self.exchange_fails_after(Duration::ZERO, caller, exchange, lost);
         }
         self.connections.close_node(node);
     }
--- a/crates/ledgelead-lab/src/fleet/network.rs
+++ b/crates/ledgelead-lab/src/fleet/network.rs
@@ -21,7 +21,7 @@
     /// Nodes that are partitioned from all instances.
     pub isolated: BTreeMap<usize, IsolationEffect>,
     /// When open connections to the store last fell silent.
-    pub silenced_at: Option<Duration>,
+    pub silenced_at: Duration,
 }
 
 impl Network {
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -8,9 +8,7 @@
 use super::instance::{GrantOutcome, InstanceRequest};
 use super::network::LATENCY;
 use super::versions::{CONTACT_TIME, LARGE_VERSION_ROUTES};
-use super::world::{
-    DRAIN_BOUND, LostKey, ONCE, SHARDED_INSTANCES, World, exchanged, instance_address,
-};
+use super::world::{DRAIN_BOUND, LostKey, ONCE, SHARDED_INSTANCES, World, instance_address};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
 use ledgelead_router::identity::InstanceId;
@@ -312,11 +310,10 @@
 
     fn answer_request(&mut self, instance: usize, instance_request: &InstanceRequest) {
         if self.answers_lost > 0 && self.rng.random_range(0..5) == 0 {
-            let lost = exchanged(instance_request.exchange, Err(ExchangeFailure::Lost));
-            self.schedule(
-                LATENCY,
-                Event::Exchanged(instance_request.caller, instance_request.exchange, lost),
-            );
+            let InstanceRequest {
+                caller, exchange, ..
+            } = *instance_request;
+            self.exchange_fails_after(LATENCY, caller, exchange, ExchangeFailure::Lost);
             return;
         }
         if !self
--- a/crates/ledgelead-lab/src/fleet/silent_connections.rs
+++ b/crates/ledgelead-lab/src/fleet/silent_connections.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Stands for the store where connections are kept by the index of an instance.
-pub(super) const STORE: usize = usize::MAX;
+const STORE: usize = usize::MAX;
 /// Maximum time between the moment at which connections fall silent and the version that
 /// follows it. Nodes count as connected again within it.
 const VERSION_AFTER: Duration = Duration::from_millis(3_500);
@@ -37,7 +37,7 @@
     /// All open connections to the store fall silent.
     pub(super) fn silence_connections(&mut self) {
         self.connections.silence(STORE);
-        self.network.silenced_at = Some(self.now);
+        self.network.silenced_at = self.now;
     }
 
     /// Begins a call of the store on a kept connection or on a new one.
@@ -55,11 +55,6 @@
         }
     }
 
-    /// Whether an answer on the connection of an exchange is lost.
-    pub(super) fn is_silenced(&self, caller: Caller, exchange: ExchangeId) -> bool {
-        self.connections.is_silent(caller, exchange)
-    }
-
     /// Returns the connection of an answered call to its pool.
     pub(super) fn release_store_connection(
         &mut self,
--- a/crates/ledgelead-lab/src/fleet/store_traffic.rs
+++ b/crates/ledgelead-lab/src/fleet/store_traffic.rs
@@ -55,7 +55,9 @@
         exchange: ExchangeId,
         answer: StoreAnswer,
     ) {
-        if self.network.cut_from_store.contains(&caller.0) || self.is_silenced(caller, exchange) {
+        if self.network.cut_from_store.contains(&caller.0)
+            || self.connections.is_silent(caller, exchange)
+        {
             return;
         }
         let mut response = self.tickets.borrow_mut().answer(answer);
--- a/crates/ledgelead-lab/src/fleet/transfers.rs
+++ b/crates/ledgelead-lab/src/fleet/transfers.rs
@@ -39,8 +39,8 @@
             return;
         }
         if self.nodes[receiver].node.is_none() {
-            let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
-            self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+            let refused = ExchangeFailure::Refused;
+            self.exchange_fails_after(LATENCY * 2, caller, exchange, refused);
             return;
         }
         self.transfers.last += 1;
@@ -90,8 +90,7 @@
         lost.sort_unstable();
         for (caller, exchange) in lost {
             self.transfers.forwards.remove(&(caller, exchange));
-            let input = exchanged(exchange, Err(ExchangeFailure::Lost));
-            self.schedule(LATENCY, Event::Exchanged(caller, exchange, input));
+            self.exchange_fails_after(LATENCY, caller, exchange, ExchangeFailure::Lost);
         }
     }
 
--- a/crates/ledgelead-lab/src/fleet/versions.rs
+++ b/crates/ledgelead-lab/src/fleet/versions.rs
@@ -143,7 +143,7 @@
             simulated.refused_until,
             store_faults.recovered_at,
             store_faults.answers_lost_until,
-            self.network.silenced_at.unwrap_or_default(),
+            self.network.silenced_at,
         ];
         let is_undisturbed = disturbed_until
             .into_iter()
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -644,7 +644,7 @@
             };
             self.connect_to_store(caller, exchange, options);
             if !self.network.cut_from_store.contains(&caller.0)
-                && !self.is_silenced(caller, exchange)
+                && !self.connections.is_silent(caller, exchange)
             {
                 let event = Event::StoreCall(caller, exchange, Box::new(call));
                 self.schedule(LATENCY, event);
@@ -662,8 +662,8 @@
         });
         match instance {
             Some(_) if self.refuses_connection(caller.0, is_new) => {
-                let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
-                self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+                let refused = ExchangeFailure::Refused;
+                self.exchange_fails_after(LATENCY * 2, caller, exchange, refused);
             }
             Some(instance) if self.network.instance_connected(caller.0, instance) => {
                 self.reach_instance(caller, exchange, instance, request);
@@ -680,8 +680,8 @@
                 }
             }
             None => {
-                let refused = exchanged(exchange, Err(ExchangeFailure::Refused));
-                self.schedule(LATENCY * 2, Event::Exchanged(caller, exchange, refused));
+                let refused = ExchangeFailure::Refused;
+                self.exchange_fails_after(LATENCY * 2, caller, exchange, refused);
             }
         }
     }
@@ -786,8 +786,7 @@
     }
 
     fn not_connected(&mut self, caller: Caller, exchange: ExchangeId, after: Duration) {
-        let input = exchanged(exchange, Err(ExchangeFailure::NotConnected));
-        self.schedule(after, Event::Exchanged(caller, exchange, input));
+        self.exchange_fails_after(after, caller, exchange, ExchangeFailure::NotConnected);
     }
 
     /// Index of the node that a fault affects.
