The propagation bound is state of the store calls; one rule for reads despite failures

Five callers fetched the bound from the settings only to hand it on with each change of role. The store calls hold it and take a changed one with the settings. Which kind is read although other calls fail stood in two places. Merging evidence built a set of all ends for each message, also where nothing is compared with it.

--- a/crates/ledgelead-router/src/node/coordination.rs
+++ b/crates/ledgelead-router/src/node/coordination.rs
@@ -416,15 +416,13 @@
             true => coordinator,
             false => coordinator.with_unknown_holds(now + unknown_holds),
         });
-        let bound = self.settings.propagation_bound();
-        self.store.set_coordinating(true, bound, now);
+        self.store.set_coordinating(true, now);
         for kind in [ObjectKind::Configuration, ObjectKind::Instances] {
             // A watch started earlier may wait longer than the coordinator's view remains
             // valid.
             self.store.interrupt(kind, now, now, out);
         }
-        let bound = self.settings.propagation_bound();
-        self.store.set_following(false, bound, now, out);
+        self.store.set_following(false, now, out);
     }
 
     /// Gives up the role: another node or none is the coordinator in this epoch.
@@ -436,8 +434,7 @@
         self.coordination.orders.clear();
         self.coordination.confirmed = None;
         self.coordination.resignation_done = true;
-        let bound = self.settings.propagation_bound();
-        self.store.set_coordinating(false, bound, now);
+        self.store.set_coordinating(false, now);
     }
 
     /// Whether the predecessor has resigned or has provably ended.
--- a/crates/ledgelead-router/src/node/heartbeat.rs
+++ b/crates/ledgelead-router/src/node/heartbeat.rs
@@ -180,8 +180,7 @@
                 // Until the coordinator reports for how long the store has served it.
                 self.directory.record_store_outage(now);
             }
-            let bound = self.settings.propagation_bound();
-            self.store.set_following(true, bound, now, out);
+            self.store.set_following(true, now, out);
         }
     }
 
--- a/crates/ledgelead-router/src/node/messaging.rs
+++ b/crates/ledgelead-router/src/node/messaging.rs
@@ -126,8 +126,7 @@
             self.messaging.following_until = None;
             self.messaging.followed_epoch = None;
             Event::FollowsNobody.emit();
-            let bound = self.settings.propagation_bound();
-            self.store.set_following(false, bound, now, out);
+            self.store.set_following(false, now, out);
         }
         self.review_gaps(now, out);
     }
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -324,6 +324,7 @@
     /// Applies the settings that may change while the process is running.
     pub fn change_settings(&mut self, settings: NodeSettings) {
         self.requests.set_bounds(&settings);
+        self.store.propagation_bound = settings.propagation_bound();
         self.settings = NodeSettings {
             identity: self.settings.identity.clone(),
             mechanisms: self.settings.mechanisms,
--- a/crates/ledgelead-router/src/node/quarantine/sharing.rs
+++ b/crates/ledgelead-router/src/node/quarantine/sharing.rs
@@ -26,7 +26,6 @@
 ];
 /// Minimum interval between requests for all evidence: two heartbeats.
 const SYNC_INTERVAL: Duration = Duration::from_millis(400);
-
 /// The same for each request that it is about.
 const SYNC_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(10);
 
--- a/crates/ledgelead-router/src/node/relay/gaps.rs
+++ b/crates/ledgelead-router/src/node/relay/gaps.rs
@@ -9,6 +9,7 @@
 use crate::events::Event;
 use crate::io::Action;
 use crate::node::Node;
+use crate::node::store_calls::is_read_despite_failures;
 use crate::peers::RelayedKind;
 use crate::protections::Protection;
 use crate::whole_millis;
@@ -174,8 +175,7 @@
         if self.fill_gap_from_nodes(kind, now, out) {
             return;
         }
-        let reads_despite_failures = kind == RelayedKind::Configuration;
-        if self.store.health.has_failed() && !reads_despite_failures {
+        if self.store.health.has_failed() && !is_read_despite_failures(kind.object_kind()) {
             self.store.probe_for_gap(now, out);
         }
         if kind == RelayedKind::Ownership {
--- a/crates/ledgelead-router/src/node/store_calls.rs
+++ b/crates/ledgelead-router/src/node/store_calls.rs
@@ -109,6 +109,8 @@
 pub(super) struct StoreCalls {
     pub(super) health: StoreHealth,
     pub(super) connections: StoreConnections,
+    /// Within which changes have to reach all nodes.
+    pub(super) propagation_bound: Duration,
     /// Indexed by `ObjectKind`.
     watchers: [Watcher; ObjectKind::ALL.len()],
     pub(super) pending: HashMap<ExchangeId, PendingCall>,
@@ -136,14 +138,15 @@
 
 impl StoreCalls {
     pub(super) fn new(settings: &NodeSettings, now: Timestamp) -> StoreCalls {
-        let bound = settings.propagation_bound();
-        let watcher = |kind| Watcher::new(kind, pace(kind, false, bound));
+        let propagation_bound = settings.propagation_bound();
+        let watcher = |kind| Watcher::new(kind, pace(kind, false, propagation_bound));
         let mut watchers = ObjectKind::ALL.map(watcher);
         watchers[ObjectKind::Evacuations as usize].defer(now + FIRST_EVACUATIONS_PAUSE);
         watchers[ObjectKind::Quarantine as usize].defer(now + FIRST_QUARANTINE_PAUSE);
         StoreCalls {
             health: StoreHealth::default(),
             connections: StoreConnections::default(),
+            propagation_bound,
             watchers,
             pending: HashMap::new(),
             registration: RegistrationState::new(now),
@@ -240,9 +243,8 @@
             return true;
         }
         if self.health.has_failed() {
-            // A missing version is not left until the probe succeeds: its bound runs.
             let is_missing =
-                kind == ObjectKind::Configuration && self.watchers[index].is_catch_up_requested();
+                is_read_despite_failures(kind) && self.watchers[index].is_catch_up_requested();
             return kind != ObjectKind::Instances && !is_missing;
         }
         // The configuration shows whether the whole deployment is starting. A coordinator may
@@ -317,10 +319,10 @@
     }
 
     /// Adjusts the watches when this node assumes or gives up the coordinator role.
-    pub(super) fn set_coordinating(&mut self, coordinating: bool, bound: Duration, now: Timestamp) {
+    pub(super) fn set_coordinating(&mut self, coordinating: bool, now: Timestamp) {
         self.coordinating = coordinating;
         for watcher in &mut self.watchers {
-            watcher.set_pace(pace(watcher.kind(), coordinating, bound));
+            watcher.set_pace(pace(watcher.kind(), coordinating, self.propagation_bound));
             watcher.set_paused(false);
             if coordinating {
                 // Until the coordinator knows the current state, it can't relay anything, and
@@ -332,15 +334,8 @@
     }
 
     /// Sets whether a coordinator relays changes, so that this node's own watches can be
-    /// paused. The coordinator's own watches are never paused. Changes have to reach all nodes
-    /// within `bound`.
-    pub(super) fn set_following(
-        &mut self,
-        following: bool,
-        bound: Duration,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
+    /// paused. The coordinator's own watches are never paused.
+    pub(super) fn set_following(&mut self, following: bool, now: Timestamp, out: &mut Vec<Action>) {
         let paused = following && !self.coordinating;
         let was_paused = self.watcher(ObjectKind::Instances).is_paused();
         let resumes = !paused && was_paused;
@@ -357,7 +352,7 @@
         }
         if resumes {
             self.watcher(ObjectKind::Instances).call_now(now);
-            for (kind, pause) in resume_pauses(bound) {
+            for (kind, pause) in resume_pauses(self.propagation_bound) {
                 self.watcher(kind).defer(now + pause);
             }
             // A call started before the pause may wait on a dead connection.
@@ -525,7 +520,7 @@
             Some(wait) => wait + WATCH_SLACK,
             None => CALL_TIMEOUT,
         };
-        let bound = self.settings.propagation_bound();
+        let bound = self.store.propagation_bound;
         let answer_limit = self.store.connections.answer_limit(bound);
         let is_read = matches!(purpose, Purpose::Watch(_));
         let replaces = is_read
@@ -560,6 +555,12 @@
     }
 }
 
+/// Whether missing changes of a kind are read although other calls fail, instead of waiting for
+/// the probe of the store: the bound of a version runs meanwhile.
+pub(super) fn is_read_despite_failures(kind: ObjectKind) -> bool {
+    kind == ObjectKind::Configuration
+}
+
 /// How long the store may wait for a change before it answers a watch; `None` for other calls.
 pub(super) fn longest_wait(call: &StoreCall) -> Option<Duration> {
     match call {
--- a/crates/ledgelead-router/src/quarantine/entry.rs
+++ b/crates/ledgelead-router/src/quarantine/entry.rs
@@ -62,9 +62,13 @@
         if self.path.is_empty() {
             self.path.clone_from(&other.path);
         }
-        let known: BTreeSet<u64> = self.ends.iter().map(|end| end.instance).collect();
+        let is_known = |instance: &u64| self.ends.iter().any(|end| end.instance == *instance);
+        let unknown = other
+            .coincident
+            .iter()
+            .filter(|instance| !is_known(instance));
         let judged = self.coincident.len();
-        self.coincident.extend(other.coincident.difference(&known));
+        self.coincident.extend(unknown);
         is_new |= self.coincident.len() > judged;
         for end in &other.ends {
             is_new |= self.add(*end);
