--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for source in review/[0-9]/main.rs; do
-    case_number="$(basename "$(dirname "$source")")"
-    rustc --edition 2021 -O -o "target/review/case-$case_number" "$source"
+    number="$(basename "$(dirname "$source")")"
+    rustc --edition 2021 -O -o "target/review/case-$number" "$source"
 done
