Logs tell on which proof a request counts as not run

An attempt that ended by an answer was logged without its status or its sender, and one whose answer was relayed not at all, so a false refusal could not be traced: a rejection of another instance at the address, a relayed 503 and a refusal of this node looked alike. attempt_ended now has the failure, the status, the instance that the answer names, and for how long its connection was idle; a relayed 408, 421, 429 or 503 has such a line too.

--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event<'a> {
-    /// An attempt at an instance ended without an answer that was relayed to the client.
+    /// An attempt at an instance ended without an answer that was relayed to the client, or
+    /// with one by which the client may conclude that its request was not run.
     AttemptEnded {
         /// The client's id of its request.
         request: &'a str,
@@ -31,6 +32,15 @@
         took_ms: u64,
         /// The outcome; one of the names of `AttemptOutcome`.
         ended: &'static str,
+        /// Why there is no answer; one of the names of `ExchangeFailure`.
+        failure: Option<&'static str>,
+        /// The status of an answer other than a success.
+        status: Option<u16>,
+        /// The instance that such an answer names as its sender.
+        answered_by: Option<&'a str>,
+        /// Milliseconds for which the connection was idle before the attempt; none if it was
+        /// new, or the attempt has not ended by itself.
+        idle_ms: Option<u64>,
         /// The fencing token of the key's owner, as known to this node.
         fence: Option<u64>,
         /// The store's revision of the ownership record that this node uses.
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -42,6 +42,21 @@
 }
 
 impl ExchangeFailure {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ExchangeFailure::NotConnected => "not_connected",
+            ExchangeFailure::Refused => "refused",
+            ExchangeFailure::ClosedUnsent => "closed_unsent",
+            ExchangeFailure::Incomplete { timed_out: false } => "incomplete",
+            ExchangeFailure::Incomplete { timed_out: true } => "incomplete_in_time",
+            ExchangeFailure::Lost => "lost",
+            ExchangeFailure::TimedOut => "timed_out",
+            ExchangeFailure::Unresponsive => "unresponsive",
+            ExchangeFailure::Malformed => "malformed",
+        }
+    }
+
     /// Whether the receiver certainly never received any part of the request.
     pub fn proves_not_sent(self) -> bool {
         matches!(
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -19,6 +19,7 @@
 use crate::reachability::Path;
 use crate::requests::answers::Refusal;
 use crate::requests::notice::Notice;
+use crate::requests::observed::Observed;
 use crate::requests::open_request::{Attempt, Misdirection, OpenRequest};
 use crate::requests::outcome::{AttemptOutcome, is_server_failure};
 use crate::requests::rejection_cause::RejectionCause;
@@ -100,7 +101,8 @@
             open.attempt = None;
             open.may_have_run = true;
             open.timed_out = true;
-            log_attempt_ended(open, &attempt, ABORTED_FOR_RETRY, context);
+            let observed = Observed::nothing(ABORTED_FOR_RETRY);
+            log_attempt_ended(open, &attempt, &observed, context);
         }
         self.end_attempt(&attempt, PermitOutcome::Failed);
         self.statistics
@@ -284,6 +286,7 @@
         client: ClientId,
         attempt: &Attempt,
         outcome: AttemptOutcome,
+        observed: &Observed,
         cause: Option<RejectionCause>,
         context: &RequestContext<'_>,
     ) {
@@ -294,7 +297,7 @@
         let assignment = open
             .key
             .and_then(|key| context.ownership.find(&open.service, key));
-        log_attempt_ended(open, attempt, outcome.name(), context);
+        log_attempt_ended(open, attempt, observed, context);
         match outcome {
             AttemptOutcome::NeverSent { .. } => {
                 // Removes this attempt only: an earlier one at the same instance may have run.
@@ -493,7 +496,7 @@
 pub(super) fn log_attempt_ended(
     open: &OpenRequest,
     attempt: &Attempt,
-    ended: &'static str,
+    observed: &Observed,
     context: &RequestContext<'_>,
 ) {
     let ended = Event::AttemptEnded {
@@ -504,7 +507,11 @@
         instance: &attempt.instance,
         sent_after_ms: whole_millis(attempt.sent.saturating_sub(open.received)),
         took_ms: whole_millis(context.now.saturating_sub(attempt.sent)),
-        ended,
+        ended: observed.ended,
+        failure: observed.failure,
+        status: observed.status,
+        answered_by: observed.answered_by.as_deref(),
+        idle_ms: observed.idle_ms,
         fence: owner_fence(open, context),
         ownership: context.ownership.revision(),
     };
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -10,8 +10,9 @@
 use crate::identity::ServiceName;
 use crate::io::{Action, ClientId};
 use crate::requests::answers::{Refusal, refusal};
-use crate::requests::open_request::OpenRequest;
-use crate::requests::outcome::AttemptOutcome;
+use crate::requests::observed::Observed;
+use crate::requests::open_request::{Attempt, OpenRequest};
+use crate::requests::outcome::{AttemptOutcome, promises_not_run};
 use crate::requests::refusal_share::retry_after;
 use crate::whole_millis;
 use ledgelead_http::{Request, Response};
@@ -156,7 +157,8 @@
             return;
         };
         if let Some(attempt) = open.attempt.take() {
-            log_attempt_ended(open, &attempt, CUT_AT_TIMEOUT, context);
+            let observed = Observed::nothing(CUT_AT_TIMEOUT);
+            log_attempt_ended(open, &attempt, &observed, context);
             open.may_have_run = true;
             if open.timed_out {
                 // An earlier attempt was aborted, which left too little time for this one.
@@ -213,6 +215,25 @@
         self.refuse(client, reason, context, out);
     }
 
+    /// Relays an instance's answer to the client.
+    pub(super) fn relay(
+        &mut self,
+        client: ClientId,
+        attempt: &Attempt,
+        response: Response,
+        observed: &Observed,
+        context: &RequestContext<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        if promises_not_run(response.status)
+            && let Some(open) = self.open.get(&client)
+        {
+            log_attempt_ended(open, attempt, observed, context);
+        }
+        self.counters.relayed += 1;
+        self.finish(client, relayed_response(response), out);
+    }
+
     pub(super) fn finish(&mut self, client: ClientId, response: Response, out: &mut Vec<Action>) {
         if let Some(mut open) = self.open.remove(&client) {
             self.forget_timers(client, &open);
--- a/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
@@ -12,6 +12,7 @@
 use crate::peers::{ForwardPurpose, ForwardRequest};
 use crate::protections::Protection;
 use crate::reachability::Path;
+use crate::requests::observed::Observed;
 use crate::requests::open_request::Attempt;
 use crate::whole_millis;
 use ledgelead_http::{Request, Response};
@@ -224,7 +225,7 @@
         };
         open.may_have_run = true;
         open.timed_out = true;
-        log_attempt_ended(open, &attempt, LINK_FAILED, context);
+        log_attempt_ended(open, &attempt, &Observed::nothing(LINK_FAILED), context);
         self.end_attempt(&attempt, PermitOutcome::NoSample);
         out.push(Action::Cancel {
             exchange: attempt.exchange,
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -18,7 +18,6 @@
 
 use self::callers::{Unrouted, admit, take_tenant};
 use self::decide::Step;
-use self::endings::relayed_response;
 use self::forwarding::AttemptResult;
 use self::permits::permit_outcome;
 use super::answers::Refusal;
@@ -27,6 +26,7 @@
 use super::common_rejection::CommonRejections;
 use super::digest::RequestDigest;
 use super::idle_limit::IdleLimit;
+use super::observed::Observed;
 use super::open_request::OpenRequest;
 use super::outcome::{AttemptOutcome, classify_outcome};
 use super::overload::Overloads;
@@ -502,22 +502,22 @@
             self.record_connection_result(&attempt, &result, idle_for, context.now);
         }
         self.collect_crash_signs(client, &attempt, &result, context);
+        let observed = Observed::of_exchange(&result, idle_for, context.headers);
         let outcome = classify_outcome(result, &attempt.instance, context.headers);
+        let observed = observed.ended(outcome.name());
         match outcome {
             AttemptOutcome::Relay(response) => {
-                self.counters.relayed += 1;
-                self.finish(client, relayed_response(response), out);
+                self.relay(client, &attempt, response, &observed, context, out);
             }
             AttemptOutcome::Failed(response) if !self.may_retry_failed(client, context) => {
-                self.counters.relayed += 1;
-                self.finish(client, relayed_response(response), out);
+                self.relay(client, &attempt, response, &observed, context, out);
             }
             unsent if self.is_unsent_in_time(client, &unsent, context) => {
-                self.attempt_failed(client, &attempt, unsent, cause, context);
+                self.attempt_failed(client, &attempt, unsent, &observed, cause, context);
                 self.refuse_unsent(client, context, out);
             }
             other => {
-                self.attempt_failed(client, &attempt, other, cause, context);
+                self.attempt_failed(client, &attempt, other, &observed, cause, context);
                 self.advance(client, context, out);
             }
         }
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod node_count;
 mod notice;
+mod observed;
 mod open_request;
 mod outcome;
 mod overload;
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -105,6 +105,12 @@
     (500..=599).contains(&response.status) && response.status != 504
 }
 
+/// Whether a client takes an answer with this status for a promise that its request has not
+/// run and never will.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 fn classify_response(
     response: Response,
     intended: &InstanceId,
