A connection carries no request id twice

Callers saw 503 for requests that ran (REFUSED). Attempts of one request share the client's id, by which their answers are known. A retry asked for a new connection if its *instance* had been tried, but connections are kept by *address*. After an instance restarted at its address under another id, a router that still had the earlier entry sent a request to the earlier one, got 421, and sent it to the successor on the same connection; a second copy of the 421 ended the retry, counted as proof that it hadn't run, and the successor ran it.

Ruled out: an answer of another request (the filter compares ids), a request that wasn't written whole (427 bytes), a refusal before the attempt's end (the log has it before).

Each connection now remembers the ids that it has carried until their clients stop waiting, and an exchange doesn't take one that has carried its id, whoever chooses it: a router itself, or a peer that forwards.

--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -2,7 +2,7 @@
 
 use super::crashing::CrashingRequest;
 use super::crashing_callers::AddressChange;
-use super::faults::Schedule;
+use super::faults::{FaultKind, Schedule};
 use super::report::FleetReport;
 use super::store::PAGE_OBJECTS;
 use super::trace_log;
@@ -309,7 +309,27 @@
     FleetSettings { schedule, ..drawn }
 }
 
-/// The same with long periods in which orders are carried out late. Half of the runs also have
+/// Settings of a run with instances whose successors start at their addresses while instances
+/// send second answers and nodes restart. Half of the runs also have random faults.
+pub fn drawn_successors(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
+    let drawn = drawn_for(seed, nodes, protections);
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x50cc);
+    let (from, to) = (TRAFFIC_FROM, TRAFFIC_FROM + LAST_FAULT);
+    let successors = Schedule::draw_successors(&mut rng, nodes, from, to);
+    let successors = successors.and(from, LAST_FAULT, FaultKind::SecondAnswers);
+    let schedule = match seed % 2 {
+        0 => successors,
+        _ => drawn.schedule.join(successors),
+    };
+    FleetSettings {
+        schedule,
+        service_ms: SLOW_SERVICE_MS,
+        ..drawn
+    }
+}
+
+/// Settings of a run with slow instances, hot keys and long periods in which orders are carried
+/// out late. Half of the runs also have
 /// random faults.
 pub fn drawn_late_orders(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_moves(seed, nodes, protections);
@@ -401,6 +421,7 @@
             Long("limits") => draw = drawn_limits,
             Long("moves") => draw = drawn_moves,
             Long("second-answers") => draw = drawn_second_answers,
+            Long("successors") => draw = drawn_successors,
             Long("late-orders") => draw = drawn_late_orders,
             Long("paged") => draw = drawn_paged,
             other => return Err(other.unexpected()),
--- a/crates/ledgelead-lab/src/fleet/connections.rs
+++ b/crates/ledgelead-lab/src/fleet/connections.rs
@@ -6,7 +6,9 @@
 
 use super::event::{Caller, Event};
 use ledgelead_http::Response;
+use ledgelead_router::answer_filter::CarriedIds;
 use ledgelead_router::io::{ConnectionPool, ExchangeId, ExchangeOptions};
+use ledgelead_router::protections::{Protection, Protections};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -33,6 +35,7 @@
 struct Connection {
     pool: PoolKey,
     running: Option<Running>,
+    carried: CarriedIds<Duration>,
     idle_since: Duration,
     /// Exchanges that the instance has not answered, in the order of their requests.
     unanswered: VecDeque<ExchangeId>,
@@ -56,6 +59,8 @@
 /// The open connections.
 #[derive(Default)]
 pub struct Connections {
+    /// Whether a connection may carry the same id again.
+    repeats_ids: bool,
     last: u64,
     open: BTreeMap<ConnectionId, Connection>,
     idle: HashMap<PoolKey, Vec<ConnectionId>>,
@@ -63,6 +68,14 @@
 }
 
 impl Connections {
+    /// No connections yet. They carry ids more than once if that protection is off.
+    pub fn new(protections: Protections) -> Connections {
+        Connections {
+            repeats_ids: !protections.has(Protection::DistinctIds),
+            ..Connections::default()
+        }
+    }
+
     /// Begins an exchange on an idle connection or on a new one. Returns whether it is a new
     /// one.
     pub fn begin(
@@ -74,12 +87,14 @@
         now: Duration,
     ) -> bool {
         let pool = (caller, instance, options.pool);
-        let idle = self.take_idle(pool, options.reuse_idle_below, now);
+        let idle = self.take_idle(pool, options, now);
         let is_new = idle.is_none();
         let id = idle.unwrap_or_else(|| self.open_new(pool, now));
         let Some(connection) = self.open.get_mut(&id) else {
             return is_new;
         };
+        let until = now + options.timeout;
+        connection.carried.record(&options.answer, until, now);
         connection.unanswered.push_back(exchange);
         connection.running = Some(Running {
             exchange,
@@ -96,6 +111,7 @@
         let connection = Connection {
             pool,
             running: None,
+            carried: CarriedIds::default(),
             idle_since: now,
             unanswered: VecDeque::new(),
             unread: VecDeque::new(),
@@ -105,20 +121,36 @@
         id
     }
 
-    /// Takes the connection that became idle most recently. If that one is too old, so are the
-    /// others, and all are closed.
-    fn take_idle(&mut self, pool: PoolKey, below: Duration, now: Duration) -> Option<ConnectionId> {
+    /// Takes the connection that became idle most recently, of those that have not carried
+    /// the id of the request. If the last one is too old, so are the others, and all are
+    /// closed.
+    fn take_idle(
+        &mut self,
+        pool: PoolKey,
+        options: &ExchangeOptions,
+        now: Duration,
+    ) -> Option<ConnectionId> {
+        let below = options.reuse_idle_below;
         if below.is_zero() {
             return None;
         }
-        let id = *self.idle.get(&pool)?.last()?;
-        if now.saturating_sub(self.open.get(&id)?.idle_since) < below {
-            return self.idle.get_mut(&pool)?.pop();
-        }
-        for id in self.idle.remove(&pool)? {
-            self.close(id);
+        let is_fresh = |connection: &Connection| now.saturating_sub(connection.idle_since) < below;
+        let newest = *self.idle.get(&pool)?.last()?;
+        if !is_fresh(self.open.get(&newest)?) {
+            for id in self.idle.remove(&pool)? {
+                self.close(id);
+            }
+            return None;
         }
-        None
+        let is_usable = |id: &ConnectionId| {
+            self.open.get(id).is_some_and(|connection| {
+                let has_carried = connection.carried.contains(&options.answer);
+                is_fresh(connection) && (self.repeats_ids || !has_carried)
+            })
+        };
+        let idle = self.idle.get(&pool)?;
+        let position = idle.iter().rposition(is_usable)?;
+        Some(self.idle.get_mut(&pool)?.remove(position))
     }
 
     /// Closes the connection of an exchange that failed or was cancelled.
--- a/crates/ledgelead-lab/src/fleet/faults.rs
+++ b/crates/ledgelead-lab/src/fleet/faults.rs
@@ -101,6 +101,9 @@
     CrashZone(usize),
     /// An instance of the sharded service crashes and restarts under the same id.
     RestartInstance(usize),
+    /// An instance of any service crashes. Another one starts at its address at the end of
+    /// the fault.
+    ReplaceInstance(usize),
     /// The store refuses all calls of one node.
     StoreRefusesNode(Target),
     /// All open connections to the store stop carrying bytes, without being reset.
--- a/crates/ledgelead-lab/src/fleet/mod.rs
+++ b/crates/ledgelead-lab/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod silent_connections;
 mod store;
 mod store_traffic;
+mod successors;
 mod trace_log;
 mod transfers;
 mod transport;
--- a/crates/ledgelead-lab/src/fleet/notices.rs
+++ b/crates/ledgelead-lab/src/fleet/notices.rs
@@ -3,7 +3,7 @@
 
 use super::event::{Caller, Event};
 use super::faults::{FaultKind, Schedule, Target, draw_length, draw_time};
-use super::world::{ALL_INSTANCES, DRAIN_BOUND, SHARDED_INSTANCES, World};
+use super::world::{ALL_INSTANCES, DRAIN_BOUND, World, instance_address};
 use ledgelead_http::Response;
 use ledgelead_router::io::ExchangeId;
 use rand::RngExt;
@@ -87,10 +87,11 @@
 impl World {
     /// Index of the instance at one of the initial addresses, of whichever service.
     pub(super) fn instance_at(&self, position: usize) -> usize {
-        match position < SHARDED_INSTANCES {
-            true => self.sharded_instance_at(position),
-            false => position,
-        }
+        let address = instance_address(position);
+        self.instances
+            .iter()
+            .rposition(|instance| instance.record.address == address)
+            .unwrap_or(0)
     }
 
     /// An instance announces its departure in all responses from now on, and in its entry as
--- a/crates/ledgelead-lab/src/fleet/orders.rs
+++ b/crates/ledgelead-lab/src/fleet/orders.rs
@@ -8,7 +8,7 @@
 use super::instance::{GrantOutcome, InstanceRequest};
 use super::network::LATENCY;
 use super::versions::{CONTACT_TIME, LARGE_VERSION_ROUTES};
-use super::world::{DRAIN_BOUND, LostKey, ONCE, SHARDED_INSTANCES, World, instance_address};
+use super::world::{DRAIN_BOUND, LostKey, ONCE, SHARDED_INSTANCES, World};
 use ledgelead_http::{Request, Response};
 use ledgelead_router::dialect::{KeyRange, Order};
 use ledgelead_router::identity::InstanceId;
@@ -433,6 +433,7 @@
             FaultKind::AnswersLost => self.answers_lost += 1,
             FaultKind::SecondAnswers => self.second_answers += 1,
             FaultKind::RestartInstance(position) => self.crash_and_restart(*position, duration),
+            FaultKind::ReplaceInstance(position) => self.crash(self.instance_at(*position)),
             FaultKind::CrashMany => self.crash_many(),
             FaultKind::CrashInTurn => self.crash_in_turn(),
             FaultKind::CrashZone(zone) => self.crash_zone(*zone),
@@ -469,6 +470,7 @@
             FaultKind::CrashInstance(index) | FaultKind::SilenceInstance(index) => {
                 self.replace(self.sharded_instance_at(*index));
             }
+            FaultKind::ReplaceInstance(position) => self.start_successor(*position),
             FaultKind::IsolateWithCoordinator(index) | FaultKind::CutInstance(index) => {
                 self.heal_nodes();
                 let index = self.sharded_instance_at(*index);
@@ -549,11 +551,7 @@
 
     /// Index of the latest instance at one of the initial addresses of the sharded service.
     pub(super) fn sharded_instance_at(&self, position: usize) -> usize {
-        let address = instance_address(position % SHARDED_INSTANCES);
-        self.instances
-            .iter()
-            .rposition(|instance| instance.record.address == address)
-            .unwrap_or(0)
+        self.instance_at(position % SHARDED_INSTANCES)
     }
 
     fn start_stopped_nodes(&mut self) {
--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -249,7 +249,7 @@
             answers_lost: 0,
             second_answers: 0,
             second_answer_rng: Pcg64Mcg::seed_from_u64(settings.seed ^ 0x2a5e),
-            connections: Connections::default(),
+            connections: Connections::new(settings.protections),
             versions: Versions::new(!settings.crashing.is_empty()),
             checker: Checker::default(),
             report: FleetReport::default(),
--- a/crates/ledgelead-lab/tests/fleet_second_answers.rs
+++ b/crates/ledgelead-lab/tests/fleet_second_answers.rs
@@ -3,7 +3,9 @@
 
 use googletest::prelude::*;
 use ledgelead_lab::fleet::ViolationKind;
-use ledgelead_lab::fleet::command::{NODES, drawn_second_answers, run_seeds};
+use ledgelead_lab::fleet::command::{
+    Draw, NODES, drawn_second_answers, drawn_successors, run_seeds,
+};
 use ledgelead_router::protections::{Protection, Protections};
 use std::ops::RangeInclusive;
 
@@ -11,8 +13,12 @@
 const MANY_NODES: usize = 21;
 
 fn violation_lines(seeds: RangeInclusive<u64>, nodes: usize) -> Vec<String> {
+    lines_of(drawn_second_answers, seeds, nodes)
+}
+
+fn lines_of(draw: Draw, seeds: RangeInclusive<u64>, nodes: usize) -> Vec<String> {
     let protections = Protections::default();
-    let (_, lines) = run_seeds(drawn_second_answers, seeds, nodes, protections, false);
+    let (_, lines) = run_seeds(draw, seeds, nodes, protections, false);
     lines
 }
 
@@ -44,3 +50,20 @@
         contains(eq(&ViolationKind::GrantedDuringWork))
     );
 }
+
+#[gtest]
+fn repeated_rejection_of_an_ended_instance_does_not_end_the_retry_at_its_successor() {
+    expect_that!(lines_of(drawn_successors, 55..=60, NODES), is_empty());
+    expect_that!(lines_of(drawn_successors, 1..=1, MANY_NODES), is_empty());
+}
+
+#[gtest]
+fn checker_detects_connections_that_carry_an_id_twice() {
+    let protections = Protections::without(Protection::DistinctIds);
+    let (report, _) = run_seeds(drawn_successors, 57..=57, NODES, protections, false);
+    let kinds = report.violations.iter().map(|found| found.kind);
+    expect_that!(
+        kinds.collect::<Vec<_>>(),
+        contains(eq(&ViolationKind::NotRunIsTrue))
+    );
+}
--- a/crates/ledgelead-router/src/answer_filter.rs
+++ b/crates/ledgelead-router/src/answer_filter.rs
@@ -1,6 +1,7 @@
 //! Distinguishes the answer to a request from other answers on the same connection.
 
 use ledgelead_http::Response;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Which responses can be the answer to a request. A peer may send a second answer to an
 /// earlier request on a kept connection, in the place of the answer to the next one.
@@ -34,3 +35,43 @@
         }
     }
 }
+
+/// The ids of the requests that a connection has carried. A second answer to one of them may
+/// still arrive, and would pass for the answer to another request with the same id. So a
+/// connection carries no id twice: not even for another instance that now uses the address.
+#[derive(Clone, Debug)]
+pub struct CarriedIds<T> {
+    /// Hash of each id, and until when a request with that id may be sent.
+    hashes: Vec<(u64, T)>,
+}
+
+impl<T> Default for CarriedIds<T> {
+    fn default() -> CarriedIds<T> {
+        CarriedIds { hashes: Vec::new() }
+    }
+}
+
+impl<T: Copy + Ord> CarriedIds<T> {
+    /// Whether the connection has carried the id by which this filter knows its answer.
+    pub fn contains(&self, answer: &AnswerFilter) -> bool {
+        let carried = |id| self.hashes.iter().any(|(hash, _)| *hash == id);
+        answer.id_hash().is_some_and(carried)
+    }
+
+    /// Records the id of a request that is sent now, and whose client waits until `until`.
+    pub fn record(&mut self, answer: &AnswerFilter, until: T, now: T) {
+        if let Some(hash) = answer.id_hash() {
+            self.hashes.retain(|(_, until)| *until > now);
+            self.hashes.push((hash, until));
+        }
+    }
+}
+
+impl AnswerFilter {
+    fn id_hash(&self) -> Option<u64> {
+        match self {
+            AnswerFilter::Equal(_, id) => Some(xxh3_64(id)),
+            AnswerFilter::Any | AnswerFilter::WithoutHeader { .. } => None,
+        }
+    }
+}
--- a/crates/ledgelead-router/src/protections.rs
+++ b/crates/ledgelead-router/src/protections.rs
@@ -51,6 +51,8 @@
     EraTokens,
     /// An answer on the connection of an order counts only if it can be the order's own.
     MatchOrderAnswers,
+    /// A connection carries no request id twice.
+    DistinctIds,
     /// A request that is submitted again is recognized by its full identity, not by its path
     /// alone.
     FullRequestIdentity,
@@ -72,7 +74,7 @@
 
 impl Protection {
     /// All protections, with the names of the sabotages that disable them.
-    pub const SABOTAGES: [(&'static str, Protection); 30] = [
+    pub const SABOTAGES: [(&'static str, Protection); 31] = [
         ("skip-lease-wait", Protection::LeaseWait),
         ("keep-fences", Protection::TakeoverFence),
         ("endless-authority", Protection::BoundedAuthority),
@@ -93,6 +95,7 @@
         ("ignore-era", Protection::EraIsolation),
         ("reuse-fences", Protection::EraTokens),
         ("take-any-answer", Protection::MatchOrderAnswers),
+        ("repeat-ids", Protection::DistinctIds),
         ("know-by-path", Protection::FullRequestIdentity),
         ("drop-with-foreign", Protection::IsolateUnreadable),
         ("use-foreign", Protection::ExcludeUnreadable),
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -6,6 +6,7 @@
 use self::connection::{Connection, MAX_BODY_BYTES, PoolKey, Running, keep_alive};
 use crate::stream::{Stream, StreamEnd};
 use ledgelead_http::{Request, Response, ResponseProgress, ResponseReader, write_request};
+use ledgelead_router::answer_filter::CarriedIds;
 use ledgelead_router::io::{ExchangeFailure, ExchangeId, ExchangeOptions, Input};
 use slab::Slab;
 use stakker_mio::MioSource;
@@ -73,8 +74,7 @@
         now: Instant,
         inputs: &mut Vec<Input>,
     ) -> Result<(), Box<NewExchange>> {
-        let pool = new.pool_key();
-        let Some(index) = self.take_idle(pool, new.options.reuse_idle_below, now) else {
+        let Some(index) = self.take_idle(&new, now) else {
             return Err(new);
         };
         self.begin(index, *new, now);
@@ -104,6 +104,7 @@
             stream: Stream::new(source),
             connected: false,
             running: None,
+            carried: CarriedIds::default(),
             idle_since: now,
             keep_until: None,
         });
@@ -203,24 +204,32 @@
         }
     }
 
-    fn take_idle(&mut self, pool: PoolKey, below: Duration, now: Instant) -> Option<usize> {
+    /// Takes the connection that became idle most recently, of those that have not carried
+    /// the id of this request.
+    fn take_idle(&mut self, new: &NewExchange, now: Instant) -> Option<usize> {
+        let below = new.options.reuse_idle_below;
         if below.is_zero() {
             // A new connection is wanted; the idle ones remain for other exchanges.
             return None;
         }
-        loop {
-            let index = *self.idle.get(&pool)?.last()?;
-            let usable = self.connections.get(index)?.is_reusable(below, now);
-            if usable {
-                self.idle.get_mut(&pool)?.pop();
-                return Some(index);
-            }
-            // The last one became idle most recently, so the others are too old as well.
-            let stale = self.idle.remove(&pool)?;
-            for index in stale {
+        let pool = new.pool_key();
+        let newest = *self.idle.get(&pool)?.last()?;
+        if !self.connections.get(newest)?.is_reusable(below, now) {
+            // The others are older.
+            for index in self.idle.remove(&pool)? {
                 self.drop_connection(index);
             }
+            return None;
         }
+        let is_usable = |index: &usize| {
+            self.connections.get(*index).is_some_and(|connection| {
+                let has_carried = connection.carried.contains(&new.options.answer);
+                connection.is_reusable(below, now) && !has_carried
+            })
+        };
+        let idle = self.idle.get_mut(&pool)?;
+        let position = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(position))
     }
 
     fn begin(&mut self, index: usize, new: NewExchange, now: Instant) {
@@ -250,6 +259,8 @@
             .reused_answer_timeout
             .filter(|_| connection.connected)
             .map(|time| now + time);
+        let answer = &new.options.answer;
+        connection.carried.record(answer, answer_by, now);
         connection.running = Some(Running {
             exchange: new.exchange,
             is_probe: new.request.is_none(),
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::stream::Stream;
 use ledgelead_http::{Response, ResponseReader};
-use ledgelead_router::answer_filter::AnswerFilter;
+use ledgelead_router::answer_filter::{AnswerFilter, CarriedIds};
 use ledgelead_router::io::{ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId};
 use ledgelead_router::validation::MAX_TIMEOUT;
 use std::net::SocketAddr;
@@ -57,6 +57,7 @@
     pub(super) stream: Stream,
     pub(super) connected: bool,
     pub(super) running: Option<Running>,
+    pub(super) carried: CarriedIds<Instant>,
     pub(super) idle_since: Instant,
     pub(super) keep_until: Option<Instant>,
 }
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -490,6 +490,26 @@
     }
 }
 
+/// Options of a request whose answers carry this id.
+fn of_request(id: &str) -> ExchangeOptions {
+    ExchangeOptions {
+        answer: AnswerFilter::Equal("id".into(), id.as_bytes().into()),
+        ..without_observation()
+    }
+}
+
+#[gtest]
+fn a_connection_carries_no_request_id_twice() {
+    // The retry goes to another instance that now uses the address.
+    let rejection = b"HTTP/1.1 421 Misdirected Request\r\nid: 7\r\nContent-Length: 0\r\n\r\n";
+    let mut fixture = fixture_with(Vec::new(), of_request("7"));
+    let answer = run_exchange(&mut fixture, rejection).expect("an answer");
+    expect_that!(answer.status, eq(421));
+    expect_that!(start_second(&mut fixture, of_request("7")).0, eq(false));
+    // Other requests go on using it.
+    expect_that!(start_second(&mut fixture, of_request("8")).0, eq(true));
+}
+
 /// A second exchange on a connection whose peer has sent `answer` by the time after which an
 /// exchange without any part of an answer fails.
 fn failure_on_reused_connection(answer: &[u8]) -> Option<ExchangeFailure> {
