--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -503,7 +503,14 @@
         }
         self.collect_crash_signs(client, &attempt, &result, context);
         let observed = Observed::of_exchange(&result, idle_for, context.headers);
-        let outcome = classify_outcome(result, &attempt.instance, context.headers);
+        let mut outcome = classify_outcome(result, &attempt.instance, context.headers);
+        if self
+            .open
+            .get(&client)
+            .is_some_and(|open| !open.is_idempotent())
+        {
+            outcome = outcome.for_single_run();
+        }
         let observed = observed.ended(outcome.name());
         match outcome {
             AttemptOutcome::Relay(response) => {
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -7,6 +7,7 @@
 //! | last byte never written, no response begun | not run | retried | retried |
 //! | last byte not written in time | not run | 503 | 503 |
 //! | response with "not executed", or 421 | not run | retried | retried |
+//! | 408, 429 or 503 without "not executed" | nothing | relayed, or as a failure | 502 |
 //! | other complete response | run | relayed | relayed |
 //! | response with a failure of the instance (5xx, not 504) | run | retried, else relayed | relayed |
 //! | success without a signature | nothing | retried | 502 |
@@ -61,6 +62,20 @@
 }
 
 impl AttemptOutcome {
+    /// The outcome for a request that may run once. Its client would take some statuses for a
+    /// promise that the request has not run, which an instance has not made without "not
+    /// executed".
+    pub fn for_single_run(self) -> AttemptOutcome {
+        match self {
+            AttemptOutcome::Relay(response) | AttemptOutcome::Failed(response)
+                if promises_not_run(response.status) =>
+            {
+                AttemptOutcome::Unknown { timed_out: false }
+            }
+            other => other,
+        }
+    }
+
     /// The name in logs.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/ledgelead-router/tests/node/main.rs
+++ b/crates/ledgelead-router/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod evacuation;
 mod evidence_flood;
+mod false_promises;
 mod first_election;
 mod fixture;
 mod former_coordinator;
