Bytes without end from a faulty server cost neither memory nor other clients

A connection was read until its socket was empty before anything was checked, so an instance that sends faster than the router reads kept the process in that loop: memory grew without bound and no other connection was served. Trailers and interim answers had no bound at all.

Now one turn reads at most 256 KB of a connection and goes on after all others had theirs (the poller doesn't report the rest again, so such connections are kept in a list); trailers and interim answers are bounded as heads are; and incomplete answers may take a quarter of the process's memory, beyond which the longest one fails. Requests of clients are read by the same rule.

The fixture of tests/inbound.rs now goes on reading as the reactor does; its checks are unchanged.

--- a/crates/ledgelead-http/src/framing.rs
+++ b/crates/ledgelead-http/src/framing.rs
@@ -4,6 +4,8 @@
 
 /// Longest line of a chunk size or a trailer, in bytes.
 const MAX_LINE_BYTES: usize = 4_096;
+/// Longest trailers, in bytes. They are discarded, so nothing else would end them.
+const MAX_TRAILER_BYTES: usize = 65_536;
 
 /// Why the end of a body can't be determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +85,7 @@
     state: State,
     body: Vec<u8>,
     max_bytes: usize,
+    trailer_bytes: usize,
 }
 
 impl BodyReader {
@@ -109,6 +112,7 @@
             state,
             body: Vec::new(),
             max_bytes,
+            trailer_bytes: 0,
         }
     }
 
@@ -142,6 +146,11 @@
         self.body.capacity().max(whole)
     }
 
+    /// Bytes of the body that have arrived.
+    pub fn received_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Whether the length of the body is not known before its end.
     pub fn has_unknown_length(&self) -> bool {
         !matches!(self.state, State::Length(_))
@@ -243,6 +252,10 @@
             return Ok(false);
         };
         *consumed += line + 2;
+        self.trailer_bytes += line + 2;
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(FramingError::TooLong);
+        }
         if line == 0 {
             self.state = State::Done;
         }
--- a/crates/ledgelead-http/src/response_reader.rs
+++ b/crates/ledgelead-http/src/response_reader.rs
@@ -6,6 +6,8 @@
 
 /// Longest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// Interim responses before the final one. Nothing else would end them.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 
 /// Why bytes are not a valid response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +54,7 @@
     head: Option<Head>,
     to_head_request: bool,
     max_body_bytes: usize,
+    interim_responses: u32,
 }
 
 impl ResponseReader {
@@ -61,6 +64,7 @@
             head: None,
             to_head_request: method == "HEAD",
             max_body_bytes,
+            interim_responses: 0,
         }
     }
 
@@ -72,7 +76,7 @@
     pub fn read(&mut self, input: &mut Vec<u8>) -> Result<ResponseProgress, ResponseError> {
         while self.head.is_none() {
             match self.parse_head(input)? {
-                Some(head) if is_interim(head.response.status) => {}
+                Some(head) if is_interim(head.response.status) => self.skip_interim()?,
                 Some(head) => self.head = Some(head),
                 None => return Ok(ResponseProgress::Partial),
             }
@@ -103,6 +107,21 @@
         }
     }
 
+    fn skip_interim(&mut self) -> Result<(), ResponseError> {
+        self.interim_responses += 1;
+        match self.interim_responses > MAX_INTERIM_RESPONSES {
+            true => Err(ResponseError::TooLong),
+            false => Ok(()),
+        }
+    }
+
+    /// Bytes of the body that have arrived.
+    pub fn received_bytes(&self) -> usize {
+        self.head
+            .as_ref()
+            .map_or(0, |head| head.body.received_bytes())
+    }
+
     /// Bytes of memory that the body takes now, or will take if its length is known.
     pub fn reserved_bytes(&self) -> usize {
         self.head
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -12,7 +12,7 @@
 use slab::Slab;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -72,6 +72,8 @@
 pub(crate) struct Inbound {
     connections: Slab<Connection>,
     by_client: HashMap<ClientId, usize>,
+    /// Connections that may have more bytes than were read.
+    unread: BTreeSet<ConnectionKey>,
     last_generation: u64,
     last_client: u64,
     limits: ClientLimits,
@@ -157,6 +159,16 @@
         }
     }
 
+    /// Whether some connections may have more bytes than were read.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Connections that may have more bytes than were read since the last call.
+    pub(crate) fn take_unread(&mut self) -> BTreeSet<ConnectionKey> {
+        std::mem::take(&mut self.unread)
+    }
+
     /// Bytes of memory that requests of clients and answers to them take.
     pub(crate) fn buffered_bytes(&self) -> usize {
         let connections = self.connections.iter();
@@ -281,6 +293,24 @@
         now: Instant,
         budget: MemoryBudget<'_>,
         events: &mut Vec<ClientEvent>,
+    ) {
+        self.advance(index, now, budget, events);
+        if let Some(connection) = self.connections.get(index)
+            && connection.stream.has_unread()
+        {
+            self.unread.insert(ConnectionKey {
+                index,
+                generation: connection.generation,
+            });
+        }
+    }
+
+    fn advance(
+        &mut self,
+        index: usize,
+        now: Instant,
+        budget: MemoryBudget<'_>,
+        events: &mut Vec<ClientEvent>,
     ) {
         let Some(connection) = self.connections.get_mut(index) else {
             return;
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -20,6 +20,11 @@
 /// An idle connection is closed after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(9);
 
+/// Share of the process's memory that answers may take before they are complete.
+const ANSWERS_SHARE: f64 = 0.25;
+/// An answer that is shorter so far, in bytes, is not weighed against that share.
+const MIN_WEIGHED_BYTES: usize = 1 << 20;
+
 /// Identifies a connection by its slot in the table and the use of the slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ConnectionKey {
@@ -62,6 +67,10 @@
     idle: HashMap<PoolKey, Vec<usize>>,
     by_exchange: HashMap<ExchangeId, usize>,
     deadlines: BTreeSet<(Instant, ConnectionKey)>,
+    /// Connections that may have more bytes than were read.
+    unread: BTreeSet<ConnectionKey>,
+    /// Bytes that incomplete answers may take together, if that is limited.
+    max_answer_bytes: Option<usize>,
     last_generation: u64,
     unsolicited_answers: u64,
 }
@@ -126,6 +135,46 @@
             .is_some_and(|connection| connection.generation == key.generation);
         if current {
             self.progress(key.index, now, inputs);
+            self.fail_longest_answer(key.index, inputs);
+        }
+    }
+
+    /// If incomplete answers take too much memory, the longest one fails. An instance may send
+    /// without end.
+    fn fail_longest_answer(&mut self, index: usize, inputs: &mut Vec<Input>) {
+        let bytes = |connection: &Connection| connection.answer_bytes();
+        let is_short = |connection: &Connection| bytes(connection) < MIN_WEIGHED_BYTES;
+        let Some(limit) = self.max_answer_bytes else {
+            return;
+        };
+        if self.connections.get(index).is_none_or(is_short) {
+            return;
+        }
+        let all = self.connections.iter();
+        let total: usize = all.map(|(_, connection)| bytes(connection)).sum();
+        let all = self.connections.iter();
+        let longest = all.max_by_key(|(_, connection)| bytes(connection));
+        if let Some((longest, connection)) = longest.filter(|_| total > limit) {
+            let address = connection.pool.address;
+            log::warn!(target: "runtime", "memory limit reached: gave up the longest answer, from {address}");
+            self.fail(longest, ExchangeFailure::Malformed, inputs);
+        }
+    }
+
+    /// Sets the memory limit of the process, in bytes.
+    pub(crate) fn set_memory_limit(&mut self, limit: Option<usize>) {
+        self.max_answer_bytes = limit.map(|limit| (limit as f64 * ANSWERS_SHARE) as usize);
+    }
+
+    /// Whether some connections may have more bytes than were read.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Goes on reading from these connections.
+    pub(crate) fn resume_reading(&mut self, now: Instant, inputs: &mut Vec<Input>) {
+        for key in std::mem::take(&mut self.unread) {
+            self.ready(key, now, inputs);
         }
     }
 
@@ -291,6 +340,18 @@
 
     /// Reads and writes what the connection allows, and advances its exchange.
     fn progress(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        self.advance(index, now, inputs);
+        if let Some(connection) = self.connections.get(index)
+            && connection.stream.has_unread()
+        {
+            self.unread.insert(ConnectionKey {
+                index,
+                generation: connection.generation,
+            });
+        }
+    }
+
+    fn advance(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
@@ -460,6 +521,7 @@
         };
         self.by_exchange.remove(&running.exchange);
         let clean = connection.stream.input.is_empty()
+            && !connection.stream.has_unread()
             && connection.stream.is_flushed()
             && connection.stream.end().is_none()
             && running.unsolicited == 0
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -79,6 +79,13 @@
         self.pool.pool == ConnectionPool::Orders && !self.stream.input.is_empty()
     }
 
+    /// Bytes of the answer that have arrived.
+    pub(super) fn answer_bytes(&self) -> usize {
+        let running = self.running.as_ref();
+        let read = running.map_or(0, |running| running.reader.received_bytes());
+        self.stream.input.len() + read
+    }
+
     pub(super) fn buffered_bytes(&self) -> usize {
         let running = self.running.as_ref();
         let reader = running.map_or(0, |running| running.reader.reserved_bytes());
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -202,8 +202,10 @@
     fn timer_fired(&mut self, cx: CX![]) {
         let now = cx.now();
         let mut inputs = vec![Input::Deadline];
+        self.outbound.resume_reading(now, &mut inputs);
         self.outbound.expire(now, &mut inputs);
         self.inputs.extend(inputs);
+        self.resume_reading_clients(now);
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.outbound.close_expired_idle(now);
@@ -215,6 +217,15 @@
         self.end_if_stopped(cx);
     }
 
+    fn resume_reading_clients(&mut self, now: Instant) {
+        for key in self.inbound.take_unread() {
+            let mut events = Vec::new();
+            let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
+            self.inbound.ready(key, now, budget, &mut events);
+            self.take_events(now, events);
+        }
+    }
+
     fn check_settings(&mut self, now: Instant) {
         let reload = self.control.reload.swap(false, Ordering::Relaxed);
         if !reload && self.next_settings > now {
@@ -357,6 +368,7 @@
             }
         }
         self.inbound.set_limits(self.node.client_limits());
+        self.outbound.set_memory_limit(self.node.memory_limit());
         self.set_timer(cx);
     }
 
@@ -365,7 +377,9 @@
         // by its remaining time, at most the interval of a node's reports (0.2 s).
         let remaining = self.node.next_deadline().saturating_sub(self.clock.now());
         let node_deadline = Instant::now() + remaining;
+        let has_unread = self.outbound.has_unread() || self.inbound.has_unread();
         let next = [
+            has_unread.then(Instant::now),
             Some(node_deadline),
             self.outbound.next_deadline(),
             Some(self.next_sweep),
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -8,8 +8,10 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 
-/// Bytes that one call reads at most.
+/// Bytes that one system call reads at most.
 const READ_BYTES: usize = 16_384;
+/// Bytes after which other connections have their turn. A peer may send without end.
+const MAX_FILL_BYTES: usize = 262_144;
 
 /// How the peer ended its direction of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     written: usize,
     has_written: bool,
     has_read: bool,
+    /// Whether the last fill ended before all available bytes were read.
+    has_unread: bool,
     /// Whether a byte was read since the current message began.
     is_answered: bool,
     end: Option<StreamEnd>,
@@ -52,6 +56,7 @@
             written: 0,
             has_written: false,
             has_read: false,
+            has_unread: false,
             is_answered: false,
             end: None,
         }
@@ -73,14 +78,22 @@
         }
     }
 
-    /// Reads all available bytes into the input buffer.
+    /// Reads available bytes into the input buffer, up to `MAX_FILL_BYTES`. The poller reports
+    /// the rest only once more bytes arrive, so `has_unread` must be checked.
     pub(crate) fn fill(&mut self) {
         let mut buffer = [0u8; READ_BYTES];
+        let mut filled = 0;
+        self.has_unread = false;
         while self.end.is_none() {
+            if filled >= MAX_FILL_BYTES {
+                self.has_unread = true;
+                return;
+            }
             match self.source.read(&mut buffer) {
                 Ok(0) => self.end = Some(StreamEnd::Closed),
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
+                    filled += count;
                     self.has_read = true;
                     self.is_answered = true;
                 }
@@ -91,6 +104,11 @@
         }
     }
 
+    /// Whether more bytes may be available than were read.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.has_unread
+    }
+
     /// Whether bytes were read since the last call.
     pub(crate) fn take_has_read(&mut self) -> bool {
         std::mem::take(&mut self.has_read)
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -88,6 +88,11 @@
         let budget = MemoryBudget::new(self.limit, &self.outbound);
         self.inbound
             .ready(client.key, self.now, budget, &mut events);
+        while self.inbound.has_unread() {
+            for key in self.inbound.take_unread() {
+                self.inbound.ready(key, self.now, budget, &mut events);
+            }
+        }
         events
     }
 
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -592,3 +592,57 @@
         expect_that!(keep, le(Duration::from_secs(86_400)), "{seconds}");
     }
 }
+
+/// Result of an exchange whose instance sends `start`, and then `part` until the connection is
+/// closed. The second value is the number of bytes buffered at most.
+fn run_endless_exchange(start: &[u8], part: &[u8]) -> (Option<ExchangeFailure>, usize) {
+    let mut fixture = fixture_with(Vec::new(), without_observation());
+    fixture.outbound.set_memory_limit(Some(MEMORY_LIMIT));
+    let mut inputs = poll_until_request_arrives(&mut fixture);
+    let mut peer = fixture.peer.try_clone().expect("a socket");
+    peer.set_nonblocking(false).expect("a socket");
+    let mut sent = start.to_vec();
+    let parts = part.repeat(SENT_BYTES / part.len());
+    let sender = std::thread::spawn(move || {
+        while peer.write_all(&sent).is_ok() {
+            sent.clone_from(&parts);
+        }
+    });
+    let mut buffered = 0;
+    while inputs.is_empty() {
+        poll(&mut fixture, &mut inputs);
+        fixture.outbound.resume_reading(fixture.start, &mut inputs);
+        buffered = buffered.max(fixture.outbound.buffered_bytes());
+    }
+    sender.join().expect("the connection is closed");
+    match inputs.remove(0) {
+        Input::ExchangeEnded { result, .. } => (result.err(), buffered),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Memory limit of the process, of which incomplete answers may take a quarter.
+const MEMORY_LIMIT: usize = 16 << 20;
+/// Bytes that an endless sender writes at a time.
+const SENT_BYTES: usize = 1 << 16;
+
+#[gtest]
+fn an_answer_without_end_fails() {
+    let body = b"HTTP/1.1 200 OK\r\n\r\n";
+    let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let trailers = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let cases: [(&str, &[u8], &[u8]); 7] = [
+        ("head", b"HTTP/1.1 200 OK\r\nheader: ", b"x"),
+        ("headers", b"HTTP/1.1 200 OK\r\n", b"header: x\r\n"),
+        ("no answer", b"\0\0", b"\0"),
+        ("interim answers", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ("body", body, b"x"),
+        ("chunks", chunked, b"1\r\nx\r\n"),
+        ("trailers", trailers, b"trailer: x\r\n"),
+    ];
+    for (name, start, part) in cases {
+        let (failure, buffered) = run_endless_exchange(start, part);
+        expect_that!(failure, some(eq(ExchangeFailure::Malformed)), "{name}");
+        expect_that!(buffered, le(MEMORY_LIMIT / 2), "{name}");
+    }
+}
