A request without an id shares its connection with no other

Such a request now has a connection of its own, as releases have. a_request_without_an_id_shares_no_connection failed before; the node's 248 tests and the 51 end-to-end ones pass.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::PermitOutcome;
 use crate::events::Event;
 use crate::identity::{InstanceId, ServiceName};
-use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
+use crate::io::{Action, ClientId, ConnectionReuse, ExchangeFailure, ExchangeOptions};
 use crate::mechanisms::Mechanism;
 use crate::protections::Protection;
 use crate::rate_limit::RateNotice;
@@ -567,17 +567,25 @@
     let left = profile.left.saturating_sub(ANSWER_MARGIN);
     let write_timeout = left - WRITE_MARGIN.min(left / 2);
     let header = &headers.attempt_id;
-    let answer = match request.headers.get(header) {
-        Some(id) => AnswerFilter::Equal(header.as_str().into(), id.into()),
-        // The answer to a request without an id has none either.
-        None => AnswerFilter::WithoutHeader {
-            header: header.as_str().into(),
-            on_success: None,
-        },
+    let (answer, reuse_idle_below, reuse) = match request.headers.get(header) {
+        Some(id) => {
+            let answer = AnswerFilter::Equal(header.as_str().into(), id.into());
+            (answer, reuse_idle_below, ConnectionReuse::Always)
+        }
+        // The answer to a request without an id has none either, so it can't be told from a
+        // second answer to an earlier one.
+        None => {
+            let answer = AnswerFilter::WithoutHeader {
+                header: header.as_str().into(),
+                on_success: None,
+            };
+            (answer, Duration::ZERO, ConnectionReuse::Never)
+        }
     };
     ExchangeOptions {
         answer,
         reuse_idle_below,
+        reuse,
         write_timeout: Some(write_timeout),
         // Retrying an idempotent request costs less than delaying every one.
         observe_before_write: if profile.is_idempotent {
--- a/crates/ledgelead-router/tests/node/order_answers.rs
+++ b/crates/ledgelead-router/tests/node/order_answers.rs
@@ -5,13 +5,13 @@
 //! grants the keys to their next owner while the last one still works on them.
 
 use crate::fixture::{
-    Fixture, GRANT, KEYED, RELEASE, Sent, completed, configuration, instance, ms, owned_store,
-    store_without_owners,
+    CALLER, Fixture, GRANT, KEYED, RELEASE, Sent, completed, configuration, instance, ms,
+    owned_store, store_without_owners,
 };
 use googletest::prelude::*;
-use ledgelead_http::Response;
+use ledgelead_http::{Request, Response};
 use ledgelead_router::identity::InstanceId;
-use ledgelead_router::io::{ConnectionPool, ConnectionReuse};
+use ledgelead_router::io::{ClientId, ConnectionPool, ConnectionReuse, Input};
 
 /// The path of orders.
 const ORDER: &str = "order";
@@ -134,6 +134,25 @@
     expect_that!(sharing(&release), eq(expected));
 }
 
+#[gtest]
+fn a_request_without_an_id_shares_no_connection() {
+    let mut fixture = Fixture::new(owned_store(configuration(1)));
+    fixture.run_until(ms(500));
+    fixture.attempts.clear();
+    let mut request = Request::new("GET", format!("/{KEYED}/1"), Vec::new());
+    request.headers.push("host", "h");
+    request.headers.push("key", "7");
+    let client = ClientId(1);
+    fixture.step(Input::Request {
+        client,
+        source: CALLER,
+        request,
+    });
+    let sent = fixture.attempts.pop().expect("an attempt");
+    let expected = (ConnectionPool::Requests, ConnectionReuse::Never, true);
+    expect_that!(sharing(&sent), eq(expected));
+}
+
 #[gtest]
 fn retry_at_the_same_instance_uses_a_new_connection() {
     let mut fixture = Fixture::new(owned_store(configuration(1)));
