--- /dev/null
+++ b/crates/ledgelead-runtime/src/outbound/answers.rs
@@ -0,0 +1,131 @@
+//! Reads answers: which one ends an exchange, what the end of a connection proves, and how much
+//! memory incomplete answers take.
+
+use super::Outbound;
+use super::connection::Connection;
+use crate::stream::StreamEnd;
+use ledgelead_http::ResponseProgress;
+use ledgelead_router::io::{ExchangeFailure, Input};
+use std::time::Instant;
+
+/// Share of the process's memory that answers may take before they are complete.
+const ANSWERS_SHARE: f64 = 0.25;
+/// An answer that is shorter so far, in bytes, is not weighed against that share.
+const MIN_WEIGHED_BYTES: usize = 1 << 20;
+
+impl Outbound {
+    /// Sets the memory limit of the process, in bytes.
+    pub(crate) fn set_memory_limit(&mut self, limit: Option<usize>) {
+        self.max_answer_bytes = limit.map(|limit| (limit as f64 * ANSWERS_SHARE) as usize);
+    }
+
+    /// Whether some connections may have more bytes than were read.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Goes on reading from these connections.
+    pub(crate) fn resume_reading(&mut self, now: Instant, inputs: &mut Vec<Input>) {
+        for key in std::mem::take(&mut self.unread) {
+            self.ready(key, now, inputs);
+        }
+    }
+
+    /// If incomplete answers take too much memory, the longest one fails. An instance may send
+    /// without end.
+    pub(super) fn fail_longest_answer(&mut self, index: usize, inputs: &mut Vec<Input>) {
+        let bytes = |connection: &Connection| connection.answer_bytes();
+        let is_short = |connection: &Connection| bytes(connection) < MIN_WEIGHED_BYTES;
+        let Some(limit) = self.max_answer_bytes else {
+            return;
+        };
+        if self.connections.get(index).is_none_or(is_short) {
+            return;
+        }
+        let all = self.connections.iter();
+        let total: usize = all.map(|(_, connection)| bytes(connection)).sum();
+        let all = self.connections.iter();
+        let longest = all.max_by_key(|(_, connection)| bytes(connection));
+        if let Some((longest, connection)) = longest.filter(|_| total > limit) {
+            let address = connection.pool.address;
+            log::warn!(target: "runtime", "memory limit reached: gave up the longest answer, from {address}");
+            self.fail(longest, ExchangeFailure::Malformed, inputs);
+        }
+    }
+
+    pub(super) fn read_answer(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        loop {
+            let Some(connection) = self.connections.get_mut(index) else {
+                return;
+            };
+            let Some(running) = connection.running.as_mut() else {
+                return;
+            };
+            if connection.stream.take_has_read() {
+                running.unresponsive_at = None;
+                if let Some(time) = running.idle_timeout {
+                    // The earlier limit stays in `deadlines`; `expire` replaces it by the new
+                    // one.
+                    running.answer_by = now + time;
+                }
+            }
+            match running.reader.read(&mut connection.stream.input) {
+                Ok(ResponseProgress::Complete { response, reusable }) => {
+                    if !running.answer.accepts(&response) {
+                        self.unsolicited_answers += 1;
+                        connection.pool.log_unsolicited(&response);
+                        if running.skip_answer() {
+                            continue;
+                        }
+                        self.fail(index, ExchangeFailure::Malformed, inputs);
+                        return;
+                    }
+                    self.complete(index, response, reusable, now, inputs);
+                    return;
+                }
+                Ok(ResponseProgress::Partial) => break,
+                Err(_) => {
+                    self.fail(index, ExchangeFailure::Malformed, inputs);
+                    return;
+                }
+            }
+        }
+        self.check_end(index, now, inputs);
+    }
+
+    /// Handles a close by the peer, which completes an answer without length and truncates
+    /// any other.
+    fn check_end(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        let Some(running) = connection.running.as_mut() else {
+            return;
+        };
+        match connection.stream.end() {
+            None => {}
+            Some(StreamEnd::Closed) => match running.reader.finish_at_close() {
+                Ok(response) if running.answer.accepts(&response) => {
+                    self.complete(index, response, false, now, inputs);
+                }
+                _ => self.fail_disconnected(index, inputs),
+            },
+            Some(StreamEnd::Reset) => self.fail_disconnected(index, inputs),
+        }
+    }
+
+    /// Fails an exchange whose connection ended without an answer. That proves that the
+    /// request was not run only if its last byte was not written.
+    fn fail_disconnected(&mut self, index: usize, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.connections.get(index) else {
+            return;
+        };
+        let stream = &connection.stream;
+        let failure = match (stream.has_written(), stream.is_incomplete()) {
+            (false, _) => ExchangeFailure::ClosedUnsent,
+            (true, true) => ExchangeFailure::Incomplete { timed_out: false },
+            (true, false) => ExchangeFailure::Lost,
+        };
+        self.fail(index, failure, inputs);
+    }
+}
