--- a/crates/ledgelead-lab/src/fleet/command.rs
+++ b/crates/ledgelead-lab/src/fleet/command.rs
@@ -329,8 +329,7 @@
 }
 
 /// Settings of a run with slow instances, hot keys and long periods in which orders are carried
-/// out late. Half of the runs also have
-/// random faults.
+/// out late. Half of the runs also have random faults.
 pub fn drawn_late_orders(seed: u64, nodes: usize, protections: Protections) -> FleetSettings {
     let drawn = drawn_moves(seed, nodes, protections);
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1a7e);
--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -39,7 +39,7 @@
         /// The instance that such an answer names as its sender.
         answered_by: Option<&'a str>,
         /// Milliseconds for which the connection was idle before the attempt; none if it was
-        /// new, or the attempt has not ended by itself.
+        /// new or in use until then, or if this node ended the attempt.
         idle_ms: Option<u64>,
         /// The fencing token of the key's owner, as known to this node.
         fence: Option<u64>,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -101,7 +101,7 @@
             open.attempt = None;
             open.may_have_run = true;
             open.timed_out = true;
-            let observed = Observed::nothing(ABORTED_FOR_RETRY);
+            let observed = Observed::ended_by_node(ABORTED_FOR_RETRY);
             log_attempt_ended(open, &attempt, &observed, context);
         }
         self.end_attempt(&attempt, PermitOutcome::Failed);
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -157,7 +157,7 @@
             return;
         };
         if let Some(attempt) = open.attempt.take() {
-            let observed = Observed::nothing(CUT_AT_TIMEOUT);
+            let observed = Observed::ended_by_node(CUT_AT_TIMEOUT);
             log_attempt_ended(open, &attempt, &observed, context);
             open.may_have_run = true;
             if open.timed_out {
--- a/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
@@ -225,7 +225,12 @@
         };
         open.may_have_run = true;
         open.timed_out = true;
-        log_attempt_ended(open, &attempt, &Observed::nothing(LINK_FAILED), context);
+        log_attempt_ended(
+            open,
+            &attempt,
+            &Observed::ended_by_node(LINK_FAILED),
+            context,
+        );
         self.end_attempt(&attempt, PermitOutcome::NoSample);
         out.push(Action::Cancel {
             exchange: attempt.exchange,
--- a/crates/ledgelead-router/src/requests/observed.rs
+++ b/crates/ledgelead-router/src/requests/observed.rs
@@ -18,13 +18,14 @@
     pub status: Option<u16>,
     /// The instance that such an answer names as its sender.
     pub answered_by: Option<Box<str>>,
-    /// Milliseconds for which the connection was idle before; none if it was new.
+    /// Milliseconds for which the connection was idle before; none if it was new or in use
+    /// until then.
     pub idle_ms: Option<u64>,
 }
 
 impl Observed {
     /// An attempt that this node ended itself.
-    pub fn nothing(ended: &'static str) -> Observed {
+    pub fn ended_by_node(ended: &'static str) -> Observed {
         Observed {
             ended,
             ..Observed::default()
