Logs tell how an attempt by way of a peer ended, at both nodes

An attempt that a peer was asked to forward looked in the log like one of the node's own, and the peer logged nothing of it. So a request that counts as not run since the peer "made no attempt" couldn't be told from one that never left the node. attempt_ended now names the peer and what the exchange with it showed; the peer logs forwarded_attempt_ended for an attempt without an answer, or with one that promises that nothing ran. Nothing else changes.

--- a/crates/ledgelead-router/src/events.rs
+++ b/crates/ledgelead-router/src/events.rs
@@ -26,6 +26,10 @@
         key: Option<u16>,
         /// The instance.
         instance: &'a InstanceId,
+        /// The peer that was asked to forward the attempt.
+        via: Option<SocketAddr>,
+        /// The end of the exchange with that peer; one of the names of `ForwardOutcome`.
+        forward: Option<&'static str>,
         /// Milliseconds from the client's request to this attempt.
         sent_after_ms: u64,
         /// Milliseconds that the attempt took.
@@ -46,6 +50,22 @@
         /// The store's revision of the ownership record that this node uses.
         ownership: Option<u64>,
     },
+    /// An attempt that this node made for a peer ended without an answer, or with one by which
+    /// the client may conclude that its request was not run.
+    ForwardedAttemptEnded {
+        /// The client's id of its request.
+        request: &'a str,
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Milliseconds that the attempt took.
+        took_ms: u64,
+        /// Why there is no answer; one of the names of `ExchangeFailure`.
+        failure: Option<&'static str>,
+        /// The status of the answer.
+        status: Option<u16>,
+        /// The instance that the answer names as its sender.
+        answered_by: Option<&'a str>,
+    },
     /// The router answered a request itself.
     Answered {
         /// The client's id of its request.
@@ -372,9 +392,10 @@
 
     fn topic(&self) -> &'static str {
         match self {
-            Event::AttemptEnded { .. } | Event::Answered { .. } | Event::Unrouted { .. } => {
-                "request"
-            }
+            Event::AttemptEnded { .. }
+            | Event::ForwardedAttemptEnded { .. }
+            | Event::Answered { .. }
+            | Event::Unrouted { .. } => "request",
             Event::ConfigurationInForce { .. } => "configuration",
             Event::InstanceRegistered { .. }
             | Event::InstanceDrains { .. }
--- a/crates/ledgelead-router/src/forwarding/outcome.rs
+++ b/crates/ledgelead-router/src/forwarding/outcome.rs
@@ -33,6 +33,16 @@
         }
     }
 
+    /// The name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ForwardOutcome::Attempted(_) => "attempted",
+            ForwardOutcome::Declined(_) | ForwardOutcome::Unsupported => "declined",
+            ForwardOutcome::NotReached => "not_reached",
+            ForwardOutcome::Unknown(_) => "in_doubt",
+        }
+    }
+
     /// Whether the peer showed that it doesn't reach the instance either.
     pub fn lacks_path(&self) -> bool {
         match self {
--- a/crates/ledgelead-router/src/node/forwarding.rs
+++ b/crates/ledgelead-router/src/node/forwarding.rs
@@ -4,6 +4,8 @@
 use super::orders::{ORDER_CONNECT_TIMEOUT, ORDER_OBSERVATION};
 use crate::Timestamp;
 use crate::answer_filter::AnswerFilter;
+use crate::dialect::HeaderNames;
+use crate::events::Event;
 use crate::identity::InstanceId;
 use crate::io::{
     Action, ClientId, ConnectionPool, ConnectionReuse, ExchangeFailure, ExchangeId, ExchangeOptions,
@@ -11,7 +13,8 @@
 use crate::peers::{ForwardAnswer, ForwardDecline, ForwardPurpose, ForwardRequest};
 use crate::protections::Protection;
 use crate::reachability::Path;
-use crate::requests::{RequestProfile, request_options};
+use crate::requests::{Observed, RequestProfile, promises_not_run, request_options};
+use crate::whole_millis;
 use ledgelead_http::{Request, Response};
 use ledgelead_types::codec;
 use std::collections::{BTreeMap, HashMap};
@@ -30,6 +33,34 @@
     client: ClientId,
     instance: InstanceId,
     sent: Timestamp,
+    /// The client's id of its request; none for an order.
+    request: Option<Box<str>>,
+}
+
+impl ForwardedAttempt {
+    fn log_end(
+        &self,
+        result: &Result<Response, ExchangeFailure>,
+        headers: &HeaderNames,
+        now: Timestamp,
+    ) {
+        let Some(request) = &self.request else {
+            return;
+        };
+        let observed = Observed::of_exchange(result, Duration::ZERO, headers);
+        if observed.failure.is_none() && !observed.status.is_some_and(promises_not_run) {
+            return;
+        }
+        let ended = Event::ForwardedAttemptEnded {
+            request,
+            instance: &self.instance,
+            took_ms: whole_millis(now.saturating_sub(self.sent)),
+            failure: observed.failure,
+            status: observed.status,
+            answered_by: observed.answered_by.as_deref(),
+        };
+        ended.emit();
+    }
 }
 
 /// Attempts on behalf of peers.
@@ -149,6 +180,8 @@
         let timeout = Duration::from_millis(u64::from(forward.timeout_ms));
         let purpose = forward.purpose.clone();
         let request = forward.into_request();
+        let name = request.headers.text(&self.dialect.headers().attempt_id);
+        let name = name.map(Into::into);
         let options = match purpose {
             ForwardPurpose::Request {
                 idempotent,
@@ -176,6 +209,7 @@
             client,
             instance,
             sent: now,
+            request: name,
         };
         self.forward_server.count("attempted");
         self.forward_server.open.insert(exchange, attempt);
@@ -221,6 +255,7 @@
         };
         self.forward_server.by_client.remove(&attempt.client);
         self.record_link(&attempt.instance, attempt.sent, result.as_ref().err(), now);
+        attempt.log_end(&result, self.dialect.headers(), now);
         respond(attempt.client, &ForwardAnswer::new(result), out);
     }
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -505,6 +505,8 @@
         service: &open.service,
         key: open.key,
         instance: &attempt.instance,
+        via: attempt.via,
+        forward: observed.forward,
         sent_after_ms: whole_millis(attempt.sent.saturating_sub(open.received)),
         took_ms: whole_millis(context.now.saturating_sub(attempt.sent)),
         ended: observed.ended,
--- a/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/forwarding.rs
@@ -4,8 +4,7 @@
 use super::{RequestContext, Requests};
 use crate::dispatch::PermitOutcome;
 use crate::forwarding::{
-    FORWARD_PATH, ForwardOutcome, PEER_CONNECT_TIMEOUT, PEER_REUSE_IDLE, PeerChoice,
-    forward_outcome,
+    FORWARD_PATH, PEER_CONNECT_TIMEOUT, PEER_REUSE_IDLE, PeerChoice, forward_outcome,
 };
 use crate::identity::InstanceId;
 use crate::io::{Action, ClientId, ExchangeFailure, ExchangeOptions};
@@ -42,6 +41,8 @@
     pub(super) result: Result<Response, ExchangeFailure>,
     /// Whether an attempt at the instance was made, by this node or a peer.
     pub(super) was_attempted: bool,
+    /// The end of the exchange with the peer that was asked to forward the attempt.
+    pub(super) forward: Option<&'static str>,
 }
 
 /// How an attempt is sent.
@@ -94,13 +95,8 @@
     ) -> AttemptResult {
         let outcome = forward_outcome(result);
         context.forward_peers.ended(peer, &outcome, context.now);
-        let name = match &outcome {
-            ForwardOutcome::Attempted(_) => "attempted",
-            ForwardOutcome::Declined(_) | ForwardOutcome::Unsupported => "declined",
-            ForwardOutcome::NotReached => "not_reached",
-            ForwardOutcome::Unknown(_) => "in_doubt",
-        };
-        *self.counters.forwards.entry(name).or_default() += 1;
+        let forward = outcome.name();
+        *self.counters.forwards.entry(forward).or_default() += 1;
         if outcome.lacks_path() {
             context
                 .reachability
@@ -115,6 +111,7 @@
         AttemptResult {
             result: outcome.into_result(),
             was_attempted,
+            forward: Some(forward),
         }
     }
 
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -485,6 +485,7 @@
         let AttemptResult {
             result,
             was_attempted,
+            forward,
         } = match attempt.via {
             Some(peer) => self.forward_ended(peer, &attempt, result, context),
             None => {
@@ -492,6 +493,7 @@
                 AttemptResult {
                     result,
                     was_attempted: true,
+                    forward: None,
                 }
             }
         };
@@ -511,7 +513,11 @@
         {
             outcome = outcome.for_single_run();
         }
-        let observed = observed.ended(outcome.name());
+        let observed = Observed {
+            ended: outcome.name(),
+            forward,
+            ..observed
+        };
         match outcome {
             AttemptOutcome::Relay(response) => {
                 self.relay(client, &attempt, response, &observed, context, out);
--- a/crates/ledgelead-router/src/requests/mod.rs
+++ b/crates/ledgelead-router/src/requests/mod.rs
@@ -34,8 +34,9 @@
     Requests, request_options,
 };
 pub use notice::Notice;
+pub use observed::Observed;
 pub use open_request::Misdirection;
-pub use outcome::{AttemptOutcome, classify_outcome};
+pub use outcome::{AttemptOutcome, classify_outcome, promises_not_run};
 pub use overload::{OverloadedKey, Overloads};
 pub use permits::{PermitCounters, PermitMessage, PermitRequest, Permits, pool_hash};
 pub use refusal_share::{RefusalShare, RefusalShares, retry_after};
--- a/crates/ledgelead-router/src/requests/observed.rs
+++ b/crates/ledgelead-router/src/requests/observed.rs
@@ -12,6 +12,8 @@
 pub struct Observed {
     /// The name of the outcome.
     pub ended: &'static str,
+    /// The end of the exchange with the peer that was asked to forward.
+    pub forward: Option<&'static str>,
     /// Why there is no answer.
     pub failure: Option<&'static str>,
     /// The status of an answer other than a success.
@@ -43,15 +45,11 @@
         let answered_by = answer.and_then(|response| response.headers.text(&headers.instance));
         Observed {
             ended: "",
+            forward: None,
             failure: result.as_ref().err().map(|failure| failure.name()),
             status: answer.map(|response| response.status),
             answered_by: answered_by.map(Into::into),
             idle_ms: (!idle_for.is_zero()).then(|| whole_millis(idle_for)),
         }
     }
-
-    /// Names the outcome that the attempt counts as.
-    pub fn ended(self, ended: &'static str) -> Observed {
-        Observed { ended, ..self }
-    }
 }
