--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -14,9 +14,11 @@
 mod outbound;
 mod process;
 mod reactor;
+mod redirects;
 mod stream;
 pub mod transport;
 
 pub use endpoint::{Endpoint, ListenAddresses, StatusPaths};
 pub use event_loop::poll_until_shutdown;
 pub use process::{BoundAddresses, Control, RunError, SettingsSource, run};
+pub use redirects::{InvalidRedirect, Redirects};
--- a/crates/ledgelead-runtime/src/process.rs
+++ b/crates/ledgelead-runtime/src/process.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::ListenAddresses;
 use crate::event_loop::poll_until_shutdown;
 use crate::reactor::{Reactor, ReactorSetup, Sockets};
+use crate::redirects::Redirects;
 use ledgelead_router::dialect::Dialect;
 use ledgelead_router::node::Node;
 use ledgelead_router::settings::NodeSettings;
@@ -101,6 +102,7 @@
 pub fn run(
     settings: NodeSettings,
     listen: ListenAddresses,
+    redirects: Redirects,
     dialect: Box<dyn Dialect>,
     source: Box<dyn SettingsSource>,
     control: Control,
@@ -121,6 +123,7 @@
         node: Node::new(settings, dialect, clock.now()),
         sockets,
         paths: listen.paths,
+        redirects,
         control,
         settings: source,
         clock,
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -7,6 +7,7 @@
 use crate::metrics;
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
 use crate::process::{Control, SettingsSource};
+use crate::redirects::Redirects;
 use crate::stream::connect_failure;
 use crate::transport;
 use ledgelead_http::{Request, Response};
@@ -49,6 +50,7 @@
     pub(crate) node: Node,
     pub(crate) sockets: Sockets,
     pub(crate) paths: StatusPaths,
+    pub(crate) redirects: Redirects,
     pub(crate) control: Control,
     pub(crate) settings: Box<dyn SettingsSource>,
     pub(crate) stop_grace: Duration,
@@ -67,6 +69,7 @@
     inbound: Inbound,
     outbound: Outbound,
     paths: StatusPaths,
+    redirects: Redirects,
     control: Control,
     settings: Box<dyn SettingsSource>,
     stop_grace: Duration,
@@ -125,6 +128,7 @@
             inbound: Inbound::default(),
             outbound: Outbound::default(),
             paths: setup.paths,
+            redirects: setup.redirects,
             control: setup.control,
             settings: setup.settings,
             stop_grace: setup.stop_grace,
@@ -445,7 +449,7 @@
         let ready = fwd_to!([cx], server_ready(key) as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
         let poll = cx.anymap_get::<MioPoll>();
-        let source = TcpStream::connect(new.address).and_then(|stream| {
+        let source = TcpStream::connect(self.redirects.apply(new.address)).and_then(|stream| {
             transport::limit_retransmission(&stream)?;
             poll.add(stream, interest, POLL_PRIORITY, ready)
         });
