A request that is not written whole may have run: it is neither repeated nor refused as not run

Callers saw REFUSED and TWICE: an instance may begin a request once it has its head, and a request whose last byte was never written counted as not run, "because of HTTP's framing". Only the instance knows; the node concluded it from how far it got itself. Now just two things prove that nothing ran: no byte was written, or the instance says so. A part of a request, sent by this node or by a peer, ends a once-only request with 502, or 504 when its time is over; an idempotent one is sent elsewhere as before. A peer still counts as not reached by a part of a message, since a node starts on whole requests only.

That the end of an instance during such a request is no evidence against it, is unchanged.

REFUSED by this cause was suspected until now.

--- a/crates/ledgelead-router/src/forwarding/outcome.rs
+++ b/crates/ledgelead-router/src/forwarding/outcome.rs
@@ -67,7 +67,7 @@
 pub fn forward_outcome(result: Result<Response, ExchangeFailure>) -> ForwardOutcome {
     let response = match result {
         Ok(response) => response,
-        Err(failure) if failure.proves_not_run() => return ForwardOutcome::NotReached,
+        Err(failure) if failure.lacks_whole_request() => return ForwardOutcome::NotReached,
         Err(failure) => return ForwardOutcome::Unknown(failure),
     };
     if !response.is_success() {
--- a/crates/ledgelead-router/src/io.rs
+++ b/crates/ledgelead-router/src/io.rs
@@ -24,7 +24,7 @@
     /// The connection was established, and closed by the receiver before anything was sent.
     ClosedUnsent,
     /// The exchange ended before the last byte of the request was written and before any byte
-    /// of a response arrived. The receiver has no complete request and never will.
+    /// of a response arrived. The receiver has a part of the request and never gets the rest.
     Incomplete {
         /// Whether the time for writing the request had expired.
         timed_out: bool,
@@ -86,9 +86,9 @@
         )
     }
 
-    /// Whether the receiver certainly never runs the request. No receiver starts on an
-    /// incomplete request.
-    pub fn proves_not_run(self) -> bool {
+    /// Whether the receiver certainly never has the whole request. A node starts on a whole
+    /// request only; an instance may start as soon as it has the head.
+    pub fn lacks_whole_request(self) -> bool {
         self.proves_not_sent() || matches!(self, ExchangeFailure::Incomplete { .. })
     }
 }
@@ -142,8 +142,7 @@
     /// How long a new connection is observed before the first byte is written: an instance
     /// that accepts no more connections resets them at once.
     pub observe_before_write: Duration,
-    /// Timeout for writing the complete request, if separate from the one of the exchange. A
-    /// request that is not completely written by then is proved not to have run.
+    /// Timeout for writing the complete request, if separate from the one of the exchange.
     pub write_timeout: Option<Duration>,
     /// Timeout for the exchange; with `timeout_restarts`, the time without progress.
     pub timeout: Duration,
--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -322,12 +322,6 @@
                 let retry_at = Some(context.now + pause);
                 open.misdirection = Misdirection::at(&attempt.instance, assignment, retry_at);
             }
-            AttemptOutcome::Incomplete { .. } => {
-                // The instance stays in the list of tried ones, since it has received part of
-                // the request.
-                let retry_at = Some(context.now + MISDIRECTED_PAUSE);
-                open.misdirection = Misdirection::at(&attempt.instance, assignment, retry_at);
-            }
             AttemptOutcome::Rejected { misdirected, ended } => {
                 open.rejected = true;
                 if ended {
@@ -379,7 +373,7 @@
         let ran = match result {
             Ok(response) => response.headers.get(not_executed).is_none(),
             // The time that a request of an isolated node took is no work of the owner.
-            Err(failure) => !failure.proves_not_run() && !context.reachability.is_isolated(),
+            Err(failure) => !failure.lacks_whole_request() && !context.reachability.is_isolated(),
         };
         if keyed && ran {
             let took = context.now.saturating_sub(attempt.sent);
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -178,29 +178,28 @@
                 exchange: attempt.exchange,
             });
         }
-        self.refuse_unsent(client, context, out);
+        self.refuse_late(client, context, out);
     }
 
-    /// Whether an attempt ended unsent because the time for sending was over. Then no time is
-    /// left to try another connection.
-    pub(super) fn is_unsent_in_time(
+    /// Whether an attempt ended because its time was over. Then no time is left to try another
+    /// connection.
+    pub(super) fn is_out_of_time(
         &self,
         client: ClientId,
         outcome: &AttemptOutcome,
         context: &RequestContext<'_>,
     ) -> bool {
-        match outcome {
-            AttemptOutcome::Incomplete { timed_out } => *timed_out,
-            AttemptOutcome::NeverSent { refused: false } => self
-                .open
-                .get(&client)
-                .is_some_and(|open| open.due <= context.now + WRITE_MARGIN),
-            _ => false,
-        }
+        let may_be_late = matches!(
+            outcome,
+            AttemptOutcome::NeverSent { refused: false }
+                | AttemptOutcome::Unknown { timed_out: true }
+        );
+        let open = self.open.get(&client);
+        may_be_late && open.is_some_and(|open| open.due <= context.now + WRITE_MARGIN)
     }
 
-    /// Refuses a request for which no time is left to send it.
-    pub(super) fn refuse_unsent(
+    /// Answers a request for which no time is left: it was not sent, or may have run.
+    pub(super) fn refuse_late(
         &mut self,
         client: ClientId,
         context: &RequestContext<'_>,
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -525,9 +525,9 @@
             AttemptOutcome::Failed(response) if !self.may_retry_failed(client, context) => {
                 self.relay(client, &attempt, response, &observed, context, out);
             }
-            unsent if self.is_unsent_in_time(client, &unsent, context) => {
-                self.attempt_failed(client, &attempt, unsent, &observed, cause, context);
-                self.refuse_unsent(client, context, out);
+            late if self.is_out_of_time(client, &late, context) => {
+                self.attempt_failed(client, &attempt, late, &observed, cause, context);
+                self.refuse_late(client, context, out);
             }
             other => {
                 self.attempt_failed(client, &attempt, other, &observed, cause, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -374,7 +374,7 @@
                 },
             }
         }
-        Err(failure) if failure.proves_not_run() => PermitOutcome::NoSample,
+        Err(failure) if failure.lacks_whole_request() => PermitOutcome::NoSample,
         Err(_) if context.reachability.is_isolated() => PermitOutcome::NoSample,
         Err(_) => PermitOutcome::Failed,
     }
--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -4,8 +4,8 @@
 //! |---|---|---|---|
 //! | no connection established | not run | retried | retried |
 //! | none established in the time for sending | not run | 503 | 503 |
-//! | last byte never written, no response begun | not run | retried | retried |
-//! | last byte not written in time | not run | 503 | 503 |
+//! | a part of the request written, no response begun | nothing | retried | 502 |
+//! | a part of the request written in time | nothing | 504 | 504 |
 //! | response with "not executed", or 421 | not run | retried | retried |
 //! | 408, 429 or 503 without "not executed" | nothing | relayed, or as a failure | 502 |
 //! | other complete response | run | relayed | relayed |
@@ -14,9 +14,9 @@
 //! | connection lost, incomplete response, no response | nothing | retried | 502 |
 //! | no response in time | nothing | retried | 504 at its timeout |
 //!
-//! A request whose last byte was never written can't have run because of HTTP's framing: an
-//! instance starts a request once it is complete. The connection is reset, so that data in the
-//! kernel's buffers doesn't arrive later either; the last byte never left this process.
+//! Only the instance knows whether it has run a request. This node knows that it hasn't if no
+//! byte was written, or if the instance says so. An instance may begin a request before it has
+//! read all of it.
 //!
 //! "Retried" is subject to the route's maximum number of attempts, the retry budget, the value
 //! of the retry compared to others while the budget runs short, and the time left. If a retry
@@ -42,11 +42,6 @@
         /// The connection was refused at once.
         refused: bool,
     },
-    /// An instance received part of the request, and will never receive the rest.
-    Incomplete {
-        /// The time for sending the request is over.
-        timed_out: bool,
-    },
     /// An instance received the request and did not run it.
     Rejected {
         /// The instance is not the one addressed, or doesn't own the key.
@@ -83,8 +78,6 @@
             AttemptOutcome::Failed(_) => "failed",
             AttemptOutcome::NeverSent { refused: true } => "connection_refused",
             AttemptOutcome::NeverSent { refused: false } => "never_sent",
-            AttemptOutcome::Incomplete { timed_out: true } => "unsent_in_time",
-            AttemptOutcome::Incomplete { timed_out: false } => "incomplete",
             AttemptOutcome::Rejected { ended: true, .. } => "instance_ended",
             AttemptOutcome::Rejected {
                 misdirected: true, ..
@@ -107,9 +100,11 @@
         Err(failure) if failure.proves_not_sent() => AttemptOutcome::NeverSent {
             refused: failure == ExchangeFailure::Refused,
         },
-        Err(ExchangeFailure::Incomplete { timed_out }) => AttemptOutcome::Incomplete { timed_out },
         Err(failure) => AttemptOutcome::Unknown {
-            timed_out: failure == ExchangeFailure::TimedOut,
+            timed_out: matches!(
+                failure,
+                ExchangeFailure::TimedOut | ExchangeFailure::Incomplete { timed_out: true }
+            ),
         },
     }
 }
--- a/crates/ledgelead-router/tests/node/incomplete_requests.rs
+++ b/crates/ledgelead-router/tests/node/incomplete_requests.rs
@@ -23,6 +23,16 @@
     fixture
 }
 
+/// The same node, whose requests may be repeated.
+fn idempotent_node() -> Fixture {
+    let mut fixture = node();
+    fixture.store.put_configuration(configuration(1));
+    let mut fixture = Fixture::new(fixture.store);
+    fixture.run_until(ms(900));
+    fixture.attempts.clear();
+    fixture
+}
+
 fn signed() -> Response {
     let mut response = Response::new(200, "");
     response.headers.push("signature", "s");
@@ -42,58 +52,48 @@
     (response.status, reason)
 }
 
+/// An instance may begin a request before it has read all of it.
 #[gtest]
-fn incomplete_once_only_request_is_sent_to_another_instance() {
-    let mut fixture = node();
-    fixture.upload(SERVICE, None, 60_000);
-    end_last(
-        &mut fixture,
-        ExchangeFailure::Incomplete { timed_out: false },
-    );
-    expect_that!(fixture.attempts.len(), eq(2));
-    expect_that!(
-        fixture.attempts[0].address,
-        not(eq(fixture.attempts[1].address))
-    );
-    fixture.answer(fixture.attempts[1].exchange, signed());
-    expect_that!(fixture.answers[0].1.status, eq(200));
+fn incomplete_once_only_request_is_neither_repeated_nor_promised_not_to_have_run() {
+    for (service, key) in [(SERVICE, None), (KEYED, Some(7))] {
+        for (timed_out, expected) in [
+            (false, (502, "answer_lost".to_owned())),
+            (true, (504, "answer_late".to_owned())),
+        ] {
+            let mut fixture = node();
+            fixture.upload(service, key, 60_000);
+            end_last(&mut fixture, ExchangeFailure::Incomplete { timed_out });
+            expect_that!(fixture.attempts.len(), eq(1));
+            expect_that!(answer(&fixture), eq(&expected));
+        }
+    }
 }
 
-/// Both instances, as many as the route's attempts allow, have received a part of the request.
 #[gtest]
-fn incomplete_request_counts_as_an_attempt_and_is_refused_as_not_run() {
-    let mut fixture = node();
+fn incomplete_idempotent_request_is_sent_to_another_instance() {
+    let mut fixture = idempotent_node();
     fixture.upload(SERVICE, None, 60_000);
     end_last(
         &mut fixture,
         ExchangeFailure::Incomplete { timed_out: false },
     );
-    end_last(
-        &mut fixture,
-        ExchangeFailure::Incomplete { timed_out: false },
-    );
     expect_that!(fixture.attempts.len(), eq(2));
-    expect_that!(answer(&fixture), eq(&(503, "rejected".to_owned())));
-}
-
-#[gtest]
-fn incomplete_keyed_request_is_retried_at_its_owner_after_a_pause() {
-    let mut fixture = node();
-    fixture.upload(KEYED, Some(7), 60_000);
-    end_last(
-        &mut fixture,
-        ExchangeFailure::Incomplete { timed_out: false },
+    expect_that!(
+        fixture.attempts[0].address,
+        not(eq(fixture.attempts[1].address))
     );
-    expect_that!(fixture.attempts.len(), eq(1));
-    fixture.run_until(fixture.now + ms(61));
-    expect_that!(fixture.attempts.len(), eq(2));
     fixture.answer(fixture.attempts[1].exchange, signed());
     expect_that!(fixture.answers[0].1.status, eq(200));
 }
 
 /// Checks a request that is not sent within all of its time: its exchange ends with this
 /// failure before the node itself answers at the end of the route's 2 s.
-fn check_unsent_in_time(service: &str, key: Option<u16>, end: ExchangeFailure) {
+fn check_unsent_in_time(
+    service: &str,
+    key: Option<u16>,
+    end: ExchangeFailure,
+    expected: (u16, &str),
+) {
     let mut fixture = node();
     fixture.upload(service, key, 60_000);
     let started = fixture.now;
@@ -109,20 +109,22 @@
     let path = format!("/{service}/1");
     let uploads = fixture.attempts.iter().filter(|sent| sent.target == path);
     expect_that!(uploads.count(), eq(1));
-    expect_that!(answer(&fixture), eq(&(503, "not_sent_in_time".to_owned())));
+    let (status, reason) = expected;
+    expect_that!(answer(&fixture), eq(&(status, reason.to_owned())));
 }
 
 #[gtest]
-fn request_not_written_in_time_is_refused_as_not_sent() {
+fn request_written_in_part_when_its_time_is_over_may_have_run() {
     let unsent = ExchangeFailure::Incomplete { timed_out: true };
-    check_unsent_in_time(SERVICE, None, unsent);
-    check_unsent_in_time(KEYED, Some(7), unsent);
+    check_unsent_in_time(SERVICE, None, unsent, (504, "answer_late"));
+    check_unsent_in_time(KEYED, Some(7), unsent, (504, "answer_late"));
 }
 
 #[gtest]
 fn request_not_connected_in_time_is_refused_as_not_sent() {
-    check_unsent_in_time(SERVICE, None, ExchangeFailure::NotConnected);
-    check_unsent_in_time(KEYED, Some(7), ExchangeFailure::NotConnected);
+    let unsent = ExchangeFailure::NotConnected;
+    check_unsent_in_time(SERVICE, None, unsent, (503, "not_sent_in_time"));
+    check_unsent_in_time(KEYED, Some(7), unsent, (503, "not_sent_in_time"));
 }
 
 /// The client waits only a few milliseconds. A new connection gets a part of them, so that
@@ -140,12 +142,7 @@
 /// An earlier attempt may still have run the request.
 #[gtest]
 fn incomplete_attempt_does_not_hide_an_earlier_one_that_may_have_run() {
-    let mut fixture = node();
-    let idempotent = configuration(1);
-    fixture.store.put_configuration(idempotent);
-    let mut fixture = Fixture::new(fixture.store);
-    fixture.run_until(ms(900));
-    fixture.attempts.clear();
+    let mut fixture = idempotent_node();
     fixture.upload(SERVICE, None, 60_000);
     end_last(&mut fixture, ExchangeFailure::Lost);
     expect_that!(fixture.attempts.len(), eq(2));
@@ -153,7 +150,7 @@
         &mut fixture,
         ExchangeFailure::Incomplete { timed_out: true },
     );
-    expect_that!(answer(&fixture), eq(&(502, "answer_lost".to_owned())));
+    expect_that!(answer(&fixture), eq(&(504, "answer_late".to_owned())));
 }
 
 /// Number of suspected requests after an upload has failed in this way and its instance then
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -5,17 +5,21 @@
 use googletest::prelude::*;
 use ledgelead_http::Response;
 use ledgelead_router::directory::{Directory, InstanceRecord};
+use ledgelead_router::forwarding::forward_outcome;
 use ledgelead_router::identity::{InstanceId, NodeName, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
 use ledgelead_router::mechanisms::{Mechanism, Mechanisms};
 use ledgelead_router::ownership::record::Assignment;
-use ledgelead_router::peers::{DigestEntry, OpenRequests, Registry, SharedLoad};
+use ledgelead_router::peers::{
+    DigestEntry, ForwardAnswer, ForwardFailure, OpenRequests, Registry, SharedLoad,
+};
 use ledgelead_router::protections::Protections;
 use ledgelead_router::reachability::Reachability;
 use ledgelead_router::requests::{
     AttemptOutcome, BudgetBounds, ColdBound, ColdGate, ColdSends, IdleLimit, Misdirection, Notice,
     RetryBudget, Selected, SelectionContext, StatisticsTable, classify_outcome,
 };
+use ledgelead_types::codec;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -37,6 +41,18 @@
     classify_outcome(result, &InstanceId::from("a"), &headers())
 }
 
+#[gtest]
+fn incomplete_attempt_of_a_peer_is_neither_repeated_nor_promised_not_to_have_run() {
+    let failed = ForwardAnswer::Failed(ForwardFailure::Incomplete);
+    let response = Response::new(200, codec::encode(&failed));
+    let result = forward_outcome(Ok(response)).into_result();
+    let outcome = outcome(result);
+    expect_that!(
+        matches!(outcome, AttemptOutcome::Unknown { timed_out: false }),
+        eq(true)
+    );
+}
+
 #[gtest]
 fn a_request_counts_as_not_run_only_if_proved() {
     let not_connected = outcome(Err(ExchangeFailure::NotConnected));
@@ -51,7 +67,7 @@
     );
     for timed_out in [false, true] {
         let incomplete = outcome(Err(ExchangeFailure::Incomplete { timed_out }));
-        let expected = matches!(incomplete, AttemptOutcome::Incomplete { timed_out: unknown } if unknown == timed_out);
+        let expected = matches!(incomplete, AttemptOutcome::Unknown { timed_out: unknown } if unknown == timed_out);
         expect_that!(expected, eq(true));
     }
     for failure in [
--- a/crates/ledgelead-runtime/src/outbound/answers.rs
+++ b/crates/ledgelead-runtime/src/outbound/answers.rs
@@ -115,7 +115,7 @@
     }
 
     /// Fails an exchange whose connection ended without an answer. That proves that the
-    /// request was not run only if its last byte was not written.
+    /// request was not run only if no byte of it was written.
     fn fail_disconnected(&mut self, index: usize, inputs: &mut Vec<Input>) {
         let Some(connection) = self.connections.get(index) else {
             return;
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -166,9 +166,9 @@
         self.is_answered = false;
     }
 
-    /// Whether the peer can't have acted on the current message: its last byte is still in
-    /// the output buffer, and the peer has sent nothing since the message began. Bytes that
-    /// the kernel has accepted count as sent, since they may still arrive.
+    /// Whether the peer can't have the whole current message and has not answered it: the last
+    /// byte is still in the output buffer, and the peer has sent nothing since the message
+    /// began. Bytes that the kernel has accepted count as sent, since they may still arrive.
     pub(crate) fn is_incomplete(&self) -> bool {
         !self.is_flushed() && !self.is_answered
     }
--- a/crates/ledgelead-runtime/tests/outbound.rs
+++ b/crates/ledgelead-runtime/tests/outbound.rs
@@ -233,7 +233,7 @@
 }
 
 #[gtest]
-fn a_reset_before_the_last_byte_was_written_proves_that_the_request_was_not_run() {
+fn a_reset_before_the_last_byte_was_written_leaves_an_incomplete_request() {
     let mut fixture = partly_written(None);
     drop(take_peer(&mut fixture));
     let failure = fail_by(&mut fixture, poll);
@@ -241,12 +241,12 @@
         failure,
         eq(ExchangeFailure::Incomplete { timed_out: false })
     );
-    expect_that!(failure.proves_not_run(), eq(true));
+    expect_that!(failure.lacks_whole_request(), eq(true));
     expect_that!(failure.proves_not_sent(), eq(false));
 }
 
 #[gtest]
-fn a_close_before_the_last_byte_was_written_proves_that_the_request_was_not_run() {
+fn a_close_before_the_last_byte_was_written_leaves_an_incomplete_request() {
     let mut fixture = partly_written(None);
     fixture
         .peer
@@ -285,7 +285,7 @@
 }
 
 #[gtest]
-fn a_request_that_is_not_written_within_its_time_limit_is_never_run() {
+fn a_request_that_is_not_written_within_its_time_limit_never_arrives_whole() {
     let mut fixture = partly_written(Some(LONG_TIMEOUT));
     let at = fixture.start + LONG_TIMEOUT;
     expect_that!(fixture.outbound.next_deadline(), some(eq(at)));
