One place decides whether a request is refused or may have run

Twelve places chose between a refusal and a failure, each by asking whether an attempt may have run; a new one that forgot to would break the promise. Requests::refuse decides it now, and the steps only name the reason for a request that hasn't run. No behaviour changes; the router's tests pass unchanged.

--- a/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/attempts.rs
@@ -196,11 +196,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(path) = self.attempt_path(&selected.id, context) else {
-            let open = self.open.get(&client);
-            let reason = open.map_or(Refusal::Unreachable, |open| {
-                open.failure_reason_or(Refusal::Unreachable)
-            });
-            self.refuse(client, reason, context, out);
+            self.refuse(client, Refusal::Unreachable, context, out);
             return;
         };
         let Some(open) = self.open.get(&client) else {
@@ -208,9 +204,8 @@
         };
         // An attempt at an instance that was never reached doesn't make the next one a retry.
         let is_retry = !open.tried.is_empty();
-        let reason = open.failure_reason();
         if is_retry && !self.acquire_retry(client, selected.expected, context) {
-            self.refuse(client, reason, context, out);
+            self.refuse(client, Refusal::Rejected, context, out);
             return;
         }
         let Some(open) = self.open.get_mut(&client) else {
--- a/crates/ledgelead-router/src/requests/lifecycle/decide.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/decide.rs
@@ -59,18 +59,18 @@
             return Step::Refuse(Refusal::NoInstance);
         };
         if open.exhausted || self.is_retry_too_risky(open, context) {
-            return Step::Refuse(open.failure_reason());
+            return Step::Refuse(Refusal::Rejected);
         }
         if let Some(reason) = self.held_back(client, open, context) {
-            return Step::Refuse(open.failure_reason_or(reason));
+            return Step::Refuse(reason);
         }
         if open.unsent >= MAX_UNSENT {
-            return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+            return Step::Refuse(Refusal::Unreachable);
         }
         if !open.tried.is_empty() {
             let exhausted = open.tried.len() >= open.route.max_attempts as usize;
             if exhausted && open.key.is_none() || open.tried.len() >= MAX_ATTEMPTS {
-                return Step::Refuse(open.failure_reason());
+                return Step::Refuse(Refusal::Rejected);
             }
         }
         // The first list of instances may predate an instance's leaving, and a leaving
@@ -130,7 +130,7 @@
         // Waiting for a new owner is useless while a change of ownership can't be stored.
         let wait_for_owner = |reason: Refusal| match context.keys_can_move {
             true => wait(reason),
-            false => Step::Refuse(open.failure_reason_or(reason)),
+            false => Step::Refuse(reason),
         };
         let Some(assignment) = context.ownership.find(&open.service, key) else {
             return wait_for_owner(Refusal::NoOwner);
@@ -160,7 +160,7 @@
             return self.step_in_backoff(open, left, context);
         }
         if context.reachability.path(&assignment.owner, context.now) == Path::Unreachable {
-            return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+            return Step::Refuse(Refusal::Unreachable);
         }
         if let Some(misdirection) = &open.misdirection {
             let same = misdirection.fence == assignment.fence;
@@ -231,7 +231,7 @@
         }
         Step::Wait {
             retry_at: None,
-            reason: open.failure_reason_or(Refusal::Overloaded),
+            reason: Refusal::Overloaded,
         }
     }
 
@@ -274,11 +274,11 @@
                 return self.step_in_backoff(open, left, context);
             }
             if self.is_cut_off(client, context) {
-                return Step::Refuse(open.failure_reason_or(Refusal::Unreachable));
+                return Step::Refuse(Refusal::Unreachable);
             }
             return Step::Wait {
                 retry_at: None,
-                reason: open.failure_reason_or(Refusal::NoInstance),
+                reason: Refusal::NoInstance,
             };
         };
         match context.directory.get(&selected.id) {
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -58,7 +58,6 @@
         let since = *open.waiting_since.get_or_insert(context.now);
         let limit = open.wait_limit();
         if limit <= context.now {
-            let reason = open.failure_reason_or(reason);
             self.refuse(client, reason, context, out);
             return;
         }
@@ -102,16 +101,19 @@
         out.push(Action::Respond { client, response });
     }
 
+    /// Answers a request for which no further attempt is made, for this reason if none of its
+    /// attempts may have run.
     pub(super) fn refuse(
         &mut self,
         client: ClientId,
-        reason: Refusal,
+        not_run: Refusal,
         context: &RequestContext<'_>,
         out: &mut Vec<Action>,
     ) {
         let Some(open) = self.open.get(&client) else {
             return;
         };
+        let reason = open.refusal_or_failure(not_run);
         if let Some(response) = open.failure_response.clone() {
             self.counters.relayed += 1;
             self.finish(client, relayed_response(response), out);
@@ -178,7 +180,7 @@
                 exchange: attempt.exchange,
             });
         }
-        self.refuse_late(client, context, out);
+        self.refuse(client, Refusal::NotSentInTime, context, out);
     }
 
     /// Whether an attempt ended because its time was over. Then no time is left to try another
@@ -198,22 +200,6 @@
         may_be_late && open.is_some_and(|open| open.due <= context.now + WRITE_MARGIN)
     }
 
-    /// Answers a request for which no time is left: it was not sent, or may have run.
-    pub(super) fn refuse_late(
-        &mut self,
-        client: ClientId,
-        context: &RequestContext<'_>,
-        out: &mut Vec<Action>,
-    ) {
-        let reason = self
-            .open
-            .get(&client)
-            .map_or(Refusal::NotSentInTime, |open| {
-                open.failure_reason_or(Refusal::NotSentInTime)
-            });
-        self.refuse(client, reason, context, out);
-    }
-
     /// Relays an instance's answer to the client.
     pub(super) fn relay(
         &mut self,
@@ -288,12 +274,8 @@
 }
 
 impl OpenRequest {
-    /// Reason to give the client if no further attempt is made.
-    pub(super) fn failure_reason(&self) -> Refusal {
-        self.failure_reason_or(Refusal::Rejected)
-    }
-
-    pub(super) fn failure_reason_or(&self, not_run: Refusal) -> Refusal {
+    /// The reason to give the client: only a request that has not run is refused.
+    fn refusal_or_failure(&self, not_run: Refusal) -> Refusal {
         match (self.may_have_run, self.timed_out) {
             (true, true) => Refusal::AnswerLate,
             (true, false) => Refusal::AnswerLost,
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -527,7 +527,7 @@
             }
             late if self.is_out_of_time(client, &late, context) => {
                 self.attempt_failed(client, &attempt, late, &observed, cause, context);
-                self.refuse_late(client, context, out);
+                self.refuse(client, Refusal::NotSentInTime, context, out);
             }
             other => {
                 self.attempt_failed(client, &attempt, other, &observed, cause, context);
--- a/crates/ledgelead-router/src/requests/lifecycle/notices.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/notices.rs
@@ -119,11 +119,10 @@
         context: &RequestContext<'_>,
     ) -> Step {
         let retry_at = context.now + left;
-        let not_run = match self.lacks_tokens(open, context) {
+        let reason = match self.lacks_tokens(open, context) {
             true => Refusal::RateLimited,
             false => Refusal::BackedOff,
         };
-        let reason = open.failure_reason_or(not_run);
         match retry_at <= open.wait_limit_from(context.now) {
             true => Step::Wait {
                 retry_at: Some(retry_at),
--- a/crates/ledgelead-router/src/requests/lifecycle/permits.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/permits.rs
@@ -124,8 +124,7 @@
     ) {
         if let Some(open) = self.open.get_mut(&client) {
             open.retry_after = Some(retry_after);
-            let reason = open.failure_reason_or(Refusal::QueueTooLong);
-            self.refuse(client, reason, context, out);
+            self.refuse(client, Refusal::QueueTooLong, context, out);
         }
     }
 
