An entry without a start at another instance's address ends no lease

Callers saw OWNER: an instance restarted behind a cut from the store, the coordinator was killed, and the last write of the earlier id reached the store after the entry of the later one. A node that was restarted took an entry that was new to it for proof that every other instance at the address had ended: the living one's lease ended at once, its keys went to another owner, and the node never sent to it again. Class: a statement ("it has ended") by one who can't know, as with refused requests.

With start times the later one is the running one. Without, the other instance is displaced: it gets no new requests while the new entry stands, and its keys are released in the ordinary way. The answer from the address decides: another instance there (421) proves the end, the owner itself hands over. A displaced instance serves again once the other one has ended or its entry is gone.

Four new tests failed before.

--- a/crates/ledgelead-router/src/directory/instance.rs
+++ b/crates/ledgelead-router/src/directory/instance.rs
@@ -105,6 +105,9 @@
     pub ended: bool,
     /// Whether the only proof of that is the entry of another incarnation.
     pub(super) is_superseded: bool,
+    /// The other instance that has registered at its address. Which of the two is running is
+    /// not known, and the other one gets the new requests.
+    pub(super) displaced_by: Option<InstanceId>,
     /// Since when this node knows that the instance's zone is evacuated.
     pub evacuated_since: Option<Timestamp>,
     /// When it is dropped, once its entry is gone.
@@ -114,7 +117,10 @@
 impl Instance {
     /// Whether it may get new requests.
     pub fn serves(&self) -> bool {
-        self.presence == Presence::Serving && !self.ended && self.evacuated_since.is_none()
+        self.presence == Presence::Serving
+            && !self.ended
+            && self.displaced_by.is_none()
+            && self.evacuated_since.is_none()
     }
 
     /// Whether it is still slow after its start, according to its registration.
--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -159,8 +159,8 @@
     }
 
     /// Adds or updates an entry. An entry of a later incarnation proves that the earlier one
-    /// has ended, and a new entry at the address of another instance proves that the other one
-    /// has. An entry of an earlier incarnation is outdated and ignored.
+    /// has ended, and so does an entry with a later start at the address of another instance.
+    /// An entry of an earlier incarnation is outdated and ignored.
     pub fn upsert(&mut self, entry: impl Into<Entry>, now: Timestamp) {
         let Entry {
             mut record,
@@ -185,7 +185,7 @@
                     address: record.address,
                 };
                 registered.emit();
-                self.mark_ended_at(record.address);
+                self.review_address(&record);
             }
         }
         self.deferred_removals.remove(&record.id);
@@ -211,8 +211,15 @@
         });
         self.changes += u64::from(!known);
         let evacuated_since = self.evacuated_since(&record.zone);
+        let displaced_by = match earlier {
+            Some(earlier) if earlier.record.address == record.address => {
+                earlier.displaced_by.clone()
+            }
+            _ => self.started_later_at_address(&record),
+        };
         let instance = Instance {
             evacuated_since,
+            displaced_by,
             ended: earlier.is_some_and(|instance| instance.ended),
             is_superseded: false,
             record,
@@ -270,6 +277,7 @@
         if !instance.is_gone() {
             instance.mark_gone_as_of(self.current_at, now);
         }
+        self.restore_displaced_by(id);
     }
 
     /// Whether an entry lacks the start time that the instance has already stated, and was
@@ -369,6 +377,7 @@
         if let Some(instance) = self.instances.get_mut(id) {
             self.changes += u64::from(!instance.ended);
             instance.ended = true;
+            self.restore_displaced_by(id);
         }
     }
 
@@ -379,13 +388,50 @@
             .is_some_and(|instance| instance.ended)
     }
 
-    /// Marks the instances at an address as ended, since another instance has registered
-    /// there.
-    fn mark_ended_at(&mut self, address: SocketAddr) {
-        for id in self.by_address.get(&address).into_iter().flatten() {
-            if let Some(instance) = self.instances.get_mut(id) {
-                self.changes += u64::from(!instance.ended);
-                instance.ended = true;
+    /// Reviews the other instances at the address of one that is new to this node. Those that
+    /// started earlier have ended. Without start times, the entry may also be the last one of
+    /// an instance that has ended, written late: only an answer from the address can tell.
+    fn review_address(&mut self, new: &InstanceRecord) {
+        for id in self.by_address.get(&new.address).into_iter().flatten() {
+            let Some(instance) = self.instances.get_mut(id) else {
+                continue;
+            };
+            match starts_later(&new.id, id) {
+                Some(true) => {
+                    self.changes += u64::from(!instance.ended);
+                    instance.ended = true;
+                }
+                Some(false) => {}
+                None => {
+                    self.changes += 1;
+                    instance.displaced_by = Some(new.id.clone());
+                }
+            }
+        }
+    }
+
+    /// An instance at the same address that started later and is not known to have ended.
+    fn started_later_at_address(&self, record: &InstanceRecord) -> Option<InstanceId> {
+        let others = self.by_address.get(&record.address)?;
+        let is_later = |other: &&InstanceId| {
+            let other_instance = self.instances.get(other);
+            starts_later(other, &record.id) == Some(true)
+                && other_instance.is_some_and(|other| !other.ended && !other.is_gone())
+        };
+        others.iter().find(is_later).cloned()
+    }
+
+    /// The instances that this one has displaced may be running after all.
+    fn restore_displaced_by(&mut self, id: &InstanceId) {
+        let Some(address) = self.instances.get(id).map(|it| it.record.address) else {
+            return;
+        };
+        for other in self.by_address.get(&address).into_iter().flatten() {
+            if let Some(other) = self.instances.get_mut(other)
+                && other.displaced_by.as_ref() == Some(id)
+            {
+                other.displaced_by = None;
+                self.changes += 1;
             }
         }
     }
@@ -432,6 +478,8 @@
                 .insert(id.clone(), self.defer_removals_until);
         } else {
             instance.mark_gone_as_of(self.current_at, now);
+            let id = id.clone();
+            self.restore_displaced_by(&id);
         }
     }
 
@@ -445,6 +493,8 @@
         self.changes += 1;
         self.deferred_removals.remove(id);
         instance.mark_gone_as_of(self.current_at, now);
+        let id = id.clone();
+        self.restore_displaced_by(&id);
     }
 
     /// Removes entries whose removal was deferred until now, and drops instances whose entries
@@ -463,6 +513,7 @@
                 // It may have left at any time during the outage.
                 instance.mark_gone(Timestamp::ZERO, now);
             }
+            self.restore_displaced_by(&id);
         }
         let is_forgotten = |instance: &&Instance| instance.forget_at.is_some_and(|at| at <= now);
         let forgotten: Vec<(InstanceId, SocketAddr)> = self
@@ -529,6 +580,12 @@
     }
 }
 
+/// Whether an instance started later than another one at its address; `None` if one of them
+/// doesn't state its start.
+fn starts_later(id: &InstanceId, other: &InstanceId) -> Option<bool> {
+    Some(id.start_ms()? > other.start_ms()?)
+}
+
 /// The current incarnation of this name, unless its entry is gone.
 fn present_incarnation<'a>(
     current: &'a BTreeMap<Arc<str>, CurrentIncarnation>,
--- a/crates/ledgelead-router/tests/incarnations.rs
+++ b/crates/ledgelead-router/tests/incarnations.rs
@@ -6,10 +6,11 @@
 
 use coordinator::Fixture;
 use googletest::prelude::*;
-use ledgelead_router::dialect::Order;
+use ledgelead_router::dialect::{Order, OrderAnswer};
 use ledgelead_router::directory::{Directory, Entry, InstanceRecord};
 use ledgelead_router::identity::{InstanceId, ServiceName, ZoneName};
 use ledgelead_router::io::ExchangeFailure;
+use ledgelead_router::ownership::coordinator::OutgoingOrder;
 use ledgelead_router::quarantine::UnconfirmedAnswers;
 use ledgelead_router::settings::longest_hold;
 use std::time::Duration;
@@ -270,6 +271,94 @@
     expect_that!(next.map(|(at, _, _)| at), some(le(ms(10_120))));
 }
 
+/// An entry of `c` at the address of `a`.
+fn other_at_the_address(id: InstanceId) -> InstanceRecord {
+    InstanceRecord {
+        id,
+        ..incarnation("a", 0)
+    }
+}
+
+#[gtest]
+fn late_entry_of_an_earlier_instance_at_the_address_takes_no_keys_from_the_living_one() {
+    let mut fixture = owned();
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    let ended = other_at_the_address(InstanceId::with_start_time("c", 5));
+    fixture.directory.upsert(ended.clone(), ms(10_100));
+    expect_that!(state_of(&fixture.directory, 10), eq(SERVES));
+    let late = fixture.directory.get(&ended.id).expect("an entry");
+    expect_that!(late.serves(), eq(false));
+    let mut now = ms(10_100);
+    while now < ms(10_900) {
+        let commands = fixture.step(now);
+        expect_that!(commands.write, none());
+        for order in commands.orders {
+            expect_that!(matches!(order.order, Order::Grant { .. }), eq(true));
+            fixture.done(&order, now);
+        }
+        now += ms(10);
+    }
+}
+
+/// A coordinator whose keys `a` owns; another instance has registered at the address of `a`,
+/// and neither states its start. Returns the release that is sent to `a`.
+fn released_by_another_entry() -> (Fixture, OutgoingOrder) {
+    let owner = InstanceId::from("a");
+    let records = vec![
+        other_at_the_address(owner.clone()),
+        InstanceRecord {
+            id: InstanceId::from("b"),
+            ..incarnation("b", 0)
+        },
+    ];
+    let mut fixture = Fixture::owned_by(owner, records);
+    let granted = fixture.order(ms(10_000));
+    fixture.done(&granted, ms(10_005));
+    let other = other_at_the_address(InstanceId::from("c"));
+    fixture.directory.upsert(other, ms(10_100));
+    let release = fixture.order(ms(10_100));
+    expect_that!(matches!(release.order, Order::Release { .. }), eq(true));
+    expect_that!(release.instance, eq(&InstanceId::from("a")));
+    (fixture, release)
+}
+
+#[gtest]
+fn entry_without_a_start_ends_no_lease_before_an_answer_from_the_address() {
+    let (mut fixture, release) = released_by_another_entry();
+    expect_that!(fixture.next_owner(ms(10_110), ms(10_700)), none());
+    fixture.done(&release, ms(10_710));
+    expect_that!(fixture.next_owner(ms(10_710), ms(10_730)), some(anything()));
+}
+
+#[gtest]
+fn answer_of_another_instance_at_the_address_ends_the_lease_at_once() {
+    let (mut fixture, release) = released_by_another_entry();
+    let other = Ok(OrderAnswer::OtherInstance);
+    fixture
+        .coordinator
+        .order_ended(release.exchange, other, ms(10_110));
+    expect_that!(fixture.next_owner(ms(10_110), ms(10_130)), some(anything()));
+}
+
+#[gtest]
+fn instance_serves_again_once_the_one_that_displaced_it_has_ended() {
+    let mut directory = Directory::default();
+    let [a, c] = ["a", "c"].map(|name| other_at_the_address(InstanceId::from(name)));
+    directory.replace_all(vec![a.clone()], ms(0));
+    directory.upsert(c.clone(), ms(100));
+    let serves = |directory: &Directory| {
+        [&a, &c].map(|record| directory.get(&record.id).is_some_and(|it| it.serves()))
+    };
+    expect_that!(serves(&directory), eq([false, true]));
+    expect_that!(directory.has_ended(&a.id), eq(false));
+    // Its further entries don't show which of the two is running.
+    directory.upsert(a.clone(), ms(200));
+    expect_that!(serves(&directory), eq([false, true]));
+    directory.mark_ended(&c.id);
+    expect_that!(serves(&directory), eq([true, false]));
+}
+
 #[gtest]
 fn an_answer_proves_an_incarnation_alive_only_after_a_later_one_would_be_known() {
     let id = InstanceId::with_start_time("a", 10);
