--- a/crates/ledgelead-router/src/requests/lifecycle/callers.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/callers.rs
@@ -1,4 +1,5 @@
-//! Identifies the tenant of a request by its caller's key, and applies its quota.
+//! Identifies the tenant of a request by its caller's key, names it to instances, and applies
+//! its quota.
 
 use super::RequestContext;
 use crate::Timestamp;
@@ -47,10 +48,9 @@
     })
 }
 
-/// Identifies the tenant of a request. Replaces the caller's key by the tenant's name, so that
-/// instances never see keys, and no caller can name a tenant by itself.
-pub(super) fn take_tenant(
-    request: &mut Request,
+/// Identifies the tenant of a request.
+pub(super) fn identify_tenant(
+    request: &Request,
     route: &Route,
     context: &RequestContext<'_>,
 ) -> Result<Option<Arc<Tenant>>, Refusal> {
@@ -63,13 +63,27 @@
     if key.is_some() && context.caller_keys_expired {
         return Err(Refusal::KeysOutdated);
     }
-    let tenant = tenants
+    tenants
         .identify(key, route.allows_anonymous)
-        .map_err(|UnknownKey| Refusal::UnknownCaller)?;
+        .map_err(|UnknownKey| Refusal::UnknownCaller)
+}
+
+/// Replaces the caller's key by the tenant's name, so that instances never see keys, and no
+/// caller can name a tenant by itself. The headers that its `Connection` names go first, or
+/// they could take the tenant along.
+pub(super) fn name_tenant(
+    request: &mut Request,
+    tenant: Option<&Tenant>,
+    context: &RequestContext<'_>,
+) {
+    if context.routes.tenants().is_empty() {
+        return;
+    }
+    let headers = context.headers;
+    request.headers.remove_connection_headers();
     request.headers.remove(&headers.caller_key);
     request.headers.remove(&headers.tenant);
-    if let Some(tenant) = &tenant {
+    if let Some(tenant) = tenant {
         request.headers.push(&headers.tenant, tenant.name.as_str());
     }
-    Ok(tenant)
 }
--- a/crates/ledgelead-router/src/requests/lifecycle/mod.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/mod.rs
@@ -16,7 +16,7 @@
 pub use self::crashes::CrashSigns;
 pub use self::permits::{Declined, PermitDecision};
 
-use self::callers::{Unrouted, admit, take_tenant};
+use self::callers::{Unrouted, admit, identify_tenant, name_tenant};
 use self::decide::Step;
 use self::forwarding::AttemptResult;
 use self::permits::permit_outcome;
@@ -591,7 +591,7 @@
         let Some(route) = context.routes.find(host, request.path()).cloned() else {
             return Err((request, Refusal::NoRoute.into()));
         };
-        let tenant = match take_tenant(&mut request, &route, context) {
+        let tenant = match identify_tenant(&request, &route, context) {
             Ok(tenant) => tenant,
             Err(reason) => return Err((request, reason.into())),
         };
@@ -606,11 +606,12 @@
         if let Err(refused) = admit(&mut self.quota, tenant.as_deref(), context.now) {
             return Err((request, refused));
         }
-        let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let client_wait = request
             .headers
             .number::<u64>(&context.headers.deadline)
             .map(|wait| Duration::from_millis(wait).saturating_sub(ANSWER_MARGIN));
+        name_tenant(&mut request, tenant.as_deref(), context);
+        let tenant_priority = tenant.and_then(|tenant| tenant.priority);
         let due = context.now + client_wait.map_or(route.timeout, |wait| wait.min(route.timeout));
         Ok(OpenRequest {
             caller: match self.protections.has(Protection::FullRequestIdentity) {
--- a/crates/ledgelead-router/tests/node/callers.rs
+++ b/crates/ledgelead-router/tests/node/callers.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// A header that `Connection` names is not forwarded, but the tenant is none of the client's.
+#[gtest]
+fn client_cannot_remove_its_tenant_by_a_connection_header() {
+    let mut fixture = node(with_tenants(1));
+    let headers = [
+        ("caller-key", "key-a"),
+        ("tenant", "b"),
+        ("connection", "keep-alive, Tenant, x-own"),
+        ("x-own", "1"),
+    ];
+    let sent = send(&mut fixture, &headers).expect("an attempt");
+    let names: Vec<&[u8]> = sent.all("tenant").collect();
+    expect_that!(names, eq(&vec![b"a".as_slice()]));
+    expect_that!(sent.get("x-own"), none());
+    expect_that!(sent.get("caller-key"), none());
+}
+
 #[gtest]
 fn anonymous_route_needs_no_key_but_accepts_no_unknown_one() {
     let mut open = with_tenants(1);
