--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -1,5 +1,6 @@
 //! The registered instances, as far as this node knows them.
 
+mod addresses;
 mod instance;
 
 pub use instance::{Entry, Instance, InstanceRecord, Presence};
@@ -388,78 +389,6 @@
             .is_some_and(|instance| instance.ended)
     }
 
-    /// Reviews the other instances at the address of one that is new to this node. Those that
-    /// started earlier have ended. Without start times, the entry may also be the last one of
-    /// an instance that has ended, written late: only an answer from the address can tell.
-    fn review_address(&mut self, new: &InstanceRecord) {
-        for id in self.by_address.get(&new.address).into_iter().flatten() {
-            let Some(instance) = self.instances.get_mut(id) else {
-                continue;
-            };
-            match starts_later(&new.id, id) {
-                Some(true) => {
-                    self.changes += u64::from(!instance.ended);
-                    instance.ended = true;
-                }
-                Some(false) => {}
-                None => {
-                    self.changes += 1;
-                    instance.displaced_by = Some(new.id.clone());
-                }
-            }
-        }
-    }
-
-    /// An instance at the same address that started later and is not known to have ended.
-    fn started_later_at_address(&self, record: &InstanceRecord) -> Option<InstanceId> {
-        let others = self.by_address.get(&record.address)?;
-        let is_later = |other: &&InstanceId| {
-            let other_instance = self.instances.get(other);
-            starts_later(other, &record.id) == Some(true)
-                && other_instance.is_some_and(|other| !other.ended && !other.is_gone())
-        };
-        others.iter().find(is_later).cloned()
-    }
-
-    /// The instances that this one has displaced may be running after all.
-    fn restore_displaced_by(&mut self, id: &InstanceId) {
-        let Some(address) = self.instances.get(id).map(|it| it.record.address) else {
-            return;
-        };
-        for other in self.by_address.get(&address).into_iter().flatten() {
-            if let Some(other) = self.instances.get_mut(other)
-                && other.displaced_by.as_ref() == Some(id)
-            {
-                other.displaced_by = None;
-                self.changes += 1;
-            }
-        }
-    }
-
-    /// Inserts an instance and indexes its address.
-    fn insert(&mut self, instance: Instance) {
-        let id = instance.record.id.clone();
-        let address = instance.record.address;
-        let before = self.instances.insert(id.clone(), instance);
-        let previous = before.map(|before| before.record.address);
-        if previous == Some(address) {
-            return;
-        }
-        if let Some(previous) = previous {
-            self.remove_from_address(previous, &id);
-        }
-        self.by_address.entry(address).or_default().insert(id);
-    }
-
-    fn remove_from_address(&mut self, address: SocketAddr, id: &InstanceId) {
-        if let Some(ids) = self.by_address.get_mut(&address) {
-            ids.remove(id);
-            if ids.is_empty() {
-                self.by_address.remove(&address);
-            }
-        }
-    }
-
     /// Handles the removal of an instance's entry.
     pub fn remove(&mut self, name: &str, now: Timestamp) {
         let Some((id, instance)) = present_incarnation(&self.current, &mut self.instances, name)
@@ -580,12 +509,6 @@
     }
 }
 
-/// Whether an instance started later than another one at its address; `None` if one of them
-/// doesn't state its start.
-fn starts_later(id: &InstanceId, other: &InstanceId) -> Option<bool> {
-    Some(id.start_ms()? > other.start_ms()?)
-}
-
 /// The current incarnation of this name, unless its entry is gone.
 fn present_incarnation<'a>(
     current: &'a BTreeMap<Arc<str>, CurrentIncarnation>,
