--- a/crates/ledgelead-router/src/requests/outcome.rs
+++ b/crates/ledgelead-router/src/requests/outcome.rs
@@ -5,7 +5,7 @@
 //! | no connection established | not run | retried | retried |
 //! | none established in the time for sending | not run | 503 | 503 |
 //! | a part of the request written, no response begun | nothing | retried | 502 |
-//! | a part of the request written in time | nothing | 504 | 504 |
+//! | a part of the request written when its time is over | nothing | 504 | 504 |
 //! | response with "not executed", or 421 | not run | retried | retried |
 //! | 408, 429 or 503 without "not executed" | nothing | relayed, or as a failure | 502 |
 //! | other complete response | run | relayed | relayed |
