Directory: one way to end an instance, and one to record that its entry is gone

review_address marked instances as ended beside mark_ended, and two removals each recorded the end of a displacement. Both call one piece now. refuse asks for its reason only if no answer is relayed. No behaviour changes.

--- a/crates/ledgelead-router/src/directory/addresses.rs
+++ b/crates/ledgelead-router/src/directory/addresses.rs
@@ -9,24 +9,23 @@
     /// started earlier have ended. Without start times, the entry may also be the last one of
     /// an instance that has ended, written late: only an answer from the address can tell.
     pub(super) fn review_address(&mut self, new: &InstanceRecord) {
-        for id in self.by_address.get(&new.address).into_iter().flatten() {
-            let Some(instance) = self.instances.get_mut(id) else {
-                continue;
-            };
-            match starts_later(&new.id, id) {
-                Some(true) => {
-                    self.changes += u64::from(!instance.ended);
-                    instance.ended = true;
-                }
+        let others = self.by_address.get(&new.address).cloned();
+        for id in others.into_iter().flatten() {
+            match starts_later(&new.id, &id) {
+                Some(true) => self.mark_ended(&id),
                 Some(false) => {}
-                None => {
-                    self.changes += 1;
-                    instance.displaced_by = Some(new.id.clone());
-                }
+                None => self.displace(&id, &new.id),
             }
         }
     }
 
+    fn displace(&mut self, id: &InstanceId, by: &InstanceId) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            self.changes += 1;
+            instance.displaced_by = Some(by.clone());
+        }
+    }
+
     /// An instance at the same address that started later and is not known to have ended.
     pub(super) fn started_later_at_address(&self, record: &InstanceRecord) -> Option<InstanceId> {
         let others = self.by_address.get(&record.address)?;
--- a/crates/ledgelead-router/src/directory/mod.rs
+++ b/crates/ledgelead-router/src/directory/mod.rs
@@ -406,24 +406,29 @@
             self.deferred_removals
                 .insert(id.clone(), self.defer_removals_until);
         } else {
-            instance.mark_gone_as_of(self.current_at, now);
             let id = id.clone();
-            self.restore_displaced_by(&id);
+            self.mark_gone(&id, now);
         }
     }
 
     /// Handles an entry that exists in the store but can't be parsed, so that it describes no
     /// usable instance. An outage can't have caused that, so the removal is not deferred.
     pub fn remove_unreadable(&mut self, name: &str, now: Timestamp) {
-        let Some((id, instance)) = present_incarnation(&self.current, &mut self.instances, name)
-        else {
+        let Some((id, _)) = present_incarnation(&self.current, &mut self.instances, name) else {
             return;
         };
-        self.changes += 1;
-        self.deferred_removals.remove(id);
-        instance.mark_gone_as_of(self.current_at, now);
         let id = id.clone();
-        self.restore_displaced_by(&id);
+        self.changes += 1;
+        self.deferred_removals.remove(&id);
+        self.mark_gone(&id, now);
+    }
+
+    /// Records that the entry of an instance is gone.
+    fn mark_gone(&mut self, id: &InstanceId, now: Timestamp) {
+        if let Some(instance) = self.instances.get_mut(id) {
+            instance.mark_gone_as_of(self.current_at, now);
+        }
+        self.restore_displaced_by(id);
     }
 
     /// Removes entries whose removal was deferred until now, and drops instances whose entries
--- a/crates/ledgelead-router/src/requests/lifecycle/endings.rs
+++ b/crates/ledgelead-router/src/requests/lifecycle/endings.rs
@@ -113,12 +113,12 @@
         let Some(open) = self.open.get(&client) else {
             return;
         };
-        let reason = open.refusal_or_failure(not_run);
         if let Some(response) = open.failure_response.clone() {
             self.counters.relayed += 1;
             self.finish(client, relayed_response(response), out);
             return;
         }
+        let reason = open.refusal_or_failure(not_run);
         let answered = Event::Answered {
             request: attempt_name(&open.request, context.headers),
             digest: open.digest(),
