Review: an added machine that the store turns away sends by an old record

Tried: a machine is added while the store answers its writes, and then all its calls, with 429; an instance leaves one grant unanswered, is cut from all machines, and takes the grant 5.8 s later. Seen: the coordinator doesn't wait for the machine, which isn't registered, before it grants the keys to the next owner. The machine sends the former owner requests by its old record, and both instances run requests on one key, for two seconds (OWNER).

--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -18,6 +18,7 @@
 /// Plays a case. Returns the exit code.
 pub fn play(name: &str, program: &Path, folder: &Path, trouble: bool) -> i32 {
     match name {
+        "new-machine" => new_machine(program, folder, trouble),
         "stale-owner" => stale_owner(program, folder, trouble),
         "longer-grace" => longer_grace(program, folder, trouble),
         "slow-reader" => slow_reader(program, folder, trouble),
@@ -52,7 +53,7 @@
         configuration: String,
     ) -> Option<Deployment> {
         let store = Arc::new(Store::default());
-        let address = store.serve();
+        let address = store.serve(&Arc::default());
         store.put("config", "main", configuration);
         let zone = |index: usize| ZONES[index % ZONES.len()];
         let instances: Vec<Arc<Instance>> = (0..instances)
@@ -234,6 +235,90 @@
     judge_owners(&all, &keys)
 }
 
+/// OWNER. A machine is added while the store turns it away: its first lists are answered, its
+/// registration and everything after them is not. Meanwhile an instance leaves one grant
+/// unanswered, is cut from all machines, and takes the grant after the cut.
+fn new_machine(program: &Path, folder: &Path, trouble: bool) -> i32 {
+    const HOT_KEYS: u16 = 4;
+    /// How long the store turns the machine away.
+    const TURNED_AWAY_S: f64 = 8.9;
+    let configuration = configuration(5, true, 800, 300);
+    let Some(all) = Deployment::start(program, folder, 4, 5, true, 5, 6, configuration) else {
+        return 2;
+    };
+    let began = seconds();
+    let held = |instance: &Arc<Instance>| (0..=u16::MAX).find(|key| instance.holds(*key));
+    while !all.instances.iter().all(|instance| held(instance).is_some()) {
+        if seconds() - began > 20.0 {
+            record("the keys have no owners".to_owned());
+            return 2;
+        }
+        sleep_s(0.1);
+    }
+    let former = all.instances[0].clone();
+    let first = held(&former).unwrap_or(0) + 1_000;
+    let keys: Vec<u16> = (first..first + HOT_KEYS).collect();
+    record(format!("keys {keys:?} are held by {}", former.id));
+    if !all.await_service(&keys) {
+        return 2;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut senders = Vec::new();
+    for router in &all.routers {
+        senders.push(keep_sending(router.front(), keys.clone(), 0.1, &stop));
+    }
+    sleep_s(5.0);
+    let gate = Arc::new(Gate::default());
+    let Some(ips) = free_addresses(1) else {
+        return 2;
+    };
+    let address = all.store.serve(&gate);
+    let added = Router::new(program, folder, 4, ZONES[0], ips[0], address, 6);
+    let away = seconds();
+    if trouble {
+        record(format!("the store answers 429 to writes of {}", added.name));
+        gate.refuses_writes.store(true, Ordering::SeqCst);
+    }
+    added.start();
+    while !added.is_ready() {
+        if seconds() - away > 3.0 {
+            record(format!("{} doesn't get ready", added.name));
+            return 2;
+        }
+        sleep_s(0.01);
+    }
+    record(format!("{} is ready", added.name));
+    for _ in 0..2 {
+        senders.push(keep_sending(added.front(), keys.clone(), 0.03, &stop));
+    }
+    sleep_s(0.1);
+    if trouble {
+        record(format!("the store answers 429 to all calls of {}", added.name));
+        gate.refuses_all.store(true, Ordering::SeqCst);
+        // The next renewal, within a second. It is taken 5.8 s later.
+        former.take_next_grant_late(first, 5.8);
+        while !former.has_left_a_grant_unanswered() {
+            if seconds() - away > 3.0 {
+                record("no grant came".to_owned());
+                return 2;
+            }
+            sleep_s(0.005);
+        }
+        sleep_s(0.1);
+        former.set_cut(true);
+        sleep_s(5.2);
+        former.set_cut(false);
+    }
+    sleep_s(away + TURNED_AWAY_S - seconds());
+    stop.store(true, Ordering::SeqCst);
+    for sender in senders {
+        let _ = sender.join();
+    }
+    added.kill();
+    all.end();
+    judge_owners(&all, &keys)
+}
+
 /// Whether two instances held the same key at the same time, and each started requests on it
 /// during that time.
 fn judge_owners(all: &Deployment, keys: &[u16]) -> i32 {
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -396,24 +396,33 @@
         }
     }
 
-    pub fn serve(self: &Arc<Store>) -> SocketAddr {
+    /// Serves on an address of its own the machines that share `gate`.
+    pub fn serve(self: &Arc<Store>, gate: &Arc<Gate>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let store = self.clone();
+        let (store, gate) = (self.clone(), gate.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = store.clone();
-                thread::spawn(move || store.connection(stream));
+                let (store, gate) = (store.clone(), gate.clone());
+                thread::spawn(move || store.connection(stream, &gate));
             }
         });
         address
     }
 
-    fn connection(&self, mut stream: TcpStream) {
+    fn connection(&self, mut stream: TcpStream, gate: &Gate) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut buffer) {
-            let (status, body) = self.answer(&request);
+            let answer = match gate.admits(&request) {
+                true => self.answer(&request),
+                false => (429, String::new()),
+            };
+            // A watch may have waited.
+            let (status, body) = match gate.admits(&request) {
+                true => answer,
+                false => (429, String::new()),
+            };
             if request.word(0) != "GET" {
                 record(format!("store: {} -> {status}", request.first));
             } else if request.word(1).contains("ledgelead-ownership?stale") {
@@ -430,6 +439,22 @@
 
 // ---- instances -----------------------------------------------------------------------------------
 
+/// What the store turns away of the calls of some machines.
+#[derive(Default)]
+pub struct Gate {
+    pub refuses_writes: AtomicBool,
+    pub refuses_all: AtomicBool,
+}
+
+impl Gate {
+    fn admits(&self, request: &Message) -> bool {
+        let is_write = request.word(0) != "GET";
+        let is_refused = self.refuses_all.load(Ordering::SeqCst)
+            || is_write && self.refuses_writes.load(Ordering::SeqCst);
+        !is_refused
+    }
+}
+
 /// A start of a request at an instance.
 #[derive(Clone, Debug)]
 pub struct Run {
