--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -505,13 +505,16 @@
     code
 }
 
-/// LOST. The operator shortens `idleTimeoutMs`. Clients that read their answers slowly, but
-/// without a pause, are cut in the middle of them.
+/// LOST. The operator shortens `idleTimeoutMs`. Clients that read their answers slowly at first,
+/// but without a pause, are cut in the middle of them.
 fn slow_reader(program: &Path, folder: &Path, trouble: bool) -> i32 {
     const DEADLINE_MS: u64 = 8_000;
     const ANSWER_BYTES: u64 = 24 << 20;
-    /// An answer takes 6 s of 8 s.
     const BYTES_PER_S: f64 = 4.0 * 1_048_576.0;
+    /// A client reads faster then.
+    const SLOW_S: f64 = 2.7;
+    /// `configApplyMs` + 1 s: until then after its acknowledgement a configuration is planned work.
+    const PLANNED_S: f64 = 3.0;
     const CLIENTS: usize = 2;
     let first = configuration(5, false, DEADLINE_MS, 2_000);
     let Some(all) = Deployment::start(program, folder, 2, 6, false, 20, 6, first) else {
@@ -524,21 +527,22 @@
         instance.answer_bytes.store(ANSWER_BYTES, Ordering::SeqCst);
     }
     let router = all.routers[0].clone();
-    let round = |name: &str| -> (usize, usize) {
+    let round = |name: &str, counted_until: f64| -> (usize, usize) {
         let readers: Vec<_> = (0..CLIENTS)
             .map(|_| {
                 let mut client = Client::new(router.front());
                 let name = name.to_owned();
                 thread::spawn(move || {
                     let began = seconds();
-                    let (id, status, received, length) = client.read_slowly("/a/x", DEADLINE_MS, BYTES_PER_S);
+                    let (id, status, received, length) = client.read_slowly("/a/x", DEADLINE_MS, BYTES_PER_S, SLOW_S);
                     let took = seconds() - began;
                     record(format!(
                         "client, {name}: {id} -> {status:?}, {received} of {length} bytes in {took:.3} s of {DEADLINE_MS} ms"
                     ));
                     let is_whole = status == Some(200) && received == length;
                     // A request that has used seven tenths of its time isn't counted.
-                    let is_cut = status == Some(200) && !is_whole && took < 0.7 * DEADLINE_MS as f64 / 1_000.0;
+                    let in_time = took < 0.7 * DEADLINE_MS as f64 / 1_000.0 && seconds() < counted_until;
+                    let is_cut = status == Some(200) && !is_whole && in_time;
                     (is_whole, is_cut)
                 })
             })
@@ -548,7 +552,7 @@
         let cut = ends.iter().filter(|(_, cut)| *cut).count();
         (whole, cut)
     };
-    let before = round("before the change");
+    let before = round("before the change", f64::MAX);
     record(format!("before the change: {} whole, {} cut", before.0, before.1));
     if before.0 != CLIENTS {
         return 2;
@@ -559,8 +563,9 @@
         all.store.put("config", "main", configuration(IDLE_CHANGE, false, DEADLINE_MS, 2_000));
         record("the operator's version r100 is acknowledged: idleTimeoutMs is 2000 now, was 15000".to_owned());
     }
-    sleep_s(0.3);
-    let after = round("after the change");
+    let acknowledged = seconds();
+    let after = round("after the change", acknowledged + PLANNED_S);
+    record(format!("{:.3} s after the acknowledgement", seconds() - acknowledged));
     record(format!("after the change: {} whole, {} cut", after.0, after.1));
     all.end();
     let is_lost = after.1 > 3 * before.1;
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -969,13 +969,14 @@
         self.stream.is_some()
     }
 
-    /// Sends a request, and reads its answer in steps with pauses. Returns how many bytes of the
-    /// body came, and how many were announced.
+    /// Sends a request, and reads its answer at this rate, after `slow_s` as fast as it comes.
+    /// Returns how many bytes of the body came, and how many were announced.
     pub fn read_slowly(
         &mut self,
         path: &str,
         deadline_ms: u64,
         bytes_per_s: f64,
+        slow_s: f64,
     ) -> (String, Option<u16>, usize, usize) {
         let id = format!("{:08x}{:08x}", std::process::id(), NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let request = format!(
@@ -1013,7 +1014,8 @@
                 break;
             }
             let due = received.len() as f64 / bytes_per_s;
-            sleep_s(due - began.elapsed().as_secs_f64());
+            let now = began.elapsed().as_secs_f64();
+            sleep_s(due.min(slow_s) - now);
         }
         (id, status, received.len().saturating_sub(head), length)
     }
