Inbound: a connection reads only what it has credit for, one request a turn

Callers saw: with a dozen clients that send ahead, no ordinary request was answered for 20 s, and a process with 64 MB took 138 to 1,041 MB.

Cause: a connection read whatever its client sent, also while its request was open and while its answers were unwritten; the next request was begun although the last answer wasn't written, so answers piled up; and an answer that the node gave at once led, within the same call, to the next request of the same connection, so that nothing else had its turn until that client paused. Each request was cut from the front of all that was sent ahead.

Bytes without credit stay in the kernel, which stops the client. A request is begun once the last answer is written, one a turn; whoever has more waits in a list for the next turn, after the poller and the node's deadlines. A close behind bytes without credit is known from the poller. Buffers charge an account by their capacity as they change, so no check adds up all connections; a test compares account and sum. Requests of the status endpoint may have no body: it was not counted before.

An answer that is still being written, and an upload of 8 KB a second or more, are no longer cut as idle. Connections closed by a limit are counted by reason.

The test that a client which sends too far ahead is disconnected held the old rule. It isn't read any more; the new test holds that, with and without a memory limit, and that its next request follows. The fixture of the tests drives the turns.

Ruled out: a larger budget (the sum has no bound), disconnecting earlier (a client inside the limits may pipeline).

--- a/crates/ledgelead-http/src/message.rs
+++ b/crates/ledgelead-http/src/message.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Memory that the request takes, in bytes, without what the allocator adds.
+    pub fn memory_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers: usize = headers
+            .map(|header| size_of::<Header>() + header.name.capacity() + header.value.capacity())
+            .sum();
+        self.method.capacity() + self.target.capacity() + headers + self.body.capacity()
+    }
+
     /// The path without the query.
     pub fn path(&self) -> &str {
         self.target
--- a/crates/ledgelead-http/src/request_reader.rs
+++ b/crates/ledgelead-http/src/request_reader.rs
@@ -104,12 +104,19 @@
         })
     }
 
-    /// Bytes of memory that the body that is being read takes now, or will take if its length
-    /// is known.
+    /// Bytes of memory that the request takes whose body is being read: the body counts as what
+    /// it takes now, or will take if its length is known.
     pub fn reserved_bytes(&self) -> usize {
-        self.head
-            .as_ref()
-            .map_or(0, |head| head.body.reserved_bytes())
+        self.head.as_ref().map_or(0, |head| {
+            let body = head.body.reserved_bytes();
+            body.saturating_add(head.request.memory_bytes())
+        })
+    }
+
+    /// Bytes of the body that is being read that have arrived.
+    pub fn received_bytes(&self) -> usize {
+        let head = self.head.as_ref();
+        head.map_or(0, |head| head.body.received_bytes())
     }
 
     /// Whether the length of the body that is being read is not known before its end.
--- a/crates/ledgelead-runtime/src/metrics.rs
+++ b/crates/ledgelead-runtime/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The node's metrics in the Prometheus text format.
 
-use crate::memory::BufferStats;
+use crate::inbound::Closed;
 use ledgelead_router::node::NodeStatus;
 use ledgelead_router::peers::PeerTraffic;
 use ledgelead_router::zone_traffic::ZoneTraffic;
@@ -50,6 +50,15 @@
     other_zone: &'static str,
 }
 
+/// Metrics of the connections' buffers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct BufferStats {
+    /// Bytes that all buffers take now.
+    pub(crate) bytes: usize,
+    /// Connections that were closed because of a limit.
+    pub(crate) closed: Closed,
+}
+
 /// Encodes all metrics.
 pub(crate) fn render(
     status: &NodeStatus,
@@ -433,7 +442,17 @@
         registry,
         "slow_clients_dropped",
         "Clients that did not read their answer while memory was short",
-        buffers.dropped,
+        buffers.closed.unread_answers,
+    );
+    let closed = Family::<ReasonLabel, Counter>::default();
+    for (reason, count) in buffers.closed.by_reason() {
+        let labels = ReasonLabel { reason };
+        closed.get_or_create(&labels).inc_by(count);
+    }
+    registry.register(
+        "connections_closed",
+        "Connections to this node that were closed because of a limit",
+        closed,
     );
 }
 
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -5,6 +5,7 @@
 mod connection;
 
 use self::connection::{Connection, MAX_BODY_BYTES, PoolKey, Running, keep_alive};
+use crate::memory::Memory;
 use crate::stream::Stream;
 use ledgelead_http::{Request, Response, ResponseReader, write_request};
 use ledgelead_router::answer_filter::CarriedIds;
@@ -65,13 +66,20 @@
     deadlines: BTreeSet<(Instant, ConnectionKey)>,
     /// Connections that may have more bytes than were read.
     unread: BTreeSet<ConnectionKey>,
-    /// Bytes that incomplete answers may take together, if that is limited.
-    max_answer_bytes: Option<usize>,
+    memory: Memory,
     last_generation: u64,
     unsolicited_answers: u64,
 }
 
 impl Outbound {
+    /// No connections; their buffers will be charged to this memory.
+    pub(crate) fn new(memory: Memory) -> Outbound {
+        Outbound {
+            memory,
+            ..Outbound::default()
+        }
+    }
+
     /// Begins an exchange on an idle connection. Returns the exchange if there is none.
     pub(crate) fn start_on_idle(
         &mut self,
@@ -112,6 +120,8 @@
             carried: CarriedIds::default(),
             idle_since: now,
             keep_until: None,
+            buffered: self.memory.buffers.open(),
+            incomplete: self.memory.incomplete.open(),
         });
         self.begin(index, new, now);
     }
@@ -135,14 +145,6 @@
         }
     }
 
-    /// Bytes of memory that requests to instances and their answers take.
-    pub(crate) fn buffered_bytes(&self) -> usize {
-        self.connections
-            .iter()
-            .map(|(_, connection)| connection.buffered_bytes())
-            .sum()
-    }
-
     /// Answers skipped so far that did not belong to the exchange on their connection.
     pub(crate) fn unsolicited_answers(&self) -> u64 {
         self.unsolicited_answers
@@ -265,6 +267,7 @@
             .reused_answer_timeout
             .filter(|_| connection.connected)
             .map(|time| now + time);
+        connection.charge();
         let answer = &new.options.answer;
         connection.carried.record(answer, answer_by, now);
         connection.running = Some(Running {
@@ -298,9 +301,11 @@
     /// Reads and writes what the connection allows, and advances its exchange.
     fn progress(&mut self, index: usize, now: Instant, inputs: &mut Vec<Input>) {
         self.advance(index, now, inputs);
-        if let Some(connection) = self.connections.get(index)
-            && connection.stream.has_unread()
-        {
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        connection.charge();
+        if connection.stream.has_unread() {
             self.unread.insert(ConnectionKey {
                 index,
                 generation: connection.generation,
@@ -332,7 +337,7 @@
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
-        connection.stream.fill();
+        connection.stream.fill_turn();
         let unsent = connection.running.is_some() && !connection.stream.has_written();
         if unsent && (connection.stream.end().is_some() || connection.has_unsolicited_bytes()) {
             // No byte of the request was written, and none will be.
@@ -348,7 +353,7 @@
         }
         connection.stream.flush();
         // The answer may have arrived while the request was written.
-        connection.stream.fill();
+        connection.stream.fill_turn();
         if connection.running.is_some() {
             self.read_answer(index, now, inputs);
         } else if connection.stream.end().is_some() || !connection.stream.input.is_empty() {
@@ -488,6 +493,25 @@
     }
 }
 
+#[cfg(test)]
+impl Outbound {
+    /// Memory that all connections take, in bytes, added up.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        let connections = self.connections.iter();
+        connections
+            .map(|(_, connection)| connection.buffered_bytes())
+            .sum()
+    }
+
+    /// Bytes of answers that have arrived.
+    pub(crate) fn received_bytes(&self) -> usize {
+        let connections = self.connections.iter();
+        connections
+            .map(|(_, connection)| connection.answer_bytes())
+            .sum()
+    }
+}
+
 #[cfg(test)]
 #[path = "../tests/outbound.rs"]
 mod tests;
--- a/crates/ledgelead-runtime/src/outbound/answers.rs
+++ b/crates/ledgelead-runtime/src/outbound/answers.rs
@@ -8,17 +8,10 @@
 use ledgelead_router::io::{ExchangeFailure, Input};
 use std::time::Instant;
 
-/// Share of the process's memory that answers may take before they are complete.
-const ANSWERS_SHARE: f64 = 0.25;
 /// An answer that is shorter so far, in bytes, is not weighed against that share.
-const MIN_WEIGHED_BYTES: usize = 1 << 20;
+const MIN_WEIGHED_BYTES: usize = 65_536;
 
 impl Outbound {
-    /// Sets the memory limit of the process, in bytes.
-    pub(crate) fn set_memory_limit(&mut self, limit: Option<usize>) {
-        self.max_answer_bytes = limit.map(|limit| (limit as f64 * ANSWERS_SHARE) as usize);
-    }
-
     /// Whether some connections may have more bytes than were read.
     pub(crate) fn has_unread(&self) -> bool {
         !self.unread.is_empty()
@@ -36,17 +29,11 @@
     pub(super) fn fail_longest_answer(&mut self, index: usize, inputs: &mut Vec<Input>) {
         let bytes = |connection: &Connection| connection.answer_bytes();
         let is_short = |connection: &Connection| bytes(connection) < MIN_WEIGHED_BYTES;
-        let Some(limit) = self.max_answer_bytes else {
-            return;
-        };
-        if self.connections.get(index).is_none_or(is_short) {
+        if !self.memory.has_long_answers() || self.connections.get(index).is_none_or(is_short) {
             return;
         }
         let all = self.connections.iter();
-        let total: usize = all.map(|(_, connection)| bytes(connection)).sum();
-        let all = self.connections.iter();
-        let longest = all.max_by_key(|(_, connection)| bytes(connection));
-        if let Some((longest, connection)) = longest.filter(|_| total > limit) {
+        if let Some((longest, connection)) = all.max_by_key(|(_, connection)| bytes(connection)) {
             let address = connection.pool.address;
             log::warn!(target: "runtime", "memory limit reached: gave up the longest answer, from {address}");
             self.fail(longest, ExchangeFailure::Malformed, inputs);
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -1,5 +1,6 @@
 //! A connection, the exchange that it carries, and until when it can be reused.
 
+use crate::memory::Charge;
 use crate::stream::Stream;
 use ledgelead_http::{Response, ResponseReader};
 use ledgelead_router::answer_filter::{AnswerFilter, CarriedIds};
@@ -60,6 +61,9 @@
     pub(super) carried: CarriedIds<Instant>,
     pub(super) idle_since: Instant,
     pub(super) keep_until: Option<Instant>,
+    pub(super) buffered: Charge,
+    /// Charges an answer that is not complete yet.
+    pub(super) incomplete: Charge,
 }
 
 impl PoolKey {
@@ -92,6 +96,12 @@
         self.stream.buffered_bytes() + reader
     }
 
+    /// Charges the present sizes of the buffers.
+    pub(super) fn charge(&mut self) {
+        self.buffered.set(self.buffered_bytes());
+        self.incomplete.set(self.answer_bytes());
+    }
+
     /// Whether the request must not be written yet.
     pub(super) fn is_write_delayed(&self, now: Instant) -> bool {
         let running = self.running.as_ref();
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -3,8 +3,8 @@
 use crate::clock::{ProcessClock, SuspensionDetector};
 use crate::endpoint::{Endpoint, StatusPaths};
 use crate::inbound::{ClientEvent, Inbound};
-use crate::memory::{BufferStats, MemoryBudget};
-use crate::metrics;
+use crate::memory::Memory;
+use crate::metrics::{self, BufferStats};
 use crate::outbound::{ConnectionKey, NewExchange, Outbound};
 use crate::process::{Control, SettingsSource};
 use crate::redirects::Redirects;
@@ -66,6 +66,7 @@
     suspension: SuspensionDetector,
     listeners: Vec<Option<(Endpoint, MioSource<TcpListener>)>>,
     peers: MioSource<UdpSocket>,
+    memory: Memory,
     inbound: Inbound,
     outbound: Outbound,
     paths: StatusPaths,
@@ -119,14 +120,17 @@
         let socket = UdpSocket::from_std(setup.sockets.peers);
         let received = fwd_to!([cx], datagrams() as (Ready));
         let peers = poll.add(socket, Interest::READABLE, POLL_PRIORITY, received)?;
+        let memory = Memory::default();
+        memory.set_limit(setup.node.memory_limit());
         Ok(Reactor {
             node: setup.node,
             clock: setup.clock,
             suspension: SuspensionDetector::new(now, setup.clock.now()),
             listeners,
             peers,
-            inbound: Inbound::default(),
-            outbound: Outbound::default(),
+            inbound: Inbound::new(memory.clone()),
+            outbound: Outbound::new(memory.clone()),
+            memory,
             paths: setup.paths,
             redirects: setup.redirects,
             control: setup.control,
@@ -161,7 +165,11 @@
             let poll = cx.anymap_get::<MioPoll>();
             let interest = Interest::READABLE | Interest::WRITABLE;
             match poll.add(stream, interest, POLL_PRIORITY, ready) {
-                Ok(source) => self.inbound.accepted(source, from.ip(), *endpoint, now),
+                Ok(source) => {
+                    // Otherwise small answers would wait for acknowledgements (Nagle's algorithm).
+                    let _ = source.set_nodelay(true);
+                    self.inbound.accepted(source, from.ip(), *endpoint, now);
+                }
                 Err(error) => {
                     log::warn!(target: "runtime", "failed to register a connection with the poller: {error}")
                 }
@@ -169,10 +177,10 @@
         }
     }
 
-    fn client_ready(&mut self, cx: CX![], key: ConnectionKey, _ready: Ready) {
+    fn client_ready(&mut self, cx: CX![], key: ConnectionKey, ready: Ready) {
         let mut events = Vec::new();
-        let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
-        self.inbound.ready(key, cx.now(), budget, &mut events);
+        let is_closed = ready.is_read_closed();
+        self.inbound.ready(key, is_closed, cx.now(), &mut events);
         self.take_events(cx.now(), events);
         self.pump(cx);
     }
@@ -209,24 +217,25 @@
         self.outbound.resume_reading(now, &mut inputs);
         self.outbound.expire(now, &mut inputs);
         self.inputs.extend(inputs);
-        self.resume_reading_clients(now);
+        self.take_turns(cx);
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.outbound.close_expired_idle(now);
-            let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
-            self.inbound.sweep(now, budget);
+            self.inbound.sweep(now);
         }
         self.check_settings(now);
         self.pump(cx);
         self.end_if_stopped(cx);
     }
 
-    fn resume_reading_clients(&mut self, now: Instant) {
-        for key in self.inbound.take_unread() {
+    /// Makes the next turn of each client that has one. Between two of them the node handles
+    /// what is due.
+    fn take_turns(&mut self, cx: CX![]) {
+        for key in self.inbound.take_turns() {
             let mut events = Vec::new();
-            let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
-            self.inbound.ready(key, now, budget, &mut events);
-            self.take_events(now, events);
+            self.inbound.take_turn(key, cx.now(), &mut events);
+            self.take_events(cx.now(), events);
+            self.pump(cx);
         }
     }
 
@@ -277,8 +286,7 @@
     }
 
     fn take_events(&mut self, now: Instant, events: Vec<ClientEvent>) {
-        let mut queue = VecDeque::from(events);
-        while let Some(event) = queue.pop_front() {
+        for event in events {
             match event {
                 ClientEvent::RequestWithoutBody { client, request } => {
                     self.inputs
@@ -310,30 +318,20 @@
                     endpoint: Endpoint::Status,
                     request,
                     ..
-                } => {
-                    let mut more = Vec::new();
-                    self.answer_status(client, &request, now, &mut more);
-                    queue.extend(more);
-                }
+                } => self.answer_status(client, &request, now),
             }
         }
     }
 
-    fn answer_status(
-        &mut self,
-        client: ClientId,
-        request: &Request,
-        now: Instant,
-        events: &mut Vec<ClientEvent>,
-    ) {
+    fn answer_status(&mut self, client: ClientId, request: &Request, now: Instant) {
         let path = request.path();
         let response = if path == self.paths.readiness {
             let status = if self.node.is_ready() { 200 } else { 503 };
             Response::new(status, Vec::new())
         } else if path == self.paths.metrics {
             let buffers = BufferStats {
-                bytes: self.inbound.buffered_bytes() + self.outbound.buffered_bytes(),
-                dropped: self.inbound.dropped_clients(),
+                bytes: self.memory.buffers.total(),
+                closed: self.inbound.closed(),
             };
             let unsolicited = self.outbound.unsolicited_answers();
             Response::new(
@@ -343,8 +341,7 @@
         } else {
             Response::new(404, Vec::new())
         };
-        let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
-        self.inbound.respond(client, &response, now, budget, events);
+        self.inbound.respond(client, &response, now);
     }
 
     /// Passes inputs to the node and carries out its actions until no input is left, then
@@ -372,7 +369,7 @@
             }
         }
         self.inbound.set_limits(self.node.client_limits());
-        self.outbound.set_memory_limit(self.node.memory_limit());
+        self.memory.set_limit(self.node.memory_limit());
         self.set_timer(cx);
     }
 
@@ -381,7 +378,7 @@
         // by its remaining time, at most the interval of a node's reports (0.2 s).
         let remaining = self.node.next_deadline().saturating_sub(self.clock.now());
         let node_deadline = Instant::now() + remaining;
-        let has_unread = self.outbound.has_unread() || self.inbound.has_unread();
+        let has_unread = self.outbound.has_unread() || self.inbound.has_turns();
         let next = [
             has_unread.then(Instant::now),
             Some(node_deadline),
@@ -397,13 +394,7 @@
 
     fn perform(&mut self, cx: CX![], action: Action, now: Instant) {
         match action {
-            Action::Respond { client, response } => {
-                let mut events = Vec::new();
-                let budget = MemoryBudget::new(self.node.memory_limit(), &self.outbound);
-                self.inbound
-                    .respond(client, &response, now, budget, &mut events);
-                self.take_events(now, events);
-            }
+            Action::Respond { client, response } => self.inbound.respond(client, &response, now),
             Action::Exchange {
                 exchange,
                 address,
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -10,8 +10,8 @@
 
 /// Bytes that one system call reads at most.
 const READ_BYTES: usize = 16_384;
-/// Bytes after which other connections have their turn. A peer may send without end.
-const MAX_FILL_BYTES: usize = 262_144;
+/// Bytes that one connection reads before others have their turn. A peer may send without end.
+pub(crate) const TURN_BYTES: usize = 262_144;
 
 /// How the peer ended its direction of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,9 +30,42 @@
     }
 }
 
+/// The operating system's end of a connection.
+pub(crate) trait Socket {
+    /// Reads available bytes; none at the end of the peer's direction.
+    fn receive(&mut self, buffer: &mut [u8]) -> io::Result<usize>;
+
+    /// Writes as many bytes as the connection accepts.
+    fn send(&mut self, bytes: &[u8]) -> io::Result<usize>;
+
+    /// Shuts down the sending direction.
+    fn shut_down_output(&mut self) -> io::Result<()>;
+
+    /// Makes the following close reset the connection, which discards undelivered bytes.
+    fn reset_on_close(&self) -> io::Result<()>;
+}
+
+impl Socket for MioSource<TcpStream> {
+    fn receive(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.read(buffer)
+    }
+
+    fn send(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.write(bytes)
+    }
+
+    fn shut_down_output(&mut self) -> io::Result<()> {
+        self.shutdown(Shutdown::Write)
+    }
+
+    fn reset_on_close(&self) -> io::Result<()> {
+        transport::reset_on_close(self)
+    }
+}
+
 /// A connection with its buffers.
-pub(crate) struct Stream {
-    source: MioSource<TcpStream>,
+pub(crate) struct Stream<S = MioSource<TcpStream>> {
+    source: S,
     /// Bytes that were received and not consumed.
     pub(crate) input: Vec<u8>,
     output: Vec<u8>,
@@ -40,7 +73,7 @@
     written: usize,
     has_written: bool,
     has_read: bool,
-    /// Whether the last fill ended before all available bytes were read.
+    /// Whether bytes may be available that were not read.
     has_unread: bool,
     /// Whether a byte was read since the current message began.
     is_answered: bool,
@@ -48,20 +81,6 @@
 }
 
 impl Stream {
-    pub(crate) fn new(source: MioSource<TcpStream>) -> Stream {
-        Stream {
-            source,
-            input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
-            has_written: false,
-            has_read: false,
-            has_unread: false,
-            is_answered: false,
-            end: None,
-        }
-    }
-
     /// Whether the connection is established. An error means that it never will be.
     pub(crate) fn check_connected(&self) -> Result<bool, ExchangeFailure> {
         if let Ok(Some(error)) | Err(error) = self.source.take_error() {
@@ -77,31 +96,59 @@
             Err(error) => Err(connect_failure(&error)),
         }
     }
+}
+
+impl<S: Socket> Stream<S> {
+    pub(crate) fn new(source: S) -> Stream<S> {
+        Stream {
+            source,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            has_written: false,
+            has_read: false,
+            has_unread: false,
+            is_answered: false,
+            end: None,
+        }
+    }
 
-    /// Reads available bytes into the input buffer, up to `MAX_FILL_BYTES`. The poller reports
-    /// the rest only once more bytes arrive, so `has_unread` must be checked.
-    pub(crate) fn fill(&mut self) {
+    /// Reads available bytes until the input buffer has this many. The poller reports the rest
+    /// only once more bytes arrive, so `has_unread` must be checked.
+    pub(crate) fn fill(&mut self, max_input: usize) {
         let mut buffer = [0u8; READ_BYTES];
-        let mut filled = 0;
-        self.has_unread = false;
         while self.end.is_none() {
-            if filled >= MAX_FILL_BYTES {
-                self.has_unread = true;
+            let room = max_input.saturating_sub(self.input.len());
+            if room == 0 {
                 return;
             }
-            match self.source.read(&mut buffer) {
+            match self.source.receive(&mut buffer[..room.min(READ_BYTES)]) {
                 Ok(0) => self.end = Some(StreamEnd::Closed),
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
-                    filled += count;
+                    self.has_unread = true;
                     self.has_read = true;
                     self.is_answered = true;
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.has_unread = false;
+                    return;
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => self.end = Some(StreamEnd::Reset),
             }
         }
+        self.has_unread = false;
+    }
+
+    /// Reads available bytes of one turn.
+    pub(crate) fn fill_turn(&mut self) {
+        self.fill(self.input.len().saturating_add(TURN_BYTES));
+    }
+
+    /// Notes that the poller has reported the connection.
+    pub(crate) fn set_unread(&mut self) {
+        self.has_unread = true;
     }
 
     /// Whether more bytes may be available than were read.
@@ -117,7 +164,7 @@
     /// Writes as much of the output buffer as the connection accepts.
     pub(crate) fn flush(&mut self) {
         while self.written < self.output.len() {
-            match self.source.write(&self.output[self.written..]) {
+            match self.source.send(&self.output[self.written..]) {
                 Ok(count) => {
                     self.written += count;
                     self.has_written |= count > 0;
@@ -135,9 +182,9 @@
         self.written = 0;
     }
 
-    /// Bytes in both buffers. The small empty buffers of an idle connection don't count.
+    /// Bytes of memory that both buffers take.
     pub(crate) fn buffered_bytes(&self) -> usize {
-        self.input.len() + self.output.len()
+        self.input.capacity() + self.output.capacity()
     }
 
     /// Bytes that are not written yet.
@@ -185,7 +232,7 @@
 
     /// Makes the following close reset the connection, which discards undelivered bytes.
     pub(crate) fn reset_on_close(&self) {
-        if let Err(error) = transport::reset_on_close(&self.source) {
+        if let Err(error) = self.source.reset_on_close() {
             // The connection has ended already, and its undelivered bytes with it.
             log::debug!(target: "runtime", "failed to set a connection to reset on close: {error}");
         }
@@ -193,6 +240,7 @@
 
     /// Shuts down the sending direction.
     pub(crate) fn shut_down_output(&mut self) {
-        let _ = self.source.shutdown(Shutdown::Write);
+        // A connection that has ended already needs no shutdown.
+        let _ = self.source.shut_down_output();
     }
 }
