Outbound: an answer is read on only while there is memory for it

Cause: answers of instances were read as they came; the bound on incomplete ones looked at those of a megabyte and more, and reading was never held up. A body's whole length was allocated with its head, so each waiting answer had pages of its own, and an answer was copied from the node into the connection's buffer.

Change: the first 16 KB of an answer are read; the rest once the answers that were admitted before leave room for it (a quarter of the memory for incomplete answers, half for all buffers). Others wait, unread, in the order in which they came, and are resumed as memory is released; the instance's kernel stops. Exchanges whose timeout restarts with each part (lists of the store and of nodes) are always read, since a pause would count as silence. A body is allocated at once when more than its first bytes comes, and a long body is moved to its client's connection, not copied.

Ruled out: failing the longest answer earlier (1,352 attempts failed in 2 s, which their retries made worse).

--- a/crates/ledgelead-http/src/framing.rs
+++ b/crates/ledgelead-http/src/framing.rs
@@ -167,7 +167,9 @@
         match self.state {
             State::Length(0) | State::Done => Ok(false),
             State::Length(left) => {
-                self.preallocate(left);
+                if !rest.is_empty() {
+                    self.preallocate(left);
+                }
                 let taken = self.take(rest, left, consumed)?;
                 self.state = State::Length(left - taken);
                 Ok(taken > 0)
@@ -188,10 +190,10 @@
         }
     }
 
-    /// Allocates the memory of a body of known length at once. A buffer that grows by doubling
-    /// would take up to twice as much.
+    /// Allocates the memory of a body of known length at once, as soon as more than its first
+    /// bytes arrives. A buffer that grows by doubling would take up to twice as much.
     fn preallocate(&mut self, left: u64) {
-        if self.body.is_empty() && left <= MAX_PREALLOCATED_BYTES {
+        if !self.body.is_empty() && left <= MAX_PREALLOCATED_BYTES {
             let left = usize::try_from(left).unwrap_or_default();
             self.body.reserve_exact(left);
         }
--- a/crates/ledgelead-http/src/lib.rs
+++ b/crates/ledgelead-http/src/lib.rs
@@ -17,7 +17,7 @@
 pub use request_reader::{RequestError, RequestLimits, RequestProgress, RequestReader};
 pub use response_reader::{ResponseError, ResponseProgress, ResponseReader};
 pub use size::{request_bytes, response_bytes};
-pub use write::{reason_phrase, write_request, write_response};
+pub use write::{has_body, reason_phrase, write_request, write_response};
 
 /// Maximum number of headers of one message.
 pub const MAX_HEADERS: usize = 128;
--- a/crates/ledgelead-http/src/write.rs
+++ b/crates/ledgelead-http/src/write.rs
@@ -31,16 +31,21 @@
     if close {
         output.extend_from_slice(b"Connection: close\r\n");
     }
-    let bodyless = matches!(response.status, 204 | 304);
-    if !bodyless {
+    let has_body = has_body(response.status);
+    if has_body {
         write_length(response.body.len(), output);
     }
     output.extend_from_slice(b"\r\n");
-    if !bodyless && !to_head_request {
+    if has_body && !to_head_request {
         output.extend_from_slice(&response.body);
     }
 }
 
+/// Whether responses with this status have a body.
+pub fn has_body(status: u16) -> bool {
+    !matches!(status, 204 | 304)
+}
+
 fn write_length(length: usize, output: &mut Vec<u8>) {
     output.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
 }
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -155,13 +155,14 @@
     }
 
     /// Answers a request.
-    pub(crate) fn respond(&mut self, client: ClientId, response: &Response, now: Instant) {
+    pub(crate) fn respond(&mut self, client: ClientId, response: Response, now: Instant) {
         let Some(index) = self.by_client.remove(&client) else {
             return;
         };
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
+        let is_long = response.body.len() >= MIN_CHECKED_BYTES;
         connection.answer(response, self.stopping, now);
         connection.shut_down_if_answered(now);
         connection.charge();
@@ -170,8 +171,8 @@
         } else {
             self.add_turn_if_unread(index);
         }
-        if response.body.len() >= MIN_CHECKED_BYTES {
-            self.drop_stalled_clients(Duration::ZERO, Some(index), now);
+        if is_long {
+            self.drop_stalled_clients(self.memory.excess(), Duration::ZERO, Some(index), now);
         }
     }
 
--- a/crates/ledgelead-runtime/src/inbound/closing.rs
+++ b/crates/ledgelead-runtime/src/inbound/closing.rs
@@ -56,17 +56,18 @@
         self.closed
     }
 
-    /// While the buffers exceed the memory budget, disconnects clients that have accepted no
-    /// byte of their answers for `min_stall`, the longest stalled first. The connection that
-    /// was just answered is exempt. Answers within the share that is reserved for answers
+    /// Frees as many bytes by disconnecting clients that have accepted no byte of their answers
+    /// for `min_stall`, the longest stalled first. The connection that was just answered is
+    /// exempt. Answers within the share that is reserved for answers
     /// are never dropped to make room for bodies.
     pub(super) fn drop_stalled_clients(
         &mut self,
+        excess: usize,
         min_stall: Duration,
         answered: Option<usize>,
         now: Instant,
     ) {
-        let mut excess = self.memory.excess().min(self.memory.unsent_excess());
+        let mut excess = excess.min(self.memory.unsent_excess());
         if excess == 0 {
             return;
         }
@@ -125,7 +126,8 @@
     /// Closes connections that stayed too long as they are, and those that hold memory while
     /// it is short.
     pub(crate) fn sweep(&mut self, now: Instant) {
-        self.drop_stalled_clients(WRITE_STALL_TIMEOUT, None, now);
+        let excess = self.memory.excess_with_waiting();
+        self.drop_stalled_clients(excess, WRITE_STALL_TIMEOUT, None, now);
         self.drop_partial_heads();
         let (limits, closed) = (self.limits, &mut self.closed);
         self.connections.retain(|_, connection| {
--- a/crates/ledgelead-runtime/src/inbound/connection.rs
+++ b/crates/ledgelead-runtime/src/inbound/connection.rs
@@ -6,7 +6,7 @@
 use crate::memory::{Charge, Memory};
 use crate::stream::{Socket, Stream};
 use ledgelead_http::{
-    Request, RequestError, RequestLimits, RequestReader, Response, write_response,
+    Request, RequestError, RequestLimits, RequestReader, Response, has_body, write_response,
 };
 use ledgelead_router::configuration::ClientLimits;
 use ledgelead_router::io::ClientId;
@@ -164,9 +164,12 @@
     }
 
     /// Begins to write the answer to the open request.
-    pub(super) fn answer(&mut self, response: &Response, close: bool, now: Instant) {
+    pub(super) fn answer(&mut self, response: Response, close: bool, now: Instant) {
         let close = close || self.close_after_answer;
-        write_response(response, close, self.to_head_request, self.stream.output());
+        write_response(&response, close, true, self.stream.output());
+        if !self.to_head_request && has_body(response.status) {
+            self.stream.send_body(response.body);
+        }
         self.open = None;
         self.open_bytes = 0;
         self.close_after_answer = close;
@@ -178,7 +181,7 @@
     pub(super) fn reject(&mut self, error: RequestError, now: Instant) {
         let response = Response::new(error.status(), Vec::new());
         self.receiving = false;
-        self.answer(&response, true, now);
+        self.answer(response, true, now);
     }
 
     /// Shuts down this direction of a connection that is to be closed, once its last answer is
--- a/crates/ledgelead-runtime/src/memory.rs
+++ b/crates/ledgelead-runtime/src/memory.rs
@@ -71,8 +71,10 @@
     pub(crate) buffers: Account,
     /// Answers that are not written to their clients yet.
     pub(crate) unsent: Account,
-    /// Answers of instances that are not complete yet.
+    /// Answers of instances that were admitted and are not complete yet, as long as they will be.
     pub(crate) incomplete: Account,
+    /// What is missing of answers that are not read on for lack of memory.
+    pub(crate) waiting: Account,
 }
 
 impl Memory {
@@ -83,30 +85,46 @@
 
     /// Bytes buffered above [`BUFFERED_SHARE`].
     pub(crate) fn excess(&self) -> usize {
-        self.over(&self.buffers, BUFFERED_SHARE)
+        self.over(self.buffers.total(), BUFFERED_SHARE)
+    }
+
+    /// The same with the bytes for which answers wait.
+    pub(crate) fn excess_with_waiting(&self) -> usize {
+        let wanted = self.buffers.total().saturating_add(self.waiting.total());
+        self.over(wanted, BUFFERED_SHARE)
     }
 
     /// Bytes by which unsent answers exceed what is reserved for them.
     pub(crate) fn unsent_excess(&self) -> usize {
-        self.over(&self.unsent, BUFFERED_SHARE - ADMITTED_SHARE)
+        self.over(self.unsent.total(), BUFFERED_SHARE - ADMITTED_SHARE)
     }
 
     /// Whether incomplete answers take more than [`INCOMPLETE_SHARE`].
     pub(crate) fn has_long_answers(&self) -> bool {
-        self.over(&self.incomplete, INCOMPLETE_SHARE) > 0
+        self.over(self.incomplete.total(), INCOMPLETE_SHARE) > 0
+    }
+
+    /// Whether an answer is read on, of which this number of bytes is missing. One alone always
+    /// is, as far as there is memory.
+    pub(crate) fn admits_answer(&self, missing: usize) -> bool {
+        let incomplete = self.incomplete.total();
+        let fits = self.over(incomplete.saturating_add(missing), INCOMPLETE_SHARE) == 0;
+        let buffered = self.buffers.total();
+        let has_room = self.over(buffered.saturating_add(missing), BUFFERED_SHARE) == 0;
+        (has_room && (fits || incomplete == 0)) || buffered <= NEARLY_EMPTY_BYTES
     }
 
     /// Whether a message that is charged already, with this number of bytes, is admitted.
     pub(crate) fn admits(&self, bytes: usize) -> bool {
         let others = self.buffers.total().saturating_sub(bytes);
-        self.over(&self.buffers, ADMITTED_SHARE) == 0 || others <= NEARLY_EMPTY_BYTES
+        self.over(self.buffers.total(), ADMITTED_SHARE) == 0 || others <= NEARLY_EMPTY_BYTES
     }
 
-    fn over(&self, account: &Account, share: f64) -> usize {
+    fn over(&self, bytes: usize, share: f64) -> usize {
         let Some(limit) = self.limit.get() else {
             return 0;
         };
         let bound = (limit as f64 * share) as usize;
-        account.total().saturating_sub(bound)
+        bytes.saturating_sub(bound)
     }
 }
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -4,7 +4,7 @@
 mod answers;
 mod connection;
 
-use self::connection::{Connection, MAX_BODY_BYTES, PoolKey, Running, keep_alive};
+use self::connection::{Admission, Connection, MAX_BODY_BYTES, PoolKey, Running, keep_alive};
 use crate::memory::Memory;
 use crate::stream::Stream;
 use ledgelead_http::{Request, Response, ResponseReader, write_request};
@@ -13,7 +13,7 @@
 use slab::Slab;
 use stakker_mio::MioSource;
 use stakker_mio::mio::net::TcpStream;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -66,6 +66,8 @@
     deadlines: BTreeSet<(Instant, ConnectionKey)>,
     /// Connections that may have more bytes than were read.
     unread: BTreeSet<ConnectionKey>,
+    /// Connections whose answers are not read on for lack of memory, the longest waiting first.
+    waiting: VecDeque<ConnectionKey>,
     memory: Memory,
     last_generation: u64,
     unsolicited_answers: u64,
@@ -122,6 +124,7 @@
             keep_until: None,
             buffered: self.memory.buffers.open(),
             incomplete: self.memory.incomplete.open(),
+            missing: self.memory.waiting.open(),
         });
         self.begin(index, new, now);
     }
@@ -135,11 +138,12 @@
 
     /// Handles the readiness of a connection's socket.
     pub(crate) fn ready(&mut self, key: ConnectionKey, now: Instant, inputs: &mut Vec<Input>) {
-        let current = self
-            .connections
-            .get(key.index)
-            .is_some_and(|connection| connection.generation == key.generation);
-        if current {
+        let connection = self.connections.get_mut(key.index);
+        let current = connection.filter(|connection| connection.generation == key.generation);
+        if let Some(connection) = current {
+            if connection.connected {
+                connection.stream.set_unread();
+            }
             self.progress(key.index, now, inputs);
             self.fail_longest_answer(key.index, inputs);
         }
@@ -278,6 +282,7 @@
             answer: new.options.answer,
             reuse: new.options.reuse,
             unsolicited: 0,
+            admission: Admission::default(),
             idle_for: if connection.connected {
                 now.duration_since(connection.idle_since)
             } else {
@@ -305,11 +310,19 @@
             return;
         };
         connection.charge();
-        if connection.stream.has_unread() {
-            self.unread.insert(ConnectionKey {
-                index,
-                generation: connection.generation,
-            });
+        if !connection.stream.has_unread() {
+            return;
+        }
+        let key = ConnectionKey {
+            index,
+            generation: connection.generation,
+        };
+        match connection.begin_waiting() {
+            Some(Admission::Waiting) => {}
+            Some(_) => self.waiting.push_back(key),
+            None => {
+                self.unread.insert(key);
+            }
         }
     }
 
@@ -337,7 +350,7 @@
         let Some(connection) = self.connections.get_mut(index) else {
             return;
         };
-        connection.stream.fill_turn();
+        connection.fill(&self.memory);
         let unsent = connection.running.is_some() && !connection.stream.has_written();
         if unsent && (connection.stream.end().is_some() || connection.has_unsolicited_bytes()) {
             // No byte of the request was written, and none will be.
@@ -353,7 +366,7 @@
         }
         connection.stream.flush();
         // The answer may have arrived while the request was written.
-        connection.stream.fill_turn();
+        connection.fill(&self.memory);
         if connection.running.is_some() {
             self.read_answer(index, now, inputs);
         } else if connection.stream.end().is_some() || !connection.stream.input.is_empty() {
--- a/crates/ledgelead-runtime/src/outbound/answers.rs
+++ b/crates/ledgelead-runtime/src/outbound/answers.rs
@@ -12,22 +12,43 @@
 const MIN_WEIGHED_BYTES: usize = 65_536;
 
 impl Outbound {
-    /// Whether some connections may have more bytes than were read.
+    /// Whether some connections have bytes to be read.
     pub(crate) fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
+        !self.unread.is_empty() || self.can_admit_waiting()
     }
 
     /// Goes on reading from these connections.
     pub(crate) fn resume_reading(&mut self, now: Instant, inputs: &mut Vec<Input>) {
+        if self.can_admit_waiting()
+            && let Some(key) = self.waiting.pop_front()
+        {
+            let connection = self.connections.get_mut(key.index);
+            if let Some(connection) = connection.filter(|it| it.generation == key.generation) {
+                connection.stop_waiting();
+            }
+            self.unread.insert(key);
+        }
         for key in std::mem::take(&mut self.unread) {
             self.ready(key, now, inputs);
         }
     }
 
+    /// Whether there is memory for the answer that has waited longest, or it has ended.
+    fn can_admit_waiting(&self) -> bool {
+        let Some(key) = self.waiting.front() else {
+            return false;
+        };
+        let connection = self.connections.get(key.index);
+        connection
+            .filter(|connection| connection.generation == key.generation)
+            .is_none_or(|connection| self.memory.admits_answer(connection.missing_bytes()))
+    }
+
     /// If incomplete answers take too much memory, the longest one fails. An instance may send
     /// without end.
     pub(super) fn fail_longest_answer(&mut self, index: usize, inputs: &mut Vec<Input>) {
-        let bytes = |connection: &Connection| connection.answer_bytes();
+        let bytes =
+            |connection: &Connection| connection.answer_bytes() + connection.missing_bytes();
         let is_short = |connection: &Connection| bytes(connection) < MIN_WEIGHED_BYTES;
         if !self.memory.has_long_answers() || self.connections.get(index).is_none_or(is_short) {
             return;
--- a/crates/ledgelead-runtime/src/outbound/connection.rs
+++ b/crates/ledgelead-runtime/src/outbound/connection.rs
@@ -1,6 +1,6 @@
 //! A connection, the exchange that it carries, and until when it can be reused.
 
-use crate::memory::Charge;
+use crate::memory::{Charge, Memory};
 use crate::stream::Stream;
 use ledgelead_http::{Response, ResponseReader};
 use ledgelead_router::answer_filter::{AnswerFilter, CarriedIds};
@@ -16,6 +16,21 @@
 /// Unsolicited answers that one exchange skips.
 const MAX_UNSOLICITED_ANSWERS: u32 = 3;
 
+/// Bytes of an answer that are read before there has to be memory for all of it.
+const UNADMITTED_BYTES: usize = 16_384;
+
+/// Whether there is memory for an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// Only its first bytes are read so far.
+    #[default]
+    Undecided,
+    /// It is not read on until there is memory.
+    Waiting,
+    /// It is read to its end.
+    Admitted,
+}
+
 /// Identifies the idle connections of a pool to one address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct PoolKey {
@@ -32,6 +47,7 @@
     pub(super) reader: ResponseReader,
     pub(super) answer: AnswerFilter,
     pub(super) reuse: ConnectionReuse,
+    pub(super) admission: Admission,
     /// Unsolicited answers skipped so far.
     pub(super) unsolicited: u32,
     /// How long the connection was idle before the exchange; zero for a new connection.
@@ -62,8 +78,10 @@
     pub(super) idle_since: Instant,
     pub(super) keep_until: Option<Instant>,
     pub(super) buffered: Charge,
-    /// Charges an answer that is not complete yet.
+    /// Charges an answer that was admitted and is not complete yet.
     pub(super) incomplete: Charge,
+    /// Charges what is missing of an answer that is not read on.
+    pub(super) missing: Charge,
 }
 
 impl PoolKey {
@@ -96,10 +114,86 @@
         self.stream.buffered_bytes() + reader
     }
 
+    /// Bytes of the answer that are missing as far as its length is known.
+    pub(super) fn missing_bytes(&self) -> usize {
+        let running = self.running.as_ref();
+        let whole = running.map_or(0, |running| running.reader.reserved_bytes());
+        whole.saturating_sub(self.answer_bytes())
+    }
+
     /// Charges the present sizes of the buffers.
     pub(super) fn charge(&mut self) {
-        self.buffered.set(self.buffered_bytes());
-        self.incomplete.set(self.answer_bytes());
+        let is_admitted = self
+            .running
+            .as_ref()
+            .is_some_and(|running| running.admission == Admission::Admitted);
+        let (buffered, incomplete) = match is_admitted {
+            true => (
+                self.buffered_bytes(),
+                self.answer_bytes() + self.missing_bytes(),
+            ),
+            false => (self.buffered_bytes() - self.missing_bytes(), 0),
+        };
+        self.buffered.set(buffered);
+        self.incomplete.set(incomplete);
+    }
+
+    /// Reads available bytes of one turn, or only the first ones of an answer for which there
+    /// is no memory.
+    pub(super) fn fill(&mut self, memory: &Memory) {
+        self.admit(memory);
+        let undecided = self
+            .running
+            .as_ref()
+            .filter(|running| running.admission != Admission::Admitted);
+        match undecided.map(|running| running.reader.received_bytes()) {
+            Some(received) => self.stream.fill(UNADMITTED_BYTES.saturating_sub(received)),
+            None => self.stream.fill_turn(),
+        }
+    }
+
+    /// Admits the answer if there is memory. If the timeout restarts with each part, it always is:
+    /// the pause would count as silence.
+    fn admit(&mut self, memory: &Memory) {
+        let missing = self.missing_bytes();
+        let is_begun = self.answer_bytes() >= UNADMITTED_BYTES;
+        let Some(running) = self.running.as_mut() else {
+            return;
+        };
+        let is_needed = running.admission != Admission::Admitted;
+        let is_free = running.idle_timeout.is_some();
+        if is_needed && (is_free || (is_begun && memory.admits_answer(missing))) {
+            running.admission = Admission::Admitted;
+            self.missing.set(0);
+        }
+    }
+
+    /// Lets an answer wait that has bytes to be read and isn't admitted. Returns how it stood
+    /// before; `None` if it doesn't wait.
+    pub(super) fn begin_waiting(&mut self) -> Option<Admission> {
+        if self.answer_bytes() < UNADMITTED_BYTES {
+            return None;
+        }
+        let missing = self.missing_bytes();
+        let running = self.running.as_mut()?;
+        if running.admission == Admission::Admitted {
+            return None;
+        }
+        self.missing.set(missing.max(UNADMITTED_BYTES));
+        Some(std::mem::replace(
+            &mut running.admission,
+            Admission::Waiting,
+        ))
+    }
+
+    /// Lets the admission of a waiting answer be decided again.
+    pub(super) fn stop_waiting(&mut self) {
+        self.missing.set(0);
+        if let Some(running) = self.running.as_mut()
+            && running.admission == Admission::Waiting
+        {
+            running.admission = Admission::Undecided;
+        }
     }
 
     /// Whether the request must not be written yet.
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -341,7 +341,7 @@
         } else {
             Response::new(404, Vec::new())
         };
-        self.inbound.respond(client, &response, now);
+        self.inbound.respond(client, response, now);
     }
 
     /// Passes inputs to the node and carries out its actions until no input is left, then
@@ -394,7 +394,7 @@
 
     fn perform(&mut self, cx: CX![], action: Action, now: Instant) {
         match action {
-            Action::Respond { client, response } => self.inbound.respond(client, &response, now),
+            Action::Respond { client, response } => self.inbound.respond(client, response, now),
             Action::Exchange {
                 exchange,
                 address,
--- a/crates/ledgelead-runtime/src/stream.rs
+++ b/crates/ledgelead-runtime/src/stream.rs
@@ -13,6 +13,9 @@
 /// Bytes that one connection reads before others have their turn. A peer may send without end.
 pub(crate) const TURN_BYTES: usize = 262_144;
 
+/// Shorter bodies, in bytes, are copied behind their head, so that one system call writes both.
+const MIN_MOVED_BYTES: usize = 16_384;
+
 /// How the peer ended its direction of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamEnd {
@@ -69,7 +72,9 @@
     /// Bytes that were received and not consumed.
     pub(crate) input: Vec<u8>,
     output: Vec<u8>,
-    /// Bytes of `output` that are written already.
+    /// A long body that follows `output`.
+    body: Vec<u8>,
+    /// Bytes of `output` and `body` that are written already.
     written: usize,
     has_written: bool,
     has_read: bool,
@@ -104,6 +109,7 @@
             source,
             input: Vec::new(),
             output: Vec::new(),
+            body: Vec::new(),
             written: 0,
             has_written: false,
             has_read: false,
@@ -163,8 +169,12 @@
 
     /// Writes as much of the output buffer as the connection accepts.
     pub(crate) fn flush(&mut self) {
-        while self.written < self.output.len() {
-            match self.source.send(&self.output[self.written..]) {
+        while self.unsent_bytes() > 0 {
+            let part = match self.written.checked_sub(self.output.len()) {
+                Some(written) => &self.body[written..],
+                None => &self.output[self.written..],
+            };
+            match self.source.send(part) {
                 Ok(count) => {
                     self.written += count;
                     self.has_written |= count > 0;
@@ -179,17 +189,18 @@
         }
         self.output.clear();
         self.output.shrink_to(IDLE_BUFFER_BYTES);
+        self.body = Vec::new();
         self.written = 0;
     }
 
     /// Bytes of memory that both buffers take.
     pub(crate) fn buffered_bytes(&self) -> usize {
-        self.input.capacity() + self.output.capacity()
+        self.input.capacity() + self.output.capacity() + self.body.capacity()
     }
 
     /// Bytes that are not written yet.
     pub(crate) fn unsent_bytes(&self) -> usize {
-        self.output.len() - self.written
+        self.output.len() + self.body.len() - self.written
     }
 
     /// Frees the memory of a large message once its bytes are consumed.
@@ -199,12 +210,25 @@
 
     /// The buffer to which bytes to be sent are appended.
     pub(crate) fn output(&mut self) -> &mut Vec<u8> {
+        if !self.body.is_empty() {
+            self.output.append(&mut self.body);
+        }
         &mut self.output
     }
 
-    /// Whether the whole output buffer was written.
+    /// Appends a body to the bytes to be sent, without copying a long one.
+    pub(crate) fn send_body(&mut self, body: Vec<u8>) {
+        if body.len() < MIN_MOVED_BYTES {
+            self.output().extend_from_slice(&body);
+        } else {
+            self.output();
+            self.body = body;
+        }
+    }
+
+    /// Whether all bytes to be sent were written.
     pub(crate) fn is_flushed(&self) -> bool {
-        self.output.is_empty()
+        self.unsent_bytes() == 0
     }
 
     /// Begins a new message, which `has_written` and `is_incomplete` refer to from now on.
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -112,7 +112,7 @@
     }
 
     fn respond(&mut self, client: ClientId, response: &Response) {
-        self.inbound.respond(client, response, self.now);
+        self.inbound.respond(client, response.clone(), self.now);
     }
 
     fn sweep(&mut self) {
