Connections: a limit of their number, and a listener that resumes by itself

Callers saw: with 600 connections held open, by clients or at the status port, a process whose settings allow 300 descriptors had 617; out of descriptors it accepted nobody any more, also after those clients had gone.

Cause: limits.maxFds was not read. A failed accept left the listener's queue until a further connection arrived, which failed in the same way.

Change: clients may have three eighths of the connections that the settings allow (limits.maxFds less the 200 that the platform keeps for files), status probes and other nodes a sixteenth each, outbound connections half: each request needs one at most. For a new one the longest idle connections are closed, then those with a part of a head, then those whose client reads no answer; if all have requests at work, the new one is closed unread, so that its client can go elsewhere. Outbound, idle ones are closed. A listener accepts 64 connections a turn; after a failure it closes some of the longest idle ones and goes on 0.1 s later without an event of the poller.

Ruled out: leaving new connections in the queue while all places are taken (their clients would wait for a second and can't tell that nothing ran), a limit for each address (many callers may share one).

--- a/crates/ledgelead-lab/src/fleet/world.rs
+++ b/crates/ledgelead-lab/src/fleet/world.rs
@@ -477,6 +477,7 @@
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
+            connection_limit: None,
             link_bytes_per_s: DEFAULT_LINK_BYTES_PER_S,
             seed: self.rng.random(),
             protections: self.settings.protections,
--- a/crates/ledgelead-router/src/node/mod.rs
+++ b/crates/ledgelead-router/src/node/mod.rs
@@ -200,6 +200,11 @@
         self.settings.memory_limit
     }
 
+    /// Connections that the process may have open, if they are limited.
+    pub fn connection_limit(&self) -> Option<usize> {
+        self.settings.connection_limit
+    }
+
     /// Limits on what clients may send.
     pub fn client_limits(&self) -> ClientLimits {
         self.configuration
--- a/crates/ledgelead-router/src/settings.rs
+++ b/crates/ledgelead-router/src/settings.rs
@@ -38,6 +38,8 @@
     pub stop_grace: Duration,
     /// Memory limit of the process, in bytes; none if not limited.
     pub memory_limit: Option<usize>,
+    /// Connections that the process may have open, in both directions; none if not limited.
+    pub connection_limit: Option<usize>,
     /// Bandwidth of this node's link in each direction, in bytes a second.
     pub link_bytes_per_s: u64,
     /// Seed for random decisions of the node.
--- a/crates/ledgelead-router/tests/node/fixture.rs
+++ b/crates/ledgelead-router/tests/node/fixture.rs
@@ -574,6 +574,7 @@
             cold_bound: ColdBound::default(),
             stop_grace: Duration::from_secs(6),
             memory_limit: None,
+            connection_limit: None,
             link_bytes_per_s: DEFAULT_LINK_BYTES_PER_S,
             seed: 7,
             protections: Protections::default(),
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -10,8 +10,9 @@
 pub(crate) use self::closing::Closed;
 use self::connection::Connection;
 use self::credit::Phase;
+use crate::connection_limits::ConnectionLimits;
 use crate::endpoint::Endpoint;
-use crate::memory::{MIN_CHECKED_BYTES, Memory};
+use crate::memory::{Account, MIN_CHECKED_BYTES, Memory};
 use crate::outbound::ConnectionKey;
 use crate::stream::{Socket, Stream};
 use ledgelead_http::{Request, RequestProgress, Response};
@@ -40,6 +41,24 @@
     Disconnected { client: ClientId },
 }
 
+/// Numbers of open connections.
+#[derive(Default)]
+struct OpenConnections {
+    clients: Account,
+    status: Account,
+    peers: Account,
+}
+
+impl OpenConnections {
+    fn of(&self, endpoint: Endpoint) -> &Account {
+        match endpoint {
+            Endpoint::Clients => &self.clients,
+            Endpoint::Status => &self.status,
+            Endpoint::Peers => &self.peers,
+        }
+    }
+}
+
 /// All inbound connections.
 pub(crate) struct Inbound<S = MioSource<TcpStream>> {
     connections: Slab<Connection<S>>,
@@ -49,6 +68,8 @@
     last_generation: u64,
     last_client: u64,
     limits: ClientLimits,
+    connection_limits: ConnectionLimits,
+    open: OpenConnections,
     memory: Memory,
     stopping: bool,
     closed: Closed,
@@ -65,6 +86,8 @@
             last_generation: 0,
             last_client: 0,
             limits: ClientLimits::default(),
+            connection_limits: ConnectionLimits::default(),
+            open: OpenConnections::default(),
             memory,
             stopping: false,
             closed: Closed::default(),
@@ -77,6 +100,11 @@
         self.limits = limits;
     }
 
+    /// Replaces the limits of the numbers of connections.
+    pub(crate) fn set_connection_limits(&mut self, limits: ConnectionLimits) {
+        self.connection_limits = limits;
+    }
+
     /// Makes each further answer close its connection.
     pub(crate) fn begin_stopping(&mut self) {
         self.stopping = true;
@@ -112,6 +140,7 @@
             (endpoint, source),
             Stream::new(socket),
             &self.memory,
+            self.open.of(endpoint),
             now,
         ));
     }
@@ -354,6 +383,14 @@
 
 #[cfg(test)]
 impl<S: Socket> Inbound<S> {
+    /// The number of connections, counted one by one.
+    pub(crate) fn connections(&self, endpoint: Endpoint) -> usize {
+        let connections = self.connections.iter();
+        connections
+            .filter(|(_, connection)| connection.endpoint == endpoint)
+            .count()
+    }
+
     /// Memory that all connections take, in bytes, added up.
     pub(crate) fn buffered_bytes(&self) -> usize {
         let connections = self.connections.iter();
--- a/crates/ledgelead-runtime/src/inbound/closing.rs
+++ b/crates/ledgelead-runtime/src/inbound/closing.rs
@@ -13,6 +13,10 @@
 /// disconnected. Retransmissions over a lossy link take only a part of this time.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Part of the connections that are closed at once when there are too many, so that the
+/// connections need not be searched for each new one.
+const CLOSED_AT_ONCE: usize = 32;
+
 /// Connections that were closed so far because of a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Closed {
@@ -26,17 +30,23 @@
     pub(crate) slow_uploads: u64,
     /// The client read no byte of its answer for the idle timeout.
     pub(crate) stalled_answers: u64,
+    /// It was idle, began a head or did not read its answer, and others needed the room.
+    pub(crate) replaced: u64,
+    /// It was new, and there was no room.
+    pub(crate) refused: u64,
 }
 
 impl Closed {
     /// The counts with the names of their reasons.
-    pub(crate) fn by_reason(&self) -> [(&'static str, u64); 5] {
+    pub(crate) fn by_reason(&self) -> [(&'static str, u64); 7] {
         [
             ("unread_answer", self.unread_answers),
             ("partial_head", self.partial_heads),
             ("slow_head", self.slow_heads),
             ("slow_upload", self.slow_uploads),
             ("stalled_answer", self.stalled_answers),
+            ("replaced", self.replaced),
+            ("refused", self.refused),
         ]
     }
 
@@ -114,12 +124,46 @@
         }
     }
 
+    /// Whether there is room for a new connection. If there are too many, those are closed
+    /// that have been idle for longest, then those that have sent a part of a head, then those
+    /// that don't read their answers. No client of these loses a request that is at work.
+    pub(crate) fn make_room(&mut self, endpoint: Endpoint, now: Instant) -> bool {
+        let limit = self.connection_limits.inbound(endpoint);
+        if self.open.of(endpoint).total() < limit {
+            return true;
+        }
+        self.replace_longest(endpoint, limit.div_ceil(CLOSED_AT_ONCE), now);
+        let has_room = self.open.of(endpoint).total() < limit;
+        self.closed.refused += u64::from(!has_room);
+        has_room
+    }
+
+    /// Closes connections of clients since the process has no descriptors left.
+    pub(crate) fn release_descriptors(&mut self, now: Instant) {
+        let open = self.open.of(Endpoint::Clients).total();
+        self.replace_longest(Endpoint::Clients, open.div_ceil(CLOSED_AT_ONCE), now);
+    }
+
+    fn replace_longest(&mut self, endpoint: Endpoint, count: usize, now: Instant) {
+        let mut replaceable: Vec<(Phase, Instant, usize)> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.endpoint == endpoint)
+            .filter(|(_, connection)| connection.is_replaceable(now))
+            .map(|(index, connection)| (connection.phase(), connection.since(), index))
+            .collect();
+        replaceable.sort_unstable();
+        for (_, _, index) in replaceable.into_iter().take(count) {
+            self.connections.remove(index);
+            self.closed.replaced += 1;
+        }
+    }
+
     /// Closes the connections of clients without an open request. If a request arrives at the
     /// same time, the client gets no answer and can tell that it was not read.
     pub(crate) fn close_idle(&mut self) {
         self.connections.retain(|_, connection| {
-            let is_idle = connection.phase() == Phase::Idle && connection.stream.input.is_empty();
-            connection.endpoint != Endpoint::Clients || !is_idle
+            connection.endpoint != Endpoint::Clients || !connection.is_idle()
         });
     }
 
@@ -158,13 +202,30 @@
         is_unsent && now.duration_since(self.last_write) >= time
     }
 
-    fn has_timed_out(&self, limits: ClientLimits, now: Instant) -> bool {
-        let phase = self.phase();
-        let since = match phase {
+    /// Whether no part of a request has arrived that waits for a turn.
+    fn is_idle(&self) -> bool {
+        self.phase() == Phase::Idle && self.stream.input.is_empty()
+    }
+
+    fn is_replaceable(&self, now: Instant) -> bool {
+        match self.phase() {
+            Phase::Idle => self.is_idle(),
+            Phase::Head | Phase::ShutDown => true,
+            Phase::Answering => self.is_stalled(WRITE_STALL_TIMEOUT, now),
+            Phase::Body | Phase::Open => false,
+        }
+    }
+
+    /// When the present phase began, or its last progress was made.
+    fn since(&self) -> Instant {
+        match self.phase() {
             Phase::Answering => self.last_write,
             _ => self.shut_down_at.unwrap_or(self.state_since),
-        };
-        credit::timeout(phase, self.reader.received_bytes(), limits)
-            .is_some_and(|timeout| now.duration_since(since) >= timeout)
+        }
+    }
+
+    fn has_timed_out(&self, limits: ClientLimits, now: Instant) -> bool {
+        credit::timeout(self.phase(), self.reader.received_bytes(), limits)
+            .is_some_and(|timeout| now.duration_since(self.since()) >= timeout)
     }
 }
--- a/crates/ledgelead-runtime/src/inbound/connection.rs
+++ b/crates/ledgelead-runtime/src/inbound/connection.rs
@@ -3,7 +3,7 @@
 
 use super::credit::{self, Phase};
 use crate::endpoint::Endpoint;
-use crate::memory::{Charge, Memory};
+use crate::memory::{Account, Charge, Memory};
 use crate::stream::{Socket, Stream};
 use ledgelead_http::{
     Request, RequestError, RequestLimits, RequestReader, Response, has_body, write_response,
@@ -44,6 +44,8 @@
     pub(super) is_closed: bool,
     buffered: Charge,
     unsent: Charge,
+    /// Counts the connection while it is open.
+    _place: Charge,
 }
 
 impl<S: Socket> Connection<S> {
@@ -52,8 +54,11 @@
         (endpoint, source): (Endpoint, IpAddr),
         stream: Stream<S>,
         memory: &Memory,
+        open: &Account,
         now: Instant,
     ) -> Connection<S> {
+        let mut place = open.open();
+        place.set(1);
         Connection {
             generation,
             endpoint,
@@ -72,6 +77,7 @@
             is_closed: false,
             buffered: memory.buffers.open(),
             unsent: memory.unsent.open(),
+            _place: place,
         }
     }
 
--- a/crates/ledgelead-runtime/src/inbound/credit.rs
+++ b/crates/ledgelead-runtime/src/inbound/credit.rs
@@ -19,7 +19,7 @@
 const MIN_UPLOAD_BYTES_PER_S: usize = 8_192;
 
 /// What a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Phase {
     /// No part of a request has arrived.
     Idle,
--- a/crates/ledgelead-runtime/src/lib.rs
+++ b/crates/ledgelead-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! ready. The actor only moves bytes and reads clocks; the node makes all decisions.
 
 pub mod clock;
+mod connection_limits;
 mod endpoint;
 mod event_loop;
 pub mod explain;
--- a/crates/ledgelead-runtime/src/memory.rs
+++ b/crates/ledgelead-runtime/src/memory.rs
@@ -21,16 +21,16 @@
 /// idle connections would keep a buffer for its largest message.
 pub(crate) const IDLE_BUFFER_BYTES: usize = 4_096;
 
-/// The sum of charges, in bytes.
+/// The sum of charges: bytes, or connections.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Account(Rc<Cell<usize>>);
 
 impl Account {
-    /// A charge of no bytes.
+    /// A charge of nothing.
     pub(crate) fn open(&self) -> Charge {
         Charge {
             account: self.clone(),
-            bytes: 0,
+            amount: 0,
         }
     }
 
@@ -40,19 +40,19 @@
     }
 }
 
-/// Bytes that one holder charges to an account, until it is dropped.
+/// What one holder charges to an account, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Charge {
     account: Account,
-    bytes: usize,
+    amount: usize,
 }
 
 impl Charge {
-    /// Replaces the number of bytes.
-    pub(crate) fn set(&mut self, bytes: usize) {
+    /// Replaces the amount.
+    pub(crate) fn set(&mut self, amount: usize) {
         let total = &self.account.0;
-        total.set(total.get() - self.bytes + bytes);
-        self.bytes = bytes;
+        total.set(total.get() - self.amount + amount);
+        self.amount = amount;
     }
 }
 
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -19,6 +19,9 @@
 
 /// Idle connections kept for one address in each pool.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
+/// Part of the connections that are closed at once when there are too many, so that the
+/// connections need not be searched for each new one.
+const CLOSED_AT_ONCE: usize = 32;
 /// An idle connection is closed after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(9);
 
@@ -69,6 +72,7 @@
     /// Connections whose answers are not read on for lack of memory, the longest waiting first.
     waiting: VecDeque<ConnectionKey>,
     memory: Memory,
+    connection_limit: Option<usize>,
     last_generation: u64,
     unsolicited_answers: u64,
 }
@@ -97,6 +101,29 @@
         Ok(())
     }
 
+    /// Replaces the limit of the number of connections.
+    pub(crate) fn set_connection_limit(&mut self, limit: usize) {
+        self.connection_limit = Some(limit);
+    }
+
+    /// Closes the longest idle connections if there are too many for another one. Their number
+    /// is bounded apart from idle ones: each serves a request or an order.
+    pub(crate) fn make_room(&mut self) {
+        let limit = self.connection_limit.unwrap_or(usize::MAX);
+        if self.connections.len() < limit {
+            return;
+        }
+        let all = self.connections.iter();
+        let idle = all.filter(|(_, connection)| connection.running.is_none());
+        let mut idle: Vec<(Instant, usize)> = idle
+            .map(|(index, connection)| (connection.idle_since, index))
+            .collect();
+        idle.sort_unstable();
+        for (_, index) in idle.into_iter().take(limit.div_ceil(CLOSED_AT_ONCE)) {
+            self.drop_connection(index);
+        }
+    }
+
     /// The key that the next new connection will have.
     pub(crate) fn next_key(&self) -> ConnectionKey {
         ConnectionKey {
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -1,6 +1,7 @@
 //! The actor that connects the sockets and the node.
 
 use crate::clock::{ProcessClock, SuspensionDetector};
+use crate::connection_limits::ConnectionLimits;
 use crate::endpoint::{Endpoint, StatusPaths};
 use crate::inbound::{ClientEvent, Inbound};
 use crate::memory::Memory;
@@ -34,6 +35,11 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// How long before the end of the stop grace a stopping process ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Connections that a listener accepts before others have their turn.
+const MAX_ACCEPTED: usize = 64;
+/// How long after a failure a listener accepts again. The poller reports connections that wait
+/// in its queue only together with a further one.
+const ACCEPT_RETRY_TIME: Duration = Duration::from_millis(100);
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
@@ -78,6 +84,8 @@
     stop_requested_at: Option<Instant>,
     inputs: VecDeque<Input>,
     timer: MinTimerKey,
+    /// When the listeners accept again without an event of the poller.
+    accept_again_at: Option<Instant>,
     next_sweep: Instant,
     next_settings: Instant,
 }
@@ -139,27 +147,46 @@
             stop_requested_at: None,
             inputs: VecDeque::new(),
             timer: MinTimerKey::default(),
+            accept_again_at: None,
             next_sweep: now + SWEEP_INTERVAL,
             next_settings: now + SETTINGS_INTERVAL,
         })
     }
 
     fn accept(&mut self, cx: CX![], index: usize, _ready: Ready) {
+        let again_at = self.accept_some(cx, index);
+        self.accept_again_at = [self.accept_again_at, again_at].into_iter().flatten().min();
+        self.set_timer(cx);
+    }
+
+    /// Accepts connections again, of which the poller may report none.
+    fn accept_again(&mut self, cx: CX![]) {
         let now = cx.now();
-        loop {
-            let Some((endpoint, listener)) = &self.listeners[index] else {
-                return;
-            };
+        if self.accept_again_at.take_if(|at| *at <= now).is_some() {
+            let again_at =
+                (0..self.listeners.len()).filter_map(|index| self.accept_some(cx, index));
+            self.accept_again_at = again_at.min();
+        }
+    }
+
+    /// Accepts the connections of one turn. Returns when to go on if some may be left.
+    fn accept_some(&mut self, cx: CX![], index: usize) -> Option<Instant> {
+        let now = cx.now();
+        for _ in 0..MAX_ACCEPTED {
+            let (endpoint, listener) = self.listeners[index].as_ref()?;
             let (stream, from) = match listener.accept() {
                 Ok(accepted) => accepted,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
                 Err(error) => {
-                    // For example if no file descriptors are left: further connections wait
-                    // in the listener's queue until its next event.
                     log::warn!(target: "runtime", "failed to accept a connection: {error}");
-                    break;
+                    self.inbound.release_descriptors(now);
+                    return Some(now + ACCEPT_RETRY_TIME);
                 }
             };
+            if !self.inbound.make_room(*endpoint, now) {
+                // Closed unread, so its client can tell that no request was run.
+                continue;
+            }
             let key = self.inbound.next_key();
             let ready = fwd_to!([cx], client_ready(key) as (Ready));
             let poll = cx.anymap_get::<MioPoll>();
@@ -171,10 +198,11 @@
                     self.inbound.accepted(source, from.ip(), *endpoint, now);
                 }
                 Err(error) => {
-                    log::warn!(target: "runtime", "failed to register a connection with the poller: {error}")
+                    log::warn!(target: "runtime", "failed to register a connection with the poller: {error}");
                 }
             }
         }
+        Some(now)
     }
 
     fn client_ready(&mut self, cx: CX![], key: ConnectionKey, ready: Ready) {
@@ -218,6 +246,7 @@
         self.outbound.expire(now, &mut inputs);
         self.inputs.extend(inputs);
         self.take_turns(cx);
+        self.accept_again(cx);
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.outbound.close_expired_idle(now);
@@ -370,6 +399,9 @@
         }
         self.inbound.set_limits(self.node.client_limits());
         self.memory.set_limit(self.node.memory_limit());
+        let limits = ConnectionLimits::of(self.node.connection_limit());
+        self.inbound.set_connection_limits(limits);
+        self.outbound.set_connection_limit(limits.outbound);
         self.set_timer(cx);
     }
 
@@ -384,6 +416,7 @@
             Some(node_deadline),
             self.outbound.next_deadline(),
             Some(self.next_sweep),
+            self.accept_again_at,
         ]
         .into_iter()
         .flatten()
@@ -436,6 +469,7 @@
     /// Begins an exchange on a new connection.
     fn connect(&mut self, cx: CX![], new: NewExchange, now: Instant) {
         let exchange = new.exchange;
+        self.outbound.make_room();
         let key = self.outbound.next_key();
         let ready = fwd_to!([cx], server_ready(key) as (Ready));
         let interest = Interest::READABLE | Interest::WRITABLE;
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -2,6 +2,7 @@
 //! read their answers are disconnected, and what clients send ahead is not read.
 
 use super::{ClientEvent, Inbound};
+use crate::connection_limits::ConnectionLimits;
 use crate::endpoint::Endpoint;
 use crate::memory::Memory;
 use crate::outbound::ConnectionKey;
@@ -119,6 +120,16 @@
         self.inbound.sweep(self.now);
     }
 
+    /// Accepts a connection if there is room, and counts those that are open.
+    fn connect_if_room(&mut self) -> Option<Client> {
+        let has_room = self.inbound.make_room(Endpoint::Clients, self.now);
+        self.now += Duration::from_millis(1);
+        let client = has_room.then(|| self.connect());
+        let open = self.inbound.open.of(Endpoint::Clients).total();
+        assert_eq!(open, self.inbound.connections(Endpoint::Clients));
+        client
+    }
+
     fn dropped_clients(&self) -> u64 {
         self.inbound.closed().unread_answers
     }
@@ -420,3 +431,57 @@
     }
     expect_that!(fixture.inbound.buffered_bytes(), le(SLACK_BYTES / 10));
 }
+
+/// A limit under which clients may have 12 connections.
+const FEW_CONNECTIONS: Option<usize> = Some(32);
+
+#[gtest]
+fn the_longest_idle_connection_makes_room_for_a_new_one() {
+    let mut fixture = Fixture::new(None);
+    let limits = ConnectionLimits::of(FEW_CONNECTIONS);
+    fixture.inbound.set_connection_limits(limits);
+    let mut clients: Vec<Client> = (0..12)
+        .map(|_| fixture.connect_if_room().expect("room"))
+        .collect();
+    // The first has a request at work, the second has sent a part of a head.
+    let request = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    expect_that!(fixture.send(&mut clients[0], request).len(), eq(1));
+    expect_that!(fixture.send(&mut clients[1], b"GET /x HT").len(), eq(0));
+    for _ in 0..11 {
+        clients.push(fixture.connect_if_room().expect("room"));
+    }
+    expect_that!(fixture.inbound.connections(Endpoint::Clients), eq(12));
+    // The ten idle ones went first, then the first of the new ones.
+    let mut half = clients.remove(1);
+    let rest = b"TP/1.1\r\n\r\n";
+    expect_that!(fixture.send(&mut half, rest).len(), eq(1));
+    expect_that!(read_to_end(&mut clients[1]), eq(""));
+}
+
+#[gtest]
+fn a_new_connection_is_refused_while_all_others_have_requests_at_work() {
+    let mut fixture = Fixture::new(None);
+    let limits = ConnectionLimits::of(FEW_CONNECTIONS);
+    fixture.inbound.set_connection_limits(limits);
+    let mut clients = Vec::new();
+    let mut open = Vec::new();
+    for _ in 0..12 {
+        let mut client = fixture.connect_if_room().expect("room");
+        let request = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+        let events = fixture.send(&mut client, request);
+        let [ClientEvent::Request { client: id, .. }] = events[..] else {
+            panic!("{events:?}");
+        };
+        open.push(id);
+        clients.push(client);
+    }
+    expect_that!(fixture.connect_if_room().is_none(), eq(true));
+    expect_that!(fixture.inbound.closed().refused, eq(1));
+    // The status endpoint has room of its own.
+    expect_that!(
+        fixture.inbound.make_room(Endpoint::Status, fixture.now),
+        eq(true)
+    );
+    fixture.respond(open[3], &Response::new(200, ""));
+    expect_that!(fixture.connect_if_room().is_some(), eq(true));
+}
