Clients: a generator of their behavior, for one process and for the inbound layer

What clients send (requests with and without the usual headers, long, half and malformed ones, uploads with wrong lengths, chunks and trailers without end), in which pieces, how they read and how they leave is drawn from a seed.

The inbound layer alone plays the same clients beside six that keep to the protocol, with wires in place of sockets: events by edges, windows of bounded size, time as an input. Checked are the memory, the account against the sum, the bytes and requests of a turn, the number of connections, every answer of the six in order, a late client, and that nothing is left once all have gone. With unbounded read-ahead, or without turns, it is noticed.

--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -69,6 +69,8 @@
     last_client: u64,
     limits: ClientLimits,
     connection_limits: ConnectionLimits,
+    /// Bytes that are read beyond an open request.
+    read_ahead: usize,
     open: OpenConnections,
     memory: Memory,
     stopping: bool,
@@ -87,6 +89,7 @@
             last_client: 0,
             limits: ClientLimits::default(),
             connection_limits: ConnectionLimits::default(),
+            read_ahead: credit::READ_AHEAD_BYTES,
             open: OpenConnections::default(),
             memory,
             stopping: false,
@@ -139,6 +142,7 @@
             self.last_generation,
             (endpoint, source),
             Stream::new(socket),
+            self.read_ahead,
             &self.memory,
             self.open.of(endpoint),
             now,
@@ -383,6 +387,11 @@
 
 #[cfg(test)]
 impl<S: Socket> Inbound<S> {
+    /// Lets further connections read as much beyond an open request.
+    pub(crate) fn set_read_ahead(&mut self, bytes: usize) {
+        self.read_ahead = bytes;
+    }
+
     /// The number of connections, counted one by one.
     pub(crate) fn connections(&self, endpoint: Endpoint) -> usize {
         let connections = self.connections.iter();
@@ -403,3 +412,7 @@
 #[cfg(test)]
 #[path = "../tests/inbound.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../tests/clients/mod.rs"]
+mod client_tests;
--- a/crates/ledgelead-runtime/src/inbound/connection.rs
+++ b/crates/ledgelead-runtime/src/inbound/connection.rs
@@ -42,6 +42,8 @@
     pub(super) receiving: bool,
     /// Whether the client has closed its direction, perhaps behind bytes that are not read.
     pub(super) is_closed: bool,
+    /// Bytes that are read beyond an open request.
+    read_ahead: usize,
     buffered: Charge,
     unsent: Charge,
     /// Counts the connection while it is open.
@@ -53,6 +55,7 @@
         generation: u64,
         (endpoint, source): (Endpoint, IpAddr),
         stream: Stream<S>,
+        read_ahead: usize,
         memory: &Memory,
         open: &Account,
         now: Instant,
@@ -75,6 +78,7 @@
             state_since: now,
             receiving: false,
             is_closed: false,
+            read_ahead,
             buffered: memory.buffers.open(),
             unsent: memory.unsent.open(),
             _place: place,
@@ -112,8 +116,7 @@
     /// Reads as much as the connection has credit for.
     pub(super) fn fill(&mut self, limits: ClientLimits) {
         if self.stream.has_unread() {
-            let limits = self.request_limits(limits);
-            self.stream.fill(credit::max_input(self.phase(), limits));
+            self.stream.fill(self.max_input(limits));
         }
     }
 
@@ -126,11 +129,15 @@
 
     /// Whether a further turn may make progress without an event of the poller.
     pub(super) fn needs_turn(&self, limits: ClientLimits) -> bool {
-        let limits = self.request_limits(limits);
-        let has_credit = self.stream.input.len() < credit::max_input(self.phase(), limits);
+        let has_credit = self.stream.input.len() < self.max_input(limits);
         self.stream.end().is_none() && self.stream.has_unread() && has_credit
     }
 
+    fn max_input(&self, limits: ClientLimits) -> usize {
+        let limits = self.request_limits(limits);
+        credit::max_input(self.phase(), self.read_ahead, limits)
+    }
+
     pub(super) fn request_limits(&self, limits: ClientLimits) -> RequestLimits {
         let max_body_bytes = match self.endpoint {
             Endpoint::Clients => limits.max_body_bytes,
--- a/crates/ledgelead-runtime/src/inbound/credit.rs
+++ b/crates/ledgelead-runtime/src/inbound/credit.rs
@@ -10,7 +10,7 @@
 
 /// Bytes that are read beyond an open request. They show that a client has closed its
 /// connection, and the next request is at hand once the answer is written.
-const READ_AHEAD_BYTES: usize = 4_096;
+pub(super) const READ_AHEAD_BYTES: usize = 4_096;
 /// How long a connection stays open after this side has shut down its direction, to wait for
 /// the client's close. Closing earlier could cut off the last answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,12 +35,12 @@
     ShutDown,
 }
 
-/// Bytes that the input buffer may have.
-pub(super) fn max_input(phase: Phase, limits: RequestLimits) -> usize {
+/// Bytes that the input buffer may have, of which `read_ahead` beyond an open request.
+pub(super) fn max_input(phase: Phase, read_ahead: usize, limits: RequestLimits) -> usize {
     match phase {
         Phase::Idle | Phase::Head => limits.max_head_bytes.saturating_add(READ_AHEAD_BYTES),
         Phase::Body | Phase::ShutDown => TURN_BYTES,
-        Phase::Open | Phase::Answering => READ_AHEAD_BYTES,
+        Phase::Open | Phase::Answering => read_ahead,
     }
 }
 
