Responses: three digits that are no status of HTTP are no answer

Callers saw: an instance in trouble answers with status 000, and the client gets 'HTTP/1.1 0 Status'.

Cause: the reader of responses took any three digits for a status; an answer that a peer passes on was not looked at either.

Change: 100 to 599 are statuses (RFC 9110, section 15); anything else is malformed, as other bytes that are no answer: a retry if the request may run again, else 502. A final status passed on by a peer is 200 to 599, whatever version that peer has.

--- a/crates/ledgelead-http/src/message.rs
+++ b/crates/ledgelead-http/src/message.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Whether the status is one of HTTP that ends an exchange.
+    pub fn is_final(&self) -> bool {
+        (200..600).contains(&self.status)
+    }
+
     /// Whether the status is in the range 200 to 299.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
--- a/crates/ledgelead-http/src/response_reader.rs
+++ b/crates/ledgelead-http/src/response_reader.rs
@@ -155,6 +155,9 @@
             return Err(ResponseError::Malformed);
         }
         let status = parsed.code.unwrap_or_default();
+        if !is_status(status) {
+            return Err(ResponseError::Malformed);
+        }
         let headers = Headers::from_parsed(parsed.headers);
         input.drain(..head_bytes);
         let framing = DeclaredFraming::of(&headers)?;
@@ -192,6 +195,11 @@
     }
 }
 
+/// Whether three digits are a status of HTTP (RFC 9110, section 15).
+fn is_status(status: u16) -> bool {
+    (100..600).contains(&status)
+}
+
 fn is_interim(status: u16) -> bool {
     (100..200).contains(&status)
 }
--- a/crates/ledgelead-http/tests/codec.rs
+++ b/crates/ledgelead-http/tests/codec.rs
@@ -81,6 +81,23 @@
     expect_that!(input.starts_with(b"HTTP/1.1"), eq(true));
 }
 
+#[gtest]
+fn three_digits_that_are_no_status_are_an_error() {
+    for status in ["000", "007", "099", "600", "999"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n");
+        let progress = read_response(answer.as_bytes());
+        expect_that!(progress, err(eq(&ResponseError::Malformed)), "{status}");
+    }
+    for status in ["200", "299", "404", "599"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n");
+        expect_that!(
+            read_response(answer.as_bytes()).is_ok(),
+            eq(true),
+            "{status}"
+        );
+    }
+}
+
 #[gtest]
 fn bytes_that_are_not_a_response_are_an_error() {
     expect_that!(read_response(b"garbage\r\n\r\n"), err(anything()));
--- a/crates/ledgelead-router/src/forwarding/outcome.rs
+++ b/crates/ledgelead-router/src/forwarding/outcome.rs
@@ -81,7 +81,10 @@
         }) => {
             let mut response = Response::new(status, body.0);
             response.headers = headers_of(headers);
-            ForwardOutcome::Attempted(Ok(response))
+            match response.is_final() {
+                true => ForwardOutcome::Attempted(Ok(response)),
+                false => ForwardOutcome::Attempted(Err(ExchangeFailure::Malformed)),
+            }
         }
         Ok(ForwardAnswer::Failed(failure)) => ForwardOutcome::Attempted(Err(failure.into())),
         Ok(ForwardAnswer::Declined(decline)) => ForwardOutcome::Declined(decline),
--- a/crates/ledgelead-router/tests/requests.rs
+++ b/crates/ledgelead-router/tests/requests.rs
@@ -53,6 +53,16 @@
     );
 }
 
+#[gtest]
+fn answer_by_way_of_a_peer_without_a_final_status_is_no_answer() {
+    for status in [0, 100, 600] {
+        let answered = ForwardAnswer::new(Ok(answer(status, &[])));
+        let response = Response::new(200, codec::encode(&answered));
+        let result = forward_outcome(Ok(response)).into_result();
+        expect_that!(result.err(), some(eq(ExchangeFailure::Malformed)));
+    }
+}
+
 #[gtest]
 fn a_request_counts_as_not_run_only_if_proved() {
     let not_connected = outcome(Err(ExchangeFailure::NotConnected));
