Logs: the queue of lines is bounded in bytes as well

Cause: 2,048 lines may be queued, and a line carries what clients choose (target, host, id), so that a stalled reader of the log lets them take up to 16 KB each, more once escaped. The memory limit doesn't count them.

Change: queued lines take 1 MiB at most; further ones are dropped and counted, as before.

--- a/crates/ledgelead-runtime/src/logging.rs
+++ b/crates/ledgelead-runtime/src/logging.rs
@@ -2,21 +2,23 @@
 //!
 //! Lines go through a bounded queue to a thread that writes them. If the reader of the
 //! output is slow, the queue fills up and further lines are dropped. Their number is logged
-//! as a line of its own as soon as the writer continues. The same holds for lines beyond a rate
-//! that a failure of many attempts at once would exceed.
+//! as a line of its own as soon as the writer continues. The same holds for lines beyond a
+//! number of queued bytes, and beyond a rate that a failure of many attempts at once would exceed.
 
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Capacity of the queue of lines.
 const QUEUE_LINES: usize = 2_048;
+/// Bytes that queued lines may take together.
+const QUEUE_BYTES: usize = 1 << 20;
 /// Lines a second that are written for longer.
 const LINES_PER_S: f64 = 400.0;
 /// Lines that may be written at once.
@@ -131,6 +133,8 @@
 #[derive(Clone, Debug)]
 pub struct LineQueue {
     lines: SyncSender<String>,
+    /// Bytes of the lines that are not written yet.
+    bytes: Arc<AtomicUsize>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -142,19 +146,26 @@
     pub fn new(output: impl Write + Send + 'static, capacity: usize) -> io::Result<LineQueue> {
         let (lines, queued) = sync_channel(capacity);
         let dropped = Arc::new(AtomicU64::new(0));
-        let writer_dropped = dropped.clone();
+        let bytes = Arc::new(AtomicUsize::new(0));
+        let (writer_bytes, writer_dropped) = (bytes.clone(), dropped.clone());
         thread::Builder::new()
             .name("logs".to_owned())
             .stack_size(WRITER_STACK_BYTES)
-            .spawn(move || write_lines(output, &queued, &writer_dropped))?;
-        Ok(LineQueue { lines, dropped })
+            .spawn(move || write_lines(output, &queued, &writer_bytes, &writer_dropped))?;
+        Ok(LineQueue {
+            lines,
+            bytes,
+            dropped,
+        })
     }
 
     /// Adds a line, or drops it if the queue is full. Never blocks.
     pub fn push(&self, line: String) {
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.lines.try_send(line)
-        {
+        let length = line.len();
+        let queued = self.bytes.fetch_add(length, Ordering::Relaxed);
+        let is_queued = queued + length <= QUEUE_BYTES && self.lines.try_send(line).is_ok();
+        if !is_queued {
+            self.bytes.fetch_sub(length, Ordering::Relaxed);
             self.drop_line();
         }
     }
@@ -170,7 +181,12 @@
     }
 }
 
-fn write_lines(mut output: impl Write, queued: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(
+    mut output: impl Write,
+    queued: &Receiver<String>,
+    bytes: &AtomicUsize,
+    dropped: &AtomicU64,
+) {
     let mut reported = 0;
     while let Ok(line) = queued.recv() {
         let total = dropped.load(Ordering::Relaxed);
@@ -188,5 +204,6 @@
         if writeln!(output, "{line}").is_err() {
             return;
         }
+        bytes.fetch_sub(line.len(), Ordering::Relaxed);
     }
 }
--- a/crates/ledgelead-runtime/tests/logging.rs
+++ b/crates/ledgelead-runtime/tests/logging.rs
@@ -77,6 +77,26 @@
     expect_that!(reported, eq(dropped));
 }
 
+/// Lines carry what clients choose: targets, hosts and ids.
+#[gtest]
+fn long_lines_take_no_more_memory_than_short_ones() {
+    const LINE_BYTES: usize = 10_000;
+    const LINES: usize = 1_000;
+    let (_allow, permissions) = channel();
+    let (written, _lines) = channel();
+    let output = StalledOutput {
+        permissions,
+        written,
+        line: Vec::new(),
+    };
+    let queue = LineQueue::new(output, 2 * LINES).unwrap();
+    for _ in 0..LINES {
+        queue.push("x".repeat(LINE_BYTES));
+    }
+    let queued = LINES as u64 - queue.dropped();
+    expect_that!(queued * LINE_BYTES as u64, le(1 << 20));
+}
+
 #[gtest]
 fn storm_of_failed_attempts_does_not_flood_the_log() {
     // 2,700 attempts a second, each with a line.
