Requests: a head in many small pieces is parsed once for each line

A head of 16 KB that came byte by byte was parsed from its start for each byte. It is parsed again once a line ends or it is too long. Seen by reading; the tests of messages in pieces of any size pass as before.

--- a/crates/ledgelead-http/src/request_reader.rs
+++ b/crates/ledgelead-http/src/request_reader.rs
@@ -67,6 +67,9 @@
 #[derive(Default)]
 pub struct RequestReader {
     head: Option<Head>,
+    /// Length of the partial head that was parsed last. It is parsed again once a line ends, so
+    /// that a head in many small pieces costs as much as one in a few.
+    parsed_bytes: usize,
 }
 
 impl RequestReader {
@@ -80,8 +83,12 @@
         input: &mut Vec<u8>,
         limits: RequestLimits,
     ) -> Result<RequestProgress, RequestError> {
-        if self.head.is_none() {
+        if self.head.is_none() && self.may_be_whole(input, limits) {
             self.head = parse_head(input, limits)?;
+            self.parsed_bytes = match self.head {
+                Some(_) => 0,
+                None => input.len(),
+            };
         }
         let Some(mut head) = self.head.take() else {
             return Ok(if input.is_empty() {
@@ -104,6 +111,12 @@
         })
     }
 
+    /// Whether bytes arrived that can end a head, or make it too long.
+    fn may_be_whole(&self, input: &[u8], limits: RequestLimits) -> bool {
+        let new = input.get(self.parsed_bytes..).unwrap_or(input);
+        self.parsed_bytes == 0 || input.len() > limits.max_head_bytes || new.contains(&b'\n')
+    }
+
     /// Bytes of memory that the request takes whose body is being read: the body counts as what
     /// it takes now, or will take if its length is known.
     pub fn reserved_bytes(&self) -> usize {
