Inbound: partial heads beyond the memory for buffers are dropped at once

Change: once a head of 4 KB or more grows while the buffers exceed their half, the longest pending heads are dropped until they fit. Shorter heads never begin this.

--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -233,8 +233,13 @@
 
     fn progress(&mut self, index: usize, now: Instant, events: &mut Vec<ClientEvent>) {
         self.advance(index, now, events);
-        if let Some(connection) = self.connections.get_mut(index) {
-            connection.charge();
+        let Some(connection) = self.connections.get_mut(index) else {
+            return;
+        };
+        connection.charge();
+        let is_long = connection.stream.input.len() >= MIN_CHECKED_BYTES;
+        if is_long && connection.phase() == Phase::Head {
+            self.drop_partial_heads();
         }
         self.add_turn_if_unread(index);
     }
--- a/crates/ledgelead-runtime/src/inbound/closing.rs
+++ b/crates/ledgelead-runtime/src/inbound/closing.rs
@@ -102,7 +102,7 @@
 
     /// While the buffers exceed the memory budget, disconnects clients that have sent a part of
     /// a head, the oldest first.
-    fn drop_partial_heads(&mut self) {
+    pub(super) fn drop_partial_heads(&mut self) {
         let mut excess = self.memory.excess();
         if excess == 0 {
             return;
--- a/crates/ledgelead-runtime/tests/inbound.rs
+++ b/crates/ledgelead-runtime/tests/inbound.rs
@@ -485,3 +485,25 @@
     fixture.respond(open[3], &Response::new(200, ""));
     expect_that!(fixture.connect_if_room().is_some(), eq(true));
 }
+
+#[gtest]
+fn partial_heads_take_no_more_than_the_buffers_may() {
+    const LIMIT: usize = 2_000_000;
+    let mut fixture = Fixture::new(Some(LIMIT));
+    let part = format!("GET /x HTTP/1.1\r\nX-Long: {}", "v".repeat(12_000));
+    let mut clients = Vec::new();
+    for _ in 0..200 {
+        let mut client = fixture.connect();
+        expect_that!(fixture.send(&mut client, part.as_bytes()).len(), eq(0));
+        expect_that!(fixture.memory.buffers.total(), le(LIMIT / 2));
+        fixture.now += Duration::from_millis(1);
+        clients.push(client);
+    }
+    expect_that!(fixture.inbound.closed().partial_heads, gt(100));
+    let mut other = fixture.connect();
+    let events = fixture.send(&mut other, b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    expect_that!(
+        matches!(events[..], [ClientEvent::Request { .. }]),
+        eq(true)
+    );
+}
