Reactor: turns follow the poller at once, not a timer

Clients inside the limits that send requests ahead waited for a millisecond before each of them since connections have turns: a turn was scheduled by a timer of now, and the poller's wait rounds up to a millisecond. Turns are idle calls, one after each poll, also beside a stream of events.

--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -14,7 +14,7 @@
 use ledgelead_http::{Request, Response};
 use ledgelead_router::io::{Action, ClientId, Input};
 use ledgelead_router::node::Node;
-use stakker::{CX, MinTimerKey, StopCause, fwd_to, timer_min};
+use stakker::{CX, MinTimerKey, StopCause, fwd_to, idle, timer_min};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream, UdpSocket};
 use stakker_mio::{MioPoll, MioSource, Ready};
@@ -84,6 +84,8 @@
     stop_requested_at: Option<Instant>,
     inputs: VecDeque<Input>,
     timer: MinTimerKey,
+    /// Whether the next turns of connections are scheduled.
+    turns_scheduled: bool,
     /// When the listeners accept again without an event of the poller.
     accept_again_at: Option<Instant>,
     next_sweep: Instant,
@@ -147,6 +149,7 @@
             stop_requested_at: None,
             inputs: VecDeque::new(),
             timer: MinTimerKey::default(),
+            turns_scheduled: false,
             accept_again_at: None,
             next_sweep: now + SWEEP_INTERVAL,
             next_settings: now + SETTINGS_INTERVAL,
@@ -242,10 +245,8 @@
     fn timer_fired(&mut self, cx: CX![]) {
         let now = cx.now();
         let mut inputs = vec![Input::Deadline];
-        self.outbound.resume_reading(now, &mut inputs);
         self.outbound.expire(now, &mut inputs);
         self.inputs.extend(inputs);
-        self.take_turns(cx);
         self.accept_again(cx);
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
@@ -257,15 +258,29 @@
         self.end_if_stopped(cx);
     }
 
-    /// Makes the next turn of each client that has one. Between two of them the node handles
-    /// what is due.
+    /// Schedules the next turns of connections that have some. The poller is asked before.
+    fn schedule_turns(&mut self, cx: CX![]) {
+        let has_turns = self.outbound.has_unread() || self.inbound.has_turns();
+        if has_turns && !self.turns_scheduled {
+            self.turns_scheduled = true;
+            idle!([cx], take_turns());
+        }
+    }
+
+    /// Makes the next turn of each connection that has one. Between those of two clients the
+    /// node handles what is due.
     fn take_turns(&mut self, cx: CX![]) {
+        self.turns_scheduled = false;
+        let mut inputs = Vec::new();
+        self.outbound.resume_reading(cx.now(), &mut inputs);
+        self.inputs.extend(inputs);
         for key in self.inbound.take_turns() {
             let mut events = Vec::new();
             self.inbound.take_turn(key, cx.now(), &mut events);
             self.take_events(cx.now(), events);
             self.pump(cx);
         }
+        self.pump(cx);
     }
 
     fn check_settings(&mut self, now: Instant) {
@@ -402,6 +417,7 @@
         let limits = ConnectionLimits::of(self.node.connection_limit());
         self.inbound.set_connection_limits(limits);
         self.outbound.set_connection_limit(limits.outbound);
+        self.schedule_turns(cx);
         self.set_timer(cx);
     }
 
@@ -410,9 +426,7 @@
         // by its remaining time, at most the interval of a node's reports (0.2 s).
         let remaining = self.node.next_deadline().saturating_sub(self.clock.now());
         let node_deadline = Instant::now() + remaining;
-        let has_unread = self.outbound.has_unread() || self.inbound.has_turns();
         let next = [
-            has_unread.then(Instant::now),
             Some(node_deadline),
             self.outbound.next_deadline(),
             Some(self.next_sweep),
