--- a/crates/ledgelead-runtime/src/inbound/closing.rs
+++ b/crates/ledgelead-runtime/src/inbound/closing.rs
@@ -66,10 +66,10 @@
         self.closed
     }
 
-    /// Frees as many bytes by disconnecting clients that have accepted no byte of their answers
+    /// Frees `excess` bytes by disconnecting clients that have accepted no byte of their answers
     /// for `min_stall`, the longest stalled first. The connection that was just answered is
-    /// exempt. Answers within the share that is reserved for answers
-    /// are never dropped to make room for bodies.
+    /// exempt. Answers within the share that is reserved for answers are never dropped to make
+    /// room for bodies.
     pub(super) fn drop_stalled_clients(
         &mut self,
         excess: usize,
@@ -126,7 +126,7 @@
 
     /// Whether there is room for a new connection. If there are too many, those are closed
     /// that have been idle for longest, then those that have sent a part of a head, then those
-    /// that don't read their answers. No client of these loses a request that is at work.
+    /// whose clients don't read their answers. None of them has a request at work.
     pub(crate) fn make_room(&mut self, endpoint: Endpoint, now: Instant) -> bool {
         let limit = self.connection_limits.inbound(endpoint);
         if self.open.of(endpoint).total() < limit {
