Connections: outbound ones may use what the inbound ones leave

The whole fleet's coordinator orders 4,272 owners. Inbound connections have half at most by their own limits; what they don't use is left to outbound ones, and idle ones of these are closed as the inbound ones grow.

--- a/crates/ledgelead-runtime/src/connection_limits.rs
+++ b/crates/ledgelead-runtime/src/connection_limits.rs
@@ -7,18 +7,15 @@
 const CLIENT_SHARE: f64 = 0.375;
 /// Share of those that status probes may have, and of those that other nodes may have.
 const OTHER_SHARE: f64 = 0.0625;
-/// Share of those to instances, to the store and to other nodes: one for each request of a
-/// client or of another node, and the rest for everything else.
-const OUTBOUND_SHARE: f64 = 0.5;
 /// Connections of each kind that are allowed in any case.
 const MIN_CONNECTIONS: usize = 4;
 
 /// The largest number of open connections of each kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ConnectionLimits {
+    total: usize,
     clients: usize,
     others: usize,
-    pub(crate) outbound: usize,
 }
 
 impl ConnectionLimits {
@@ -29,12 +26,18 @@
             None => usize::MAX,
         };
         ConnectionLimits {
+            total: part(1.0),
             clients: part(CLIENT_SHARE),
             others: part(OTHER_SHARE),
-            outbound: part(OUTBOUND_SHARE),
         }
     }
 
+    /// The limit of the connections to instances, to the store and to other nodes: what the
+    /// connections to this node leave, at least half. Each open request needs one.
+    pub(crate) fn outbound(self, inbound: usize) -> usize {
+        self.total.saturating_sub(inbound)
+    }
+
     /// The limit of the connections to an endpoint.
     pub(crate) fn inbound(self, endpoint: Endpoint) -> usize {
         match endpoint {
--- a/crates/ledgelead-runtime/src/inbound.rs
+++ b/crates/ledgelead-runtime/src/inbound.rs
@@ -108,6 +108,11 @@
         self.connection_limits = limits;
     }
 
+    /// The number of open connections.
+    pub(crate) fn len(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Makes each further answer close its connection.
     pub(crate) fn begin_stopping(&mut self) {
         self.stopping = true;
--- a/crates/ledgelead-runtime/src/outbound.rs
+++ b/crates/ledgelead-runtime/src/outbound.rs
@@ -104,6 +104,9 @@
     /// Replaces the limit of the number of connections.
     pub(crate) fn set_connection_limit(&mut self, limit: usize) {
         self.connection_limit = Some(limit);
+        if self.connections.len() > limit {
+            self.make_room();
+        }
     }
 
     /// Closes the longest idle connections if there are too many for another one. Their number
--- a/crates/ledgelead-runtime/src/reactor.rs
+++ b/crates/ledgelead-runtime/src/reactor.rs
@@ -420,7 +420,8 @@
         self.memory.set_limit(self.node.memory_limit());
         let limits = ConnectionLimits::of(self.node.connection_limit());
         self.inbound.set_connection_limits(limits);
-        self.outbound.set_connection_limit(limits.outbound);
+        let outbound = limits.outbound(self.inbound.len());
+        self.outbound.set_connection_limit(outbound);
         self.schedule_turns(cx);
         self.set_timer(cx);
     }
